Fix the types between the parts

Cause: eight parts are to be built side by side, and need the same words. Ruled out: letting each part declare its own inputs and outputs, which would leave the composition to guess.

--- /dev/null
+++ b/internal/record/control.go
@@ -0,0 +1,86 @@
+package record
+
+import (
+	"time"
+
+	"dalehook/internal/cluster"
+)
+
+// ControlLog is the name of the log that carries configuration, versions,
+// leases, views and the register of steps.
+const ControlLog = "control"
+
+// Revision numbers the configuration in force: the offset, on the control log,
+// of the last valid configuration record. Zero means none.
+type Revision uint64
+
+// Epoch numbers the holders of a lease: the offset of the valid claim. Zero
+// means that the duty was never claimed.
+type Epoch uint64
+
+// Duty names something that has one holder at a time.
+type Duty string
+
+// DutyView publishes the placement view.
+const DutyView Duty = "view"
+
+// DutyStep is the duty of owning a step; it is claimed on the step's own log.
+const DutyStep Duty = "step"
+
+// DutyPool returns the duty of directing one pool of engines.
+func DutyPool(pool string) Duty { return Duty("pool/" + pool) }
+
+// PlanConfirmed puts a plan in force. It is valid only when Base is the
+// revision in force where the record stands on the log.
+type PlanConfirmed struct {
+	Base     Revision `json:"base"`
+	Operator string   `json:"operator,omitempty"`
+	Plan     Plan     `json:"plan"`
+}
+
+// EventWithdrawn takes a confirmed event out of force. It is decided like
+// PlanConfirmed.
+type EventWithdrawn struct {
+	Base     Revision `json:"base"`
+	Operator string   `json:"operator,omitempty"`
+	Event    string   `json:"event"`
+}
+
+// VersionAnnounced says that a trainer has put a version into the weight store.
+type VersionAnnounced struct {
+	Model   cluster.ModelName `json:"model"`
+	Version cluster.Version   `json:"version"`
+	At      time.Time         `json:"at"`
+}
+
+// LeaseClaimed asks for a duty. It is valid only when Supersedes is the epoch
+// in force where the record stands; its own offset becomes the new epoch.
+type LeaseClaimed struct {
+	Duty        Duty                `json:"duty"`
+	Holder      cluster.NodeID      `json:"holder"`
+	Incarnation cluster.Incarnation `json:"incarnation"`
+	Supersedes  Epoch               `json:"supersedes"`
+}
+
+// ViewPublished replaces the placement view. It is valid only when Epoch is the
+// epoch of DutyView in force.
+type ViewPublished struct {
+	Epoch   Epoch          `json:"epoch"`
+	Members []cluster.Node `json:"members"`
+}
+
+// StepOpened registers an accepted step; its samples stand on the step's log.
+type StepOpened struct {
+	Step     string    `json:"step"`
+	Event    string    `json:"event"`
+	Trainer  string    `json:"trainer"`
+	Samples  int       `json:"samples"`
+	Digest   string    `json:"digest"`
+	Deadline time.Time `json:"deadline,omitzero"`
+}
+
+// StepClosed ends a step: each of its samples was handed over or has a final
+// error, or the trainer no longer reads it.
+type StepClosed struct {
+	Step string `json:"step"`
+}
