--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,9 +5,6 @@
 package settings
 
 import (
-	"net/netip"
-	"net/url"
-	"strings"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -18,11 +15,11 @@
 type Settings struct {
 	Node Identity `koanf:"node"`
 	// Zones lists every zone of the deployment.
-	Zones     []cluster.ZoneName `koanf:"zones" validate:"required,min=1,unique,dive,name"`
+	Zones     []cluster.ZoneName `koanf:"zones" validate:"required,min=1,dive,name" help:"all zones of the deployment"`
 	Listen    Addresses          `koanf:"listen"`
 	Advertise Addresses          `koanf:"advertise"`
 	// Peers are the peer addresses (IP:port) of other nodes to join by.
-	Peers    []string `koanf:"peers" validate:"unique,dive,ip_port"`
+	Peers    []string `koanf:"peers" validate:"dive,ip_port" help:"peer addresses of other nodes to join by"`
 	Platform Platform `koanf:"platform"`
 	Limits   Limits   `koanf:"limits"`
 	Log      Log      `koanf:"log"`
@@ -30,55 +27,55 @@
 
 // Identity says who a node is and where it stands.
 type Identity struct {
-	ID     cluster.NodeID     `koanf:"id" validate:"required,name"`
-	Zone   cluster.ZoneName   `koanf:"zone" validate:"required,name"`
-	Region cluster.RegionName `koanf:"region" validate:"omitempty,name"`
+	ID     cluster.NodeID     `koanf:"id" validate:"required,name" help:"name of this node, unique in the cluster"`
+	Zone   cluster.ZoneName   `koanf:"zone" validate:"required,name" help:"zone of this node"`
+	Region cluster.RegionName `koanf:"region" validate:"omitempty,name" help:"region of this node"`
 }
 
 // Addresses are the two addresses of a node, each IP:port. Port 0 takes a free
 // port when listening and is refused when advertised. An empty advertised
 // address means the listener's own.
 type Addresses struct {
-	Client string `koanf:"client" validate:"omitempty,ip_port"`
-	Peer   string `koanf:"peer" validate:"omitempty,ip_port"`
+	Client string `koanf:"client" validate:"omitempty,ip_port" help:"address towards callers and operators"`
+	Peer   string `koanf:"peer" validate:"omitempty,ip_port" help:"address towards other nodes"`
 }
 
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
-	Log      URL `koanf:"log" validate:"required"`
-	Weights  URL `koanf:"weights" validate:"required"`
-	Machines URL `koanf:"machines" validate:"required"`
+	Log      URL `koanf:"log" validate:"required,base_url" help:"base URL of the log service"`
+	Weights  URL `koanf:"weights" validate:"required,base_url" help:"base URL of the weight store"`
+	Machines URL `koanf:"machines" validate:"required,base_url" help:"base URL of the machine list"`
 }
 
 // Limits bound what one node takes and how long it keeps it.
 type Limits struct {
 	// Body is the largest request body that the node takes.
-	Body Size `koanf:"body" validate:"gt=0"`
+	Body Size `koanf:"body" validate:"gt=0" help:"largest request body"`
 	// Answer is the largest back-end answer that the node buffers; an
 	// unrepeatable request's recorded answer is buffered whole.
-	Answer Size `koanf:"answer" validate:"gt=0"`
+	Answer Size `koanf:"answer" validate:"gt=0" help:"largest buffered answer of a back end"`
 	// Concurrent is the largest number of requests in flight in one class.
-	Concurrent int `koanf:"concurrent" validate:"gt=0"`
+	Concurrent int `koanf:"concurrent" validate:"gt=0" help:"requests in flight in one class"`
 	// Classes overrides Concurrent for single classes.
-	Classes map[string]int `koanf:"classes" validate:"dive,gt=0"`
+	Classes map[string]int `koanf:"classes" validate:"dive,gt=0" help:"requests in flight by class"`
 	// Deadline bounds a service request whose caller named none.
-	Deadline time.Duration `koanf:"deadline" validate:"gt=0"`
+	Deadline time.Duration `koanf:"deadline" validate:"gt=0" help:"deadline of a request that names none"`
 	// MaxDeadline is the longest deadline that a caller may name.
-	MaxDeadline time.Duration `koanf:"max_deadline" validate:"gtefield=Deadline"`
+	MaxDeadline time.Duration `koanf:"max_deadline" validate:"gtefield=Deadline" help:"longest deadline a caller may name"`
 	// MaxWait is the longest that a trainer's read may wait for samples.
-	MaxWait time.Duration `koanf:"max_wait" validate:"gt=0"`
+	MaxWait time.Duration `koanf:"max_wait" validate:"gt=0" help:"longest wait of a read of samples"`
 	// RetryShare is the retry budget: retries as a share of first attempts.
-	RetryShare float64 `koanf:"retry_share" validate:"gte=0,lte=1"`
+	RetryShare float64 `koanf:"retry_share" validate:"gte=0,lte=1" help:"retries as a share of first attempts"`
 	// KeyLifetime is how long the outcome of an unrepeatable request is kept.
-	KeyLifetime time.Duration `koanf:"key_lifetime" validate:"gt=0"`
+	KeyLifetime time.Duration `koanf:"key_lifetime" validate:"gt=0" help:"how long the outcome of an unrepeatable request is kept"`
 	// LeaveGrace is how long a leaving node goes on taking requests from callers
 	// whose lists lag.
-	LeaveGrace time.Duration `koanf:"leave_grace" validate:"gte=0"`
+	LeaveGrace time.Duration `koanf:"leave_grace" validate:"gte=0" help:"how long a leaving node goes on taking requests"`
 }
 
 // Log says what is logged.
 type Log struct {
-	Level string `koanf:"level" validate:"oneof=debug info warn error"`
+	Level string `koanf:"level" validate:"oneof=debug info warn error" help:"log level: debug, info, warn or error"`
 }
 
 // Size is a number of bytes; it is written with its unit ("8MiB").
@@ -115,18 +112,3 @@
 	// Environ is the environment as os.Environ returns it.
 	Environ []string
 }
-
-// isAddress reports whether text is IP:port.
-func isAddress(text string) bool {
-	_, err := netip.ParseAddrPort(text)
-	return err == nil
-}
-
-// isURL reports whether text is an http URL with a host and without a trailing slash.
-func isURL(text string) bool {
-	parsed, err := url.Parse(text)
-	if err != nil {
-		return false
-	}
-	return parsed.Scheme == "http" && parsed.Host != "" && !strings.HasSuffix(text, "/")
-}
