--- /dev/null
+++ b/internal/api/options.go
@@ -0,0 +1,76 @@
+package api
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"dalehook/internal/cluster"
+	"dalehook/internal/machine"
+)
+
+// Defaults of Limits.
+const (
+	defaultStepBody    = 32 << 20
+	defaultServiceBody = 8 << 20
+	defaultPlanBody    = 1 << 20
+	defaultDeadline    = 30 * time.Second
+	defaultMaxDeadline = 10 * time.Minute
+	defaultMaxWait     = time.Minute
+	defaultOpenCalls   = 16384
+)
+
+// Limits bound what callers may ask. A zero field takes its default.
+type Limits struct {
+	// StepBody, ServiceBody and PlanBody are the largest request bodies in bytes.
+	StepBody    int64
+	ServiceBody int64
+	PlanBody    int64
+	// Deadline bounds a service request that names none; MaxDeadline is the
+	// longest that a caller may name.
+	Deadline    time.Duration
+	MaxDeadline time.Duration
+	// MaxWait caps the wait of a read of samples.
+	MaxWait time.Duration
+	// OpenCalls is the number of calls that may be open at once; a further one
+	// is refused as overloaded.
+	OpenCalls int
+}
+
+// withDefaults fills the fields that were left zero.
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.StepBody, defaultStepBody)
+	setDefault(&l.ServiceBody, defaultServiceBody)
+	setDefault(&l.PlanBody, defaultPlanBody)
+	setDefault(&l.Deadline, defaultDeadline)
+	setDefault(&l.MaxDeadline, defaultMaxDeadline)
+	setDefault(&l.MaxWait, defaultMaxWait)
+	setDefault(&l.OpenCalls, defaultOpenCalls)
+	return l
+}
+
+// setDefault sets a field that is zero.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Options configure a Handler.
+type Options struct {
+	// Self is this node; errors that arise in the API name it as the peer.
+	Self cluster.Node
+	// Submit passes an input to the machine. It does not block.
+	Submit func(machine.Input)
+	// Ready reports whether the node takes callers' requests.
+	Ready func() bool
+	// Leaving reports whether a planned stop has begun.
+	Leaving func() bool
+	Limits  Limits
+	Logger  *zap.Logger
+	// Registry takes the API's metrics and is what /metrics shows; nil for a
+	// registry of its own.
+	Registry *prometheus.Registry
+}
--- /dev/null
+++ b/internal/peer/options.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"dalehook/internal/cluster"
+	"dalehook/internal/machine"
+)
+
+// Defaults of Options.
+const (
+	defaultQueueLimit   = 256
+	defaultFrameLimit   = 16 << 20
+	defaultDialTimeout  = 2 * time.Second
+	defaultWriteTimeout = 5 * time.Second
+	defaultIdleTimeout  = time.Minute
+	defaultMinBackoff   = 100 * time.Millisecond
+	defaultMaxBackoff   = 5 * time.Second
+	defaultDrainTimeout = time.Second
+)
+
+// Options configure a Transport. Self, Listener and Receive are required; each
+// other field has a default.
+type Options struct {
+	// Self is this process; messages carry its id and incarnation.
+	Self cluster.Node
+	// Listener accepts the connections of other nodes. The transport closes it.
+	Listener net.Listener
+	// Receive takes each message that comes in, in the order of its connection.
+	// While it blocks, only the connection of that message waits.
+	Receive func(machine.PeerMessage)
+	Logger  *zap.Logger
+	// Registerer takes the transport's metrics; nil for none.
+	Registerer prometheus.Registerer
+
+	// QueueLimit is the number of messages that may wait for one peer; further
+	// ones are dropped.
+	QueueLimit int
+	// FrameLimit is the largest gob message in bytes, sent or received.
+	FrameLimit int
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// WriteTimeout bounds one write; a peer that does not read loses its
+	// connection after it.
+	WriteTimeout time.Duration
+	// IdleTimeout closes a connection on which nothing was sent for so long.
+	IdleTimeout time.Duration
+	// MinBackoff and MaxBackoff bound the pause after a failed dial.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+	// DrainTimeout bounds the sending of queued messages at Stop.
+	DrainTimeout time.Duration
+}
+
+// withDefaults fills the fields that were left zero.
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	setDefault(&o.QueueLimit, defaultQueueLimit)
+	setDefault(&o.FrameLimit, defaultFrameLimit)
+	setDefault(&o.DialTimeout, defaultDialTimeout)
+	setDefault(&o.WriteTimeout, defaultWriteTimeout)
+	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.MinBackoff, defaultMinBackoff)
+	setDefault(&o.MaxBackoff, defaultMaxBackoff)
+	setDefault(&o.DrainTimeout, defaultDrainTimeout)
+	return o
+}
+
+// setDefault sets a field that is zero.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
