--- /dev/null
+++ b/internal/backend/transport.go
@@ -0,0 +1,37 @@
+// Package backend holds the clients of the back ends: model engines and service
+// servers. A request is never sent twice by these clients, and each result says
+// what is known of it: not sent, refused, answered whole, cut, or unknown.
+package backend
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Options configure the clients of back ends. Zero values take the defaults.
+type Options struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// CallTimeout bounds short calls: reports, orders and cancels.
+	CallTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept. It should be
+	// shorter than the back ends' own.
+	IdleTimeout time.Duration
+	// IdlePerBackend is the largest number of idle connections kept to one
+	// back end.
+	IdlePerBackend int
+	// BufferLimit is the largest answer, in bytes, that is buffered.
+	BufferLimit int64
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// The defaults of Options.
+const (
+	DefaultDialTimeout    = time.Second
+	DefaultCallTimeout    = 2 * time.Second
+	DefaultIdleTimeout    = 30 * time.Second
+	DefaultIdlePerBackend = 256
+	DefaultBufferLimit    = 1 << 20
+)
