--- /dev/null
+++ b/internal/routing/engine_dalehook.go
@@ -0,0 +1,263 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"dalehook/internal/cluster"
+)
+
+type version = cluster.Version
+
+// The parameters of the dalehook policy. Times are in seconds, speeds in tokens
+// a second. All are assumptions that dalehook rehearse varies.
+const (
+	// assumedPrefillSpeed is the speed at which an engine reads a prompt.
+	assumedPrefillSpeed = 8000
+	// assumedStreamSpeed is the speed of one stream alone on an engine.
+	assumedStreamSpeed = 60
+	// halfSpeedBatch is the batch size at which one stream has half its speed.
+	halfSpeedBatch = 32
+	// memoryShare is the share of the cache memory that placement fills, so that
+	// samples that grow beyond what was expected evict nothing.
+	memoryShare = 0.9
+	// versionPenalty is the time that one version of lag is worth. It makes a
+	// newer engine win against a slightly less loaded one.
+	versionPenalty = 2.0
+	// swapPenalty is the time that a swap in the middle of a sample costs.
+	swapPenalty = 4.0
+	// shortSample is the running time up to which a sample is likely to end
+	// before an engine's next swap begins.
+	shortSample = 5.0
+	// moveCost is the fixed time that a move takes.
+	moveCost = 0.3
+	// moveGain is the factor by which a move has to shorten the remaining time.
+	moveGain = 1.3
+	// maxMoves bounds the moves of one sample.
+	maxMoves = 2
+	// tailShare is the share of an idle pool's engines below which the
+	// unfinished samples of a step are its last ones.
+	tailSamplesPerEngine = 1
+	// priorityTail is added to the priority of the last samples of a step.
+	priorityTail = 100
+	// priorityPerTokens is the number of expected tokens that raise the priority
+	// by one.
+	priorityPerTokens = 64
+)
+
+// dalehookPolicy places the longest expected sample first on the engine that
+// ends it first, with limits by cache memory, and moves stragglers.
+type dalehookPolicy struct{}
+
+// Name implements EnginePolicy.
+func (p *dalehookPolicy) Name() string { return PolicyDalehook }
+
+// Place implements EnginePolicy.
+func (p *dalehookPolicy) Place(request PlaceRequest) []Placement {
+	engines := usable(request.Engines, request.Newest, request.Bound)
+	tail := request.Unfinished <= tailSamplesPerEngine*len(engines)
+	var placements []Placement
+	for _, work := range longestFirst(request.Waiting) {
+		chosen := bestEngine(engines, work, request.Newest)
+		if chosen < 0 {
+			continue
+		}
+		engine := &engines[chosen]
+		engine.take(work)
+		placements = append(placements, Placement{
+			Sample:   work.Sample,
+			Engine:   engine.ID,
+			Address:  engine.Address,
+			Priority: priority(work, tail),
+		})
+	}
+	return placements
+}
+
+// longestFirst sorts work by its expected length. Work of one prompt group and
+// one length stays together, so that it meets its prefix in the cache.
+func longestFirst(waiting []Work) []Work {
+	sorted := slices.Clone(waiting)
+	slices.SortStableFunc(sorted, func(a, b Work) int {
+		return cmp.Or(
+			cmp.Compare(b.Expected, a.Expected),
+			cmp.Compare(a.Group, b.Group),
+			cmp.Compare(a.Sample, b.Sample),
+		)
+	})
+	return sorted
+}
+
+// priority orders work inside an engine: longer first, a step's last samples
+// before all others.
+func priority(work Work, tail bool) int {
+	value := work.Expected / priorityPerTokens
+	if tail {
+		value += priorityTail
+	}
+	return value
+}
+
+// bestEngine returns the index of the engine with the lowest cost that has room,
+// or -1.
+func bestEngine(engines []Engine, work Work, newest version) int {
+	chosen := -1
+	lowest := 0.0
+	for i, engine := range engines {
+		if !hasRoom(engine, work) {
+			continue
+		}
+		cost := placeCost(engine, work, newest)
+		if chosen < 0 || cost < lowest {
+			chosen, lowest = i, cost
+		}
+	}
+	return chosen
+}
+
+// hasRoom reports whether the engine can start the work at once and hold it to
+// its end. An idle engine takes any work, however long.
+func hasRoom(engine Engine, work Work) bool {
+	requests := engine.requests()
+	if requests == 0 {
+		return true
+	}
+	if engine.Slots > 0 && requests >= engine.Slots {
+		return false
+	}
+	if engine.KVCapacity == 0 {
+		return true
+	}
+	limit := int(float64(engine.KVCapacity) * memoryShare)
+	return engine.memory()+work.memory() <= limit
+}
+
+// placeCost is the time at which the engine would have finished the work and the
+// longest sample that it already runs, plus penalties for an old version and for
+// a swap to come.
+func placeCost(engine Engine, work Work, newest version) float64 {
+	speed := streamSpeed(engine, engine.requests()+1)
+	longest := max(engine.Placed.Longest, work.Expected)
+	cost := float64(longest)/speed + prefillTime(engine, work)
+	if newest > engine.Version && engine.Version > 0 {
+		cost += versionPenalty * float64(newest-engine.Version)
+	}
+	swapsSoon := engine.Loading != 0 && engine.Loading != engine.Version
+	if swapsSoon && float64(work.Expected)/speed > shortSample {
+		cost += swapPenalty
+	}
+	return cost
+}
+
+// streamSpeed estimates the speed of one stream on an engine that runs the given
+// number of requests. What was measured at the present number is scaled.
+func streamSpeed(engine Engine, requests int) float64 {
+	alone := float64(assumedStreamSpeed)
+	present := engine.requests()
+	switch {
+	case engine.Placed.StreamSpeed > 0:
+		alone = engine.Placed.StreamSpeed * slowdown(present)
+	case engine.TokensPerSecond > 0 && engine.Running > 0:
+		alone = engine.TokensPerSecond / float64(engine.Running) * slowdown(engine.Running)
+	}
+	return alone / slowdown(requests)
+}
+
+// slowdown is the factor by which a stream in a batch is slower than alone.
+func slowdown(requests int) float64 {
+	return 1 + float64(max(requests-1, 0))/halfSpeedBatch
+}
+
+// prefillTime is the time until the first new token: the prompt, unless the
+// engine has it in its cache, and the tokens that a resume brings along.
+func prefillTime(engine Engine, work Work) float64 {
+	tokens := work.Prompt + work.Held
+	if work.Group != "" && holdsGroup(engine, work.Group) {
+		tokens = work.Held
+	}
+	return float64(tokens) / assumedPrefillSpeed
+}
+
+func holdsGroup(engine Engine, group string) bool {
+	return slices.Contains(engine.Groups, group) || slices.Contains(engine.Placed.Groups, group)
+}
+
+// Move implements EnginePolicy. It moves a sample only when none waits for an
+// engine, and only when that ends the sample clearly sooner.
+func (p *dalehookPolicy) Move(request MoveRequest) []Placement {
+	engines := usable(request.Engines, request.Newest, request.Bound)
+	if request.Waiting > 0 || len(request.Running) > tailSamplesPerEngine*len(engines) {
+		return nil
+	}
+	var moves []Placement
+	for _, running := range slowestFirst(request.Running) {
+		target := moveTarget(engines, running, request.Newest)
+		if target < 0 {
+			continue
+		}
+		engine := &engines[target]
+		engine.take(running.Work)
+		moves = append(moves, Placement{
+			Sample:   running.Sample,
+			Engine:   engine.ID,
+			Address:  engine.Address,
+			Priority: priority(running.Work, true),
+		})
+	}
+	return moves
+}
+
+// slowestFirst sorts running samples by the time they still need.
+func slowestFirst(running []Running) []Running {
+	sorted := slices.Clone(running)
+	slices.SortStableFunc(sorted, func(a, b Running) int {
+		return cmp.Compare(b.remaining(), a.remaining())
+	})
+	return sorted
+}
+
+// remaining is the time in seconds that the attempt still needs where it runs,
+// zero when its speed is not known yet.
+func (r Running) remaining() float64 {
+	if r.Speed <= 0 {
+		return 0
+	}
+	return float64(r.Expected) / r.Speed
+}
+
+// moveTarget returns the index of the engine on which the sample ends soonest,
+// when that is worth a move, or -1.
+func moveTarget(engines []Engine, running Running, newest version) int {
+	if running.Moves >= maxMoves || running.remaining() == 0 {
+		return -1
+	}
+	others := slices.Clone(engines)
+	for i := range others {
+		if others[i].ID == running.Engine {
+			others[i].Slots = -1
+		}
+	}
+	best, lowest := -1, running.remaining()/moveGain
+	for i, engine := range others {
+		if engine.Slots < 0 || !hasRoom(engine, running.Work) {
+			continue
+		}
+		cost := moveCost + placeCost(engine, running.Work, newest)
+		if cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	return best
+}
+
+// tooOld reports whether a token of the given version is over the bound. An
+// unknown version is not known to be too old.
+func tooOld(oldest, newest version, bound int64) bool {
+	return oldest > 0 && int64(newest-oldest) > bound
+}
+
+// TooOld reports whether a sample whose oldest token comes from the given
+// version is over the staleness bound.
+func TooOld(oldest, newest cluster.Version, bound int64) bool {
+	return tooOld(oldest, newest, bound)
+}
