--- a/internal/record/plan.go
+++ b/internal/record/plan.go
@@ -105,3 +105,22 @@
 	Concurrent int `json:"concurrent"`
 	Importance int `json:"importance"`
 }
+
+// End returns the time at which the event ends.
+func (e Event) End() time.Time { return e.Start.Add(e.Duration.Std()) }
+
+// ClassName returns the class under which requests are limited and shed.
+func (d ServiceDemand) ClassName() string {
+	if d.Class != "" {
+		return d.Class
+	}
+	return d.Service
+}
+
+// ClassName returns the class under which samples are limited and shed.
+func (d RolloutDemand) ClassName() string {
+	if d.Class != "" {
+		return d.Class
+	}
+	return d.Trainer
+}
