Add plan, confirm and status, and a client of a node's interface

Cause: operators state an intent, read the plan and confirm it. Ruled out: an event taken as free text; a file or flags with the file's keys are checked strictly instead, and give the same event (test). Change: internal/client speaks to a node for operators, trainers and callers; three subcommands print for people or as JSON. Wrong use ends with 2, a refusal with 1 and its reason.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -32,5 +32,8 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(newNodeCommand(streams), groupNode)
 	commander.Register(newCheckCommand(streams), groupNode)
+	commander.Register(newPlanCommand(streams), groupOperators)
+	commander.Register(newConfirmCommand(streams), groupOperators)
+	commander.Register(newStatusCommand(streams), groupOperators)
 	return commander
 }
--- /dev/null
+++ b/internal/command/event.go
@@ -0,0 +1,147 @@
+package command
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
+
+	"dalehook/internal/record"
+)
+
+// eventFlags state an event: a file, or a flag for each of its parts.
+type eventFlags struct {
+	path  string
+	event record.Event
+	// stated names the flags that were used beside the file's.
+	stated []string
+}
+
+func (e *eventFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&e.path, "event", "", "event `file` in YAML; the other flags of the event are then not allowed")
+	e.flag(flags, "name", "name of the event", func(text string) error {
+		e.event.Name = text
+		return nil
+	})
+	e.flag(flags, "start", "start `time`, such as 2026-12-07T09:00:00-05:00", func(text string) error {
+		start, err := time.Parse(time.RFC3339, text)
+		e.event.Start = start
+		return err
+	})
+	e.flag(flags, "crowd", "expected number of callers", func(text string) error {
+		return yaml.Unmarshal([]byte(text), &e.event.Crowd)
+	})
+	e.flag(flags, "duration", "how long the event lasts, such as 4h", func(text string) error {
+		return e.event.Duration.UnmarshalText([]byte(text))
+	})
+	e.flag(flags, "arrival", "time over which the crowd's first requests come in, such as 5m", func(text string) error {
+		return e.event.Arrival.UnmarshalText([]byte(text))
+	})
+	e.flag(flags, "service", "service that the event touches, as `key=value,...` with the keys of the event file; may be repeated", func(text string) error {
+		return appendPairs(&e.event.Services, text)
+	})
+	e.flag(flags, "rollout", "rollout work, as `key=value,...` with the keys of the event file; may be repeated", func(text string) error {
+		return appendPairs(&e.event.Rollouts, text)
+	})
+}
+
+// flag registers one part of the event.
+func (e *eventFlags) flag(flags *flag.FlagSet, name, help string, set func(string) error) {
+	flags.Func(name, help, func(text string) error {
+		e.stated = append(e.stated, "-"+name)
+		return set(text)
+	})
+}
+
+// load returns the event as stated, or everything that is wrong with it.
+func (e *eventFlags) load() (record.Event, error) {
+	if e.path == "" {
+		return e.event, checkEvent(e.event)
+	}
+	if len(e.stated) > 0 {
+		return record.Event{}, eris.Errorf("-event can't be used together with %s", strings.Join(e.stated, ", "))
+	}
+	content, err := os.ReadFile(e.path)
+	if err != nil {
+		return record.Event{}, eris.Wrap(err, "read event file")
+	}
+	event, err := parseEvent(content)
+	if err != nil {
+		return record.Event{}, eris.Wrap(err, e.path)
+	}
+	return event, nil
+}
+
+// parseEvent reads an event file; unknown keys are refused with their line.
+func parseEvent(content []byte) (record.Event, error) {
+	var event record.Event
+	if err := decodeStrictly(content, &event); err != nil {
+		return record.Event{}, err
+	}
+	return event, checkEvent(event)
+}
+
+func decodeStrictly(content []byte, target any) error {
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.KnownFields(true)
+	err := decoder.Decode(target)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// appendPairs reads "key=value,key=value" by the keys of the event file.
+func appendPairs[T any](list *[]T, text string) error {
+	document := yaml.Node{Kind: yaml.MappingNode}
+	for pair := range strings.SplitSeq(text, ",") {
+		key, value, found := strings.Cut(pair, "=")
+		if !found {
+			return eris.Errorf("%q is no key=value", pair)
+		}
+		document.Content = append(document.Content,
+			&yaml.Node{Kind: yaml.ScalarNode, Value: strings.TrimSpace(key)},
+			&yaml.Node{Kind: yaml.ScalarNode, Value: strings.TrimSpace(value)})
+	}
+	content, err := yaml.Marshal(&document)
+	if err != nil {
+		return err
+	}
+	var item T
+	if err := decodeStrictly(content, &item); err != nil {
+		return err
+	}
+	*list = append(*list, item)
+	return nil
+}
+
+// checkEvent applies the rules of the event's validate tags.
+func checkEvent(event record.Event) error {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(func(member reflect.StructField) string {
+		name, _, _ := strings.Cut(member.Tag.Get("yaml"), ",")
+		return name
+	})
+	var failures validator.ValidationErrors
+	if !errors.As(check.Struct(event), &failures) {
+		return nil
+	}
+	lines := make([]string, len(failures))
+	for i, failure := range failures {
+		_, key, _ := strings.Cut(failure.Namespace(), ".")
+		lines[i] = fmt.Sprintf("%s: fails the rule %s", key, failure.ActualTag())
+		if failure.Tag() == "required" {
+			lines[i] = key + ": is required"
+		}
+	}
+	return eris.New(strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/command/plan.go
@@ -0,0 +1,69 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"dalehook/internal/planner"
+)
+
+// planCommand asks a node for a plan and prints it.
+type planCommand struct {
+	streams  Streams
+	operator operatorFlags
+	event    eventFlags
+}
+
+func newPlanCommand(streams Streams) *planCommand { return &planCommand{streams: streams} }
+
+// Name implements subcommands.Command.
+func (*planCommand) Name() string { return "plan" }
+
+// Synopsis implements subcommands.Command.
+func (*planCommand) Synopsis() string { return "ask for a plan for an event; nothing changes yet" }
+
+// Usage implements subcommands.Command.
+func (*planCommand) Usage() string {
+	return `plan -node ADDRESS -event FILE [-json]:
+plan -node ADDRESS -name NAME -start TIME -crowd N [-duration D] [-arrival D]
+     [-service KEY=VALUE,...]... [-rollout KEY=VALUE,...]... [-json]:
+	Asks a node for the plan of an event and prints it with the line that
+	confirms it. With -json the output can be given to "confirm -plan".
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *planCommand) SetFlags(flags *flag.FlagSet) {
+	c.operator.register(flags)
+	c.event.register(flags)
+}
+
+// Execute implements subcommands.Command.
+func (c *planCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	node, ok := c.operator.client(c.streams, flags)
+	if !ok {
+		return subcommands.ExitUsageError
+	}
+	event, err := c.event.load()
+	if err != nil {
+		fmt.Fprintln(c.streams.Error, err)
+		return subcommands.ExitUsageError
+	}
+	ctx, cancel := c.operator.context(ctx)
+	defer cancel()
+	answer, err := node.MakePlan(ctx, event)
+	if err != nil {
+		return reportFailure(c.streams, "plan", err)
+	}
+	if c.operator.json {
+		return printJSON(c.streams, answer)
+	}
+	fmt.Fprintln(c.streams.Output, planner.Render(answer.Plan))
+	fmt.Fprintln(c.streams.Output, "To put it in force:")
+	fmt.Fprintf(c.streams.Output, "  dalehook confirm -node %s -digest %s -revision %d -operator YOUR-NAME\n",
+		c.operator.node, answer.Plan.Digest, answer.Plan.Base)
+	return subcommands.ExitSuccess
+}
