--- a/internal/record/change.go
+++ b/internal/record/change.go
@@ -42,8 +42,9 @@
 	ReasonFailed VoidReason = "already_failed"
 	// ReasonNotCommitted means that the sample has no result to revoke.
 	ReasonNotCommitted VoidReason = "not_committed"
-	// ReasonOldAttempt means that the attempt, or a later one, was revoked.
-	ReasonOldAttempt VoidReason = "attempt_revoked"
+	// ReasonOldAttempt means that a later attempt is known, or that the attempt
+	// or a later one was revoked.
+	ReasonOldAttempt VoidReason = "old_attempt"
 )
 
 // Change is what one entry did to a Control.
