Name a step's replicas, demand and learned lengths in its records

A successor has to know which nodes may hold what a step's owner could not append while the log was down; the placement view may have moved since, so the claim names them, with their incarnations. The body keeps the trainer's demand, so that a step outlives the withdrawal of its event. The closing record carries what the step taught about lengths. All three fields are optional.

--- a/internal/record/control.go
+++ b/internal/record/control.go
@@ -60,6 +60,19 @@
 	Holder      cluster.NodeID      `json:"holder"`
 	Incarnation cluster.Incarnation `json:"incarnation"`
 	Supersedes  Epoch               `json:"supersedes"`
+	// Replicas are the nodes to which the holder of a step mirrors what it can't
+	// append while the log is down; a successor asks them before it acts. In a
+	// cluster of fewer nodes the last ones are zero.
+	Replicas [ReplicaCount]Replica `json:"replicas,omitzero"`
+}
+
+// ReplicaCount is the number of nodes that keep a copy of something in memory.
+const ReplicaCount = 3
+
+// Replica names one life of a node that keeps a copy of something in memory.
+type Replica struct {
+	Node        cluster.NodeID      `json:"node"`
+	Incarnation cluster.Incarnation `json:"incarnation"`
 }
 
 // ViewPublished replaces the placement view. It is valid only when Epoch is the
@@ -83,4 +96,16 @@
 // error, or the trainer no longer reads it.
 type StepClosed struct {
 	Step string `json:"step"`
+	// Lengths is what the step taught about the lengths of its trainer's
+	// samples, so that the owners of later steps can order theirs.
+	Lengths []GroupLength `json:"lengths,omitempty"`
+}
+
+// GroupLength is the mean length of the finished samples of one prompt group,
+// or of all samples when Group is empty.
+type GroupLength struct {
+	Group   string `json:"group,omitempty"`
+	Samples int    `json:"samples"`
+	// Tokens is the mean number of generated tokens.
+	Tokens int `json:"tokens"`
 }
--- a/internal/record/step.go
+++ b/internal/record/step.go
@@ -28,6 +28,9 @@
 	Deadline time.Time `json:"deadline,omitzero"`
 	// Digest covers event, trainer, step, samples and the deadline as posted.
 	Digest string `json:"digest"`
+	// Demand is the trainer's demand in force when the step was accepted. It
+	// counts when the event is withdrawn while the step runs.
+	Demand *RolloutDemand `json:"demand,omitempty"`
 }
 
 // Placement says which engine runs an attempt, so that a new owner resumes it.
