--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.uber.org/zap"
 
 	"dalehook/internal/api"
@@ -11,7 +12,11 @@
 	"dalehook/internal/machine"
 )
 
-// Options configure a Node.
+// defaultLeaveTimeout bounds a planned stop when Options name no time.
+const defaultLeaveTimeout = 2 * time.Minute
+
+// Options configure a Node. Self, Listeners, Machine, Ready and the clients are
+// required.
 type Options struct {
 	// Self is this process as Listen completed it.
 	Self cluster.Node
@@ -24,11 +29,9 @@
 	Ready func() bool
 	// Log, Machines, Engines and Services are the clients of the outside.
 	Log      LogClient
-	Machines MachineLister
+	Machines MachineClient
 	Engines  EngineClient
 	Services ServiceClient
-	// Registrar puts the node on the platform's machine list; nil for none.
-	Registrar Registrar
 
 	Limits api.Limits
 	Logger *zap.Logger
@@ -38,3 +41,21 @@
 	// LeaveTimeout bounds a planned stop; after it Run returns ErrLeaveTimeout.
 	LeaveTimeout time.Duration
 }
+
+// withDefaults fills the fields that were left zero.
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Registry == nil {
+		o.Registry = prometheus.NewRegistry()
+		o.Registry.MustRegister(
+			collectors.NewGoCollector(),
+			collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		)
+	}
+	if o.LeaveTimeout == 0 {
+		o.LeaveTimeout = defaultLeaveTimeout
+	}
+	return o
+}
--- /dev/null
+++ b/internal/supervise/group.go
@@ -0,0 +1,42 @@
+// Package supervise runs goroutines on conc and makes a panic known at once,
+// where a plain wait group would show it only when all goroutines have ended.
+package supervise
+
+import (
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+)
+
+// Group runs goroutines. Go must not be called once Wait has been.
+type Group struct {
+	goroutines conc.WaitGroup
+	failed     chan error
+}
+
+// NewGroup returns a group without goroutines.
+func NewGroup() *Group {
+	return &Group{failed: make(chan error, 1)}
+}
+
+// Go runs f in a goroutine of its own.
+func (g *Group) Go(f func()) {
+	g.goroutines.Go(func() { g.run(f) })
+}
+
+// Failed delivers the first panic of a goroutine as an error with its stack.
+func (g *Group) Failed() <-chan error { return g.failed }
+
+// Wait returns when all goroutines have ended.
+func (g *Group) Wait() { g.goroutines.Wait() }
+
+// run calls f and keeps its panic.
+func (g *Group) run(f func()) {
+	recovered := panics.Try(f)
+	if recovered == nil {
+		return
+	}
+	select {
+	case g.failed <- recovered.AsError():
+	default:
+	}
+}
