--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,260 @@
+// Package admission decides when a request may start and which one is refused:
+// limits by class and by back end, bounded queues that know their items'
+// deadlines, shedding in the order of the confirmed plan, and a retry budget.
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dalehook/internal/cluster"
+	"dalehook/internal/machine"
+	"dalehook/internal/record"
+)
+
+// Controller defaults.
+const (
+	defaultQueueSize      = 1024
+	defaultTotalQueueSize = 4096
+	defaultRetryShare     = 0.1
+	defaultRetryFloor     = 2.0
+
+	minimumRetryAfter = time.Second
+	maximumRetryAfter = 30 * time.Second
+)
+
+// Options configure a Controller. Zero values take defaults.
+type Options struct {
+	// QueueSize bounds the queue of one service, TotalQueueSize all of them.
+	QueueSize      int
+	TotalQueueSize int
+	// RetryShare is the number of retries that one success pays for, RetryFloor
+	// the retries a second that need none.
+	RetryShare float64
+	RetryFloor float64
+}
+
+// Item is a request that waits to be started.
+type Item struct {
+	Call    machine.CallID
+	Service string
+	// Class is the class under which the service was registered on arrival.
+	Class string
+	// Deadline is when the caller wants its answer.
+	Deadline time.Time
+}
+
+// Refusal says why an item was refused and when to come back.
+type Refusal struct {
+	Item       Item
+	Code       machine.Code
+	RetryAfter time.Duration
+}
+
+// Controller holds the queues and limits of one node.
+type Controller struct {
+	options  Options
+	classes  map[string]*class
+	flows    map[string]*flow
+	limiters map[cluster.BackendID]*Limiter
+	// order holds the flows, the one that is shed last first; it is what is
+	// ranged over.
+	order   []*flow
+	queued  int
+	refused []Refusal
+	retries *RetryBudget
+}
+
+// New returns a controller without limits.
+func New(options Options) *Controller {
+	if options.QueueSize == 0 {
+		options.QueueSize = defaultQueueSize
+	}
+	if options.TotalQueueSize == 0 {
+		options.TotalQueueSize = defaultTotalQueueSize
+	}
+	if options.RetryShare == 0 {
+		options.RetryShare = defaultRetryShare
+	}
+	if options.RetryFloor == 0 {
+		options.RetryFloor = defaultRetryFloor
+	}
+	return &Controller{
+		options:  options,
+		classes:  make(map[string]*class),
+		flows:    make(map[string]*flow),
+		limiters: make(map[cluster.BackendID]*Limiter),
+		retries:  NewRetryBudget(options.RetryShare, options.RetryFloor),
+	}
+}
+
+// SetPlans takes the limits and the shedding order of the plans in force, and
+// the number of nodes that share them.
+func (c *Controller) SetPlans(limits []record.ClassLimit, shedOrder []string, nodes int) {
+	for _, class := range c.classes {
+		class.rank = unnamedRank
+		if index := slices.Index(shedOrder, class.name); index >= 0 {
+			class.rank = index
+		}
+		class.setLimit(record.ClassLimit{}, nodes)
+		index := slices.IndexFunc(limits, func(l record.ClassLimit) bool { return l.Class == class.name })
+		if index >= 0 {
+			class.setLimit(limits[index], nodes)
+		}
+	}
+	c.sortFlows()
+}
+
+// Register makes a service and its class known. It reports whether the class is
+// new; SetPlans must then follow.
+func (c *Controller) Register(service, className string) bool {
+	if flow := c.flows[service]; flow != nil && flow.class.name == className {
+		return false
+	}
+	group := c.classes[className]
+	if group == nil {
+		group = &class{name: className, rank: unnamedRank}
+		c.classes[className] = group
+	}
+	if existing := c.flows[service]; existing != nil {
+		existing.class = group
+	} else {
+		c.flows[service] = &flow{service: service, class: group}
+		c.order = append(c.order, c.flows[service])
+	}
+	c.sortFlows()
+	return true
+}
+
+func (c *Controller) sortFlows() {
+	slices.SortFunc(c.order, func(a, b *flow) int {
+		if a.class.rank != b.class.rank {
+			return cmp.Compare(b.class.rank, a.class.rank)
+		}
+		return cmp.Compare(a.service, b.service)
+	})
+}
+
+// Offer queues an item of a registered service, or refuses it or another one;
+// see TakeRefused.
+func (c *Controller) Offer(now time.Time, item Item) {
+	flow := c.flows[item.Service]
+	if flow.tooLate(now, item, flow.expectedWait(now)) {
+		c.refuse(flow, item, machine.CodeOverloaded)
+		return
+	}
+	flow.items = append(flow.items, item)
+	c.queued++
+	if len(flow.items) > c.options.QueueSize {
+		c.dropOldest(flow, machine.CodeOverloaded)
+	}
+	if c.queued > c.options.TotalQueueSize {
+		c.dropOldest(c.firstToShed(), machine.CodeShed)
+	}
+}
+
+// OfferAgain puts an item that was started before at the front of its queue: it
+// has waited already.
+func (c *Controller) OfferAgain(item Item) {
+	flow := c.flows[item.Service]
+	flow.items = slices.Insert(flow.items, 0, item)
+	c.queued++
+}
+
+// firstToShed returns the flow with something queued that goes first.
+func (c *Controller) firstToShed() *flow {
+	for _, flow := range slices.Backward(c.order) {
+		if len(flow.items) > 0 {
+			return flow
+		}
+	}
+	return nil
+}
+
+func (c *Controller) dropOldest(flow *flow, code machine.Code) {
+	c.queued--
+	c.refuse(flow, flow.take(0), code)
+}
+
+func (c *Controller) refuse(flow *flow, item Item, code machine.Code) {
+	c.refused = append(c.refused, Refusal{Item: item, Code: code, RetryAfter: flow.retryAfter()})
+}
+
+// TakeRefused returns and forgets the refusals since the last call.
+func (c *Controller) TakeRefused() []Refusal {
+	refused := c.refused
+	c.refused = nil
+	return refused
+}
+
+// Dispatch starts what may start now. The function start is asked to place an
+// item at a back end and says false when none of the service's has room; the
+// rest of that service's queue then waits.
+func (c *Controller) Dispatch(now time.Time, start func(Item) bool) {
+	for _, flow := range c.order {
+		flow.class.refill(now)
+		for len(flow.items) > 0 && flow.class.hasRoom() {
+			index := flow.next(now)
+			if !start(flow.items[index]) {
+				break
+			}
+			item := flow.take(index)
+			c.queued--
+			flow.started()
+			c.classes[item.Class].start()
+		}
+	}
+}
+
+// Tick refuses what can't be answered in time any more and measures rates.
+func (c *Controller) Tick(now time.Time) {
+	for _, flow := range c.order {
+		for _, item := range flow.expired(now) {
+			c.queued--
+			c.refuse(flow, item, machine.CodeOverloaded)
+		}
+		flow.measure(now)
+	}
+}
+
+// Remove takes a call out of the queue of a service.
+func (c *Controller) Remove(service string, call machine.CallID) {
+	if flow := c.flows[service]; flow != nil && flow.remove(call) {
+		c.queued--
+	}
+}
+
+// Ended closes a started request; took is zero when it wasn't answered.
+func (c *Controller) Ended(item Item, took time.Duration) {
+	c.classes[item.Class].inFlight--
+	if took > 0 {
+		c.flows[item.Service].answered(took)
+		c.retries.Succeeded()
+	}
+}
+
+// AllowRetry takes one retry out of the budget.
+func (c *Controller) AllowRetry(now time.Time) bool { return c.retries.Take(now) }
+
+// Limiter returns the limiter of a back end.
+func (c *Controller) Limiter(backend cluster.BackendID) *Limiter {
+	limiter := c.limiters[backend]
+	if limiter == nil {
+		limiter = NewLimiter()
+		c.limiters[backend] = limiter
+	}
+	return limiter
+}
+
+// Forget drops idle limiters of back ends that keep doesn't name.
+func (c *Controller) Forget(keep func(cluster.BackendID) bool) {
+	for id, limiter := range c.limiters {
+		if limiter.inFlight == 0 && !keep(id) {
+			delete(c.limiters, id)
+		}
+	}
+}
+
+// Queued returns the number of waiting items.
+func (c *Controller) Queued() int { return c.queued }
--- /dev/null
+++ b/internal/admission/limiter.go
@@ -0,0 +1,157 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Limiter defaults.
+const (
+	initialLimit = 4.0
+	minimumLimit = 1.0
+	maximumLimit = 1024.0
+
+	// windowTime and windowAnswers end a measuring window, whichever is later.
+	windowTime    = 200 * time.Millisecond
+	windowAnswers = 8
+	// baselineWindows is the number of windows over which the lowest mean
+	// latency counts as the back end's latency without a queue.
+	baselineWindows = 75
+	// latencyTolerance is how far the mean latency may rise over the baseline
+	// before the limit falls: 2 lets the back end hold about as many requests in
+	// its queue as it runs, which keeps it busy.
+	latencyTolerance = 2.0
+	// smoothing is the weight of a new window's limit.
+	smoothing = 0.3
+	// failureDecrease is the factor of a window in which the back end refused or
+	// was lost.
+	failureDecrease = 0.7
+
+	// For probeTime out of every probeEvery of wall-clock time the limit is cut
+	// to probeShare, which must be below 1/latencyTolerance, so that the back end's queue drains and the latency without a queue
+	// is seen again. Without it the baseline would creep up during a long
+	// overload, and the limit with it. All nodes probe at the same wall-clock
+	// time, since the queue holds the requests of all of them.
+	probeEvery = 10 * time.Second
+	probeTime  = 600 * time.Millisecond
+	probeShare = 0.3
+)
+
+// Limiter bounds the requests that this node has open at one back end. The
+// limit follows the gradient of latency (Netflix concurrency-limits, Gradient2)
+// and falls by a factor on failures (AIMD).
+type Limiter struct {
+	limit    float64
+	inFlight int
+
+	windowEnds  time.Time
+	answers     int
+	total       time.Duration
+	failed      bool
+	mostOpen    int
+	baselines   []time.Duration
+	nextReplace int
+}
+
+// NewLimiter returns a limiter with the initial limit.
+func NewLimiter() *Limiter { return &Limiter{limit: initialLimit} }
+
+// HasRoom reports whether one more request may be opened.
+func (l *Limiter) HasRoom(now time.Time) bool {
+	limit := l.limit
+	if probing(now) {
+		limit = max(minimumLimit, limit*probeShare)
+	}
+	return l.inFlight < int(limit)
+}
+
+// probing reports whether the baseline is being measured.
+func probing(now time.Time) bool {
+	return now.UnixMilli()%probeEvery.Milliseconds() < probeTime.Milliseconds()
+}
+
+// Limit returns the number of requests that may be open.
+func (l *Limiter) Limit() int { return int(l.limit) }
+
+// InFlight returns the number of open requests.
+func (l *Limiter) InFlight() int { return l.inFlight }
+
+// Acquire opens a request.
+func (l *Limiter) Acquire() {
+	l.inFlight++
+	l.mostOpen = max(l.mostOpen, l.inFlight)
+}
+
+// Answered closes a request that was answered after took.
+func (l *Limiter) Answered(now time.Time, took time.Duration) {
+	l.inFlight--
+	l.answers++
+	l.total += took
+	l.closeWindow(now)
+}
+
+// Failed closes a request that the back end refused or lost for want of capacity.
+func (l *Limiter) Failed(now time.Time) {
+	l.inFlight--
+	l.failed = true
+	l.closeWindow(now)
+}
+
+// Dropped closes a request that says nothing of the back end's capacity.
+func (l *Limiter) Dropped() { l.inFlight-- }
+
+// closeWindow moves the limit once a window is over.
+func (l *Limiter) closeWindow(now time.Time) {
+	if l.windowEnds.IsZero() {
+		l.windowEnds = now.Add(windowTime)
+		return
+	}
+	if now.Before(l.windowEnds) || l.answers < windowAnswers && !l.failed {
+		return
+	}
+	switch {
+	case probing(now) && l.answers > 0:
+		l.noteBaseline(l.total / time.Duration(l.answers))
+	case l.failed:
+		l.limit = max(minimumLimit, l.limit*failureDecrease)
+	case float64(l.mostOpen) >= l.limit/2:
+		// A limit that isn't used tells nothing of the capacity behind it.
+		l.follow(l.total / time.Duration(l.answers))
+	default:
+		l.noteBaseline(l.total / time.Duration(l.answers))
+	}
+	l.windowEnds = now.Add(windowTime)
+	l.answers, l.total, l.failed, l.mostOpen = 0, 0, false, l.inFlight
+}
+
+// follow sets the limit from a window's mean latency.
+func (l *Limiter) follow(mean time.Duration) {
+	l.noteBaseline(mean)
+	gradient := 1.0
+	if mean > 0 {
+		gradient = latencyTolerance * float64(l.baseline()) / float64(mean)
+	}
+	gradient = min(1, max(0.5, gradient))
+	wanted := l.limit*gradient + math.Sqrt(l.limit)
+	l.limit += smoothing * (wanted - l.limit)
+	l.limit = min(maximumLimit, max(minimumLimit, l.limit))
+}
+
+// noteBaseline keeps the mean latencies of the last windows.
+func (l *Limiter) noteBaseline(mean time.Duration) {
+	if len(l.baselines) < baselineWindows {
+		l.baselines = append(l.baselines, mean)
+		return
+	}
+	l.baselines[l.nextReplace] = mean
+	l.nextReplace = (l.nextReplace + 1) % baselineWindows
+}
+
+// baseline returns the lowest kept mean latency.
+func (l *Limiter) baseline() time.Duration {
+	lowest := l.baselines[0]
+	for _, mean := range l.baselines[1:] {
+		lowest = min(lowest, mean)
+	}
+	return lowest
+}
