Claim duties by lease and publish the placement view

Cause: one node at a time publishes the view and directs a pool's engines. Change: a node claims a duty whose holder its own failure detection doesn't take for alive, in an order of candidates by rendezvous hashing, so that few claims race. After a pause or a loss of all contact it isn't sure of its leases until its fold has seen the log's end again. The view is published once the live nodes have settled, at an interval that grows with the members, and late when more than a third are missing at once.

--- /dev/null
+++ b/internal/lease/cluster_test.go
@@ -0,0 +1,190 @@
+package lease_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"dalehook/internal/cluster"
+	"dalehook/internal/lease"
+	"dalehook/internal/logwriter"
+	"dalehook/internal/machine"
+	"dalehook/internal/record"
+)
+
+// detection is the time that the modelled failure detector takes.
+const detection = 5 * time.Second
+
+var start = time.Date(2026, 3, 2, 9, 0, 0, 0, time.UTC)
+
+// testCluster is a set of nodes on one virtual clock before one log.
+type testCluster struct {
+	now   time.Time
+	log   []record.Record
+	down  bool
+	nodes []*testNode
+}
+
+// testNode is a process with its own fold; it implements lease.Environment.
+type testNode struct {
+	cluster   *testCluster
+	self      cluster.Node
+	outbox    machine.Outbox
+	writer    *logwriter.Writer
+	leases    *lease.Manager
+	publisher *lease.ViewPublisher
+	control   *record.Control
+	dead      bool
+	paused    bool
+	cut       bool
+	leaving   bool
+	// quietSince is when peers last heard of it.
+	quietSince time.Time
+	heardAt    time.Time
+	caughtUpAt time.Time
+}
+
+func newTestCluster(size int) *testCluster {
+	c := &testCluster{now: start}
+	for i := range size {
+		c.nodes = append(c.nodes, c.startNode(fmt.Sprintf("n%03d", i), 1))
+	}
+	return c
+}
+
+func (c *testCluster) startNode(id string, incarnation cluster.Incarnation) *testNode {
+	node := &testNode{
+		cluster:    c,
+		self:       cluster.Node{ID: cluster.NodeID(id), Incarnation: incarnation, Zone: "cercado"},
+		control:    record.NewControl(),
+		quietSince: c.now,
+	}
+	node.writer = logwriter.New(logwriter.Options{Outbox: &node.outbox, Self: node.self, Seed: uint64(incarnation)})
+	node.leases = lease.New(lease.Options{Self: node.self, Writer: node.writer, Environment: node})
+	node.publisher = lease.NewViewPublisher(lease.ViewOptions{Writer: node.writer, Environment: node, Leases: node.leases})
+	node.leases.Want(record.DutyView, true)
+	return node
+}
+
+func (n *testNode) Control() *record.Control { return n.control }
+
+func (n *testNode) StoreDown() bool { return n.cluster.down || n.cut }
+
+func (n *testNode) LastContact() time.Time { return n.heardAt }
+
+func (n *testNode) CaughtUpAt() time.Time { return n.caughtUpAt }
+
+func (n *testNode) LiveNodes() []cluster.Node {
+	var live []cluster.Node
+	for _, other := range n.cluster.nodes {
+		heard := !n.cut && n.cluster.now.Sub(other.quietSince) < detection
+		if (other == n || heard) && !other.leaving {
+			live = append(live, other.self)
+		}
+	}
+	return live
+}
+
+// advance runs the cluster for a time.
+func (c *testCluster) advance(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(machine.TickInterval) {
+		for _, node := range c.nodes {
+			if !node.dead && !node.paused {
+				node.tick()
+			}
+		}
+	}
+}
+
+func (n *testNode) tick() {
+	now := n.cluster.now
+	if !n.cut {
+		n.quietSince = now
+	}
+	n.writer.Tick(now)
+	n.leases.Tick(now)
+	n.publisher.Tick(now)
+	n.exchange(now)
+}
+
+// exchange does the driver's work: appends, reads, and the peers' messages. A
+// process that comes back from a pause ticks before it reads.
+func (n *testNode) exchange(now time.Time) {
+	for _, output := range n.outbox.Take() {
+		n.append(now, output.(machine.AppendLog))
+	}
+	if n.cut {
+		return
+	}
+	n.heardAt = now
+	if n.StoreDown() {
+		return
+	}
+	for offset := n.control.Offset() + 1; offset <= uint64(len(n.cluster.log)); offset++ {
+		entry := record.Entry{Offset: offset, Record: n.cluster.log[offset-1]}
+		change := n.control.Apply(entry)
+		n.writer.HandleEntry(now, record.ControlLog, entry)
+		n.leases.HandleChange(now, entry, change)
+	}
+	n.caughtUpAt = now
+}
+
+func (n *testNode) append(now time.Time, in machine.AppendLog) {
+	result := machine.AppendResult{Log: in.Log, ID: in.Record.ID, Outcome: machine.AppendNotDone}
+	if !n.StoreDown() {
+		n.cluster.log = append(n.cluster.log, in.Record)
+		result.Outcome = machine.AppendDone
+		result.Offset = uint64(len(n.cluster.log))
+	}
+	n.writer.HandleResult(now, result)
+}
+
+// truth folds the whole log, as somebody who sees all would.
+func (c *testCluster) truth() *record.Control {
+	control := record.NewControl()
+	for i, r := range c.log {
+		control.Apply(record.Entry{Offset: uint64(i + 1), Record: r})
+	}
+	return control
+}
+
+// holders returns the running nodes that say that they hold the view's duty.
+func (c *testCluster) holders() []*testNode {
+	var holders []*testNode
+	for _, node := range c.nodes {
+		if _, holds := node.leases.Holds(c.now, record.DutyView); holds && !node.dead && !node.paused {
+			holders = append(holders, node)
+		}
+	}
+	return holders
+}
+
+// claims counts the claims on the log.
+func (c *testCluster) claims() int {
+	claims := 0
+	for _, r := range c.log {
+		if _, ok := r.Body.(record.LeaseClaimed); ok {
+			claims++
+		}
+	}
+	return claims
+}
+
+// views counts the published views on the log.
+func (c *testCluster) views() int {
+	views := 0
+	for _, r := range c.log {
+		if _, ok := r.Body.(record.ViewPublished); ok {
+			views++
+		}
+	}
+	return views
+}
+
+// replace ends a node and starts a new life under its name.
+func (c *testCluster) replace(old *testNode) *testNode {
+	old.dead = true
+	next := c.startNode(string(old.self.ID), old.self.Incarnation+1)
+	c.nodes[slices.Index(c.nodes, old)] = next
+	return next
+}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -6,10 +6,13 @@
 package lease
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"dalehook/internal/cluster"
 	"dalehook/internal/logwriter"
+	"dalehook/internal/placement"
 	"dalehook/internal/record"
 )
 
@@ -22,46 +25,293 @@
 type Environment interface {
 	// Control returns the fold of the control log.
 	Control() *record.Control
-	// Alive reports whether this node's own failure detection takes the node
-	// for alive and not leaving. Self is alive.
-	Alive(cluster.NodeID) bool
-	// Members returns the nodes that this node takes for alive and not leaving,
-	// itself included unless it is leaving, sorted by id, in their newest life.
-	Members() []cluster.Node
+	// LiveNodes returns the nodes that this node's failure detection takes for
+	// alive and not leaving, itself included unless it is leaving, sorted by id,
+	// each in its newest life.
+	LiveNodes() []cluster.Node
 	// StoreDown reports whether the platform's log cannot be reached.
 	StoreDown() bool
 	// LastContact is the last time at which a peer or the log was heard.
 	LastContact() time.Time
 	// CaughtUpAt is the last time at which the control fold was known to hold
-	// everything on the log, by the log's own answer or by a peer's.
+	// everything on the log, by the log's own answer or by that of a peer which
+	// reads the log.
 	CaughtUpAt() time.Time
 }
 
 // Options configure a Manager.
 type Options struct {
+	// Self is this process.
 	Self        cluster.Node
 	Writer      Appender
 	Environment Environment
-	Timing      Timing
+	// Timing holds the times; zero fields take the defaults.
+	Timing Timing
 }
 
-// Timing holds the times of a Manager; zero fields take the defaults.
-type Timing struct{}
+// Timing holds the times of a Manager.
+type Timing struct {
+	// StartGrace is the time after the first Tick in which nothing is claimed,
+	// so that a new node hears of the living before it takes a holder for dead.
+	StartGrace time.Duration
+	// VacantWait is how long a duty must be without a live holder before the
+	// first candidate claims it.
+	VacantWait time.Duration
+	// StandIn is the further wait of each next candidate.
+	StandIn time.Duration
+	// ClaimTimeout ends a claim whose fate is unknown; another one may follow.
+	ClaimTimeout time.Duration
+	// PauseLimit is the gap between two ticks from which on the process counts
+	// as having been paused.
+	PauseLimit time.Duration
+	// ContactLimit is the time without a word from any peer or the log after
+	// which this node is not sure of its leases.
+	ContactLimit time.Duration
+}
+
+// The defaults of Timing.
+const (
+	DefaultStartGrace   = 2 * time.Second
+	DefaultVacantWait   = 500 * time.Millisecond
+	DefaultStandIn      = time.Second
+	DefaultClaimTimeout = 10 * time.Second
+	DefaultPauseLimit   = 2 * time.Second
+	DefaultContactLimit = 10 * time.Second
+)
+
+func (t Timing) withDefaults() Timing {
+	setDefault(&t.StartGrace, DefaultStartGrace)
+	setDefault(&t.VacantWait, DefaultVacantWait)
+	setDefault(&t.StandIn, DefaultStandIn)
+	setDefault(&t.ClaimTimeout, DefaultClaimTimeout)
+	setDefault(&t.PauseLimit, DefaultPauseLimit)
+	setDefault(&t.ContactLimit, DefaultContactLimit)
+	return t
+}
+
+func setDefault(value *time.Duration, fallback time.Duration) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
 
 // Manager claims the duties that its node wants and knows which it holds.
-type Manager struct{ options Options }
+type Manager struct {
+	self        cluster.Node
+	writer      Appender
+	environment Environment
+	timing      Timing
+	startedAt   time.Time
+	lastTick    time.Time
+	// unsureSince is set while this node is not sure of its leases.
+	unsureSince time.Time
+	// duties are the wanted duties, sorted by name.
+	duties []*wantedDuty
+}
+
+// wantedDuty is what a Manager remembers of one duty.
+type wantedDuty struct {
+	name record.Duty
+	// vacantEpoch and vacantSince say since when the lease of that epoch has no
+	// live holder; vacantSince is zero while it has one.
+	vacantEpoch record.Epoch
+	vacantSince time.Time
+	// claiming is set while a claim is on its way.
+	claiming bool
+	// retryAt is the earliest time of the next claim after a failed one.
+	retryAt time.Time
+}
 
 // New returns a Manager that wants nothing.
-func New(options Options) *Manager { return &Manager{options: options} }
+func New(options Options) *Manager {
+	return &Manager{
+		self:        options.Self,
+		writer:      options.Writer,
+		environment: options.Environment,
+		timing:      options.Timing.withDefaults(),
+	}
+}
 
-// Want says whether this node is ready to hold a duty.
-func (m *Manager) Want(duty record.Duty, wanted bool) {}
+// Want says whether this node is ready to hold a duty. A duty that is no longer
+// wanted is not claimed again; one that is held stays held until another node
+// claims it.
+func (m *Manager) Want(duty record.Duty, wanted bool) {
+	index, found := slices.BinarySearchFunc(m.duties, duty, func(d *wantedDuty, name record.Duty) int {
+		return cmp.Compare(d.name, name)
+	})
+	switch {
+	case wanted && !found:
+		m.duties = slices.Insert(m.duties, index, &wantedDuty{name: duty})
+	case !wanted && found:
+		m.duties = slices.Delete(m.duties, index, index+1)
+	}
+}
 
-// Holds reports whether this node surely holds a duty now, and under which epoch.
-func (m *Manager) Holds(now time.Time, duty record.Duty) (record.Epoch, bool) { return 0, false }
+// Holds reports whether this node surely holds a duty now, and under which
+// epoch. Whatever is done for the duty carries the epoch, since a newer holder
+// may exist all the same.
+func (m *Manager) Holds(now time.Time, duty record.Duty) (record.Epoch, bool) {
+	lease := m.environment.Control().Lease(duty)
+	if !lease.HeldBy(m.self) || !m.sure(now) {
+		return 0, false
+	}
+	return lease.Epoch, true
+}
+
+// sure reports whether this node has been running and connected without a break.
+func (m *Manager) sure(now time.Time) bool {
+	return m.unsureSince.IsZero() && !m.lastTick.IsZero() && now.Sub(m.lastTick) <= m.timing.PauseLimit
+}
 
 // Tick drives everything that depends on time.
-func (m *Manager) Tick(now time.Time) {}
+func (m *Manager) Tick(now time.Time) {
+	m.checkSelf(now)
+	live := m.environment.LiveNodes()
+	for _, duty := range m.duties {
+		m.observe(now, duty, live)
+		if m.due(now, duty, live) {
+			m.claim(now, duty)
+		}
+	}
+}
+
+// checkSelf looks for a pause of this process and for a loss of all contact.
+func (m *Manager) checkSelf(now time.Time) {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	} else if now.Sub(m.lastTick) > m.timing.PauseLimit {
+		m.unsureSince = now
+	}
+	m.lastTick = now
+	if m.isolated(now) {
+		m.unsureSince = now
+	}
+	if !m.unsureSince.IsZero() && m.assured() {
+		m.unsureSince = time.Time{}
+	}
+}
 
-// HandleChange takes what an entry of the control log changed.
-func (m *Manager) HandleChange(now time.Time, entry record.Entry, change record.Change) {}
+// isolated reports whether neither a peer nor the log was heard for a while. A
+// node that is alone in the view has nobody to hear from but the log.
+func (m *Manager) isolated(now time.Time) bool {
+	if m.environment.StoreDown() && !m.hasPeers() {
+		return false
+	}
+	heard := m.environment.LastContact()
+	if heard.Before(m.startedAt) {
+		heard = m.startedAt
+	}
+	return now.Sub(heard) > m.timing.ContactLimit
+}
+
+func (m *Manager) hasPeers() bool {
+	return slices.ContainsFunc(m.environment.Control().View().Members, func(node cluster.Node) bool {
+		return node.ID != m.self.ID
+	})
+}
+
+// assured reports whether this node has seen the log's end since it became
+// unsure. While the store is down nobody can claim, so a word from any peer will
+// do, and a node that is alone needs none.
+func (m *Manager) assured() bool {
+	if m.environment.CaughtUpAt().After(m.unsureSince) {
+		return true
+	}
+	if !m.environment.StoreDown() {
+		return false
+	}
+	return !m.hasPeers() || m.environment.LastContact().After(m.unsureSince)
+}
+
+// observe keeps track of how long a duty has had no live holder.
+func (m *Manager) observe(now time.Time, duty *wantedDuty, live []cluster.Node) {
+	lease := m.environment.Control().Lease(duty.name)
+	switch {
+	case hasLiveHolder(lease, live):
+		duty.vacantSince = time.Time{}
+	case duty.vacantSince.IsZero() || duty.vacantEpoch != lease.Epoch:
+		duty.vacantEpoch = lease.Epoch
+		duty.vacantSince = now
+	}
+}
+
+// hasLiveHolder reports whether the very life of the node that claimed a duty is
+// alive and not leaving.
+func hasLiveHolder(lease record.Lease, live []cluster.Node) bool {
+	if lease.Epoch == 0 {
+		return false
+	}
+	return slices.ContainsFunc(live, func(node cluster.Node) bool {
+		return node.ID == lease.Holder && node.Incarnation <= lease.Incarnation
+	})
+}
+
+// due reports whether it is this node's turn to claim a duty.
+func (m *Manager) due(now time.Time, duty *wantedDuty, live []cluster.Node) bool {
+	switch {
+	case duty.vacantSince.IsZero(), duty.claiming, now.Before(duty.retryAt):
+		return false
+	case m.environment.StoreDown(), !m.sure(now):
+		return false
+	}
+	rank, candidate := m.rank(duty.name, live)
+	if !candidate {
+		return false
+	}
+	wait := m.timing.VacantWait + time.Duration(rank)*m.timing.StandIn
+	vacantSince := duty.vacantSince
+	if grace := m.startedAt.Add(m.timing.StartGrace); vacantSince.Before(grace) {
+		vacantSince = grace
+	}
+	return now.Sub(vacantSince) >= wait
+}
+
+// rank returns this node's place among the candidates for a duty, by rendezvous
+// hashing, so that nodes with the same members agree on it without a word. It is
+// no candidate while it is not live itself.
+func (m *Manager) rank(duty record.Duty, live []cluster.Node) (rank int, candidate bool) {
+	own := placement.Score(string(m.self.ID), string(duty))
+	for _, node := range live {
+		if node.ID == m.self.ID {
+			candidate = true
+			continue
+		}
+		score := placement.Score(string(node.ID), string(duty))
+		if score > own || score == own && node.ID < m.self.ID {
+			rank++
+		}
+	}
+	return rank, candidate
+}
+
+func (m *Manager) claim(now time.Time, duty *wantedDuty) {
+	duty.claiming = true
+	body := record.LeaseClaimed{
+		Duty:        duty.name,
+		Holder:      m.self.ID,
+		Incarnation: m.self.Incarnation,
+		Supersedes:  duty.vacantEpoch,
+	}
+	done := func(now time.Time, _ logwriter.Result) {
+		// The fold says who holds the duty. Should the claim have failed, the
+		// next one waits until the fold has had time to show it.
+		duty.claiming = false
+		duty.retryAt = now.Add(m.timing.VacantWait)
+	}
+	m.writer.Append(now, record.ControlLog, body, done,
+		logwriter.ReportNotDone(), logwriter.GiveUpAfter(m.timing.ClaimTimeout))
+}
+
+// HandleChange takes what an entry of the control log changed. A claim by
+// another node ends the wait for a stand-in at once.
+func (m *Manager) HandleChange(now time.Time, entry record.Entry, change record.Change) {
+	claimed, ok := entry.Record.Body.(record.LeaseClaimed)
+	if !ok || !change.Valid {
+		return
+	}
+	for _, duty := range m.duties {
+		if duty.name == claimed.Duty {
+			duty.vacantSince = time.Time{}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lease/view_publisher_test.go
@@ -0,0 +1,118 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dalehook/internal/lease"
+	"dalehook/internal/record"
+)
+
+func TestFirstViewHoldsAllNodes(t *testing.T) {
+	c := newTestCluster(12)
+	c.advance(lease.DefaultStartGrace + lease.DefaultVacantWait + lease.DefaultSettle + time.Second)
+	if view := c.truth().View(); len(view.Members) != 12 || c.views() != 1 {
+		t.Errorf("%d members after %d views", len(view.Members), c.views())
+	}
+}
+
+func TestChangesAreBatched(t *testing.T) {
+	c := newTestCluster(12)
+	c.advance(20 * time.Second)
+	holder := onlyHolder(t, c)
+	changed := 0
+	for _, node := range c.nodes {
+		if node != holder && changed < 3 {
+			node.dead = true
+			changed++
+		}
+		c.advance(300 * time.Millisecond)
+	}
+	c.advance(20 * time.Second)
+	if view := c.truth().View(); len(view.Members) != 9 || c.views() != 2 {
+		t.Errorf("%d members after %d views", len(view.Members), c.views())
+	}
+}
+
+func TestSteadyReplacementIsDamped(t *testing.T) {
+	const nodes, replaced = 60, 40
+	c := newTestCluster(nodes)
+	c.advance(20 * time.Second)
+	holder := onlyHolder(t, c)
+	before, began := c.views(), c.now
+	for i := range replaced {
+		if c.nodes[i] != holder {
+			c.replace(c.nodes[i])
+		}
+		c.advance(time.Second)
+	}
+	c.advance(20 * time.Second)
+	views := c.views() - before
+	interval := lease.DefaultMinInterval + nodes*lease.DefaultIntervalPerMember
+	if limit := int(c.now.Sub(began)/interval) + 1; views > limit {
+		t.Errorf("%d views in %v, want at most %d", views, c.now.Sub(began), limit)
+	}
+	if got, want := fmt.Sprint(c.truth().View().Members), fmt.Sprint(holder.LiveNodes()); got != want {
+		t.Errorf("view\n%s\nwant\n%s", got, want)
+	}
+}
+
+func TestMassLossIsPublishedLate(t *testing.T) {
+	c := newTestCluster(9)
+	c.advance(20 * time.Second)
+	holder := onlyHolder(t, c)
+	lost := 0
+	for _, node := range c.nodes {
+		if node != holder && lost < 4 {
+			node.dead = true
+			lost++
+		}
+	}
+	c.advance(detection + lease.DefaultMassLossWait - time.Second)
+	if members := c.truth().View().Members; len(members) != 9 {
+		t.Errorf("%d members before the wait is over", len(members))
+	}
+	c.advance(3 * time.Second)
+	if members := c.truth().View().Members; len(members) != 5 {
+		t.Errorf("%d members after the wait", len(members))
+	}
+}
+
+func TestViewStandsStillWhileTheStoreIsDown(t *testing.T) {
+	c := newTestCluster(4)
+	c.advance(20 * time.Second)
+	holder := onlyHolder(t, c)
+	c.down = true
+	for _, node := range c.nodes {
+		if node != holder {
+			node.dead = true
+			break
+		}
+	}
+	written := len(c.log)
+	c.advance(10 * time.Minute)
+	if len(c.log) != written {
+		t.Errorf("%d records", len(c.log)-written)
+	}
+	c.down = false
+	c.advance(10 * time.Second)
+	if members := c.truth().View().Members; len(members) != 3 {
+		t.Errorf("%d members", len(members))
+	}
+}
+
+func TestLateHolderPublishesNothingThatCounts(t *testing.T) {
+	c := newTestCluster(3)
+	c.advance(20 * time.Second)
+	first := onlyHolder(t, c)
+	old, _ := first.leases.Holds(c.now, record.DutyView)
+	first.paused = true
+	c.advance(30 * time.Second)
+	view := c.truth().View()
+	// What the paused process had on its way lands now.
+	c.log = append(c.log, record.Record{ID: "late", Body: record.ViewPublished{Epoch: old, Members: first.LiveNodes()}})
+	if c.truth().View().Number != view.Number {
+		t.Error("a view under an old epoch counts")
+	}
+}
