--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -1,10 +1,16 @@
 package standin
 
 import (
-	"net/http"
+	"context"
+	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
+	"dalehook/internal/backend"
 	"dalehook/internal/cluster"
+	"dalehook/internal/machine"
+	"dalehook/internal/platform"
 )
 
 // EngineOptions configure an Engine. Zero values take the defaults.
@@ -12,6 +18,9 @@
 	// Machine is the engine's line on the machine list: id, pool, zone, region
 	// and the address at which it is reached. Kind and State are set by NewEngine.
 	Machine cluster.Machine
+	// Server, when set, goes down during a crash; otherwise the handler drops
+	// each connection.
+	Server *Server
 	// PlatformURL is where the engine registers, empty for nowhere.
 	PlatformURL string
 	// WeightsURL is the weight store's base URL; empty means that each version
@@ -42,16 +51,193 @@
 	EventLag  time.Duration
 	// DetachGrace is how long a request goes on whose stream was closed.
 	DetachGrace time.Duration
+	// KeepTime is how long a finished answer can be read again.
+	KeepTime time.Duration
+}
+
+// The defaults of EngineOptions.
+const (
+	DefaultSlots            = 16
+	DefaultEngineQueueLimit = 256
+	DefaultTokenTime        = 10 * time.Millisecond
+	DefaultBatchCost        = 0.05
+	DefaultChunkTokens      = 8
+	DefaultPrefillTokenTime = 200 * time.Microsecond
+	DefaultCacheGroups      = 32
+	DefaultSwapTime         = 2 * time.Second
+	DefaultDetachGrace      = 10 * time.Second
+	DefaultKeepTime         = 2 * time.Minute
+)
+
+// kvTokensPerSlot sizes the cache memory that an engine reports.
+const kvTokensPerSlot = 4096
+
+func (o EngineOptions) withDefaults() EngineOptions {
+	setDefault(&o.Slots, DefaultSlots)
+	setDefault(&o.QueueLimit, DefaultEngineQueueLimit)
+	setDefault(&o.TokenTime, DefaultTokenTime)
+	setDefault(&o.BatchCost, DefaultBatchCost)
+	setDefault(&o.ChunkTokens, DefaultChunkTokens)
+	setDefault(&o.PrefillTokenTime, DefaultPrefillTokenTime)
+	setDefault(&o.CacheGroups, DefaultCacheGroups)
+	setDefault(&o.SwapTime, DefaultSwapTime)
+	setDefault(&o.DetachGrace, DefaultDetachGrace)
+	setDefault(&o.KeepTime, DefaultKeepTime)
+	o.Machine = describe(o.Machine, cluster.KindEngine)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
 }
 
 // Engine stands in for a model engine.
-type Engine struct{}
+type Engine struct {
+	options   EngineOptions
+	faults    *faults
+	registrar *registrar
+	weights   *platform.Client
+	ctx       context.Context
+	cancel    context.CancelFunc
+	tasks     conc.WaitGroup
+	// wake tells the batch loop that there may be work.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	known    map[string]*generation
+	queue    generationQueue
+	batch    []*generation
+	arrivals uint64
+	counts   map[string]int
+	cache    prefixCache
+	model    cluster.ModelName
+	version  cluster.Version
+	load     *load
+	// loadError and lastFence are what the report says of orders.
+	loadError string
+	lastFence machine.Fence
+	leaving   bool
+	// tokensPerSecond is the output of the batch's last step.
+	tokensPerSecond float64
+	reports         delayed[backend.LoadReport]
+}
 
 // NewEngine returns an engine that has begun to run.
-func NewEngine(options EngineOptions) *Engine { return &Engine{} }
+func NewEngine(options EngineOptions) *Engine {
+	options = options.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		options: options,
+		faults: newFaults(map[FaultName]faultKind{
+			FaultCrash:     faultTimed,
+			FaultFreeze:    faultTimed,
+			FaultSlow:      faultLevel,
+			FaultRefuse:    faultTimed,
+			FaultCutStream: faultCounted,
+			FaultSwapFail:  faultCounted,
+			FaultSwapWrong: faultCounted,
+			FaultReportLag: faultLevel,
+		}),
+		registrar: newRegistrar(options.PlatformURL, options.Machine),
+		ctx:       ctx,
+		cancel:    cancel,
+		wake:      make(chan struct{}, 1),
+		known:     make(map[string]*generation),
+		counts:    make(map[string]int),
+		cache:     prefixCache{limit: options.CacheGroups},
+		model:     options.Model,
+		version:   options.Version,
+	}
+	if options.WeightsURL != "" {
+		e.weights = platform.NewClient(platform.Options{LogURL: options.WeightsURL})
+	}
+	e.faults.values[FaultReportLag] = float64(options.ReportLag.Milliseconds())
+	e.faults.onSet = e.faultSet
+	e.noteReportLocked()
+	e.tasks.Go(e.runBatches)
+	e.tasks.Go(func() { e.registrar.register(ctx, cluster.StateLive) })
+	return e
+}
 
-// Handler returns the engine's HTTP interface.
-func (e *Engine) Handler() http.Handler { return http.NotFoundHandler() }
+// Close stops the engine and breaks its streams. Close its Server before.
+func (e *Engine) Close() {
+	e.cancel()
+	e.tasks.Wait()
+	e.registrar.close()
+	if e.weights != nil {
+		e.weights.Close()
+	}
+}
 
-// Close stops the engine and breaks its streams.
-func (e *Engine) Close() {}
+// faultSet reacts to faults that act at once.
+func (e *Engine) faultSet(name FaultName, value float64) {
+	e.signal()
+	if name != FaultCrash || value == 0 {
+		return
+	}
+	e.mu.Lock()
+	e.forgetAllLocked()
+	e.mu.Unlock()
+	e.tasks.Go(func() { crashServer(e.ctx, e.options.Server, e.faults) })
+}
+
+// forgetAllLocked loses what a crash takes: requests, cache and weights. The
+// fence stays, as if the engine's supervisor kept it.
+func (e *Engine) forgetAllLocked() {
+	e.loseRequestsLocked()
+	e.stopLoadLocked()
+	e.model = e.options.Model
+	e.version = e.options.Version
+}
+
+// loseRequestsLocked breaks all streams and empties the cache.
+func (e *Engine) loseRequestsLocked() {
+	for _, g := range e.known {
+		g.setState(generationLost)
+	}
+	clear(e.known)
+	e.queue = nil
+	e.batch = nil
+	e.cache = prefixCache{limit: e.options.CacheGroups}
+}
+
+// signal wakes the batch loop.
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// reportLocked says how the engine stands now.
+func (e *Engine) reportLocked() backend.LoadReport {
+	report := backend.LoadReport{
+		Leaving:         e.leaving,
+		Running:         len(e.batch),
+		Waiting:         len(e.queue),
+		Slots:           e.options.Slots,
+		KVTokens:        e.cache.tokens(),
+		KVCapacity:      e.options.Slots * kvTokensPerSlot,
+		Model:           e.model,
+		Version:         e.version,
+		LoadError:       e.loadError,
+		LastFence:       e.lastFence,
+		TokensPerSecond: e.tokensPerSecond,
+	}
+	for _, g := range e.batch {
+		report.KVTokens += g.kvTokens()
+	}
+	if e.load != nil {
+		report.Loading = e.load.order.Version
+	}
+	return report
+}
+
+// noteReportLocked keeps the report of now and returns the one that shows.
+func (e *Engine) noteReportLocked() backend.LoadReport {
+	now := time.Now()
+	e.reports.put(now, e.reportLocked())
+	return e.reports.get(now, e.faults.milliseconds(FaultReportLag))
+}
--- /dev/null
+++ b/internal/standin/engine_http.go
@@ -0,0 +1,305 @@
+package standin
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+
+	"dalehook/internal/backend"
+	"dalehook/internal/cluster"
+)
+
+// busyRetryAfter is the time to come back that a full engine states.
+const busyRetryAfter = 500 * time.Millisecond
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	router := httprouter.New()
+	handle := func(method, path string, handler http.HandlerFunc) {
+		router.HandlerFunc(method, path, e.faults.guard(handler))
+	}
+	handle(http.MethodPost, backend.PathCompletions, e.postCompletion)
+	handle(http.MethodDelete, backend.PathCompletions, e.deleteCompletion)
+	handle(http.MethodPost, backend.PathOrders, e.postOrder)
+	handle(http.MethodGet, backend.PathLoad, e.getLoad)
+	handle(http.MethodPost, backend.PathExportKV, e.postExport)
+	handle(http.MethodGet, backend.PathCacheEvents, e.getCacheEvents)
+	handle(http.MethodPost, backend.PathLeave, e.postLeave)
+	handle(http.MethodGet, "/counts", e.getCounts)
+	router.Handler(http.MethodPost, "/faults", e.faults)
+	return router
+}
+
+func (e *Engine) getCounts(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, http.StatusOK, e.counts)
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, http.StatusOK, e.noteReportLocked())
+}
+
+func (e *Engine) getCacheEvents(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events := e.cache.events(queryUint(r, "from"), time.Now().Add(-e.options.EventLag))
+	writeJSON(w, http.StatusOK, events)
+}
+
+func (e *Engine) postLeave(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.tasks.Go(func() { e.registrar.register(e.ctx, cluster.StateLeaving) })
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var order backend.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	if order.Action != backend.ActionLoad || order.Version <= 0 || order.Model == "" {
+		badRequest("the order names no action load, model and version").write(w)
+		return
+	}
+	if e.judgeOrder(order) {
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, http.StatusConflict, backend.OrderRefused{LastFence: e.lastFence})
+}
+
+func (e *Engine) postExport(w http.ResponseWriter, r *http.Request) {
+	var export backend.ExportRequest
+	if !readJSON(w, r, &export) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g, ok := e.known[export.RequestID]
+	if !ok {
+		unknownRequest().write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, backend.ExportedKV{Handle: kvHandle(g.request.Prompt), Tokens: g.kvTokens()})
+}
+
+// kvHandle names the KV cache of a prompt; any engine can import it.
+func kvHandle(prompt string) string {
+	return fmt.Sprintf("kv-%016x", xxhash.Sum64String(prompt))
+}
+
+func unknownRequest() *refusal {
+	return &refusal{status: http.StatusNotFound, code: "unknown_request", message: "no such request"}
+}
+
+func (e *Engine) deleteCompletion(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := r.URL.Query().Get("request_id")
+	g, ok := e.known[id]
+	if !ok {
+		unknownRequest().write(w)
+		return
+	}
+	g.setState(generationLost)
+	delete(e.known, id)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) postCompletion(w http.ResponseWriter, r *http.Request) {
+	var request backend.CompletionRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	if request.RequestID == "" || !request.Stream || request.MaxTokens <= 0 {
+		badRequest("request_id, stream and max_tokens are needed").write(w)
+		return
+	}
+	g, refused := e.join(request)
+	if refused != nil {
+		refused.write(w)
+		return
+	}
+	defer e.leave(g)
+	e.stream(w, r, g, resumeOffset(request))
+}
+
+func resumeOffset(request backend.CompletionRequest) int {
+	if request.Resume == nil {
+		return 0
+	}
+	return request.Resume.TokenOffset
+}
+
+// join attaches a reader to a request that the engine knows, or takes a new one
+// into the queue.
+func (e *Engine) join(request backend.CompletionRequest) (*generation, *refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer e.signal()
+	known, ok := e.known[request.RequestID]
+	if ok && !known.isFor(request) {
+		return nil, &refusal{status: http.StatusConflict, code: "request_conflict", message: "the request id stands for another prompt"}
+	}
+	if ok && known.holds(resumeOffset(request)) {
+		e.rejoinLocked(known)
+		return known, nil
+	}
+	if refused := e.refusesLocked(request); refused != nil {
+		return nil, refused
+	}
+	if ok {
+		known.setState(generationLost)
+	}
+	return e.enqueueLocked(request), nil
+}
+
+// rejoinLocked attaches a reader; a paused request goes into the queue again.
+func (e *Engine) rejoinLocked(g *generation) {
+	g.readers++
+	if g.state == generationPaused {
+		g.setState(generationWaiting)
+		heap.Push(&e.queue, g)
+	}
+}
+
+func (e *Engine) enqueueLocked(request backend.CompletionRequest) *generation {
+	e.arrivals++
+	g := newGeneration(request, e.arrivals)
+	g.readers = 1
+	if e.faults.take(FaultCutStream) {
+		g.cutAt = (g.first + g.length) / 2
+	}
+	e.known[request.RequestID] = g
+	heap.Push(&e.queue, g)
+	return g
+}
+
+// refusesLocked says why a new request is not taken, nil when it is.
+func (e *Engine) refusesLocked(request backend.CompletionRequest) *refusal {
+	busy := func(code, message string) *refusal {
+		return &refusal{
+			status:     http.StatusServiceUnavailable,
+			code:       code,
+			message:    message,
+			retryAfter: busyRetryAfter,
+		}
+	}
+	switch {
+	case e.leaving:
+		return busy("leaving", "the engine is leaving")
+	case e.faults.active(FaultRefuse):
+		return busy("refused", "the engine takes no new work")
+	case e.version == 0:
+		return busy("no_weights", "no version is loaded")
+	case request.Model != e.model:
+		return &refusal{status: http.StatusConflict, code: "wrong_model", message: "another model is loaded"}
+	case len(e.queue) >= e.options.QueueLimit:
+		return busy("busy", "the queue is full")
+	}
+	return refusesResume(request)
+}
+
+// refusesResume checks that a resume by text goes on from the right tokens.
+func refusesResume(request backend.CompletionRequest) *refusal {
+	if request.Resume == nil || request.Resume.TokenOffset == 0 {
+		return nil
+	}
+	if request.Resume.Text == "" {
+		return unknownRequest()
+	}
+	if request.Resume.Text != AnswerText(request.Prompt, 0, request.Resume.TokenOffset) {
+		return &refusal{status: http.StatusConflict, code: "resume_mismatch", message: "the text is not that many tokens of the answer"}
+	}
+	return nil
+}
+
+// leave detaches a reader.
+func (e *Engine) leave(g *generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.readers--
+	g.idleSince = time.Now()
+}
+
+// streamStep is what a stream does next.
+type streamStep struct {
+	chunk   backend.CompletionChunk
+	ready   bool
+	broken  bool
+	changed <-chan struct{}
+}
+
+// stream sends a generation's tokens from an offset on until its end.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, offset int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	for {
+		if !e.faults.waitOver(r.Context(), FaultFreeze) {
+			abort()
+		}
+		step := e.nextStep(g, offset)
+		switch {
+		case step.broken:
+			abort()
+		case step.ready:
+			writeEvent(w, step.chunk)
+			offset += step.chunk.Tokens
+			if step.chunk.Choices[0].FinishReason != nil {
+				fmt.Fprintf(w, "data: %s\n\n", backend.StreamEnd)
+				return
+			}
+			_ = controller.Flush()
+		default:
+			e.waitForTokens(r, step.changed)
+		}
+	}
+}
+
+// nextStep takes the next chunk of a stream.
+func (e *Engine) nextStep(g *generation, offset int) streamStep {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g.state == generationLost || g.cutAt >= 0 && offset >= g.cutAt {
+		g.cutAt = -1
+		return streamStep{broken: true}
+	}
+	chunk, ready := g.chunk(offset, e.options.ChunkTokens)
+	if !ready && g.state == generationDone {
+		// The reader has all tokens already: only the end is left.
+		chunk, ready = g.encode(g.length, g.length, e.version), true
+	}
+	return streamStep{chunk: chunk, ready: ready, changed: g.changed}
+}
+
+func (e *Engine) waitForTokens(r *http.Request, changed <-chan struct{}) {
+	select {
+	case <-changed:
+	case <-r.Context().Done():
+		abort()
+	case <-e.ctx.Done():
+		abort()
+	}
+}
+
+func writeEvent(w http.ResponseWriter, chunk backend.CompletionChunk) {
+	encoded, err := json.Marshal(chunk)
+	if err != nil {
+		abort()
+	}
+	fmt.Fprintf(w, "data: %s\n\n", encoded)
+}
