Tell how recently the control fold held the whole log

Cause: a lease holder that wakes has to know that it has seen the log's end since; most nodes do not read the log. Ruled out: an age in an unasked offer, since a process that was paused finds old messages in its sockets; wall clocks of two nodes compared. Change: an offer that asks is answered with the asker's own time; the age is counted from there. Conclusion: tests show every node fresh within seconds and an old offer without effect.

--- a/internal/follower/machine.go
+++ b/internal/follower/machine.go
@@ -71,6 +71,8 @@
 
 	nextOffer time.Time
 	offerTurn int
+	// caughtUpAt is the last time at which the fold held the whole log.
+	caughtUpAt time.Time
 }
 
 // pulling is the running request for entries or a snapshot.
@@ -136,6 +138,11 @@
 // ready peers, or with the end of the log. Once set it stays set.
 func (m *Machine) Ready() bool { return m.start.ready }
 
+// CaughtUpAt returns the last time at which the fold is known to have held
+// everything on the log: by the log's own answer, or by that of a peer which
+// knows. It is zero when that was never so.
+func (m *Machine) CaughtUpAt() time.Time { return m.caughtUpAt }
+
 // Control returns the fold in force; a restore replaces it.
 func (m *Machine) Control() *record.Control { return m.control }
 
@@ -193,7 +200,13 @@
 }
 
 // offer returns this node's offset.
-func (m *Machine) offer() offer { return offer{Offset: m.control.Offset(), Ready: m.start.ready} }
+func (m *Machine) offer() offer {
+	made := offer{Offset: m.control.Offset(), Ready: m.start.ready}
+	if !m.caughtUpAt.IsZero() {
+		made.FreshMillis = 1 + uint64(max(0, m.now.Sub(m.caughtUpAt).Milliseconds()))
+	}
+	return made
+}
 
 // tickOffer sends the heartbeat of offsets to one neighbour.
 func (m *Machine) tickOffer() {
@@ -211,7 +224,9 @@
 		return
 	}
 	m.offerTurn++
-	m.send(neighbours[m.offerTurn%len(neighbours)], m.offer())
+	question := m.offer()
+	question.AskedMillis = m.now.UnixMilli()
+	m.send(neighbours[m.offerTurn%len(neighbours)], question)
 }
 
 // handleOffer pulls from a peer that is ahead, and lets one that is behind know.
@@ -223,11 +238,31 @@
 		m.pulling.target = m.control.Offset()
 	}
 	switch {
-	case in.Offset > m.control.Offset():
-		m.want(from, in.Offset)
+	case in.AskedMillis != 0:
+		answer := m.offer()
+		answer.EchoMillis = in.AskedMillis
+		m.sendTo(from, answer)
 	case in.Offset < m.control.Offset():
 		m.sendTo(from, m.offer())
 	}
+	if in.Offset > m.control.Offset() {
+		m.want(from, in.Offset)
+		return
+	}
+	m.takeFreshness(in)
+}
+
+// takeFreshness learns from an answer how recently this fold held the whole log:
+// the peer held all of it at some time before it answered, and this fold holds
+// all that the peer has.
+func (m *Machine) takeFreshness(in offer) {
+	if in.EchoMillis == 0 || in.FreshMillis == 0 {
+		return
+	}
+	at := time.UnixMilli(in.EchoMillis).Add(-time.Duration(in.FreshMillis-1) * time.Millisecond)
+	if at.After(m.caughtUpAt) && !at.After(m.now) {
+		m.caughtUpAt = at
+	}
 }
 
 // want notes that a peer is ahead and pulls unless a pull is running.
--- a/internal/follower/machine_test.go
+++ b/internal/follower/machine_test.go
@@ -158,3 +158,29 @@
 		t.Errorf("offset %d after %d restores, want 10 after 0", node.Control().Offset(), node.restores)
 	}
 }
+
+func TestEveryNodeKnowsHowFreshItIs(t *testing.T) {
+	n := start(t, 20, 3)
+	n.run(10 * time.Second)
+	paused := n.now
+	for _, node := range n.nodes {
+		if age := n.now.Sub(node.CaughtUpAt()); age < 0 || age > 10*time.Second {
+			t.Errorf("%s was caught up %s ago", node.self.ID, age)
+		}
+	}
+	n.runUntil(15*time.Second, "all caught up after a given time", func() bool {
+		return n.all(func(node *testNode) bool { return node.CaughtUpAt().After(paused) })
+	})
+}
+
+func TestOldOfferDoesNotProveFreshness(t *testing.T) {
+	n := start(t, 4, 3)
+	n.run(5 * time.Second)
+	node := n.nodes[3]
+	before := node.CaughtUpAt()
+	node.now = node.now.Add(time.Minute)
+	node.handleOffer(n.nodes[0].self.ID, offer{Offset: 3, Ready: true, FreshMillis: 1})
+	if node.CaughtUpAt() != before {
+		t.Errorf("an unasked offer moved the freshness from %s to %s", before, node.CaughtUpAt())
+	}
+}
--- a/internal/follower/message.go
+++ b/internal/follower/message.go
@@ -22,6 +22,15 @@
 type offer struct {
 	Offset uint64
 	Ready  bool
+	// AskedMillis is the sender's own time in Unix milliseconds when it wants an
+	// offer in return, and EchoMillis is that of the receiver which asked. Only
+	// an echo proves that an offer was made after the question: a process that
+	// was paused finds old messages in its sockets.
+	AskedMillis int64
+	EchoMillis  int64
+	// FreshMillis is one more than the time since the sender held everything on
+	// the log, zero when it never did.
+	FreshMillis uint64
 }
 
 // ask wants an offer in return at once.
--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -164,7 +164,8 @@
 	m.setDown(false)
 	before := m.control.Offset()
 	m.apply(in.Entries, "")
-	if m.control.Offset() >= in.End && !m.start.ready {
+	if m.control.Offset() >= in.End {
+		m.caughtUpAt = m.now
 		m.becomeReady()
 	}
 	m.reader.nextRead = m.now
--- a/internal/follower/start.go
+++ b/internal/follower/start.go
@@ -166,6 +166,9 @@
 
 // becomeReady ends the start; neighbours that start too learn it at once.
 func (m *Machine) becomeReady() {
+	if m.start.ready {
+		return
+	}
 	m.start = startPhase{ready: true}
 	for _, neighbour := range m.options.Neighbours() {
 		m.send(neighbour, m.offer())
