--- a/internal/api/relay.go
+++ b/internal/api/relay.go
@@ -39,7 +39,6 @@
 	if !w.owned {
 		return
 	}
-	removeHopHeaders(w.header)
 	target := w.call.writer.Header()
 	for name, values := range w.header {
 		target[name] = values
--- a/internal/api/reply.go
+++ b/internal/api/reply.go
@@ -71,7 +71,6 @@
 	for _, line := range reply.Response.Headers {
 		header.Add(line.Name, line.Value)
 	}
-	removeHopHeaders(header)
 	if reply.Replayed {
 		header.Set(headerReplayed, "true")
 	}
--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -32,7 +32,8 @@
 const servicePathSegments = 3
 
 // serviceRequest is a caller's request to a service as it is kept until its
-// answer: whole, so that it can be sent again.
+// answer: whole, so that it can be sent again. The back end's client leaves out
+// the headers that belong to the caller's connection.
 type serviceRequest struct {
 	caller       context.Context
 	method       string
@@ -60,7 +61,7 @@
 		caller:       r.Context(),
 		method:       r.Method,
 		path:         path,
-		headers:      forwardedHeaders(r.Header),
+		headers:      r.Header,
 		body:         body,
 		unrepeatable: input.Unrepeatable,
 	}
@@ -184,14 +185,6 @@
 	return path + "?" + r.URL.RawQuery, nil
 }
 
-// forwardedHeaders takes out of a request's headers what is not for a back end.
-func forwardedHeaders(header http.Header) http.Header {
-	removeHopHeaders(header)
-	delete(header, headerRepeatable)
-	delete(header, headerDeadline)
-	return header
-}
-
 // digest returns a hash over method, path and body.
 func (s *serviceRequest) digest() string {
 	digest := sha256.New()
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -75,6 +75,11 @@
 	if !t.start() {
 		return eris.New("peer: transport was run before")
 	}
+	return t.serveStarted(ctx)
+}
+
+// serveStarted is Run after the start.
+func (t *Transport) serveStarted(ctx context.Context) error {
 	accepted := make(chan error, 1)
 	t.group.Go(func() { accepted <- t.accept() })
 	var err error
