--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,11 +49,15 @@
 
 // Limits bound what one node takes and how long it keeps it.
 type Limits struct {
-	// Body is the largest request body that the node takes.
+	// Body is the largest request body that the node takes, steps aside.
 	Body Size `koanf:"body" validate:"gt=0" help:"largest request body"`
+	// StepBody is the largest body of a step.
+	StepBody Size `koanf:"step_body" validate:"gt=0" help:"largest body of a step"`
 	// Answer is the largest back-end answer that the node buffers; an
 	// unrepeatable request's recorded answer is buffered whole.
 	Answer Size `koanf:"answer" validate:"gt=0" help:"largest buffered answer of a back end"`
+	// OpenCalls is the number of calls of any kind that may be open at once.
+	OpenCalls int `koanf:"open_calls" validate:"gt=0" help:"calls of any kind that may be open"`
 	// Concurrent is the largest number of requests in flight in one class.
 	Concurrent int `koanf:"concurrent" validate:"gt=0" help:"requests in flight in one class"`
 	// Classes overrides Concurrent for single classes.
@@ -90,7 +94,9 @@
 		Listen: Addresses{Client: "127.0.0.1:0", Peer: "127.0.0.1:0"},
 		Limits: Limits{
 			Body:        8 << 20,
+			StepBody:    32 << 20,
 			Answer:      8 << 20,
+			OpenCalls:   16384,
 			Concurrent:  512,
 			Deadline:    30 * time.Second,
 			MaxDeadline: 10 * time.Minute,
