Run a step from its post to its last read

A trainer's step had no part that ran it. The rollout machine accepts a step through its own log and the control log, claims it on the step's log, streams its samples from engines, commits them and hands them over by a cursor that holds the set of samples the trainer has.

Ruled out: forwarding posts to the owner. Any node can accept, since the first body on the step's log wins; a post then needs no owner to be reachable.

The test runs three nodes, a log and two engines on a virtual clock, and compares each delivered sample's versions with those that its tokens name.

--- /dev/null
+++ b/internal/rollout/lengths.go
@@ -0,0 +1,157 @@
+package rollout
+
+import (
+	"slices"
+
+	"dalehook/internal/record"
+)
+
+// lengths estimates how many tokens a sample will have, from the finished
+// samples of its prompt group, of its step and of earlier steps.
+type lengths struct {
+	groups map[string]meanLength
+	all    meanLength
+	// mean and limit are the trainer's stated demand, zero for none.
+	mean  int
+	limit int
+}
+
+// meanLength is a running mean in tokens.
+type meanLength struct {
+	samples int
+	tokens  int
+}
+
+// maxLearnedSamples bounds the weight of what was learned, so that a trainer
+// whose samples grow is followed.
+const maxLearnedSamples = 256
+
+// maxLengthGroups bounds the prompt groups that one closing record names.
+const maxLengthGroups = 64
+
+func (l meanLength) add(tokens int) meanLength {
+	l.samples++
+	l.tokens += tokens
+	if l.samples > maxLearnedSamples {
+		l.tokens -= l.tokens / l.samples
+		l.samples--
+	}
+	return l
+}
+
+func (l meanLength) value() int {
+	if l.samples == 0 {
+		return 0
+	}
+	return max(l.tokens/l.samples, 1)
+}
+
+// add learns from a finished sample.
+func (l *lengths) add(group string, tokens int) {
+	l.all = l.all.add(tokens)
+	if group == "" {
+		return
+	}
+	if l.groups == nil {
+		l.groups = map[string]meanLength{}
+	}
+	l.groups[group] = l.groups[group].add(tokens)
+}
+
+// remaining estimates the tokens that a sample still needs when it has some. A
+// sample that has outrun its estimate is expected to need half as much again.
+func (l *lengths) remaining(sample record.Sample, tokens int) int {
+	expected := l.expected(sample)
+	if tokens >= expected {
+		expected = tokens + tokens/2 + 1
+	}
+	if sample.MaxTokens > 0 {
+		expected = min(expected, sample.MaxTokens)
+	}
+	return max(expected-tokens, 1)
+}
+
+// expected estimates the length of a sample: by its group, else by the share of
+// the allowed length that samples took so far.
+func (l *lengths) expected(sample record.Sample) int {
+	if mean := l.groups[sample.Group].value(); sample.Group != "" && mean > 0 {
+		return mean
+	}
+	mean := l.all.value()
+	if mean == 0 {
+		mean = l.mean
+	}
+	switch {
+	case mean == 0:
+		return max(sample.MaxTokens/2, 1)
+	case l.limit > 0 && sample.MaxTokens > 0:
+		return max(mean*sample.MaxTokens/l.limit, 1)
+	default:
+		return mean
+	}
+}
+
+// summary returns what the closing record of a step tells later owners.
+func (l *lengths) summary() []record.GroupLength {
+	if l.all.samples == 0 {
+		return nil
+	}
+	summary := []record.GroupLength{{Samples: l.all.samples, Tokens: l.all.value()}}
+	for _, group := range sortedKeys(l.groups) {
+		if len(summary) > maxLengthGroups {
+			break
+		}
+		mean := l.groups[group]
+		summary = append(summary, record.GroupLength{Group: group, Samples: mean.samples, Tokens: mean.value()})
+	}
+	return summary
+}
+
+// trainerKey names a trainer of an event.
+type trainerKey struct{ event, trainer string }
+
+// learned keeps the lengths of the last trainers, by what closing records say.
+type learned struct {
+	trainers map[trainerKey]lengths
+	order    []trainerKey
+}
+
+// maxLearnedTrainers bounds the trainers whose lengths are kept.
+const maxLearnedTrainers = 64
+
+// take replaces what is known of a trainer.
+func (l *learned) take(key trainerKey, summary []record.GroupLength) {
+	if len(summary) == 0 {
+		return
+	}
+	if l.trainers == nil {
+		l.trainers = map[trainerKey]lengths{}
+	}
+	if _, known := l.trainers[key]; !known {
+		l.order = append(l.order, key)
+	}
+	if len(l.order) > maxLearnedTrainers {
+		delete(l.trainers, l.order[0])
+		l.order = slices.Delete(l.order, 0, 1)
+	}
+	known := lengths{groups: map[string]meanLength{}}
+	for _, entry := range summary {
+		mean := meanLength{samples: entry.Samples, tokens: entry.Samples * entry.Tokens}
+		if entry.Group == "" {
+			known.all = mean
+			continue
+		}
+		known.groups[entry.Group] = mean
+	}
+	l.trainers[key] = known
+}
+
+// forTrainer returns a copy of what is known of a trainer, with its demand.
+func (l *learned) forTrainer(key trainerKey, demand record.RolloutDemand) lengths {
+	known := l.trainers[key]
+	start := lengths{groups: map[string]meanLength{}, all: known.all, mean: demand.MeanTokens, limit: demand.MaxTokens}
+	for _, group := range sortedKeys(known.groups) {
+		start.groups[group] = known.groups[group]
+	}
+	return start
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -5,6 +5,7 @@
 package rollout
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -13,42 +14,6 @@
 	"dalehook/internal/routing"
 )
 
-// LogWriter appends records and settles appends whose outcome is unknown.
-type LogWriter interface {
-	// Append writes body to log and calls done once its outcome is settled.
-	Append(now time.Time, log string, body any, done func(now time.Time, result WriteResult)) record.ID
-}
-
-// WriteResult is the settled outcome of an append.
-type WriteResult struct {
-	Outcome machine.AppendOutcome
-	Offset  uint64
-	Err     string
-}
-
-// Environment is what a Machine reads of the rest of its node.
-type Environment interface {
-	// Control is the fold of the control log.
-	Control() *record.Control
-	// Alive reports whether the node's own failure detection holds a peer for
-	// alive. It is true for the node itself.
-	Alive(id cluster.NodeID) bool
-	// Node returns a member by its id, alive or not.
-	Node(id cluster.NodeID) (cluster.Node, bool)
-	// LiveNodes lists the members held for alive that are not leaving, with the
-	// node itself unless it is leaving, sorted by id.
-	LiveNodes() []cluster.Node
-	// Engines lists what the node knows of the engines of a pool, sorted by id.
-	Engines(pool string) []routing.Engine
-	// Subscribe asks for fresh reports of a whole pool, or no longer.
-	Subscribe(pool string, on bool)
-	// StoreDown reports whether the platform's log can't be reached.
-	StoreDown() bool
-	// ClassLimit returns the largest number of samples of a class that may run
-	// at once on the whole cluster, zero for no limit.
-	ClassLimit(class string) int
-}
-
 // Options configure a Machine.
 type Options struct {
 	// Self is this process.
@@ -66,50 +31,256 @@
 
 // Machine is the rollout part of one node.
 type Machine struct {
-	options Options
+	self        cluster.Node
+	outbox      *machine.Outbox
+	writer      LogWriter
+	environment Environment
+	policy      routing.EnginePolicy
+	limits      Limits
+	random      *rand.Rand
+
+	steps map[string]*step
+	order sortedNames
+	hints ownerHints
+	// trainers names the trainer of each open step.
+	trainers map[string]trainerKey
+	learned  learned
+
+	posts     map[string]*post
+	postOrder sortedNames
+	// reads are the trainers' reads at this node, oldest first.
+	reads        []*originRead
+	readID       uint64
+	pendingMoves []pendingMove
+
+	replicaStore *replicaStore
+	avoidances   map[cluster.BackendID]avoidance
+	budget       retryBudget
+	subscribed   sortedNames
+
+	// seenAt is the time of the last input, wokeAt that of the last wake after a
+	// pause.
+	seenAt  time.Time
+	wokeAt  time.Time
+	scanAt  time.Time
+	leaving bool
+	leaveAt time.Time
 }
 
+// randomStream is the second half of the seed of a Machine's random numbers.
+const randomStream = 0x726f6c6c6f7574
+
 // New returns a Machine that knows no step.
-func New(options Options) *Machine { return &Machine{options: options} }
+func New(options Options) *Machine {
+	limits := options.Limits.withDefaults()
+	policy := options.Policy
+	if policy == nil {
+		policy, _ = routing.NewEnginePolicy(routing.PolicyDalehook, options.Seed)
+	}
+	return &Machine{
+		self:         options.Self,
+		outbox:       options.Outbox,
+		writer:       options.Writer,
+		environment:  options.Environment,
+		policy:       policy,
+		limits:       limits,
+		random:       rand.New(rand.NewPCG(options.Seed, randomStream)),
+		steps:        map[string]*step{},
+		hints:        ownerHints{hints: map[string]ownerHint{}},
+		trainers:     map[string]trainerKey{},
+		posts:        map[string]*post{},
+		replicaStore: newReplicaStore(limits),
+		avoidances:   map[cluster.BackendID]avoidance{},
+	}
+}
 
-// HandlePost takes a trainer's step.
-func (m *Machine) HandlePost(now time.Time, in machine.PostStep) {}
+// send leaves an output for the driver.
+func (m *Machine) send(output machine.Output) { m.outbox.Add(output) }
 
-// HandleRead takes a trainer's read.
-func (m *Machine) HandleRead(now time.Time, in machine.ReadSamples) {}
+// sendTo leaves a message for another node.
+func (m *Machine) sendTo(to cluster.NodeID, message any) {
+	address := ""
+	if node, ok := m.environment.Node(to); ok {
+		address = node.PeerAddress
+	}
+	m.send(machine.SendPeer{To: to, Address: address, Message: message})
+}
 
-// HandleGone drops a call whose caller has gone. It reports whether the call was
-// one of this machine's.
-func (m *Machine) HandleGone(now time.Time, in machine.CallGone) bool { return false }
+// reply answers a call.
+func (m *Machine) reply(call machine.CallID, body any) {
+	m.send(machine.Reply{Call: call, Body: body})
+}
+
+// failure returns an error that arose at this node.
+func (m *Machine) failure(status int, code machine.Code, step, message string) machine.Failure {
+	return machine.Failure{Status: status, Code: code, Message: message, Step: step, Peer: string(m.self.ID)}
+}
 
-// HandleChunk takes a piece of an attempt's stream.
-func (m *Machine) HandleChunk(now time.Time, in machine.AttemptChunk) {}
+// all returns the known steps, sorted by id.
+func (m *Machine) all() []*step {
+	list := make([]*step, 0, len(m.steps))
+	for _, id := range m.order.names {
+		list = append(list, m.steps[id])
+	}
+	return list
+}
 
-// HandleEnded takes the end of an attempt's stream.
-func (m *Machine) HandleEnded(now time.Time, in machine.AttemptEnded) {}
+// observe notes the time of an input. After a pause another node may hold the
+// steps of this one: nothing is handed over before that is clear.
+func (m *Machine) observe(now time.Time) {
+	paused := !m.seenAt.IsZero() && now.Sub(m.seenAt) > m.limits.PauseThreshold
+	m.seenAt = now
+	if !paused {
+		return
+	}
+	m.wokeAt = now
+	for _, s := range m.all() {
+		if s.phase >= phaseClaiming {
+			m.suspend(now, s)
+		}
+	}
+}
 
-// HandleEntries takes what was read from a step's log.
-func (m *Machine) HandleEntries(now time.Time, in machine.LogEntries) {}
+// HandleGone drops a call whose caller has gone. It reports whether the call was
+// one of this machine's.
+func (m *Machine) HandleGone(now time.Time, in machine.CallGone) bool {
+	m.observe(now)
+	return m.gonePost(in.Call) || m.goneRead(in.Call)
+}
 
 // HandleMessage takes a peer's message. It reports whether the message was one
 // of this machine's.
-func (m *Machine) HandleMessage(now time.Time, in machine.PeerMessage) bool { return false }
+func (m *Machine) HandleMessage(now time.Time, in machine.PeerMessage) bool {
+	m.observe(now)
+	switch message := in.Message.(type) {
+	case ReadRequest:
+		m.handleReadRequest(now, in.From, in.FromIncarnation, message)
+	case ReadHeld:
+		m.handleReadHeld(now, in.From, message)
+	case ReadAnswer:
+		m.handleReadAnswer(now, in.From, message)
+	case ReadCancel:
+		m.handleReadCancel(in.From, message)
+	case OwnerAnnounced:
+		m.hints.set(message.Step, ownerHint{node: in.From, incarnation: in.FromIncarnation, epoch: message.Epoch})
+	case StepHandover:
+		m.handleHandover(now, message)
+	case Mirror:
+		m.sendTo(in.From, m.replicaStore.mirror(now, message))
+	case MirrorAck:
+		m.handleMirrorAck(now, in, message)
+	case MirrorForget:
+		m.replicaStore.forget(message)
+	case MirrorCollect:
+		epochs := m.replicaStore.collect(now, message.Step, message.Epoch)
+		m.sendTo(in.From, MirrorState{Step: message.Step, Epoch: message.Epoch, Epochs: epochs})
+	case MirrorState:
+		m.handleMirrorState(now, in, message)
+	default:
+		return false
+	}
+	m.movePending(now)
+	return true
+}
 
 // HandleChange is called after the fold of the control log took an entry.
-func (m *Machine) HandleChange(now time.Time, entry record.Entry, change record.Change) {}
+func (m *Machine) HandleChange(now time.Time, _ record.Entry, change record.Change) {
+	m.observe(now)
+	if !change.Valid {
+		return
+	}
+	switch body := change.Body.(type) {
+	case record.StepOpened:
+		m.trainers[body.Step] = trainerKey{event: body.Event, trainer: body.Trainer}
+		m.postOpened(body)
+		if s := m.steps[body.Step]; s != nil || m.wantsOpen(body.Step) {
+			m.advance(now, m.find(now, body.Step))
+		}
+	case record.StepClosed:
+		m.stepClosed(now, body)
+	case record.VersionAnnounced:
+		for _, s := range m.all() {
+			m.checkStreams(now, s)
+		}
+	case record.ViewPublished:
+		m.scanAt = time.Time{}
+	}
+	m.movePending(now)
+}
+
+// stepClosed lets go of a step that was closed.
+func (m *Machine) stepClosed(now time.Time, closed record.StepClosed) {
+	m.learned.take(m.trainers[closed.Step], closed.Lengths)
+	delete(m.trainers, closed.Step)
+	m.replicaStore.drop(closed.Step)
+	if s := m.steps[closed.Step]; s != nil && s.closedAt.IsZero() {
+		s.closedAt = now
+	}
+}
 
 // HandleRestore is called after the fold of the control log was replaced by a
 // peer's snapshot.
-func (m *Machine) HandleRestore(now time.Time) {}
+func (m *Machine) HandleRestore(now time.Time) {
+	m.observe(now)
+	clear(m.trainers)
+	for _, open := range m.environment.Control().Steps() {
+		m.trainers[open.Step] = trainerKey{event: open.Event, trainer: open.Trainer}
+		m.postOpened(open)
+	}
+	m.scanAt = time.Time{}
+}
 
 // Tick drives everything that depends on time.
-func (m *Machine) Tick(now time.Time) {}
-
-// Leave begins a planned stop.
-func (m *Machine) Leave(now time.Time) {}
+func (m *Machine) Tick(now time.Time) {
+	m.observe(now)
+	m.tickPosts(now)
+	m.scan(now)
+	m.tickLeave(now)
+	for _, s := range m.all() {
+		m.tickStep(now, s)
+	}
+	m.tickReads(now)
+	m.movePending(now)
+	m.replicaStore.expire(now)
+}
 
-// Busy reports whether a planned stop still has something to finish here.
-func (m *Machine) Busy() bool { return false }
+// tickStep drives one step.
+func (m *Machine) tickStep(now time.Time, s *step) {
+	if s.phase == phaseOwning {
+		m.loadDemand(s)
+		m.checkStreams(now, s)
+		m.schedule(now, s)
+		m.moveStragglers(now, s)
+		if !s.handing {
+			m.flushFinished(now, s)
+			m.flushPlacements(now, s)
+		}
+		if !s.sure {
+			m.followLog(now, s)
+		}
+		m.retire(now, s)
+	}
+	m.flushJournal(now, s)
+	m.serveReads(now, s)
+}
 
-// Status lists the steps that this node owns, sorted by step.
-func (m *Machine) Status() []machine.StepStatus { return nil }
+// subscribe asks for reports of the pools that steps of this node run on.
+func (m *Machine) subscribe() {
+	var wanted sortedNames
+	for _, s := range m.all() {
+		if s.phase == phaseOwning && s.demand.Pool != "" {
+			wanted.insert(s.demand.Pool)
+		}
+	}
+	for _, pool := range m.subscribed.clone() {
+		if !wanted.has(pool) {
+			m.environment.Subscribe(pool, false)
+		}
+	}
+	for _, pool := range wanted.names {
+		if !m.subscribed.has(pool) {
+			m.environment.Subscribe(pool, true)
+		}
+	}
+	m.subscribed = wanted
+}
