--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -165,7 +165,8 @@
 	before := m.control.Offset()
 	m.apply(in.Entries, "")
 	if m.control.Offset() >= in.End {
-		m.caughtUpAt = m.now
+		// The answer may have waited in a socket, so only the question's time counts.
+		m.caughtUpAt = m.reader.sentAt
 		m.becomeReady()
 	}
 	m.reader.nextRead = m.now
