Test the stand-ins on a virtual clock

Cause: faults, lags and swap times need proof without wall-clock bounds. Ruled out: loopback sockets under synctest (network reads are not durably blocking); a clock interface in each stand-in. Change: tests serve over net.Pipe inside a synctest bubble; Dial options for the stand-ins' own calls.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	// Server, when set, goes down during a crash; otherwise the handler drops
 	// each connection.
 	Server *Server
+	// Dial opens connections to the platform; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// PlatformURL is where the engine registers, empty for nowhere.
 	PlatformURL string
 	// WeightsURL is the weight store's base URL; empty means that each version
@@ -140,7 +143,7 @@
 			FaultSwapWrong: faultCounted,
 			FaultReportLag: faultLevel,
 		}),
-		registrar: newRegistrar(options.PlatformURL, options.Machine),
+		registrar: newRegistrar(platform.Options{LogURL: options.PlatformURL, Dial: options.Dial}, options.Machine),
 		ctx:       ctx,
 		cancel:    cancel,
 		wake:      make(chan struct{}, 1),
@@ -151,7 +154,7 @@
 		version:   options.Version,
 	}
 	if options.WeightsURL != "" {
-		e.weights = platform.NewClient(platform.Options{LogURL: options.WeightsURL})
+		e.weights = platform.NewClient(platform.Options{LogURL: options.WeightsURL, Dial: options.Dial})
 	}
 	e.faults.values[FaultReportLag] = float64(options.ReportLag.Milliseconds())
 	e.faults.onSet = e.faultSet
--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -18,12 +18,12 @@
 }
 
 // newRegistrar returns nil when there is no platform to register at.
-func newRegistrar(platformURL string, machine cluster.Machine) *registrar {
-	if platformURL == "" {
+func newRegistrar(options platform.Options, machine cluster.Machine) *registrar {
+	if options.LogURL == "" {
 		return nil
 	}
 	return &registrar{
-		client:  platform.NewClient(platform.Options{LogURL: platformURL}),
+		client:  platform.NewClient(options),
 		machine: machine,
 	}
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +17,7 @@
 
 	"dalehook/internal/backend"
 	"dalehook/internal/cluster"
+	"dalehook/internal/platform"
 )
 
 // ServiceOptions configure a Service. Zero values take the defaults.
@@ -26,6 +28,8 @@
 	// Server, when set, goes down during a crash; otherwise the handler drops
 	// each connection.
 	Server *Server
+	// Dial opens connections to the platform; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// PlatformURL is where the server registers, empty for nowhere.
 	PlatformURL string
 	// ServiceTime is the time that one request runs.
@@ -104,7 +108,7 @@
 			FaultDropAfter:  faultCounted,
 			FaultTruncate:   faultCounted,
 		}),
-		registrar: newRegistrar(options.PlatformURL, options.Machine),
+		registrar: newRegistrar(platform.Options{LogURL: options.PlatformURL, Dial: options.Dial}, options.Machine),
 		slots:     make(chan struct{}, options.Concurrency),
 		ctx:       ctx,
 		cancel:    cancel,
