--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -14,6 +14,7 @@
 
 	"dalehook/internal/cluster"
 	"dalehook/internal/machine"
+	"dalehook/internal/record"
 	"dalehook/internal/sim/backend"
 	"dalehook/internal/sim/fault"
 	"dalehook/internal/sim/kernel"
@@ -263,3 +264,24 @@
 		w.operators = append(w.operators, newOperator(w, options))
 	}
 }
+
+// Trainers returns the scenario's trainers.
+func (w *World) Trainers() []*Trainer { return w.trainers }
+
+// Callers returns the scenario's callers.
+func (w *World) Callers() []*Caller { return w.callers }
+
+// Engines returns the scenario's engines.
+func (w *World) Engines() []*backend.Engine { return w.engines }
+
+// Shape returns how long a sample's prompt and answer are.
+func (w *World) Shape(sample record.Sample) backend.Shape { return w.shapes[sample.Prompt] }
+
+// Refusals returns what operators were refused with, in order.
+func (w *World) Refusals() []machine.Failure {
+	refusals := slices.Clone(w.setup.refusals)
+	for _, o := range w.operators {
+		refusals = append(refusals, o.refusals...)
+	}
+	return refusals
+}
