Keep a stand-in's goroutines in one place that closes once

Cause: an order or a leave that came while a stand-in was closing could start a goroutine after the wait for all of them. Ruled out: an order of closing that each caller has to keep. Change: background, used by engine and service. Conclusion: none open.

--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -40,16 +40,16 @@
 
 // runBatches steps the batch until the engine is closed.
 func (e *Engine) runBatches() {
-	for e.ctx.Err() == nil {
+	for e.background.ctx.Err() == nil {
 		duration, busy := e.beginStep()
 		if !busy {
 			e.waitForWork()
 			continue
 		}
-		if !sleep(e.ctx, duration, nil) {
+		if !sleep(e.background.ctx, duration, nil) {
 			return
 		}
-		if !e.faults.waitOver(e.ctx, FaultFreeze) {
+		if !e.faults.waitOver(e.background.ctx, FaultFreeze) {
 			return
 		}
 		e.endStep(duration)
@@ -59,7 +59,7 @@
 func (e *Engine) waitForWork() {
 	select {
 	case <-e.wake:
-	case <-e.ctx.Done():
+	case <-e.background.ctx.Done():
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"dalehook/internal/backend"
 	"dalehook/internal/cluster"
 	"dalehook/internal/machine"
@@ -98,13 +96,11 @@
 
 // Engine stands in for a model engine.
 type Engine struct {
-	options   EngineOptions
-	faults    *faults
-	registrar *registrar
-	weights   *platform.Client
-	ctx       context.Context
-	cancel    context.CancelFunc
-	tasks     conc.WaitGroup
+	options    EngineOptions
+	faults     *faults
+	registrar  *registrar
+	weights    *platform.Client
+	background *background
 	// wake tells the batch loop that there may be work.
 	wake chan struct{}
 
@@ -130,7 +126,6 @@
 // NewEngine returns an engine that has begun to run.
 func NewEngine(options EngineOptions) *Engine {
 	options = options.withDefaults()
-	ctx, cancel := context.WithCancel(context.Background())
 	e := &Engine{
 		options: options,
 		faults: newFaults(map[FaultName]faultKind{
@@ -143,15 +138,14 @@
 			FaultSwapWrong: faultCounted,
 			FaultReportLag: faultLevel,
 		}),
-		registrar: newRegistrar(platform.Options{LogURL: options.PlatformURL, Dial: options.Dial}, options.Machine),
-		ctx:       ctx,
-		cancel:    cancel,
-		wake:      make(chan struct{}, 1),
-		known:     make(map[string]*generation),
-		counts:    make(map[string]int),
-		cache:     prefixCache{limit: options.CacheGroups},
-		model:     options.Model,
-		version:   options.Version,
+		registrar:  newRegistrar(platform.Options{LogURL: options.PlatformURL, Dial: options.Dial}, options.Machine),
+		background: newBackground(),
+		wake:       make(chan struct{}, 1),
+		known:      make(map[string]*generation),
+		counts:     make(map[string]int),
+		cache:      prefixCache{limit: options.CacheGroups},
+		model:      options.Model,
+		version:    options.Version,
 	}
 	if options.WeightsURL != "" {
 		e.weights = platform.NewClient(platform.Options{LogURL: options.WeightsURL, Dial: options.Dial})
@@ -159,15 +153,14 @@
 	e.faults.values[FaultReportLag] = float64(options.ReportLag.Milliseconds())
 	e.faults.onSet = e.faultSet
 	e.noteReportLocked()
-	e.tasks.Go(e.runBatches)
-	e.tasks.Go(func() { e.registrar.register(ctx, cluster.StateLive) })
+	e.background.run(e.runBatches)
+	e.background.run(func() { e.registrar.register(e.background.ctx, cluster.StateLive) })
 	return e
 }
 
-// Close stops the engine and breaks its streams. Close its Server before.
+// Close stops the engine and breaks its streams.
 func (e *Engine) Close() {
-	e.cancel()
-	e.tasks.Wait()
+	e.background.close()
 	e.registrar.close()
 	if e.weights != nil {
 		e.weights.Close()
@@ -183,7 +176,7 @@
 	e.mu.Lock()
 	e.forgetAllLocked()
 	e.mu.Unlock()
-	e.tasks.Go(func() { crashServer(e.ctx, e.options.Server, e.faults) })
+	e.background.run(func() { crashServer(e.background.ctx, e.options.Server, e.faults) })
 }
 
 // forgetAllLocked loses what a crash takes: requests, cache and weights. The
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -58,7 +58,7 @@
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	e.tasks.Go(func() { e.registrar.register(e.ctx, cluster.StateLeaving) })
+	e.background.run(func() { e.registrar.register(e.background.ctx, cluster.StateLeaving) })
 	w.WriteHeader(http.StatusAccepted)
 }
 
@@ -291,7 +291,7 @@
 	case <-changed:
 	case <-r.Context().Done():
 		abort()
-	case <-e.ctx.Done():
+	case <-e.background.ctx.Done():
 		abort()
 	}
 }
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -23,11 +23,11 @@
 // beginLoadLocked starts to carry out an order; an earlier one is given up.
 func (e *Engine) beginLoadLocked(order backend.Order) {
 	e.stopLoadLocked()
-	ctx, cancel := context.WithCancel(e.ctx)
+	ctx, cancel := context.WithCancel(e.background.ctx)
 	begun := &load{order: order, cancel: cancel}
 	e.load = begun
 	e.loadError = ""
-	e.tasks.Go(func() {
+	e.background.run(func() {
 		defer cancel()
 		e.runLoad(ctx, begun)
 	})
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/sourcegraph/conc"
 
 	"dalehook/internal/backend"
 	"dalehook/internal/cluster"
@@ -76,13 +75,11 @@
 
 // Service stands in for a service server: any path, lookups and saves.
 type Service struct {
-	options   ServiceOptions
-	faults    *faults
-	registrar *registrar
-	slots     chan struct{}
-	ctx       context.Context
-	cancel    context.CancelFunc
-	tasks     conc.WaitGroup
+	options    ServiceOptions
+	faults     *faults
+	registrar  *registrar
+	slots      chan struct{}
+	background *background
 
 	mu      sync.Mutex
 	counts  map[string]int
@@ -96,7 +93,6 @@
 // NewService returns a running service server.
 func NewService(options ServiceOptions) *Service {
 	options = options.withDefaults()
-	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
 		options: options,
 		faults: newFaults(map[FaultName]faultKind{
@@ -108,22 +104,20 @@
 			FaultDropAfter:  faultCounted,
 			FaultTruncate:   faultCounted,
 		}),
-		registrar: newRegistrar(platform.Options{LogURL: options.PlatformURL, Dial: options.Dial}, options.Machine),
-		slots:     make(chan struct{}, options.Concurrency),
-		ctx:       ctx,
-		cancel:    cancel,
-		counts:    make(map[string]int),
-		crashed:   make(chan struct{}),
+		registrar:  newRegistrar(platform.Options{LogURL: options.PlatformURL, Dial: options.Dial}, options.Machine),
+		slots:      make(chan struct{}, options.Concurrency),
+		background: newBackground(),
+		counts:     make(map[string]int),
+		crashed:    make(chan struct{}),
 	}
 	s.faults.onSet = s.faultSet
-	s.tasks.Go(func() { s.registrar.register(ctx, cluster.StateLive) })
+	s.background.run(func() { s.registrar.register(s.background.ctx, cluster.StateLive) })
 	return s
 }
 
 // Close ends waiting requests and the server's goroutines.
 func (s *Service) Close() {
-	s.cancel()
-	s.tasks.Wait()
+	s.background.close()
 	s.registrar.close()
 }
 
@@ -164,7 +158,7 @@
 	s.mu.Lock()
 	s.leaving = true
 	s.mu.Unlock()
-	s.tasks.Go(func() { s.registrar.register(s.ctx, cluster.StateLeaving) })
+	s.background.run(func() { s.registrar.register(s.background.ctx, cluster.StateLeaving) })
 	w.WriteHeader(http.StatusAccepted)
 }
 
@@ -177,7 +171,7 @@
 	close(s.crashed)
 	s.crashed = make(chan struct{})
 	s.mu.Unlock()
-	s.tasks.Go(func() { crashServer(s.ctx, s.options.Server, s.faults) })
+	s.background.run(func() { crashServer(s.background.ctx, s.options.Server, s.faults) })
 }
 
 // crashServer takes a server down until the crash is over.
@@ -243,7 +237,7 @@
 		return true
 	case <-r.Context().Done():
 	case <-crashed:
-	case <-s.ctx.Done():
+	case <-s.background.ctx.Done():
 	}
 	return false
 }
@@ -259,7 +253,7 @@
 	case <-timer.C:
 	case <-crashed:
 		abort()
-	case <-s.ctx.Done():
+	case <-s.background.ctx.Done():
 		abort()
 	}
 	if !s.faults.waitOver(r.Context(), FaultFreeze) {
