--- a/internal/backend/report.go
+++ b/internal/backend/report.go
@@ -88,8 +88,11 @@
 
 func (v *cacheView) fold(events CacheEvents) {
 	if events.Next < v.next {
-		// The engine counts from the start again: it has lost its cache.
+		// The engine counts from the start again: it has lost its cache. What
+		// came since is asked for the next time.
 		v.groups = nil
+		v.next = 0
+		return
 	}
 	v.next = events.Next
 	for _, event := range events.Events {
