Let the store's faults reach the weight store, as in the simulator

Cause: the simulator's store_down refuses the log and the weight store, the stand-in's only the log; both go by one name. Ruled out: a second name for the weight store. Change: store_down and store_slow act on weights too; an engine that leaves says so in its report at once; a request without a model takes the loaded one. Conclusion: none open.

--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -44,7 +44,10 @@
 func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, http.StatusOK, e.noteReportLocked())
+	report := e.noteReportLocked()
+	// An engine that leaves says so at once; the rest lags.
+	report.Leaving = e.leaving
+	writeJSON(w, http.StatusOK, report)
 }
 
 func (e *Engine) getCacheEvents(w http.ResponseWriter, r *http.Request) {
@@ -204,7 +207,7 @@
 		return busy("refused", "the engine takes no new work")
 	case e.version == 0:
 		return busy("no_weights", "no version is loaded")
-	case request.Model != e.model:
+	case request.Model != "" && request.Model != e.model:
 		return &refusal{status: http.StatusConflict, code: "wrong_model", message: "another model is loaded"}
 	case len(e.queue) >= e.options.QueueLimit:
 		return busy("busy", "the queue is full")
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -16,9 +16,11 @@
 
 // The faults of the platform.
 const (
-	// FaultStoreDown drops each call to the log, for a time in seconds.
+	// FaultStoreDown drops each call to the log and the weight store, for a time
+	// in seconds.
 	FaultStoreDown FaultName = "store_down"
-	// FaultStoreSlow adds milliseconds to each call to the log.
+	// FaultStoreSlow adds milliseconds to each call to the log and the weight
+	// store.
 	FaultStoreSlow FaultName = "store_slow"
 	// FaultAppendAnswerLost lets the next N appends take effect and then drops
 	// their connections.
--- a/internal/standin/memory_log.go
+++ b/internal/standin/memory_log.go
@@ -127,7 +127,8 @@
 	}
 }
 
-// enterStore applies the faults store_slow and store_down to a call.
+// enterStore applies the faults store_slow and store_down to a call of the log
+// or of the weight store.
 func (p *Platform) enterStore(r *http.Request) {
 	if delay := p.faults.milliseconds(FaultStoreSlow); delay > 0 && !sleep(r.Context(), delay, p.done) {
 		abort()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -116,6 +116,7 @@
 }
 
 func (p *Platform) putWeights(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	p.enterStore(r)
 	version := params.ByName("version")
 	if _, err := strconv.ParseInt(version, 10, 64); err != nil {
 		badRequest("version is not a number").write(w)
@@ -132,7 +133,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (p *Platform) getWeights(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+func (p *Platform) getWeights(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	p.enterStore(r)
 	p.sendWeights(w, weightsKey{
 		model:   cluster.ModelName(params.ByName("model")),
 		version: params.ByName("version"),
@@ -141,7 +143,8 @@
 
 // getAnyWeights answers GET /weights/{version}; the router wants the parameter
 // to have the same name as in the longer path.
-func (p *Platform) getAnyWeights(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+func (p *Platform) getAnyWeights(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	p.enterStore(r)
 	p.sendWeights(w, weightsKey{version: params.ByName("model")})
 }
 
