Read a short machine list more often

Cause: the first list a node read came before the back ends had registered; it counted as received, and the next reading was a minute away. The demo waited for back ends until it timed out. Ruled out: a fixed short pause, which at 600 back ends would cost the zone's reader most of its control budget. Change: only a list that names a back end counts as the first; the pause grows with the list, from 2 s to 60 s, so that bytes a second stay the same.

--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -14,8 +15,10 @@
 	// next is the next look at whether to read, readAt the last reading.
 	next   time.Time
 	readAt time.Time
-	// received is set after the first list.
+	// received is set after the first list that names a back end.
 	received bool
+	// pause is the time between two readings by the zone's reader.
+	pause time.Duration
 }
 
 // tickList asks for the list: until the first one came, then now and then, more
@@ -26,7 +29,7 @@
 	}
 	pause := listRetry
 	if m.list.received {
-		pause = listInterval
+		pause = m.list.pause
 	}
 	m.list.next = m.now.Add(pause/2 + time.Duration(m.random.Int64N(int64(pause))))
 	idle := m.now.Sub(m.list.readAt)
@@ -54,13 +57,14 @@
 func (m *Machine) HandleMachines(now time.Time, machines []cluster.Machine) {
 	m.now = now
 	first := !m.list.received
-	m.list.received = true
-	if first {
-		m.list.next = now.Add(time.Duration(m.random.Int64N(int64(listInterval))))
+	m.list.pause = listPause(len(machines))
+	if first && slices.ContainsFunc(machines, isBackend) {
+		m.list.received = true
+		m.list.next = now.Add(time.Duration(m.random.Int64N(int64(m.list.pause))))
 		m.list.readAt = now.Add(-time.Duration(m.random.Int64N(int64(idleListInterval / 2))))
 	}
 	for _, listed := range machines {
-		if listed.Kind == cluster.KindNode || listed.ID == "" {
+		if !isBackend(listed) {
 			continue
 		}
 		if known := m.index[listed.ID]; known != nil {
@@ -71,6 +75,17 @@
 	}
 }
 
+// isBackend reports whether a line of the list is a back end with a name.
+func isBackend(listed cluster.Machine) bool {
+	return listed.Kind != cluster.KindNode && listed.ID != ""
+}
+
+// listPause returns the time between two readings of a list of the given
+// length, so that reading costs the same number of bytes a second at any size.
+func listPause(length int) time.Duration {
+	return min(max(time.Duration(length)*listPausePerLine, minListInterval), listInterval)
+}
+
 // addListed adds a machine that this node did not know. All nodes read the same
 // machines from their first lists, so those are not news; later ones are.
 func (m *Machine) addListed(listed cluster.Machine, first bool) {
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -68,12 +68,16 @@
 	// the watchers of one back end.
 	alarmInterval = time.Second
 
-	// listInterval is the time between two readings of the machine list by the
-	// node of each zone that does so, and idleListInterval by the others.
+	// listInterval is the longest time between two readings of the machine list
+	// by the node of each zone that does so, and idleListInterval by the others.
+	// A short list is read more often: every listPausePerLine times its length,
+	// but not more often than every minListInterval.
 	listInterval     = time.Minute
+	listPausePerLine = 100 * time.Millisecond
+	minListInterval  = 2 * time.Second
 	idleListInterval = 30 * time.Minute
 	// listRetry is the time between two attempts to read the first list.
-	listRetry = 5 * time.Second
+	listRetry = time.Second
 
 	// subsetSize is the number of servers of a service that one node uses, and
 	// subsetCover how many nodes each server is to have at the least.
