--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -225,6 +225,18 @@
 	}
 }
 
+// Drain takes all items of a service out of its queue.
+func (c *Controller) Drain(service string) []Item {
+	flow := c.flows[service]
+	if flow == nil {
+		return nil
+	}
+	items := flow.items
+	flow.items = nil
+	c.queued -= len(items)
+	return items
+}
+
 // Ended closes a started request; took is zero when it wasn't answered.
 func (c *Controller) Ended(item Item, took time.Duration) {
 	c.classes[item.Class].inFlight--
--- /dev/null
+++ b/internal/idempotency/property_test.go
@@ -0,0 +1,140 @@
+package idempotency
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dalehook/internal/cluster"
+	"dalehook/internal/machine"
+)
+
+// draw returns a number from 0 to n-1, from a seed or from rapid.
+type draw func(n int) int
+
+func seeded(seed uint64) draw {
+	random := rand.New(rand.NewPCG(seed, 2))
+	return func(n int) int { return random.IntN(n) }
+}
+
+// runSchedule drives a cluster of six nodes through drawn faults while callers
+// repeat a few keys, and returns it.
+func runSchedule(seed uint64, draw draw, off ablation) *testCluster {
+	c := newTestCluster(seed, 6, off)
+	c.loss = []float64{0, 0.02, 0.2}[draw(3)]
+	c.loseAnswer = []float64{0, 0.2}[draw(2)]
+	c.notSent = []float64{0, 0.3}[draw(2)]
+	for range 40 {
+		c.step(draw)
+		c.advance([]time.Duration{0, time.Millisecond, 3 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond}[draw(5)])
+	}
+	clear(c.cuts)
+	clear(c.paused)
+	c.loss = 0
+	c.publish(10 * time.Millisecond)
+	c.advance(5 * time.Second)
+	for key := range c.newest + 1 {
+		c.call(c.nodes[draw(len(c.nodes))], testKey(key), time.Second)
+	}
+	c.advance(5 * time.Second)
+	return c
+}
+
+func testKey(n int) string { return fmt.Sprintf("key-%d", n) }
+
+// step draws one thing that happens.
+func (c *testCluster) step(draw draw) {
+	node := c.nodes[draw(len(c.nodes))]
+	other := c.nodes[draw(len(c.nodes))]
+	switch draw(18) {
+	case 0:
+		c.log("crash %s", node.self.ID)
+		node.dead = true
+	case 1, 2:
+		c.log("replace %s", node.self.ID)
+		c.startNode(node.self.ID, node.self.Zone)
+	case 3, 4:
+		c.log("publish")
+		spread := []time.Duration{time.Millisecond, 100 * time.Millisecond, 2 * time.Second}[draw(3)]
+		if draw(2) == 0 {
+			// Live nodes leave the view too: by a planned stop or by mistake.
+			c.publish(spread, node.self.ID, other.self.ID)
+		} else {
+			c.publish(spread)
+		}
+	case 5:
+		c.log("cut %s from %s", node.self.ID, other.self.ID)
+		c.cuts[[2]cluster.NodeID{node.self.ID, other.self.ID}] = true
+		if draw(2) == 0 {
+			c.cuts[[2]cluster.NodeID{other.self.ID, node.self.ID}] = true
+		}
+	case 6:
+		c.log("heal")
+		clear(c.cuts)
+		clear(c.paused)
+	case 7:
+		c.log("pause %s", node.self.ID)
+		c.paused[node.self.ID] = true
+	case 8:
+		if call := machine.CallID(draw(int(c.calls) + 1)); node.keys[call] != "" && !node.dead {
+			c.log("gone %d", call)
+			if node.machine.Abandon(c.now, call) {
+				c.checkNotRun(node.keys[call])
+			}
+			c.drain(node)
+		}
+	default:
+		if draw(2) == 0 {
+			c.newest++
+		}
+		within := []time.Duration{300 * time.Millisecond, 3 * time.Second}[draw(2)]
+		c.call(node, testKey(max(0, c.newest-draw(2))), within)
+	}
+}
+
+// TestAtMostOnce checks, over drawn schedules of loss, cuts, pauses, crashes,
+// replacements and view changes, that each key runs at most once, that "not run"
+// is true, and that a key has one answer.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		numbers := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") }
+		if c := runSchedule(seed, numbers, ablation{}); len(c.violations) > 0 {
+			t.Fatalf("%v\n%s", c.violations, c.trace.String())
+		}
+	})
+}
+
+func TestAtMostOnceSeeds(t *testing.T) {
+	for seed := range uint64(30) {
+		if c := runSchedule(seed, seeded(seed), ablation{}); len(c.violations) > 0 {
+			t.Fatalf("seed %d: %v\n%s", seed, c.violations, c.trace.String())
+		}
+	}
+}
+
+// TestAtMostOnceNeedsItsMechanisms shows that the property sees the faults that
+// sealing and the tracking of full replicas prevent.
+func TestAtMostOnceNeedsItsMechanisms(t *testing.T) {
+	cases := []struct {
+		name string
+		seed uint64
+		off  ablation
+	}{
+		{"voting before the markers are taken over", 11, ablation{noFull: true}},
+		{"voting on in a view that was taken over", 605, ablation{noSeal: true}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if c := runSchedule(test.seed, seeded(test.seed), test.off); len(c.violations) == 0 {
+				t.Error("no violation with the mechanism off")
+			}
+			if c := runSchedule(test.seed, seeded(test.seed), ablation{}); len(c.violations) > 0 {
+				t.Errorf("violations with the mechanism on: %v", c.violations)
+			}
+		})
+	}
+}
