--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -23,6 +23,8 @@
 	log   []record.Record
 	down  bool
 	nodes []*testNode
+	// calls counts the appends that were tried.
+	calls int
 }
 
 // testNode is a process with its own fold; it implements lease.Environment.
@@ -37,7 +39,9 @@
 	dead      bool
 	paused    bool
 	cut       bool
-	leaving   bool
+	// deaf is set when no peer is there to be heard.
+	deaf    bool
+	leaving bool
 	// quietSince is when peers last heard of it.
 	quietSince time.Time
 	heardAt    time.Time
@@ -116,10 +120,13 @@
 	if n.cut {
 		return
 	}
-	n.heardAt = now
 	if n.StoreDown() {
+		if !n.deaf {
+			n.heardAt = now
+		}
 		return
 	}
+	n.heardAt = now
 	for offset := n.control.Offset() + 1; offset <= uint64(len(n.cluster.log)); offset++ {
 		entry := record.Entry{Offset: offset, Record: n.cluster.log[offset-1]}
 		change := n.control.Apply(entry)
@@ -130,6 +137,7 @@
 }
 
 func (n *testNode) append(now time.Time, in machine.AppendLog) {
+	n.cluster.calls++
 	result := machine.AppendResult{Log: in.Log, ID: in.Record.ID, Outcome: machine.AppendNotDone}
 	if !n.StoreDown() {
 		n.cluster.log = append(n.cluster.log, in.Record)
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -109,10 +109,10 @@
 		t.Error("another node holds")
 	}
 	first.dead = true
-	written := len(c.log)
+	tried := c.calls
 	c.advance(time.Minute)
-	if len(c.holders()) != 0 || len(c.log) != written {
-		t.Errorf("%d holders, %d records", len(c.holders()), len(c.log)-written)
+	if len(c.holders()) != 0 || c.calls != tried {
+		t.Errorf("%d holders, %d appends", len(c.holders()), c.calls-tried)
 	}
 	c.down = false
 	c.advance(lease.DefaultClaimTimeout + 2*lease.DefaultStandIn)
@@ -142,6 +142,18 @@
 	onlyHolder(t, c)
 }
 
+func TestLoneNodeIsSureAgainAfterAPauseInAnOutage(t *testing.T) {
+	c := newTestCluster(1)
+	c.advance(10 * time.Second)
+	node := onlyHolder(t, c)
+	c.down, node.paused = true, true
+	node.heardAt = c.now
+	c.advance(time.Minute)
+	node.paused, node.deaf = false, true
+	c.advance(time.Second)
+	onlyHolder(t, c)
+}
+
 // TestLeaseSafety runs random faults. An epoch has one holder, what a node takes
 // for its epoch is a valid claim of its own life, and once the faults end one
 // node holds the duty.
--- a/internal/lease/view_publisher_test.go
+++ b/internal/lease/view_publisher_test.go
@@ -36,8 +36,22 @@
 }
 
 func TestSteadyReplacementIsDamped(t *testing.T) {
-	const nodes, replaced = 60, 40
-	c := newTestCluster(nodes)
+	const nodes = 60
+	cases := []struct {
+		name     string
+		replaced int
+		every    time.Duration
+		least    int
+	}{
+		{"faster than the nodes settle", 40, time.Second, 3},
+		{"slower than the nodes settle", 20, 3 * time.Second, 5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { testDamping(t, newTestCluster(nodes), c.replaced, c.every, c.least) })
+	}
+}
+
+func testDamping(t *testing.T, c *testCluster, replaced int, every time.Duration, least int) {
 	c.advance(20 * time.Second)
 	holder := onlyHolder(t, c)
 	before, began := c.views(), c.now
@@ -45,14 +59,14 @@
 		if c.nodes[i] != holder {
 			c.replace(c.nodes[i])
 		}
-		c.advance(time.Second)
+		c.advance(every)
 	}
-	c.advance(20 * time.Second)
 	views := c.views() - before
-	interval := lease.DefaultMinInterval + nodes*lease.DefaultIntervalPerMember
-	if limit := int(c.now.Sub(began)/interval) + 1; views > limit {
-		t.Errorf("%d views in %v, want at most %d", views, c.now.Sub(began), limit)
+	interval := lease.DefaultMinInterval + time.Duration(len(c.nodes))*lease.DefaultIntervalPerMember
+	if limit := int(c.now.Sub(began)/interval) + 1; views < least || views > limit {
+		t.Errorf("%d views in %v, want %d to %d", views, c.now.Sub(began), least, limit)
 	}
+	c.advance(20 * time.Second)
 	if got, want := fmt.Sprint(c.truth().View().Members), fmt.Sprint(holder.LiveNodes()); got != want {
 		t.Errorf("view\n%s\nwant\n%s", got, want)
 	}
@@ -90,10 +104,10 @@
 			break
 		}
 	}
-	written := len(c.log)
+	tried := c.calls
 	c.advance(10 * time.Minute)
-	if len(c.log) != written {
-		t.Errorf("%d records", len(c.log)-written)
+	if c.calls != tried {
+		t.Errorf("%d appends", c.calls-tried)
 	}
 	c.down = false
 	c.advance(10 * time.Second)
--- a/internal/record/control_test.go
+++ b/internal/record/control_test.go
@@ -79,9 +79,10 @@
 	var trace strings.Builder
 	for _, entry := range log {
 		change := control.Apply(entry)
-		fmt.Fprintf(&trace, "%2d %-18s %s revision=%d epoch(view)=%d view=%d newest=%d events=%d steps=%d\n",
+		fmt.Fprintf(&trace, "%2d %-18s %s revision=%d epoch(view)=%d view=%d previous=%d first=%d newest=%d events=%d steps=%d\n",
 			entry.Offset, record.Kind(entry.Record.Body), describe(change), control.Revision(),
-			control.Lease(record.DutyView).Epoch, control.View().Number, control.Newest("captions"),
+			control.Lease(record.DutyView).Epoch, control.View().Number,
+			control.PreviousView().Number, control.FirstView(), control.Newest("captions"),
 			len(control.Events()), len(control.Steps()))
 	}
 	goldie.New(t).Assert(t, "control_trace", []byte(trace.String()))
@@ -281,6 +282,20 @@
 	taken[key] = offset
 }
 
+func TestControlConflictNamesWhoTookTheRevision(t *testing.T) {
+	control := record.NewControl()
+	for i, operator := range []string{"ana", "luis", "eva"} {
+		control.Apply(record.Entry{Offset: uint64(i + 1), Record: record.Record{
+			ID:   record.ID(operator),
+			Body: record.PlanConfirmed{Base: record.Revision(i), Operator: operator, Plan: plan("event-"+operator, "digest-"+operator)},
+		}})
+	}
+	late := control.Apply(record.Entry{Offset: 4, Record: record.Record{ID: "late", Body: record.PlanConfirmed{Base: 1, Plan: plan("x", "y")}}})
+	if late.Reason != record.ReasonConflict || late.WinnerOffset != 2 || !strings.Contains(late.Winner, "luis") {
+		t.Errorf("change %+v", late)
+	}
+}
+
 func TestControlConflictNamesTheWinner(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		racers := rapid.IntRange(2, 6).Draw(t, "operators")
--- a/internal/weights/director_test.go
+++ b/internal/weights/director_test.go
@@ -85,6 +85,7 @@
 
 func TestUrgentEnginesGoFirstAndTheTailLast(t *testing.T) {
 	p := warmed(12)
+	// The zones are e000 to e002, e003 to e005, e006 to e008 and e009 to e011.
 	p.demands["e007"] = weights.Demand{Bounded: true, Slack: 0, Tail: true}
 	p.demands["e008"] = weights.Demand{Bounded: true, Slack: 1}
 	p.demands["e000"] = weights.Demand{Bounded: true, Slack: 3, Tail: true}
@@ -108,7 +109,7 @@
 	if order[11] != "e000" {
 		t.Errorf("the tail is at %v", order)
 	}
-	if busy := indexOf(order, "e001"); busy < indexOf(order, "e005") {
+	if busy := indexOf(order, "e001"); busy < indexOf(order, "e002") {
 		t.Errorf("the busy engine of the zone goes before an idle one: %v", order)
 	}
 }
@@ -124,26 +125,103 @@
 	return -1
 }
 
-func TestNewDirectorDoesNotRepeatWhatIsLoading(t *testing.T) {
-	p := warmed(40)
+func TestTailIsSparedForAWhileUnlessItIsUrgent(t *testing.T) {
+	p := warmed(2)
+	p.demands["e000"] = weights.Demand{Bounded: true, Slack: 2, Tail: true}
+	p.demands["e001"] = weights.Demand{Bounded: true, Slack: 0, Tail: true}
 	p.newest = 2
-	p.advance(3 * time.Second)
-	before := p.count()
-	if before == 0 {
-		t.Fatal("no orders to take over")
+	p.advance(weights.DefaultTailWait - 2*pollEvery)
+	if len(p.orders["e001"]) != 1 || len(p.orders["e000"]) != 0 {
+		t.Errorf("orders %v", p.orders)
 	}
-	p.epoch = 9
-	p.newDirector(weights.Parameters{})
 	if _, done := p.until(time.Minute, p.allOn(2)); !done {
-		t.Fatal("not done")
+		t.Error("the tail is spared for ever")
+	}
+}
+
+func TestRefusedOrdersSlowThePoolDown(t *testing.T) {
+	p := warmed(200)
+	p.refuse = true
+	p.newest = 2
+	p.advance(time.Minute)
+	if count := p.count(); count > 300 {
+		t.Errorf("%d orders in a minute of refusals", count)
 	}
-	for id, orders := range p.orders {
-		if len(orders) != 1 {
-			t.Errorf("%s was ordered %d times: %+v", id, len(orders), orders)
+	p.refuse = false
+	if _, done := p.until(3*time.Minute, p.allOn(2)); !done {
+		t.Error("not done")
+	}
+}
+
+func TestWaveTakesTheZonesInTurn(t *testing.T) {
+	p := warmed(80)
+	p.newest = 2
+	p.until(time.Minute, func() bool { return p.count() >= 20 })
+	perZone := map[cluster.ZoneName]int{}
+	for _, engine := range p.reports {
+		perZone[engine.Zone] += len(p.orders[engine.ID])
+	}
+	for _, zone := range zones {
+		if count := perZone[zone]; count < 4 || count > 6 {
+			t.Errorf("zone %s got %d of 20 orders: %v", zone, count, perZone)
 		}
 	}
 }
 
+// ordersOnce fails for engines that were ordered more than once.
+func ordersOnce(t *testing.T, p *testPool) {
+	t.Helper()
+	for _, engine := range p.engines {
+		if orders := p.orders[engine.id]; len(orders) > 1 {
+			t.Errorf("%s was ordered %d times: %+v", engine.id, len(orders), orders)
+		}
+	}
+}
+
+func TestNewDirectorDoesNotRepeatWhatIsLoading(t *testing.T) {
+	for _, every := range []time.Duration{pollEvery, 4 * time.Second} {
+		p := warmed(40)
+		p.pollEvery = every
+		p.advance(every)
+		p.newest = 2
+		p.until(time.Minute, func() bool { return p.count() > 4 })
+		p.epoch = 9
+		p.newDirector(weights.Parameters{})
+		before := p.count()
+		p.advance(weights.DefaultTakeoverWait - machine.TickInterval)
+		if p.count() != before {
+			t.Errorf("%d orders before the wait is over", p.count()-before)
+		}
+		if _, done := p.until(2*time.Minute, p.allOn(2)); !done {
+			t.Error("not done")
+		}
+		ordersOnce(t, p)
+	}
+}
+
+func TestLostAnswerIsNotOrderedTwice(t *testing.T) {
+	p := warmed(40)
+	p.loseAnswer = 1
+	p.newest = 2
+	if _, done := p.until(2*time.Minute, p.allOn(2)); !done {
+		t.Error("not done")
+	}
+	ordersOnce(t, p)
+}
+
+func TestOrderThatNoReportShowsIsGivenAgain(t *testing.T) {
+	p := warmed(1)
+	p.newest = 2
+	// The order and its answer are lost without a word to the director.
+	p.swallow = true
+	p.until(time.Minute, func() bool { return p.count() == 1 })
+	p.swallow = false
+	took, done := p.until(2*time.Minute, p.allOn(2))
+	if limit := weights.DefaultOrderTimeout + 4*pollEvery + fetchTime + swapTime; !done || took > limit {
+		t.Errorf("done %v after %v, want at most %v", done, took, limit)
+	}
+}
+
 func TestOldDirectorStopsWhenItSeesAHigherEpoch(t *testing.T) {
 	p := warmed(8)
 	for _, engine := range p.engines[:1] {
@@ -213,7 +291,11 @@
 	p := warmed(1)
 	p.failSwap = 1
 	p.newest = 2
-	p.advance(20 * time.Second)
+	p.advance(5 * time.Minute)
+	// With a load of 4 s and a backoff of up to 20 s.
+	if count := p.count(); count > 20 {
+		t.Errorf("%d orders in 5 minutes of failures", count)
+	}
 	p.failSwap = 0
 	if _, done := p.until(time.Minute, p.allOn(2)); !done {
 		t.Fatal("not done")
@@ -229,6 +311,49 @@
 	}
 }
 
+func TestHungLoadDoesNotHoldUpTheOthers(t *testing.T) {
+	p := warmed(4)
+	p.engines[2].hung = true
+	p.newest = 2
+	others := func() bool {
+		for i, engine := range p.engines {
+			if i != 2 && engine.report.Version != 2 {
+				return false
+			}
+		}
+		return true
+	}
+	took, done := p.until(3*time.Minute, others)
+	if limit := weights.DefaultSlowLoad + 4*(fetchTime+swapTime+pollEvery); !done || took > limit {
+		t.Errorf("done %v after %v, want at most %v", done, took, limit)
+	}
+}
+
+func TestStoreThatHangsDoesNotTakeTheWholePool(t *testing.T) {
+	p := warmed(8)
+	for _, engine := range p.engines {
+		engine.hung = true
+	}
+	p.newest = 2
+	p.advance(10 * time.Minute)
+	if p.lowestIdle < 4 {
+		t.Errorf("%d of 8 engines were not loading at the lowest", p.lowestIdle)
+	}
+}
+
+func TestHungLoadOfAnOwnOrderIsOrderedAgain(t *testing.T) {
+	p := warmed(4)
+	p.engines[2].hung = true
+	p.newest = 2
+	p.until(time.Minute, func() bool { return len(p.orders["e002"]) == 1 })
+	p.engines[2].hung = false
+	p.engines[2].fetched = start.Add(time.Hour)
+	took, done := p.until(3*time.Minute, p.allOn(2))
+	if limit := weights.DefaultLoadTimeout + 10*time.Second; !done || took > limit {
+		t.Errorf("done %v after %v", done, took)
+	}
+}
+
 func TestHungLoadIsOrderedAgain(t *testing.T) {
 	p := warmed(4)
 	p.engines[2].report.Loading = 9
--- a/internal/weights/engine_state.go
+++ b/internal/weights/engine_state.go
@@ -46,6 +46,14 @@
 	return s.ordered.version
 }
 
+// isSlow reports whether a load goes on for so long that it may be hung.
+func (s *engineState) isSlow(now time.Time, parameters Parameters) bool {
+	if s.pending {
+		return now.Sub(s.orderedAt) >= parameters.SlowLoad
+	}
+	return now.Sub(s.loadingSince) >= parameters.SlowLoad
+}
+
 // begin remembers an order that is given now.
 func (s *engineState) begin(now time.Time, fence machine.Fence, ordered target) {
 	s.pending, s.fence, s.ordered, s.orderedAt = true, fence, ordered, now
--- a/internal/weights/environment.go
+++ b/internal/weights/environment.go
@@ -69,6 +69,9 @@
 	// OrderTimeout is the time after which an order that no report shows counts
 	// as lost.
 	OrderTimeout time.Duration
+	// SlowLoad is the time after which a load no longer keeps the next one
+	// waiting, so that one hung engine does not hold up a small pool.
+	SlowLoad time.Duration
 	// LoadTimeout is the time after which a load without an end counts as failed.
 	LoadTimeout time.Duration
 	// RetryBase and RetryMax bound the backoff after failed loads of an engine.
@@ -94,6 +97,7 @@
 	DefaultInterval            = 200 * time.Millisecond
 	DefaultTakeoverWait        = 2 * time.Second
 	DefaultOrderTimeout        = 5 * time.Second
+	DefaultSlowLoad            = 15 * time.Second
 	DefaultLoadTimeout         = time.Minute
 	DefaultRetryBase           = 500 * time.Millisecond
 	DefaultRetryMax            = 20 * time.Second
@@ -109,6 +113,7 @@
 	setDefault(&p.Interval, DefaultInterval)
 	setDefault(&p.TakeoverWait, DefaultTakeoverWait)
 	setDefault(&p.OrderTimeout, DefaultOrderTimeout)
+	setDefault(&p.SlowLoad, DefaultSlowLoad)
 	setDefault(&p.LoadTimeout, DefaultLoadTimeout)
 	setDefault(&p.RetryBase, DefaultRetryBase)
 	setDefault(&p.RetryMax, DefaultRetryMax)
--- a/internal/weights/pool_director.go
+++ b/internal/weights/pool_director.go
@@ -54,7 +54,8 @@
 	live int
 	// loading counts live engines that load, or were ordered to.
 	loading int
-	// broken counts live engines that serve nothing and do not load.
+	// broken counts live engines that serve nothing, cannot be asked, or load for
+	// so long that the load may be hung.
 	broken     int
 	candidates []candidate
 }
@@ -88,13 +89,17 @@
 	}
 	switch {
 	case state.pending || p.isLoading(now, state, engine.Report):
-		found.loading++
+		if state.isSlow(now, parameters) {
+			found.broken++
+		} else {
+			found.loading++
+		}
 		return
 	case !p.isKnown(engine):
 		found.broken++
 		return
 	}
-	serving := engine.Report.Version != 0
+	serving := engine.Report.Version != 0 && engine.Report.Loading == 0
 	if !serving {
 		found.broken++
 	}
@@ -189,17 +194,19 @@
 }
 
 // budget is the number of serving engines that may begin to load now. One engine
-// at a time may always load: otherwise a pool without spare engines would stay
-// on an old version for ever.
+// at a time may load in any case: otherwise a pool without spare engines would
+// stay on an old version for ever. Broken engines may hold the others up to twice
+// the usual number; beyond that it is the store, rather than an engine, that hangs.
 func (p *poolDirector) budget(now time.Time, found wave) int {
-	atOnce := int(float64(found.live) * p.director.parameters.MaxSwapFraction)
+	atOnce := max(1, int(float64(found.live)*p.director.parameters.MaxSwapFraction))
 	if needed := p.director.environment.Needed(now, p.name); needed > 0 {
-		atOnce = min(atOnce, found.live-needed)
+		atOnce = max(1, min(atOnce, found.live-needed))
 	}
-	if found.loading == 0 {
-		return max(1, atOnce-found.broken)
+	free := atOnce - found.broken - found.loading
+	if found.loading == 0 && found.broken < 2*atOnce {
+		return max(1, free)
 	}
-	return atOnce - found.broken - found.loading
+	return free
 }
 
 func (p *poolDirector) send(now time.Time, next candidate) {
--- a/internal/weights/pool_test.go
+++ b/internal/weights/pool_test.go
@@ -28,6 +28,8 @@
 	ordered  machine.OrderEngine
 	swapping bool
 	dead     bool
+	// hung is set when a load does not end.
+	hung bool
 }
 
 // testPool is a pool with the node that directs it; it implements
@@ -41,6 +43,8 @@
 	// reports are what the node knows: copies that are renewed each second.
 	reports []weights.Engine
 	polled  time.Time
+	// pollEvery is the time between two polls.
+	pollEvery time.Duration
 
 	newest  cluster.Version
 	epoch   record.Epoch
@@ -57,6 +61,10 @@
 	loseAnswer float64
 	failSwap   float64
 	wrongSwap  float64
+	// swallow loses orders without a word.
+	swallow bool
+	// refuse makes engines refuse orders with the store's 429.
+	refuse bool
 
 	orders        map[cluster.BackendID][]machine.OrderEngine
 	refusals      int
@@ -76,7 +84,7 @@
 	p := &testPool{
 		now: start, random: rand.New(rand.NewPCG(1, 2)), newest: 1, epoch: 5, holds: true,
 		demands: map[cluster.BackendID]weights.Demand{}, orders: map[cluster.BackendID][]machine.OrderEngine{},
-		storeRate: 20, storeTokens: storeBurst, lowestServing: size, lowestIdle: size,
+		pollEvery: pollEvery, storeRate: 20, storeTokens: storeBurst, lowestServing: size, lowestIdle: size,
 	}
 	for i := range size {
 		id := cluster.BackendID(fmt.Sprintf("e%03d", i))
@@ -158,13 +166,13 @@
 
 // poll renews what the node knows of the engines.
 func (p *testPool) poll() {
-	if p.now.Sub(p.polled) < pollEvery {
+	if p.now.Sub(p.polled) < p.pollEvery {
 		return
 	}
 	p.polled = p.now
 	p.reports = nil
 	for i, engine := range p.engines {
-		known := weights.Engine{ID: engine.id, Zone: zones[i%len(zones)], State: cluster.StateLive, Report: engine.report, ReportedAt: p.now}
+		known := weights.Engine{ID: engine.id, Zone: zones[i*len(zones)/len(p.engines)], State: cluster.StateLive, Report: engine.report, ReportedAt: p.now}
 		if engine.dead {
 			known.State = cluster.StateDead
 		}
@@ -184,8 +192,13 @@
 // order delivers an order and the engine's answer.
 func (p *testPool) order(order machine.OrderEngine) {
 	p.orders[order.Engine] = append(p.orders[order.Engine], order)
+	if p.swallow {
+		return
+	}
 	result := machine.OrderResult{Engine: order.Engine, Fence: order.Fence}
 	switch {
+	case p.refuse:
+		result.Err = "HTTP status 429"
 	case p.random.Float64() < p.loseOrder:
 		result.Err = "connection reset"
 	default:
@@ -213,7 +226,7 @@
 // run moves an engine's load on.
 func (p *testPool) run(e *testEngine) {
 	switch {
-	case e.report.Loading == 0:
+	case e.report.Loading == 0, e.hung:
 	case !e.swapping && !p.now.Before(e.fetched):
 		p.fetch(e)
 	case e.swapping && !p.now.Before(e.swapped):
