Load every engine of a pool that serves one model, with fresh reports

Cause: the director only saw reports of the engines that its node watches, two or three nodes an engine, so it waited for news of the rest; and engines beyond a plan's count got no weights at all. Ruled out: the weight store's rate and the floor of capacity (engines that serve nothing are not held back by either). Change: the director subscribes to its pool, beside step owners, and polls an engine again once it has taken an order; engines that no plan names get the pool's only model.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,8 +36,9 @@
 	request    *request.Machine
 	operator   *operator.Machine
 
-	environment *environment
-	leave       leaving
+	environment   *environment
+	subscriptions *subscriptions
+	leave         leaving
 }
 
 // New returns a node that has just started and knows nothing.
@@ -61,6 +62,7 @@
 		Self: self, Outbox: &c.outbox, Seed: seed,
 		Members: c.membership.Members, SpreadBackend: c.membership.SpreadBackend,
 	})
+	c.subscriptions = newSubscriptions(c.pool.Subscribe)
 	c.follower = follower.New(follower.Options{
 		Self: self, Outbox: &c.outbox, Control: record.NewControl(), Seed: seed,
 		OnEntry: c.handleControl, OnRestore: c.handleRestore,
@@ -126,6 +128,7 @@
 	c.leases.Tick(now)
 	c.views.Tick(now)
 	c.writer.Tick(now)
+	c.subscribeDirected(now)
 	c.weights.Tick(now)
 	c.rollout.Tick(now)
 	c.request.Tick(now)
@@ -199,6 +202,7 @@
 		c.handleEnded(now, in)
 	case machine.OrderResult:
 		c.weights.HandleOrderResult(now, in)
+		c.pool.Refresh(now, in.Engine)
 	case machine.BackendReport:
 		c.pool.HandleReport(now, in)
 	case machine.ServiceResult:
--- a/internal/core/environment.go
+++ b/internal/core/environment.go
@@ -12,7 +12,6 @@
 	"dalehook/internal/record"
 	"dalehook/internal/request"
 	"dalehook/internal/routing"
-	"dalehook/internal/weights"
 )
 
 // environment answers what the parts ask of the rest of the node. Each part has
@@ -67,70 +66,6 @@
 // CaughtUpAt is the last time at which the fold held everything on the log.
 func (e leaseEnvironment) CaughtUpAt() time.Time { return e.core.follower.CaughtUpAt() }
 
-// weightsEnvironment shows the node to internal/weights.
-type weightsEnvironment struct{ *environment }
-
-// Pools returns the pools of engines, sorted.
-func (e weightsEnvironment) Pools() []string { return e.core.pool.Pools() }
-
-// Holds reports whether this node directs the pool, and its epoch.
-func (e weightsEnvironment) Holds(now time.Time, name string) (record.Epoch, bool) {
-	return e.core.leases.Holds(now, record.DutyPool(name))
-}
-
-// Engines returns the engines of a pool, sorted by id.
-func (e weightsEnvironment) Engines(name string) []weights.Engine {
-	backends := e.core.pool.Engines(name)
-	engines := make([]weights.Engine, 0, len(backends))
-	for _, backend := range backends {
-		engines = append(engines, weights.Engine{
-			ID: backend.ID, Address: backend.Address, Zone: backend.Zone, State: backend.State,
-			Report: backend.Report, ReportedAt: backend.ReportAt,
-		})
-	}
-	return engines
-}
-
-// Newest returns the newest announced version of a model.
-func (e weightsEnvironment) Newest(model cluster.ModelName) cluster.Version {
-	return e.Control().Newest(model)
-}
-
-// PlannedLoads returns the loads of the plans in force for a pool.
-func (e weightsEnvironment) PlannedLoads(name string) []record.LoadVersion {
-	var loads []record.LoadVersion
-	for _, event := range e.Control().Events() {
-		for _, load := range event.Plan.Loads {
-			if load.Pool == name {
-				loads = append(loads, load)
-			}
-		}
-	}
-	return loads
-}
-
-// Needed returns the number of engines that events under way were planned with.
-func (e weightsEnvironment) Needed(now time.Time, name string) int {
-	needed := 0
-	for _, event := range e.Control().Events() {
-		end := event.Plan.Event.Start.Add(event.Plan.Event.Duration.Std())
-		if now.Before(event.Plan.Event.Start) || now.After(end) {
-			continue
-		}
-		for _, warm := range event.Plan.Warm {
-			if warm.Pool == name {
-				needed++
-			}
-		}
-	}
-	return needed
-}
-
-// Demand returns what the running samples of an engine ask for.
-func (e weightsEnvironment) Demand(engine cluster.BackendID) weights.Demand {
-	return weights.Demand{}
-}
-
 // rolloutEnvironment shows the node to internal/rollout.
 type rolloutEnvironment struct{ *environment }
 
@@ -159,7 +94,7 @@
 }
 
 // Subscribe asks for fresh reports of a whole pool, or no longer.
-func (e rolloutEnvironment) Subscribe(name string, on bool) { e.core.pool.Subscribe(name, on) }
+func (e rolloutEnvironment) Subscribe(name string, on bool) { e.core.subscriptions.setOwner(name, on) }
 
 // ClassLimit returns the number of samples of a class that may run at once.
 func (e rolloutEnvironment) ClassLimit(class string) int {
--- a/internal/planner/check.go
+++ b/internal/planner/check.go
@@ -22,9 +22,13 @@
 	maxTokens   = 10_000_000
 )
 
-// namePattern is the form of all names in an event.
+// namePattern is the form of the names of machines' parts in an event: services,
+// classes, trainers, pools and models.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
+// titlePattern is the form of an event's own name, which people read.
+var titlePattern = regexp.MustCompile(`^[\pL\pN][\pL\pN ._-]{0,63}$`)
+
 // FieldError names a field of an event that is not possible.
 type FieldError struct {
 	// Field is the path in the event's JSON, such as "services[0].service".
@@ -102,7 +106,9 @@
 }
 
 func (c *checker) event(event record.Event) {
-	c.name("name", event.Name)
+	if event.Name != "" && !titlePattern.MatchString(event.Name) {
+		c.fail("name", "only letters, digits, spaces, '.', '_' and '-', at most 64")
+	}
 	c.duration("duration", event.Duration)
 	c.duration("arrival", event.Arrival)
 	if event.Duration <= 0 {
