Keep sorted lists of the control fold, say what a plan does not know

Cause: the readers Events and Steps sorted a map for each request and tick; and a node that has no report of an engine planned its load without a word. Change: the fold keeps the sorted lists until they change. A plan names the engines whose versions are not known to the node that made it. Payloads that anybody may have put on a log are fuzzed.

--- a/internal/planner/assess.go
+++ b/internal/planner/assess.go
@@ -78,6 +78,7 @@
 			m.assessCrowd(need)
 		}
 		m.assessZone(need)
+		m.assessUnknown(need)
 		for _, demand := range need.rollouts {
 			m.assessLongest(demand)
 		}
@@ -151,3 +152,21 @@
 			demand.ClassName(), demand.MaxTokens, longest, every, plural(int(versions), "version"), demand.StalenessBound)
 	}
 }
+
+// assessUnknown tells of engines whose report this node does not have: they are
+// planned as if nothing was loaded, which costs loads that may be needless.
+func (m *maker) assessUnknown(need *need) {
+	if need.kind != cluster.KindEngine {
+		return
+	}
+	unknown := 0
+	for _, engine := range need.chosen {
+		if engine.Model == "" && engine.Version == 0 {
+			unknown++
+		}
+	}
+	if unknown > 0 {
+		m.risk("%s: what %s of %d have loaded is not known here; they are planned as if it was nothing",
+			need, plural(unknown, need.unit()), len(need.chosen))
+	}
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -99,6 +99,10 @@
 	unmet.Rollouts[0].SamplesPerStep = 8192
 	unmet.Rollouts[0].MaxTokens = 90_000
 	unmet.Rollouts = append(unmet.Rollouts, record.RolloutDemand{Trainer: "new", Pool: "marking", Model: "unborn", SamplesPerStep: 10, MeanTokens: 10, MaxTokens: 10, StepEvery: record.Duration(time.Minute)})
+	unreported := medellin()
+	for i := range unreported.Backends[:8] {
+		unreported.Backends[i].Model, unreported.Backends[i].Version = "", 0
+	}
 	overlapping := arequipa()
 	board := hearing()
 	board.Name = "water-board"
@@ -118,6 +122,7 @@
 		{"tight", tight, exam()},
 		{"late", late, exam()},
 		{"unmet", medellin(), unmet},
+		{"unreported", unreported, exam()},
 		{"overlap", overlapping, hearing()},
 		{"nothing_live", planner.Snapshot{Now: exam().Start.Add(-time.Hour)}, exam()},
 	}
--- a/internal/record/codec_test.go
+++ b/internal/record/codec_test.go
@@ -136,3 +136,25 @@
 		t.Error("a bare number was read")
 	}
 }
+
+// FuzzDecode feeds payloads that anybody may have put on a log.
+func FuzzDecode(f *testing.F) {
+	for _, value := range allBodies() {
+		payload, err := record.Encode(record.Record{ID: "n.5.1", Body: value})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(payload)
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		got, err := record.Decode(payload)
+		if got.Body == nil {
+			t.Fatalf("no body for %q", payload)
+		}
+		entry := record.Entry{Offset: 1, Record: got}
+		change, stepChange := record.NewControl().Apply(entry), record.NewStep().Apply(entry)
+		if err != nil && (change.Valid || stepChange.Valid) {
+			t.Fatalf("%q is valid although it could not be decoded: %v", payload, err)
+		}
+	})
+}
--- a/internal/record/control_readers.go
+++ b/internal/record/control_readers.go
@@ -14,11 +14,10 @@
 
 // Events returns the events in force, sorted by name.
 func (c *Control) Events() []ConfirmedEvent {
-	events := make([]ConfirmedEvent, 0, len(c.events))
-	for _, name := range sortedKeys(c.events) {
-		events = append(events, c.events[name])
+	if c.eventList == nil {
+		c.eventList = sortedValues(c.events)
 	}
-	return events
+	return c.eventList
 }
 
 // Event returns the event in force with the given name.
@@ -29,8 +28,8 @@
 
 // PlanByDigest returns the event in force whose plan has the given digest.
 func (c *Control) PlanByDigest(digest string) (ConfirmedEvent, bool) {
-	for _, name := range sortedKeys(c.events) {
-		if event := c.events[name]; event.Plan.Digest == digest {
+	for _, event := range c.Events() {
+		if event.Plan.Digest == digest {
 			return event, true
 		}
 	}
@@ -65,11 +64,10 @@
 
 // Steps returns the open steps, sorted by id.
 func (c *Control) Steps() []StepOpened {
-	steps := make([]StepOpened, 0, len(c.steps))
-	for _, id := range sortedKeys(c.steps) {
-		steps = append(steps, c.steps[id])
+	if c.stepList == nil {
+		c.stepList = sortedValues(c.steps)
 	}
-	return steps
+	return c.stepList
 }
 
 // Step returns an open step.
--- a/internal/record/fold_control.go
+++ b/internal/record/fold_control.go
@@ -52,6 +52,9 @@
 	ids       idMemory
 	closed    recentSteps
 	decisions []Decision
+	// eventList and stepList hold the sorted events and steps until they change.
+	eventList []ConfirmedEvent
+	stepList  []StepOpened
 }
 
 // announced is the newest version of a model.
@@ -158,6 +161,7 @@
 	c.decide(change.Offset, body.Base, fmt.Sprintf("plan %s of event %s, confirmed by %s at revision %d",
 		body.Plan.Digest, name, operatorName(body.Operator), change.Offset))
 	change.Revision = c.revision
+	c.eventList = nil
 	c.events[name] = ConfirmedEvent{Plan: body.Plan, Revision: c.revision, Operator: body.Operator}
 	return change.valid()
 }
@@ -175,6 +179,7 @@
 	c.decide(change.Offset, body.Base, fmt.Sprintf("withdrawal of event %s by %s at revision %d",
 		body.Event, operatorName(body.Operator), change.Offset))
 	change.Revision = c.revision
+	c.eventList = nil
 	delete(c.events, body.Event)
 	return change.valid()
 }
@@ -221,6 +226,7 @@
 	if !oldest.Plan.Event.End().Before(event.Start) {
 		return false
 	}
+	c.eventList = nil
 	delete(c.events, oldest.Plan.Event.Name)
 	return true
 }
@@ -311,6 +317,7 @@
 	if len(c.steps) >= MaxOpenSteps {
 		return change.void(ReasonLimit, fmt.Sprintf("%d open steps", len(c.steps)), 0)
 	}
+	c.stepList = nil
 	c.steps[body.Step] = body
 	return change.valid()
 }
@@ -319,6 +326,7 @@
 	if _, ok := c.steps[body.Step]; !ok {
 		return change.void(ReasonStepClosed, "", 0)
 	}
+	c.stepList = nil
 	delete(c.steps, body.Step)
 	c.closed.add(body.Step)
 	return change.valid()
@@ -328,3 +336,12 @@
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
+
+// sortedValues returns the values of a map in the order of its keys.
+func sortedValues[K cmp.Ordered, V any](m map[K]V) []V {
+	values := make([]V, 0, len(m))
+	for _, key := range sortedKeys(m) {
+		values = append(values, m[key])
+	}
+	return values
+}
