Wait for the fold before a duty is claimed again

Cause: a node whose fold was seconds behind the log took its own claim for failed and claimed again. Change: after an append that was done the next claim waits until the fold has reached its offset, at most for the claim's time-out. Candidates wait 2 s instead of 1 s for the one before them, since a claim takes that long to spread. Red first: without the wait a lone node with a fold 5 s behind writes more than one claim (TestSlowFoldDoesNotRepeatTheClaim fails on a scratch copy). Conclusion: go test ./internal/lease passes.

--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -19,10 +19,13 @@
 
 // testCluster is a set of nodes on one virtual clock before one log.
 type testCluster struct {
-	now   time.Time
-	log   []record.Record
-	down  bool
-	nodes []*testNode
+	now time.Time
+	log []record.Record
+	// writtenAt is the time of each record; readers see it readLag later.
+	writtenAt []time.Time
+	readLag   time.Duration
+	down      bool
+	nodes     []*testNode
 	// calls counts the appends that were tried.
 	calls int
 }
@@ -128,6 +131,9 @@
 	}
 	n.heardAt = now
 	for offset := n.control.Offset() + 1; offset <= uint64(len(n.cluster.log)); offset++ {
+		if now.Sub(n.cluster.writtenAt[offset-1]) < n.cluster.readLag {
+			return
+		}
 		entry := record.Entry{Offset: offset, Record: n.cluster.log[offset-1]}
 		change := n.control.Apply(entry)
 		n.writer.HandleEntry(now, record.ControlLog, entry)
@@ -140,13 +146,19 @@
 	n.cluster.calls++
 	result := machine.AppendResult{Log: in.Log, ID: in.Record.ID, Outcome: machine.AppendNotDone}
 	if !n.StoreDown() {
-		n.cluster.log = append(n.cluster.log, in.Record)
+		n.cluster.write(in.Record)
 		result.Outcome = machine.AppendDone
 		result.Offset = uint64(len(n.cluster.log))
 	}
 	n.writer.HandleResult(now, result)
 }
 
+// write puts a record on the log.
+func (c *testCluster) write(r record.Record) {
+	c.log = append(c.log, r)
+	c.writtenAt = append(c.writtenAt, c.now)
+}
+
 // truth folds the whole log, as somebody who sees all would.
 func (c *testCluster) truth() *record.Control {
 	control := record.NewControl()
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -76,7 +77,7 @@
 	DefaultInterval     = 250 * time.Millisecond
 	DefaultStartGrace   = 2 * time.Second
 	DefaultVacantWait   = 500 * time.Millisecond
-	DefaultStandIn      = time.Second
+	DefaultStandIn      = 2 * time.Second
 	DefaultClaimTimeout = 10 * time.Second
 	DefaultPauseLimit   = 2 * time.Second
 	DefaultContactLimit = 10 * time.Second
@@ -123,8 +124,10 @@
 	vacantSince time.Time
 	// claiming is set while a claim is on its way.
 	claiming bool
-	// retryAt is the earliest time of the next claim after a failed one.
-	retryAt time.Time
+	// The next claim waits until the fold has reached settleOffset, where the
+	// last one stands, or until retryAt.
+	settleOffset uint64
+	retryAt      time.Time
 }
 
 // New returns a Manager that wants nothing.
@@ -259,7 +262,7 @@
 // due reports whether it is this node's turn to claim a duty.
 func (m *Manager) due(now time.Time, duty *wantedDuty, live []cluster.Node) bool {
 	switch {
-	case duty.vacantSince.IsZero(), duty.claiming, now.Before(duty.retryAt):
+	case duty.vacantSince.IsZero(), duty.claiming, m.isSettling(now, duty):
 		return false
 	case m.environment.StoreDown(), !m.sure(now):
 		return false
@@ -302,16 +305,29 @@
 		Incarnation: m.self.Incarnation,
 		Supersedes:  duty.vacantEpoch,
 	}
-	done := func(now time.Time, _ logwriter.Result) {
-		// The fold says who holds the duty. Should the claim have failed, the
-		// next one waits until the fold has had time to show it.
-		duty.claiming = false
-		duty.retryAt = now.Add(m.timing.VacantWait)
-	}
+	done := func(now time.Time, result logwriter.Result) { m.claimed(now, duty, result) }
 	m.writer.Append(now, record.ControlLog, body, done,
 		logwriter.ReportNotDone(), logwriter.GiveUpAfter(m.timing.ClaimTimeout))
 }
 
+// claimed takes the end of a claim's append. Whether the claim is valid is for the
+// fold to say, which may be seconds behind the log.
+func (m *Manager) claimed(now time.Time, duty *wantedDuty, result logwriter.Result) {
+	duty.claiming = false
+	if result.Outcome == logwriter.Done {
+		duty.settleOffset = result.Offset
+		duty.retryAt = now.Add(m.timing.ClaimTimeout)
+		return
+	}
+	duty.settleOffset = math.MaxUint64
+	duty.retryAt = now.Add(m.timing.VacantWait)
+}
+
+// isSettling reports whether the fold may not show the last claim yet.
+func (m *Manager) isSettling(now time.Time, duty *wantedDuty) bool {
+	return now.Before(duty.retryAt) && m.environment.Control().Offset() < duty.settleOffset
+}
+
 // HandleChange takes what an entry of the control log changed. A claim by
 // another node ends the wait for a stand-in at once.
 func (m *Manager) HandleChange(now time.Time, entry record.Entry, change record.Change) {
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -29,6 +29,16 @@
 	}
 }
 
+func TestSlowFoldDoesNotRepeatTheClaim(t *testing.T) {
+	c := newTestCluster(1)
+	c.readLag = 5 * time.Second
+	c.advance(30 * time.Second)
+	onlyHolder(t, c)
+	if c.claims() != 1 {
+		t.Errorf("%d claims", c.claims())
+	}
+}
+
 func TestDeadHolderIsReplacedByFewClaims(t *testing.T) {
 	c := newTestCluster(12)
 	c.advance(5 * time.Second)
--- a/internal/lease/view_publisher_test.go
+++ b/internal/lease/view_publisher_test.go
@@ -125,7 +125,7 @@
 	c.advance(30 * time.Second)
 	view := c.truth().View()
 	// What the paused process had on its way lands now.
-	c.log = append(c.log, record.Record{ID: "late", Body: record.ViewPublished{Epoch: old, Members: first.LiveNodes()}})
+	c.write(record.Record{ID: "late", Body: record.ViewPublished{Epoch: old, Members: first.LiveNodes()}})
 	if c.truth().View().Number != view.Number {
 		t.Error("a view under an old epoch counts")
 	}
