Wait for the fold before a view is published again

Cause: each view has a new number, and with a fold 8 s behind the log the holder published the same members three times. Red first: TestSlowFoldDoesNotRepeatTheView gives 3 views without the wait, on a scratch copy; 1 with it. Conclusion: go test ./internal/lease passes.

--- a/internal/lease/view_publisher.go
+++ b/internal/lease/view_publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -80,6 +81,9 @@
 	publishedAt    time.Time
 	lookedAt       time.Time
 	publishing     bool
+	// settleOffset is where the last view stands on the log; the next one waits
+	// until the fold shows it.
+	settleOffset uint64
 }
 
 // NewViewPublisher returns a ViewPublisher. The caller makes the Manager want
@@ -129,7 +133,7 @@
 }
 
 func (p *ViewPublisher) due(now time.Time, view cluster.View) bool {
-	if p.publishing || p.differsSince.IsZero() || len(p.candidate) == 0 {
+	if p.publishing || p.isSettling(now) || p.differsSince.IsZero() || len(p.candidate) == 0 {
 		return false
 	}
 	interval := p.timing.MinInterval + time.Duration(len(p.candidate))*p.timing.IntervalPerMember
@@ -161,7 +165,25 @@
 	p.publishing = true
 	p.publishedAt = now
 	body := record.ViewPublished{Epoch: epoch, Members: slices.Clone(p.candidate)}
-	done := func(time.Time, logwriter.Result) { p.publishing = false }
+	done := func(_ time.Time, result logwriter.Result) { p.published(result) }
 	p.writer.Append(now, record.ControlLog, body, done,
 		logwriter.ReportNotDone(), logwriter.GiveUpAfter(p.timing.PublishTimeout))
 }
+
+// published takes the end of a view's append.
+func (p *ViewPublisher) published(result logwriter.Result) {
+	p.publishing = false
+	switch result.Outcome {
+	case logwriter.Done:
+		p.settleOffset = result.Offset
+	case logwriter.Unknown:
+		p.settleOffset = math.MaxUint64
+	default:
+		p.settleOffset = 0
+	}
+}
+
+// isSettling reports whether the fold may not show the last view yet.
+func (p *ViewPublisher) isSettling(now time.Time) bool {
+	return p.environment.Control().Offset() < p.settleOffset && now.Sub(p.publishedAt) < 2*p.timing.PublishTimeout
+}
--- a/internal/lease/view_publisher_test.go
+++ b/internal/lease/view_publisher_test.go
@@ -17,6 +17,15 @@
 	}
 }
 
+func TestSlowFoldDoesNotRepeatTheView(t *testing.T) {
+	c := newTestCluster(3)
+	c.readLag = 8 * time.Second
+	c.advance(time.Minute)
+	if c.views() != 1 {
+		t.Errorf("%d views", c.views())
+	}
+}
+
 func TestChangesAreBatched(t *testing.T) {
 	c := newTestCluster(12)
 	c.advance(20 * time.Second)
