--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -9,8 +9,12 @@
 	control := c.follower.Control()
 	report := machine.StatusReport{
 		Node: c.options.Self, Revision: control.Revision(), ControlOffset: control.Offset(), View: control.View(),
-		Leaving: c.leave.started(), StoreDown: c.follower.StoreDown(), Steps: c.rollout.Status(),
+		Leaving: c.leave.started(), StoreDown: c.follower.StoreDown(),
+		// Empty lists are lists in JSON too.
+		Members: []machine.MemberStatus{}, Backends: []machine.BackendStatus{},
+		Events: []machine.EventStatus{}, Steps: []machine.StepStatus{},
 	}
+	report.Steps = append(report.Steps, c.rollout.Status()...)
 	for _, member := range c.membership.Members() {
 		report.Members = append(report.Members, machine.MemberStatus{
 			ID: member.ID, Incarnation: member.Incarnation, Zone: member.Zone, State: member.State.String(),
