--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -86,6 +87,16 @@
 	return time.Duration(r.RetryAfterMS) * time.Millisecond
 }
 
+// IsFinal reports whether an error is a node's refusal that trying again can't
+// change.
+func IsFinal(err error) bool {
+	var refusal *Refusal
+	if !errors.As(err, &refusal) {
+		return false
+	}
+	return refusal.Status < http.StatusInternalServerError && refusal.RetryAfterMS == 0
+}
+
 // get asks for a JSON answer.
 func (c *Client) get(ctx context.Context, path string, query url.Values, answer any) error {
 	if len(query) > 0 {
--- a/internal/command/event.go
+++ b/internal/command/event.go
@@ -18,74 +18,67 @@
 	"dalehook/internal/record"
 )
 
-// eventFlags state an event: a file, or a flag for each of its parts.
+// eventFlags state an event: a file, flags, or a file of which flags replace
+// parts.
 type eventFlags struct {
-	path  string
-	event record.Event
-	// stated names the flags that were used beside the file's.
-	stated []string
+	path string
+	// parts set what the flags stated, in their order.
+	parts []func(*record.Event) error
 }
 
 func (e *eventFlags) register(flags *flag.FlagSet) {
-	flags.StringVar(&e.path, "event", "", "event `file` in YAML; the other flags of the event are then not allowed")
-	e.flag(flags, "name", "name of the event", func(text string) error {
-		e.event.Name = text
+	flags.StringVar(&e.path, "event", "", "event `file` in YAML; the flags below replace parts of it, or add to its lists")
+	e.flag(flags, "name", "name of the event", func(event *record.Event, text string) error {
+		event.Name = text
 		return nil
 	})
-	e.flag(flags, "start", "start `time`, such as 2026-12-07T09:00:00-05:00", func(text string) error {
+	e.flag(flags, "start", "start `time`, such as 2026-12-07T09:00:00-05:00", func(event *record.Event, text string) error {
 		start, err := time.Parse(time.RFC3339, text)
-		e.event.Start = start
+		event.Start = start
 		return err
 	})
-	e.flag(flags, "crowd", "expected number of callers", func(text string) error {
-		return yaml.Unmarshal([]byte(text), &e.event.Crowd)
+	e.flag(flags, "crowd", "expected number of callers", func(event *record.Event, text string) error {
+		return yaml.Unmarshal([]byte(text), &event.Crowd)
 	})
-	e.flag(flags, "duration", "how long the event lasts, such as 4h", func(text string) error {
-		return e.event.Duration.UnmarshalText([]byte(text))
+	e.flag(flags, "duration", "how long the event lasts, such as 4h", func(event *record.Event, text string) error {
+		return event.Duration.UnmarshalText([]byte(text))
 	})
-	e.flag(flags, "arrival", "time over which the crowd's first requests come in, such as 5m", func(text string) error {
-		return e.event.Arrival.UnmarshalText([]byte(text))
+	e.flag(flags, "arrival", "time over which the crowd's first requests come in, such as 5m", func(event *record.Event, text string) error {
+		return event.Arrival.UnmarshalText([]byte(text))
 	})
-	e.flag(flags, "service", "service that the event touches, as `key=value,...` with the keys of the event file; may be repeated", func(text string) error {
-		return appendPairs(&e.event.Services, text)
+	e.flag(flags, "service", "service that the event touches, as `key=value,...` with the keys of the event file; may be repeated", func(event *record.Event, text string) error {
+		return appendPairs(&event.Services, text)
 	})
-	e.flag(flags, "rollout", "rollout work, as `key=value,...` with the keys of the event file; may be repeated", func(text string) error {
-		return appendPairs(&e.event.Rollouts, text)
+	e.flag(flags, "rollout", "rollout work, as `key=value,...` with the keys of the event file; may be repeated", func(event *record.Event, text string) error {
+		return appendPairs(&event.Rollouts, text)
 	})
 }
 
-// flag registers one part of the event.
-func (e *eventFlags) flag(flags *flag.FlagSet, name, help string, set func(string) error) {
+// flag registers one part of the event. The text is tried at once, so that a
+// fault is reported with its flag, and set when the file has been read.
+func (e *eventFlags) flag(flags *flag.FlagSet, name, help string, set func(*record.Event, string) error) {
 	flags.Func(name, help, func(text string) error {
-		e.stated = append(e.stated, "-"+name)
-		return set(text)
+		e.parts = append(e.parts, func(event *record.Event) error { return set(event, text) })
+		return set(&record.Event{}, text)
 	})
 }
 
 // load returns the event as stated, or everything that is wrong with it.
 func (e *eventFlags) load() (record.Event, error) {
-	if e.path == "" {
-		return e.event, checkEvent(e.event)
-	}
-	if len(e.stated) > 0 {
-		return record.Event{}, eris.Errorf("-event can't be used together with %s", strings.Join(e.stated, ", "))
-	}
-	content, err := os.ReadFile(e.path)
-	if err != nil {
-		return record.Event{}, eris.Wrap(err, "read event file")
-	}
-	event, err := parseEvent(content)
-	if err != nil {
-		return record.Event{}, eris.Wrap(err, e.path)
-	}
-	return event, nil
-}
-
-// parseEvent reads an event file; unknown keys are refused with their line.
-func parseEvent(content []byte) (record.Event, error) {
 	var event record.Event
-	if err := decodeStrictly(content, &event); err != nil {
-		return record.Event{}, err
+	if e.path != "" {
+		content, err := os.ReadFile(e.path)
+		if err != nil {
+			return record.Event{}, eris.Wrap(err, "read event file")
+		}
+		if err := decodeStrictly(content, &event); err != nil {
+			return record.Event{}, eris.Wrap(err, e.path)
+		}
+	}
+	for _, set := range e.parts {
+		if err := set(&event); err != nil {
+			return record.Event{}, err
+		}
 	}
 	return event, checkEvent(event)
 }
--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -27,11 +27,12 @@
 
 // Usage implements subcommands.Command.
 func (*planCommand) Usage() string {
-	return `plan -node ADDRESS -event FILE [-json]:
-plan -node ADDRESS -name NAME -start TIME -crowd N [-duration D] [-arrival D]
-     [-service KEY=VALUE,...]... [-rollout KEY=VALUE,...]... [-json]:
+	return `plan -node ADDRESS [-event FILE] [-name NAME] [-start TIME] [-crowd N]
+     [-duration D] [-arrival D] [-service KEY=VALUE,...]...
+     [-rollout KEY=VALUE,...]... [-json]:
 	Asks a node for the plan of an event and prints it with the line that
-	confirms it. With -json the output can be given to "confirm -plan".
+	confirms it. The event stands in a file, in flags, or in a file of which
+	flags replace parts. With -json the output can be given to "confirm -plan".
 `
 }
 
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -15,11 +15,10 @@
 const (
 	kindText kind = iota + 1
 	kindList
-	kindCounts
 	kindDuration
 	kindSize
 	kindInteger
-	kindShare
+	kindNumber
 )
 
 // Field is one key of the settings.
@@ -68,12 +67,10 @@
 	switch member.Kind() {
 	case reflect.Slice:
 		return kindList
-	case reflect.Map:
-		return kindCounts
 	case reflect.Int:
 		return kindInteger
 	case reflect.Float64:
-		return kindShare
+		return kindNumber
 	}
 	return kindText
 }
@@ -85,10 +82,10 @@
 		return parseDuration(text)
 	case kindSize:
 		return parseSize(text)
-	case kindInteger, kindCounts:
+	case kindInteger:
 		return parseInteger(text)
-	case kindShare:
-		return parseShare(text)
+	case kindNumber:
+		return parseNumber(text)
 	}
 	return text, nil
 }
@@ -138,10 +135,10 @@
 	return value, nil
 }
 
-func parseShare(text string) (float64, error) {
+func parseNumber(text string) (float64, error) {
 	value, err := strconv.ParseFloat(text, 64)
 	if err != nil {
-		return 0, eris.Errorf("%q is no number; write a share such as 0.1", text)
+		return 0, eris.Errorf("%q is no number", text)
 	}
 	return value, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	Peers    []string `koanf:"peers" validate:"dive,ip_port" help:"peer addresses of other nodes to join by"`
 	Platform Platform `koanf:"platform"`
 	Limits   Limits   `koanf:"limits"`
+	Capacity Capacity `koanf:"capacity"`
 	Log      Log      `koanf:"log"`
 }
 
@@ -58,10 +59,6 @@
 	Answer Size `koanf:"answer" validate:"gt=0" help:"largest buffered answer of a back end"`
 	// OpenCalls is the number of calls of any kind that may be open at once.
 	OpenCalls int `koanf:"open_calls" validate:"gt=0" help:"calls of any kind that may be open"`
-	// Concurrent is the largest number of requests in flight in one class.
-	Concurrent int `koanf:"concurrent" validate:"gt=0" help:"requests in flight in one class"`
-	// Classes overrides Concurrent for single classes.
-	Classes map[string]int `koanf:"classes" validate:"dive,gt=0" help:"requests in flight by class"`
 	// Deadline bounds a service request whose caller named none.
 	Deadline time.Duration `koanf:"deadline" validate:"gt=0" help:"deadline of a request that names none"`
 	// MaxDeadline is the longest deadline that a caller may name.
@@ -70,6 +67,10 @@
 	MaxWait time.Duration `koanf:"max_wait" validate:"gt=0" help:"longest wait of a read of samples"`
 	// RetryShare is the retry budget: retries as a share of first attempts.
 	RetryShare float64 `koanf:"retry_share" validate:"gte=0,lte=1" help:"retries as a share of first attempts"`
+	// Attempts is how often one repeatable request is sent to a back end.
+	Attempts int `koanf:"attempts" validate:"gt=0" help:"how often one repeatable request is sent"`
+	// Queue is the number of requests to one service that may wait for a server.
+	Queue int `koanf:"queue" validate:"gt=0" help:"requests to one service that may wait"`
 	// KeyLifetime is how long the outcome of an unrepeatable request is kept.
 	KeyLifetime time.Duration `koanf:"key_lifetime" validate:"gt=0" help:"how long the outcome of an unrepeatable request is kept"`
 	// LeaveGrace is how long a leaving node goes on taking requests from callers
@@ -77,6 +78,23 @@
 	LeaveGrace time.Duration `koanf:"leave_grace" validate:"gte=0" help:"how long a leaving node goes on taking requests"`
 }
 
+// Capacity describes the machines behind dalehook, for plans and for the pace
+// of weight loads. Zero takes the default of the package that uses it.
+type Capacity struct {
+	// EngineTokens is an engine's output in tokens a second with a full batch,
+	// StreamTokens that of a stream which is alone.
+	EngineTokens float64 `koanf:"engine_tokens_per_second" validate:"gte=0" help:"output of an engine with a full batch"`
+	StreamTokens float64 `koanf:"stream_tokens_per_second" validate:"gte=0" help:"output of a stream that is alone on its engine"`
+	// ServerSlots is the number of requests that a service server runs at once.
+	ServerSlots int `koanf:"server_slots" validate:"gte=0" help:"requests that a service server runs at once"`
+	// LoadTime is the time of one load of weights.
+	LoadTime time.Duration `koanf:"load_time" validate:"gte=0" help:"time of one load of weights"`
+	// LoadMargin lies between the last load and the start of an event.
+	LoadMargin time.Duration `koanf:"load_margin" validate:"gte=0" help:"time between the last load and the start of an event"`
+	// WeightLoads is the weight store's rate in loads a second.
+	WeightLoads float64 `koanf:"weight_loads_per_second" validate:"gte=0" help:"loads a second that the weight store allows"`
+}
+
 // Log says what is logged.
 type Log struct {
 	Level string `koanf:"level" validate:"oneof=debug info warn error" help:"log level: debug, info, warn or error"`
@@ -97,11 +115,12 @@
 			StepBody:    32 << 20,
 			Answer:      8 << 20,
 			OpenCalls:   16384,
-			Concurrent:  512,
 			Deadline:    30 * time.Second,
 			MaxDeadline: 10 * time.Minute,
 			MaxWait:     time.Minute,
 			RetryShare:  0.1,
+			Attempts:    3,
+			Queue:       512,
 			KeyLifetime: 10 * time.Minute,
 			LeaveGrace:  5 * time.Second,
 		},
--- a/internal/settings/source.go
+++ b/internal/settings/source.go
@@ -37,8 +37,8 @@
 	r.faults = append(r.faults, Fault{Origin: origin, Key: key, Message: message})
 }
 
-// readFile reads the YAML file. Its faults are collected; the error says that
-// the file can't be read or isn't YAML at all.
+// readFile reads the YAML file and collects its faults. The error says that the
+// file can't be read, or that it isn't YAML, so that nothing else can be said.
 func (r *reader) readFile(path string) error {
 	content, err := os.ReadFile(path)
 	if err != nil {
@@ -46,8 +46,7 @@
 	}
 	var document yaml.Node
 	if err := yaml.Unmarshal(content, &document); err != nil {
-		r.fault(Origin{Source: path}, "", err.Error())
-		return nil
+		return Faults{{Origin: Origin{Source: path}, Message: err.Error()}}
 	}
 	if len(document.Content) == 0 {
 		return nil
@@ -101,8 +100,6 @@
 	switch field.kind {
 	case kindList:
 		r.readSequence(origin, field, node)
-	case kindCounts:
-		r.readCounts(origin, field, node)
 	default:
 		if node.Kind != yaml.ScalarNode || node.Tag == "!!null" {
 			r.fault(origin, field.Key, "must be a single value")
@@ -131,21 +128,7 @@
 	r.origins[field.Key] = origin
 }
 
-func (r *reader) readCounts(origin Origin, field Field, node *yaml.Node) {
-	if node.Kind != yaml.MappingNode {
-		r.fault(origin, field.Key, "must hold a whole number for each class")
-		return
-	}
-	counts := map[string]string{}
-	for i := 0; i+1 < len(node.Content); i += 2 {
-		name := node.Content[i]
-		r.origins[elementKey(field.Key, name.Value)] = Origin{Source: origin.Source, Line: name.Line}
-		counts[name.Value] = node.Content[i+1].Value
-	}
-	r.setCounts(origin, field, counts)
-}
-
-// elementKey names an element of a list or map as the validator does.
+// elementKey names an element of a list as the validator does.
 func elementKey(key, element string) string { return key + "[" + element + "]" }
 
 // set takes the text of one value from any source.
@@ -154,10 +137,6 @@
 	case kindList:
 		r.dropElements(field.Key)
 		r.values[field.Key] = splitList(text)
-	case kindCounts:
-		r.dropElements(field.Key)
-		r.setCounts(origin, field, splitCounts(text))
-		return
 	default:
 		value, err := parseScalar(field.kind, text)
 		if err != nil {
@@ -169,21 +148,6 @@
 	r.origins[field.Key] = origin
 }
 
-func (r *reader) setCounts(origin Origin, field Field, texts map[string]string) {
-	counts := map[string]int{}
-	for _, name := range slices.Sorted(maps.Keys(texts)) {
-		count, err := parseInteger(texts[name])
-		if err != nil {
-			key := elementKey(field.Key, name)
-			r.fault(r.originOf(key), key, err.Error())
-			continue
-		}
-		counts[name] = count
-	}
-	r.values[field.Key] = counts
-	r.origins[field.Key] = origin
-}
-
 // dropElements forgets element origins of a source that was overridden.
 func (r *reader) dropElements(key string) {
 	maps.DeleteFunc(r.origins, func(known string, _ Origin) bool {
@@ -203,16 +167,6 @@
 	return items
 }
 
-// splitCounts reads counts as flags and variables write them: "a=1,b=2".
-func splitCounts(text string) map[string]string {
-	counts := map[string]string{}
-	for _, item := range splitList(text) {
-		name, count, _ := strings.Cut(item, "=")
-		counts[name] = count
-	}
-	return counts
-}
-
 // readEnvironment reads the variables that start with variablePrefix.
 func (r *reader) readEnvironment(environ []string) {
 	variables := map[string]Field{}
--- a/internal/traffic/callers.go
+++ b/internal/traffic/callers.go
@@ -68,6 +68,8 @@
 
 	mu     sync.Mutex
 	counts RequestCounts
+	// saved holds the keys of saves that were answered.
+	saved []string
 }
 
 // NewCallers returns callers that have sent nothing.
@@ -90,6 +92,9 @@
 	workers := pool.New().WithMaxGoroutines(c.options.Workers)
 	for number := range c.options.Requests {
 		workers.Go(func() {
+			if ctx.Err() != nil {
+				return
+			}
 			if number%2 == 0 {
 				c.sendRouted(ctx, number)
 			}
@@ -158,6 +163,9 @@
 		return
 	}
 	c.counts.Answered++
+	if call.Unrepeatable {
+		c.saved = append(c.saved, call.Key)
+	}
 	_ = c.counts.Routed.RecordValue(took.Microseconds())
 }
 
@@ -226,13 +234,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if unsent := c.options.Requests - c.counts.Sent; unsent > 0 {
+		c.counts.Faults = append(c.counts.Faults, fmt.Sprintf("%d requests were not sent before the time was up", unsent))
+	}
 	for number := saveEvery - 1; number < c.options.Requests; number += saveEvery {
-		key := saveKey(wayRouted, number)
-		switch times := runs[key]; {
-		case times > 1:
-			c.counts.Duplicated += times - 1
-		case times == 0:
-			c.counts.Faults = append(c.counts.Faults, fmt.Sprintf("save %s never ran", key))
+		c.counts.Duplicated += max(0, runs[saveKey(wayRouted, number)]-1)
+	}
+	for _, key := range c.saved {
+		if runs[key] == 0 {
+			c.counts.Faults = append(c.counts.Faults, fmt.Sprintf("save %s was answered and never ran", key))
 		}
 	}
 	slices.Sort(c.counts.Faults)
--- a/internal/traffic/trainer.go
+++ b/internal/traffic/trainer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -27,6 +26,8 @@
 type Workload struct {
 	Trainer string
 	Steps   int
+	// Every is the time that the trainer expects from one step to the next.
+	Every time.Duration
 	// Samples is the number of samples in a step.
 	Samples int
 	// Tokens is the least length of an ordinary sample, LongTokens that of each
@@ -169,11 +170,7 @@
 		if err == nil {
 			return nil
 		}
-		var refusal *client.Refusal
-		if errors.As(err, &refusal) && refusal.RetryAfterMS == 0 && refusal.Status < 500 {
-			return eris.Wrapf(err, "%s step %s", doing, step)
-		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || client.IsFinal(err) {
 			return eris.Wrapf(err, "%s step %s", doing, step)
 		}
 		t.next++
