--- a/internal/rollout/mirror.go
+++ b/internal/rollout/mirror.go
@@ -73,7 +73,9 @@
 		return
 	}
 	if ack.Promised > s.epoch {
-		m.suspend(now, s) // somebody has claimed the step; the log will say so
+		if s.sure {
+			m.suspend(now, s) // somebody has claimed the step; the log will say so
+		}
 		return
 	}
 	s.journal.acked[index] = max(s.journal.acked[index], ack.Serial)
