--- a/internal/api/answers_test.go
+++ b/internal/api/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -126,6 +127,19 @@
 	}
 }
 
+// A step that no log takes must be refused rather than accepted in form.
+func TestStepLargerThanARecord(t *testing.T) {
+	for size, fits := range map[int]bool{record.MaxRecordBytes - 600: true, record.MaxRecordBytes - 100: false} {
+		posted := postedStep{Event: "e", Trainer: "t", Step: "s", Samples: []record.Sample{
+			{ID: "a", Prompt: strings.Repeat("a", size), MaxTokens: 1},
+		}}
+		_, failure := posted.check(time.Now())
+		if (failure == nil) != fits || (failure != nil && failure.Code != machine.CodeTooLarge) {
+			t.Errorf("a prompt of %d bytes: got %v", size, failure)
+		}
+	}
+}
+
 func TestReadInput(t *testing.T) {
 	s := newScript(t, Limits{MaxWait: time.Second}, answers)
 	get("", "/v1/steps/exam.7/samples?after=a%2Bb&wait_ms=9000&version=8").do(t, s)
--- a/internal/api/steps.go
+++ b/internal/api/steps.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"hash"
 	"net/http"
@@ -118,7 +119,31 @@
 		body.Deadline = now.Add(left)
 	}
 	body.Digest = p.digest()
-	return body, nil
+	return body, checkRecordSize(body)
+}
+
+// jsonGrowth is how many times longer a text can get when it is written as JSON.
+const jsonGrowth = 6
+
+// probeID stands for the id of the record in the trial encoding of a step.
+const probeID = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+// checkRecordSize refuses a step that is too large for one record of a log. Only
+// a step that might be is encoded on trial.
+func checkRecordSize(body record.StepBody) *machine.Failure {
+	texts := 0
+	for _, sample := range body.Samples {
+		texts += len(sample.ID) + len(sample.Prompt) + len(sample.Group)
+	}
+	if texts*jsonGrowth < record.MaxRecordBytes/2 {
+		return nil
+	}
+	_, err := record.Encode(record.Record{ID: probeID, Body: body})
+	var over *record.TooLargeError
+	if errors.As(err, &over) {
+		return tooLarge(int64(over.Limit))
+	}
+	return nil
 }
 
 // checkSamples checks the samples of a step.
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -11,10 +11,11 @@
 	"dalehook/internal/machine"
 )
 
-// Defaults of Options.
+// Defaults of Options. The frame limit lets the largest record of a log pass
+// from node to node with room to spare.
 const (
 	defaultQueueLimit   = 256
-	defaultFrameLimit   = 16 << 20
+	defaultFrameLimit   = 32 << 20
 	defaultDialTimeout  = 2 * time.Second
 	defaultWriteTimeout = 5 * time.Second
 	defaultIdleTimeout  = time.Minute
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -51,7 +51,8 @@
 	inboundConns map[net.Conn]struct{}
 }
 
-// NewTransport returns a transport that neither sends nor accepts before Run.
+// NewTransport returns a transport. It sends from now on, so that no message of
+// a starting node is lost, and accepts from Run on.
 func NewTransport(options Options) *Transport {
 	options = options.withDefaults()
 	drained, drainedOver := context.WithCancel(context.Background())
@@ -73,13 +74,8 @@
 // of a goroutine or the listener's failure. Run may be called once.
 func (t *Transport) Run(ctx context.Context) error {
 	if !t.start() {
-		return eris.New("peer: transport was run before")
+		return eris.New("peer: transport was run or stopped before")
 	}
-	return t.serveStarted(ctx)
-}
-
-// serveStarted is Run after the start.
-func (t *Transport) serveStarted(ctx context.Context) error {
 	accepted := make(chan error, 1)
 	t.group.Go(func() { accepted <- t.accept() })
 	var err error
@@ -109,7 +105,7 @@
 func (t *Transport) Send(to cluster.NodeID, address string, message any) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.state != stateRunning {
+	if t.state == stateStopped {
 		t.drop(dropStopped, 1)
 		return
 	}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -69,8 +69,7 @@
 		change(&options)
 	}
 	n.Transport = NewTransport(options)
-	n.start()
-	go func() { n.ended <- n.serveStarted(context.Background()) }()
+	go func() { n.ended <- n.Run(context.Background()) }()
 	t.Cleanup(n.stop)
 	return n
 }
