--- a/internal/operator/machine_test.go
+++ b/internal/operator/machine_test.go
@@ -34,7 +34,7 @@
 	return b
 }
 
-func (b *bench) Control() *record.Control                { return b.control }
+func (b *bench) Control() *record.Control                 { return b.control }
 func (b *bench) PlanKeepers(digest string) []cluster.Node { return b.keepers }
 func (b *bench) StoreDown() bool                          { return b.down }
 func (b *bench) PlannerSnapshot(now time.Time) planner.Snapshot {
