Bring a new cluster to its first view and load sooner

Cause: a new cluster waited 2 s before the first claim, another 2 s for the view to settle from then on, and 2 s more before the first load order. Change: a duty that nobody ever claimed is claimed after 1 s; each node watches how long the live nodes have been the same, so that a new holder publishes at once; an engine that never had an order is not held back by the takeover's wait.

--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -57,6 +57,9 @@
 	// StartGrace is the time after the first Tick in which nothing is claimed,
 	// so that a new node hears of the living before it takes a holder for dead.
 	StartGrace time.Duration
+	// FirstGrace replaces StartGrace for a duty that nobody ever claimed: there
+	// is no holder to be taken for dead, and a new cluster waits for it.
+	FirstGrace time.Duration
 	// VacantWait is how long a duty must be without a live holder before the
 	// first candidate claims it.
 	VacantWait time.Duration
@@ -76,6 +79,7 @@
 const (
 	DefaultInterval     = 250 * time.Millisecond
 	DefaultStartGrace   = 2 * time.Second
+	DefaultFirstGrace   = time.Second
 	DefaultVacantWait   = 500 * time.Millisecond
 	DefaultStandIn      = 2 * time.Second
 	DefaultClaimTimeout = 10 * time.Second
@@ -86,6 +90,7 @@
 func (t Timing) withDefaults() Timing {
 	setDefault(&t.Interval, DefaultInterval)
 	setDefault(&t.StartGrace, DefaultStartGrace)
+	setDefault(&t.FirstGrace, DefaultFirstGrace)
 	setDefault(&t.VacantWait, DefaultVacantWait)
 	setDefault(&t.StandIn, DefaultStandIn)
 	setDefault(&t.ClaimTimeout, DefaultClaimTimeout)
@@ -272,11 +277,20 @@
 		return false
 	}
 	wait := m.timing.VacantWait + time.Duration(rank)*m.timing.StandIn
-	vacantSince := duty.vacantSince
-	if grace := m.startedAt.Add(m.timing.StartGrace); vacantSince.Before(grace) {
-		vacantSince = grace
+	return now.Sub(m.countedSince(duty)) >= wait
+}
+
+// countedSince is the time from which on a duty's vacancy counts: not before this
+// node has had time to hear of the living.
+func (m *Manager) countedSince(duty *wantedDuty) time.Time {
+	grace := m.timing.StartGrace
+	if duty.vacantEpoch == 0 {
+		grace = m.timing.FirstGrace
+	}
+	if heard := m.startedAt.Add(grace); duty.vacantSince.Before(heard) {
+		return heard
 	}
-	return now.Sub(vacantSince) >= wait
+	return duty.vacantSince
 }
 
 // rank returns this node's place among the candidates for a duty, by rendezvous
--- a/internal/lease/view_publisher.go
+++ b/internal/lease/view_publisher.go
@@ -104,20 +104,16 @@
 		return
 	}
 	p.lookedAt = now
-	epoch, holds := p.leases.Holds(now, record.DutyView)
-	if !holds || p.environment.StoreDown() {
-		p.candidate = nil
-		p.differsSince = time.Time{}
-		return
-	}
 	view := p.environment.Control().View()
 	p.observe(now, view)
-	if p.due(now, view) {
+	epoch, holds := p.leases.Holds(now, record.DutyView)
+	if holds && !p.environment.StoreDown() && p.due(now, view) {
 		p.publish(now, epoch)
 	}
 }
 
-// observe keeps track of the live nodes and of how long they differ from the view.
+// observe keeps track of the live nodes and of how long they differ from the
+// view. It does so on each node, so that a new holder need not begin to wait.
 func (p *ViewPublisher) observe(now time.Time, view cluster.View) {
 	live := p.environment.LiveNodes()
 	if p.candidate == nil || !slices.Equal(live, p.candidate) {
--- a/internal/weights/environment.go
+++ b/internal/weights/environment.go
@@ -64,7 +64,7 @@
 	// Interval is the time between two looks at a pool.
 	Interval time.Duration
 	// TakeoverWait is how long a new director waits for reports that show what
-	// the one before it has ordered.
+	// the one before it has ordered. Engines that never had an order are spared.
 	TakeoverWait time.Duration
 	// OrderTimeout is the time after which an order that no report shows counts
 	// as lost.
--- a/internal/weights/pool_director.go
+++ b/internal/weights/pool_director.go
@@ -35,17 +35,15 @@
 
 // tick looks at the pool once in an interval.
 func (p *poolDirector) tick(now time.Time) {
-	parameters := p.director.parameters
-	if now.Sub(p.lookedAt) < parameters.Interval {
+	if now.Sub(p.lookedAt) < p.director.parameters.Interval {
 		return
 	}
 	p.lookedAt = now
 	p.director.pace.refill(now)
 	wave := p.observe(now)
-	if p.lost || now.Sub(p.tookOverAt) < parameters.TakeoverWait {
-		return
+	if !p.lost {
+		p.order(now, wave)
 	}
-	p.order(now, wave)
 }
 
 // wave is what one look at the pool found.
@@ -95,7 +93,7 @@
 			found.loading++
 		}
 		return
-	case !p.isKnown(engine):
+	case !p.isKnown(now, engine):
 		found.broken++
 		return
 	}
@@ -138,9 +136,15 @@
 }
 
 // isKnown reports whether a report of an engine is at hand that is newer than
-// the takeover, so that what the director before has ordered shows in it.
-func (p *poolDirector) isKnown(engine Engine) bool {
-	return engine.Report.Err == "" && engine.ReportedAt.After(p.tookOverAt)
+// the takeover, so that what the director before has ordered shows in it. An
+// order may have been on its way at the takeover; an engine that never had one is
+// spared the wait for it, since a new pool serves nothing until its first load.
+func (p *poolDirector) isKnown(now time.Time, engine Engine) bool {
+	if engine.Report.Err != "" || !engine.ReportedAt.After(p.tookOverAt) {
+		return false
+	}
+	ordered := engine.Report.LastFence != machine.Fence{}
+	return !ordered || now.Sub(p.tookOverAt) >= p.director.parameters.TakeoverWait
 }
 
 // urgent reports whether the running samples are about to miss their bound.
