Take fewer allocations for a service call

Cause: the profile of BenchmarkServiceCall showed 23 allocations a call, several for values that live as long as another one.

Change: the kept request is part of the call and the relay of the attempt; the service's path is a slice of the caller's; a supervised goroutine keeps its panic by one deferred call instead of a catcher of its own inside conc's.

Ruled out: pooling the request bodies. http.Transport may still read a body after it has returned an answer, so a pooled buffer could carry one caller's bytes into another's request; bodies have memory of their own, and only bodies that are decoded on the spot use the pool.

Conclusion: what is left are the values that cross the machine's boundary and the response's headers.

--- a/internal/api/call.go
+++ b/internal/api/call.go
@@ -32,8 +32,9 @@
 	// owner is who writes the response: nil for nobody yet, the call's handler
 	// (handlerOwner) or a relayed attempt.
 	owner atomic.Pointer[relayWriter]
-	// service is set for calls of services.
-	service *serviceRequest
+	// service is the kept request of a call of a service; without a caller for
+	// other calls.
+	service serviceRequest
 }
 
 // handlerOwner stands for the handler as the owner of a response.
@@ -70,7 +71,7 @@
 }
 
 // open registers a call under a new id.
-func (t *callTable) open(w http.ResponseWriter, service *serviceRequest) (*call, *machine.Failure) {
+func (t *callTable) open(w http.ResponseWriter, service serviceRequest) (*call, *machine.Failure) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.closed {
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -112,7 +112,7 @@
 
 // ask passes a call to the machine, waits for the reply and writes it.
 func (h *Handler) ask(w http.ResponseWriter, r *http.Request, step string, input func(machine.CallID) machine.Input) *machine.Failure {
-	opened, failure := h.calls.open(w, nil)
+	opened, failure := h.calls.open(w, serviceRequest{})
 	if failure != nil {
 		failure.Step = step
 		return failure
--- a/internal/api/relay.go
+++ b/internal/api/relay.go
@@ -20,14 +20,15 @@
 	owned   bool
 }
 
-// newRelayWriter returns a writer that has claimed nothing.
-func newRelayWriter(c *call) *relayWriter {
-	return &relayWriter{call: c, header: make(http.Header)}
+// Header implements http.ResponseWriter. The headers are the writer's own until
+// it has claimed the response.
+func (w *relayWriter) Header() http.Header {
+	if w.header == nil {
+		w.header = make(http.Header)
+	}
+	return w.header
 }
 
-// Header implements http.ResponseWriter.
-func (w *relayWriter) Header() http.Header { return w.header }
-
 // WriteHeader implements http.ResponseWriter. Informational statuses are not
 // passed on.
 func (w *relayWriter) WriteHeader(status int) {
--- a/internal/api/services.go
+++ b/internal/api/services.go
@@ -57,7 +57,7 @@
 	if failure != nil {
 		return failure
 	}
-	request := &serviceRequest{
+	request := serviceRequest{
 		caller:       r.Context(),
 		method:       r.Method,
 		path:         path,
@@ -173,8 +173,8 @@
 func servicePath(r *http.Request, decoded string) (string, *machine.Failure) {
 	path := r.URL.EscapedPath()
 	for range servicePathSegments {
-		_, path, _ = strings.Cut(path[1:], "/")
-		path = "/" + path
+		next := strings.IndexByte(path[1:], '/')
+		path = path[1+next:]
 	}
 	if plain, err := url.PathUnescape(path); err != nil || plain != decoded {
 		return "", badRequest("path", "the name of the service holds an escaped slash")
@@ -186,7 +186,7 @@
 }
 
 // digest returns a hash over method, path and body.
-func (s *serviceRequest) digest() string {
+func (s serviceRequest) digest() string {
 	digest := sha256.New()
 	writeText(digest, s.method)
 	writeText(digest, s.path)
@@ -200,18 +200,19 @@
 	// shared with other attempts and must not be changed.
 	Request backend.ServiceRequest
 	call    *call
-	relay   *relayWriter
+	relay   relayWriter
 }
 
 // NewAttempt returns the attempt that an output asks for; false when the call
 // is not open any more, so that nothing can be sent.
 func (h *Handler) NewAttempt(send machine.SendService) (*Attempt, bool) {
 	open, ok := h.calls.find(send.Call)
-	if !ok || open.service == nil {
+	if !ok || open.service.caller == nil {
 		return nil, false
 	}
 	attempt := &Attempt{
-		call: open,
+		call:  open,
+		relay: relayWriter{call: open},
 		Request: backend.ServiceRequest{
 			Call:     send.Call,
 			Attempt:  send.Attempt,
@@ -225,8 +226,7 @@
 		},
 	}
 	if send.Relay {
-		attempt.relay = newRelayWriter(open)
-		attempt.Request.Relay = attempt.relay
+		attempt.Request.Relay = &attempt.relay
 	}
 	return attempt, true
 }
@@ -235,7 +235,7 @@
 // for an unrepeatable request whose answer is recorded: that one goes on under
 // the node's own context, as it can't be sent again.
 func (a *Attempt) Context(node context.Context) context.Context {
-	if a.call.service.unrepeatable && a.relay == nil {
+	if a.call.service.unrepeatable && a.Request.Relay == nil {
 		return node
 	}
 	return a.call.service.caller
@@ -244,7 +244,7 @@
 // End says how the sending ended. It returns the result as the machine is to
 // see it, with Relayed set when the caller's response was begun.
 func (a *Attempt) End(result machine.ServiceResult) machine.ServiceResult {
-	result.Relayed = a.relay != nil && a.relay.owned
+	result.Relayed = a.relay.owned
 	if result.Relayed {
 		a.call.notify(callEvent{relayed: true, whole: result.Outcome == machine.SendAnswered})
 	}
--- a/internal/supervise/group.go
+++ b/internal/supervise/group.go
@@ -20,7 +20,10 @@
 
 // Go runs f in a goroutine of its own.
 func (g *Group) Go(f func()) {
-	g.goroutines.Go(func() { g.run(f) })
+	g.goroutines.Go(func() {
+		defer g.keepPanic()
+		f()
+	})
 }
 
 // Failed delivers the first panic of a goroutine as an error with its stack.
@@ -29,12 +32,13 @@
 // Wait returns when all goroutines have ended.
 func (g *Group) Wait() { g.goroutines.Wait() }
 
-// run calls f and keeps its panic.
-func (g *Group) run(f func()) {
-	recovered := panics.Try(f)
-	if recovered == nil {
+// keepPanic keeps the panic of a goroutine that ends; it is called deferred.
+func (g *Group) keepPanic() {
+	value := recover()
+	if value == nil {
 		return
 	}
+	recovered := panics.NewRecovered(1, value)
 	select {
 	case g.failed <- recovered.AsError():
 	default:
