Go back over views that never came into use; queue by service and class

Cause: a slot whose group saw several views within a second could wait for ever. The members knew only the view from which they were taking over themselves, so after two steps back nobody knew the next one, and a dead member hid that nothing more would come.

Change: nodes remember the last 32 views and tell each other which came before one; a transfer that nothing can end counts as lost. Queues are kept by service and class, and a call may name its class (machine.ServiceCall.Class, used when a plan limits it).

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -39,12 +39,13 @@
 type Item struct {
 	Call    machine.CallID
 	Service string
-	// Class is the class under which the service was registered on arrival.
-	Class string
+	Class   string
 	// Deadline is when the caller wants its answer.
 	Deadline time.Time
 }
 
+func (i Item) key() flowKey { return flowKey{service: i.Service, class: i.Class} }
+
 // Refusal says why an item was refused and when to come back.
 type Refusal struct {
 	Item       Item
@@ -56,7 +57,7 @@
 type Controller struct {
 	options  Options
 	classes  map[string]*class
-	flows    map[string]*flow
+	flows    map[flowKey]*flow
 	limiters map[cluster.BackendID]*Limiter
 	// order holds the flows, the one that is shed last first; it is what is
 	// ranged over.
@@ -83,7 +84,7 @@
 	return &Controller{
 		options:  options,
 		classes:  make(map[string]*class),
-		flows:    make(map[string]*flow),
+		flows:    make(map[flowKey]*flow),
 		limiters: make(map[cluster.BackendID]*Limiter),
 		retries:  NewRetryBudget(options.RetryShare, options.RetryFloor),
 	}
@@ -106,10 +107,11 @@
 	c.sortFlows()
 }
 
-// Register makes a service and its class known. It reports whether the class is
-// new; SetPlans must then follow.
+// Register makes a class of a service known. It reports whether it is new;
+// SetPlans must then follow.
 func (c *Controller) Register(service, className string) bool {
-	if flow := c.flows[service]; flow != nil && flow.class.name == className {
+	key := flowKey{service: service, class: className}
+	if c.flows[key] != nil {
 		return false
 	}
 	group := c.classes[className]
@@ -117,29 +119,26 @@
 		group = &class{name: className, rank: unnamedRank}
 		c.classes[className] = group
 	}
-	if existing := c.flows[service]; existing != nil {
-		existing.class = group
-	} else {
-		c.flows[service] = &flow{service: service, class: group}
-		c.order = append(c.order, c.flows[service])
-	}
+	c.flows[key] = &flow{flowKey: key, limits: group}
+	c.order = append(c.order, c.flows[key])
 	c.sortFlows()
 	return true
 }
 
 func (c *Controller) sortFlows() {
 	slices.SortFunc(c.order, func(a, b *flow) int {
-		if a.class.rank != b.class.rank {
-			return cmp.Compare(b.class.rank, a.class.rank)
-		}
-		return cmp.Compare(a.service, b.service)
+		return cmp.Or(
+			cmp.Compare(b.limits.rank, a.limits.rank),
+			cmp.Compare(a.class, b.class),
+			cmp.Compare(a.service, b.service),
+		)
 	})
 }
 
-// Offer queues an item of a registered service, or refuses it or another one;
+// Offer queues an item of a registered class, or refuses it or another one;
 // see TakeRefused.
 func (c *Controller) Offer(now time.Time, item Item) {
-	flow := c.flows[item.Service]
+	flow := c.flows[item.key()]
 	if flow.tooLate(now, item, flow.expectedWait(now)) {
 		c.refuse(flow, item, machine.CodeOverloaded)
 		return
@@ -157,7 +156,7 @@
 // OfferAgain puts an item that was started before at the front of its queue: it
 // has waited already.
 func (c *Controller) OfferAgain(item Item) {
-	flow := c.flows[item.Service]
+	flow := c.flows[item.key()]
 	flow.items = slices.Insert(flow.items, 0, item)
 	c.queued++
 }
@@ -193,16 +192,16 @@
 // rest of that service's queue then waits.
 func (c *Controller) Dispatch(now time.Time, start func(Item) bool) {
 	for _, flow := range c.order {
-		flow.class.refill(now)
-		for len(flow.items) > 0 && flow.class.hasRoom() {
+		flow.limits.refill(now)
+		for len(flow.items) > 0 && flow.limits.hasRoom() {
 			index := flow.next(now)
 			if !start(flow.items[index]) {
 				break
 			}
-			item := flow.take(index)
+			flow.take(index)
 			c.queued--
 			flow.started()
-			c.classes[item.Class].start()
+			flow.limits.start()
 		}
 	}
 }
@@ -218,30 +217,32 @@
 	}
 }
 
-// Remove takes a call out of the queue of a service.
-func (c *Controller) Remove(service string, call machine.CallID) {
-	if flow := c.flows[service]; flow != nil && flow.remove(call) {
+// Remove takes an item out of its queue.
+func (c *Controller) Remove(item Item) {
+	if flow := c.flows[item.key()]; flow != nil && flow.remove(item.Call) {
 		c.queued--
 	}
 }
 
-// Drain takes all items of a service out of its queue.
+// Drain takes all items of a service out of its queues.
 func (c *Controller) Drain(service string) []Item {
-	flow := c.flows[service]
-	if flow == nil {
-		return nil
+	var items []Item
+	for _, flow := range c.order {
+		if flow.service == service {
+			items = append(items, flow.items...)
+			flow.items = nil
+		}
 	}
-	items := flow.items
-	flow.items = nil
 	c.queued -= len(items)
 	return items
 }
 
 // Ended closes a started request; took is zero when it wasn't answered.
 func (c *Controller) Ended(item Item, took time.Duration) {
-	c.classes[item.Class].inFlight--
+	flow := c.flows[item.key()]
+	flow.limits.inFlight--
 	if took > 0 {
-		c.flows[item.Service].answered(took)
+		flow.answered(took)
 		c.retries.Succeeded()
 	}
 }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -75,8 +75,8 @@
 func TestControllerRefusesWhatCannotBeInTime(t *testing.T) {
 	c := New(Options{})
 	c.Register("lookup", "lookup")
-	c.flows["lookup"].serviceTime = 100 * time.Millisecond
-	c.flows["lookup"].perSecond = 10
+	c.flows[flowKey{"lookup", "lookup"}].serviceTime = 100 * time.Millisecond
+	c.flows[flowKey{"lookup", "lookup"}].perSecond = 10
 	c.Offer(start, item(1, "lookup", 150*time.Millisecond))
 	c.Offer(start, item(2, "lookup", 900*time.Millisecond))
 	c.Offer(start, item(3, "lookup", 250*time.Millisecond))
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -7,14 +7,20 @@
 	"dalehook/internal/machine"
 )
 
-// flow is the queue of one service. It is first in, first out while what it
+// flowKey names a flow.
+type flowKey struct {
+	service string
+	class   string
+}
+
+// flow is the queue of one class of one service. It is first in, first out while what it
 // holds can be served in time, and last in, first out for a while after an item
 // has run out of time: serving the oldest first would then serve only requests
 // that come too late (Facebook's adaptive LIFO, "Fail at Scale", 2015).
 type flow struct {
-	service string
-	class   *class
-	items   []Item
+	flowKey
+	limits *class
+	items  []Item
 	// overloadedUntil ends the time in which the newest goes first.
 	overloadedUntil time.Time
 
--- a/internal/idempotency/cluster_test.go
+++ b/internal/idempotency/cluster_test.go
@@ -54,6 +54,8 @@
 	runs    map[string]int
 	answers map[string]string
 	results map[machine.CallID]string
+	// expects holds the calls whose callers still wait.
+	expects map[machine.CallID]bool
 	options Options
 	// behaviour of the back end: the share of requests that it loses after
 	// running them, and that don't reach it.
@@ -103,6 +105,7 @@
 		blind:   make(map[cluster.NodeID]bool),
 		runs:    make(map[string]int),
 		answers: make(map[string]string),
+		expects: make(map[machine.CallID]bool),
 		results: make(map[machine.CallID]string),
 		options: options,
 		runTime: 200 * time.Millisecond,
@@ -132,13 +135,21 @@
 		c.showView(node, len(c.views)-1)
 	}
 	if index := slices.IndexFunc(c.nodes, func(n *testNode) bool { return n.self.ID == id }); index >= 0 {
-		c.nodes[index].dead = true
+		c.kill(c.nodes[index])
 		c.nodes[index] = node
 		return
 	}
 	c.nodes = append(c.nodes, node)
 }
 
+// kill ends a process; its callers wait no longer.
+func (c *testCluster) kill(node *testNode) {
+	node.dead = true
+	for call := range node.keys {
+		delete(c.expects, call)
+	}
+}
+
 func (c *testCluster) find(id cluster.NodeID) *testNode {
 	index := slices.IndexFunc(c.nodes, func(n *testNode) bool { return n.self.ID == id })
 	if index < 0 {
@@ -255,6 +266,7 @@
 		return call
 	}
 	node.keys[call] = key
+	c.expects[call] = true
 	c.log("call %d of %s at %s", call, key, node.self.ID)
 	node.machine.Begin(c.now, Request{Call: call, Key: key, Digest: key, Deadline: c.now.Add(within)})
 	c.drain(node)
@@ -268,19 +280,27 @@
 		c.after(wait, func() { c.send(node, event.Call) })
 	case Answered:
 		c.log("call %d answered %s", event.Call, event.Response.Body)
-		c.results[event.Call] = string(event.Response.Body)
+		c.end(event.Call, string(event.Response.Body))
 		if want := c.answers[node.keys[event.Call]]; want != string(event.Response.Body) {
 			c.violate("call %d was answered %q, the key's answer is %q", event.Call, event.Response.Body, want)
 		}
 	case Refused:
 		c.log("call %d refused %s, not run %t", event.Call, event.Failure.Code, event.Failure.NotRun)
-		c.results[event.Call] = fmt.Sprintf("%s %t", event.Failure.Code, event.Failure.NotRun)
+		c.end(event.Call, fmt.Sprintf("%s %t", event.Failure.Code, event.Failure.NotRun))
 		if event.Failure.NotRun {
 			c.checkNotRun(node.keys[event.Call])
 		}
 	}
 }
 
+// end notes a call's single end.
+func (c *testCluster) end(call machine.CallID, result string) {
+	if c.results[call] != "" {
+		c.violate("call %d ended as %q and as %q", call, c.results[call], result)
+	}
+	c.results[call] = result
+}
+
 // send runs a granted call on the back end.
 func (c *testCluster) send(node *testNode, call machine.CallID) {
 	if node.dead {
@@ -292,9 +312,13 @@
 	}
 	key := node.keys[call]
 	if !node.machine.Start(c.now, call) {
+		if c.results[call] == "" && c.expects[call] {
+			c.end(call, "lapsed")
+		}
 		return
 	}
 	if c.random.Float64() < c.notSent {
+		c.end(call, "not sent")
 		node.machine.Unsent(call)
 		if node.machine.Abandon(c.now, call) {
 			c.log("call %d not run", call)
@@ -317,7 +341,9 @@
 	c.after(time.Duration(c.random.Int64N(int64(c.runTime))), func() {
 		if !node.dead {
 			if response != nil {
-				c.results[call] = string(response.Body)
+				c.end(call, string(response.Body))
+			} else {
+				c.end(call, "lost")
 			}
 			node.machine.Finish(c.now, call, response)
 			c.drain(node)
--- a/internal/idempotency/message.go
+++ b/internal/idempotency/message.go
@@ -131,10 +131,7 @@
 	After string
 	// Full says that the replica voted in the view Source. Otherwise it did not,
 	// and never will.
-	Full bool
-	// Base is the number of the view from which the replica itself was to take
-	// over when it is not Full; zero when it doesn't know.
-	Base    uint64
+	Full    bool
 	Entries []Entry
 	// More says that entries follow after the last one.
 	More bool
@@ -145,8 +142,9 @@
 	Target uint64
 	Source uint64
 	Pieces []SlotPiece
-	// Bases holds the views that pieces name as Base.
-	Bases []cluster.View
+	// Base is the view directly before Source, to go back to when nobody is full
+	// for it; its number is zero when the sender doesn't know it.
+	Base cluster.View
 }
 
 // FullQuery asks which slots the receiver can vote on in a view.
--- a/internal/idempotency/property_test.go
+++ b/internal/idempotency/property_test.go
@@ -31,16 +31,31 @@
 		c.step(draw)
 		c.advance([]time.Duration{0, time.Millisecond, 3 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond}[draw(5)])
 	}
+	c.recover()
+	for key := range c.newest + 2 {
+		c.call(c.nodes[draw(len(c.nodes))], testKey(key), 2*time.Second)
+	}
+	c.advance(2 * time.Second)
+	for call := machine.CallID(1); call <= c.calls; call++ {
+		if c.results[call] == "" && c.expects[call] {
+			c.violate("call %d has no end", call)
+		}
+	}
+	return c
+}
+
+// recover ends all faults and puts a view of all live nodes in force.
+func (c *testCluster) recover() {
 	clear(c.cuts)
 	clear(c.paused)
 	c.loss = 0
 	c.publish(10 * time.Millisecond)
-	c.advance(5 * time.Second)
-	for key := range c.newest + 1 {
-		c.call(c.nodes[draw(len(c.nodes))], testKey(key), time.Second)
+	c.advance(3 * time.Second)
+	for _, node := range c.nodes {
+		if stats := node.machine.Stats(); !node.dead && stats.Waiting > stats.Lost {
+			c.violate("%s waits for markers that are not lost", node.self.ID)
+		}
 	}
-	c.advance(5 * time.Second)
-	return c
 }
 
 func testKey(n int) string { return fmt.Sprintf("key-%d", n) }
@@ -52,7 +67,7 @@
 	switch draw(18) {
 	case 0:
 		c.log("crash %s", node.self.ID)
-		node.dead = true
+		c.kill(node)
 	case 1, 2:
 		c.log("replace %s", node.self.ID)
 		c.startNode(node.self.ID, node.self.Zone)
@@ -81,6 +96,7 @@
 	case 8:
 		if call := machine.CallID(draw(int(c.calls) + 1)); node.keys[call] != "" && !node.dead {
 			c.log("gone %d", call)
+			delete(c.expects, call)
 			if node.machine.Abandon(c.now, call) {
 				c.checkNotRun(node.keys[call])
 			}
--- a/internal/idempotency/replica.go
+++ b/internal/idempotency/replica.go
@@ -16,6 +16,7 @@
 	table     *table
 	groups    *groupCache
 	view      cluster.View
+	history   viewHistory
 	slots     [SlotCount]slotState
 	leaving   bool
 	// nextFullQuery is when a leaving replica asks its successors again.
@@ -78,6 +79,7 @@
 	}
 	seen := r.view.Number
 	r.view = view
+	r.history.add(view.Number, previous)
 	for slot := range r.slots {
 		source := r.slots[slot].group
 		if seen != previous.Number {
--- a/internal/idempotency/transfer.go
+++ b/internal/idempotency/transfer.go
@@ -28,19 +28,14 @@
 // majority in b, and each that did get it is among what came. What came before
 // the group of b was formed is held by every replica that is full for b. Hence a
 // majority of answers with at least one full among them is enough. If none of a
-// majority is full, nobody ever got a majority in b, and the view before b (the
-// base) takes its place.
+// majority is full, nobody ever got a majority in b, and the view before b takes
+// its place.
 type transfer struct {
 	// since is when the transfer began from its source.
 	since time.Time
-	// begun and target are the first and the newest view that it serves; the
-	// group did not change between them.
-	begun  uint64
+	// target is the newest view that it serves.
 	target uint64
 	source origin
-	// base is where to go when nobody in source is full; its number is zero when
-	// it isn't known.
-	base cluster.View
 	// peers are the others of the slot's own group.
 	peers origin
 	// lostSince is when the majority of source was found to be gone; zero when
@@ -89,25 +84,14 @@
 // lost reports whether the markers can't be taken over as things stand.
 func (t *transfer) lost() bool { return !t.lostSince.IsZero() }
 
-// stuck reports whether every member has answered that it isn't full, and nobody
-// knows which view to go back to.
-func (t *transfer) stuck() bool {
-	complete, full := t.source.count()
-	return complete == len(t.source.group) && full == 0 && t.base.Number == 0
-}
-
 // newTransfer begins to take over markers from the group of the view before.
 func (r *replica) newTransfer(now time.Time, state *slotState, previous cluster.View, source []cluster.Node) *transfer {
 	t := &transfer{
 		since:  now,
-		begun:  r.view.Number,
 		target: r.view.Number,
 		source: newOrigin(previous, source),
 		peers:  newOrigin(r.view, state.group),
 	}
-	if unfinished := state.transfer; unfinished != nil && unfinished.target == previous.Number {
-		t.base = unfinished.source.view
-	}
 	r.answerSelf(state, &t.source)
 	return t
 }
@@ -143,11 +127,11 @@
 		state.becomeFull(t.target, state.fullFor(t.source.view.Number))
 		return
 	}
-	if t.base.Number == 0 {
+	base, known := r.history.before(t.source.view.Number)
+	if !known {
 		return
 	}
-	t.source = newOrigin(t.base, groupOf(t.base, slot))
-	t.base = cluster.View{}
+	t.source = newOrigin(base, groupOf(base, slot))
 	t.since = now
 	t.lostSince = time.Time{}
 	r.answerSelf(state, &t.source)
@@ -158,14 +142,12 @@
 // replica vote again a lifetime later: by then every marker has expired.
 func (r *replica) watchLoss(now time.Time, slot int) {
 	state := &r.slots[slot]
+	r.tryFinish(now, slot)
 	t := state.transfer
-	possible := 0
-	for i, member := range t.source.group {
-		if t.source.answers[i].complete || !r.gone(t, i, member) {
-			possible++
-		}
+	if t == nil {
+		return
 	}
-	if possible >= majority(t.source.group) && !t.stuck() {
+	if !r.hopeless(t) {
 		t.lostSince = time.Time{}
 		return
 	}
@@ -177,6 +159,23 @@
 	}
 }
 
+// hopeless reports whether the transfer can't end as things stand: too few members
+// are left, or none that may be full and no view to go back to.
+func (r *replica) hopeless(t *transfer) bool {
+	complete, full := t.source.count()
+	open := 0
+	for i, member := range t.source.group {
+		if !t.source.answers[i].complete && !r.gone(t, i, member) {
+			open++
+		}
+	}
+	if complete+open < majority(t.source.group) {
+		return true
+	}
+	_, known := r.history.before(t.source.view.Number)
+	return full == 0 && open == 0 && !known
+}
+
 // gone reports whether a member of a transfer's source has lost its memory or is
 // taken for dead.
 func (r *replica) gone(t *transfer, index int, member cluster.Node) bool {
@@ -261,7 +260,7 @@
 		piece := SlotPiece{Slot: cursor.Slot, After: cursor.After, Full: state.fullFor(request.Source)}
 		piece.Entries, piece.More = r.table.piece(now, cursor.Slot, cursor.After, room)
 		if !piece.Full {
-			r.addBase(&reply, &piece, state, request.Source)
+			reply.Base, _ = r.history.before(request.Source)
 		}
 		for _, e := range piece.Entries {
 			room -= sizeOf(e.Key, e.Markers)
@@ -271,35 +270,14 @@
 	r.transport.reply(from, reply)
 }
 
-// addBase names the view from which this replica itself was to take over for the
-// source view.
-func (r *replica) addBase(reply *TransferReply, piece *SlotPiece, state *slotState, source uint64) {
-	t := state.transfer
-	if t == nil {
-		return
-	}
-	var base cluster.View
-	switch {
-	case t.begun <= source && source <= t.target:
-		base = t.source.view
-	case t.source.view.Number == source:
-		base = t.base
-	}
-	if base.Number == 0 {
-		return
-	}
-	piece.Base = base.Number
-	known := func(v cluster.View) bool { return v.Number == base.Number }
-	if !slices.ContainsFunc(reply.Bases, known) {
-		reply.Bases = append(reply.Bases, base)
-	}
-}
-
 // handleTransferReply takes over the markers of the reply's slots.
 func (r *replica) handleTransferReply(now time.Time, from sender, reply TransferReply) {
 	if reply.Target != r.view.Number {
 		return
 	}
+	if reply.Base.Number > 0 {
+		r.history.add(reply.Source, reply.Base)
+	}
 	for _, piece := range reply.Pieces {
 		if piece.Slot < 0 || piece.Slot >= SlotCount || r.slots[piece.Slot].transfer == nil {
 			continue
@@ -351,8 +329,5 @@
 	a.asked = time.Time{}
 	a.full = piece.Full
 	a.complete = !piece.More
-	if base := slices.IndexFunc(reply.Bases, func(v cluster.View) bool { return v.Number == piece.Base }); base >= 0 {
-		t.base = reply.Bases[base]
-	}
 	r.tryFinish(now, piece.Slot)
 }
--- a/internal/machine/call.go
+++ b/internal/machine/call.go
@@ -73,6 +73,8 @@
 	Call    CallID
 	Service string
 	Method  string
+	// Class is the class that the caller names, empty for that of the service.
+	Class string
 	// Key is the caller's Idempotency-Key, empty for none.
 	Key string
 	// Unrepeatable requests run at most once; they carry a Key.
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -8,6 +8,7 @@
 	"dalehook/internal/cluster"
 	"dalehook/internal/idempotency"
 	"dalehook/internal/machine"
+	"dalehook/internal/record"
 )
 
 // phase is where a call stands.
@@ -26,6 +27,7 @@
 type call struct {
 	id           machine.CallID
 	service      string
+	class        string
 	key          string
 	digest       string
 	unrepeatable bool
@@ -73,6 +75,7 @@
 	return &call{
 		id:           input.Call,
 		service:      input.Service,
+		class:        input.Class,
 		key:          input.Key,
 		digest:       input.Digest,
 		unrepeatable: input.Unrepeatable,
@@ -152,7 +155,7 @@
 
 // admit queues a call for a server.
 func (m *Machine) admit(now time.Time, c *call) {
-	class := m.options.Environment.ClassOf(c.service)
+	class := m.classOf(c)
 	if m.admission.Register(c.service, class) {
 		m.readPlans()
 	}
@@ -168,6 +171,16 @@
 	m.admission.Offer(now, c.item)
 }
 
+// classOf returns the class that the caller names, when a plan in force limits it,
+// and that of the service otherwise.
+func (m *Machine) classOf(c *call) string {
+	named := func(l record.ClassLimit) bool { return l.Class == c.class }
+	if c.class != "" && slices.ContainsFunc(m.options.Environment.Limits(), named) {
+		return c.class
+	}
+	return m.options.Environment.ClassOf(c.service)
+}
+
 func (m *Machine) hasUsableServer(service string) bool {
 	usable := func(s Server) bool { return s.Usable }
 	return slices.ContainsFunc(m.options.Environment.Servers(service), usable)
@@ -233,7 +246,7 @@
 		return
 	}
 	if c.phase == phaseQueued {
-		m.admission.Remove(c.service, c.id)
+		m.admission.Remove(c.item)
 	}
 	if c.unrepeatable {
 		m.keys.Abandon(now, c.id)
