Give answers to peers the address that membership knows

Cause: answers of the keys' replicas and of plan keepers named a node without an address; the transport on real sockets cannot resolve it, so every unrepeatable request ended as no_quorum. Ruled out: replicas that are not full (a trial with three composed nodes voted at once), messages unknown to gob. Change: core fills in the address; a message to a stranger is dropped.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,8 +90,25 @@
 	})
 }
 
-// Take implements machine.Machine.
-func (c *Core) Take() []machine.Output { return c.outbox.Take() }
+// Take implements machine.Machine. A message to a node named without an address,
+// such as an answer, gets the address that membership knows; one to a node that
+// it does not know is dropped.
+func (c *Core) Take() []machine.Output {
+	outputs := c.outbox.Take()
+	kept := outputs[:0]
+	for _, output := range outputs {
+		if message, ok := output.(machine.SendPeer); ok && message.Address == "" {
+			node, known := c.nodeOf(message.To)
+			if !known {
+				continue
+			}
+			message.Address = node.PeerAddress
+			output = message
+		}
+		kept = append(kept, output)
+	}
+	return kept
+}
 
 // Ready reports whether the node may take callers' requests: it has state from
 // its peers or from the log, and it is not leaving.
--- a/internal/machine/peer.go
+++ b/internal/machine/peer.go
@@ -9,6 +9,7 @@
 // SendPeer sends a message to another node. Delivery is best effort: a message
 // may be lost, delayed, doubled or reordered. Message is a registered gob type
 // (see RegisterMessage in internal/peer).
+// With Address empty internal/core fills in the address that membership knows.
 // With To empty the message goes to whoever listens on Address; that is how a
 // node joins by a seed address.
 type SendPeer struct {
