--- a/internal/api/body.go
+++ b/internal/api/body.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// bodyTimeout bounds the time in which a request's body must come.
-	bodyTimeout = time.Minute
 	// exactBody is the largest announced body, in bytes, for which memory is
 	// taken before the bytes have come.
 	exactBody = 64 << 10
@@ -49,11 +47,13 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	defer boundBodyTime(w)()
 	if r.ContentLength > 0 && r.ContentLength <= exactBody {
 		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, bodyFailure(err, limit)
+		if _, err := io.ReadFull(r.Body, body); err != nil {
+			return nil, bodyFailure(err, limit)
+		}
+		unboundBody(w)
+		return body, nil
 	}
 	buffer := getBuffer()
 	defer putBuffer(buffer)
@@ -68,16 +68,23 @@
 	if r.ContentLength > limit {
 		return tooLarge(limit)
 	}
-	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
-	return bodyFailure(err, limit)
+	if _, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, limit)); err != nil {
+		return bodyFailure(err, limit)
+	}
+	unboundBody(w)
+	return nil
+}
+
+// boundBody bounds the time in which the rest of a request comes. It holds also
+// for what the server itself reads of a body that was refused unread.
+func boundBody(w http.ResponseWriter, timeout time.Duration) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 }
 
-// boundBodyTime sets a deadline for reading and returns a function that takes
-// it away, as it would otherwise end the wait for the answer.
-func boundBodyTime(w http.ResponseWriter) func() {
-	controller := http.NewResponseController(w)
-	controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	return func() { controller.SetReadDeadline(time.Time{}) }
+// unboundBody takes the bound away once the body has come; it would otherwise
+// end the wait for the answer.
+func unboundBody(w http.ResponseWriter) {
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
 
 // tooLarge returns the failure of a body over the limit.
@@ -88,18 +95,15 @@
 	return failure
 }
 
-// bodyFailure turns an error of reading a body into a failure, nil for none.
+// bodyFailure turns an error of reading a body into a failure.
 func bodyFailure(err error, limit int64) *machine.Failure {
-	if err == nil {
-		return nil
-	}
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return tooLarge(limit)
 	}
 	var networkError net.Error
 	if errors.As(err, &networkError) && networkError.Timeout() {
-		failure := badRequest("body", "body did not come within %s", bodyTimeout)
+		failure := badRequest("body", "body did not come in time")
 		failure.Status = http.StatusRequestTimeout
 		return failure
 	}
@@ -108,9 +112,6 @@
 
 // decodeBody reads a request's body as one JSON value without unknown fields.
 func decodeBody(w http.ResponseWriter, r *http.Request, limit int64, value any) *machine.Failure {
-	if r.ContentLength != 0 {
-		defer boundBodyTime(w)()
-	}
 	buffer := getBuffer()
 	defer putBuffer(buffer)
 	if failure := readInto(buffer, w, r, limit); failure != nil {
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -104,6 +104,9 @@
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		observed := counted.begin(w, h.options.Leaving)
 		defer observed.end()
+		if r.ContentLength != 0 {
+			boundBody(observed, h.options.Limits.BodyTimeout)
+		}
 		if failure := handle(observed, r, params); failure != nil {
 			h.writeFailure(observed, *failure)
 		}
--- a/internal/api/options.go
+++ b/internal/api/options.go
@@ -15,6 +15,7 @@
 	defaultStepBody    = 32 << 20
 	defaultServiceBody = 8 << 20
 	defaultPlanBody    = 1 << 20
+	defaultBodyTimeout = time.Minute
 	defaultDeadline    = 30 * time.Second
 	defaultMaxDeadline = 10 * time.Minute
 	defaultMaxWait     = time.Minute
@@ -27,6 +28,8 @@
 	StepBody    int64
 	ServiceBody int64
 	PlanBody    int64
+	// BodyTimeout bounds the time in which a request's body comes.
+	BodyTimeout time.Duration
 	// Deadline bounds a service request that names none; MaxDeadline is the
 	// longest that a caller may name.
 	Deadline    time.Duration
@@ -43,6 +46,7 @@
 	setDefault(&l.StepBody, defaultStepBody)
 	setDefault(&l.ServiceBody, defaultServiceBody)
 	setDefault(&l.PlanBody, defaultPlanBody)
+	setDefault(&l.BodyTimeout, defaultBodyTimeout)
 	setDefault(&l.Deadline, defaultDeadline)
 	setDefault(&l.MaxDeadline, defaultMaxDeadline)
 	setDefault(&l.MaxWait, defaultMaxWait)
--- a/internal/api/relay_test.go
+++ b/internal/api/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"dalehook/internal/machine"
 )
@@ -182,3 +183,24 @@
 		})
 	}
 }
+
+// A caller that does not send the whole of its body is answered all the same,
+// also when its request is refused before the body is read.
+func TestBodyThatDoesNotCome(t *testing.T) {
+	s := newScript(t, Limits{BodyTimeout: time.Millisecond}, nil)
+	for head, status := range map[string]int{
+		"POST /v1/services/exam/save HTTP/1.1\r\nContent-Length: 9\r\n":                                 http.StatusRequestTimeout,
+		"POST /v1/steps HTTP/1.1\r\nTransfer-Encoding: chunked\r\n":                                     http.StatusRequestTimeout,
+		"POST /v1/services/exam/save HTTP/1.1\r\nContent-Length: 9\r\nDalehook-Repeatable: perhaps\r\n": http.StatusBadRequest,
+	} {
+		conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "%sHost: node\r\n\r\n", head)
+		if response := readHead(t, bufio.NewReader(conn)); response.StatusCode != status {
+			t.Errorf("%q: got status %d", head, response.StatusCode)
+		}
+		conn.Close()
+	}
+}
