--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -102,13 +102,13 @@
 			WeightLoads:  30,
 		},
 		Workloads: []traffic.Workload{
-			{Trainer: "captions", Steps: 5, Samples: 96, Every: 3 * time.Second, Tokens: 16, LongTokens: 400, MaxTokens: 500, LongEvery: 24, Bound: 1},
-			{Trainer: "summaries", Steps: 3, Samples: 48, Every: 5 * time.Second, Tokens: 120, LongTokens: 1000, MaxTokens: 1200, LongEvery: 12, Bound: 2},
+			{Trainer: "captions", Steps: 4, Every: 3 * time.Second, Samples: 96, Tokens: 16, LongTokens: 300, MaxTokens: 360, LongEvery: 24, Bound: 1},
+			{Trainer: "summaries", Steps: 2, Every: 6 * time.Second, Samples: 48, Tokens: 120, LongTokens: 800, MaxTokens: 900, LongEvery: 12, Bound: 2},
 		},
 		Versions:     4,
-		VersionEvery: 2 * time.Second,
+		VersionEvery: 3 * time.Second,
 		Callers:      24,
-		Requests:     3000,
+		Requests:     6000,
 		Timeout:      28 * time.Second,
 	}
 }
--- a/internal/settings/source.go
+++ b/internal/settings/source.go
@@ -110,7 +110,7 @@
 }
 
 func (r *reader) readSequence(origin Origin, field Field, node *yaml.Node) {
-	if node.Kind != yaml.SequenceNode {
+	if node.Kind != yaml.SequenceNode && node.Tag != "!!null" {
 		r.fault(origin, field.Key, "must be a list")
 		return
 	}
--- a/internal/traffic/trainer.go
+++ b/internal/traffic/trainer.go
@@ -26,6 +26,8 @@
 type Workload struct {
 	Trainer string
 	Steps   int
+	// Earlier is the number of steps that the trainer has posted before.
+	Earlier int
 	// Every is the time that the trainer expects from one step to the next.
 	Every time.Duration
 	// Samples is the number of samples in a step.
@@ -68,8 +70,8 @@
 
 // Run posts and reads one step after the other.
 func (t *Trainer) Run(ctx context.Context) error {
-	for number := 1; number <= t.work.Steps; number++ {
-		step := t.step(number)
+	for number := range t.work.Steps {
+		step := t.step(t.work.Earlier + number + 1)
 		if err := t.post(ctx, step); err != nil {
 			return err
 		}
