--- a/internal/core/weights_environment.go
+++ b/internal/core/weights_environment.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -39,19 +40,30 @@
 
 // PlannedLoads returns the loads of the plans in force for a pool, and one for
 // each further engine of a pool that serves a single model: an engine without
-// weights can take no sample.
+// weights can take no sample. The loads of an event with open steps are due at
+// once, since its trainers wait for them already.
 func (e weightsEnvironment) PlannedLoads(name string) []record.LoadVersion {
 	var loads []record.LoadVersion
 	for _, event := range e.Control().Events() {
+		waited := e.hasOpenStep(event.Plan.Event.Name)
 		for _, load := range event.Plan.Loads {
-			if load.Pool == name {
-				loads = append(loads, load)
+			if load.Pool != name {
+				continue
+			}
+			if waited {
+				load.At = time.Time{}
 			}
+			loads = append(loads, load)
 		}
 	}
 	return append(loads, e.spareLoads(name, loads)...)
 }
 
+// hasOpenStep reports whether a step of an event is open.
+func (e weightsEnvironment) hasOpenStep(event string) bool {
+	return slices.ContainsFunc(e.Control().Steps(), func(step record.StepOpened) bool { return step.Event == event })
+}
+
 // spareLoads returns loads for the engines of a pool that no plan loads.
 func (e weightsEnvironment) spareLoads(name string, planned []record.LoadVersion) []record.LoadVersion {
 	model, ok := e.onlyModel(name)
@@ -60,9 +72,9 @@
 	}
 	var from time.Time
 	taken := make(map[cluster.BackendID]bool, len(planned))
-	for _, load := range planned {
+	for i, load := range planned {
 		taken[load.Engine] = true
-		if from.IsZero() || load.At.Before(from) {
+		if i == 0 || load.At.Before(from) {
 			from = load.At
 		}
 	}
