--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -196,3 +196,6 @@
 	}
 	m.tickReader()
 }
+
+// ReadsLog reports whether this node is one of its zone's readers of the log.
+func (m *Machine) ReadsLog() bool { return m.reader.elected }
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -85,7 +85,12 @@
 	if known.fact.state == StateSuspect || known.fact.state == StateDead {
 		m.remind(known)
 	}
-	if n := m.findNeighbour(in.From); n != nil {
+	m.hearOf(in.From)
+}
+
+// hearOf notes a sign of life of a neighbour.
+func (m *Machine) hearOf(id cluster.NodeID) {
+	if n := m.findNeighbour(id); n != nil {
 		n.heardAt = m.now
 		n.probedAt = time.Time{}
 	}
--- a/internal/membership/learn.go
+++ b/internal/membership/learn.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	deadAt := m.now.Add(-time.Duration(fact.AgeSeconds) * time.Second)
-	if fact.State == StateDead && m.now.Sub(deadAt) >= m.options.ForgetAfter/2 {
+	if fact.State == StateDead && (m.now.Sub(deadAt) >= m.options.ForgetAfter/2 || m.excessDead() >= 0) {
 		return false
 	}
 	added := m.members.insert(string(fact.ID))
@@ -144,6 +144,8 @@
 	known.fact.sequence = fact.Sequence
 	switch {
 	case fact.State < StateSuspect:
+		// Only the member itself makes such a fact, so it is a sign of life.
+		m.hearOf(known.fact.node.ID)
 		m.revive(known, fact.State)
 	case known.fact.state == StateDead:
 		m.members.contribute(known, m.memberContribution(known))
@@ -185,6 +187,25 @@
 
 // learnBackend takes a fact about a back end and reports whether it was news.
 func (m *Machine) learnBackend(from cluster.NodeID, fact backendFact) bool {
+	if fact.ID == "" {
+		return false
+	}
+	rumor, complete := m.completeRumor(fact)
+	if !complete || !m.storeBackend(rumor, time.Duration(fact.AgeSeconds)*time.Second) {
+		return false
+	}
+	if fact.Sequence > 0 {
+		m.news.add(backendNews, string(fact.ID), from)
+	}
+	if m.options.OnBackendRumor != nil {
+		m.options.OnBackendRumor(m.now, rumor)
+	}
+	return true
+}
+
+// completeRumor fills the short form of a fact from what is known of the same
+// life of the back end, and reports false when that is not known.
+func (m *Machine) completeRumor(fact backendFact) (BackendRumor, bool) {
 	rumor := BackendRumor{
 		Machine: cluster.Machine{
 			ID:          fact.ID,
@@ -199,16 +220,16 @@
 		Sequence: fact.Sequence,
 		Listed:   fact.Listed,
 	}
-	if fact.ID == "" || !m.storeBackend(rumor, time.Duration(fact.AgeSeconds)*time.Second) {
-		return false
-	}
-	if fact.Sequence > 0 {
-		m.news.add(backendNews, string(fact.ID), from)
+	if fact.Kind != "" {
+		return rumor, true
 	}
-	if m.options.OnBackendRumor != nil {
-		m.options.OnBackendRumor(m.now, rumor)
+	known := m.backends.find(string(fact.ID))
+	if known == nil || known.fact.Machine.Incarnation != fact.Incarnation {
+		return BackendRumor{}, false
 	}
-	return true
+	rumor.Machine = known.fact.Machine
+	rumor.Machine.State = fact.State
+	return rumor, true
 }
 
 // storeBackend keeps a fact if it is newer, and reports whether it was. Age is
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -41,6 +41,10 @@
 	random  *rand.Rand
 	now     time.Time
 	started bool
+	// joined is set when a member has answered with all that it knows.
+	joined bool
+	// learned is set when the running answer has brought something new.
+	learned bool
 
 	// sequence is the version of this node's own state.
 	sequence   uint64
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -40,7 +40,8 @@
 	ClientAddress string
 }
 
-// backendFact is one back end's state.
+// backendFact is one back end's state. The short form, from Kind on empty, says
+// that a known back end is leaving or dead.
 type backendFact struct {
 	ID          cluster.BackendID
 	Incarnation cluster.Incarnation
@@ -60,7 +61,9 @@
 type facts struct {
 	Members  []memberFact
 	Backends []backendFact
-	// More is set on the last message of an answer that was cut short.
+	// Last is set on the last message of an answer, More when the answer was cut
+	// short.
+	Last bool
 	More bool
 }
 
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -256,3 +256,10 @@
 	}
 	return n.now.Sub(start)
 }
+
+// factsAbout returns a message that tells of a node.
+func factsAbout(subject cluster.Node) machine.PeerMessage {
+	return machine.PeerMessage{From: "n000", FromIncarnation: 1, Message: facts{Members: []memberFact{{
+		ID: subject.ID, Incarnation: subject.Incarnation, PeerAddress: subject.PeerAddress,
+	}}}}
+}
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -56,7 +56,7 @@
 	defaultProbeAfter        = 1600 * time.Millisecond
 	defaultProbeTimeout      = 800 * time.Millisecond
 	defaultSuspicionTimeout  = 2500 * time.Millisecond
-	defaultSpreadInterval    = 100 * time.Millisecond
+	defaultSpreadInterval    = 50 * time.Millisecond
 	defaultSyncInterval      = 2 * time.Second
 	defaultJoinInterval      = time.Second
 	defaultRetryInterval     = 5 * time.Second
@@ -66,11 +66,12 @@
 
 // The bounds of what one message and one node hold.
 const (
-	// maxFacts is the largest number of facts in one message, about 2.5 KB.
-	maxFacts = 24
+	// maxFacts is the largest number of facts in one message, about 5 KB when all
+	// are in full.
+	maxFacts = 48
 	// maxSyncMessages is the largest number of messages that answer one request
 	// for missing facts.
-	maxSyncMessages = 4
+	maxSyncMessages = 2
 	// maxMembers and maxBackends bound the tables.
 	maxMembers  = 4096
 	maxBackends = 8192
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -90,7 +90,8 @@
 		}
 		if item.kind == backendNews {
 			if known := m.backends.find(item.key); known != nil {
-				message.Backends = append(message.Backends, m.backendFact(known))
+				live := known.fact.Machine.State == cluster.StateLive
+				message.Backends = append(message.Backends, m.backendFact(known, live))
 			}
 			continue
 		}
@@ -130,42 +131,45 @@
 	return fact
 }
 
-// backendFact returns a back end's state.
-func (m *Machine) backendFact(known *row[BackendRumor]) backendFact {
+// backendFact returns a back end's state; full includes what it is and where.
+func (m *Machine) backendFact(known *row[BackendRumor], full bool) backendFact {
 	subject := known.fact.Machine
-	return backendFact{
+	fact := backendFact{
 		ID:          subject.ID,
 		Incarnation: subject.Incarnation,
 		Sequence:    known.fact.Sequence,
 		State:       subject.State,
 		Listed:      known.fact.Listed,
 		AgeSeconds:  m.age(known.deadAt),
-		Kind:        subject.Kind,
-		Pool:        subject.Pool,
-		Zone:        subject.Zone,
-		Region:      subject.Region,
-		Address:     subject.Address,
 	}
+	if full {
+		fact.Kind = subject.Kind
+		fact.Pool = subject.Pool
+		fact.Zone = subject.Zone
+		fact.Region = subject.Region
+		fact.Address = subject.Address
+	}
+	return fact
 }
 
-// age returns the whole seconds since a death, zero for the living.
+// age returns the seconds since a death, zero for the living. It is rounded up,
+// so that a death that is told on and on ages all the same.
 func (m *Machine) age(deadAt time.Time) uint32 {
 	if deadAt.IsZero() {
 		return 0
 	}
-	return uint32(max(0, m.now.Sub(deadAt)) / time.Second)
+	return uint32((max(0, m.now.Sub(deadAt)) + time.Second - 1) / time.Second)
 }
 
 // handleFacts takes news and passes on what is new here.
 func (m *Machine) handleFacts(from cluster.NodeID, in facts) {
-	learned := false
 	for _, fact := range in.Members {
-		learned = m.learnMember(from, fact) || learned
+		m.learned = m.learnMember(from, fact) || m.learned
 	}
 	for _, fact := range in.Backends {
-		learned = m.learnBackend(from, fact) || learned
+		m.learned = m.learnBackend(from, fact) || m.learned
 	}
-	if in.More && learned {
-		m.continueSync(from)
+	if in.Last {
+		m.endAnswer(from, in.More)
 	}
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -38,9 +38,15 @@
 	m.send(to, request)
 }
 
-// continueSync asks for the rest of an answer that was cut short.
-func (m *Machine) continueSync(from cluster.NodeID) {
-	m.reply(from, syncRequest{Members: m.memberDigests(), Backends: m.backends.digests()})
+// endAnswer asks for the rest of an answer that was cut short, as long as answers
+// bring anything new. A whole answer ends the joining.
+func (m *Machine) endAnswer(from cluster.NodeID, more bool) {
+	if more && m.learned {
+		m.learned = false
+		m.reply(from, syncRequest{Members: m.memberDigests(), Backends: m.backends.digests()})
+		return
+	}
+	m.joined = true
 }
 
 // memberDigests returns the digests of the members' buckets, with this node in
@@ -100,10 +106,11 @@
 			break
 		}
 		last := &answer[len(answer)-1]
-		last.Backends = append(last.Backends, m.backendFact(known))
+		last.Backends = append(last.Backends, m.backendFact(known, true))
 	}
 	for i, message := range answer {
-		message.More = more && i == len(answer)-1
+		message.Last = i == len(answer)-1
+		message.More = more && message.Last
 		m.reply(from, message)
 	}
 }
@@ -135,11 +142,11 @@
 	}
 }
 
-// seekMembers looks for a first member while this node is alone, and later now
-// and then for members on the other side of a partition.
+// seekMembers asks for all that others know until one of them has answered, and
+// later presents this node now and then to members it has lost.
 func (m *Machine) seekMembers() {
-	if len(m.currentNeighbours()) == 0 {
-		m.seekFirst()
+	if !m.joined || len(m.currentNeighbours()) == 0 {
+		m.join()
 		return
 	}
 	if m.now.Before(m.nextRetry) {
@@ -152,13 +159,16 @@
 	}
 }
 
-// seekFirst presents this node to a few addresses and asks for all they know.
-func (m *Machine) seekFirst() {
+// join presents this node to a few addresses and asks for all they know.
+func (m *Machine) join() {
 	if m.now.Before(m.nextJoin) {
 		return
 	}
 	m.nextJoin = m.now.Add(m.options.JoinInterval)
 	addresses := m.lostAddresses()
+	for _, n := range m.currentNeighbours() {
+		addresses = append(addresses, n.node.PeerAddress)
+	}
 	m.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(joinFanout, len(addresses))] {
 		m.present(address, true)
@@ -237,11 +247,11 @@
 
 // dropOldestDead bounds the number of dead members by that of live ones.
 func (m *Machine) dropOldestDead() {
-	dead := m.deadMembers()
-	excess := len(dead) - max(minDeadKept, len(m.members.rows)-len(dead)+1)
+	excess := m.excessDead()
 	if excess <= 0 {
 		return
 	}
+	dead := m.deadMembers()
 	slices.SortStableFunc(dead, func(a, b *row[member]) int { return a.deadAt.Compare(b.deadAt) })
 	for _, known := range dead[:excess] {
 		m.members.remove(known)
@@ -249,6 +259,13 @@
 	m.invalidate()
 }
 
+// excessDead returns by how many the dead members exceed their bound, negative
+// while there is room.
+func (m *Machine) excessDead() int {
+	dead := len(m.deadMembers())
+	return dead - max(minDeadKept, len(m.members.rows)-dead+1)
+}
+
 // deadMembers returns the dead, sorted by id.
 func (m *Machine) deadMembers() []*row[member] {
 	var dead []*row[member]
--- a/internal/pool/machine.go
+++ b/internal/pool/machine.go
@@ -31,18 +31,34 @@
 	known      map[string]struct{}
 	subscribed map[string]struct{}
 
-	// members is the list that the watchers were computed from, polled the
-	// entries that this node polls, and subsets its share of each service. stale
-	// is set when they are to be computed again.
-	members []membership.Member
-	polled  []*entry
-	subsets map[string][]*entry
-	stale   bool
+	// groups holds the entries of each pool and service, sorted by id, and pools
+	// the names of the pools of engines, sorted.
+	groups map[string][]*entry
+	pools  []string
+
+	// members is the list that was last looked at, watchers the live nodes in it
+	// that may watch, and subsets this node's share of each service.
+	members  []membership.Member
+	watchers []watcher
+	subsets  map[string][]*entry
+	// polled holds the entries that this node polls.
+	polled []*entry
+	stale  staleness
+	// nextRefresh is the earliest time of the next choice of watchers.
+	nextRefresh time.Time
 
 	list      listReader
 	nextSweep time.Time
 }
 
+// staleness says what is to be computed again.
+type staleness struct {
+	// watchers is set when the live nodes have changed, polled when entries were
+	// added or removed or when this node's subscriptions have changed.
+	watchers bool
+	polled   bool
+}
+
 // New returns a machine that knows no back end.
 func New(options Options) *Machine {
 	return &Machine{
@@ -53,6 +69,7 @@
 		known:      map[string]struct{}{},
 		subscribed: map[string]struct{}{},
 		subsets:    map[string][]*entry{},
+		groups:     map[string][]*entry{},
 	}
 }
 
@@ -112,15 +129,27 @@
 		return
 	}
 	added := &entry{hash: xxhash.Sum64String(string(rumor.Machine.ID)), load: -1, rank: -1}
-	at, _ := slices.BinarySearchFunc(m.entries, rumor.Machine.ID, func(e *entry, id cluster.BackendID) int {
-		return cmp.Compare(e.id(), id)
-	})
+	at, _ := slices.BinarySearchFunc(m.entries, rumor.Machine.ID, compareID)
+	m.assign(added, rumor)
 	m.entries = slices.Insert(m.entries, at, added)
 	m.index[rumor.Machine.ID] = added
-	m.known[rumor.Machine.Pool] = struct{}{}
-	m.assign(added, rumor)
+	m.assignWatchers(added)
+}
+
+// regroup moves an entry from the group of one pool to that of another.
+func (m *Machine) regroup(e *entry, from, to string) {
+	if m.index[e.id()] == e && from == to {
+		return
+	}
+	m.groups[from] = slices.DeleteFunc(m.groups[from], func(other *entry) bool { return other == e })
+	at, _ := slices.BinarySearchFunc(m.groups[to], e.id(), compareID)
+	m.groups[to] = slices.Insert(m.groups[to], at, e)
+	m.known[to] = struct{}{}
 }
 
+// compareID orders entries by id.
+func compareID(e *entry, id cluster.BackendID) int { return cmp.Compare(e.id(), id) }
+
 // assign takes a newer fact. A new life starts without a past.
 func (m *Machine) assign(e *entry, rumor membership.BackendRumor) {
 	if rumor.Machine.Incarnation != e.rumor.Machine.Incarnation || rumor.Machine.Address != e.rumor.Machine.Address {
@@ -128,14 +157,29 @@
 		e.failures, e.avoidUntil, e.avoidFor = 0, time.Time{}, 0
 		e.polledAt = time.Time{}
 	}
+	from := e.rumor.Machine.Pool
 	e.rumor = rumor
+	m.regroup(e, from, rumor.Machine.Pool)
 	e.answers = 0
 	e.inquiry = inquiry{}
 	e.deadAt = time.Time{}
 	if rumor.Machine.State == cluster.StateDead {
 		e.deadAt = m.now
 	}
-	m.stale = true
+	m.notePool(rumor.Machine)
+	delete(m.subsets, rumor.Machine.Pool)
+	e.nextPoll = m.nextDue(e)
+	m.stale.polled = true
+}
+
+// notePool keeps the names of the pools of engines.
+func (m *Machine) notePool(subject cluster.Machine) {
+	if subject.Kind != cluster.KindEngine {
+		return
+	}
+	if at, found := slices.BinarySearch(m.pools, subject.Pool); !found {
+		m.pools = slices.Insert(m.pools, at, subject.Pool)
+	}
 }
 
 // publish changes a back end's state and tells every node.
@@ -203,25 +247,23 @@
 
 // Engines returns the known engines of a pool, sorted by id.
 func (m *Machine) Engines(pool string) []Backend {
-	return m.collect(func(e *entry) bool {
-		return e.rumor.Machine.Kind == cluster.KindEngine && e.rumor.Machine.Pool == pool
-	})
+	group := m.groups[pool]
+	engines := make([]Backend, 0, len(group))
+	for _, e := range group {
+		if e.rumor.Machine.Kind == cluster.KindEngine {
+			engines = append(engines, e.backend(m.now))
+		}
+	}
+	return engines
 }
 
 // All returns every known back end, dead ones too, sorted by id.
 func (m *Machine) All() []Backend {
-	return m.collect(func(*entry) bool { return true })
-}
-
-// collect returns the back ends that match.
-func (m *Machine) collect(match func(e *entry) bool) []Backend {
-	var found []Backend
+	all := make([]Backend, 0, len(m.entries))
 	for _, e := range m.entries {
-		if match(e) {
-			found = append(found, e.backend(m.now))
-		}
+		all = append(all, e.backend(m.now))
 	}
-	return found
+	return all
 }
 
 // Known reports whether a back end of the pool or service was ever listed.
@@ -230,17 +272,9 @@
 	return known
 }
 
-// Pools returns the names of the pools of engines, sorted.
-func (m *Machine) Pools() []string {
-	var names []string
-	for _, e := range m.entries {
-		if e.rumor.Machine.Kind == cluster.KindEngine {
-			names = append(names, e.rumor.Machine.Pool)
-		}
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
+// Pools returns the names of the pools of engines ever listed, sorted. The slice
+// is shared and must not be changed.
+func (m *Machine) Pools() []string { return m.pools }
 
 // Find returns one back end.
 func (m *Machine) Find(id cluster.BackendID) (Backend, bool) {
@@ -260,9 +294,17 @@
 	gone := func(e *entry) bool { return !e.deadAt.IsZero() && m.now.Sub(e.deadAt) >= forgetAfter }
 	for _, e := range m.entries {
 		if gone(e) {
-			delete(m.index, e.id())
-			m.stale = true
+			m.forget(e)
 		}
 	}
 	m.entries = slices.DeleteFunc(m.entries, gone)
 }
+
+// forget takes an entry out of all indexes but the sorted list.
+func (m *Machine) forget(e *entry) {
+	name := e.rumor.Machine.Pool
+	delete(m.index, e.id())
+	delete(m.subsets, name)
+	m.groups[name] = slices.DeleteFunc(m.groups[name], func(other *entry) bool { return other == e })
+	m.stale.polled = true
+}
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -37,8 +37,9 @@
 	// pollTimeout is how long a poll may stay unanswered before it counts as a
 	// failure.
 	pollTimeout = 600 * time.Millisecond
-	// verdictTimeout is how long the other watchers have to say what they see.
-	verdictTimeout = 900 * time.Millisecond
+	// verdictTimeout is how long the other watchers have to say what they see:
+	// pollTimeout and the way there and back.
+	verdictTimeout = 700 * time.Millisecond
 	// lonelyTimeout ends an inquiry that no other watcher has answered; by then
 	// the membership has replaced watchers that died.
 	lonelyTimeout = 6 * time.Second
--- a/internal/pool/subset.go
+++ b/internal/pool/subset.go
@@ -52,9 +52,9 @@
 // orderedServers returns the live servers of a service by region, zone and hash.
 func (m *Machine) orderedServers(name string) []*entry {
 	var servers []*entry
-	for _, e := range m.entries {
+	for _, e := range m.groups[name] {
 		subject := e.rumor.Machine
-		if subject.Kind == cluster.KindService && subject.Pool == name && subject.State == cluster.StateLive {
+		if subject.Kind == cluster.KindService && subject.State == cluster.StateLive {
 			servers = append(servers, e)
 		}
 	}
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -12,31 +12,62 @@
 	"dalehook/internal/membership"
 )
 
+// refreshInterval is the shortest time between two choices of all watchers, so
+// that the loss of many nodes costs few of them.
+const refreshInterval = 500 * time.Millisecond
+
 // watcher is a live node as a candidate to watch back ends.
 type watcher struct {
 	node cluster.Node
 	hash uint64
+	// zone numbers the zones.
+	zone int
 }
 
-// refresh computes the watchers and the polled back ends again when the members,
-// the back ends or the subscriptions have changed.
+// refresh follows changes of the members, the back ends and the subscriptions.
 func (m *Machine) refresh() {
+	m.lookAtMembers()
+	if m.stale.watchers && !m.now.Before(m.nextRefresh) {
+		m.nextRefresh = m.now.Add(refreshInterval)
+		m.stale.watchers = false
+		m.stale.polled = true
+		for _, e := range m.entries {
+			m.assignWatchers(e)
+		}
+	}
+	if m.stale.polled {
+		m.stale.polled = false
+		m.choosePolled()
+	}
+}
+
+// lookAtMembers notices a change of the live nodes.
+func (m *Machine) lookAtMembers() {
 	members := m.options.Members()
-	if !m.stale && sameSlice(members, m.members) {
+	if sameSlice(members, m.members) {
 		return
 	}
-	m.stale = false
 	m.members = members
+	watchers := m.candidates()
+	if slices.Equal(watchers, m.watchers) {
+		return
+	}
+	m.watchers = watchers
+	m.stale.watchers = true
 	clear(m.subsets)
-	candidates := m.candidates()
+}
+
+// choosePolled collects the entries that this node polls.
+func (m *Machine) choosePolled() {
 	m.polled = m.polled[:0]
 	for _, e := range m.entries {
-		m.assignWatchers(e, candidates)
-		if e.rank >= 0 && e.rank < pollingWatchers || m.subscribes(e) || e.polledAt != (time.Time{}) || len(e.askers) > 0 {
+		if m.interval(e) > 0 || !e.polledAt.IsZero() || len(e.askers) > 0 {
 			m.polled = append(m.polled, e)
-			if e.nextPoll.IsZero() {
-				e.nextPoll = m.nextDue(e)
-			}
+		}
+	}
+	for _, e := range m.polled {
+		if e.nextPoll.IsZero() {
+			e.nextPoll = m.nextDue(e)
 		}
 	}
 }
@@ -46,17 +77,26 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// candidates returns the live nodes grouped by zone.
+// candidates returns the nodes that may watch, grouped by zone. Suspected ones
+// are among them, so that a suspicion that is refuted moves nothing.
 func (m *Machine) candidates() []watcher {
-	var live []watcher
+	live := make([]watcher, 0, len(m.members))
 	for _, known := range m.members {
-		if known.State == membership.StateAlive {
+		if known.State == membership.StateAlive || known.State == membership.StateSuspect {
 			live = append(live, watcher{node: known.Node, hash: xxhash.Sum64String(string(known.ID))})
 		}
 	}
 	slices.SortStableFunc(live, func(a, b watcher) int {
 		return cmp.Or(cmp.Compare(a.node.Region, b.node.Region), cmp.Compare(a.node.Zone, b.node.Zone))
 	})
+	for i := range live {
+		if i > 0 {
+			live[i].zone = live[i-1].zone
+			if !sameZone(live[i].node, live[i-1].node) {
+				live[i].zone++
+			}
+		}
+	}
 	return live
 }
 
@@ -68,7 +108,8 @@
 
 // assignWatchers chooses the back end's watchers by rendezvous hashing: the best
 // node of each of the best zones, and the next best nodes where zones are few.
-func (m *Machine) assignWatchers(e *entry, candidates []watcher) {
+func (m *Machine) assignWatchers(e *entry) {
+	candidates := m.watchers
 	var best [watcherCount]scored
 	count := 0
 	for start := 0; start < len(candidates); {
@@ -90,7 +131,7 @@
 		}
 	}
 	if e.rank != previous {
-		e.nextPoll = time.Time{}
+		e.nextPoll = m.nextDue(e)
 		e.inquiry = inquiry{}
 	}
 }
@@ -99,7 +140,7 @@
 func bestOfZone(candidates []watcher, start int, hash uint64) (int, scored) {
 	top := scored{at: start, score: rendezvous(candidates[start].hash, hash)}
 	end := start + 1
-	for ; end < len(candidates) && sameZone(candidates[end].node, candidates[start].node); end++ {
+	for ; end < len(candidates) && candidates[end].zone == candidates[start].zone; end++ {
 		if score := rendezvous(candidates[end].hash, hash); score > top.score {
 			top = scored{at: end, score: score}
 		}
@@ -162,7 +203,7 @@
 	} else {
 		delete(m.subscribed, pool)
 	}
-	m.stale = true
+	m.stale.polled = true
 }
 
 // Refresh polls a back end at once, such as after an order to load a version.
