Ask the replicas once more when a repeat's coordinator has left

Cause: a repeat of a key at another node waits for the coordinator that started the request and asks it every 100 ms. A coordinator in a planned stop records its outcome, closes the key and ends between two of these questions; the repeat then found it dead and answered outcome_unknown, although a majority of the replicas held the answer. Seen with separate processes: SIGTERM to a node with three saves running, each repeated at another node meanwhile; all three repeats got 503 "the node that started the request is gone".

Ruled out: the record itself (the same repeat after the stop got the recorded answer, and each save ran once).

Change: with no coordinator left to ask, the replicas are asked once more before the outcome counts as unknown. A majority of votes meets the majority that holds the record. The time for this new gathering of votes begins anew, also after a rival that has ended, else a repeat that had waited over 5 s had none left.

Before: TestRepeatWaitsWhileItsCoordinatorLeaves failed at its first seed with "outcome_unknown false", want "k run 1". After: 20 seeds pass, and the package's other tests, TestAtMostOnceSeeds among them.

--- a/internal/idempotency/operation.go
+++ b/internal/idempotency/operation.go
@@ -77,7 +77,8 @@
 	// rivals are the attempts of other coordinators that stand in the way.
 	rivals  []Marker
 	nextAsk time.Time
-	// askedReplicas says that a rival has ended and its outcome was looked for.
+	// askedReplicas says that a rival has ended, or is gone, and that its outcome
+	// was looked for.
 	askedReplicas bool
 	// outcome, acknowledged and recordUntil belong to phaseRecording.
 	outcome      Marker
--- a/internal/idempotency/rival.go
+++ b/internal/idempotency/rival.go
@@ -34,8 +34,8 @@
 	op.nextAsk = now
 }
 
-// askRivals asks the coordinators of the rivals. When none of them lives, nobody
-// can say whether the request ran.
+// askRivals asks the coordinators of the rivals. When none of them lives, only
+// the replicas can say what the request has come to.
 func (c *coordinator) askRivals(now time.Time, op *operation) {
 	if now.Before(op.nextAsk) {
 		return
@@ -54,8 +54,21 @@
 		)
 	}
 	if asked == 0 || c.onlyOwnPast(op) {
+		c.rivalsGone(now, op)
+	}
+}
+
+// rivalsGone asks the replicas once more: a coordinator may have recorded its
+// outcome and left since they last voted. A majority of them has that record.
+func (c *coordinator) rivalsGone(now time.Time, op *operation) {
+	if op.askedReplicas {
 		c.fail(now, op, outcomeUnknown("the node that started the request is gone"))
+		return
 	}
+	op.askedReplicas = true
+	c.release(now, op)
+	op.giveUp = minTime(now.Add(prepareTime), op.request.Deadline.Add(-answerMargin))
+	c.newAttempt(now, op)
 }
 
 // onlyOwnPast reports whether all rivals are of earlier lives of this node, which
@@ -128,6 +141,7 @@
 		return
 	}
 	op.askedReplicas = true
+	op.giveUp = minTime(now.Add(prepareTime), op.request.Deadline.Add(-answerMargin))
 	c.newAttempt(now, op)
 }
 
--- a/internal/idempotency/scenario_test.go
+++ b/internal/idempotency/scenario_test.go
@@ -196,6 +196,25 @@
 	c.check(t)
 }
 
+// TestRepeatWaitsWhileItsCoordinatorLeaves ends the coordinator as soon as it has
+// recorded the outcome, between two questions of the repeat that waits for it.
+func TestRepeatWaitsWhileItsCoordinatorLeaves(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newTestCluster(seed, 6, ablation{})
+		leaving, elsewhere := c.nodes[0], c.nodes[1]
+		c.call(leaving, "k", time.Second)
+		c.advance(5 * time.Millisecond)
+		repeat := c.call(elsewhere, "k", 2*time.Second)
+		for leaving.machine.Busy() {
+			c.advance(time.Millisecond)
+		}
+		c.kill(leaving)
+		c.advance(2 * time.Second)
+		expect(t, fmt.Sprintf("seed %d", seed), c.results[repeat], "k run 1")
+		c.check(t)
+	}
+}
+
 // TestSplitVotes begins a key at several nodes at once: all get the one answer.
 func TestSplitVotes(t *testing.T) {
 	for seed := range uint64(40) {
