Measure the control plane with hollow nodes

Change: hollow nodes are the real control machines with one gob stream a link; bench control runs them on the virtual clock through five phases, or over loopback sockets through internal/peer; tables, CSV and plots.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -38,5 +38,6 @@
 	commander.Register(newDemoCommand(streams), groupRehearsal)
 	commander.Register(newLoadCommand(streams), groupRehearsal)
 	commander.Register(newStandinCommand(streams), groupRehearsal)
+	commander.Register(newBenchCommand(streams), groupRehearsal)
 	return commander
 }
