Let operators withdraw an event

Cause: the record and its fold existed, but no call wrote it; an event confirmed by mistake stayed in force. Ruled out: deleting by a plan without demands, which hides what was meant. Change: POST /v1/events/{event}/withdraw and dalehook withdraw, decided by the revision like a confirmation; a plan that is sent with its confirmation is checked like a new intent.

--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -57,6 +57,7 @@
 	router.POST("/v1/plans", h.route("post_plan", h.postPlan))
 	router.GET("/v1/plans/:digest", h.route("get_plan", h.getPlan))
 	router.POST("/v1/plans/:digest/confirm", h.route("confirm_plan", h.confirmPlan))
+	router.POST("/v1/events/:event/withdraw", h.route("withdraw_event", h.withdrawEvent))
 	router.GET("/v1/status", h.route("status", h.getStatus))
 	router.GET("/healthz", h.route("healthz", h.getHealth))
 	router.GET("/readyz", h.route("readyz", h.getReadiness))
--- a/internal/api/plans.go
+++ b/internal/api/plans.go
@@ -94,6 +94,35 @@
 	})
 }
 
+// WithdrawRequest is the body of POST /v1/events/{event}/withdraw.
+type WithdrawRequest struct {
+	// Revision is the revision in force that the operator has seen; it is required.
+	Revision *record.Revision `json:"revision"`
+	Operator string           `json:"operator"`
+}
+
+// withdrawEvent serves POST /v1/events/:event/withdraw.
+func (h *Handler) withdrawEvent(w http.ResponseWriter, r *http.Request, params httprouter.Params) *machine.Failure {
+	var request WithdrawRequest
+	if failure := decodeBody(w, r, h.options.Limits.PlanBody, &request); failure != nil {
+		return failure
+	}
+	if request.Revision == nil {
+		return badRequest("revision", "revision is missing")
+	}
+	if failure := checkOptionalName("operator", request.Operator); failure != nil {
+		return failure
+	}
+	return h.ask(w, r, "", func(id machine.CallID) machine.Input {
+		return machine.WithdrawEvent{
+			Call:     id,
+			Event:    params.ByName("event"),
+			Revision: *request.Revision,
+			Operator: request.Operator,
+		}
+	})
+}
+
 // check checks a confirmation against the digest of its path.
 func (c ConfirmRequest) check(digest string) *machine.Failure {
 	if failure := checkID("digest", digest); failure != nil {
--- a/internal/api/reply.go
+++ b/internal/api/reply.go
@@ -32,6 +32,8 @@
 		})
 	case machine.PlanInForce:
 		h.writeJSON(w, http.StatusOK, ConfirmAnswer(reply))
+	case machine.EventOut:
+		h.writeJSON(w, http.StatusOK, reply)
 	case machine.StatusReport:
 		h.writeJSON(w, http.StatusOK, reply)
 	case machine.ServiceResponse:
--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -54,6 +54,22 @@
 	return answer, err
 }
 
+// Withdrawal takes an event out of force.
+type Withdrawal struct {
+	Event string `json:"-"`
+	// Revision is the one in force that the operator has seen.
+	Revision record.Revision `json:"revision"`
+	Operator string          `json:"operator,omitempty"`
+}
+
+// WithdrawEvent takes an event out of force.
+func (c *Client) WithdrawEvent(ctx context.Context, withdrawal Withdrawal) (machine.EventOut, error) {
+	var answer machine.EventOut
+	path := "/v1/events/" + url.PathEscape(withdrawal.Event) + "/withdraw"
+	err := c.post(ctx, path, withdrawal, &answer)
+	return answer, err
+}
+
 // Status reads what the node knows.
 func (c *Client) Status(ctx context.Context) (machine.StatusReport, error) {
 	var answer machine.StatusReport
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -34,6 +34,7 @@
 	commander.Register(newCheckCommand(streams), groupNode)
 	commander.Register(newPlanCommand(streams), groupOperators)
 	commander.Register(newConfirmCommand(streams), groupOperators)
+	commander.Register(newWithdrawCommand(streams), groupOperators)
 	commander.Register(newStatusCommand(streams), groupOperators)
 	commander.Register(newDemoCommand(streams), groupRehearsal)
 	commander.Register(newLoadCommand(streams), groupRehearsal)
--- /dev/null
+++ b/internal/command/withdraw.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"dalehook/internal/client"
+	"dalehook/internal/record"
+)
+
+// withdrawCommand takes an event out of force.
+type withdrawCommand struct {
+	streams  Streams
+	operator operatorFlags
+	event    string
+	revision uint64
+	name     string
+}
+
+func newWithdrawCommand(streams Streams) *withdrawCommand { return &withdrawCommand{streams: streams} }
+
+// Name implements subcommands.Command.
+func (*withdrawCommand) Name() string { return "withdraw" }
+
+// Synopsis implements subcommands.Command.
+func (*withdrawCommand) Synopsis() string { return "take an event out of force" }
+
+// Usage implements subcommands.Command.
+func (*withdrawCommand) Usage() string {
+	return `withdraw -node ADDRESS -event NAME -revision N -operator NAME [-json]:
+	Takes an event out of force; status shows the revision in force. When another
+	change was confirmed meanwhile, nothing changes and the winner is named.
+	Steps that were accepted go on under the event as it was.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *withdrawCommand) SetFlags(flags *flag.FlagSet) {
+	c.operator.register(flags)
+	flags.StringVar(&c.event, "event", "", "`name` of the event (required)")
+	flags.Uint64Var(&c.revision, "revision", 0, "revision in force")
+	flags.StringVar(&c.name, "operator", "", "your name, for the record (required)")
+}
+
+// Execute implements subcommands.Command.
+func (c *withdrawCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	node, ok := c.operator.client(c.streams, flags)
+	if !ok {
+		return subcommands.ExitUsageError
+	}
+	if c.event == "" || c.name == "" {
+		fmt.Fprintln(c.streams.Error, "withdraw: -event and -operator are required")
+		return subcommands.ExitUsageError
+	}
+	ctx, cancel := c.operator.context(ctx)
+	defer cancel()
+	withdrawal := client.Withdrawal{Event: c.event, Revision: record.Revision(c.revision), Operator: c.name}
+	answer, err := node.WithdrawEvent(ctx, withdrawal)
+	if err != nil {
+		return reportFailure(c.streams, "withdraw", err)
+	}
+	if c.operator.json {
+		return printJSON(c.streams, answer)
+	}
+	fmt.Fprintf(c.streams.Output, "Event %q is out of force; revision %d is in force.\n", answer.Event, answer.Revision)
+	return subcommands.ExitSuccess
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -269,6 +269,8 @@
 		c.operator.HandleGet(now, in)
 	case machine.ConfirmPlan:
 		c.operator.HandleConfirm(now, in)
+	case machine.WithdrawEvent:
+		c.operator.HandleWithdraw(now, in)
 	}
 }
 
--- a/internal/core/leaving.go
+++ b/internal/core/leaving.go
@@ -68,6 +68,8 @@
 		return in.Call, true
 	case machine.ConfirmPlan:
 		return in.Call, true
+	case machine.WithdrawEvent:
+		return in.Call, true
 	}
 	return 0, false
 }
--- a/internal/machine/call.go
+++ b/internal/machine/call.go
@@ -52,6 +52,16 @@
 
 func (ConfirmPlan) input() {}
 
+// WithdrawEvent is an operator's POST /v1/events/{event}/withdraw.
+type WithdrawEvent struct {
+	Call     CallID
+	Event    string
+	Revision record.Revision
+	Operator string
+}
+
+func (WithdrawEvent) input() {}
+
 // GetPlan is an operator's GET /v1/plans/{digest}.
 type GetPlan struct {
 	Call   CallID
@@ -207,6 +217,13 @@
 	Revision record.Revision
 }
 
+// EventOut answers WithdrawEvent: the event is not in force.
+type EventOut struct {
+	Event string `json:"event"`
+	// Revision is the one in force without the event.
+	Revision record.Revision `json:"revision"`
+}
+
 // ServiceResponse answers a ServiceCall with a recorded or buffered answer.
 type ServiceResponse struct {
 	Response Response
--- a/internal/operator/failure.go
+++ b/internal/operator/failure.go
@@ -54,7 +54,7 @@
 	}
 	return machine.Failure{
 		Status: http.StatusConflict, Code: machine.CodeRevisionChanged, Step: stepConfirm, NotRun: true, Field: "revision",
-		Message: fmt.Sprintf("the plan builds on revision %d, but %s put revision %d in force", base, winner, control.Revision()),
+		Message: fmt.Sprintf("the change builds on revision %d, but %s put revision %d in force", base, winner, control.Revision()),
 	}
 }
 
--- a/internal/operator/machine.go
+++ b/internal/operator/machine.go
@@ -70,11 +70,13 @@
 	confirm  *machine.ConfirmPlan
 }
 
-// confirmation is a call that waits for its record to be folded.
+// confirmation is a call that waits for its record to be folded. It confirms the
+// plan of a digest, or withdraws an event.
 type confirmation struct {
 	call     machine.CallID
 	id       record.ID
 	digest   string
+	event    string
 	deadline time.Time
 }
 
@@ -136,15 +138,21 @@
 	if in.Plan == nil {
 		return m.plans.get(in.Digest)
 	}
-	return *in.Plan, in.Plan.Digest == in.Digest && planner.Digest(*in.Plan) == in.Digest
+	sound := len(planner.Check(in.Plan.Event)) == 0
+	return *in.Plan, sound && in.Plan.Digest == in.Digest && planner.Intact(*in.Plan)
 }
 
 func (m *Machine) append(now time.Time, in machine.ConfirmPlan, plan record.Plan) {
 	body := record.PlanConfirmed{Base: plan.Base, Operator: in.Operator, Plan: plan}
-	call := in.Call
-	done := func(now time.Time, result logwriter.Result) { m.appended(now, call, result) }
-	id := m.options.Writer.Append(now, record.ControlLog, body, done, logwriter.GiveUpAfter(settleTimeout))
-	m.confirms = append(m.confirms, confirmation{call: call, id: id, digest: in.Digest, deadline: now.Add(settleTimeout)})
+	m.propose(now, body, confirmation{call: in.Call, digest: in.Digest})
+}
+
+// propose appends a change of the configuration and waits for the fold.
+func (m *Machine) propose(now time.Time, body any, open confirmation) {
+	done := func(now time.Time, result logwriter.Result) { m.appended(now, open.call, result) }
+	open.id = m.options.Writer.Append(now, record.ControlLog, body, done, logwriter.GiveUpAfter(settleTimeout))
+	open.deadline = now.Add(settleTimeout)
+	m.confirms = append(m.confirms, open)
 }
 
 // appended ends a confirmation whose record is not on the log, or may not be.
@@ -160,8 +168,7 @@
 
 // HandleChange takes what an entry of the control log changed.
 func (m *Machine) HandleChange(entry record.Entry, change record.Change) {
-	body, ok := change.Body.(record.PlanConfirmed)
-	if !ok || change.Reason == record.ReasonDuplicate || change.Reason == record.ReasonApplied {
+	if change.Reason == record.ReasonDuplicate || change.Reason == record.ReasonApplied {
 		return
 	}
 	for _, open := range m.confirms {
@@ -169,7 +176,7 @@
 			continue
 		}
 		if change.Valid {
-			m.finish(open.call, machine.PlanInForce{Digest: body.Plan.Digest, Revision: change.Revision})
+			m.finish(open.call, m.done(open))
 		} else {
 			m.finish(open.call, lostTo(change))
 		}
@@ -177,12 +184,24 @@
 	}
 }
 
+// done returns the answer to a change that is in force.
+func (m *Machine) done(open confirmation) any {
+	control := m.options.Environment.Control()
+	if open.event != "" {
+		return machine.EventOut{Event: open.event, Revision: control.Revision()}
+	}
+	event, _ := control.PlanByDigest(open.digest)
+	return machine.PlanInForce{Digest: open.digest, Revision: event.Revision}
+}
+
 // HandleRestore settles open confirmations by a fold that replaced the old one.
 func (m *Machine) HandleRestore() {
 	control := m.options.Environment.Control()
 	for _, open := range append([]confirmation(nil), m.confirms...) {
-		if event, ok := control.PlanByDigest(open.digest); ok {
-			m.finish(open.call, machine.PlanInForce{Digest: open.digest, Revision: event.Revision})
+		_, inForce := control.PlanByDigest(open.digest)
+		_, eventInForce := control.Event(open.event)
+		if open.event == "" && inForce || open.event != "" && !eventInForce {
+			m.finish(open.call, m.done(open))
 		}
 	}
 }
--- a/internal/operator/machine_test.go
+++ b/internal/operator/machine_test.go
@@ -131,6 +131,18 @@
 			b.fold(confirmed(theirs, "other.1"))
 			b.machine.HandleConfirm(start, confirm(1, mine))
 		}, map[machine.CallID]any{1: machine.CodeRevisionChanged}},
+		{"withdrawn once folded", func(t *testing.T, b *bench) {
+			b.fold(confirmed(b.plan(t, "exam week"), "other.1"))
+			b.machine.HandleWithdraw(start, machine.WithdrawEvent{Call: 1, Event: "exam week", Revision: 1})
+			b.fold(b.appended(t))
+		}, map[machine.CallID]any{1: machine.EventOut{Event: "exam week", Revision: 2}}},
+		{"withdrawn twice", func(_ *testing.T, b *bench) {
+			b.machine.HandleWithdraw(start, machine.WithdrawEvent{Call: 1, Event: "exam week", Revision: 7})
+		}, map[machine.CallID]any{1: machine.EventOut{Event: "exam week"}}},
+		{"withdrawn out of date", func(t *testing.T, b *bench) {
+			b.fold(confirmed(b.plan(t, "exam week"), "other.1"))
+			b.machine.HandleWithdraw(start, machine.WithdrawEvent{Call: 1, Event: "exam week"})
+		}, map[machine.CallID]any{1: machine.CodeRevisionChanged}},
 		{"the store is down", func(t *testing.T, b *bench) {
 			plan := b.plan(t, "exam week")
 			b.down = true
