--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -26,10 +26,11 @@
 	until  time.Time
 }
 
-// currentOverlay returns the graph over all members that are not dead.
-func (m *Machine) currentOverlay() *overlay {
+// refreshOverlay computes the graph over all members that are not dead, when it
+// has changed. It is called once a tick: many changes come together.
+func (m *Machine) refreshOverlay() {
 	if m.overlay != nil {
-		return m.overlay
+		return
 	}
 	nodes := make([]cluster.Node, 0, len(m.Members()))
 	for _, known := range m.Members() {
@@ -39,13 +40,6 @@
 	}
 	m.overlay = newOverlay(nodes)
 	m.updateNeighbours()
-	return m.overlay
-}
-
-// currentNeighbours returns the watched members, sorted by id.
-func (m *Machine) currentNeighbours() []*neighbour {
-	m.currentOverlay()
-	return m.neighbours
 }
 
 // updateNeighbours follows the graph. A neighbour that stays keeps its times; a
@@ -66,7 +60,7 @@
 
 // findNeighbour returns a watched member, nil when the id is none.
 func (m *Machine) findNeighbour(id cluster.NodeID) *neighbour {
-	for _, n := range m.currentNeighbours() {
+	for _, n := range m.neighbours {
 		if n.node.ID == id {
 			return n
 		}
@@ -111,7 +105,7 @@
 		return
 	}
 	m.nextHeartbeat = nextAfter(m.nextHeartbeat, m.now, m.options.HeartbeatInterval)
-	for _, n := range m.currentNeighbours() {
+	for _, n := range m.neighbours {
 		silent := m.now.Sub(n.heardAt) > m.options.HeartbeatInterval
 		m.send(n.node, m.heartbeat(silent))
 	}
@@ -155,7 +149,7 @@
 // not answered in time.
 func (m *Machine) checkNeighbours() {
 	var silent []*neighbour
-	for _, n := range m.currentNeighbours() {
+	for _, n := range m.neighbours {
 		switch {
 		case m.now.Sub(n.heardAt) < m.options.ProbeAfter:
 			n.probedAt = time.Time{}
@@ -210,14 +204,23 @@
 func (m *Machine) suspect(known *row[member], source cluster.NodeID) {
 	known.fact.state = StateSuspect
 	known.fact.suspectAt = m.now
+	m.suspects = true
 	m.invalidate()
 	m.news.add(memberNews, known.key, source)
 }
 
 // checkSuspects declares dead who did not refute in time.
 func (m *Machine) checkSuspects() {
+	if !m.suspects {
+		return
+	}
+	m.suspects = false
 	for _, known := range m.members.rows {
-		if known.fact.state != StateSuspect || m.now.Sub(known.fact.suspectAt) < m.options.SuspicionTimeout {
+		if known.fact.state != StateSuspect {
+			continue
+		}
+		m.suspects = true
+		if m.now.Sub(known.fact.suspectAt) < m.options.SuspicionTimeout {
 			continue
 		}
 		if n := m.findNeighbour(known.fact.node.ID); n != nil && m.now.Sub(n.heardAt) < m.options.ProbeAfter {
--- a/internal/membership/learn.go
+++ b/internal/membership/learn.go
@@ -113,6 +113,7 @@
 	known.fact.state = fact.State
 	if fact.State == StateSuspect {
 		known.fact.suspectAt = m.now
+		m.suspects = true
 	}
 	m.members.contribute(known, m.memberContribution(known))
 	m.invalidateOverlay()
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -55,11 +55,14 @@
 	backends *table[BackendRumor]
 	news     spreadQueue
 
-	// overlay and the lists below are caches that a change of a member clears.
-	overlay    *overlay
-	list       []Member
-	live       []cluster.Node
+	// overlay, list and live are caches that a change of a member clears.
+	overlay *overlay
+	list    []Member
+	live    []cluster.Node
+	// neighbours are the watched members as of the last tick, sorted by id.
 	neighbours []*neighbour
+	// suspects is set while a member may be suspected.
+	suspects bool
 
 	relays     []relay
 	candidates []candidate
@@ -102,6 +105,7 @@
 // Tick drives heartbeats, probes, time-outs and the spread of facts.
 func (m *Machine) Tick(now time.Time) {
 	m.advance(now)
+	m.refreshOverlay()
 	m.checkNeighbours()
 	m.checkSuspects()
 	m.sendHeartbeats()
@@ -188,11 +192,11 @@
 	return Member{Node: known.fact.node, State: known.fact.state}, true
 }
 
-// Neighbours returns the members that this node exchanges heartbeats with,
-// sorted by id.
+// Neighbours returns the members that this node exchanges heartbeats with, as of
+// the last tick, sorted by id.
 func (m *Machine) Neighbours() []cluster.Node {
-	nodes := make([]cluster.Node, 0, len(m.currentNeighbours()))
-	for _, n := range m.currentNeighbours() {
+	nodes := make([]cluster.Node, 0, len(m.neighbours))
+	for _, n := range m.neighbours {
 		nodes = append(nodes, n.node)
 	}
 	return nodes
--- a/internal/membership/overlay.go
+++ b/internal/membership/overlay.go
@@ -46,13 +46,14 @@
 		position: make(map[cluster.NodeID]int, len(nodes)),
 		edges:    make([][]int, len(nodes)),
 	}
-	hashes := make([]uint64, len(nodes))
+	hashed := make([]hashedNode, len(nodes))
 	for i, node := range nodes {
 		o.position[node.ID] = i
-		hashes[i] = xxhash.Sum64String(string(node.ID))
+		zone := string(node.Region) + "/" + string(node.Zone)
+		hashed[i] = hashedNode{zone: zone, zoneHash: xxhash.Sum64String(zone), hash: xxhash.Sum64String(string(node.ID))}
 	}
 	for ring := range globalRings + 1 {
-		members := o.ringMembers(hashes, uint64(ring))
+		members := ringMembers(hashed, uint64(ring))
 		if ring == 0 {
 			o.addZoneRings(members)
 			continue
@@ -66,16 +67,22 @@
 	return o
 }
 
+// hashedNode is what the order of a node in each ring is computed from.
+type hashedNode struct {
+	zone     string
+	zoneHash uint64
+	hash     uint64
+}
+
 // ringMembers returns all members sorted by zone and then by the ring's order.
-func (o *overlay) ringMembers(hashes []uint64, ring uint64) []ringNode {
-	members := make([]ringNode, len(o.nodes))
-	for i, node := range o.nodes {
-		zone := string(node.Region) + "/" + string(node.Zone)
+func ringMembers(hashed []hashedNode, ring uint64) []ringNode {
+	members := make([]ringNode, len(hashed))
+	for i, node := range hashed {
 		members[i] = ringNode{
 			index:     i,
-			zone:      zone,
-			zoneOrder: mix(xxhash.Sum64String(zone) + ring),
-			order:     mix(hashes[i] + ring),
+			zone:      node.zone,
+			zoneOrder: mix(node.zoneHash + ring),
+			order:     mix(node.hash + ring),
 		}
 	}
 	slices.SortFunc(members, func(a, b ringNode) int {
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -73,7 +73,7 @@
 	}
 	m.nextSpread = m.now.Add(m.options.SpreadInterval)
 	batch := m.news.take(maxFacts)
-	for _, n := range m.currentNeighbours() {
+	for _, n := range m.neighbours {
 		message := m.collect(batch, n.node.ID)
 		if len(message.Members)+len(message.Backends) > 0 {
 			m.send(n.node, message)
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -145,7 +145,7 @@
 // seekMembers asks for all that others know until one of them has answered, and
 // later presents this node now and then to members it has lost.
 func (m *Machine) seekMembers() {
-	if !m.joined || len(m.currentNeighbours()) == 0 {
+	if !m.joined || len(m.neighbours) == 0 {
 		m.join()
 		return
 	}
@@ -166,7 +166,7 @@
 	}
 	m.nextJoin = m.now.Add(m.options.JoinInterval)
 	addresses := m.lostAddresses()
-	for _, n := range m.currentNeighbours() {
+	for _, n := range m.neighbours {
 		addresses = append(addresses, n.node.PeerAddress)
 	}
 	m.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
