--- a/internal/sim/inject.go
+++ b/internal/sim/inject.go
@@ -115,10 +115,13 @@
 	case fault.Leave:
 		b.Leave()
 		w.machines.SetState(b.ID(), cluster.StateLeaving)
-		w.kernel.Every(time.Second, time.Second, func() bool { return w.goWhenIdle(f, b) })
+		w.kernel.Every(drainTime, time.Second, func() bool { return w.goWhenIdle(f, b) })
 	}
 }
 
+// drainTime is how long a leaving back end goes on listening at least.
+const drainTime = 20 * time.Second
+
 // goWhenIdle ends a back end that leaves and has nothing left to finish.
 func (w *World) goWhenIdle(f fault.Fault, b outsideProcess) bool {
 	if !b.Up() || !w.faults.On(f.Name, f.Target) {
