Fit lines to the control plane's figures

Change: bench control prints base, slope and residual of each role's cost over the sizes of a run (gonum/stat, least squares).

--- a/internal/bench/run_test.go
+++ b/internal/bench/run_test.go
@@ -84,3 +84,13 @@
 		t.Errorf("plots %v: %v", names, err)
 	}
 }
+
+func TestFitFindsALine(t *testing.T) {
+	fit, ok := fitLine([]float64{20, 40, 80}, []float64{12, 22, 42})
+	if !ok || fit.Residual > 1e-9 || fit.Base < 1.99 || fit.Base > 2.01 || fit.PerNode < 0.499 || fit.PerNode > 0.501 {
+		t.Errorf("fit %+v, want 2 + 0.5 a node", fit)
+	}
+	if _, ok := fitLine([]float64{20, 40}, []float64{1, 2}); ok {
+		t.Error("a line through two points has no residual to speak of")
+	}
+}
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -131,6 +131,7 @@
 	}
 	fmt.Fprintf(c.streams.Output, "Virtual clock, seed %d, %d servers.\n", settings.seed, settings.servers)
 	bench.WriteTables(c.streams.Output, results)
+	bench.WriteFits(c.streams.Output, results)
 	if settings.output == "" {
 		return nil
 	}
