Stop samples early by a forecast, and bound the work of one placement

A sample that will be over the bound at its end was run to its end. The cadence of announced versions and the stream's measured speed now tell it, when a new attempt would be within the bound. Placing 1,024 waiting samples on full engines looked at every pair each tick; full engines are left out now. Appends of posts and claims are given up when nobody waits for them any more.

--- a/internal/rollout/lengths.go
+++ b/internal/rollout/lengths.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"dalehook/internal/record"
 )
@@ -155,3 +156,25 @@
 	}
 	return start
 }
+
+// cadence is how often versions of a model come, by their trainer's own times.
+type cadence struct {
+	last  time.Time
+	every time.Duration
+}
+
+// add takes an announcement; the newest interval counts for half.
+func (c cadence) add(at time.Time) cadence {
+	interval := at.Sub(c.last)
+	switch {
+	case at.IsZero() || c.last.IsZero():
+	case interval <= 0:
+		return c
+	case c.every == 0:
+		c.every = interval
+	default:
+		c.every = (c.every + interval) / 2
+	}
+	c.last = at
+	return c
+}
--- a/internal/rollout/limits.go
+++ b/internal/rollout/limits.go
@@ -66,7 +66,10 @@
 	engineGrace = 2 * time.Second
 	// eventGrace is how long a step waits for an event that names its demand.
 	eventGrace = 30 * time.Second
-	// acceptedRetryAfter is the Retry-After of errors that pass by themselves.
+	// claimTimeout is how long the append of a claim is tried. A claim that comes
+	// later is void or, at worst, makes this node claim again.
+	claimTimeout = 10 * time.Second
+	// shortRetryAfter is the Retry-After of errors that pass by themselves.
 	shortRetryAfter = time.Second
 	// storeRetryAfter is the Retry-After while the log is down.
 	storeRetryAfter = 5 * time.Second
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -138,7 +138,7 @@
 			s.setPhase(now, phaseLoading)
 		}
 		m.advance(now, s)
-	})
+	}, logwriter.GiveUpAfter(claimTimeout))
 }
 
 // replicas returns the step's replica group by the view in force.
--- a/internal/rollout/post.go
+++ b/internal/rollout/post.go
@@ -162,7 +162,7 @@
 		default:
 			m.endPost(p, m.storeFailure(p))
 		}
-	})
+	}, logwriter.ReportNotDone(), logwriter.GiveUpAfter(m.limits.PostTimeout))
 }
 
 // storeFailure answers a post that the log did not take.
@@ -235,7 +235,7 @@
 		default:
 			m.endPost(p, m.storeFailure(p))
 		}
-	})
+	}, logwriter.GiveUpAfter(m.limits.PostTimeout))
 }
 
 // endPost answers all callers of a post.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -45,6 +45,7 @@
 	// trainers names the trainer of each open step.
 	trainers map[string]trainerKey
 	learned  learned
+	cadences map[cluster.ModelName]cadence
 
 	posts     map[string]*post
 	postOrder sortedNames
@@ -88,6 +89,7 @@
 		steps:        map[string]*step{},
 		hints:        ownerHints{hints: map[string]ownerHint{}},
 		trainers:     map[string]trainerKey{},
+		cadences:     map[cluster.ModelName]cadence{},
 		posts:        map[string]*post{},
 		replicaStore: newReplicaStore(limits),
 		avoidances:   map[cluster.BackendID]avoidance{},
@@ -199,6 +201,7 @@
 	case record.StepClosed:
 		m.stepClosed(now, body)
 	case record.VersionAnnounced:
+		m.cadences[body.Model] = m.cadences[body.Model].add(body.At)
 		for _, s := range m.all() {
 			m.checkStreams(now, s)
 		}
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -55,8 +55,10 @@
 	// startTokens is the number of tokens at the first chunk from the engine.
 	startTokens int
 	moves       int
-	failures    int
-	retryAt     time.Time
+	// stops counts how often a forecast ended an attempt early.
+	stops    int
+	failures int
+	retryAt  time.Time
 	// revoking is set while the record that takes the result back is written.
 	revoking bool
 	result   record.Result
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -263,6 +263,9 @@
 		switch {
 		case routing.TooOld(p.oldest(), newest, s.bound()):
 			m.abandonAttempt(now, s, p)
+		case p.stops < maxStops && routing.StopEarly(m.forecast(now, s, p)):
+			p.stops++
+			m.abandonAttempt(now, s, p)
 		case now.Sub(m.lastSign(p)) >= m.limits.StallTimeout:
 			m.cancel(s, p)
 			m.avoid(now, p.engine, 0)
@@ -271,6 +274,32 @@
 	}
 }
 
+// maxStops bounds how often one sample is stopped by a forecast alone.
+const maxStops = 2
+
+// forecast returns what is known of a running sample's chance to be within the
+// bound at its end.
+func (m *Machine) forecast(now time.Time, s *step, p *sample) routing.BoundForecast {
+	speed := p.speed()
+	if speed <= 0 {
+		return routing.BoundForecast{}
+	}
+	seconds := func(tokens int) time.Duration {
+		return time.Duration(float64(tokens) / speed * float64(time.Second))
+	}
+	posted := s.body.Samples[p.index]
+	versions := m.cadences[s.demand.Model]
+	return routing.BoundForecast{
+		Oldest:       p.oldest(),
+		Newest:       m.newest(s),
+		Bound:        s.bound(),
+		VersionEvery: versions.every,
+		SinceNewest:  max(now.Sub(versions.last), 0),
+		Remaining:    seconds(s.lengths.remaining(posted, p.tokens)),
+		Restart:      seconds(s.lengths.remaining(posted, 0)),
+	}
+}
+
 // lastSign returns when an attempt last showed that it runs. Time in which this
 // process was paused does not count.
 func (m *Machine) lastSign(p *sample) time.Time {
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -116,6 +116,8 @@
 	done     bool
 }
 
+var _ LogWriter = (*logwriter.Writer)(nil)
+
 const (
 	testModel = "marker"
 	testPool  = "essays"
--- a/internal/routing/engine_baseline.go
+++ b/internal/routing/engine_baseline.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"slices"
+
+	"dalehook/internal/cluster"
 )
 
 // The baselines place every waiting sample at once, in the order in which the
@@ -93,9 +95,9 @@
 }
 
 // usable returns a copy of the engines that may get work.
-func usable(engines []Engine, newest version, bound int64) []Engine {
+func usable(engines []Engine, newest cluster.Version, bound int64) []Engine {
 	kept := slices.Clone(engines)
 	return slices.DeleteFunc(kept, func(e Engine) bool {
-		return e.Leaving || tooOld(e.Version, newest, bound)
+		return e.Leaving || TooOld(e.Version, newest, bound)
 	})
 }
--- a/internal/routing/engine_dalehook.go
+++ b/internal/routing/engine_dalehook.go
@@ -7,8 +7,6 @@
 	"dalehook/internal/cluster"
 )
 
-type version = cluster.Version
-
 // The parameters of the dalehook policy. Times are in seconds, speeds in tokens
 // a second. All are assumptions that dalehook rehearse varies.
 const (
@@ -35,9 +33,12 @@
 	moveGain = 1.3
 	// maxMoves bounds the moves of one sample.
 	maxMoves = 2
-	// tailShare is the share of an idle pool's engines below which the
-	// unfinished samples of a step are its last ones.
+	// tailSamplesPerEngine is the number of unfinished samples for each engine
+	// from which on down they are the last ones of their step.
 	tailSamplesPerEngine = 1
+	// maxMisses bounds the samples for which no engine has the memory before a
+	// call gives up; shorter ones may fit, but not after many.
+	maxMisses = 32
 	// priorityTail is added to the priority of the last samples of a step.
 	priorityTail = 100
 	// priorityPerTokens is the number of expected tokens that raise the priority
@@ -57,9 +58,15 @@
 	engines := usable(request.Engines, request.Newest, request.Bound)
 	tail := request.Unfinished <= tailSamplesPerEngine*len(engines)
 	var placements []Placement
+	misses := 0
 	for _, work := range longestFirst(request.Waiting) {
+		engines = slices.DeleteFunc(engines, full)
+		if len(engines) == 0 || misses >= maxMisses {
+			break
+		}
 		chosen := bestEngine(engines, work, request.Newest)
 		if chosen < 0 {
+			misses++
 			continue
 		}
 		engine := &engines[chosen]
@@ -100,7 +107,7 @@
 
 // bestEngine returns the index of the engine with the lowest cost that has room,
 // or -1.
-func bestEngine(engines []Engine, work Work, newest version) int {
+func bestEngine(engines []Engine, work Work, newest cluster.Version) int {
 	chosen := -1
 	lowest := 0.0
 	for i, engine := range engines {
@@ -115,6 +122,11 @@
 	return chosen
 }
 
+// full reports whether the engine has no free slot.
+func full(engine Engine) bool {
+	return engine.Slots > 0 && engine.requests() >= engine.Slots
+}
+
 // hasRoom reports whether the engine can start the work at once and hold it to
 // its end. An idle engine takes any work, however long.
 func hasRoom(engine Engine, work Work) bool {
@@ -122,7 +134,7 @@
 	if requests == 0 {
 		return true
 	}
-	if engine.Slots > 0 && requests >= engine.Slots {
+	if full(engine) {
 		return false
 	}
 	if engine.KVCapacity == 0 {
@@ -135,7 +147,7 @@
 // placeCost is the time at which the engine would have finished the work and the
 // longest sample that it already runs, plus penalties for an old version and for
 // a swap to come.
-func placeCost(engine Engine, work Work, newest version) float64 {
+func placeCost(engine Engine, work Work, newest cluster.Version) float64 {
 	speed := streamSpeed(engine, engine.requests()+1)
 	longest := max(engine.Placed.Longest, work.Expected)
 	cost := float64(longest)/speed + prefillTime(engine, work)
@@ -227,7 +239,7 @@
 
 // moveTarget returns the index of the engine on which the sample ends soonest,
 // when that is worth a move, or -1.
-func moveTarget(engines []Engine, running Running, newest version) int {
+func moveTarget(engines []Engine, running Running, newest cluster.Version) int {
 	if running.Moves >= maxMoves || running.remaining() == 0 {
 		return -1
 	}
@@ -249,15 +261,3 @@
 	}
 	return best
 }
-
-// tooOld reports whether a token of the given version is over the bound. An
-// unknown version is not known to be too old.
-func tooOld(oldest, newest version, bound int64) bool {
-	return oldest > 0 && int64(newest-oldest) > bound
-}
-
-// TooOld reports whether a sample whose oldest token comes from the given
-// version is over the staleness bound.
-func TooOld(oldest, newest cluster.Version, bound int64) bool {
-	return tooOld(oldest, newest, bound)
-}
