--- a/internal/request/attempt.go
+++ b/internal/request/attempt.go
@@ -185,7 +185,7 @@
 		m.refuse(now, c, deadlineExceeded())
 	case !m.hasUsableServer(c.service):
 		m.refuse(now, c, noBackend(c.service))
-	case c.attempt >= m.options.MostAttempts || !m.admission.AllowRetry(now):
+	case c.attempt >= m.options.MostAttempts || !m.mayRetry(now, result):
 		m.refuse(now, c, backendFailed(result.Backend, result.Err))
 	default:
 		c.phase = phaseQueued
@@ -193,6 +193,15 @@
 	}
 }
 
+// mayRetry takes a retry out of the budget. A server that leaves is no sign of
+// overload, and its planned stop must not fail requests: that retry is free.
+func (m *Machine) mayRetry(now time.Time, result machine.ServiceResult) bool {
+	if result.Outcome == machine.SendRefused && result.Leaving {
+		return true
+	}
+	return m.admission.AllowRetry(now)
+}
+
 // expireAttempts ends attempts whose result never came.
 func (m *Machine) expireAttempts(now time.Time) {
 	var late []attemptKey
