Refuse the waiting calls of a key together with the refused one

Cause: a call that waited for another one of its key went on when that one was refused, and could run the key after its caller was told that it did not run.

Change: such calls are refused as well: at the same node with the same answer, at others after asking the coordinator. A call whose caller has gone still passes its place on. The right to send lapses at the call's deadline, since the caller may have asked elsewhere by then.

Not covered: a call that began earlier at a node that was cut off or paused and reaches the group only after the refusal; its deadline bounds that.

Conclusion: within what the coordinators can see, "not run" also holds for calls that overlap.

--- a/internal/idempotency/coordinator.go
+++ b/internal/idempotency/coordinator.go
@@ -195,13 +195,14 @@
 }
 
 // start marks a granted operation as sent. The right lapses well before the
-// markers that stand for it do.
+// markers that stand for it do, and at the deadline: after it the caller may have
+// asked elsewhere.
 func (c *coordinator) start(now time.Time, call machine.CallID) bool {
 	op := c.byCall[call]
 	if op == nil || op.phase != phaseGranted || op.request.Call != call {
 		return false
 	}
-	if now.After(op.grantedAt.Add(c.options.Lifetime / 2)) {
+	if now.After(op.grantedAt.Add(c.options.Lifetime/2)) || now.After(op.request.Deadline) {
 		return false
 	}
 	op.phase = phaseStarted
@@ -215,23 +216,58 @@
 	}
 }
 
-// abandon gives up a call that was not sent.
-func (c *coordinator) abandon(now time.Time, call machine.CallID) (notRun bool) {
-	op := c.byCall[call]
+// abandon gives up a call that was not sent; its followers begin again.
+func (c *coordinator) abandon(now time.Time, call machine.CallID) {
+	op := c.unsentOperation(call)
 	if op == nil {
-		return false
+		return
 	}
-	if op.request.Call != call {
-		c.unfollow(op, call)
+	c.release(now, op, ProgressAbandoned)
+	c.close(now, op)
+}
+
+// refuseCall gives up a call that was not sent, and its followers with it when it
+// surely did not run.
+func (c *coordinator) refuseCall(now time.Time, call machine.CallID, failure machine.Failure) (notRun bool) {
+	op := c.unsentOperation(call)
+	if op == nil {
 		return false
 	}
-	if op.phase == phaseStarted || op.phase == phaseRecording {
-		return false
+	failure.NotRun = op.phase != phaseWaiting && op.notRun()
+	c.giveUp(now, op, failure)
+	return failure.NotRun
+}
+
+// giveUp ends an operation whose leader is answered with a failure.
+func (c *coordinator) giveUp(now time.Time, op *operation, failure machine.Failure) {
+	if !failure.NotRun {
+		c.release(now, op, ProgressAbandoned)
+		c.close(now, op)
+		return
 	}
-	notRun = op.phase != phaseWaiting && op.notRun()
-	c.release(now, op)
+	c.release(now, op, ProgressRefused)
+	for _, follower := range op.followers {
+		delete(c.byCall, follower.Call)
+		c.refuse(follower.Call, failure)
+	}
+	op.followers = nil
 	c.close(now, op)
-	return notRun
+}
+
+// unsentOperation returns the operation that a call leads when it was not sent. A
+// call that follows leaves its operation.
+func (c *coordinator) unsentOperation(call machine.CallID) *operation {
+	op := c.byCall[call]
+	switch {
+	case op == nil:
+		return nil
+	case op.request.Call != call:
+		c.unfollow(op, call)
+		return nil
+	case op.phase == phaseStarted || op.phase == phaseRecording:
+		return nil
+	}
+	return op
 }
 
 func (c *coordinator) unfollow(op *operation, call machine.CallID) {
@@ -241,11 +277,11 @@
 
 // release takes the markers of an attempt back that was not sent. From here on
 // the attempt is dead: a vote for it that comes late counts for nothing.
-func (c *coordinator) release(now time.Time, op *operation) {
+func (c *coordinator) release(now time.Time, op *operation, progress Progress) {
 	if op.phase != phasePreparing && op.phase != phaseGranted {
 		return
 	}
-	c.ledger.put(now, op.attempt, ProgressAbandoned)
+	c.ledger.put(now, op.attempt, progress)
 	c.sendRelease(op.group, op.request.Key, op.attempt)
 }
 
@@ -261,7 +297,7 @@
 		c.fail(now, op, conflict())
 		return
 	}
-	c.release(now, op)
+	c.release(now, op, ProgressAbandoned)
 	c.deliverAll(op, outcome)
 	c.close(now, op)
 }
@@ -292,14 +328,13 @@
 	}
 }
 
-// fail ends an operation's leader with an error; its followers begin again.
+// fail ends an operation's leader with an error.
 func (c *coordinator) fail(now time.Time, op *operation, failure machine.Failure) {
 	if failure.NotRun {
 		failure.NotRun = op.phase == phasePreparing && op.notRun()
 	}
-	c.release(now, op)
 	c.refuse(op.request.Call, failure)
-	c.close(now, op)
+	c.giveUp(now, op, failure)
 }
 
 func (c *coordinator) refuse(call machine.CallID, failure machine.Failure) {
--- a/internal/idempotency/failure.go
+++ b/internal/idempotency/failure.go
@@ -47,3 +47,9 @@
 	f.RetryAfter = 0
 	return f
 }
+
+// refusedElsewhere answers a call that waited for another one of its key, whose
+// caller was told that it did not run. It says nothing of whether a later call ran.
+func refusedElsewhere() machine.Failure {
+	return failure(http.StatusServiceUnavailable, machine.CodeOverloaded, "another call of the key was refused meanwhile")
+}
--- a/internal/idempotency/machine.go
+++ b/internal/idempotency/machine.go
@@ -112,10 +112,20 @@
 // or abandoned.
 func (m *Machine) Unsent(call machine.CallID) { m.coordinator.unsent(call) }
 
-// Abandon gives a call up that was not sent. It reports whether the key's request
-// surely did not run up to now: a majority of the replicas held no other's marker.
-func (m *Machine) Abandon(now time.Time, call machine.CallID) (notRun bool) {
-	notRun = m.coordinator.abandon(now, call)
+// Abandon gives up a call that was not sent and whose caller has gone. Other calls
+// of the key go on.
+func (m *Machine) Abandon(now time.Time, call machine.CallID) {
+	m.coordinator.abandon(now, call)
+	m.deliverLocal(now)
+}
+
+// Refuse gives up a call that was not sent and whose caller is told so. Calls of
+// the key that wait for this one are refused as well: they must not run it after
+// its caller was told that it did not run. Refuse reports whether the key's
+// request surely did not run up to now: a majority of the replicas held no other's
+// marker.
+func (m *Machine) Refuse(now time.Time, call machine.CallID, failure machine.Failure) (notRun bool) {
+	notRun = m.coordinator.refuseCall(now, call, failure)
 	m.deliverLocal(now)
 	return notRun
 }
--- a/internal/idempotency/message.go
+++ b/internal/idempotency/message.go
@@ -90,6 +90,8 @@
 	ProgressEnded
 	// ProgressAbandoned means that it was not sent and never will be.
 	ProgressAbandoned
+	// ProgressRefused means the same, and that its caller was told so.
+	ProgressRefused
 )
 
 // AskReply answers Ask.
--- a/internal/idempotency/rival.go
+++ b/internal/idempotency/rival.go
@@ -29,7 +29,7 @@
 
 // wait releases the operation's own markers and waits for its rivals.
 func (c *coordinator) wait(now time.Time, op *operation) {
-	c.release(now, op)
+	c.release(now, op, ProgressAbandoned)
 	op.phase = phaseWaiting
 	op.nextAsk = now
 }
@@ -66,7 +66,7 @@
 		return
 	}
 	op.askedReplicas = true
-	c.release(now, op)
+	c.release(now, op, ProgressAbandoned)
 	op.giveUp = minTime(now.Add(prepareTime), op.request.Deadline.Add(-answerMargin))
 	c.newAttempt(now, op)
 }
@@ -121,6 +121,9 @@
 		c.rivalEnded(now, op, reply.Marker)
 	case ProgressAbandoned:
 		c.rivalAbandoned(now, op, index)
+	case ProgressRefused:
+		c.sendRelease(op.group, op.request.Key, reply.Attempt)
+		c.fail(now, op, refusedElsewhere())
 	case ProgressForgotten:
 		c.fail(now, op, outcomeUnknown("the node that started the request doesn't know it any more"))
 	}
--- a/internal/idempotency/scenario_test.go
+++ b/internal/idempotency/scenario_test.go
@@ -231,6 +231,24 @@
 	}
 }
 
+// TestRefusalEndsWaitingCalls refuses a granted call while others of its key wait:
+// they must not run the key after its caller was told that it did not run.
+func TestRefusalEndsWaitingCalls(t *testing.T) {
+	c := newTestCluster(11, 6, ablation{})
+	c.notSent = 1
+	first := c.call(c.nodes[0], "k", time.Second)
+	c.advance(4 * time.Millisecond)
+	same := c.call(c.nodes[0], "k", time.Second)
+	other := c.call(c.nodes[1], "k", time.Second)
+	c.advance(time.Second)
+	expect(t, "refused call", c.results[first], "not sent")
+	expect(t, "at the same node", c.results[same], "backend_failed true")
+	expect(t, "at another node", c.results[other], "overloaded false")
+	c.notSent = 0
+	expect(t, "later call", c.result(c.nodes[2], "k", time.Second), "k run 1")
+	c.check(t)
+}
+
 func TestStoreDownLeavesMajority(t *testing.T) {
 	c := newTestCluster(7, 6, ablation{})
 	c.nodes[0].dead = true
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -212,7 +212,7 @@
 		m.beginKey(now, c, now.Add(refusalTime))
 		return
 	}
-	failure.NotRun = m.keys.Abandon(now, c.id)
+	failure.NotRun = m.keys.Refuse(now, c.id, failure)
 	m.reply(c, failure)
 }
 
