Append a commit again that the owner's renewed claim made void

Cause: a commit that stands on the log behind the owner's own renewed claim is void. When the log's entries came before the answer to the append, the answer marked the entry as appended after the fold had voided it; it was never appended again and the sample never ended. Ruled out: a lost append (the record stood on the log), a second owner. Change: the answer counts only while the entry still carries the id of that append.

--- a/internal/rollout/journal.go
+++ b/internal/rollout/journal.go
@@ -123,10 +123,12 @@
 	}
 	entry.inFlight = true
 	epoch := s.epoch
-	entry.id = m.writer.Append(now, record.StepLog(s.id), entry.body(epoch), func(now time.Time, result logwriter.Result) {
+	var id record.ID
+	id = m.writer.Append(now, record.StepLog(s.id), entry.body(epoch), func(now time.Time, result logwriter.Result) {
 		entry.inFlight = false
+		voided := entry.id != id // the fold was faster than the answer
 		if result.Outcome == logwriter.Done {
-			entry.appended = true
+			entry.appended = !voided
 		} else {
 			entry.failures++
 			entry.retryAt = now.Add(m.backoff(entry.failures))
@@ -135,6 +137,7 @@
 			m.followLog(now, s)
 		}
 	})
+	entry.id = id
 }
 
 // journalFolded acts on a record of results, errors or revocations on the log.
