Let an idle queue always try; give every refusal a time to come back

Cause: a queue refused what could not be answered in time by its recent service time. Once that exceeded the callers' deadlines (a few slow answers are enough) every call was refused, and no answer could ever bring the time down again. And a 404 for an unknown service had no Retry-After, though the service may only be new, and said not run of a save without asking its key's replicas.

Change: a queue with nothing waiting and nothing running starts what comes before its deadline. Unknown services are refused like everything else.

Conclusion: the estimate can be wrong for one call at a time, not for ever.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -139,7 +139,7 @@
 // see TakeRefused.
 func (c *Controller) Offer(now time.Time, item Item) {
 	flow := c.flows[item.key()]
-	if flow.tooLate(now, item, flow.expectedWait(now)) {
+	if flow.hopeless(now, item) {
 		c.refuse(flow, item, machine.CodeOverloaded)
 		return
 	}
@@ -201,7 +201,6 @@
 			flow.take(index)
 			c.queued--
 			flow.started()
-			flow.limits.start()
 		}
 	}
 }
@@ -239,10 +238,8 @@
 
 // Ended closes a started request; took is zero when it wasn't answered.
 func (c *Controller) Ended(item Item, took time.Duration) {
-	flow := c.flows[item.key()]
-	flow.limits.inFlight--
+	c.flows[item.key()].ended(took)
 	if took > 0 {
-		flow.answered(took)
 		c.retries.Succeeded()
 	}
 }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -77,6 +77,7 @@
 	c.Register("lookup", "lookup")
 	c.flows[flowKey{"lookup", "lookup"}].serviceTime = 100 * time.Millisecond
 	c.flows[flowKey{"lookup", "lookup"}].perSecond = 10
+	c.flows[flowKey{"lookup", "lookup"}].inFlight = 1
 	c.Offer(start, item(1, "lookup", 150*time.Millisecond))
 	c.Offer(start, item(2, "lookup", 900*time.Millisecond))
 	c.Offer(start, item(3, "lookup", 250*time.Millisecond))
@@ -96,6 +97,21 @@
 	}
 }
 
+func TestIdleFlowAlwaysTries(t *testing.T) {
+	c := New(Options{})
+	c.Register("lookup", "lookup")
+	c.flows[flowKey{"lookup", "lookup"}].serviceTime = time.Minute
+	c.Offer(start, item(1, "lookup", time.Second))
+	if diff := cmp.Diff([]machine.CallID{1}, startAll(c, start)); diff != "" {
+		t.Errorf("started (-want +got):\n%s", diff)
+	}
+	c.Offer(start, item(2, "lookup", time.Second))
+	want := map[machine.CallID]machine.Code{2: machine.CodeOverloaded}
+	if diff := cmp.Diff(want, refusedCalls(c)); diff != "" {
+		t.Errorf("refused while one runs (-want +got):\n%s", diff)
+	}
+}
+
 func TestRetryBudgetIsAShareOfSuccesses(t *testing.T) {
 	budget := NewRetryBudget(0.1, 1)
 	taken := 0
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -21,6 +21,8 @@
 	flowKey
 	limits *class
 	items  []Item
+	// inFlight counts the started requests of this flow.
+	inFlight int
 	// overloadedUntil ends the time in which the newest goes first.
 	overloadedUntil time.Time
 
@@ -76,6 +78,16 @@
 	return now.Add(wait + serviceMargin*f.serviceTime).After(item.Deadline)
 }
 
+// hopeless reports whether a new item can't be answered in time. A flow with
+// nothing to do always tries: what it knows of its service time may be old, and
+// nothing else would bring it up to date.
+func (f *flow) hopeless(now time.Time, item Item) bool {
+	if f.inFlight == 0 && len(f.items) == 0 {
+		return !now.Before(item.Deadline)
+	}
+	return f.tooLate(now, item, f.expectedWait(now))
+}
+
 // expectedWait estimates how long a new item waits: behind all others while the
 // oldest goes first, behind none while the newest does.
 func (f *flow) expectedWait(now time.Time) time.Duration {
@@ -102,10 +114,19 @@
 }
 
 // started counts a request that left the queue.
-func (f *flow) started() { f.startedSince++ }
+func (f *flow) started() {
+	f.startedSince++
+	f.inFlight++
+	f.limits.start()
+}
 
-// answered takes the time of an answered request.
-func (f *flow) answered(took time.Duration) {
+// ended takes the time of an ended request; it is zero when no answer came.
+func (f *flow) ended(took time.Duration) {
+	f.inFlight--
+	f.limits.inFlight--
+	if took == 0 {
+		return
+	}
 	if f.serviceTime == 0 {
 		f.serviceTime = took
 		return
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -90,12 +90,12 @@
 func (m *Machine) accept(now time.Time, c *call) {
 	m.calls[c.id] = c
 	switch {
-	case !m.options.Environment.KnownService(c.service):
-		m.reply(c, unknownService(c.service))
-		return
 	case c.unrepeatable && c.key == "":
 		m.reply(c, missingKey())
 		return
+	case !m.options.Environment.KnownService(c.service):
+		m.refuse(now, c, unknownService(c.service))
+		return
 	case m.leaving(now):
 		m.refuse(now, c, leaving())
 		return
--- a/internal/request/failure.go
+++ b/internal/request/failure.go
@@ -19,13 +19,9 @@
 const retryAfter = time.Second
 
 func unknownService(service string) machine.Failure {
-	return machine.Failure{
-		Status:  http.StatusNotFound,
-		Code:    machine.CodeUnknownService,
-		Message: "no service named " + service,
-		Step:    stepAccept,
-		NotRun:  true,
-	}
+	f := unavailable(machine.CodeUnknownService, stepAccept, "no service named "+service)
+	f.Status = http.StatusNotFound
+	return f
 }
 
 func missingKey() machine.Failure {
--- a/internal/request/machine_test.go
+++ b/internal/request/machine_test.go
@@ -229,6 +229,10 @@
 	if failure := f.failure(f.outbox.Take(), 1); failure.Code != machine.CodeUnknownService || !failure.NotRun {
 		t.Errorf("answered %+v", failure)
 	}
+	f.machine.HandleCall(f.now, machine.ServiceCall{Call: 9, Service: "nobody", Key: "k", Unrepeatable: true})
+	if failure := f.failure(f.outbox.Take(), 9); failure.Code != machine.CodeUnknownService || !failure.NotRun {
+		t.Errorf("answered %+v", failure)
+	}
 	f.env.servers[0].Usable, f.env.servers[1].Usable, f.env.servers[2].Usable = false, false, false
 	for id, key := range []string{"", "k"} {
 		call := machine.CallID(id + 2)
