Do not hold nodes that leave as planned for a mass loss

Cause: the view publisher waits 20 s when more than a third of the view's members are not live, since a cut network is more likely then than that many deaths. Nodes that announced their stop counted too. A leaving node waits for the view without it before it can hand its keys over, so two of four nodes took 20 s to leave.

Ruled out: open calls or steps (all were answered and read within 5 s; both nodes ended 20.5 s after their signals, half a second after the view).

Change: members that are known as leaving are no loss.

--- a/internal/bench/node.go
+++ b/internal/bench/node.go
@@ -86,6 +86,9 @@
 // LiveNodes implements lease.Environment.
 func (n *hollowNode) LiveNodes() []cluster.Node { return n.membership.Live() }
 
+// Leaving implements lease.Environment; no node of a measurement leaves.
+func (n *hollowNode) Leaving(cluster.NodeID) bool { return false }
+
 // StoreDown implements lease.Environment.
 func (n *hollowNode) StoreDown() bool { return n.follower.StoreDown() }
 
--- a/internal/core/environment.go
+++ b/internal/core/environment.go
@@ -57,6 +57,15 @@
 	return slices.ContainsFunc(e.LiveNodes(), func(n cluster.Node) bool { return n.ID == id })
 }
 
+// Leaving reports whether a node has announced a planned stop and still runs.
+func (e leaseEnvironment) Leaving(id cluster.NodeID) bool {
+	if id == e.core.options.Self.ID {
+		return e.core.leave.started()
+	}
+	member, known := e.core.membership.Find(id)
+	return known && member.State == membership.StateLeaving
+}
+
 // Members lists the nodes that may hold a duty.
 func (e leaseEnvironment) Members() []cluster.Node { return e.LiveNodes() }
 
--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -92,6 +92,12 @@
 	return live
 }
 
+func (n *testNode) Leaving(id cluster.NodeID) bool {
+	return slices.ContainsFunc(n.cluster.nodes, func(other *testNode) bool {
+		return other.self.ID == id && other.leaving && !other.dead
+	})
+}
+
 // advance runs the cluster for a time.
 func (c *testCluster) advance(d time.Duration) {
 	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(machine.TickInterval) {
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -30,6 +30,8 @@
 	// alive and not leaving, itself included unless it is leaving, sorted by id,
 	// each in its newest life.
 	LiveNodes() []cluster.Node
+	// Leaving reports whether a node has announced a planned stop and still runs.
+	Leaving(id cluster.NodeID) bool
 	// StoreDown reports whether the platform's log cannot be reached.
 	StoreDown() bool
 	// LastContact is the last time at which a peer or the log was heard.
--- a/internal/lease/view_publisher.go
+++ b/internal/lease/view_publisher.go
@@ -36,7 +36,8 @@
 	// node receives each view, and its bytes grow with the members.
 	IntervalPerMember time.Duration
 	// MassLossWait replaces Settle when more than a third of the view's members
-	// are missing: a cut network is more likely then than that many deaths.
+	// are missing and have announced no planned stop: a cut network is more
+	// likely then than that many deaths.
 	MassLossWait time.Duration
 	// PublishTimeout ends an append whose fate is unknown.
 	PublishTimeout time.Duration
@@ -143,14 +144,15 @@
 	return settled || now.Sub(p.differsSince) >= p.timing.SettleLimit
 }
 
-// isMassLoss reports whether more than a third of the view's members are not live.
+// isMassLoss reports whether more than a third of the view's members are neither
+// live nor leaving: those that leave have said so themselves.
 func (p *ViewPublisher) isMassLoss(view cluster.View) bool {
 	lost := 0
 	for _, member := range view.Members {
 		_, alive := slices.BinarySearchFunc(p.candidate, member.ID, func(node cluster.Node, id cluster.NodeID) int {
 			return cmp.Compare(node.ID, id)
 		})
-		if !alive {
+		if !alive && !p.environment.Leaving(member.ID) {
 			lost++
 		}
 	}
--- a/internal/lease/view_publisher_test.go
+++ b/internal/lease/view_publisher_test.go
@@ -139,3 +139,22 @@
 		t.Error("a view under an old epoch counts")
 	}
 }
+
+// TestPlannedStopsAreNoMassLoss lets nearly half the nodes leave together. They
+// said so themselves, so no cut network is to be ruled out first.
+func TestPlannedStopsAreNoMassLoss(t *testing.T) {
+	c := newTestCluster(9)
+	c.advance(20 * time.Second)
+	holder := onlyHolder(t, c)
+	left := 0
+	for _, node := range c.nodes {
+		if node != holder && left < 4 {
+			node.leaving = true
+			left++
+		}
+	}
+	c.advance(lease.DefaultSettle + time.Second)
+	if members := c.truth().View().Members; len(members) != 5 {
+		t.Errorf("%d members after the nodes have settled", len(members))
+	}
+}
