Start voting when nobody saw the first view in force

When a majority of a group did, nobody had ever been full, and the group waited the keys' lifetime as if markers were lost.

Change: a majority that never voted in the first view shows that no key ran before. It needs the first view's number: an Environment that has FirstView() uint64 gives it (core should add the method; without it the old behaviour stays).

Conclusion: a cluster's start no longer depends on who folds the first view.

--- a/internal/idempotency/cluster_test.go
+++ b/internal/idempotency/cluster_test.go
@@ -84,6 +84,9 @@
 func (n *testNode) View() cluster.View         { return n.view }
 func (n *testNode) PreviousView() cluster.View { return n.previous }
 
+// FirstView returns the number of the first view.
+func (n *testNode) FirstView() uint64 { return n.cluster.views[0].Number }
+
 // Alive is membership's word: false for the dead and for those cut off.
 func (n *testNode) Alive(id cluster.NodeID) bool {
 	other := n.cluster.find(id)
--- a/internal/idempotency/machine.go
+++ b/internal/idempotency/machine.go
@@ -35,6 +35,13 @@
 	Alive(node cluster.NodeID) bool
 }
 
+// FirstViewer is an Environment that knows the number of the first view ever on the
+// log, zero for none. Without it a group whose majority never saw the first view
+// while it was in force counts as lost.
+type FirstViewer interface {
+	FirstView() uint64
+}
+
 // Options configure a Machine. Zero limits take defaults.
 type Options struct {
 	Self        cluster.Node
--- a/internal/idempotency/scenario_test.go
+++ b/internal/idempotency/scenario_test.go
@@ -287,6 +287,19 @@
 	c.check(t)
 }
 
+// TestFirstViewThatNobodySaw replaces the first view before its members see it.
+func TestFirstViewThatNobodySaw(t *testing.T) {
+	c := newTestCluster(12, 3, ablation{})
+	for _, node := range c.nodes {
+		node.machine = New(Options{Self: node.self, Outbox: &node.outbox, Environment: node})
+		node.view = cluster.View{}
+	}
+	c.publish(0)
+	c.advance(time.Second)
+	c.runKeys(t, "k", 10)
+	c.check(t)
+}
+
 // TestTrace shows the messages of a save, its repeat at another node, and its
 // repeat after one of the holders was replaced.
 func TestTrace(t *testing.T) {
--- a/internal/idempotency/transfer.go
+++ b/internal/idempotency/transfer.go
@@ -127,6 +127,11 @@
 		state.becomeFull(t.target, state.fullFor(t.source.view.Number))
 		return
 	}
+	if r.isFirst(t.source.view) {
+		// Nobody was granted anything in the first view, and before it there was none.
+		state.becomeFull(t.target, false)
+		return
+	}
 	base, known := r.history.before(t.source.view.Number)
 	if !known {
 		return
@@ -138,6 +143,12 @@
 	r.tryFinish(now, slot)
 }
 
+// isFirst reports whether a view is the first one ever, where that is known.
+func (r *replica) isFirst(view cluster.View) bool {
+	knows, ok := r.options.Environment.(FirstViewer)
+	return ok && view.Number > 0 && view.Number == knows.FirstView()
+}
+
 // watchLoss notes when the majority of a slot's source is gone, and lets the
 // replica vote again a lifetime later: by then every marker has expired.
 func (r *replica) watchLoss(now time.Time, slot int) {
