Probe a server's latency only where the limit was reached

Cause: the cut of the limits for the probe, every 10 s, also held requests back at servers without a queue, where it has nothing to find.

Change: a limiter is cut only if it held a request back since the last probe.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -43,6 +43,8 @@
 type Limiter struct {
 	limit    float64
 	inFlight int
+	// reached is when the limit last held a request back.
+	reached time.Time
 
 	windowEnds  time.Time
 	answers     int
@@ -56,13 +58,17 @@
 // NewLimiter returns a limiter with the initial limit.
 func NewLimiter() *Limiter { return &Limiter{limit: initialLimit} }
 
-// HasRoom reports whether one more request may be opened.
+// HasRoom reports whether one more request may be opened. Only a limit that was
+// reached lately is cut for the probe: below it there is no queue to drain.
 func (l *Limiter) HasRoom(now time.Time) bool {
-	limit := l.limit
-	if probing(now) {
-		limit = max(minimumLimit, limit*probeShare)
+	if l.inFlight >= l.Limit() {
+		l.reached = now
+		return false
 	}
-	return l.inFlight < int(limit)
+	if !probing(now) || now.Sub(l.reached) > probeEvery {
+		return true
+	}
+	return l.inFlight < int(max(minimumLimit, l.limit*probeShare))
 }
 
 // probing reports whether the baseline is being measured.
