--- a/cmd/dalehook/failure_backend_test.go
+++ b/cmd/dalehook/failure_backend_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"dalehook/internal/cluster"
 	"dalehook/internal/standin"
 	"dalehook/internal/traffic"
 )
@@ -26,6 +28,21 @@
 	for _, b := range w.engines[1:] {
 		w.setFault(b.address, standin.FaultCutStream, 3)
 	}
+	took := w.await("all nodes to list the engine as dead", func() error {
+		for _, n := range w.live() {
+			status, err := n.probe.Status(w.ctx)
+			if err != nil {
+				return err
+			}
+			for _, b := range status.Backends {
+				if string(b.ID) == dead.name && b.State != cluster.StateDead {
+					return fmt.Errorf("%s lists it as %s", n.id, b.State)
+				}
+			}
+		}
+		return nil
+	})
+	t.Logf("%s was listed as dead after %v", dead.name, took.Round(time.Millisecond))
 	l.awaitWork(2, 100)
 	l.check()
 }
