Choose only those watchers again that a change concerns

Cause: each change of the members made every node score 600 back ends against all members; with hundreds of hollow nodes that was most of the time. Ruled out: choosing less often than each 0.5 s, since a back end whose watchers died together must get new ones. Change: watchers are chosen again where one of them went or a new node scores higher; a property test compares with a choice from scratch (it found the step from two zones to three, which has to choose all anew).

--- a/internal/bench/loopback.go
+++ b/internal/bench/loopback.go
@@ -7,7 +7,6 @@
 	"net"
 	"runtime"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -332,16 +331,6 @@
 	}
 }
 
-// processorTime returns the time that this process has used so far, in user and
-// kernel mode.
-func processorTime() time.Duration {
-	var spent syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &spent); err != nil {
-		return 0
-	}
-	return time.Duration(spent.Utime.Nano() + spent.Stime.Nano())
-}
-
 // resident returns the memory that the runtime holds from the system.
 func resident() int {
 	var stats runtime.MemStats
--- a/internal/bench/node.go
+++ b/internal/bench/node.go
@@ -41,7 +41,7 @@
 	polls            int
 	logReads         int
 	listReads        int
-	// busy is processor time spent in the machines and in gob, by the clock.
+	// busy is processor time spent in the machines and in gob.
 	busy time.Duration
 }
 
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -67,6 +67,8 @@
 	Nodes   int
 	Servers int
 	Seed    uint64
+	// Progress is told of each phase that has ended; nil for none.
+	Progress func(phase Phase)
 }
 
 // run carries out the phases of one size.
@@ -89,6 +91,8 @@
 
 // Run measures one size on the virtual clock.
 func Run(options Options) (Result, error) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	baseline := heapInUse()
 	r := &run{options: options, world: NewWorld(options.Nodes, options.Servers, options.Seed), latencies: newLatencies()}
 	r.incarnations = 1
@@ -117,6 +121,9 @@
 		if err := r.measure(phase.name, phase.run); err != nil {
 			return Result{}, err
 		}
+		if options.Progress != nil {
+			options.Progress(phase.name)
+		}
 		if phase.name == PhaseSteady {
 			r.result.HeapPerNode = (heapInUse() - baseline) / options.Nodes
 		}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -262,9 +262,9 @@
 		}
 		e.input = machine.PeerMessage{From: e.from.self.ID, FromIncarnation: e.from.self.Incarnation, Message: message}
 	}
-	started := time.Now()
+	started := threadTime()
 	node.handle(w.now, e.input)
-	node.usage.busy += time.Since(started)
+	node.usage.busy += threadTime() - started
 	if _, isTick := e.input.(machine.Tick); isTick {
 		w.schedule(event{at: w.now.Add(machine.TickInterval), node: node, input: machine.Tick{}})
 	}
@@ -275,9 +275,9 @@
 
 // receive decodes a message at its receiver.
 func (w *World) receive(e event) (any, error) {
-	started := time.Now()
+	started := threadTime()
 	message, err := e.wire.decode()
-	e.node.usage.busy += time.Since(started)
+	e.node.usage.busy += threadTime() - started
 	e.node.usage.receivedMessages++
 	e.node.usage.receivedBytes += e.bytes
 	return message, err
@@ -317,9 +317,9 @@
 		w.wires[key] = newWire()
 	}
 	w.wires[key].usedAt = w.now
-	started := time.Now()
+	started := threadTime()
 	size, err := w.wires[key].encode(output.Message)
-	from.usage.busy += time.Since(started)
+	from.usage.busy += threadTime() - started
 	if err != nil {
 		w.err = err
 		return
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -123,7 +123,12 @@
 	var results []bench.Result
 	for _, size := range sizes {
 		fmt.Fprintf(c.streams.Error, "bench: Running %d nodes.\n", size)
-		result, err := bench.Run(bench.Options{Nodes: size, Servers: settings.servers, Seed: settings.seed})
+		result, err := bench.Run(bench.Options{
+			Nodes: size, Servers: settings.servers, Seed: settings.seed,
+			Progress: func(phase bench.Phase) {
+				fmt.Fprintf(c.streams.Error, "bench: Measured phase %s of %d nodes.\n", phase, size)
+			},
+		})
 		if err != nil {
 			return eris.Wrapf(err, "run %d nodes", size)
 		}
--- a/internal/pool/machine.go
+++ b/internal/pool/machine.go
@@ -40,6 +40,8 @@
 	// that may watch, and subsets this node's share of each service.
 	members  []membership.Member
 	watchers []watcher
+	// assigned is the list from which the back ends' watchers were last chosen.
+	assigned []watcher
 	subsets  map[string][]*entry
 	// polled holds the entries that this node polls.
 	polled []*entry
--- a/internal/pool/machine_test.go
+++ b/internal/pool/machine_test.go
@@ -231,3 +231,48 @@
 		}
 	})
 }
+
+func TestWatchersFollowTheMembersAsIfChosenAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		live := map[int]bool{}
+		var list []cluster.Machine
+		for number := range 40 {
+			list = append(list, cluster.Machine{ID: cluster.BackendID(rune('0' + number)), Kind: cluster.KindService, Pool: "p", State: cluster.StateLive})
+		}
+		var members []membership.Member
+		build := func() *Machine {
+			made := New(Options{
+				Self: cluster.Node{ID: "n00"}, Outbox: &machine.Outbox{},
+				Members:       func() []membership.Member { return members },
+				SpreadBackend: func(membership.BackendRumor) {},
+			})
+			made.HandleMachines(epoch, list)
+			return made
+		}
+		followed := build()
+		now := epoch
+		for range 12 {
+			for range rapid.IntRange(1, 4).Draw(t, "changes") {
+				number := rapid.IntRange(0, 20).Draw(t, "node")
+				live[number] = !live[number]
+			}
+			members = nil
+			for number := range 21 {
+				if live[number] {
+					members = append(members, membership.Member{Node: cluster.Node{
+						ID: cluster.NodeID([]byte{'n', byte('0' + number/10), byte('0' + number%10)}), Zone: cluster.ZoneName(rune('a' + number%4)),
+					}})
+				}
+			}
+			now = now.Add(time.Second)
+			followed.Tick(now)
+			anew := build()
+			anew.Tick(now)
+			for i, e := range followed.entries {
+				if !slices.Equal(e.watchers, anew.entries[i].watchers) {
+					t.Fatalf("watchers of %s are %v, chosen anew %v", e.id(), e.watchers, anew.entries[i].watchers)
+				}
+			}
+		}
+	})
+}
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -31,9 +31,7 @@
 		m.nextRefresh = m.now.Add(refreshInterval)
 		m.stale.watchers = false
 		m.stale.polled = true
-		for _, e := range m.entries {
-			m.assignWatchers(e)
-		}
+		m.reassignWatchers()
 	}
 	if m.stale.polled {
 		m.stale.polled = false
@@ -41,6 +39,68 @@
 	}
 }
 
+// reassignWatchers chooses watchers again for the back ends that a change of the
+// live nodes may concern.
+func (m *Machine) reassignWatchers() {
+	added, removed := changes(m.assigned, m.watchers)
+	fewZones := min(zones(m.assigned), zones(m.watchers)) < watcherCount
+	m.assigned = m.watchers
+	for _, e := range m.entries {
+		if fewZones || len(e.watchers) < watcherCount || concerns(e, added, removed) {
+			m.assignWatchers(e)
+		}
+	}
+}
+
+// zones counts the zones of a list that is grouped by zone.
+func zones(watchers []watcher) int {
+	if len(watchers) == 0 {
+		return 0
+	}
+	return watchers[len(watchers)-1].zone + 1
+}
+
+// changes returns the nodes that came and went between two lists.
+func changes(before, after []watcher) (added, removed []watcher) {
+	lives := make(map[cluster.Node]struct{}, len(before))
+	for _, w := range before {
+		lives[w.node] = struct{}{}
+	}
+	for _, w := range after {
+		if _, stayed := lives[w.node]; !stayed {
+			added = append(added, w)
+		}
+		delete(lives, w.node)
+	}
+	for _, w := range before {
+		if _, gone := lives[w.node]; gone {
+			removed = append(removed, w)
+		}
+	}
+	return added, removed
+}
+
+// concerns reports whether the watchers of a back end, one of each of three or
+// more zones, change with the nodes that came and went: one of them went, or a
+// new one scores higher than the one of its zone, or than the lowest of them.
+func concerns(e *entry, added, removed []watcher) bool {
+	for _, w := range removed {
+		if slices.Contains(e.watchers, w.node) {
+			return true
+		}
+	}
+	for _, w := range added {
+		rival := e.watchers[len(e.watchers)-1]
+		if at := slices.IndexFunc(e.watchers, func(node cluster.Node) bool { return sameZone(node, w.node) }); at >= 0 {
+			rival = e.watchers[at]
+		}
+		if rendezvous(w.hash, e.hash) >= rendezvous(xxhash.Sum64String(string(rival.ID)), e.hash) {
+			return true
+		}
+	}
+	return false
+}
+
 // lookAtMembers notices a change of the live nodes.
 func (m *Machine) lookAtMembers() {
 	members := m.options.Members()
