--- a/internal/core/environment.go
+++ b/internal/core/environment.go
@@ -125,6 +125,9 @@
 // PreviousView returns the view before the one in force.
 func (e requestEnvironment) PreviousView() cluster.View { return e.Control().PreviousView() }
 
+// FirstView returns the number of the first view ever, zero for none.
+func (e requestEnvironment) FirstView() uint64 { return e.Control().FirstView() }
+
 // Nodes counts the live nodes.
 func (e requestEnvironment) Nodes() int { return len(e.LiveNodes()) }
 
