Run a trainer's oldest step first, and measure streams by their last stretch

The steps of one trainer went to different nodes, which shared the engines evenly between them, while a trainer waits for its oldest step. Placement now goes by trainer, and the owner schedules by importance and age. A stream's speed was its mean since the start, which lags behind the engine's batch as it empties; the last stretch counts for half now.

Ruled out: a small batch on engines that run a step's last samples. One more policy fix: the price of a swap counts once, and a sample is priced at four times its expected length, so that few engines don't get everything.

--- a/internal/rollout/leave.go
+++ b/internal/rollout/leave.go
@@ -85,7 +85,7 @@
 		if p.ended() {
 			continue
 		}
-		speed := p.speed()
+		speed := p.speed
 		if p.state != sampleRunning || speed == 0 {
 			return false
 		}
--- a/internal/rollout/lengths.go
+++ b/internal/rollout/lengths.go
@@ -111,6 +111,18 @@
 // trainerKey names a trainer of an event.
 type trainerKey struct{ event, trainer string }
 
+// trainerOf names the trainer of an open step.
+func trainerOf(open record.StepOpened) trainerKey {
+	return trainerKey{event: open.Event, trainer: open.Trainer}
+}
+
+// openedStep is what the control log says of an open step. The offset is zero for
+// a step that came with a snapshot: it is older than all that have one.
+type openedStep struct {
+	trainer trainerKey
+	offset  uint64
+}
+
 // learned keeps the lengths of the last trainers, by what closing records say.
 type learned struct {
 	trainers map[trainerKey]lengths
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -26,9 +26,14 @@
 	return members
 }
 
-// preferred returns the node on which placement puts a step.
+// preferred returns the node on which placement puts a step. All open steps of
+// one trainer go to one node, which runs the oldest first.
 func (m *Machine) preferred(id string) (cluster.Node, bool) {
-	return placement.Owner(m.candidates(), id)
+	key := id
+	if open, ok := m.environment.Control().Step(id); ok {
+		key = "trainer/" + open.Event + "/" + open.Trainer
+	}
+	return placement.Owner(m.candidates(), key)
 }
 
 // isSelf reports whether a node is this process.
@@ -237,7 +242,7 @@
 	s.handover = nil
 	m.subscribe()
 	m.announce(s)
-	m.schedule(now, s)
+	m.schedule(now)
 	m.serveReads(now, s)
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -42,8 +42,8 @@
 	steps map[string]*step
 	order sortedNames
 	hints ownerHints
-	// trainers names the trainer of each open step.
-	trainers map[string]trainerKey
+	// opened says of each open step whose it is and where it was opened.
+	opened   map[string]openedStep
 	learned  learned
 	cadences map[cluster.ModelName]cadence
 
@@ -88,7 +88,7 @@
 		random:       rand.New(rand.NewPCG(options.Seed, randomStream)),
 		steps:        map[string]*step{},
 		hints:        ownerHints{hints: map[string]ownerHint{}},
-		trainers:     map[string]trainerKey{},
+		opened:       map[string]openedStep{},
 		cadences:     map[cluster.ModelName]cadence{},
 		posts:        map[string]*post{},
 		replicaStore: newReplicaStore(limits),
@@ -193,7 +193,7 @@
 	}
 	switch body := change.Body.(type) {
 	case record.StepOpened:
-		m.trainers[body.Step] = trainerKey{event: body.Event, trainer: body.Trainer}
+		m.opened[body.Step] = openedStep{trainer: trainerOf(body), offset: change.Offset}
 		m.postOpened(body)
 		if s := m.steps[body.Step]; s != nil || m.wantsOpen(body.Step) {
 			m.advance(now, m.find(now, body.Step))
@@ -213,8 +213,8 @@
 
 // stepClosed lets go of a step that was closed.
 func (m *Machine) stepClosed(now time.Time, closed record.StepClosed) {
-	m.learned.take(m.trainers[closed.Step], closed.Lengths)
-	delete(m.trainers, closed.Step)
+	m.learned.take(m.opened[closed.Step].trainer, closed.Lengths)
+	delete(m.opened, closed.Step)
 	m.replicaStore.drop(closed.Step)
 	if s := m.steps[closed.Step]; s != nil && s.closedAt.IsZero() {
 		s.closedAt = now
@@ -225,11 +225,15 @@
 // peer's snapshot.
 func (m *Machine) HandleRestore(now time.Time) {
 	m.observe(now)
-	clear(m.trainers)
-	for _, open := range m.environment.Control().Steps() {
-		m.trainers[open.Step] = trainerKey{event: open.Event, trainer: open.Trainer}
+	clear(m.opened)
+	control := m.environment.Control()
+	for _, open := range control.Steps() {
+		m.opened[open.Step] = openedStep{trainer: trainerOf(open)}
 		m.postOpened(open)
 	}
+	for _, model := range control.Models() {
+		m.cadences[model] = m.cadences[model].add(control.NewestAt(model))
+	}
 	m.scanAt = time.Time{}
 }
 
@@ -239,6 +243,10 @@
 	m.tickPosts(now)
 	m.scan(now)
 	m.tickLeave(now)
+	for _, s := range m.all() {
+		m.checkStreams(now, s)
+	}
+	m.schedule(now)
 	for _, s := range m.all() {
 		m.tickStep(now, s)
 	}
@@ -251,8 +259,6 @@
 func (m *Machine) tickStep(now time.Time, s *step) {
 	if s.phase == phaseOwning {
 		m.loadDemand(s)
-		m.checkStreams(now, s)
-		m.schedule(now, s)
 		m.moveStragglers(now, s)
 		if !s.handing {
 			m.flushFinished(now, s)
--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -44,17 +44,19 @@
 	// startedAt is when the attempt went to its engine, chunkAt when its last
 	// chunk came.
 	startedAt time.Time
-	firstAt   time.Time
 	chunkAt   time.Time
+	// speed is the measured speed of the stream in tokens a second, zero while
+	// it is too early to say; unmeasured counts the tokens since measuredAt.
+	speed      float64
+	measuredAt time.Time
+	unmeasured int
 	// text, tokens and segments are what the attempt has produced.
 	text     strings.Builder
 	tokens   int
 	segments []record.Segment
 	// carried is the number of tokens that came from another engine.
 	carried int
-	// startTokens is the number of tokens at the first chunk from the engine.
-	startTokens int
-	moves       int
+	moves   int
 	// stops counts how often a forecast ended an attempt early.
 	stops    int
 	failures int
@@ -79,7 +81,6 @@
 	p.tokens = 0
 	p.segments = nil
 	p.carried = 0
-	p.startTokens = 0
 }
 
 // restart makes the sample wait for a new attempt from nothing.
@@ -105,18 +106,38 @@
 	p.segments = append(p.segments, record.Segment{Version: version, FromToken: from, ToToken: p.tokens})
 }
 
-// speed returns the measured speed of the stream in tokens a second, zero when
-// it is too early to say.
-func (p *sample) speed() float64 {
-	elapsed := p.chunkAt.Sub(p.firstAt)
+// minSpeedTime is the shortest time over which a stream's speed is measured.
+const minSpeedTime = 200 * time.Millisecond
+
+// measure takes a chunk's tokens into the speed of the stream. The last stretch
+// counts for half, since the speed follows the engine's batch. The tokens of the
+// first chunk may be old ones that are streamed again.
+func (p *sample) measure(now time.Time, tokens int) {
+	p.chunkAt = now
+	if p.measuredAt.IsZero() {
+		p.measuredAt = now
+		return
+	}
+	p.unmeasured += tokens
+	elapsed := now.Sub(p.measuredAt)
 	if elapsed < minSpeedTime {
-		return 0
+		return
 	}
-	return float64(p.tokens-p.startTokens) / elapsed.Seconds()
+	last := float64(p.unmeasured) / elapsed.Seconds()
+	if p.speed == 0 {
+		p.speed = last
+	}
+	p.speed = (p.speed + last) / 2
+	p.unmeasured = 0
+	p.measuredAt = now
 }
 
-// minSpeedTime is the shortest time over which a stream's speed is measured.
-const minSpeedTime = 200 * time.Millisecond
+// forgetSpeed begins to measure anew, after a stream was cut or moved.
+func (p *sample) forgetSpeed() {
+	p.measuredAt = time.Time{}
+	p.unmeasured = 0
+	p.speed = 0
+}
 
 // take finishes the attempt and returns its result.
 func (p *sample) take() record.Result {
@@ -143,11 +164,7 @@
 		m.abandonAttempt(now, s, p) // nobody could name the version of these tokens
 		return
 	}
-	if p.firstAt.IsZero() {
-		p.firstAt = now
-		p.startTokens = p.tokens + in.Tokens
-	}
-	p.chunkAt = now
+	p.measure(now, in.Tokens)
 	p.failures = 0
 	p.add(in.Tokens, in.Text, in.Version)
 	if routing.TooOld(p.oldest(), m.newest(s), s.bound()) {
@@ -173,7 +190,7 @@
 	default:
 		m.cutStream(now, s, p, in.Err)
 	}
-	m.schedule(now, s)
+	m.schedule(now)
 }
 
 // running finds the sample whose attempt runs on the engine at this owner.
@@ -224,7 +241,7 @@
 	if !m.budget.take(now) {
 		p.retryAt = p.retryAt.Add(budgetPause)
 	}
-	p.firstAt = time.Time{}
+	p.forgetSpeed()
 }
 
 // abandonAttempt stops an attempt whose tokens can't be used and runs the sample
@@ -254,7 +271,7 @@
 	}
 	p.restart()
 	p.failures++
-	p.firstAt = time.Time{}
+	p.forgetSpeed()
 	p.retryAt = now.Add(m.backoff(p.failures - 2))
 }
 
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,14 +15,30 @@
 // policy's own priorities, so that important work goes before all other.
 const priorityPerImportance = 1000
 
+// priorityPerRank is what an older step of this node is worth.
+const priorityPerRank = 200
+
 // promptBytesPerToken is the assumed number of bytes of one prompt token.
 const promptBytesPerToken = 4
 
-// schedule places the samples of a step that wait for an engine.
-func (m *Machine) schedule(now time.Time, s *step) {
-	if s.phase != phaseOwning || s.handing {
-		return
+// schedule places the samples that wait for an engine, those of important and of
+// old steps first: a trainer waits for its oldest step.
+func (m *Machine) schedule(now time.Time) {
+	steps := slices.DeleteFunc(m.all(), func(s *step) bool { return s.phase != phaseOwning || s.handing })
+	slices.SortStableFunc(steps, func(a, b *step) int {
+		return cmp.Or(
+			cmp.Compare(b.demand.Importance, a.demand.Importance),
+			cmp.Compare(m.opened[a.id].offset, m.opened[b.id].offset),
+		)
+	})
+	for rank, s := range steps {
+		m.scheduleStep(now, s, rank)
 	}
+}
+
+// scheduleStep places the waiting samples of one step. Inside an engine a step
+// goes before those with a higher rank.
+func (m *Machine) scheduleStep(now time.Time, s *step, rank int) {
 	engines := m.engines(now, s)
 	m.resumeAttempts(now, s, engines)
 	room := m.classRoom(s)
@@ -47,6 +64,7 @@
 		Bound:      s.bound(),
 	})
 	for _, placement := range placements[:min(room, len(placements))] {
+		placement.Priority -= priorityPerRank * rank
 		m.start(now, s, placement)
 	}
 }
@@ -99,7 +117,7 @@
 	placed.Tokens += work.Prompt + work.Held + work.Expected
 	placed.Remaining += work.Expected
 	placed.Longest = max(placed.Longest, work.Expected)
-	if speed := p.speed(); speed > 0 {
+	if speed := p.speed; speed > 0 {
 		placed.StreamSpeed = speed
 	}
 	if work.Group != "" && !slices.Contains(placed.Groups, work.Group) {
@@ -177,7 +195,7 @@
 	p.resume = false
 	p.stay = false
 	p.startedAt = now
-	p.firstAt = time.Time{}
+	p.forgetSpeed()
 	p.chunkAt = time.Time{}
 	s.place(p)
 }
@@ -223,7 +241,7 @@
 		case sampleWaiting:
 			waiting++
 		case sampleRunning:
-			running = append(running, routing.Running{Work: s.work(p), Engine: p.engine, Speed: p.speed(), Moves: p.moves})
+			running = append(running, routing.Running{Work: s.work(p), Engine: p.engine, Speed: p.speed, Moves: p.moves})
 		}
 	}
 	if len(running) == 0 || waiting > 0 {
@@ -280,7 +298,7 @@
 // forecast returns what is known of a running sample's chance to be within the
 // bound at its end.
 func (m *Machine) forecast(now time.Time, s *step, p *sample) routing.BoundForecast {
-	speed := p.speed()
+	speed := p.speed
 	if speed <= 0 {
 		return routing.BoundForecast{}
 	}
--- a/internal/routing/engine_dalehook.go
+++ b/internal/routing/engine_dalehook.go
@@ -13,20 +13,20 @@
 	// assumedPrefillSpeed is the speed at which an engine reads a prompt.
 	assumedPrefillSpeed = 8000
 	// assumedStreamSpeed is the speed of one stream alone on an engine.
-	assumedStreamSpeed = 60
+	assumedStreamSpeed = 80
 	// halfSpeedBatch is the batch size at which one stream has half its speed.
-	halfSpeedBatch = 32
+	halfSpeedBatch = 48
 	// memoryShare is the share of the cache memory that placement fills, so that
 	// samples that grow beyond what was expected evict nothing.
 	memoryShare = 0.9
-	// versionPenalty is the time that one version of lag is worth. It makes a
-	// newer engine win against a slightly less loaded one.
-	versionPenalty = 2.0
-	// swapPenalty is the time that a swap in the middle of a sample costs.
-	swapPenalty = 4.0
-	// shortSample is the running time up to which a sample is likely to end
-	// before an engine's next swap begins.
-	shortSample = 5.0
+	// swapPenalty is the time that a swap in the middle of a sample costs. An
+	// engine with an old version is to be swapped soon.
+	swapPenalty = 2.0
+	// tailFactor is how many times its expected length a sample may well have.
+	tailFactor = 4
+	// movableSamplesPerEngine is the number of running samples for each engine
+	// from which on down a step's samples are moved.
+	movableSamplesPerEngine = 4
 	// moveCost is the fixed time that a move takes.
 	moveCost = 0.3
 	// moveGain is the factor by which a move has to shorten the remaining time.
@@ -145,17 +145,15 @@
 }
 
 // placeCost is the time at which the engine would have finished the work and the
-// longest sample that it already runs, plus penalties for an old version and for
-// a swap to come.
+// longest sample that it already runs, if that becomes a long one, plus the time
+// that a swap to come takes.
 func placeCost(engine Engine, work Work, newest cluster.Version) float64 {
 	speed := streamSpeed(engine, engine.requests()+1)
 	longest := max(engine.Placed.Longest, work.Expected)
-	cost := float64(longest)/speed + prefillTime(engine, work)
-	if newest > engine.Version && engine.Version > 0 {
-		cost += versionPenalty * float64(newest-engine.Version)
-	}
-	swapsSoon := engine.Loading != 0 && engine.Loading != engine.Version
-	if swapsSoon && float64(work.Expected)/speed > shortSample {
+	cost := float64(tailFactor*longest)/speed + prefillTime(engine, work)
+	old := newest > engine.Version && engine.Version > 0
+	loading := engine.Loading != 0 && engine.Loading != engine.Version
+	if old || loading {
 		cost += swapPenalty
 	}
 	return cost
@@ -198,7 +196,7 @@
 // engine, and only when that ends the sample clearly sooner.
 func (p *dalehookPolicy) Move(request MoveRequest) []Placement {
 	engines := usable(request.Engines, request.Newest, request.Bound)
-	if request.Waiting > 0 || len(request.Running) > tailSamplesPerEngine*len(engines) {
+	if request.Waiting > 0 || len(request.Running) > movableSamplesPerEngine*len(engines) {
 		return nil
 	}
 	var moves []Placement
@@ -254,7 +252,8 @@
 		if engine.Slots < 0 || !hasRoom(engine, running.Work) {
 			continue
 		}
-		cost := moveCost + placeCost(engine, running.Work, newest)
+		speed := streamSpeed(engine, engine.requests()+1)
+		cost := moveCost + prefillTime(engine, running.Work) + float64(running.Expected)/speed
 		if cost < lowest {
 			best, lowest = i, cost
 		}
