--- a/internal/follower/machine_test.go
+++ b/internal/follower/machine_test.go
@@ -1,9 +1,12 @@
 package follower
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/sebdah/goldie/v2"
 )
 
 // start runs a cluster before a log until every node is ready.
@@ -184,3 +187,13 @@
 		t.Errorf("an unasked offer moved the freshness from %s to %s", before, node.CaughtUpAt())
 	}
 }
+
+func TestTraceOfAStartWhileTheLogIsDown(t *testing.T) {
+	n := start(t, 3, 400)
+	n.logDown = true
+	n.run(5 * time.Second)
+	n.trace = &bytes.Buffer{}
+	n.add()
+	n.run(time.Second)
+	goldie.New(t).Assert(t, "start", n.trace.Bytes())
+}
--- a/internal/follower/network_test.go
+++ b/internal/follower/network_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"math/rand/v2"
@@ -30,6 +31,8 @@
 	logDown bool
 	loss    float64
 	largest int
+	// trace takes a line for each message; nil for none.
+	trace *bytes.Buffer
 }
 
 // testNode is a follower with what its network does to it.
@@ -168,6 +171,9 @@
 	if n.random.Float64() < n.loss {
 		return
 	}
+	if n.trace != nil {
+		fmt.Fprintf(n.trace, "%6.2fs %s -> %s %T %s\n", n.now.Sub(epoch).Seconds(), from.self.ID, output.To, output.Message, summary(output.Message))
+	}
 	at := slices.IndexFunc(n.nodes, func(node *testNode) bool { return node.self.ID == output.To })
 	message := machine.PeerMessage{From: from.self.ID, FromIncarnation: from.self.Incarnation, Message: output.Message}
 	n.waiting = append(n.waiting, delivery{at: n.now.Add(10 * time.Millisecond), to: n.nodes[at], input: message})
@@ -183,6 +189,18 @@
 	}
 }
 
+// summary prints a message without the bodies of entries and pieces.
+func summary(message any) string {
+	switch message := message.(type) {
+	case push:
+		return fmt.Sprintf("%d entries up to %d", len(message.Entries), message.Offset)
+	case piece:
+		return fmt.Sprintf("piece %d of %d at %d", message.Number+1, message.Count, message.Offset)
+	default:
+		return fmt.Sprintf("%+v", message)
+	}
+}
+
 // readLater answers a read, or looks again until its wait is over.
 func (n *network) readLater(node *testNode, read machine.ReadLog, now time.Time) {
 	answer := machine.LogEntries{Log: read.Log, From: read.From, End: uint64(len(n.log))}
--- a/internal/pool/machine_test.go
+++ b/internal/pool/machine_test.go
@@ -276,3 +276,24 @@
 		}
 	})
 }
+
+func TestSharesPreferTheOwnZone(t *testing.T) {
+	n := newNetwork(t, 30, 90)
+	n.run(100 * time.Millisecond)
+	own, all := 0, 0
+	for _, node := range n.nodes {
+		shares := node.Services("lookup")
+		for i, server := range shares {
+			all++
+			if server.Zone == node.self.Zone {
+				own++
+			}
+			if i > 0 && server.Zone == node.self.Zone && shares[i-1].Zone != node.self.Zone {
+				t.Fatalf("%s: a server of its own zone comes after others", node.self.ID)
+			}
+		}
+	}
+	if 10*own < 7*all {
+		t.Errorf("%d of %d servers stand in the zone of their node", own, all)
+	}
+}
