--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -68,53 +68,70 @@
 	return own
 }
 
+// syncAnswer collects facts into a bounded number of bounded messages.
+type syncAnswer struct {
+	messages []facts
+	// cut is set when a fact found no room.
+	cut bool
+}
+
+// room returns the message that takes the next fact, nil when all are full.
+func (a *syncAnswer) room() *facts {
+	last := len(a.messages) - 1
+	if last >= 0 && len(a.messages[last].Members)+len(a.messages[last].Backends) < maxFacts {
+		return &a.messages[last]
+	}
+	if len(a.messages) == maxSyncMessages {
+		a.cut = true
+		return nil
+	}
+	a.messages = append(a.messages, facts{})
+	return &a.messages[last+1]
+}
+
+func (a *syncAnswer) addMember(fact memberFact) {
+	if message := a.room(); message != nil {
+		message.Members = append(message.Members, fact)
+	}
+}
+
+func (a *syncAnswer) addBackend(fact backendFact) {
+	if message := a.room(); message != nil {
+		message.Backends = append(message.Backends, fact)
+	}
+}
+
 // answerSync sends the facts in the buckets that differ, in bounded messages.
 // The first bucket is random, so that an answer that is cut short does not leave
 // out the same facts each time.
 func (m *Machine) answerSync(from cluster.NodeID, in syncRequest) {
 	first := m.random.IntN(bucketCount)
-	own := m.ownRow()
-	m.members.buckets[own.bucket] ^= own.contribution
-	members := m.members.differing(in.Members, first)
-	m.members.buckets[own.bucket] ^= own.contribution
-	backends := m.backends.differing(in.Backends, first)
-
-	answer := make([]facts, 0, maxSyncMessages)
-	full := func() bool {
-		last := len(answer) - 1
-		return last < 0 || len(answer[last].Members)+len(answer[last].Backends) == maxFacts
+	var answer syncAnswer
+	if len(in.Members) > 0 {
+		answer.addMember(m.selfFact(true))
 	}
-	room := func() bool {
-		if full() && len(answer) < maxSyncMessages {
-			answer = append(answer, facts{})
-		}
-		return !full()
+	for _, known := range m.differingMembers(in.Members, first) {
+		answer.addMember(m.memberFact(known, true))
 	}
-	if len(in.Members) > 0 && room() {
-		answer[0].Members = append(answer[0].Members, m.selfFact(true))
+	for _, known := range m.backends.differing(in.Backends, first) {
+		answer.addBackend(m.backendFact(known, true))
 	}
-	more := false
-	for _, known := range members {
-		if more = !room(); more {
-			break
-		}
-		last := &answer[len(answer)-1]
-		last.Members = append(last.Members, m.memberFact(known, true))
-	}
-	for _, known := range backends {
-		if more = more || !room(); more {
-			break
-		}
-		last := &answer[len(answer)-1]
-		last.Backends = append(last.Backends, m.backendFact(known, true))
-	}
-	for i, message := range answer {
-		message.Last = i == len(answer)-1
-		message.More = more && message.Last
+	for i, message := range answer.messages {
+		message.Last = i == len(answer.messages)-1
+		message.More = answer.cut && message.Last
 		m.reply(from, message)
 	}
 }
 
+// differingMembers compares with this node in its own bucket, as others hold it.
+func (m *Machine) differingMembers(digests []byte, first int) []*row[member] {
+	own := m.ownRow()
+	m.members.buckets[own.bucket] ^= own.contribution
+	found := m.members.differing(digests, first)
+	m.members.buckets[own.bucket] ^= own.contribution
+	return found
+}
+
 // handleJoin takes a node that presents itself, and answers what it asks for.
 func (m *Machine) handleJoin(from cluster.NodeID, in join) {
 	if in.Self.ID != from {
