--- a/internal/sim/call.go
+++ b/internal/sim/call.go
@@ -35,7 +35,9 @@
 	what   string
 	// request is the body of a service request, which the driver keeps.
 	request string
-	done    func(CallResult)
+	// local is set for a look from inside the process, without a network.
+	local bool
+	done  func(CallResult)
 	// settled is set when the client has its result, replied when the machine
 	// has ended the call.
 	settled bool
@@ -114,7 +116,12 @@
 	if n.world.kernel.Tracing() {
 		n.world.kernel.Note("%T %s", out.Body, traceText(out.Body))
 	}
-	n.world.network.answer(n.place(), c.client, func() { c.end(CallResult{Outcome: CallAnswered, Body: out.Body}) })
+	deliver := func() { c.end(CallResult{Outcome: CallAnswered, Body: out.Body}) }
+	if c.local {
+		deliver()
+		return
+	}
+	n.world.network.answer(n.place(), c.client, deliver)
 }
 
 // openCalls returns the calls without an answer, in the order in which they came.
--- a/internal/sim/inject.go
+++ b/internal/sim/inject.go
@@ -94,6 +94,7 @@
 	ID() cluster.BackendID
 	Up() bool
 	Frozen() bool
+	Deliver(func()) bool
 	Crash()
 	Restart()
 	Freeze()
@@ -113,7 +114,7 @@
 	case fault.Freeze:
 		b.Freeze()
 	case fault.Leave:
-		b.Leave()
+		b.Deliver(b.Leave)
 		w.machines.SetState(b.ID(), cluster.StateLeaving)
 		w.kernel.Every(drainTime, time.Second, func() bool { return w.goWhenIdle(f, b) })
 	}
@@ -175,7 +176,7 @@
 func (n *Node) probe() {
 	n.lastCall++
 	id := n.lastCall
-	n.calls[id] = &call{id: id, client: n.place(), node: n, what: "probe", done: func(r CallResult) {
+	n.calls[id] = &call{id: id, client: n.place(), node: n, what: "probe", local: true, done: func(r CallResult) {
 		if report, ok := r.Body.(machine.StatusReport); ok {
 			n.probes = append(n.probes, Probe{At: n.world.kernel.Elapsed(), Life: n.Life(), Ready: n.ready(), Status: report})
 		}
--- a/internal/sim/trainer.go
+++ b/internal/sim/trainer.go
@@ -168,6 +168,10 @@
 	postTimeout  = 12 * time.Second
 )
 
+// A trainer loses one answer with samples in loseOneIn after it has come, and
+// reads again from the same cursor.
+const loseOneIn = 10
+
 // later runs f after a time unless the trainer has crashed meanwhile.
 func (t *Trainer) later(delay time.Duration, f func()) {
 	life := t.life
@@ -229,6 +233,10 @@
 		}
 		switch body := result.Body.(type) {
 		case machine.SamplesRead:
+			if len(body.Samples) > 0 && t.random.IntN(loseOneIn) == 0 {
+				t.later(trainerRetry, func() { t.read(s) })
+				return
+			}
 			t.receive(s, body, named)
 		case machine.Failure:
 			t.refusals[body.Code]++
