Let the last node of a zone read the log also while it leaves

Cause: only live nodes of a zone count as its readers of the log. When the only node of a zone is told to leave it stopped reading and found no reader of its zone to ask, so that it took the log for up, whatever the log did. With the store down it then asked for handovers that can't be logged and started no sample any more: a step that it owned stood still until the store was back.

Ruled out: the trainer's reads (answered all the time, without samples).

Change: a node without live nodes in its zone is its own candidate.

Before: TestLeavingNodesOfAZoneKnowTheOutage failed at its first case, "not all know that the log is down".

--- a/internal/follower/machine_test.go
+++ b/internal/follower/machine_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"dalehook/internal/membership"
 )
 
 // start runs a cluster before a log until every node is ready.
@@ -96,6 +98,29 @@
 	})
 }
 
+// TestLeavingNodesOfAZoneKnowTheOutage lets all nodes of a zone leave while the
+// log is down: nobody else of the zone reports on it.
+func TestLeavingNodesOfAZoneKnowTheOutage(t *testing.T) {
+	for _, size := range []int{1, 2, 4} {
+		n := start(t, size, 1)
+		for i := range n.members {
+			if n.members[i].Zone == "a" {
+				n.members[i].State = membership.StateLeaving
+			}
+		}
+		n.logDown = true
+		n.run(10 * time.Second)
+		if !n.all(func(node *testNode) bool { return node.StoreDown() }) {
+			t.Errorf("%d nodes: not all know that the log is down", size)
+		}
+		n.logDown = false
+		n.append(1, "")
+		n.runUntil(4*time.Second, "end of the outage known", func() bool {
+			return n.all(func(node *testNode) bool { return !node.StoreDown() && n.caughtUp(node) })
+		})
+	}
+}
+
 func TestNodeStartsFromPeersWhileTheLogIsDown(t *testing.T) {
 	n := start(t, 6, 400)
 	n.logDown = true
--- a/internal/follower/reader.go
+++ b/internal/follower/reader.go
@@ -82,7 +82,8 @@
 	m.reader.elected = elected
 }
 
-// candidates returns the lowest live ids of this node's zone, in order.
+// candidates returns the lowest live ids of this node's zone, in order. A node
+// that leaves is one only when nobody else of its zone can read the log for it.
 func (m *Machine) candidates() []cluster.NodeID {
 	ids := make([]cluster.NodeID, 0, candidatesPerZone)
 	for _, known := range m.options.Members() {
@@ -95,6 +96,9 @@
 			break
 		}
 	}
+	if len(ids) == 0 {
+		ids = append(ids, m.options.Self.ID)
+	}
 	return ids
 }
 
