--- a/cmd/dalehook/failure_store_test.go
+++ b/cmd/dalehook/failure_store_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,6 +117,33 @@
 	l.check()
 }
 
+// TestFailurePlannedStopWithoutStore tells the owner of a step to leave while the
+// log is away. It stays until its samples are on the log, and cuts nothing.
+func TestFailurePlannedStopWithoutStore(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	l := w.startLoad(false)
+	owner, step := w.awaitOwner()
+	w.setFault(w.platform, standin.FaultStoreDown, 3600)
+	owner.signal(t, syscall.SIGTERM)
+	l.awaitWork(0, 200)
+	w.await("the running step to be delivered", func() error {
+		if counts := w.ledger.Counts(); counts.Lost > 0 {
+			return fmt.Errorf("%+v", counts)
+		}
+		return nil
+	})
+	select {
+	case <-owner.ended:
+		t.Logf("%s left with the store down, having owned %s", owner.id, step.Step)
+	default:
+		t.Logf("%s waits for the store, owning %s", owner.id, step.Step)
+	}
+	w.setFault(w.platform, standin.FaultStoreDown, 0)
+	w.awaitEnd(owner)
+	l.awaitWork(1, 100)
+	l.check()
+}
+
 // confirmUntilAnswered confirms at nodes in turn until the answer is final.
 func (w *world) confirmUntilAnswered(turn int, confirmation client.Confirmation) (confirmed client.Confirmed, err error) {
 	for start := time.Now(); time.Since(start) < patience; turn++ {
--- a/cmd/dalehook/failure_world_test.go
+++ b/cmd/dalehook/failure_world_test.go
@@ -41,12 +41,16 @@
 	announceEvery = 2500 * time.Millisecond
 )
 
+// builtDirectory holds the binary once it is built.
+var builtDirectory string
+
 // builtBinary builds the binary once for all failure tests.
 var builtBinary = sync.OnceValues(func() (string, error) {
 	directory, err := os.MkdirTemp("", "dalehook-failure-")
 	if err != nil {
 		return "", err
 	}
+	builtDirectory = directory
 	path := filepath.Join(directory, "dalehook")
 	output, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput()
 	if err != nil {
@@ -57,9 +61,8 @@
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	// This builds the binary only where no failure test has run; it is cached.
-	if path, err := builtBinary(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(path))
+	if builtDirectory != "" {
+		_ = os.RemoveAll(builtDirectory)
 	}
 	os.Exit(code)
 }
