Let engines fetch while others swap

Cause: with a fetch of 10 s, a pool of 9 engines took some 55 s for a version, two loads at a time, each counted as out of service from order to end. With a version each 28 s, engines were two versions behind: captions could not use them, and long summaries that began there missed their bound.

Change: a quarter of the pool begins to load in each swap time, so that as many swap at once, and at most half of the pool loads. 9 engines with a fetch of 10 s take 26 s, 11 take 28 s, with 7 and 9 serving at the lowest; 600 engines with a fetch of 2 s take 33.65 s as before.

--- a/internal/weights/environment.go
+++ b/internal/weights/environment.go
@@ -59,8 +59,15 @@
 	// pools that this node directs.
 	StoreLoadsPerSecond float64
 	StoreBurst          int
-	// MaxSwapFraction is the part of a pool that may be loading at once.
+	// MaxSwapFraction is the part of a pool that may stand still for a swap at
+	// once. Reports do not tell a swap from the fetch before it, so as many loads
+	// are ordered in each SwapTime.
 	MaxSwapFraction float64
+	// MaxLoadFraction is the part of a pool that may be loading at once. An engine
+	// serves while it fetches; the limit is for loads that end together.
+	MaxLoadFraction float64
+	// SwapTime is how long an engine stands still at the end of a load.
+	SwapTime time.Duration
 	// Interval is the time between two looks at a pool.
 	Interval time.Duration
 	// TakeoverWait is how long a new director waits for reports that show what
@@ -94,6 +101,8 @@
 	DefaultStoreLoadsPerSecond = 20
 	DefaultStoreBurst          = 8
 	DefaultMaxSwapFraction     = 0.25
+	DefaultMaxLoadFraction     = 0.5
+	DefaultSwapTime            = 2 * time.Second
 	DefaultInterval            = 200 * time.Millisecond
 	DefaultTakeoverWait        = 2 * time.Second
 	DefaultOrderTimeout        = 5 * time.Second
@@ -110,6 +119,8 @@
 	setDefault(&p.StoreLoadsPerSecond, DefaultStoreLoadsPerSecond)
 	setDefault(&p.StoreBurst, DefaultStoreBurst)
 	setDefault(&p.MaxSwapFraction, DefaultMaxSwapFraction)
+	setDefault(&p.MaxLoadFraction, DefaultMaxLoadFraction)
+	setDefault(&p.SwapTime, DefaultSwapTime)
 	setDefault(&p.Interval, DefaultInterval)
 	setDefault(&p.TakeoverWait, DefaultTakeoverWait)
 	setDefault(&p.OrderTimeout, DefaultOrderTimeout)
--- a/internal/weights/pool_director.go
+++ b/internal/weights/pool_director.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"math"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -50,8 +51,10 @@
 type wave struct {
 	// live counts the engines that are neither dead nor leaving.
 	live int
-	// loading counts live engines that load, or were ordered to.
+	// loading counts live engines that load, or were ordered to; begun those of
+	// them that were ordered within the last SwapTime.
 	loading int
+	begun   int
 	// broken counts live engines that serve nothing, cannot be asked, or load for
 	// so long that the load may be hung.
 	broken     int
@@ -92,6 +95,9 @@
 		} else {
 			found.loading++
 		}
+		if state.pending && now.Sub(state.orderedAt) < parameters.SwapTime {
+			found.begun++
+		}
 		return
 	case !p.isKnown(now, engine):
 		found.broken++
@@ -197,17 +203,21 @@
 	}
 }
 
-// budget is the number of serving engines that may begin to load now. One engine
-// at a time may load in any case: otherwise a pool without spare engines would
-// stay on an old version for ever. Broken engines may hold the others up to twice
-// the usual number; beyond that it is the store, rather than an engine, that hangs.
+// budget is the number of serving engines that may begin to load now. Loads that
+// begin apart end apart, so the pace at which they begin bounds the engines that
+// stand still at once. One engine at a time may load in any case: otherwise a pool
+// without spare engines would stay on an old version for ever. Broken engines may
+// hold the others up to twice the usual number; beyond that it is the store, rather
+// than an engine, that hangs.
 func (p *poolDirector) budget(now time.Time, found wave) int {
-	atOnce := max(1, int(float64(found.live)*p.director.parameters.MaxSwapFraction))
+	parameters := p.director.parameters
+	swapping := max(1, int(float64(found.live)*parameters.MaxSwapFraction))
 	if needed := p.director.environment.Needed(now, p.name); needed > 0 {
-		atOnce = max(1, min(atOnce, found.live-needed))
+		swapping = max(1, min(swapping, found.live-needed))
 	}
-	free := atOnce - found.broken - found.loading
-	if found.loading == 0 && found.broken < 2*atOnce {
+	loading := max(swapping, int(math.Ceil(float64(found.live)*parameters.MaxLoadFraction)))
+	free := min(swapping-found.begun, loading-found.loading) - found.broken
+	if found.loading == 0 && found.broken < 2*swapping {
 		return max(1, free)
 	}
 	return free
