--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -162,11 +162,11 @@
 
 // requests estimates how many requests the engine has. The report lags, so what
 // the scheduler has placed itself is the lower limit.
-func (e Engine) requests() int { return max(e.Running+e.Waiting, e.Placed.Requests) }
+func (e *Engine) requests() int { return max(e.Running+e.Waiting, e.Placed.Requests) }
 
 // memory estimates the cache memory in tokens that is needed when all requests
 // of the engine have reached their ends.
-func (e Engine) memory() int { return max(e.KVTokens+e.Placed.Remaining, e.Placed.Tokens) }
+func (e *Engine) memory() int { return max(e.KVTokens+e.Placed.Remaining, e.Placed.Tokens) }
 
 // take accounts for work that was just placed on the engine.
 func (e *Engine) take(w Work) {
--- a/internal/routing/engine_dalehook.go
+++ b/internal/routing/engine_dalehook.go
@@ -60,7 +60,7 @@
 	var placements []Placement
 	misses := 0
 	for _, work := range longestFirst(request.Waiting) {
-		engines = slices.DeleteFunc(engines, full)
+		engines = slices.DeleteFunc(engines, func(e Engine) bool { return full(&e) })
 		if len(engines) == 0 || misses >= maxMisses {
 			break
 		}
@@ -110,7 +110,8 @@
 func bestEngine(engines []Engine, work Work, newest cluster.Version) int {
 	chosen := -1
 	lowest := 0.0
-	for i, engine := range engines {
+	for i := range engines {
+		engine := &engines[i]
 		if !hasRoom(engine, work) {
 			continue
 		}
@@ -123,13 +124,13 @@
 }
 
 // full reports whether the engine has no free slot.
-func full(engine Engine) bool {
+func full(engine *Engine) bool {
 	return engine.Slots > 0 && engine.requests() >= engine.Slots
 }
 
 // hasRoom reports whether the engine can start the work at once and hold it to
 // its end. An idle engine takes any work, however long.
-func hasRoom(engine Engine, work Work) bool {
+func hasRoom(engine *Engine, work Work) bool {
 	requests := engine.requests()
 	if requests == 0 {
 		return true
@@ -147,7 +148,7 @@
 // placeCost is the time at which the engine would have finished the work and the
 // longest sample that it already runs, if that becomes a long one, plus the time
 // that a swap to come takes.
-func placeCost(engine Engine, work Work, newest cluster.Version) float64 {
+func placeCost(engine *Engine, work Work, newest cluster.Version) float64 {
 	speed := streamSpeed(engine, engine.requests()+1)
 	longest := max(engine.Placed.Longest, work.Expected)
 	cost := float64(tailFactor*longest)/speed + prefillTime(engine, work)
@@ -161,7 +162,7 @@
 
 // streamSpeed estimates the speed of one stream on an engine that runs the given
 // number of requests. What was measured at the present number is scaled.
-func streamSpeed(engine Engine, requests int) float64 {
+func streamSpeed(engine *Engine, requests int) float64 {
 	alone := float64(assumedStreamSpeed)
 	present := engine.requests()
 	switch {
@@ -180,7 +181,7 @@
 
 // prefillTime is the time until the first new token: the prompt, unless the
 // engine has it in its cache, and the tokens that a resume brings along.
-func prefillTime(engine Engine, work Work) float64 {
+func prefillTime(engine *Engine, work Work) float64 {
 	tokens := work.Prompt + work.Held
 	if work.Group != "" && holdsGroup(engine, work.Group) {
 		tokens = work.Held
@@ -188,7 +189,7 @@
 	return float64(tokens) / assumedPrefillSpeed
 }
 
-func holdsGroup(engine Engine, group string) bool {
+func holdsGroup(engine *Engine, group string) bool {
 	return slices.Contains(engine.Groups, group) || slices.Contains(engine.Placed.Groups, group)
 }
 
@@ -248,7 +249,8 @@
 		}
 	}
 	best, lowest := -1, running.remaining()/moveGain
-	for i, engine := range others {
+	for i := range others {
+		engine := &others[i]
 		if engine.Slots < 0 || !hasRoom(engine, running.Work) {
 			continue
 		}
