--- a/cmd/dalehook/failure_node_test.go
+++ b/cmd/dalehook/failure_node_test.go
@@ -30,6 +30,7 @@
 }
 
 func TestFailureOwnerKilled(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{})
 	l := w.startLoad(false)
 	owner, step := w.awaitOwner()
@@ -43,6 +44,7 @@
 }
 
 func TestFailureOwnerPaused(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{})
 	l := w.startLoad(false)
 	owner, step := w.awaitOwner()
--- a/cmd/dalehook/failure_stop_test.go
+++ b/cmd/dalehook/failure_stop_test.go
@@ -208,6 +208,7 @@
 }
 
 func TestFailureRollingReplacement(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, worldOptions{})
 	l := w.startLoad(true)
 	w.awaitOwner()
--- a/cmd/dalehook/failure_store_test.go
+++ b/cmd/dalehook/failure_store_test.go
@@ -144,6 +144,31 @@
 	l.check()
 }
 
+// TestFailureOwnerKilledWithoutStore kills the owner of a step while finished
+// samples of it are not on the log yet.
+func TestFailureOwnerKilledWithoutStore(t *testing.T) {
+	w := newWorld(t, worldOptions{})
+	l := w.startLoad(false)
+	owner, step := w.awaitOwner()
+	w.setFault(w.platform, standin.FaultStoreDown, 3600)
+	delivered := w.ledger.Counts().Delivered
+	w.await("samples to be delivered without the log", func() error {
+		if counts := w.ledger.Counts(); counts.Delivered < delivered+3 {
+			return fmt.Errorf("%+v", counts)
+		}
+		return nil
+	})
+	w.kill(owner.process)
+	l.awaitWork(0, 200)
+	t.Logf("%s died with %s; with the store down: %+v", owner.id, step.Step, w.ledger.Counts())
+	w.setFault(w.platform, standin.FaultStoreDown, 0)
+	l.awaitWork(1, 100)
+	w.restart(owner)
+	w.awaitReady(owner)
+	l.awaitWork(1, 100)
+	l.check()
+}
+
 // confirmUntilAnswered confirms at nodes in turn until the answer is final.
 func (w *world) confirmUntilAnswered(turn int, confirmation client.Confirmation) (confirmed client.Confirmed, err error) {
 	for start := time.Now(); time.Since(start) < patience; turn++ {
