--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -41,6 +41,8 @@
 	answers     map[machine.CallID]any
 	event       record.Event
 	trace       []string
+	// outputs is the text of what all nodes put out, reads of logs left out.
+	outputs strings.Builder
 	// storeDelay is the log's time for one operation; with overtaking set, later
 	// appends often come before earlier ones.
 	storeDelay time.Duration
@@ -305,6 +307,7 @@
 func (n *worldNode) carryOut() {
 	w := n.world
 	for _, output := range n.outbox.Take() {
+		w.record(n, output)
 		switch out := output.(type) {
 		case machine.Reply:
 			w.answers[out.Call] = out.Body
@@ -328,6 +331,14 @@
 	}
 }
 
+// record writes an output down for a golden trace.
+func (w *world) record(n *worldNode, output machine.Output) {
+	if _, read := output.(machine.ReadLog); read {
+		return
+	}
+	fmt.Fprintf(&w.outputs, "%6s %s %T %+v\n", w.now.Sub(worldStart), n.node.ID, output, output)
+}
+
 // answerLog answers a read of a log, once there is something or its time is up.
 func (n *worldNode) answerLog(read machine.ReadLog, deadline time.Time) {
 	w := n.world
@@ -348,11 +359,13 @@
 func (n *worldNode) Append(_ time.Time, log string, body any, done func(time.Time, logwriter.Result), _ ...logwriter.AppendOption) record.ID {
 	n.ids++
 	id := record.ID(fmt.Sprintf("%s.%d.%d", n.node.ID, n.node.Incarnation, n.ids))
-	delay := n.world.storeDelay + n.appendDelay
-	if n.world.overtaking {
+	w := n.world
+	fmt.Fprintf(&w.outputs, "%6s %s append %s to %s\n", w.now.Sub(worldStart), n.node.ID, record.Kind(body), log)
+	delay := w.storeDelay + n.appendDelay
+	if w.overtaking {
 		delay += time.Duration(5-n.ids%6) * delay
 	}
-	n.world.after(delay, func() { n.try(log, id, body, done) })
+	w.after(delay, func() { n.try(log, id, body, done) })
 	return id
 }
 
