--- a/internal/sim/lengths.go
+++ b/internal/sim/lengths.go
@@ -12,6 +12,8 @@
 	// Median is the median answer in tokens, Sigma the deviation of its logarithm.
 	Median float64
 	Sigma  float64
+	// GroupSigma is the deviation of the logarithm of the groups' medians.
+	GroupSigma float64
 	// TailShare of the samples come from a Pareto tail that starts at TailFrom
 	// tokens and has the exponent TailAlpha.
 	TailShare float64
--- a/internal/sim/scenario.go
+++ b/internal/sim/scenario.go
@@ -108,7 +108,7 @@
 		s.Trainers = append(s.Trainers, TrainerOptions{
 			Name: name, Event: event.Name, Model: d.Model, Bound: 1, Steps: 5, Samples: 24, Ahead: 2,
 			Train: 5 * time.Second, MaxTokens: 1200, GroupSize: 4, Publishes: i == 0, Names: i == 0,
-			Lengths: Lengths{Median: 250, Sigma: 0.8, Prompt: 60, Shared: 200},
+			Lengths: Lengths{Median: 250, Sigma: 0.8, GroupSigma: 0.3, Prompt: 60, Shared: 200},
 		})
 	}
 	s.Events = []record.Event{event}
--- a/internal/sim/trainer.go
+++ b/internal/sim/trainer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,7 +30,10 @@
 	MaxTokens int
 	// GroupSize is how many samples share a prompt prefix.
 	GroupSize int
-	Lengths   Lengths
+	// Groups is the number of prompt groups that steps draw from; with zero each
+	// step has groups of its own.
+	Groups  int
+	Lengths Lengths
 	// Publishes says whether the trainer publishes a version after each step,
 	// Names whether it names its newest version when it reads.
 	Publishes bool
@@ -73,10 +77,13 @@
 	world   *World
 	options TrainerOptions
 	random  *rand.Rand
-	place   fault.Place
-	life    int
-	up      bool
-	steps   []*TrainerStep
+	// work draws the steps' samples, so that they are the same whatever happens
+	// to them.
+	work  *rand.Rand
+	place fault.Place
+	life  int
+	up    bool
+	steps []*TrainerStep
 	// trained is the number of steps that were trained on.
 	trained  int
 	training bool
@@ -100,6 +107,7 @@
 func newTrainer(w *World, options TrainerOptions) *Trainer {
 	t := &Trainer{
 		world: w, options: options, random: w.kernel.Rand("trainer/" + options.Name),
+		work:  w.kernel.Rand("work/" + options.Name),
 		place: fault.Place{Name: options.Name, Zone: outside}, up: true, version: firstVersion,
 		refusals: make(map[machine.Code]int),
 	}
@@ -142,25 +150,30 @@
 	id := fmt.Sprintf("%s-step-%d", o.Name, number)
 	s := &TrainerStep{PostedAt: t.world.kernel.Elapsed(), Chain: make(map[string][]Handover)}
 	s.Body = record.StepBody{Event: o.Event, Trainer: o.Name, Step: id, Digest: "digest of " + id}
-	scale := 1.0
+	group, scale := "", 1.0
 	for i := range o.Samples {
-		group := ""
-		if o.GroupSize > 0 {
-			group = fmt.Sprintf("%s-group-%d", id, i/o.GroupSize)
-		}
 		if o.GroupSize > 0 && i%o.GroupSize == 0 {
-			scale = 0.5 + t.random.Float64()
+			group, scale = t.drawGroup(id, i/o.GroupSize)
 		}
 		sample := record.Sample{
 			ID: fmt.Sprintf("%s-s%d", id, i), MaxTokens: o.MaxTokens, Group: group,
 			Prompt: fmt.Sprintf("prompt %d of %s", i, id),
 		}
-		t.world.shapes[sample.Prompt] = o.Lengths.draw(t.random, scale, o.MaxTokens)
+		t.world.shapes[sample.Prompt] = o.Lengths.draw(t.work, scale, o.MaxTokens)
 		s.Body.Samples = append(s.Body.Samples, sample)
 	}
 	return s
 }
 
+// drawGroup returns the name of a prompt group and how long its answers are.
+func (t *Trainer) drawGroup(step string, number int) (string, float64) {
+	name := fmt.Sprintf("%s-group-%d", step, number)
+	if t.options.Groups > 0 {
+		name = fmt.Sprintf("%s-group-%d", t.options.Name, t.work.IntN(t.options.Groups))
+	}
+	return name, math.Exp(t.options.Lengths.GroupSigma * t.world.kernel.Rand(name).NormFloat64())
+}
+
 // Times of a trainer's calls.
 const (
 	readWait     = 5 * time.Second
