--- a/internal/rollout/journal.go
+++ b/internal/rollout/journal.go
@@ -240,9 +240,12 @@
 	m.writer.Append(now, record.StepLog(s.id), body, nil)
 }
 
-// place remembers a placement for the next record.
+// place remembers a placement for the next record, unless the log says the same.
 func (s *step) place(p *sample) {
 	placement := record.Placement{Sample: p.index, Attempt: p.attempt, Engine: p.engine}
+	if s.places[p.index] == placement && s.carried[p.index] == (p.carried > 0) {
+		return
+	}
 	same := func(other record.Placement) bool { return other.Sample == p.index }
 	s.toPlace = append(slices.DeleteFunc(s.toPlace, same), placement)
 }
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -242,6 +242,7 @@
 	s.handover = nil
 	m.subscribe()
 	m.announce(s)
+	m.followLog(now, s)
 	m.schedule(now)
 	m.serveReads(now, s)
 }
