--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 # The simulation on many seeds; SEEDS=n changes how many.
 soak:
-	DALEHOOK_SOAK_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m -run '^TestSoak' $(SKIP) ./internal/sim/...
+	$(GO) test -count=1 -timeout 60m -run '^TestSoak$$' -v ./internal/sim -seeds=$(SEEDS)
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/internal/command/event.go
+++ b/internal/command/event.go
@@ -32,8 +32,8 @@
 		event.Name = text
 		return nil
 	})
-	e.flag(flags, "start", "start `time`, such as 2026-12-07T09:00:00-05:00", func(event *record.Event, text string) error {
-		start, err := time.Parse(time.RFC3339, text)
+	e.flag(flags, "start", "start `time`, such as 2026-12-07T09:00:00-05:00, or from now, such as +1m", func(event *record.Event, text string) error {
+		start, err := parseStart(time.Now(), text)
 		event.Start = start
 		return err
 	})
@@ -83,6 +83,15 @@
 	return event, checkEvent(event)
 }
 
+// parseStart reads a time, or a duration from now that begins with "+".
+func parseStart(now time.Time, text string) (time.Time, error) {
+	if !strings.HasPrefix(text, "+") {
+		return time.Parse(time.RFC3339, text)
+	}
+	lead, err := time.ParseDuration(text)
+	return now.Add(lead).UTC().Truncate(time.Second), err
+}
+
 func decodeStrictly(content []byte, target any) error {
 	decoder := yaml.NewDecoder(bytes.NewReader(content))
 	decoder.KnownFields(true)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -102,8 +102,8 @@
 			WeightLoads:  30,
 		},
 		Workloads: []traffic.Workload{
-			{Trainer: "captions", Steps: 4, Every: 3 * time.Second, Samples: 96, Tokens: 16, LongTokens: 300, MaxTokens: 360, LongEvery: 24, Bound: 1},
-			{Trainer: "summaries", Steps: 2, Every: 6 * time.Second, Samples: 48, Tokens: 120, LongTokens: 800, MaxTokens: 900, LongEvery: 12, Bound: 2},
+			{Trainer: "captions", Steps: 3, Every: 3 * time.Second, Samples: 96, Tokens: 16, LongTokens: 260, MaxTokens: 300, LongEvery: 24, Bound: 1},
+			{Trainer: "summaries", Steps: 2, Every: 6 * time.Second, Samples: 48, Tokens: 120, LongTokens: 640, MaxTokens: 720, LongEvery: 12, Bound: 2},
 		},
 		Versions:     4,
 		VersionEvery: 3 * time.Second,
