Let back ends leave only once they have work, in the process test

Cause: in one run the engine that left had got nothing in its life, so that nothing was shown for it.

--- a/cmd/dalehook/failure_backend_test.go
+++ b/cmd/dalehook/failure_backend_test.go
@@ -102,6 +102,14 @@
 	l := w.startLoad(false)
 	w.awaitOwner()
 	leaving := []*backendProcess{w.engines[1], w.services[1]}
+	w.await("work at those that will leave", func() error {
+		for _, b := range leaving {
+			if len(b.tap.arrivedAfter(time.Time{})) == 0 {
+				return fmt.Errorf("%s has none", b.name)
+			}
+		}
+		return nil
+	})
 	for _, b := range leaving {
 		w.postTo(b.address, "/leave", struct{}{})
 	}
