--- a/internal/rollout/sample.go
+++ b/internal/rollout/sample.go
@@ -7,7 +7,6 @@
 	"dalehook/internal/cluster"
 	"dalehook/internal/machine"
 	"dalehook/internal/record"
-	"dalehook/internal/routing"
 )
 
 // sampleState says where a sample stands at its owner.
@@ -167,9 +166,6 @@
 	p.measure(now, in.Tokens)
 	p.failures = 0
 	p.add(in.Tokens, in.Text, in.Version)
-	if routing.TooOld(p.oldest(), m.newest(s), s.bound()) {
-		m.abandonAttempt(now, s, p)
-	}
 }
 
 // HandleEnded takes the end of an attempt's stream.
