--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -45,7 +45,7 @@
 }
 
 func TestHelpText(t *testing.T) {
-	for _, name := range []string{"", "node", "check", "plan", "confirm", "status", "demo", "load"} {
+	for _, name := range []string{"", "node", "check", "plan", "confirm", "status", "demo", "load", "withdraw"} {
 		t.Run("help "+name, func(t *testing.T) {
 			got := run(t, strings.Fields("help "+name)...)
 			if got.status != subcommands.ExitSuccess {
@@ -154,13 +154,13 @@
 	fromFile := run(t, "plan", "-node", node.URL, "-event", "../../examples/medellin/exam-week.yaml")
 	replaced := run(t, "plan", "-node", node.URL, "-event", "../../examples/medellin/exam-week.yaml", "-crowd", "17")
 	fromFlags := run(t, "plan", "-node", node.URL, "-json",
-		"-name", "exam-week", "-start", "2026-12-07T09:00:00-05:00", "-duration", "4h", "-crowd", "4000", "-arrival", "5m",
+		"-name", "exam week", "-start", "2026-12-07T09:00:00-05:00", "-duration", "4h", "-crowd", "4000", "-arrival", "5m",
 		"-service", "service=portal,class=saves,requests_per_caller=40,service_time=12ms,importance=10",
 		"-rollout", "trainer=marking,pool=marking,model=marking,samples_per_step=128,mean_tokens=250,max_tokens=3000,step_every=7m,staleness_bound=3,importance=5")
 	if fromFile.status != subcommands.ExitSuccess || replaced.status != subcommands.ExitSuccess || fromFlags.status != subcommands.ExitSuccess {
 		t.Fatalf("plan failed: %s%s", fromFile.errors, fromFlags.errors)
 	}
-	if events[1].Crowd != 17 || events[1].Name != "exam-week" {
+	if events[1].Crowd != 17 || events[1].Name != "exam week" {
 		t.Errorf("with -crowd 17 the event is %+v", events[1])
 	}
 	if diff := cmp.Diff(events[0], events[2]); diff != "" {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -30,11 +30,11 @@
 	enginePool  = "language"
 	serviceName = "bridge"
 	modelName   = cluster.ModelName("hearing")
-	eventName   = "council-hearing"
+	eventName   = "council hearing"
 )
 
 // auditTimeout bounds the reading of the servers' counts after the work.
-const auditTimeout = 5 * time.Second
+const auditTimeout = 2 * time.Second
 
 // eventLead is the time between the planning of the event and its start.
 const eventLead = 4 * time.Second
@@ -109,7 +109,7 @@
 		VersionEvery: 3 * time.Second,
 		Callers:      24,
 		Requests:     6000,
-		Timeout:      28 * time.Second,
+		Timeout:      26 * time.Second,
 	}
 }
 
