End a leaving node's reads soon, and ignore entries beyond a gap

Entries of a log that do not follow on what was folded made an owner give its step up as absent; only a loading node's own answer counts now. The last node of a cluster no longer waits for a successor. Replicas forget entries that reached the log before a majority had them.

--- a/internal/rollout/journal.go
+++ b/internal/rollout/journal.go
@@ -22,6 +22,8 @@
 	probe   uint64
 	sentAt  time.Time
 	changed bool
+	// mirrored is set while replicas may hold entries of this journal.
+	mirrored bool
 }
 
 // journalEntry is one entry of a journal.
@@ -158,7 +160,9 @@
 	s.journal.remove(entry)
 	if !entry.safe {
 		m.apply(now, s, entry, change.Applied)
-	} else if s.journal.empty() {
+	}
+	if s.journal.mirrored && s.journal.empty() {
+		s.journal.mirrored = false
 		m.forgetMirrors(s)
 	}
 }
--- a/internal/rollout/leave.go
+++ b/internal/rollout/leave.go
@@ -1,15 +1,15 @@
 package rollout
 
 import (
+	"slices"
 	"time"
-
-	"dalehook/internal/record"
 )
 
 // A planned stop hands each step over to the node on which placement would put
 // it. The journal is emptied first, so that no result is lost on the way; the
 // successor claims the step and goes back to the engines, which stream the
-// running attempts again. Reads that are held here follow the step.
+// running attempts again. Reads that are held here follow the step; those that
+// trainers made here end empty after a short time, and are made again elsewhere.
 
 // handoverInterval is the time after which an unanswered handover is sent again.
 const handoverInterval = time.Second
@@ -33,13 +33,20 @@
 		return true // the only copy of a result may be here
 	}
 	for _, s := range m.all() {
-		if len(s.reads) > 0 || s.phase >= phaseClaiming && m.needed(s) {
+		if len(s.reads) > 0 || s.phase >= phaseClaiming && m.needed(s) && m.hasSuccessor(s) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasSuccessor reports whether another node can take the step over, now or once
+// the log is back. The last node of a cluster leaves its steps on the log.
+func (m *Machine) hasSuccessor(s *step) bool {
+	successor, ok := m.preferred(s.id)
+	return !s.journal.empty() || ok && !m.isSelf(successor.ID)
+}
+
 // tickLeave hands steps over.
 func (m *Machine) tickLeave(now time.Time) {
 	if !m.leaving {
@@ -50,6 +57,15 @@
 			m.handOverStep(now, s)
 		}
 	}
+	if now.Sub(m.leaveAt) < m.limits.LeaveGrace {
+		return
+	}
+	for _, read := range slices.Clone(m.reads) {
+		if now.Sub(read.startedAt) >= m.limits.LeaveGrace {
+			m.cancelRead(read)
+			m.endRead(read, emptyRead(read.step, read.after))
+		}
+	}
 }
 
 // handOverStep asks the successor to take a step. It waits for the last samples
@@ -110,7 +126,7 @@
 			Attempt:  p.attempt,
 			Engine:   p.engine,
 			Text:     p.text.String(),
-			Segments: append([]record.Segment(nil), p.segments...),
+			Segments: slices.Clone(p.segments),
 		})
 	}
 	return progress
--- a/internal/rollout/mirror.go
+++ b/internal/rollout/mirror.go
@@ -30,6 +30,7 @@
 	}
 	s.journal.sentAt = now
 	s.journal.changed = false
+	s.journal.mirrored = true
 	for i, replica := range s.group() {
 		if replica.Node == "" {
 			continue
--- a/internal/rollout/read.go
+++ b/internal/rollout/read.go
@@ -12,11 +12,12 @@
 // originRead is a trainer's read at the node that it called. The node passes it
 // to the step's owner, again and again until it is answered.
 type originRead struct {
-	call    machine.CallID
-	id      uint64
-	step    string
-	after   string
-	version cluster.Version
+	call      machine.CallID
+	id        uint64
+	step      string
+	after     string
+	version   cluster.Version
+	startedAt time.Time
 	// deadline is when the trainer expects an answer.
 	deadline time.Time
 	target   cluster.NodeID
@@ -66,13 +67,14 @@
 	}
 	m.readID++
 	read := &originRead{
-		call:     in.Call,
-		id:       m.readID,
-		step:     in.Step,
-		after:    in.After,
-		version:  in.Version,
-		deadline: now.Add(wait),
-		heardAt:  now,
+		call:      in.Call,
+		id:        m.readID,
+		step:      in.Step,
+		after:     in.After,
+		version:   in.Version,
+		startedAt: now,
+		deadline:  now.Add(wait),
+		heardAt:   now,
 	}
 	m.reads = append(m.reads, read)
 	m.route(now, read)
@@ -230,13 +232,18 @@
 			continue
 		}
 		m.removeRead(read)
-		cancel := ReadCancel{ID: read.id, Step: read.step}
-		if m.isSelf(read.target) {
-			m.handleReadCancel(m.self.ID, cancel)
-		} else {
-			m.sendTo(read.target, cancel)
-		}
+		m.cancelRead(read)
 		return true
 	}
 	return false
 }
+
+// cancelRead tells the owner that nobody waits for a read any more.
+func (m *Machine) cancelRead(read *originRead) {
+	cancel := ReadCancel{ID: read.id, Step: read.step}
+	if m.isSelf(read.target) {
+		m.handleReadCancel(m.self.ID, cancel)
+		return
+	}
+	m.sendTo(read.target, cancel)
+}
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -189,7 +189,7 @@
 	for _, entry := range in.Entries {
 		change := s.fold.Apply(entry)
 		if change.Reason == record.ReasonGap {
-			s.setPhase(now, phaseAbsent) // the log's beginning was removed
+			m.gap(now, s, answersRead)
 			return
 		}
 		if change.Reason != record.ReasonApplied {
@@ -204,6 +204,15 @@
 	m.movePending(now)
 }
 
+// gap acts on entries that do not follow on what was folded. In the answer to a
+// loading node's own read it means that the log's beginning was removed.
+func (m *Machine) gap(now time.Time, s *step, answersRead bool) {
+	if answersRead && s.phase == phaseLoading {
+		s.setPhase(now, phaseAbsent)
+		m.serveReads(now, s)
+	}
+}
+
 // folded acts on one entry of the step's log.
 func (m *Machine) folded(now time.Time, s *step, entry record.Entry, change record.StepChange) {
 	switch body := entry.Record.Body.(type) {
