Watch a pool only while samples are to run on it

A finished step that its trainer had not closed kept its owner subscribed to the whole pool. The subscription follows the unfinished samples now, also when an event moves to another pool. A test covers the renewal of a claim for replaced replicas.

--- a/internal/rollout/outage_test.go
+++ b/internal/rollout/outage_test.go
@@ -233,3 +233,25 @@
 		t.Fatalf("%d bytes are left", store.bytes)
 	}
 }
+
+// TestClaimIsRenewed replaces a replica while the log is up: the owner claims
+// again, so that its group has a majority when the log goes down.
+func TestClaimIsRenewed(t *testing.T) {
+	w, owner := started(t, 400)
+	w.run(time.Second)
+	for _, n := range w.sorted() {
+		if n != owner {
+			w.replace(n)
+		}
+	}
+	w.run(5 * time.Second)
+	w.down = true
+	r := w.trainer("step-1")
+	r.readAll(time.Minute)
+	if len(r.samples) != 8 || r.failures != 0 || w.restarts() != 0 {
+		t.Fatalf("%d samples, %d failed reads, %d attempts began again", len(r.samples), r.failures, w.restarts())
+	}
+	if w.owner("step-1") != owner || len(owner.machine.steps["step-1"].claims) != 2 {
+		t.Fatalf("the claims are %+v", owner.machine.steps["step-1"].claims)
+	}
+}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -315,6 +315,7 @@
 	for _, s := range m.all() {
 		m.scanStep(now, s)
 	}
+	m.subscribe()
 }
 
 // wantsOpen reports whether this node is to look at an open step that it does
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -273,11 +273,11 @@
 	m.serveReads(now, s)
 }
 
-// subscribe asks for reports of the pools that steps of this node run on.
+// subscribe asks for reports of the pools on which this node has samples to run.
 func (m *Machine) subscribe() {
 	var wanted sortedNames
 	for _, s := range m.all() {
-		if s.phase == phaseOwning && s.demand.Pool != "" {
+		if s.phase == phaseOwning && s.demand.Pool != "" && s.unfinished() > 0 {
 			wanted.insert(s.demand.Pool)
 		}
 	}
