Plan again until the node knows of the announced version

Cause: TestRun failed once with 'no version was announced': the plan was asked for before the node had read the announcement. Ruled out: a pause before the plan. Change: the demo and the process test ask again until nothing is missing.

--- a/cmd/dalehook/fleet_test.go
+++ b/cmd/dalehook/fleet_test.go
@@ -292,19 +292,26 @@
 	ledger.Announced(version)
 }
 
-// planAndConfirm plans through one node and confirms through another.
+// planAndConfirm plans through one node and confirms through another. It plans
+// again until the node knows of the version and the back ends.
 func (f *fleet) planAndConfirm(planning, confirming *node) record.Revision {
 	f.t.Helper()
-	plan := f.run("plan", "-node", planning.client, "-json",
-		"-name", testEvent, "-start", time.Now().Add(3*time.Second).UTC().Format(time.RFC3339),
-		"-duration", "1h", "-crowd", "100", "-arrival", "1m",
-		"-service", "service="+testService+",requests_per_caller=3,service_time=5ms,importance=10",
-		"-rollout", "trainer=captions,pool="+testPool+",model="+string(testModel)+
-			",samples_per_step=24,mean_tokens=60,max_tokens=600,step_every=1m,staleness_bound=2,importance=5")
 	path := filepath.Join(f.directory, "plan.json")
-	if err := os.WriteFile(path, []byte(plan), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
+	f.await("a plan that can be met", func() error {
+		output := f.run("plan", "-node", planning.client, "-json",
+			"-name", testEvent, "-start", "+3s", "-duration", "1h", "-crowd", "100", "-arrival", "1m",
+			"-service", "service="+testService+",requests_per_caller=3,service_time=5ms,importance=10",
+			"-rollout", "trainer=captions,pool="+testPool+",model="+string(testModel)+
+				",samples_per_step=24,mean_tokens=60,max_tokens=600,step_every=1m,staleness_bound=2,importance=5")
+		var made client.PlanAnswer
+		if err := json.Unmarshal([]byte(output), &made); err != nil {
+			return err
+		}
+		if len(made.Plan.Missing) > 0 {
+			return fmt.Errorf("missing: %v", made.Plan.Missing)
+		}
+		return os.WriteFile(path, []byte(output), 0o600)
+	})
 	var confirmed client.Confirmed
 	output := f.run("confirm", "-node", confirming.client, "-plan", path, "-operator", "ana", "-json")
 	if err := json.Unmarshal([]byte(output), &confirmed); err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -282,16 +282,17 @@
 func (r *run) confirm(ctx context.Context) (record.Plan, error) {
 	nodes := r.deployment.nodeClients()
 	var made client.PlanAnswer
+	// The node may not have read the announcement, or seen all engines, yet.
 	err := persist(ctx, "plan the event", func() (err error) {
 		made, err = nodes[0].MakePlan(ctx, r.event())
+		if err == nil && len(made.Plan.Missing) > 0 {
+			err = eris.Errorf("the plan can't be met: %s", strings.Join(made.Plan.Missing, "; "))
+		}
 		return err
 	})
 	if err != nil {
 		return record.Plan{}, err
 	}
-	if len(made.Plan.Missing) > 0 {
-		return record.Plan{}, eris.Errorf("the plan can't be met: %s", strings.Join(made.Plan.Missing, "; "))
-	}
 	confirmation := client.Confirmation{Digest: made.Plan.Digest, Revision: made.Plan.Base, Operator: "demo"}
 	err = persist(ctx, "confirm the plan", func() error {
 		_, err := nodes[len(nodes)-1].ConfirmPlan(ctx, confirmation)
