--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -4,17 +4,16 @@
 	"context"
 	"net/url"
 
+	"dalehook/internal/api"
 	"dalehook/internal/machine"
 	"dalehook/internal/record"
 )
 
 // PlanAnswer is a node's answer to a plan that was asked for.
-type PlanAnswer struct {
-	Plan      record.Plan `json:"plan"`
-	Confirmed bool        `json:"confirmed"`
-	// Revision is that of the confirmation, when there is one.
-	Revision record.Revision `json:"revision"`
-}
+type PlanAnswer = api.PlanAnswer
+
+// Confirmed is a node's answer to a confirmation.
+type Confirmed = api.ConfirmAnswer
 
 // Confirmation puts a plan in force.
 type Confirmation struct {
@@ -26,12 +25,6 @@
 	Plan *record.Plan `json:"plan,omitempty"`
 }
 
-// Confirmed is a node's answer to a confirmation.
-type Confirmed struct {
-	Digest   string          `json:"digest"`
-	Revision record.Revision `json:"revision"`
-}
-
 // MakePlan asks for a plan.
 func (c *Client) MakePlan(ctx context.Context, event record.Event) (PlanAnswer, error) {
 	var answer PlanAnswer
