--- a/internal/sim/inject.go
+++ b/internal/sim/inject.go
@@ -164,7 +164,7 @@
 // look reads the status of every node and refreshes what callers know.
 func (w *World) look() {
 	for _, n := range w.nodes {
-		if n.Up() && !n.Frozen() {
+		if w.options.Probe && n.Up() && !n.Frozen() {
 			n.probe()
 		}
 		n.refreshListed()
--- a/internal/sim/run_test.go
+++ b/internal/sim/run_test.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := NewWorld(Options{Seed: r.seed, Scenario: scenario, Schedule: r.schedule, Factory: factory, Trace: trace})
+	w := NewWorld(Options{Seed: r.seed, Scenario: scenario, Schedule: r.schedule, Factory: factory, Trace: trace, Probe: true})
 	w.Run()
 	return w
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -33,6 +34,8 @@
 	Factory  Factory
 	// Trace receives one line an event; nil for none.
 	Trace io.Writer
+	// Probe says whether each node's status is read at intervals, for Probes.
+	Probe bool
 }
 
 // World is one simulated deployment.
@@ -56,6 +59,10 @@
 	callers   []*Caller
 	operators []*Operator
 
+	enginesByID  map[cluster.BackendID]*backend.Engine
+	servicesByID map[cluster.BackendID]*backend.Service
+	zoneOf       map[cluster.BackendID]cluster.ZoneName
+
 	shapes map[string]backend.Shape
 	// runs counts how often each request ran at any server.
 	runs       map[string]int
@@ -74,6 +81,8 @@
 	s := options.Scenario
 	w := &World{
 		options: options, scenario: s, kernel: k, faults: &fault.Set{}, random: k.Rand("world"),
+		enginesByID: make(map[cluster.BackendID]*backend.Engine), servicesByID: make(map[cluster.BackendID]*backend.Service),
+		zoneOf: make(map[cluster.BackendID]cluster.ZoneName),
 		shapes: make(map[string]backend.Shape), runs: make(map[string]int),
 	}
 	w.network = newNetwork(k, w.faults, s.Deployment)
@@ -105,16 +114,18 @@
 	w.weights.Put(d.Model, firstVersion)
 	for i := range d.Engines {
 		id := cluster.BackendID(fmt.Sprintf("engine-%d", i+1))
-		w.engines = append(w.engines, backend.NewEngine(backend.EngineOptions{
+		e := backend.NewEngine(backend.EngineOptions{
 			Kernel: w.kernel, Faults: w.faults, Weights: w.weights, ID: id, Profile: w.scenario.Engine,
 			Model: d.Model, Version: firstVersion, Exported: w.exported,
 			Shapes: func(prompt string) backend.Shape { return w.shapes[prompt] },
-		}))
+		})
+		w.engines = append(w.engines, e)
+		w.enginesByID[id] = e
 		w.list(id, cluster.KindEngine, d.Pool, w.zone(i))
 	}
 	for i := range d.Servers {
 		id := cluster.BackendID(fmt.Sprintf("%s-%d", d.Service, i+1))
-		w.services = append(w.services, backend.NewService(backend.ServiceOptions{
+		s := backend.NewService(backend.ServiceOptions{
 			Kernel: w.kernel, Faults: w.faults, ID: id,
 			Slots: w.scenario.ServerSlots, Queue: w.scenario.ServerQueue,
 			ServiceTime: w.scenario.ServiceTime, ReportLag: time.Second,
@@ -122,12 +133,15 @@
 				w.runs[request]++
 				w.kernel.Record("run", string(id), request, uint64(w.runs[request]))
 			},
-		}))
+		})
+		w.services = append(w.services, s)
+		w.servicesByID[id] = s
 		w.list(id, cluster.KindService, d.Service, w.zone(i))
 	}
 }
 
 func (w *World) list(id cluster.BackendID, kind cluster.BackendKind, pool string, zone cluster.ZoneName) {
+	w.zoneOf[id] = zone
 	w.machines.Set(cluster.Machine{
 		ID: id, Kind: kind, Pool: pool, Zone: zone, Region: w.scenario.Deployment.Region,
 		Address: string(id) + ":80", State: cluster.StateLive,
@@ -136,10 +150,9 @@
 
 // exported finds the cache of a request at any engine that is up.
 func (w *World) exported(handle string) int {
-	for _, e := range w.engines {
-		if e.Up() && len(handle) > len(e.ID()) && handle[:len(e.ID())] == string(e.ID()) {
-			return e.CachedTokens(handle)
-		}
+	id, _, _ := strings.Cut(handle, "/")
+	if e := w.engine(cluster.BackendID(id)); e != nil && e.Up() {
+		return e.CachedTokens(handle)
 	}
 	return 0
 }
@@ -185,37 +198,12 @@
 	return w.nodes[index]
 }
 
-func (w *World) engine(id cluster.BackendID) *backend.Engine {
-	index := slices.IndexFunc(w.engines, func(e *backend.Engine) bool { return e.ID() == id })
-	if index < 0 {
-		return nil
-	}
-	return w.engines[index]
-}
+func (w *World) engine(id cluster.BackendID) *backend.Engine { return w.enginesByID[id] }
 
-func (w *World) service(id cluster.BackendID) *backend.Service {
-	index := slices.IndexFunc(w.services, func(s *backend.Service) bool { return s.ID() == id })
-	if index < 0 {
-		return nil
-	}
-	return w.services[index]
-}
+func (w *World) service(id cluster.BackendID) *backend.Service { return w.servicesByID[id] }
 
-// backendZone returns the zone of a back end. Engines and services are spread
-// over the zones in order.
-func (w *World) backendZone(id cluster.BackendID) cluster.ZoneName {
-	for i, e := range w.engines {
-		if e.ID() == id {
-			return w.zone(i)
-		}
-	}
-	for i, s := range w.services {
-		if s.ID() == id {
-			return w.zone(i)
-		}
-	}
-	return outside
-}
+// backendZone returns the zone of a back end.
+func (w *World) backendZone(id cluster.BackendID) cluster.ZoneName { return w.zoneOf[id] }
 
 // violate notes that a rule of the contract was broken.
 func (w *World) violate(format string, arguments ...any) {
