Limit classes by the whole capacity, not by nine tenths of it

Change: LimitUtilization defaults to 1. What a plan counts on stays at 70%, and servers are still protected by the limit of each server, which adapts.

--- a/internal/planner/snapshot.go
+++ b/internal/planner/snapshot.go
@@ -77,7 +77,7 @@
 // The defaults of Parameters.
 const (
 	DefaultUtilization           = 0.7
-	DefaultLimitUtilization      = 0.9
+	DefaultLimitUtilization      = 1.0
 	DefaultServerSlots           = 16
 	DefaultServiceTime           = 20 * time.Millisecond
 	DefaultSpareBackends         = 1
