--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -47,7 +47,7 @@
 	serversDying   = 6
 
 	// planWarm and planLoads are the lines of a confirmed plan; it has some
-	// 20 KB as JSON.
+	// 15 KB as JSON.
 	planWarm  = 100
 	planLoads = 50
 	// ownerCount is the number of step owners: each subscribes to a pool.
