Let two sides of a partition claim a duty ever more slowly

Change: a claim that follows another closely doubles the pause before the next, up to two minutes; records read of the past do not count. Conclusion: kept; a holder that dies during or right after a partition is replaced up to two minutes later.

--- a/internal/lease/cluster_test.go
+++ b/internal/lease/cluster_test.go
@@ -26,6 +26,9 @@
 	readLag   time.Duration
 	down      bool
 	nodes     []*testNode
+	// split cuts the nodes of side false off from those of side true; both reach
+	// the log.
+	split bool
 	// calls counts the appends that were tried.
 	calls int
 }
@@ -45,6 +48,7 @@
 	// deaf is set when no peer is there to be heard.
 	deaf    bool
 	leaving bool
+	side    bool
 	// quietSince is when peers last heard of it.
 	quietSince time.Time
 	heardAt    time.Time
@@ -84,7 +88,7 @@
 func (n *testNode) LiveNodes() []cluster.Node {
 	var live []cluster.Node
 	for _, other := range n.cluster.nodes {
-		heard := !n.cut && n.cluster.now.Sub(other.quietSince) < detection
+		heard := !n.cut && n.cluster.now.Sub(other.quietSince) < detection && (!n.cluster.split || n.side == other.side)
 		if (other == n || heard) && !other.leaving {
 			live = append(live, other.self)
 		}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -75,6 +75,9 @@
 	// ContactLimit is the time without a word from any peer or the log after
 	// which this node is not sure of its leases.
 	ContactLimit time.Duration
+	// ContestLimit bounds the pause between the claims of two sides that hold
+	// each other for dead.
+	ContestLimit time.Duration
 }
 
 // The defaults of Timing.
@@ -87,8 +90,13 @@
 	DefaultClaimTimeout = 10 * time.Second
 	DefaultPauseLimit   = 2 * time.Second
 	DefaultContactLimit = 10 * time.Second
+	DefaultContestLimit = 2 * time.Minute
 )
 
+// contestWindow is the time after a claim in which another one counts as a
+// contest, beyond twice the pause that was due before it.
+const contestWindow = 30 * time.Second
+
 func (t Timing) withDefaults() Timing {
 	setDefault(&t.Interval, DefaultInterval)
 	setDefault(&t.StartGrace, DefaultStartGrace)
@@ -98,6 +106,7 @@
 	setDefault(&t.ClaimTimeout, DefaultClaimTimeout)
 	setDefault(&t.PauseLimit, DefaultPauseLimit)
 	setDefault(&t.ContactLimit, DefaultContactLimit)
+	setDefault(&t.ContestLimit, DefaultContestLimit)
 	return t
 }
 
@@ -135,6 +144,10 @@
 	// last one stands, or until retryAt.
 	settleOffset uint64
 	retryAt      time.Time
+	// contests counts the claims that followed each other closely, the last one
+	// at claimedAt.
+	contests  int
+	claimedAt time.Time
 }
 
 // New returns a Manager that wants nothing.
@@ -278,10 +291,37 @@
 	if !candidate {
 		return false
 	}
-	wait := m.timing.VacantWait + time.Duration(rank)*m.timing.StandIn
+	wait := m.timing.VacantWait + time.Duration(rank)*m.timing.StandIn + m.contestPause(duty)
 	return now.Sub(m.countedSince(duty)) >= wait
 }
 
+// contestPause is the further wait for a duty that changes hands time after time.
+// Two sides of a partition that both reach the log hold each other's holder for
+// dead, and would claim in turn for as long as the partition lasts.
+func (m *Manager) contestPause(duty *wantedDuty) time.Duration {
+	if duty.contests == 0 {
+		return 0
+	}
+	pause := m.timing.VacantWait
+	for range duty.contests {
+		pause = min(2*pause, m.timing.ContestLimit)
+	}
+	return pause
+}
+
+// observeClaim counts contests. What a node reads of the past, because it has
+// just started or the log was down, is none.
+func (m *Manager) observeClaim(now time.Time, duty *wantedDuty) {
+	window := contestWindow + 2*m.contestPause(duty)
+	follows := !duty.claimedAt.IsZero() && now.Sub(duty.claimedAt) < window
+	if !follows {
+		duty.contests = 0
+	} else if now.Sub(m.environment.CaughtUpAt()) < contestWindow {
+		duty.contests++
+	}
+	duty.claimedAt = now
+}
+
 // countedSince is the time from which on a duty's vacancy counts: not before this
 // node has had time to hear of the living.
 func (m *Manager) countedSince(duty *wantedDuty) time.Time {
@@ -354,6 +394,7 @@
 	for _, duty := range m.duties {
 		if duty.name == claimed.Duty {
 			duty.vacantSince = time.Time{}
+			m.observeClaim(now, duty)
 		}
 	}
 }
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -53,6 +53,31 @@
 	}
 }
 
+// TestPartitionWithTheLogInReach covers two regions that lose each other while
+// both reach the log: each holds the other's holder for dead.
+func TestPartitionWithTheLogInReach(t *testing.T) {
+	const hour, mostClaims = time.Hour, 100
+	c := newTestCluster(8)
+	for i, node := range c.nodes {
+		node.side = i%2 == 0
+	}
+	c.advance(5 * time.Second)
+	before := c.claims()
+	c.split = true
+	c.advance(hour)
+	claims := c.claims() - before
+	t.Logf("%d claims in an hour of partition", claims)
+	if claims > mostClaims {
+		t.Errorf("want at most %d", mostClaims)
+	}
+	c.split = false
+	c.advance(time.Minute)
+	holder := onlyHolder(t, c)
+	holder.dead = true
+	c.advance(detection + 2*lease.DefaultContestLimit + time.Minute)
+	onlyHolder(t, c)
+}
+
 func TestReplacedHolderLosesAtOnce(t *testing.T) {
 	c := newTestCluster(3)
 	c.advance(5 * time.Second)
