Choose a replica group without sorting the members

Cause: each view makes each node place 256 slots; sorting 340 members for each of them held the state machine up for some 60 ms in a trial, and the calls of callers with it. Ruled out: a cache over views (each view changes the members). Change: three looks for the best member that fits, in place of a sort.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,11 +23,11 @@
 // is chosen, so that a group spans regions where the view does. A view with
 // fewer than GroupSize zones gives distinct nodes instead.
 func Group(view cluster.View, key string) []cluster.Node {
-	ranked := rank(view.Members, key)
+	candidates := scoreAll(view.Members, key)
 	group := make([]cluster.Node, 0, GroupSize)
-	group = take(group, ranked, newRegion)
-	group = take(group, ranked, newZone)
-	return take(group, ranked, newNode)
+	group = take(group, candidates, newRegion)
+	group = take(group, candidates, newZone)
+	return take(group, candidates, newNode)
 }
 
 // Owner returns the node that ranks highest for a key among nodes, and false
@@ -62,59 +61,62 @@
 	return digest.Sum64()
 }
 
-// rank sorts the members by falling score, equal scores by id.
-func rank(members []cluster.Node, key string) []cluster.Node {
-	type scored struct {
-		node  cluster.Node
-		score uint64
-	}
-	all := make([]scored, len(members))
-	for i, node := range members {
-		all[i] = scored{node: node, score: Score(string(node.ID), key)}
+// candidate is a member with its score for one key.
+type candidate struct {
+	node  *cluster.Node
+	score uint64
+}
+
+func scoreAll(members []cluster.Node, key string) []candidate {
+	candidates := make([]candidate, len(members))
+	for i := range members {
+		candidates[i] = candidate{node: &members[i], score: Score(string(members[i].ID), key)}
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(string(a.node.ID), string(b.node.ID))
-	})
-	nodes := make([]cluster.Node, len(all))
-	for i, entry := range all {
-		nodes[i] = entry.node
+	return candidates
+}
+
+// before reports whether c ranks before other: by falling score, equal scores
+// by id.
+func (c candidate) before(other candidate) bool {
+	if c.score != other.score {
+		return c.score > other.score
 	}
-	return nodes
+	return c.node.ID < other.node.ID
 }
 
-// take adds the ranked nodes that fit to the group until it is full.
-func take(group, ranked []cluster.Node, fits func(group []cluster.Node, node cluster.Node) bool) []cluster.Node {
-	for _, node := range ranked {
-		if len(group) == GroupSize {
-			return group
+// take adds the best candidates that fit to the group, one after another, until
+// it is full or none fits. A look at all of them for each place is much cheaper
+// than to sort them, as a group has few places.
+func take(group []cluster.Node, candidates []candidate, fits func(group []cluster.Node, node *cluster.Node) bool) []cluster.Node {
+	for len(group) < GroupSize {
+		best := -1
+		for i, next := range candidates {
+			if (best < 0 || next.before(candidates[best])) && fits(group, next.node) {
+				best = i
+			}
 		}
-		if fits(group, node) {
-			group = append(group, node)
+		if best < 0 {
+			return group
 		}
+		group = append(group, *candidates[best].node)
 	}
 	return group
 }
 
 // newRegion accepts a node whose region and zone the group does not have yet.
-func newRegion(group []cluster.Node, node cluster.Node) bool {
+func newRegion(group []cluster.Node, node *cluster.Node) bool {
 	return !slices.ContainsFunc(group, func(other cluster.Node) bool {
-		return other.Region == node.Region || sameZone(other, node)
+		return other.Region == node.Region || sameZone(other, *node)
 	})
 }
 
 // newZone accepts a node whose zone the group does not have yet.
-func newZone(group []cluster.Node, node cluster.Node) bool {
-	return !slices.ContainsFunc(group, func(other cluster.Node) bool { return sameZone(other, node) })
+func newZone(group []cluster.Node, node *cluster.Node) bool {
+	return !slices.ContainsFunc(group, func(other cluster.Node) bool { return sameZone(other, *node) })
 }
 
 // newNode accepts a node that is not in the group yet.
-func newNode(group []cluster.Node, node cluster.Node) bool {
+func newNode(group []cluster.Node, node *cluster.Node) bool {
 	return !slices.ContainsFunc(group, func(other cluster.Node) bool { return other.ID == node.ID })
 }
 
