Test a moved attempt against an engine that owns up to nothing

A mutation that ignored the mark of carried tokens survived, since the model engine refuses to go back before what it holds. One engine of the test now takes carried tokens for its own, and the mutation fails the test.

--- a/internal/rollout/stream_test.go
+++ b/internal/rollout/stream_test.go
@@ -89,6 +89,7 @@
 	w, owner := started(t, 200)
 	w.run(time.Second)
 	w.engines[1].version = 2
+	w.engines[1].lenient = true
 	w.announce(2)
 	w.engines[0].crash()
 	w.run(time.Second)
--- a/internal/rollout/world_engine_test.go
+++ b/internal/rollout/world_engine_test.go
@@ -11,12 +11,14 @@
 
 // worldEngine generates tokens whose text names their version.
 type worldEngine struct {
-	world    *world
-	id       cluster.BackendID
-	version  cluster.Version
-	perTick  int
-	dead     bool
-	hidden   bool
+	world   *world
+	id      cluster.BackendID
+	version cluster.Version
+	perTick int
+	dead    bool
+	hidden  bool
+	// lenient makes the engine take tokens that it was given for its own.
+	lenient  bool
 	requests map[string]*engineRequest
 	order    []string
 }
@@ -55,7 +57,7 @@
 	id := order.ID.String()
 	request := e.requests[id]
 	switch {
-	case request != nil && order.ResumeFrom < request.order.ResumeFrom:
+	case request != nil && order.ResumeFrom < request.order.ResumeFrom && !e.lenient:
 		listener.ended(order.ID, e.id, machine.EndUnknownRequest) // its beginning came from elsewhere
 		return
 	case request != nil && order.ResumeText == "":
@@ -103,7 +105,12 @@
 	for r.sent < len(r.versions) {
 		version := r.versions[r.sent]
 		chunk := machine.AttemptChunk{ID: r.order.ID, Engine: e.id, FromToken: r.sent, Version: version}
-		for r.sent < len(r.versions) && r.versions[r.sent] == version {
+		carried := r.sent < r.order.ResumeFrom
+		if carried {
+			chunk.Text, chunk.Tokens, chunk.Version = r.order.ResumeText, r.order.ResumeFrom, e.version
+			r.sent = r.order.ResumeFrom
+		}
+		for !carried && r.sent < len(r.versions) && r.versions[r.sent] == version {
 			chunk.Text += token(r.order.ID, r.sent, version)
 			chunk.Tokens++
 			r.sent++
