--- a/internal/sim/caller.go
+++ b/internal/sim/caller.go
@@ -32,7 +32,9 @@
 	ID           string
 	Unrepeatable bool
 	Began        time.Duration
-	Ended        time.Duration
+	// AskedAt is when the caller first found a node to ask.
+	AskedAt time.Duration
+	Ended   time.Duration
 	// Asked counts how often the caller asked.
 	Asked int
 	// Hedged is set when the key was used a second time at once.
@@ -144,6 +146,9 @@
 		c.world.kernel.After(idleCheck, func() { c.ask(witness) })
 		return
 	}
+	if witness.Asked == 0 {
+		witness.AskedAt = c.world.kernel.Elapsed()
+	}
 	witness.Asked++
 	c.send(witness, n, func(result CallResult) { c.answered(witness, result) })
 }
--- a/internal/sim/coverage_test.go
+++ b/internal/sim/coverage_test.go
@@ -5,6 +5,7 @@
 // coverage counts what happened in runs, so that a property that held because
 // nothing happened is seen.
 type coverage struct {
+	runs                                       int
 	samples, mixed, stale, failed, reattempted int
 	requests, answered, notRun, unknown        int
 	swaps, preempted, appends                  int
@@ -12,6 +13,7 @@
 }
 
 func (c *coverage) add(w *World) {
+	c.runs++
 	for _, t := range w.trainers {
 		for _, s := range t.steps {
 			c.trainersDone = max(c.trainersDone, s.DoneAt)
--- a/internal/sim/random_test.go
+++ b/internal/sim/random_test.go
@@ -45,6 +45,9 @@
 			w := r.run(t, newCore, nil)
 			lock.Lock()
 			seen.add(w)
+			if seen.runs%100 == 0 {
+				t.Logf("%d of %d seeds run", seen.runs, to-from)
+			}
 			lock.Unlock()
 			if broken := checkAll(w); len(broken) > 0 {
 				failed.Add(1)
