Share class limits by demand, on leases from an allocator

Cause: each node held its calls to an even part of a class's limit. Callers that know 3 of 340 nodes got 65/s of 6,000/s offered, under a plan of 7,500/s, while the cluster idled.

Ruled out: gossip of demand (no bound that could be stated), single tokens from a counter (some 750 messages/s at one node), lending between nodes (some hundred lenders for a burst), an even share as the part without a lease (the bound would be twice the limit).

Change: internal/quota. One node a class, by placement over the live members of the view, divides the limit max-min fair by demand and leases shares for 15 s; a quarter of the limit stays divided evenly without a lease. Admission takes a share instead of limit and node count, measures demand, and refuses nobody for the length of a queue in the first second after its class reached its share.

--- a/internal/admission/class.go
+++ b/internal/admission/class.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"dalehook/internal/machine"
 	"dalehook/internal/record"
 )
 
@@ -19,6 +20,17 @@
 	rate   float64
 	tokens float64
 	last   time.Time
+
+	// demandRate is the smoothed number of requests that come each second;
+	// offered counts those since demandFrom.
+	demandRate float64
+	offered    int
+	demandFrom time.Time
+
+	// reachedAt is when the class reached its share after a time without, and
+	// heldBackAt when it last held a request back.
+	reachedAt  time.Time
+	heldBackAt time.Time
 }
 
 // burstTime is the part of a second's rate that may come at once.
@@ -28,12 +40,59 @@
 // nobody confirmed that it may be shed.
 const unnamedRank = math.MaxInt
 
-// setLimit takes this node's share of a cluster-wide limit. Shares are rounded
-// up, so that a small limit over many nodes still lets each serve.
-func (c *class) setLimit(limit record.ClassLimit, nodes int) {
-	nodes = max(nodes, 1)
-	c.concurrent = (limit.Concurrent + nodes - 1) / nodes
-	c.rate = limit.Rate / float64(nodes)
+const (
+	// demandWindow is the time over which offered requests are counted.
+	demandWindow = 200 * time.Millisecond
+	// demandNoise is the number of requests in a window at which a new count
+	// weighs as much as all before it. Counts of many requests say more: a burst
+	// or its end shows at once, the noise of a few requests hardly.
+	demandNoise = 25
+	// demandMany is the number of requests that end a window before its time.
+	demandMany = 40
+	// shareGrace is how long after a class has reached its share, or has got a
+	// larger one, nobody is refused for the length of the queue: a larger share may
+	// be on its way, and the rate at which the queue was served says little of it.
+	shareGrace = time.Second
+	// shareGrowth is the factor by which a share is larger in this sense.
+	shareGrowth = 1.25
+)
+
+// setShare takes this node's share of a cluster-wide limit.
+func (c *class) setShare(share record.ClassLimit) {
+	if share.Rate > shareGrowth*c.rate || float64(share.Concurrent) > shareGrowth*float64(c.concurrent) {
+		c.reachedAt = c.heldBackAt
+	}
+	c.concurrent = share.Concurrent
+	c.rate = share.Rate
+}
+
+// heldBack notes that the share holds a request back now.
+func (c *class) heldBack(now time.Time) {
+	if now.Sub(c.heldBackAt) > shareGrace {
+		c.reachedAt = now
+	}
+	c.heldBackAt = now
+}
+
+// inGrace reports whether the class reached its share only just.
+func (c *class) inGrace(now time.Time) bool { return now.Sub(c.reachedAt) < shareGrace }
+
+// measureDemand moves the rate of offered requests once a window is over, or
+// has brought many requests.
+func (c *class) measureDemand(now time.Time) {
+	if c.demandFrom.IsZero() {
+		c.demandFrom = now
+		return
+	}
+	length := now.Sub(c.demandFrom)
+	if length < demandWindow && (c.offered < demandMany || length < machine.TickInterval/2) {
+		return
+	}
+	sample := float64(c.offered) / length.Seconds()
+	count := max(sample, c.demandRate) * length.Seconds()
+	c.demandRate += count / (count + demandNoise) * (sample - c.demandRate)
+	c.offered = 0
+	c.demandFrom = now
 }
 
 // refill adds the tokens of the time since the last call.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -53,10 +53,22 @@
 	RetryAfter time.Duration
 }
 
+// Demand is the recent traffic of one class at this node.
+type Demand struct {
+	Class string
+	// Rate is the number of requests that come each second.
+	Rate float64
+	// InFlight counts running requests, Queued those that wait.
+	InFlight int
+	Queued   int
+}
+
 // Controller holds the queues and limits of one node.
 type Controller struct {
-	options  Options
-	classes  map[string]*class
+	options Options
+	classes map[string]*class
+	// known holds the classes in the order in which they became known.
+	known    []*class
 	flows    map[flowKey]*flow
 	limiters map[cluster.BackendID]*Limiter
 	// order holds the flows, the one that is shed last first; it is what is
@@ -90,25 +102,48 @@
 	}
 }
 
-// SetPlans takes the limits and the shedding order of the plans in force, and
-// the number of nodes that share them.
-func (c *Controller) SetPlans(limits []record.ClassLimit, shedOrder []string, nodes int) {
-	for _, class := range c.classes {
+// SetShedOrder takes the shedding order of the plans in force.
+func (c *Controller) SetShedOrder(shedOrder []string) {
+	for _, class := range c.known {
 		class.rank = unnamedRank
 		if index := slices.Index(shedOrder, class.name); index >= 0 {
 			class.rank = index
 		}
-		class.setLimit(record.ClassLimit{}, nodes)
-		index := slices.IndexFunc(limits, func(l record.ClassLimit) bool { return l.Class == class.name })
+	}
+	c.sortFlows()
+}
+
+// SetShares takes what this node may use of the limits in force. A class without
+// a share has no limit.
+func (c *Controller) SetShares(shares []record.ClassLimit) {
+	for _, class := range c.known {
+		share := record.ClassLimit{}
+		index := slices.IndexFunc(shares, func(l record.ClassLimit) bool { return l.Class == class.name })
 		if index >= 0 {
-			class.setLimit(limits[index], nodes)
+			share = shares[index]
 		}
+		class.setShare(share)
 	}
-	c.sortFlows()
+}
+
+// Demands returns the recent traffic of each known class, in the order in which
+// they became known.
+func (c *Controller) Demands() []Demand {
+	demands := make([]Demand, 0, len(c.known))
+	for _, class := range c.known {
+		demand := Demand{Class: class.name, Rate: class.demandRate, InFlight: class.inFlight}
+		for _, flow := range c.order {
+			if flow.limits == class {
+				demand.Queued += len(flow.items)
+			}
+		}
+		demands = append(demands, demand)
+	}
+	return demands
 }
 
 // Register makes a class of a service known. It reports whether it is new;
-// SetPlans must then follow.
+// SetShedOrder and SetShares must then follow.
 func (c *Controller) Register(service, className string) bool {
 	key := flowKey{service: service, class: className}
 	if c.flows[key] != nil {
@@ -118,6 +153,7 @@
 	if group == nil {
 		group = &class{name: className, rank: unnamedRank}
 		c.classes[className] = group
+		c.known = append(c.known, group)
 	}
 	c.flows[key] = &flow{flowKey: key, limits: group}
 	c.order = append(c.order, c.flows[key])
@@ -139,6 +175,7 @@
 // see TakeRefused.
 func (c *Controller) Offer(now time.Time, item Item) {
 	flow := c.flows[item.key()]
+	flow.limits.offered++
 	if flow.hopeless(now, item) {
 		c.refuse(flow, item, machine.CodeOverloaded)
 		return
@@ -202,6 +239,9 @@
 			c.queued--
 			flow.started()
 		}
+		if len(flow.items) > 0 && !flow.limits.hasRoom() {
+			flow.limits.heldBack(now)
+		}
 	}
 }
 
@@ -214,6 +254,9 @@
 		}
 		flow.measure(now)
 	}
+	for _, class := range c.known {
+		class.measureDemand(now)
+	}
 }
 
 // Remove takes an item out of its queue.
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -91,7 +91,7 @@
 // expectedWait estimates how long a new item waits: behind all others while the
 // oldest goes first, behind none while the newest does.
 func (f *flow) expectedWait(now time.Time) time.Duration {
-	if f.perSecond == 0 || len(f.items) == 0 || now.Before(f.overloadedUntil) {
+	if f.perSecond == 0 || len(f.items) == 0 || now.Before(f.overloadedUntil) || f.limits.inGrace(now) {
 		return 0
 	}
 	return time.Duration(float64(len(f.items)) / f.perSecond * float64(time.Second))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"dalehook/internal/membership"
 	"dalehook/internal/operator"
 	"dalehook/internal/pool"
+	"dalehook/internal/quota"
 	"dalehook/internal/record"
 	"dalehook/internal/request"
 	"dalehook/internal/rollout"
@@ -34,6 +35,7 @@
 	weights    *weights.Director
 	rollout    *rollout.Machine
 	request    *request.Machine
+	quota      *quota.Machine
 	operator   *operator.Machine
 
 	environment   *environment
@@ -85,6 +87,9 @@
 		Policy: c.options.EnginePolicy, Seed: seed, Limits: c.options.Rollout,
 	})
 	c.request = request.New(c.options.requestOptions(&c.outbox, requestEnvironment{c.environment}))
+	c.quota = quota.New(quota.Options{
+		Self: self, Outbox: &c.outbox, Environment: quotaEnvironment{requestEnvironment{c.environment}},
+	})
 	c.operator = operator.New(operator.Options{
 		Self: self, Outbox: &c.outbox, Writer: c.writer, Environment: operatorEnvironment{c.environment},
 	})
@@ -149,6 +154,7 @@
 	c.weights.Tick(now)
 	c.rollout.Tick(now)
 	c.request.Tick(now)
+	c.quota.Tick(now)
 	c.operator.Tick(now)
 	c.tickLeave(now)
 }
@@ -170,6 +176,7 @@
 		c.pool.HandleMessage(now, in) ||
 		c.rollout.HandleMessage(now, in) ||
 		c.request.HandleMessage(now, in) ||
+		c.quota.HandleMessage(now, in) ||
 		c.operator.HandleMessage(now, in)
 }
 
--- a/internal/core/environment.go
+++ b/internal/core/environment.go
@@ -9,6 +9,7 @@
 	"dalehook/internal/placement"
 	"dalehook/internal/planner"
 	"dalehook/internal/pool"
+	"dalehook/internal/quota"
 	"dalehook/internal/record"
 	"dalehook/internal/request"
 	"dalehook/internal/routing"
@@ -162,6 +163,11 @@
 // Limits returns the class limits of the plans in force, for the whole cluster.
 func (e requestEnvironment) Limits() []record.ClassLimit { return classLimits(e.Control()) }
 
+// Shares returns what this node may use of the limits now.
+func (e requestEnvironment) Shares(now time.Time) []record.ClassLimit {
+	return e.core.quota.Shares(now)
+}
+
 // ShedOrder names classes, the first to be shed first.
 func (e requestEnvironment) ShedOrder() []string {
 	limits := classLimits(e.Control())
@@ -183,6 +189,19 @@
 	e.core.pool.ObserveFailure(now, backend, err)
 }
 
+// quotaEnvironment shows the node to internal/quota.
+type quotaEnvironment struct{ requestEnvironment }
+
+// Demands returns the traffic of the classes that this node has seen.
+func (e quotaEnvironment) Demands() []quota.Demand {
+	known := e.core.request.Demands()
+	demands := make([]quota.Demand, 0, len(known))
+	for _, demand := range known {
+		demands = append(demands, quota.Demand(demand))
+	}
+	return demands
+}
+
 // operatorEnvironment shows the node to internal/operator.
 type operatorEnvironment struct{ *environment }
 
--- a/internal/request/call.go
+++ b/internal/request/call.go
@@ -157,7 +157,8 @@
 func (m *Machine) admit(now time.Time, c *call) {
 	class := m.classOf(c)
 	if m.admission.Register(c.service, class) {
-		m.readPlans()
+		m.readShedOrder()
+		m.readShares()
 	}
 	if !slices.Contains(m.services, c.service) {
 		m.services = append(m.services, c.service)
--- a/internal/request/environment.go
+++ b/internal/request/environment.go
@@ -32,6 +32,8 @@
 	ClassOf(service string) string
 	// Limits returns the class limits of the plans in force, for the whole cluster.
 	Limits() []record.ClassLimit
+	// Shares returns what this node may use of those limits now.
+	Shares(now time.Time) []record.ClassLimit
 	// ShedOrder names classes, the first to be shed first.
 	ShedOrder() []string
 	// ObserveAnswer passes on what a back end said of itself on an answer; load
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -20,7 +20,7 @@
 	defaultMostAttempts = 3
 	defaultDeadline     = 30 * time.Second
 
-	// plansEvery is the time between two looks at the plans in force.
+	// plansEvery is the time between two looks at the shedding order in force.
 	plansEvery = time.Second
 )
 
@@ -185,9 +185,10 @@
 	m.now = now
 	if !now.Before(m.nextPlans) {
 		m.nextPlans = now.Add(plansEvery)
-		m.readPlans()
+		m.readShedOrder()
 		m.forgetBackends()
 	}
+	m.readShares()
 	m.keys.Tick(now)
 	m.expireAttempts(now)
 	m.drainWithoutBackend(now)
@@ -195,11 +196,14 @@
 	m.settle(now)
 }
 
-// readPlans takes the limits in force.
-func (m *Machine) readPlans() {
-	env := m.options.Environment
-	m.admission.SetPlans(env.Limits(), env.ShedOrder(), env.Nodes())
-}
+// readShedOrder takes the shedding order in force.
+func (m *Machine) readShedOrder() { m.admission.SetShedOrder(m.options.Environment.ShedOrder()) }
+
+// readShares takes what this node may use of the limits in force.
+func (m *Machine) readShares() { m.admission.SetShares(m.options.Environment.Shares(m.now)) }
+
+// Demands returns the recent traffic of each class that had a call.
+func (m *Machine) Demands() []admission.Demand { return m.admission.Demands() }
 
 // forgetBackends drops what is known of servers that no longer exist.
 func (m *Machine) forgetBackends() {
--- a/internal/request/machine_test.go
+++ b/internal/request/machine_test.go
@@ -22,15 +22,16 @@
 	failed  []cluster.BackendID
 }
 
-func (e *fakeEnvironment) View() cluster.View               { return e.view }
-func (e *fakeEnvironment) PreviousView() cluster.View       { return cluster.View{} }
-func (e *fakeEnvironment) Alive(cluster.NodeID) bool        { return true }
-func (e *fakeEnvironment) Nodes() int                       { return 1 }
-func (e *fakeEnvironment) Servers(string) []Server          { return e.servers }
-func (e *fakeEnvironment) KnownService(service string) bool { return service != "nobody" }
-func (e *fakeEnvironment) ClassOf(service string) string    { return service }
-func (e *fakeEnvironment) Limits() []record.ClassLimit      { return e.limits }
-func (e *fakeEnvironment) ShedOrder() []string              { return nil }
+func (e *fakeEnvironment) View() cluster.View                   { return e.view }
+func (e *fakeEnvironment) PreviousView() cluster.View           { return cluster.View{} }
+func (e *fakeEnvironment) Alive(cluster.NodeID) bool            { return true }
+func (e *fakeEnvironment) Nodes() int                           { return 1 }
+func (e *fakeEnvironment) Servers(string) []Server              { return e.servers }
+func (e *fakeEnvironment) KnownService(service string) bool     { return service != "nobody" }
+func (e *fakeEnvironment) ClassOf(service string) string        { return service }
+func (e *fakeEnvironment) Limits() []record.ClassLimit          { return e.limits }
+func (e *fakeEnvironment) Shares(time.Time) []record.ClassLimit { return e.limits }
+func (e *fakeEnvironment) ShedOrder() []string                  { return nil }
 func (e *fakeEnvironment) ObserveAnswer(_ time.Time, backend cluster.BackendID, _ int, leaving bool) {
 	if leaving {
 		e.leaving = append(e.leaving, backend)
