Weigh engines by the tokens beside a sample

Cause: speeds that were scaled from a full batch made crowded engines look fast, and an engine without a measurement was taken for slower than all others. Streams that run beside a sample counted for its whole length, so that one prompt group was spread over all engines and each read its prefix.

Change: engines of a pool are equally fast unless measured apart by a factor of two; the streams beside count by their tokens; prompts that wait to be read count.

--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -21,6 +21,9 @@
 	// Loading is the version that is being loaded or is to be loaded next, zero
 	// for none.
 	Loading cluster.Version
+	// Unreported is set when no recent report of the engine is at hand, so that
+	// its load and its version may be far from what they are said to be.
+	Unreported bool
 	// Leaving is set when the engine is to get no new work.
 	Leaving bool
 	// Running and Waiting count requests by the engine's own late report.
@@ -39,6 +42,10 @@
 	Groups []string
 	// Placed is what the scheduler itself has on the engine.
 	Placed Placed
+	// alone is the estimated speed of a stream alone in tokens a second, prefill
+	// the time in seconds for the prompts that were placed in the present call.
+	alone   float64
+	prefill float64
 }
 
 // Placed sums up the attempts that a scheduler has on one engine.
--- a/internal/routing/engine_dalehook.go
+++ b/internal/routing/engine_dalehook.go
@@ -16,6 +16,13 @@
 	assumedStreamSpeed = 80
 	// halfSpeedBatch is the batch size at which one stream has half its speed.
 	halfSpeedBatch = 48
+	// assumedGroupPrompt is the least length in tokens of the prompt that a prompt
+	// group shares.
+	assumedGroupPrompt = 500
+	// speedSpread is the factor within which two engines count as equally fast,
+	// maxSlowness the largest by which one counts as slower than the others.
+	speedSpread = 2
+	maxSlowness = 20
 	// memoryShare is the share of the cache memory that placement fills, so that
 	// samples that grow beyond what was expected evict nothing.
 	memoryShare = 0.9
@@ -56,6 +63,7 @@
 // Place implements EnginePolicy.
 func (p *dalehookPolicy) Place(request PlaceRequest) []Placement {
 	engines := usable(request.Engines, request.Newest, request.Bound)
+	estimateSpeeds(engines)
 	tail := request.Unfinished <= tailSamplesPerEngine*len(engines)
 	var placements []Placement
 	misses := 0
@@ -70,6 +78,7 @@
 			continue
 		}
 		engine := &engines[chosen]
+		engine.prefill += prefillTime(engine, work)
 		engine.take(work)
 		placements = append(placements, Placement{
 			Sample:   work.Sample,
@@ -145,50 +154,6 @@
 	return engine.memory()+work.memory() <= limit
 }
 
-// placeCost is the time at which the engine would have finished the work and the
-// longest sample that it already runs, if that becomes a long one, plus the time
-// that a swap to come takes.
-func placeCost(engine *Engine, work Work, newest cluster.Version) float64 {
-	speed := streamSpeed(engine, engine.requests()+1)
-	longest := max(engine.Placed.Longest, work.Expected)
-	cost := float64(tailFactor*longest)/speed + prefillTime(engine, work)
-	old := newest > engine.Version && engine.Version > 0
-	loading := engine.Loading != 0 && engine.Loading != engine.Version
-	if old || loading {
-		cost += swapPenalty
-	}
-	return cost
-}
-
-// streamSpeed estimates the speed of one stream on an engine that runs the given
-// number of requests. What was measured at the present number is scaled.
-func streamSpeed(engine *Engine, requests int) float64 {
-	alone := float64(assumedStreamSpeed)
-	present := engine.requests()
-	switch {
-	case engine.Placed.StreamSpeed > 0:
-		alone = engine.Placed.StreamSpeed * slowdown(present)
-	case engine.TokensPerSecond > 0 && engine.Running > 0:
-		alone = engine.TokensPerSecond / float64(engine.Running) * slowdown(engine.Running)
-	}
-	return alone / slowdown(requests)
-}
-
-// slowdown is the factor by which a stream in a batch is slower than alone.
-func slowdown(requests int) float64 {
-	return 1 + float64(max(requests-1, 0))/halfSpeedBatch
-}
-
-// prefillTime is the time until the first new token: the prompt, unless the
-// engine has it in its cache, and the tokens that a resume brings along.
-func prefillTime(engine *Engine, work Work) float64 {
-	tokens := work.Prompt + work.Held
-	if work.Group != "" && holdsGroup(engine, work.Group) {
-		tokens = work.Held
-	}
-	return float64(tokens) / assumedPrefillSpeed
-}
-
 func holdsGroup(engine *Engine, group string) bool {
 	return slices.Contains(engine.Groups, group) || slices.Contains(engine.Placed.Groups, group)
 }
@@ -197,6 +162,7 @@
 // engine, and only when that ends the sample clearly sooner.
 func (p *dalehookPolicy) Move(request MoveRequest) []Placement {
 	engines := usable(request.Engines, request.Newest, request.Bound)
+	estimateSpeeds(engines)
 	if request.Waiting > 0 || len(request.Running) > movableSamplesPerEngine*len(engines) {
 		return nil
 	}
