Count requests in flight in one place

Cause: both the pool and admission counted a node's requests at a back end; the pool's count was never fed, and the request machine used the other.

--- a/internal/core/environment.go
+++ b/internal/core/environment.go
@@ -87,11 +87,16 @@
 	backends := e.core.pool.Engines(name)
 	engines := make([]routing.Engine, 0, len(backends))
 	for _, backend := range backends {
-		engines = append(engines, toRoutingEngine(backend))
+		engine := toRoutingEngine(backend)
+		engine.Unreported = backend.ReportAt.IsZero() || e.now.Sub(backend.ReportAt) > reportRecent
+		engines = append(engines, engine)
 	}
 	return engines
 }
 
+// reportRecent is the age up to which an engine's report says how it stands.
+const reportRecent = 5 * time.Second
+
 func toRoutingEngine(backend pool.Backend) routing.Engine {
 	report := backend.Report
 	return routing.Engine{
@@ -139,7 +144,7 @@
 	for _, backend := range backends {
 		servers = append(servers, request.Server{
 			ID: backend.ID, Address: backend.Address, Zone: backend.Zone,
-			Load: backend.Load, InFlight: backend.InFlight, Usable: backend.Usable,
+			Load: backend.Load, Usable: backend.Usable,
 		})
 	}
 	return servers
--- a/internal/pool/entry.go
+++ b/internal/pool/entry.go
@@ -19,8 +19,6 @@
 	// Load is the number of requests the back end stated on its last answer or
 	// report, negative when it never did.
 	Load int
-	// InFlight counts this node's own requests there; see ObserveStart.
-	InFlight int
 	// Usable is set when new work may go there: it is live, and this node can
 	// reach it as far as it knows.
 	Usable bool
@@ -35,7 +33,6 @@
 	report   machine.BackendReport
 	reportAt time.Time
 	load     int
-	inFlight int
 
 	// watchers are the nodes that watch it, best first, and rank this node's
 	// place among them, negative for none.
@@ -87,7 +84,6 @@
 		Report:   e.report,
 		ReportAt: e.reportAt,
 		Load:     e.load,
-		InFlight: e.inFlight,
 		Usable:   e.usable(now),
 	}
 }
--- a/internal/pool/machine.go
+++ b/internal/pool/machine.go
@@ -202,14 +202,6 @@
 	m.publish(e, func(rumor *membership.BackendRumor) { rumor.Machine.State = state })
 }
 
-// ObserveStart counts a request that this node sends to a back end; the matching
-// ObserveAnswer or ObserveFailure ends it.
-func (m *Machine) ObserveStart(backend cluster.BackendID) {
-	if e := m.index[backend]; e != nil {
-		e.inFlight++
-	}
-}
-
 // ObserveAnswer takes what a back end said of itself on an answer; a negative
 // load means that it said nothing.
 func (m *Machine) ObserveAnswer(now time.Time, backend cluster.BackendID, load int, leaving bool) {
@@ -218,7 +210,6 @@
 	if e == nil {
 		return
 	}
-	e.inFlight = max(0, e.inFlight-1)
 	e.avoidUntil, e.avoidFor = time.Time{}, 0
 	if load >= 0 {
 		e.load = load
@@ -236,7 +227,6 @@
 	if e == nil {
 		return
 	}
-	e.inFlight = max(0, e.inFlight-1)
 	m.avoid(e)
 	m.alarm(e)
 }
--- a/internal/pool/machine_test.go
+++ b/internal/pool/machine_test.go
@@ -103,13 +103,9 @@
 	n := newNetwork(t, 6, 6)
 	n.run(3 * time.Second)
 	node := n.nodes[0]
-	node.ObserveStart("s001")
-	if known, _ := node.Find("s001"); known.InFlight != 1 {
-		t.Errorf("%d requests in flight, want 1", known.InFlight)
-	}
 	node.ObserveAnswer(n.now, "s001", 17, false)
-	if known, _ := node.Find("s001"); known.InFlight != 0 || known.Load != 17 {
-		t.Errorf("in flight %d, load %d, want 0 and 17", known.InFlight, known.Load)
+	if known, _ := node.Find("s001"); known.Load != 17 {
+		t.Errorf("load %d, want 17", known.Load)
 	}
 	node.ObserveFailure(n.now, "s003", "connection reset")
 	if known, _ := node.Find("s003"); known.Usable {
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -57,6 +57,8 @@
 	// polls a second.
 	subscribedInterval = 2 * time.Second
 	subscribedRate     = 4
+	// subscribedBurst bounds the polls that a new subscription sends at once.
+	subscribedBurst = 24
 	// loadingInterval is the time between two polls of a subscribed engine that
 	// loads a version.
 	loadingInterval = time.Second
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -253,7 +253,9 @@
 // sameZone reports whether two nodes stand in one zone.
 func sameZone(a, b cluster.Node) bool { return a.Zone == b.Zone && a.Region == b.Region }
 
-// Subscribe turns polling of all engines of a pool on or off.
+// Subscribe turns polling of all engines of a pool on or off. Engines whose
+// report is old are polled at once, so that a subscriber knows the whole pool
+// after one round trip.
 func (m *Machine) Subscribe(pool string, on bool) {
 	if _, subscribed := m.subscribed[pool]; subscribed == on {
 		return
@@ -264,6 +266,31 @@
 		delete(m.subscribed, pool)
 	}
 	m.stale.polled = true
+	if on {
+		m.pollStale(pool)
+	}
+}
+
+// pollStale polls engines of a pool whose report is not recent. A large pool is
+// polled in part, which begins at a place of this node's own.
+func (m *Machine) pollStale(pool string) {
+	group := m.groups[pool]
+	if len(group) == 0 {
+		return
+	}
+	first := int(xxhash.Sum64String(string(m.options.Self.ID)) % uint64(len(group)))
+	asked := 0
+	for i := range group {
+		e := group[(first+i)%len(group)]
+		recent := !e.reportAt.IsZero() && m.now.Sub(e.reportAt) < recentAnswer
+		if recent || !m.subscribes(e) {
+			continue
+		}
+		if asked++; asked > subscribedBurst {
+			return
+		}
+		m.poll(e)
+	}
 }
 
 // Refresh polls a back end at once, such as after an order to load a version.
