Know the whole pool before a step is placed

Cause: a node watches a few engines of its own accord. A step was placed in the moment of its takeover, on those few: in a rehearsal of the hearing all 128 summaries went to 2 of 9 engines and 256 captions to 4 or 5.

--- a/internal/rollout/limits.go
+++ b/internal/rollout/limits.go
@@ -64,6 +64,9 @@
 	// engineGrace is how long a new owner waits to hear of the engine that runs
 	// an attempt before it gives the attempt up.
 	engineGrace = 2 * time.Second
+	// reportGrace is how long a new owner waits for the reports of its engines
+	// before it places samples on those that it knows.
+	reportGrace = 300 * time.Millisecond
 	// eventGrace is how long a step waits for an event that names its demand.
 	eventGrace = 30 * time.Second
 	// claimTimeout is how long the append of a claim is tried. A claim that comes
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -41,6 +41,9 @@
 func (m *Machine) scheduleStep(now time.Time, s *step, rank int) {
 	engines := m.engines(now, s)
 	m.resumeAttempts(now, s, engines)
+	if awaitsReports(m.environment.Engines(s.demand.Pool), now.Sub(s.ownedAt)) {
+		return
+	}
 	room := m.classRoom(s)
 	var work []routing.Work
 	unfinished := 0
@@ -69,6 +72,20 @@
 	}
 }
 
+// awaitsReports reports whether a new owner does not know the step's pool yet. A
+// node knows a few engines of its own accord; the reports of the others come
+// within a round trip after it has subscribed, and a step that is placed before
+// that crowds the few.
+func awaitsReports(engines []routing.Engine, owned time.Duration) bool {
+	if owned >= reportGrace {
+		return false
+	}
+	return slices.ContainsFunc(engines, func(e routing.Engine) bool {
+		unknown := e.Unreported || e.Model == "" && e.Slots == 0
+		return unknown && !e.Leaving
+	})
+}
+
 // work describes a sample to the policy.
 func (s *step) work(p *sample) routing.Work {
 	posted := s.body.Samples[p.index]
