Let failure detection adapt to starved nodes

Cause: the time-outs were fixed. A node that gets no processor time, or whose messages are late, for some seconds was dead to others; each verdict moves neighbours and opens connections, which starves the nodes more.

Change: a local health score (late ticks, own refutations, most neighbours silent) stretches the probe and suspicion time-outs. Refutations of late and many suspicions at once stretch the suspicion time-out. No factor exceeds five; suspicions alone give two at most. No message is added.

--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -72,6 +72,7 @@
 // suspected or dead here is told so, so that it refutes.
 func (m *Machine) hear(in machine.PeerMessage) {
 	m.answerRelays(in.From)
+	m.health.heardAt = m.now
 	known := m.members.find(string(in.From))
 	if known == nil || known.fact.node.Incarnation != in.FromIncarnation {
 		return
@@ -149,16 +150,22 @@
 // not answered in time.
 func (m *Machine) checkNeighbours() {
 	var silent []*neighbour
+	probed := 0
 	for _, n := range m.neighbours {
 		switch {
 		case m.now.Sub(n.heardAt) < m.options.ProbeAfter:
 			n.probedAt = time.Time{}
 		case n.probedAt.IsZero():
 			m.startProbe(n)
-		case m.now.Sub(n.probedAt) >= m.options.ProbeTimeout:
+			probed++
+		case m.now.Sub(n.probedAt) >= m.probeTimeout():
 			silent = append(silent, n)
+			probed++
+		default:
+			probed++
 		}
 	}
+	m.checkOwnHearing(probed)
 	for _, n := range silent {
 		m.suspectNeighbour(n)
 	}
@@ -214,13 +221,14 @@
 	if !m.suspects {
 		return
 	}
-	m.suspects = false
+	suspects := m.countSuspects()
+	m.suspects = suspects > 0
+	timeout := m.suspicionTimeout(suspects)
 	for _, known := range m.members.rows {
 		if known.fact.state != StateSuspect {
 			continue
 		}
-		m.suspects = true
-		if m.now.Sub(known.fact.suspectAt) < m.options.SuspicionTimeout {
+		if m.now.Sub(known.fact.suspectAt) < timeout {
 			continue
 		}
 		if n := m.findNeighbour(known.fact.node.ID); n != nil && m.now.Sub(n.heardAt) < m.options.ProbeAfter {
@@ -232,6 +240,17 @@
 	}
 }
 
+// countSuspects returns how many members are suspected.
+func (m *Machine) countSuspects() int {
+	suspects := 0
+	for _, known := range m.members.rows {
+		if known.fact.state == StateSuspect {
+			suspects++
+		}
+	}
+	return suspects
+}
+
 // markDead takes a member out of the graph.
 func (m *Machine) markDead(known *row[member], at time.Time) {
 	known.fact.state = StateDead
--- a/internal/membership/learn.go
+++ b/internal/membership/learn.go
@@ -41,6 +41,7 @@
 	}
 	m.sequence = fact.Sequence + 1
 	m.stats.Refuted++
+	m.health.worsen(m.now, 1)
 	m.news.add(memberNews, string(m.options.Self.ID), m.options.Self.ID)
 	if fact.State == StateDead {
 		m.reviewVerdicts()
@@ -162,6 +163,9 @@
 // revive sets a member alive or leaving.
 func (m *Machine) revive(known *row[member], state State) {
 	wasDead := known.fact.state == StateDead
+	if known.fact.state >= StateSuspect {
+		m.countRefutation()
+	}
 	known.fact.state = state
 	known.fact.ownVerdict = false
 	known.deadAt = time.Time{}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -63,6 +63,7 @@
 	neighbours []*neighbour
 	// suspects is set while a member may be suspected.
 	suspects bool
+	health   localHealth
 
 	relays     []relay
 	candidates []candidate
@@ -105,6 +106,7 @@
 // Tick drives heartbeats, probes, time-outs and the spread of facts.
 func (m *Machine) Tick(now time.Time) {
 	m.advance(now)
+	m.health.tick(m.now, m.options.PauseThreshold/lateTicksInPause)
 	m.refreshOverlay()
 	m.checkNeighbours()
 	m.checkSuspects()
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -48,8 +48,10 @@
 	down   bool
 	// pausedUntil holds back ticks and messages.
 	pausedUntil time.Time
-	rumors      map[cluster.BackendID]BackendRumor
-	rumorAt     map[cluster.BackendID]time.Time
+	// heldUntil holds back messages only.
+	heldUntil time.Time
+	rumors    map[cluster.BackendID]BackendRumor
+	rumorAt   map[cluster.BackendID]time.Time
 }
 
 // link is one directed connection with its gob stream.
@@ -168,6 +170,11 @@
 			heap.Push(&n.queue, next)
 			continue
 		}
+		if next.at.Before(node.heldUntil) {
+			next.at = node.heldUntil
+			heap.Push(&n.queue, next)
+			continue
+		}
 		node.HandleMessage(next.at, next.message)
 		n.collect(node)
 	}
