Give a finished step's share of a class limit to the others

Cause: a step stays open until its trainer has acknowledged the last sample, and each open step had an equal share of its class's limit. What a step taught about lengths stood in the record that closes it, so it came as late; of more than 64 prompt groups the first by name were told.

Change: owners tell all nodes when a step needs no engine, and when it needs some again (StepSettled: one message a node and step), with the lengths of the 64 longest groups.

--- a/internal/rollout/lengths.go
+++ b/internal/rollout/lengths.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -92,20 +93,20 @@
 	}
 }
 
-// summary returns what the closing record of a step tells later owners.
+// summary returns what later owners are told of a step: the mean of all samples,
+// and the groups with the longest ones, which are to start first.
 func (l *lengths) summary() []record.GroupLength {
 	if l.all.samples == 0 {
 		return nil
 	}
-	summary := []record.GroupLength{{Samples: l.all.samples, Tokens: l.all.value()}}
+	groups := make([]record.GroupLength, 0, len(l.groups))
 	for _, group := range sortedKeys(l.groups) {
-		if len(summary) > maxLengthGroups {
-			break
-		}
 		mean := l.groups[group]
-		summary = append(summary, record.GroupLength{Group: group, Samples: mean.samples, Tokens: mean.value()})
+		groups = append(groups, record.GroupLength{Group: group, Samples: mean.samples, Tokens: mean.value()})
 	}
-	return summary
+	slices.SortStableFunc(groups, func(a, b record.GroupLength) int { return cmp.Compare(b.Tokens, a.Tokens) })
+	groups = groups[:min(len(groups), maxLengthGroups)]
+	return append([]record.GroupLength{{Samples: l.all.samples, Tokens: l.all.value()}}, groups...)
 }
 
 // trainerKey names a trainer of an event.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -45,6 +45,7 @@
 	// opened says of each open step whose it is and where it was opened.
 	opened   map[string]openedStep
 	learned  learned
+	settled  settledSteps
 	cadences map[cluster.ModelName]cadence
 
 	posts     map[string]*post
@@ -89,6 +90,7 @@
 		steps:        map[string]*step{},
 		hints:        ownerHints{hints: map[string]ownerHint{}},
 		opened:       map[string]openedStep{},
+		settled:      settledSteps{},
 		cadences:     map[cluster.ModelName]cadence{},
 		posts:        map[string]*post{},
 		replicaStore: newReplicaStore(limits),
@@ -165,6 +167,8 @@
 		m.handleReadCancel(in.From, message)
 	case OwnerAnnounced:
 		m.hints.set(message.Step, ownerHint{node: in.From, incarnation: in.FromIncarnation, epoch: message.Epoch})
+	case StepSettled:
+		m.handleSettled(message)
 	case StepHandover:
 		m.handleHandover(now, message)
 	case Mirror:
@@ -215,6 +219,7 @@
 func (m *Machine) stepClosed(now time.Time, closed record.StepClosed) {
 	m.learned.take(m.opened[closed.Step].trainer, closed.Lengths)
 	delete(m.opened, closed.Step)
+	delete(m.settled, closed.Step)
 	m.replicaStore.drop(closed.Step)
 	if s := m.steps[closed.Step]; s != nil && s.closedAt.IsZero() {
 		s.closedAt = now
@@ -227,6 +232,7 @@
 	m.observe(now)
 	clear(m.opened)
 	control := m.environment.Control()
+	m.settled.keepOpen(control)
 	for _, open := range control.Steps() {
 		m.opened[open.Step] = openedStep{trainer: trainerOf(open)}
 		m.postOpened(open)
@@ -259,6 +265,7 @@
 func (m *Machine) tickStep(now time.Time, s *step) {
 	if s.phase == phaseOwning {
 		m.loadDemand(s)
+		m.tellSettled(s)
 		m.moveStragglers(now, s)
 		if !s.handing {
 			m.flushFinished(now, s)
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -7,7 +7,6 @@
 
 	"dalehook/internal/cluster"
 	"dalehook/internal/machine"
-	"dalehook/internal/record"
 	"dalehook/internal/routing"
 )
 
@@ -143,38 +142,6 @@
 	return placed
 }
 
-// classRoom returns how many more samples of the step may run by the limit of
-// its class. Each open step of the class has an equal share.
-func (m *Machine) classRoom(s *step) int {
-	limit := m.environment.ClassLimit(className(s.demand))
-	if limit <= 0 {
-		return len(s.samples)
-	}
-	sharing := 0
-	control := m.environment.Control()
-	for _, open := range control.Steps() {
-		demand, ok := demandOf(control, record.StepBody{Event: open.Event, Trainer: open.Trainer})
-		if ok && className(demand) == className(s.demand) {
-			sharing++
-		}
-	}
-	share := max(limit/max(sharing, 1), 1)
-	for _, p := range s.samples {
-		if p.state == sampleRunning {
-			share--
-		}
-	}
-	return share
-}
-
-// className returns the class under which a trainer's samples are limited.
-func className(demand record.RolloutDemand) string {
-	if demand.Class != "" {
-		return demand.Class
-	}
-	return demand.Trainer
-}
-
 // start sends an attempt to an engine.
 func (m *Machine) start(now time.Time, s *step, placement routing.Placement) {
 	p := s.samples[placement.Sample]
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -82,6 +82,9 @@
 	// or written. handedAt is when the step was last handed over to a successor.
 	handing  bool
 	handedAt time.Time
+	// toldSettled is what the other nodes were last told of whether the step needs
+	// no engine.
+	toldSettled bool
 	// acknowledged is set when a read presented a cursor that covers all.
 	acknowledged bool
 	closing      bool
