Swap the engines that run a step's tail last

Cause: the director of a pool did not know which engines run the last samples of a step; each swap stops them for 2 s and makes no sample younger that has begun.

Change: an owner tells the director every 2 s which engines run its last samples, once these are a third of the pool's engines or fewer (TailRunning, at most 16 ids). The director spares such engines for TailWait, as it could before. No engine is swapped early for samples near their bound.

--- a/internal/core/weights_environment.go
+++ b/internal/core/weights_environment.go
@@ -121,7 +121,9 @@
 	return needed
 }
 
-// Demand returns what the running samples of an engine ask for.
+// Demand returns what the running samples of an engine ask for, as the owners of
+// their steps say. A swap is of no use to a sample that has begun, whatever its
+// bound, so none is urgent for that.
 func (e weightsEnvironment) Demand(engine cluster.BackendID) weights.Demand {
-	return weights.Demand{}
+	return weights.Demand{Tail: e.core.rollout.RunsTail(e.now, engine)}
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -46,6 +46,7 @@
 	opened   map[string]openedStep
 	learned  learned
 	settled  settledSteps
+	tails    map[string]tailNote
 	cadences map[cluster.ModelName]cadence
 
 	posts     map[string]*post
@@ -91,6 +92,7 @@
 		hints:        ownerHints{hints: map[string]ownerHint{}},
 		opened:       map[string]openedStep{},
 		settled:      settledSteps{},
+		tails:        map[string]tailNote{},
 		cadences:     map[cluster.ModelName]cadence{},
 		posts:        map[string]*post{},
 		replicaStore: newReplicaStore(limits),
@@ -169,6 +171,8 @@
 		m.hints.set(message.Step, ownerHint{node: in.From, incarnation: in.FromIncarnation, epoch: message.Epoch})
 	case StepSettled:
 		m.handleSettled(message)
+	case TailRunning:
+		m.handleTail(now, message)
 	case StepHandover:
 		m.handleHandover(now, message)
 	case Mirror:
@@ -266,6 +270,7 @@
 	if s.phase == phaseOwning {
 		m.loadDemand(s)
 		m.tellSettled(s)
+		m.tellTail(now, s)
 		m.moveStragglers(now, s)
 		if !s.handing {
 			m.flushFinished(now, s)
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -82,6 +82,8 @@
 	// or written. handedAt is when the step was last handed over to a successor.
 	handing  bool
 	handedAt time.Time
+	// tailAt is when the director was last told of the step's last samples.
+	tailAt time.Time
 	// toldSettled is what the other nodes were last told of whether the step needs
 	// no engine.
 	toldSettled bool
