--- a/internal/sim/overload_test.go
+++ b/internal/sim/overload_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,13 @@
 // TestOverloadKeepsGoodput offers three times what the servers can do. What is
 // answered within its deadline must stay at nine tenths of their capacity.
 func TestOverloadKeepsGoodput(t *testing.T) {
+	for _, slots := range []int{4, 8, 32} {
+		t.Run(fmt.Sprintf("%d slots", slots), func(t *testing.T) { overloadServers(t, slots) })
+	}
+}
+
+func overloadServers(t *testing.T, slots int) {
+	t.Helper()
 	const (
 		overload   = 3
 		planned    = 0.6
@@ -20,7 +28,7 @@
 	)
 	s := Hearing(Arequipa())
 	s.Trainers = nil
-	s.ServerSlots, s.ServerQueue, s.ServiceTime = 32, 256, 200*time.Millisecond
+	s.ServerSlots, s.ServerQueue, s.ServiceTime = slots, 8*slots, 200*time.Millisecond
 	capacity := float64(s.Deployment.Servers*s.ServerSlots) / s.ServiceTime.Seconds()
 	// The plan needs most of the servers; the crowd is three times what they can.
 	s.Events[0].Crowd = int(planned * capacity * s.Events[0].Arrival.Std().Seconds())
