Plan from the same event file that a rehearsal reads

Cause: dalehook plan refused a file with a rehearsal block as an unknown key, so operators had to keep two files of one event. Ruled out: taking unknown keys in general, which hides spelling faults. Change: the event file of plan knows the rehearsal block and passes it over.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -139,6 +139,19 @@
 	}
 }
 
+func TestEventFilesOfRehearsalsCanBePlanned(t *testing.T) {
+	files, err := filepath.Glob("../../docs/operators/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no event files (%v)", err)
+	}
+	for _, file := range files {
+		event, err := (&eventFlags{path: file}).load()
+		if err != nil || event.Name == "" || len(event.Rollouts) == 0 {
+			t.Errorf("%s: %v, event %+v", file, err, event)
+		}
+	}
+}
+
 func TestPlanSendsTheSameEventFromFileAndFlags(t *testing.T) {
 	var events []record.Event
 	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/command/event.go
+++ b/internal/command/event.go
@@ -65,15 +65,9 @@
 
 // load returns the event as stated, or everything that is wrong with it.
 func (e *eventFlags) load() (record.Event, error) {
-	var event record.Event
-	if e.path != "" {
-		content, err := os.ReadFile(e.path)
-		if err != nil {
-			return record.Event{}, eris.Wrap(err, "read event file")
-		}
-		if err := decodeStrictly(content, &event); err != nil {
-			return record.Event{}, eris.Wrap(err, e.path)
-		}
+	event, err := e.readFile()
+	if err != nil {
+		return record.Event{}, err
 	}
 	for _, set := range e.parts {
 		if err := set(&event); err != nil {
@@ -83,6 +77,29 @@
 	return event, checkEvent(event)
 }
 
+// eventFile is an event as it stands in a file. The part that only a rehearsal
+// reads may stand there too, so that one file serves both.
+type eventFile struct {
+	record.Event `yaml:",inline"`
+	Rehearsal    yaml.Node `yaml:"rehearsal"`
+}
+
+// readFile returns the event of the named file, or an empty one.
+func (e *eventFlags) readFile() (record.Event, error) {
+	if e.path == "" {
+		return record.Event{}, nil
+	}
+	content, err := os.ReadFile(e.path)
+	if err != nil {
+		return record.Event{}, eris.Wrap(err, "read event file")
+	}
+	var file eventFile
+	if err := decodeStrictly(content, &file); err != nil {
+		return record.Event{}, eris.Wrap(err, e.path)
+	}
+	return file.Event, nil
+}
+
 // parseStart reads a time, or a duration from now that begins with "+".
 func parseStart(now time.Time, text string) (time.Time, error) {
 	if !strings.HasPrefix(text, "+") {
