--- a/internal/api/options.go
+++ b/internal/api/options.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -43,25 +44,17 @@
 
 // withDefaults fills the fields that were left zero.
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.StepBody, defaultStepBody)
-	setDefault(&l.ServiceBody, defaultServiceBody)
-	setDefault(&l.PlanBody, defaultPlanBody)
-	setDefault(&l.BodyTimeout, defaultBodyTimeout)
-	setDefault(&l.Deadline, defaultDeadline)
-	setDefault(&l.MaxDeadline, defaultMaxDeadline)
-	setDefault(&l.MaxWait, defaultMaxWait)
-	setDefault(&l.OpenCalls, defaultOpenCalls)
+	l.StepBody = cmp.Or(l.StepBody, defaultStepBody)
+	l.ServiceBody = cmp.Or(l.ServiceBody, defaultServiceBody)
+	l.PlanBody = cmp.Or(l.PlanBody, defaultPlanBody)
+	l.BodyTimeout = cmp.Or(l.BodyTimeout, defaultBodyTimeout)
+	l.Deadline = cmp.Or(l.Deadline, defaultDeadline)
+	l.MaxDeadline = cmp.Or(l.MaxDeadline, defaultMaxDeadline)
+	l.MaxWait = cmp.Or(l.MaxWait, defaultMaxWait)
+	l.OpenCalls = cmp.Or(l.OpenCalls, defaultOpenCalls)
 	return l
 }
 
-// setDefault sets a field that is zero.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Options configure a Handler.
 type Options struct {
 	// Self is this node; errors that arise in the API name it as the peer.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -98,24 +98,18 @@
 const contestWindow = 30 * time.Second
 
 func (t Timing) withDefaults() Timing {
-	setDefault(&t.Interval, DefaultInterval)
-	setDefault(&t.StartGrace, DefaultStartGrace)
-	setDefault(&t.FirstGrace, DefaultFirstGrace)
-	setDefault(&t.VacantWait, DefaultVacantWait)
-	setDefault(&t.StandIn, DefaultStandIn)
-	setDefault(&t.ClaimTimeout, DefaultClaimTimeout)
-	setDefault(&t.PauseLimit, DefaultPauseLimit)
-	setDefault(&t.ContactLimit, DefaultContactLimit)
-	setDefault(&t.ContestLimit, DefaultContestLimit)
+	t.Interval = cmp.Or(t.Interval, DefaultInterval)
+	t.StartGrace = cmp.Or(t.StartGrace, DefaultStartGrace)
+	t.FirstGrace = cmp.Or(t.FirstGrace, DefaultFirstGrace)
+	t.VacantWait = cmp.Or(t.VacantWait, DefaultVacantWait)
+	t.StandIn = cmp.Or(t.StandIn, DefaultStandIn)
+	t.ClaimTimeout = cmp.Or(t.ClaimTimeout, DefaultClaimTimeout)
+	t.PauseLimit = cmp.Or(t.PauseLimit, DefaultPauseLimit)
+	t.ContactLimit = cmp.Or(t.ContactLimit, DefaultContactLimit)
+	t.ContestLimit = cmp.Or(t.ContestLimit, DefaultContestLimit)
 	return t
 }
 
-func setDefault(value *time.Duration, fallback time.Duration) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 // Manager claims the duties that its node wants and knows which it holds.
 type Manager struct {
 	self        cluster.Node
--- a/internal/lease/view_publisher.go
+++ b/internal/lease/view_publisher.go
@@ -58,13 +58,13 @@
 const massLossDivisor = 3
 
 func (t ViewTiming) withDefaults() ViewTiming {
-	setDefault(&t.Interval, DefaultInterval)
-	setDefault(&t.Settle, DefaultSettle)
-	setDefault(&t.SettleLimit, DefaultSettleLimit)
-	setDefault(&t.MinInterval, DefaultMinInterval)
-	setDefault(&t.IntervalPerMember, DefaultIntervalPerMember)
-	setDefault(&t.MassLossWait, DefaultMassLossWait)
-	setDefault(&t.PublishTimeout, DefaultPublishTimeout)
+	t.Interval = cmp.Or(t.Interval, DefaultInterval)
+	t.Settle = cmp.Or(t.Settle, DefaultSettle)
+	t.SettleLimit = cmp.Or(t.SettleLimit, DefaultSettleLimit)
+	t.MinInterval = cmp.Or(t.MinInterval, DefaultMinInterval)
+	t.IntervalPerMember = cmp.Or(t.IntervalPerMember, DefaultIntervalPerMember)
+	t.MassLossWait = cmp.Or(t.MassLossWait, DefaultMassLossWait)
+	t.PublishTimeout = cmp.Or(t.PublishTimeout, DefaultPublishTimeout)
 	return t
 }
 
--- a/internal/logwriter/pending_append.go
+++ b/internal/logwriter/pending_append.go
@@ -1,6 +1,7 @@
 package logwriter
 
 import (
+	"cmp"
 	"time"
 
 	"dalehook/internal/record"
@@ -35,20 +36,14 @@
 const maxBackoffShift = 20
 
 func (t Timing) withDefaults() Timing {
-	setDefault(&t.RetryBase, DefaultRetryBase)
-	setDefault(&t.RetryMax, DefaultRetryMax)
-	setDefault(&t.SettleWait, DefaultSettleWait)
-	setDefault(&t.CallTimeout, DefaultCallTimeout)
-	setDefault(&t.GiveUp, DefaultGiveUp)
+	t.RetryBase = cmp.Or(t.RetryBase, DefaultRetryBase)
+	t.RetryMax = cmp.Or(t.RetryMax, DefaultRetryMax)
+	t.SettleWait = cmp.Or(t.SettleWait, DefaultSettleWait)
+	t.CallTimeout = cmp.Or(t.CallTimeout, DefaultCallTimeout)
+	t.GiveUp = cmp.Or(t.GiveUp, DefaultGiveUp)
 	return t
 }
 
-func setDefault(value *time.Duration, fallback time.Duration) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 // AppendOption changes how one append is made.
 type AppendOption func(now time.Time, pending *pendingAppend)
 
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -90,22 +91,15 @@
 
 // withDefaults fills the timing fields that were left zero.
 func (o Options) withDefaults() Options {
-	setDefault(&o.HeartbeatInterval, defaultHeartbeatInterval)
-	setDefault(&o.ProbeAfter, defaultProbeAfter)
-	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
-	setDefault(&o.SuspicionTimeout, defaultSuspicionTimeout)
-	setDefault(&o.SpreadInterval, defaultSpreadInterval)
-	setDefault(&o.SyncInterval, defaultSyncInterval)
-	setDefault(&o.JoinInterval, defaultJoinInterval)
-	setDefault(&o.RetryInterval, defaultRetryInterval)
-	setDefault(&o.PauseThreshold, defaultPauseThreshold)
-	setDefault(&o.ForgetAfter, defaultForgetAfter)
+	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, defaultHeartbeatInterval)
+	o.ProbeAfter = cmp.Or(o.ProbeAfter, defaultProbeAfter)
+	o.ProbeTimeout = cmp.Or(o.ProbeTimeout, defaultProbeTimeout)
+	o.SuspicionTimeout = cmp.Or(o.SuspicionTimeout, defaultSuspicionTimeout)
+	o.SpreadInterval = cmp.Or(o.SpreadInterval, defaultSpreadInterval)
+	o.SyncInterval = cmp.Or(o.SyncInterval, defaultSyncInterval)
+	o.JoinInterval = cmp.Or(o.JoinInterval, defaultJoinInterval)
+	o.RetryInterval = cmp.Or(o.RetryInterval, defaultRetryInterval)
+	o.PauseThreshold = cmp.Or(o.PauseThreshold, defaultPauseThreshold)
+	o.ForgetAfter = cmp.Or(o.ForgetAfter, defaultForgetAfter)
 	return o
 }
-
-// setDefault sets a duration that is zero.
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -62,21 +63,13 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
-	setDefault(&o.QueueLimit, defaultQueueLimit)
-	setDefault(&o.FrameLimit, defaultFrameLimit)
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.MinBackoff, defaultMinBackoff)
-	setDefault(&o.MaxBackoff, defaultMaxBackoff)
-	setDefault(&o.DrainTimeout, defaultDrainTimeout)
+	o.QueueLimit = cmp.Or(o.QueueLimit, defaultQueueLimit)
+	o.FrameLimit = cmp.Or(o.FrameLimit, defaultFrameLimit)
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.MinBackoff = cmp.Or(o.MinBackoff, defaultMinBackoff)
+	o.MaxBackoff = cmp.Or(o.MaxBackoff, defaultMaxBackoff)
+	o.DrainTimeout = cmp.Or(o.DrainTimeout, defaultDrainTimeout)
 	return o
 }
-
-// setDefault sets a field that is zero.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/planner/snapshot.go
+++ b/internal/planner/snapshot.go
@@ -91,28 +91,21 @@
 )
 
 func (p Parameters) withDefaults() Parameters {
-	setDefault(&p.Utilization, DefaultUtilization)
-	setDefault(&p.LimitUtilization, DefaultLimitUtilization)
-	setDefault(&p.ServerSlots, DefaultServerSlots)
-	setDefault(&p.ServiceTime, DefaultServiceTime)
-	setDefault(&p.SpareBackends, DefaultSpareBackends)
-	setDefault(&p.EngineTokensPerSecond, DefaultEngineTokensPerSecond)
-	setDefault(&p.StreamTokensPerSecond, DefaultStreamTokensPerSecond)
-	setDefault(&p.LoadTime, DefaultLoadTime)
-	setDefault(&p.StoreLoadsPerSecond, DefaultStoreLoadsPerSecond)
-	setDefault(&p.MaxSwapFraction, DefaultMaxSwapFraction)
-	setDefault(&p.LoadMargin, DefaultLoadMargin)
-	setDefault(&p.WarmLead, DefaultWarmLead)
+	p.Utilization = cmp.Or(p.Utilization, DefaultUtilization)
+	p.LimitUtilization = cmp.Or(p.LimitUtilization, DefaultLimitUtilization)
+	p.ServerSlots = cmp.Or(p.ServerSlots, DefaultServerSlots)
+	p.ServiceTime = cmp.Or(p.ServiceTime, DefaultServiceTime)
+	p.SpareBackends = cmp.Or(p.SpareBackends, DefaultSpareBackends)
+	p.EngineTokensPerSecond = cmp.Or(p.EngineTokensPerSecond, DefaultEngineTokensPerSecond)
+	p.StreamTokensPerSecond = cmp.Or(p.StreamTokensPerSecond, DefaultStreamTokensPerSecond)
+	p.LoadTime = cmp.Or(p.LoadTime, DefaultLoadTime)
+	p.StoreLoadsPerSecond = cmp.Or(p.StoreLoadsPerSecond, DefaultStoreLoadsPerSecond)
+	p.MaxSwapFraction = cmp.Or(p.MaxSwapFraction, DefaultMaxSwapFraction)
+	p.LoadMargin = cmp.Or(p.LoadMargin, DefaultLoadMargin)
+	p.WarmLead = cmp.Or(p.WarmLead, DefaultWarmLead)
 	return p
 }
 
-func setDefault[T cmp.Ordered](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // pool returns the live back ends of a kind and pool, sorted by id.
 func (s Snapshot) pool(kind cluster.BackendKind, name string) []Backend {
 	var members []Backend
--- a/internal/rollout/limits.go
+++ b/internal/rollout/limits.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits bound the time and the memory that a Machine uses. A zero field takes
 // its default.
@@ -79,30 +82,23 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.PostTimeout, 10*time.Second)
-	setDefault(&l.MaxPosts, 64)
-	setDefault(&l.MaxOpenSteps, 3072)
-	setDefault(&l.MaxTrainerSteps, 64)
-	setDefault(&l.MaxReads, 1024)
-	setDefault(&l.MaxWait, time.Minute)
-	setDefault(&l.MaxAnswerSamples, 256)
-	setDefault(&l.MaxAnswerBytes, 4<<20)
-	setDefault(&l.OwnerTimeout, 3*time.Second)
-	setDefault(&l.LogWait, 2*time.Second)
-	setDefault(&l.PauseThreshold, time.Second)
-	setDefault(&l.StallTimeout, 20*time.Second)
-	setDefault(&l.MaxAttempts, 32)
-	setDefault(&l.ClosedRetention, time.Minute)
-	setDefault(&l.IdleRetention, time.Hour)
-	setDefault(&l.ReplicaRetention, 2*time.Hour)
-	setDefault(&l.MaxReplicaBytes, 256<<20)
-	setDefault(&l.LeaveGrace, 2*time.Second)
+	l.PostTimeout = cmp.Or(l.PostTimeout, 10*time.Second)
+	l.MaxPosts = cmp.Or(l.MaxPosts, 64)
+	l.MaxOpenSteps = cmp.Or(l.MaxOpenSteps, 3072)
+	l.MaxTrainerSteps = cmp.Or(l.MaxTrainerSteps, 64)
+	l.MaxReads = cmp.Or(l.MaxReads, 1024)
+	l.MaxWait = cmp.Or(l.MaxWait, time.Minute)
+	l.MaxAnswerSamples = cmp.Or(l.MaxAnswerSamples, 256)
+	l.MaxAnswerBytes = cmp.Or(l.MaxAnswerBytes, 4<<20)
+	l.OwnerTimeout = cmp.Or(l.OwnerTimeout, 3*time.Second)
+	l.LogWait = cmp.Or(l.LogWait, 2*time.Second)
+	l.PauseThreshold = cmp.Or(l.PauseThreshold, time.Second)
+	l.StallTimeout = cmp.Or(l.StallTimeout, 20*time.Second)
+	l.MaxAttempts = cmp.Or(l.MaxAttempts, 32)
+	l.ClosedRetention = cmp.Or(l.ClosedRetention, time.Minute)
+	l.IdleRetention = cmp.Or(l.IdleRetention, time.Hour)
+	l.ReplicaRetention = cmp.Or(l.ReplicaRetention, 2*time.Hour)
+	l.MaxReplicaBytes = cmp.Or(l.MaxReplicaBytes, 256<<20)
+	l.LeaveGrace = cmp.Or(l.LeaveGrace, 2*time.Second)
 	return l
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/weights/environment.go
+++ b/internal/weights/environment.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"cmp"
 	"time"
 
 	"dalehook/internal/cluster"
@@ -116,26 +117,20 @@
 )
 
 func (p Parameters) withDefaults() Parameters {
-	setDefault(&p.StoreLoadsPerSecond, DefaultStoreLoadsPerSecond)
-	setDefault(&p.StoreBurst, DefaultStoreBurst)
-	setDefault(&p.MaxSwapFraction, DefaultMaxSwapFraction)
-	setDefault(&p.MaxLoadFraction, DefaultMaxLoadFraction)
-	setDefault(&p.SwapTime, DefaultSwapTime)
-	setDefault(&p.Interval, DefaultInterval)
-	setDefault(&p.TakeoverWait, DefaultTakeoverWait)
-	setDefault(&p.OrderTimeout, DefaultOrderTimeout)
-	setDefault(&p.SlowLoad, DefaultSlowLoad)
-	setDefault(&p.LoadTimeout, DefaultLoadTimeout)
-	setDefault(&p.RetryBase, DefaultRetryBase)
-	setDefault(&p.RetryMax, DefaultRetryMax)
-	setDefault(&p.RateLimitPause, DefaultRateLimitPause)
-	setDefault(&p.UnintendedWait, DefaultUnintendedWait)
-	setDefault(&p.TailWait, DefaultTailWait)
+	p.StoreLoadsPerSecond = cmp.Or(p.StoreLoadsPerSecond, DefaultStoreLoadsPerSecond)
+	p.StoreBurst = cmp.Or(p.StoreBurst, DefaultStoreBurst)
+	p.MaxSwapFraction = cmp.Or(p.MaxSwapFraction, DefaultMaxSwapFraction)
+	p.MaxLoadFraction = cmp.Or(p.MaxLoadFraction, DefaultMaxLoadFraction)
+	p.SwapTime = cmp.Or(p.SwapTime, DefaultSwapTime)
+	p.Interval = cmp.Or(p.Interval, DefaultInterval)
+	p.TakeoverWait = cmp.Or(p.TakeoverWait, DefaultTakeoverWait)
+	p.OrderTimeout = cmp.Or(p.OrderTimeout, DefaultOrderTimeout)
+	p.SlowLoad = cmp.Or(p.SlowLoad, DefaultSlowLoad)
+	p.LoadTimeout = cmp.Or(p.LoadTimeout, DefaultLoadTimeout)
+	p.RetryBase = cmp.Or(p.RetryBase, DefaultRetryBase)
+	p.RetryMax = cmp.Or(p.RetryMax, DefaultRetryMax)
+	p.RateLimitPause = cmp.Or(p.RateLimitPause, DefaultRateLimitPause)
+	p.UnintendedWait = cmp.Or(p.UnintendedWait, DefaultUnintendedWait)
+	p.TailWait = cmp.Or(p.TailWait, DefaultTailWait)
 	return p
 }
-
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
