--- a/internal/core/environment.go
+++ b/internal/core/environment.go
@@ -34,30 +34,13 @@
 	return id == e.core.options.Self.ID || e.core.membership.Alive(id)
 }
 
-// LiveNodes lists the nodes that are alive and not leaving, sorted by id.
-func (e *environment) LiveNodes() []cluster.Node {
-	members := e.core.membership.Members()
-	nodes := make([]cluster.Node, 0, len(members))
-	for _, member := range members {
-		isSelf := member.ID == e.core.options.Self.ID
-		switch {
-		case isSelf && !e.core.leave.started():
-			nodes = append(nodes, e.core.options.Self)
-		case !isSelf && (member.State == membership.StateAlive || member.State == membership.StateSuspect):
-			nodes = append(nodes, member.Node)
-		}
-	}
-	return nodes
-}
+// LiveNodes lists the nodes that are alive and not leaving, sorted by id. The
+// slice is shared and must not be changed.
+func (e *environment) LiveNodes() []cluster.Node { return e.core.membership.Live() }
 
 // leaseEnvironment shows the node to internal/lease.
 type leaseEnvironment struct{ *environment }
 
-// Alive reports whether a node may keep a duty: it is alive and not leaving.
-func (e leaseEnvironment) Alive(id cluster.NodeID) bool {
-	return slices.ContainsFunc(e.LiveNodes(), func(n cluster.Node) bool { return n.ID == id })
-}
-
 // Leaving reports whether a node has announced a planned stop and still runs.
 func (e leaseEnvironment) Leaving(id cluster.NodeID) bool {
 	if id == e.core.options.Self.ID {
@@ -67,9 +50,6 @@
 	return known && member.State == membership.StateLeaving
 }
 
-// Members lists the nodes that may hold a duty.
-func (e leaseEnvironment) Members() []cluster.Node { return e.LiveNodes() }
-
 // LastContact is the last time at which a peer or the log was heard.
 func (e leaseEnvironment) LastContact() time.Time { return e.lastContact }
 
--- a/internal/machine/failure.go
+++ b/internal/machine/failure.go
@@ -20,7 +20,6 @@
 	CodeStepConflict    Code = "step_conflict"
 	CodeKeyConflict     Code = "key_conflict"
 	CodeRevisionChanged Code = "revision_conflict"
-	CodePlanUnmet       Code = "plan_unmet"
 	CodeDeadline        Code = "deadline_exceeded"
 	CodeOverloaded      Code = "overloaded"
 	CodeShed            Code = "shed"
@@ -33,7 +32,6 @@
 	CodeNoQuorum        Code = "no_quorum"
 	CodeStarting        Code = "starting"
 	CodeLeaving         Code = "leaving"
-	CodeSuperseded      Code = "read_superseded"
 	CodeInternal        Code = "internal"
 )
 
