--- /dev/null
+++ b/internal/election/machine_test.go
@@ -0,0 +1,170 @@
+package election
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var testTiming = Timing{TTL: 2 * time.Second, Renewal: 500 * time.Millisecond, Margin: 200 * time.Millisecond}
+
+// world is a partition and the machines that read it, on a clock of its own.
+type world struct {
+	now      time.Time
+	log      [][]byte
+	machines []*Machine
+	// offsets of what each machine read is the machine's own End.
+}
+
+func newWorld(count int) *world {
+	w := &world{now: time.Unix(1000, 0)}
+	for i := range count {
+		w.machines = append(w.machines, NewMachine(fmt.Sprint("node-", i), testTiming))
+	}
+	return w
+}
+
+func (w *world) read(m *Machine) {
+	for m.End() < int64(len(w.log)) {
+		if err := m.HandleRecord(w.now, m.End(), w.log[m.End()]); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// write carries out a conditional append; its answer may be lost.
+func (w *world) write(m *Machine, lost bool) {
+	wanted := m.Tick(w.now)
+	if wanted == nil || wanted.End != int64(len(w.log)) {
+		return
+	}
+	w.log = append(w.log, wanted.Payload)
+	if !lost {
+		m.HandleAppended(w.now, w.now, wanted, wanted.End)
+	}
+}
+
+func (w *world) step(m *Machine) {
+	w.read(m)
+	w.write(m, false)
+}
+
+func (w *world) held() []string {
+	var holders []string
+	for _, m := range w.machines {
+		if _, held := m.Held(w.now); held {
+			holders = append(holders, m.self)
+		}
+	}
+	return holders
+}
+
+func TestOneNodeTakesTheLease(t *testing.T) {
+	w := newWorld(3)
+	for _, m := range w.machines {
+		w.step(m)
+	}
+	for range 20 {
+		w.now = w.now.Add(300 * time.Millisecond)
+		for _, m := range w.machines {
+			w.step(m)
+		}
+	}
+	if got := w.held(); len(got) != 1 || got[0] != "node-0" {
+		t.Errorf("held by %v", got)
+	}
+	lease, _ := w.machines[0].Held(w.now)
+	if lease.Succeeded {
+		t.Error("the first lease has a predecessor")
+	}
+}
+
+func TestASilentHolderIsSucceeded(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	first, _ := w.machines[0].Held(w.now)
+	w.now = w.now.Add(testTiming.TTL + time.Millisecond)
+	w.step(w.machines[1])
+	second, held := w.machines[1].Held(w.now)
+	if !held || !second.Succeeded || second.Epoch <= first.Epoch {
+		t.Fatalf("held %v, %+v after %+v", held, second, first)
+	}
+	// The paused holder wakes: it neither holds the lease nor can it renew.
+	if _, held := w.machines[0].Held(w.now); held {
+		t.Error("the paused holder still holds the lease")
+	}
+	before := len(w.log)
+	w.write(w.machines[0], false)
+	if len(w.log) != before {
+		t.Error("the paused holder wrote")
+	}
+	w.read(w.machines[0])
+	if w.machines[0].Standing(w.now).Leading {
+		t.Error("the paused holder still leads")
+	}
+}
+
+func TestTimeWithoutTheStoreDoesNotCount(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	w.now = w.now.Add(10 * time.Second)
+	w.machines[1].HandleReadFailure(w.now)
+	w.now = w.now.Add(testTiming.TTL / 2)
+	w.step(w.machines[1])
+	if _, held := w.machines[1].Held(w.now); held {
+		t.Error("the lease was claimed before its holder could renew")
+	}
+}
+
+func TestAClaimWhoseAnswerIsLostIsKept(t *testing.T) {
+	w := newWorld(1)
+	w.read(w.machines[0])
+	w.write(w.machines[0], true)
+	if _, held := w.machines[0].Held(w.now); held {
+		t.Fatal("held without an answer")
+	}
+	w.step(w.machines[0])
+	if _, held := w.machines[0].Held(w.now); !held {
+		t.Error("the own claim was not found")
+	}
+}
+
+func TestALeavingHolderReleases(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.machines[0].Leave()
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	if got := w.held(); len(got) != 1 || got[0] != "node-1" {
+		t.Errorf("held by %v", got)
+	}
+}
+
+// Whatever is lost, paused or late, two nodes never hold the lease at once.
+func TestTheLeaseHasOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(3)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			m := w.machines[rapid.IntRange(0, 2).Draw(t, "machine")]
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 2600).Draw(t, "ms")) * time.Millisecond)
+			case 1:
+				w.read(m)
+			case 2:
+				w.write(m, rapid.Bool().Draw(t, "lost"))
+			case 3:
+				w.step(m)
+			case 4:
+				m.HandleReadFailure(w.now)
+			}
+			if got := w.held(); len(got) > 1 {
+				t.Fatalf("held by %v", got)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/scheduler/machine_test.go
@@ -0,0 +1,359 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/directory"
+	"dalehook/internal/routetable"
+)
+
+// fixture drives a machine on a clock of its own, and keeps what it decided.
+type fixture struct {
+	t       *testing.T
+	machine *Machine
+	now     time.Time
+	starts  []Start
+	cancels []Cancel
+	orders  []Order
+	results []batch.Result
+}
+
+func newFixture(t *testing.T, change func(*routetable.Route)) *fixture {
+	f := &fixture{t: t, machine: NewMachine(Options{}), now: time.Unix(1000, 0)}
+	route := routetable.Route{
+		Name: "r", Host: "h", Prefix: "/p/", Kind: routetable.KindBatch, MaxAttempts: 3,
+		Targets: []routetable.Target{{Service: "pool", Weight: 1}}, ItemLifetime: 40 * time.Second,
+	}
+	if change != nil {
+		change(&route)
+	}
+	service := routetable.Service{Name: "pool", Models: []string{"m"}}
+	f.machine.HandleTable(f.now, routetable.NewTable(1, []routetable.Route{route}, []routetable.Service{service}, routetable.Limits{}))
+	f.fresh()
+	return f
+}
+
+func (f *fixture) fresh() {
+	f.machine.HandleFresh(f.now, 0, f.now)
+	f.take()
+}
+
+func (f *fixture) take() {
+	output := f.machine.Take()
+	f.starts = append(f.starts, output.Starts...)
+	f.cancels = append(f.cancels, output.Cancels...)
+	f.orders = append(f.orders, output.Orders...)
+	f.results = append(f.results, output.Results...)
+}
+
+// servers lists servers of the pool: id to loaded version.
+func (f *fixture) servers(slots int, versions map[string]int64) {
+	var servers []*directory.Server
+	for id, version := range versions {
+		servers = append(servers, &directory.Server{
+			ID: id, Service: "pool", Address: id + ":1", Slots: slots, Versions: map[string]int64{"m": version},
+		})
+	}
+	f.machine.HandleServers(f.now, servers)
+	f.take()
+}
+
+func (f *fixture) job(id string, minimum int64, expected ...int) {
+	job := &batch.Job{ID: id, Host: "h", Path: "/p/" + id, Model: "m", MinVersion: minimum}
+	for i, tokens := range expected {
+		job.Items = append(job.Items, batch.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p/x", Expected: tokens})
+	}
+	f.machine.HandleJob(f.now, 0, job, func(string) bool { return false })
+	f.take()
+}
+
+func (f *fixture) event(attempt AttemptID, id string, version int64) {
+	f.machine.HandleEvent(f.now, attempt, Event{ID: id, Data: "data " + id, Version: version})
+	f.take()
+}
+
+func (f *fixture) end(attempt AttemptID, reason EndReason) {
+	f.machine.HandleAttemptEnd(f.now, attempt, reason)
+	f.take()
+}
+
+func (f *fixture) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.fresh()
+	f.machine.Tick(f.now)
+	f.take()
+}
+
+func (f *fixture) startedItems() []string {
+	var items []string
+	for _, start := range f.starts {
+		items = append(items, start.Item.ID)
+	}
+	return items
+}
+
+func TestLongestItemsStartFirstWithinTheSlots(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1, "b": 1})
+	f.job("j", 1, 10, 30, 20)
+	if diff := cmp.Diff([]string{"j-1", "j-2"}, f.startedItems()); diff != "" {
+		t.Fatal(diff)
+	}
+	f.end(f.starts[0].Attempt, EndCompleted)
+	if diff := cmp.Diff([]string{"j-1", "j-2", "j-0"}, f.startedItems()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAResultHoldsTheTextAndItsVersions(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.event(1, "1", 1)
+	f.event(1, "2", 2)
+	f.end(1, EndCompleted)
+	want := []batch.Result{{JobID: "j", ItemID: "j-0", Text: "data 1\ndata 2", Versions: []int64{1, 2}}}
+	if diff := cmp.Diff(want, f.results); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestABrokenItemGoesOnElsewhere(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1, "b": 1})
+	f.job("j", 1, 10)
+	f.event(1, "1", 1)
+	f.event(1, "2", 1)
+	f.end(1, EndBroken)
+	if len(f.starts) != 2 || f.starts[1].After != "2" || f.starts[1].Server == f.starts[0].Server {
+		t.Fatalf("starts %+v", f.starts)
+	}
+	f.event(2, "3", 1)
+	f.end(2, EndCompleted)
+	if got := f.results[0].Text; got != "data 1\ndata 2\ndata 3" {
+		t.Errorf("text %q", got)
+	}
+}
+
+func TestAStalledItemIsMovedOnceItsAttemptEnded(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1, "b": 1})
+	f.job("j", 1, 10)
+	f.event(1, "1", 1)
+	f.pass(DefaultStallTimeout + time.Millisecond)
+	if len(f.cancels) != 1 || len(f.starts) != 1 {
+		t.Fatalf("cancels %v, starts %v", f.cancels, f.starts)
+	}
+	f.event(1, "2", 1) // comes too late to count
+	f.end(1, EndCancelled)
+	if len(f.starts) != 2 || f.starts[1].After != "1" || f.starts[1].Server == f.starts[0].Server {
+		t.Errorf("starts %+v", f.starts)
+	}
+}
+
+func TestFailuresGiveAnItemUp(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	for attempt := AttemptID(1); attempt <= 3; attempt++ {
+		if len(f.results) > 0 {
+			t.Fatalf("given up after %d failures", attempt-1)
+		}
+		f.end(attempt, EndFailed)
+	}
+	if len(f.results) != 1 || f.results[0].Outcome != batch.OutcomeDead {
+		t.Errorf("results %+v", f.results)
+	}
+	f.pass(time.Second)
+	if len(f.starts) != 3 {
+		t.Errorf("%d starts", len(f.starts))
+	}
+}
+
+func TestAnImpossibleItemIsGivenUpAtOnce(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.end(1, EndImpossible)
+	if len(f.results) != 1 || f.results[0].Outcome != batch.OutcomeDead {
+		t.Errorf("results %+v", f.results)
+	}
+}
+
+func TestItemsAreGivenUpAfterTheirLifetime(t *testing.T) {
+	f := newFixture(t, nil)
+	f.job("j", 1, 10)
+	f.pass(39 * time.Second)
+	if len(f.results) != 0 {
+		t.Fatal("given up too early")
+	}
+	f.pass(2 * time.Second)
+	if len(f.results) != 1 || f.results[0].Outcome != batch.OutcomeDead {
+		t.Errorf("results %+v", f.results)
+	}
+}
+
+func TestOldWeightsDoNotServe(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(4, map[string]int64{"old": 1, "new": 2})
+	f.job("j", 2, 10, 10)
+	for _, start := range f.starts {
+		if start.Server.ID != "new" {
+			t.Errorf("started at %s", start.Server.ID)
+		}
+	}
+	// A server that turns out to be older than was known: nothing of it is kept.
+	f.event(1, "1", 1)
+	if len(f.cancels) != 1 {
+		t.Fatalf("cancels %v", f.cancels)
+	}
+	f.end(1, EndCancelled)
+	for _, start := range f.starts[2:] {
+		if start.After != "" {
+			t.Errorf("goes on after %q", start.After)
+		}
+	}
+}
+
+func TestSingleVersionTextsAreNotMixed(t *testing.T) {
+	f := newFixture(t, func(route *routetable.Route) { route.SingleVersion = true })
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	if f.starts[0].ExpectVersion != 1 {
+		t.Errorf("expects version %d", f.starts[0].ExpectVersion)
+	}
+	f.event(1, "1", 1)
+	f.event(1, "2", 2)
+	f.end(1, EndCancelled)
+	if len(f.starts) != 2 || f.starts[1].After != "" || f.starts[1].ExpectVersion != 2 {
+		t.Errorf("starts %+v", f.starts)
+	}
+}
+
+func TestNothingStartsOnStaleJobs(t *testing.T) {
+	f := newFixture(t, nil)
+	f.job("j", 1, 10)
+	f.now = f.now.Add(DefaultFreshnessLimit + time.Millisecond)
+	f.servers(1, map[string]int64{"a": 1})
+	if len(f.starts) != 0 {
+		t.Fatal("an item started though its job may have ended")
+	}
+	f.fresh()
+	if len(f.starts) != 1 {
+		t.Error("the item did not start once its job was read")
+	}
+}
+
+func TestTheEndOfAJobCancelsItsItems(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10, 10)
+	f.machine.HandleEnded(f.now, "j")
+	f.take()
+	f.end(1, EndCancelled)
+	if len(f.cancels) != 1 || len(f.starts) != 1 {
+		t.Errorf("cancels %v, starts %v", f.cancels, f.starts)
+	}
+}
+
+func TestLoadsAreOrderedAFewAtATime(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(4, map[string]int64{"a": 1, "b": 1, "c": 1})
+	f.machine.HandleVersion(f.now, "m", 2)
+	f.take()
+	if len(f.orders) != 0 {
+		t.Fatal("ordered without the lease")
+	}
+	f.machine.HandleLease(f.now, 7, true)
+	f.take()
+	if len(f.orders) != DefaultConcurrentLoads || f.orders[0].Epoch != 7 || f.orders[0].Version != 2 {
+		t.Fatalf("orders %+v", f.orders)
+	}
+	f.machine.HandleLoad(f.now, f.orders[0].Server.ID, "m", Load{Taken: true, Version: 2})
+	f.take()
+	if len(f.orders) != 3 {
+		t.Errorf("orders %+v", f.orders)
+	}
+}
+
+func TestABusyEngineLoadsWhenItsVersionServesNothing(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.machine.HandleLease(f.now, 1, true)
+	f.machine.HandleVersion(f.now, "m", 2)
+	f.take()
+	if len(f.orders) != 0 {
+		t.Fatal("a busy engine was ordered though its version serves")
+	}
+	f.job("k", 2, 10)
+	if len(f.orders) != 1 {
+		t.Errorf("orders %+v", f.orders)
+	}
+}
+
+func TestModelsShareTheEngines(t *testing.T) {
+	machine := NewMachine(Options{})
+	now := time.Unix(1000, 0)
+	service := routetable.Service{Name: "pool", Models: []string{"m", "n"}}
+	machine.HandleTable(now, routetable.NewTable(1, nil, []routetable.Service{service}, routetable.Limits{}))
+	var servers []*directory.Server
+	for i := range 9 {
+		servers = append(servers, &directory.Server{
+			ID: fmt.Sprint("s", i), Service: "pool", Slots: 1, Versions: map[string]int64{"m": 1, "n": 1},
+		})
+	}
+	shares := func() map[string]int {
+		counts := make(map[string]int)
+		for _, engine := range machine.engines {
+			counts[engine.model]++
+		}
+		return counts
+	}
+	machine.HandleServers(now, servers)
+	if got := shares(); got["m"]+got["n"] != 9 || got["m"]-got["n"] > 1 || got["n"]-got["m"] > 1 {
+		t.Fatalf("shares %v", got)
+	}
+	before := make(map[string]string)
+	for id, engine := range machine.engines {
+		before[id] = engine.model
+	}
+	machine.HandleServers(now, servers[:8])
+	moved := 0
+	for id, engine := range machine.engines {
+		if engine.model != before[id] {
+			moved++
+		}
+	}
+	if got := shares(); moved > 1 || got["m"] != 4 || got["n"] != 4 {
+		t.Errorf("shares %v, %d moved", got, moved)
+	}
+}
+
+// Equal inputs give equal outputs, whatever the order of maps.
+func TestTheMachineIsDeterministic(t *testing.T) {
+	run := func() []Start {
+		f := newFixture(t, nil)
+		f.servers(2, map[string]int64{"a": 1, "b": 1, "c": 1, "d": 1})
+		f.job("j", 1, 5, 5, 5, 5, 5, 5, 5, 5, 5)
+		f.job("k", 1, 5, 5, 5)
+		f.machine.HandleListed(f.now, "j", "j-4")
+		f.take()
+		for i := range 6 {
+			f.end(f.starts[i].Attempt, EndBroken)
+		}
+		f.pass(3 * time.Second)
+		return f.starts
+	}
+	first := run()
+	for range 5 {
+		if diff := cmp.Diff(first, run()); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/storetest/memory.go
@@ -0,0 +1,212 @@
+// Package storetest has a store in memory, with the faults of a real one, for
+// the tests of what is built on package store.
+package storetest
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"dalehook/internal/store"
+)
+
+// Fault is how the store treats the calls that follow.
+type Fault int
+
+// The faults.
+const (
+	// FaultNone: calls are carried out and answered.
+	FaultNone Fault = iota
+	// FaultRefuse: calls are refused, and nothing is done.
+	FaultRefuse
+	// FaultLoseAnswer: appends are carried out, and their answers are lost.
+	FaultLoseAnswer
+	// FaultSilent: nothing is done and nothing answered until the caller gives up.
+	FaultSilent
+)
+
+// ErrLost is returned where an answer is lost.
+var ErrLost = errors.New("answer was lost")
+
+// Memory implements store.Log.
+type Memory struct {
+	mutex      sync.Mutex
+	partitions map[store.Partition]*partition
+	fault      Fault
+	changed    chan struct{}
+	appends    int
+}
+
+type partition struct {
+	first   int64
+	records []store.Record
+}
+
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
+var _ store.Log = (*Memory)(nil)
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{partitions: make(map[store.Partition]*partition), changed: make(chan struct{})}
+}
+
+// SetFault sets how later calls are treated.
+func (m *Memory) SetFault(fault Fault) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.fault = fault
+	m.notify()
+}
+
+// Appends returns how many appends were carried out.
+func (m *Memory) Appends() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.appends
+}
+
+// Put writes the record of a key, as the platform's other users do.
+func (m *Memory) Put(topic store.Topic, key string, value []byte) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p := m.at(store.Partition{Topic: topic})
+	p.records = append(p.records, store.Record{Offset: p.end(), Key: key, Value: value})
+	m.notify()
+}
+
+// Trim drops the records before an offset.
+func (m *Memory) Trim(at store.Partition, before int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p := m.at(at)
+	for len(p.records) > 0 && p.first < before {
+		p.records = p.records[1:]
+		p.first++
+	}
+}
+
+// at returns a partition. The mutex is held.
+func (m *Memory) at(at store.Partition) *partition {
+	if m.partitions[at] == nil {
+		m.partitions[at] = &partition{}
+	}
+	return m.partitions[at]
+}
+
+func (m *Memory) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// enter applies the fault to a call.
+func (m *Memory) enter(ctx context.Context) (Fault, error) {
+	m.mutex.Lock()
+	fault := m.fault
+	m.mutex.Unlock()
+	switch fault {
+	case FaultRefuse:
+		return fault, store.ErrRefused
+	case FaultSilent:
+		<-ctx.Done()
+		return fault, ctx.Err()
+	}
+	return fault, ctx.Err()
+}
+
+// Append implements store.Log.
+func (m *Memory) Append(ctx context.Context, at store.Partition, payloads [][]byte) (int64, error) {
+	return m.append(ctx, at, -1, payloads)
+}
+
+// AppendAt implements store.Log.
+func (m *Memory) AppendAt(ctx context.Context, at store.Partition, end int64, payloads [][]byte) (int64, error) {
+	return m.append(ctx, at, end, payloads)
+}
+
+func (m *Memory) append(ctx context.Context, at store.Partition, end int64, payloads [][]byte) (int64, error) {
+	fault, err := m.enter(ctx)
+	if err != nil {
+		return 0, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p := m.at(at)
+	if end >= 0 && p.end() != end {
+		return 0, &store.ConditionError{End: p.end()}
+	}
+	first := p.end()
+	for _, payload := range payloads {
+		p.records = append(p.records, store.Record{Offset: p.end(), Value: slices.Clone(payload)})
+	}
+	m.appends++
+	m.notify()
+	if fault == FaultLoseAnswer {
+		return 0, ErrLost
+	}
+	return first, nil
+}
+
+// Read implements store.Log.
+func (m *Memory) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if _, err := m.enter(ctx); err != nil {
+		return store.Batch{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waited := false; ; {
+		batch, changed, err := m.read(at, from)
+		if err != nil || len(batch.Records) > 0 || waited {
+			return batch, err
+		}
+		select {
+		case <-ctx.Done():
+			return store.Batch{}, ctx.Err()
+		case <-timer.C:
+			waited = true
+		case <-changed:
+			if _, err := m.enter(ctx); err != nil {
+				return store.Batch{}, err
+			}
+		}
+	}
+}
+
+func (m *Memory) read(at store.Partition, from int64) (store.Batch, <-chan struct{}, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p := m.at(at)
+	if from < p.first {
+		return store.Batch{}, nil, &store.TrimmedError{First: p.first}
+	}
+	records := slices.Clone(p.records[min(from-p.first, int64(len(p.records))):])
+	batch := store.Batch{Records: records, End: p.end(), Next: from + int64(len(records))}
+	return batch, m.changed, nil
+}
+
+// Newest implements store.Log.
+func (m *Memory) Newest(ctx context.Context, topic store.Topic) ([]store.Record, int64, error) {
+	if _, err := m.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p := m.at(store.Partition{Topic: topic})
+	newest := make(map[string]store.Record)
+	var keys []string
+	for _, record := range p.records {
+		if _, known := newest[record.Key]; !known {
+			keys = append(keys, record.Key)
+		}
+		newest[record.Key] = record
+	}
+	var records []store.Record
+	for _, key := range keys {
+		if len(newest[key].Value) > 0 {
+			records = append(records, newest[key])
+		}
+	}
+	return records, p.end(), nil
+}
