--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -157,7 +157,7 @@
 
 // run follows the partition while it is wanted.
 func (p *partition) run(ctx context.Context) {
-	for p.waitUntil(ctx, p.wanted) {
+	for ctx.Err() == nil && p.waitUntil(ctx, p.wanted) {
 		if err := p.advance(ctx); err != nil {
 			p.note(err)
 			sleep(ctx, retryPause)
