Share engines by demand, keep what carried items made, fill fast engines first

Cause: at Arequipa the summary trainer ran 10 s behind (9 of 13 steps asked) on half of the engines with two thirds of the work, while captions were on time; items that came again in a later step were run from nothing; a slow engine was given as many items as a fast one. Ruled out: capacity (a third of the engines' event rate is asked); the store. Change: engines are divided in proportion to the expected tokens of a step; items of groups left over at a step's end go on running for 2.5 s and are taken up by the step that brings them again, if their versions fit; the cost of an engine is its time between events first, its load second.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -230,9 +230,9 @@
 	f.coordinator.inputOf(f.machine, func(now time.Time) {
 		switch {
 		case change.Accepted != nil && !change.Accepted.Ended:
-			f.machine.HandleJob(now, partition, change.Accepted.Job, change.Accepted.Listed)
+			f.machine.HandleJob(now, partition, change.Accepted.Job, change.Accepted.Results)
 		case change.Listed != nil:
-			f.machine.HandleListed(now, change.Listed.JobID, change.Listed.ItemID)
+			f.machine.HandleListed(now, change.Listed)
 		case change.Ended != nil:
 			f.machine.HandleEnded(now, change.Ended.Job.ID)
 		}
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -75,10 +75,10 @@
 // foreignPenalty is added to the cost of an engine that belongs to another model.
 const foreignPenalty = 10
 
-// cost rates an engine for an item; lower is better. It is the share of the
-// engine's slots in use, scaled by how slowly its events come.
+// cost rates an engine for an item; lower is better. Events come hardly slower
+// when more slots are in use, so the fastest engines are filled first.
 func (e *engine) cost(next *item) float64 {
-	cost := float64(len(e.attempts)+1) / float64(max(e.slots, 1))
+	cost := 1 + float64(len(e.attempts))/float64(max(e.slots, 1))
 	cost *= max(e.gap, minimumGap)
 	if e.model != next.job.model {
 		cost += foreignPenalty
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -10,8 +12,8 @@
 const retryLoad = 400 * time.Millisecond
 
 // divide gives every engine a model whose new versions it loads, so that the
-// models of a service have equal shares. Engines keep their model while the
-// shares are equal.
+// models of a service have shares by their demand. Engines keep their model while
+// the shares do not change.
 func (m *Machine) divide() {
 	byService := make(map[string][]*engine)
 	for _, known := range m.sortedEngines() {
@@ -29,49 +31,103 @@
 	if len(models) == 0 {
 		return
 	}
+	targets := m.targets(models, engines)
 	shares := make(map[string]int, len(models))
 	for _, known := range engines {
-		if slices.Contains(models, known.model) {
+		if shares[known.model] < targets[known.model] {
 			shares[known.model]++
+			continue
 		}
+		known.model = ""
 	}
 	for _, known := range engines {
-		if !slices.Contains(models, known.model) {
-			known.model = smallestShare(models, shares, known)
+		if known.model == "" {
+			known.model = mostWanted(models, targets, shares, known)
 			shares[known.model]++
 		}
 	}
-	m.even(models, shares, engines)
 }
 
-// even moves engines from the largest share to the smallest.
-func (m *Machine) even(models []string, shares map[string]int, engines []*engine) {
-	for {
-		smallest := slices.MinFunc(models, func(a, b string) int { return shares[a] - shares[b] })
-		largest := slices.MaxFunc(models, func(a, b string) int { return shares[a] - shares[b] })
-		if shares[largest]-shares[smallest] < 2 {
-			return
+// targets returns how many engines each model is to have: in proportion to the
+// work of its steps, and at least one where there are enough.
+// Shares that are nearly in proportion stay, since a move costs a load.
+func (m *Machine) targets(models []string, engines []*engine) map[string]int {
+	weights := make(map[string]float64, len(models))
+	total := 0.0
+	for _, model := range models {
+		weights[model] = m.weight(model)
+		total += weights[model]
+	}
+	targets := make(map[string]int, len(models))
+	for _, known := range engines {
+		if known.model != "" {
+			targets[known.model]++
 		}
-		for _, known := range engines {
-			if known.model == largest {
-				known.model = smallest
-				break
-			}
+	}
+	if inProportion(models, targets, weights, total, len(engines)) {
+		return targets
+	}
+	clear(targets)
+	for range engines {
+		targets[mostBehind(models, targets, weights)]++
+	}
+	return targets
+}
+
+// tolerated is how many engines a model's share may be off its proportion.
+const tolerated = 0.8
+
+func inProportion(models []string, shares map[string]int, weights map[string]float64, total float64, engines int) bool {
+	assigned := 0
+	for _, model := range models {
+		ideal := weights[model] / total * float64(engines)
+		if math.Abs(float64(shares[model])-ideal) > tolerated {
+			return false
 		}
-		shares[largest]--
-		shares[smallest]++
+		assigned += shares[model]
+	}
+	return assigned == engines
+}
+
+// weight returns the demand of a model; models without jobs yet count as equals.
+func (m *Machine) weight(model string) float64 {
+	if demand, known := m.demand[model]; known {
+		return demand
+	}
+	total := 0.0
+	for _, demand := range m.demand {
+		total += demand
+	}
+	return max(total/float64(max(len(m.demand), 1)), 1)
+}
+
+// mostBehind returns the model whose next engine is due first: models without an
+// engine, then the least engines for its weight (the Sainte-Laguë method).
+func mostBehind(models []string, targets map[string]int, weights map[string]float64) string {
+	return slices.MaxFunc(models, func(a, b string) int {
+		if none := cmp.Compare(boolean(targets[a] == 0), boolean(targets[b] == 0)); none != 0 {
+			return none
+		}
+		return cmp.Compare(weights[a]/float64(2*targets[a]+1), weights[b]/float64(2*targets[b]+1))
+	})
+}
+
+func boolean(holds bool) int {
+	if holds {
+		return 1
 	}
+	return 0
 }
 
-// smallestShare picks the model with the fewest engines; of equals, the one that
+// mostWanted picks the model that lacks the most engines; of equals, the one that
 // the engine has the newest weights of, so that a successor divides as its
 // predecessor did.
-func smallestShare(models []string, shares map[string]int, known *engine) string {
-	return slices.MinFunc(models, func(a, b string) int {
-		if difference := shares[a] - shares[b]; difference != 0 {
+func mostWanted(models []string, targets, shares map[string]int, known *engine) string {
+	return slices.MaxFunc(models, func(a, b string) int {
+		if difference := (targets[a] - shares[a]) - (targets[b] - shares[b]); difference != 0 {
 			return difference
 		}
-		return int(known.versions[b] - known.versions[a])
+		return cmp.Compare(known.versions[a], known.versions[b])
 	})
 }
 
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -24,6 +24,11 @@
 	fresh    map[int]time.Time
 	lastID   AttemptID
 	arrivals int
+	// kept holds what is known of items whose jobs ended before their groups
+	// were whole; they may come again in a later job.
+	kept map[string]*keptItem
+	// demand holds the expected tokens of a step of each model.
+	demand map[string]float64
 
 	mayOrder bool
 	epoch    int64
@@ -44,6 +49,8 @@
 		attempts: make(map[AttemptID]*attempt),
 		newest:   make(map[string]int64),
 		fresh:    make(map[int]time.Time),
+		kept:     make(map[string]*keptItem),
+		demand:   make(map[string]float64),
 	}
 }
 
@@ -93,14 +100,14 @@
 	}
 }
 
-// HandleJob takes a job that stands in the log of a partition. Listed says which
-// items have results.
-func (m *Machine) HandleJob(now time.Time, partition int, accepted *batch.Job, listed func(itemID string) bool) {
+// HandleJob takes a job that stands in the log of a partition, with the results
+// that it has there.
+func (m *Machine) HandleJob(now time.Time, partition int, accepted *batch.Job, results []batch.Result) {
 	if m.jobs[accepted.ID] != nil {
 		return
 	}
 	m.arrivals++
-	job := &job{
+	opened := &job{
 		id:        accepted.ID,
 		host:      accepted.Host,
 		path:      accepted.Path,
@@ -109,26 +116,77 @@
 		partition: partition,
 		order:     m.arrivals,
 		items:     make(map[string]*item, len(accepted.Items)),
+		groups:    make(map[string]int),
+		groupOf:   make(map[string]string, len(accepted.Items)),
+		done:      make(map[string]*batch.Result),
 	}
 	for i := range accepted.Items {
-		source := &accepted.Items[i]
-		if listed(source.ID) || job.items[source.ID] != nil {
-			continue
-		}
-		waiting := &item{job: job, source: source}
-		job.items[source.ID] = waiting
-		job.queue = append(job.queue, waiting)
+		opened.add(&accepted.Items[i])
+	}
+	m.jobs[opened.id] = opened
+	for i := range results {
+		opened.list(&results[i])
 	}
-	slices.SortStableFunc(job.queue, longestFirst)
-	m.jobs[job.id] = job
-	m.route(job)
-	if job.route != nil {
-		job.giveUpAt = now.Add(job.route.ItemLifetime)
+	m.route(opened)
+	if opened.route != nil {
+		opened.giveUpAt = now.Add(opened.route.ItemLifetime)
 	}
+	m.observeDemand(accepted)
+	for i := range accepted.Items {
+		if waiting := opened.items[accepted.Items[i].ID]; waiting != nil {
+			m.resume(opened, waiting)
+		}
+	}
+	slices.SortStableFunc(opened.queue, longestFirst)
+	m.divide()
 	m.schedule(now)
 }
 
-func longestFirst(a, b *item) int { return cmp.Compare(b.source.Expected, a.source.Expected) }
+func (j *job) add(source *batch.Item) {
+	if _, known := j.groupOf[source.ID]; known {
+		return
+	}
+	j.items[source.ID] = &item{job: j, source: source}
+	j.groupOf[source.ID] = source.Group
+	j.groups[source.Group]++
+}
+
+// list takes a result that stands in the log. It returns the item, nil when it
+// had a result already.
+func (j *job) list(result *batch.Result) *item {
+	listed := j.items[result.ItemID]
+	if listed == nil {
+		return nil
+	}
+	delete(j.items, result.ItemID)
+	j.done[result.ItemID] = result
+	j.groups[j.groupOf[result.ItemID]]--
+	return listed
+}
+
+// demandSmoothing is the weight of the newest step in a model's demand.
+const demandSmoothing = 0.4
+
+// observeDemand learns how much work a step of a model is.
+func (m *Machine) observeDemand(accepted *batch.Job) {
+	total := 0.0
+	for i := range accepted.Items {
+		total += float64(max(accepted.Items[i].Expected, 1))
+	}
+	before, known := m.demand[accepted.Model]
+	if !known {
+		before = total
+	}
+	m.demand[accepted.Model] = before + demandSmoothing*(total-before)
+}
+
+// longestFirst orders items: carried ones, then the longest.
+func longestFirst(a, b *item) int {
+	if carried := boolean(b.carried) - boolean(a.carried); carried != 0 {
+		return carried
+	}
+	return cmp.Compare(b.source.Expected, a.source.Expected)
+}
 
 // route finds a job's route, and the service of each of its items.
 func (m *Machine) route(job *job) {
@@ -151,35 +209,32 @@
 }
 
 // HandleListed takes a result that stands in the log.
-func (m *Machine) HandleListed(now time.Time, jobID, itemID string) {
-	job := m.jobs[jobID]
-	if job == nil || job.items[itemID] == nil {
+func (m *Machine) HandleListed(now time.Time, result *batch.Result) {
+	open := m.jobs[result.JobID]
+	if open == nil {
 		return
 	}
-	m.drop(job.items[itemID])
+	listed := open.list(result)
+	if listed == nil {
+		return
+	}
+	listed.finished = true
+	m.cancel(listed.attempt)
 	m.schedule(now)
 }
 
-// HandleEnded takes the end of a job.
+// HandleEnded takes the end of a job. What its unfinished groups have made is
+// kept, and their runs go on for a while: such groups may come again.
 func (m *Machine) HandleEnded(now time.Time, jobID string) {
-	job := m.jobs[jobID]
-	if job == nil {
+	ended := m.jobs[jobID]
+	if ended == nil {
 		return
 	}
-	for _, waiting := range sortedItems(job) {
-		m.drop(waiting)
-	}
 	delete(m.jobs, jobID)
+	m.keep(now, ended)
 	m.schedule(now)
 }
 
-// drop forgets an item and ends its attempt.
-func (m *Machine) drop(dropped *item) {
-	dropped.finished = true
-	m.cancel(dropped.attempt)
-	delete(dropped.job.items, dropped.source.ID)
-}
-
 // cancel asks for the end of an attempt; its slot is free once it has ended.
 func (m *Machine) cancel(running *attempt) {
 	if running == nil || running.cancelled {
@@ -293,7 +348,10 @@
 	delete(ended.engine.attempts, id)
 	owner := ended.item
 	owner.attempt = nil
-	if !owner.finished {
+	switch {
+	case owner.kept:
+		m.settleKept(ended, reason)
+	case !owner.finished:
 		m.settle(now, ended, reason)
 	}
 	m.schedule(now)
@@ -330,20 +388,28 @@
 const notExecutedPause = 50 * time.Millisecond
 
 func (m *Machine) finish(owner *item, outcome batch.Outcome) {
-	owner.finished = true
-	result := batch.Result{JobID: owner.job.id, ItemID: owner.source.ID, Outcome: outcome}
 	if outcome == batch.OutcomeCompleted {
-		result.Text = joinLines(owner.text)
-		result.Versions = owner.versions
+		m.finishAs(owner, joinLines(owner.text), owner.versions)
+		return
 	}
+	owner.finished = true
+	owner.text = nil
+	m.output.Results = append(m.output.Results, batch.Result{JobID: owner.job.id, ItemID: owner.source.ID, Outcome: outcome})
+}
+
+// finishAs completes an item with a text.
+func (m *Machine) finishAs(owner *item, text string, versions []int64) {
+	owner.finished = true
 	owner.text = nil
-	m.output.Results = append(m.output.Results, result)
+	owner.final = &batch.Result{JobID: owner.job.id, ItemID: owner.source.ID, Text: text, Versions: versions}
+	m.output.Results = append(m.output.Results, *owner.final)
 }
 
 // Tick lets time-outs take effect.
 func (m *Machine) Tick(now time.Time) {
 	m.moveStalled(now)
 	m.giveUp(now)
+	m.forgetKept(now)
 	m.schedule(now)
 }
 
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,7 +69,7 @@
 	for i, tokens := range expected {
 		job.Items = append(job.Items, batch.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p/x", Expected: tokens})
 	}
-	f.machine.HandleJob(f.now, 0, job, func(string) bool { return false })
+	f.machine.HandleJob(f.now, 0, job, nil)
 	f.take()
 }
 
@@ -335,6 +336,107 @@
 	}
 }
 
+// grouped adds a job whose items are given as group/id.
+func (f *fixture) grouped(id string, minimum int64, items ...string) {
+	job := &batch.Job{ID: id, Host: "h", Path: "/p/" + id, Model: "m", MinVersion: minimum}
+	for _, name := range items {
+		group, _, _ := strings.Cut(name, "/")
+		job.Items = append(job.Items, batch.Item{ID: name, Path: "/p/x", Group: group})
+	}
+	f.machine.HandleJob(f.now, 0, job, nil)
+	f.take()
+}
+
+func (f *fixture) endJob(id string) {
+	f.machine.HandleEnded(f.now, id)
+	f.take()
+}
+
+func TestCarriedItemsKeepWhatTheyMade(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(8, map[string]int64{"a": 2})
+	f.grouped("j", 1, "g/0", "g/1", "g/2", "h/0")
+	f.event(1, "1", 2)
+	f.end(1, EndCompleted)
+	f.machine.HandleListed(f.now, &f.results[0])
+	f.event(2, "1", 2)
+	f.endJob("j")
+	if len(f.cancels) != 0 {
+		t.Fatalf("runs of unfinished groups were cancelled: %v", f.cancels)
+	}
+	f.event(2, "2", 2) // a run of the ended job goes on
+	f.end(3, EndBroken)
+	f.grouped("k", 2, "g/0", "g/1", "g/2")
+	want := batch.Result{JobID: "k", ItemID: "g/0", Text: "data 1", Versions: []int64{2}}
+	if diff := cmp.Diff(want, f.results[1]); diff != "" {
+		t.Error(diff)
+	}
+	if got := f.startedItems()[4:]; !cmp.Equal(got, []string{"g/2"}) {
+		t.Errorf("started %v", got)
+	}
+	f.event(2, "3", 2)
+	f.end(2, EndCompleted)
+	if got := f.results[2]; got.JobID != "k" || got.Text != "data 1\ndata 2\ndata 3" {
+		t.Errorf("result %+v", got)
+	}
+}
+
+func TestCarriedItemsOfOldVersionsStartAnew(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(8, map[string]int64{"a": 1})
+	f.grouped("j", 1, "g/0", "g/1")
+	f.event(1, "1", 1)
+	f.end(1, EndCompleted)
+	f.machine.HandleListed(f.now, &f.results[0])
+	f.event(2, "1", 1)
+	f.endJob("j")
+	f.servers(8, map[string]int64{"a": 2})
+	f.grouped("k", 2, "g/0", "g/1")
+	if len(f.results) != 1 || len(f.cancels) != 1 {
+		t.Fatalf("results %+v, cancels %v", f.results, f.cancels)
+	}
+	for _, start := range f.starts[2:] {
+		if start.After != "" {
+			t.Errorf("%s goes on after %q", start.Item.ID, start.After)
+		}
+	}
+}
+
+func TestRunsOfAnEndedJobEndWhenNothingFollows(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(8, map[string]int64{"a": 1})
+	f.grouped("j", 1, "g/0")
+	f.endJob("j")
+	f.pass(keptRunFor + time.Millisecond)
+	if len(f.cancels) != 1 {
+		t.Errorf("cancels %v", f.cancels)
+	}
+}
+
+func TestModelsShareTheEnginesByDemand(t *testing.T) {
+	f := newFixture(t, nil)
+	service := routetable.Service{Name: "pool", Models: []string{"m", "n"}}
+	f.machine.HandleTable(f.now, routetable.NewTable(2, f.machine.table.Routes, []routetable.Service{service}, routetable.Limits{}))
+	var servers []*directory.Server
+	for i := range 9 {
+		servers = append(servers, &directory.Server{
+			ID: fmt.Sprint("s", i), Service: "pool", Slots: 1, Versions: map[string]int64{"m": 1, "n": 1},
+		})
+	}
+	f.machine.HandleServers(f.now, servers)
+	for model, tokens := range map[string]int{"m": 100, "n": 200} {
+		job := &batch.Job{ID: model, Host: "h", Path: "/p/1", Model: model, Items: []batch.Item{{ID: model, Expected: tokens}}}
+		f.machine.HandleJob(f.now, 0, job, nil)
+	}
+	counts := make(map[string]int)
+	for _, engine := range f.machine.engines {
+		counts[engine.model]++
+	}
+	if counts["m"] != 3 || counts["n"] != 6 {
+		t.Errorf("shares %v", counts)
+	}
+}
+
 // Equal inputs give equal outputs, whatever the order of maps.
 func TestTheMachineIsDeterministic(t *testing.T) {
 	run := func() []Start {
@@ -342,7 +444,7 @@
 		f.servers(2, map[string]int64{"a": 1, "b": 1, "c": 1, "d": 1})
 		f.job("j", 1, 5, 5, 5, 5, 5, 5, 5, 5, 5)
 		f.job("k", 1, 5, 5, 5)
-		f.machine.HandleListed(f.now, "j", "j-4")
+		f.machine.HandleListed(f.now, &batch.Result{JobID: "j", ItemID: "j-4"})
 		f.take()
 		for i := range 6 {
 			f.end(f.starts[i].Attempt, EndBroken)
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -141,10 +141,15 @@
 	lastID   string
 	versions []int64
 	failures int
-	// refusals counts answers that the item can never run.
-	attempt *attempt
+	attempt  *attempt
 	// finished items wait for their result to stand in the log.
 	finished bool
+	// kept items are of jobs that ended; what they run may serve a later job.
+	kept bool
+	// carried items were in an earlier job; their trainer waits for them.
+	carried bool
+	// final is the result of a finished item that completed.
+	final *batch.Result
 	// notBefore delays the next attempt.
 	notBefore time.Time
 }
@@ -162,6 +167,12 @@
 	items     map[string]*item
 	// queue holds the items that wait, the first to start first.
 	queue []*item
+	// groups holds the number of items without a result by group.
+	groups map[string]int
+	// done holds the results in the log, by item.
+	done map[string]*batch.Result
+	// groupOf holds the group of each item.
+	groupOf map[string]string
 }
 
 type attempt struct {
