--- /dev/null
+++ b/internal/batch/progress.go
@@ -0,0 +1,74 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Progress is what a run has made of an item since the last progress. It lets a
+// successor go on where its predecessor's run was, instead of from nothing.
+type Progress struct {
+	ItemID string
+	// Run names the run, unlike any other.
+	Run string
+	// Begin marks the first progress of a run.
+	Begin bool `json:",omitempty"`
+	// From is the id of the last event before this progress; empty at the start.
+	From string `json:",omitempty"`
+	// LastID is the id of the last event.
+	LastID string
+	// Text is the data of the events, joined by line feeds.
+	Text string
+	// Versions are the weight versions that made the events, ascending.
+	Versions []int64
+}
+
+// EncodeProgress returns the record of a progress.
+func EncodeProgress(progress *Progress) ([]byte, error) {
+	record, err := json.Marshal(progress)
+	if err != nil {
+		return nil, fmt.Errorf("encode the progress of item %s: %w", progress.ItemID, err)
+	}
+	return record, nil
+}
+
+// Partial is the text of an item as far as progress tells it.
+type Partial struct {
+	Run      string
+	LastID   string
+	Text     []string
+	Versions []int64
+}
+
+// ProgressFold joins the progress of items. A part counts only where it follows
+// on what came before: within its run, or as the first of a run that was started
+// after exactly that event. So the texts of two runs are never mixed.
+type ProgressFold struct {
+	partials map[string]*Partial
+}
+
+// NewProgressFold returns the fold of no records.
+func NewProgressFold() *ProgressFold { return &ProgressFold{partials: make(map[string]*Partial)} }
+
+// Partials returns what is known, by item.
+func (f *ProgressFold) Partials() map[string]*Partial { return f.partials }
+
+// Apply takes the next record.
+func (f *ProgressFold) Apply(record []byte) error {
+	var progress Progress
+	if err := json.Unmarshal(record, &progress); err != nil {
+		return fmt.Errorf("decode a progress: %w", err)
+	}
+	if progress.Begin && progress.From == "" {
+		f.partials[progress.ItemID] = &Partial{}
+	}
+	partial := f.partials[progress.ItemID]
+	if partial == nil || partial.LastID != progress.From || !progress.Begin && partial.Run != progress.Run {
+		return nil
+	}
+	partial.Run = progress.Run
+	partial.LastID = progress.LastID
+	partial.Text = append(partial.Text, progress.Text)
+	partial.Versions = MergeVersions(partial.Versions, progress.Versions)
+	return nil
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -16,6 +16,7 @@
 	"dalehook/internal/joblog"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scheduler"
+	"dalehook/internal/store"
 )
 
 // EngineState is what an engine reports of itself.
@@ -58,6 +59,7 @@
 // Options configure a Coordinator.
 type Options struct {
 	Engines   Engines
+	Log       store.Log
 	Jobs      *joblog.Logs
 	Directory *directory.Directory
 	Scheduler scheduler.Options
@@ -82,7 +84,7 @@
 	term       context.Context
 	endTerm    context.CancelFunc
 	unfollow   func()
-	writer     *resultWriter
+	writer     *recordWriter
 	lease      election.Lease
 	cancels    map[scheduler.AttemptID]context.CancelFunc
 	background conc.WaitGroup
@@ -158,9 +160,7 @@
 
 // ObserveLease takes this node's standing in the election.
 func (c *Coordinator) ObserveLease(standing election.Standing) {
-	if machine := c.setLease(standing); machine != nil {
-		c.follow(machine)
-	}
+	c.setLease(standing)
 	c.input(func(now time.Time, machine *scheduler.Machine) {
 		lease := standing.Lease
 		pause := time.Duration(0)
@@ -171,10 +171,9 @@
 	})
 }
 
-// setLease begins or ends a term. It returns the machine of a term that began.
-// A term goes on while the lease could not be renewed and nobody else claimed it:
+// setLease begins or ends a term. A term goes on while the lease could not be renewed and nobody else claimed it:
 // runs do no harm then, and only orders need a lease in force.
-func (c *Coordinator) setLease(standing election.Standing) *scheduler.Machine {
+func (c *Coordinator) setLease(standing election.Standing) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.machine != nil && (!standing.Leading || standing.Lease.Epoch != c.lease.Epoch) {
@@ -182,23 +181,31 @@
 	}
 	c.lease = standing.Lease
 	if !standing.Leading || c.machine != nil || c.table == nil {
-		return nil
+		return
 	}
-	c.machine = scheduler.NewMachine(c.options.Scheduler)
+	options := c.options.Scheduler
+	options.Term = standing.Lease.Epoch
+	c.machine = scheduler.NewMachine(options)
 	c.cancels = make(map[scheduler.AttemptID]context.CancelFunc)
-	c.writer = newResultWriter(c.options.Jobs, c.options.Logger)
 	c.term, c.endTerm = context.WithCancel(context.Background())
+	c.writer = newRecordWriter(c.term, c.options.Log, c.options.Logger)
+	c.writer.appended = newTrimmer(c.term, c.options.Log, c.options.Logger).appended
 	now := time.Now()
 	c.machine.HandleTable(now, c.table)
 	for model, version := range c.newest {
 		c.machine.HandleVersion(now, model, version)
 	}
 	c.handleServers(now, c.machine)
-	return c.machine
+	term, machine := c.term, c.machine
+	c.background.Go(func() { c.follow(term, machine) })
 }
 
-// follow subscribes to the jobs, outside the mutex, since the partitions call back.
-func (c *Coordinator) follow(machine *scheduler.Machine) {
+// follow takes over what predecessors saved and subscribes to the jobs.
+func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine) {
+	began := time.Now()
+	partials := recoverProgress(term, c.options.Log, c.options.Jobs.Partitions(), c.options.Logger)
+	c.options.Logger.Info("progress recovered", zap.Int("items", len(partials)), zap.Duration("took", time.Since(began)))
+	c.inputOf(machine, func(time.Time) { machine.HandleRecovered(partials) })
 	cancel := c.options.Jobs.Subscribe(&follower{coordinator: c, machine: machine})
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -261,9 +268,32 @@
 		term, machine := c.term, c.machine
 		c.background.Go(func() { c.load(term, machine, order) })
 	}
+	for _, progress := range output.Progress {
+		c.appendProgress(progress)
+	}
 	for _, result := range output.Results {
-		c.writer.add(c.term, result)
+		c.appendResult(result)
+	}
+}
+
+func (c *Coordinator) appendProgress(progress scheduler.Progress) {
+	record, err := batch.EncodeProgress(&progress.Progress)
+	if err != nil {
+		c.options.Logger.Error("progress lost", zap.String("item", progress.ItemID), zap.Error(err))
+		return
+	}
+	at := store.Partition{Topic: store.TopicProgress, Number: c.options.Jobs.PartitionOf(progress.JobID)}
+	c.writer.add(at, [][]byte{record})
+}
+
+func (c *Coordinator) appendResult(result batch.Result) {
+	records, err := batch.EncodeResult(&result)
+	if err != nil {
+		c.options.Logger.Error("result lost", zap.String("item", result.ItemID), zap.Error(err))
+		return
 	}
+	at := store.Partition{Topic: store.TopicJobs, Number: c.options.Jobs.PartitionOf(result.JobID)}
+	c.writer.add(at, records)
 }
 
 // inputOf is input for the goroutines of a term that may have ended.
--- /dev/null
+++ b/internal/coordinator/progress.go
@@ -0,0 +1,133 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/store"
+)
+
+const (
+	// recoverTimeout bounds the reading of what predecessors saved.
+	recoverTimeout = 1200 * time.Millisecond
+	// progressKept is how long saved progress is of use.
+	progressKept = 20 * time.Second
+	// trimInterval is the time between two trims of a partition.
+	trimInterval = 5 * time.Second
+)
+
+// recoverProgress reads what predecessors saved. What can not be read in time is
+// left out, and its items start anew.
+func recoverProgress(ctx context.Context, log store.Log, partitions int, logger *zap.Logger) map[string]*batch.Partial {
+	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
+	defer cancel()
+	var mutex sync.Mutex
+	all := make(map[string]*batch.Partial)
+	var readers conc.WaitGroup
+	for number := range partitions {
+		readers.Go(func() {
+			fold, err := readProgress(ctx, log, store.Partition{Topic: store.TopicProgress, Number: number})
+			if err != nil {
+				logger.Warn("progress not read", zap.Int("partition", number), zap.Error(err))
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			for id, partial := range fold.Partials() {
+				all[id] = partial
+			}
+		})
+	}
+	readers.Wait()
+	return all
+}
+
+func readProgress(ctx context.Context, log store.Log, at store.Partition) (*batch.ProgressFold, error) {
+	fold := batch.NewProgressFold()
+	for next := int64(0); ; {
+		read, err := log.Read(ctx, at, next, 0)
+		var trimmed *store.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.First > next {
+			next = trimmed.First
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, record := range read.Records {
+			if err := fold.Apply(record.Value); err != nil {
+				return nil, err
+			}
+		}
+		next = read.Next
+		if next >= read.End || len(read.Records) == 0 {
+			return fold, nil
+		}
+	}
+}
+
+// trimmer drops progress that is of no more use.
+type trimmer struct {
+	log    store.Log
+	term   context.Context
+	logger *zap.Logger
+
+	mutex sync.Mutex
+	marks map[store.Partition]*trimMark
+}
+
+// trimMark is an offset that may be trimmed to once its time has come.
+type trimMark struct {
+	offset int64
+	since  time.Time
+	// next is the offset of the mark that follows.
+	next      int64
+	nextSince time.Time
+}
+
+func newTrimmer(term context.Context, log store.Log, logger *zap.Logger) *trimmer {
+	return &trimmer{log: log, term: term, logger: logger, marks: make(map[store.Partition]*trimMark)}
+}
+
+// appended notes an append, and trims when an older one is old enough.
+func (t *trimmer) appended(at store.Partition, offset int64) {
+	if at.Topic != store.TopicProgress {
+		return
+	}
+	before, due := t.note(time.Now(), at, offset)
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.term, appendTimeout)
+	defer cancel()
+	if err := t.log.Trim(ctx, at, before); err != nil {
+		t.logger.Info("progress not trimmed", zap.Stringer("partition", at), zap.Error(err))
+	}
+}
+
+func (t *trimmer) note(now time.Time, at store.Partition, offset int64) (before int64, due bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	mark := t.marks[at]
+	if mark == nil {
+		t.marks[at] = &trimMark{offset: offset, since: now, next: offset, nextSince: now}
+		return 0, false
+	}
+	if now.Sub(mark.nextSince) < trimInterval {
+		return 0, false
+	}
+	if now.Sub(mark.since) < progressKept {
+		mark.next, mark.nextSince = offset, now
+		return 0, false
+	}
+	before = mark.offset
+	mark.offset, mark.since = mark.next, mark.nextSince
+	mark.next, mark.nextSince = offset, now
+	return before, true
+}
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -97,7 +97,7 @@
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
-		Engines: adapter.Engines(), Jobs: n.jobs, Directory: n.directory,
+		Engines: adapter.Engines(), Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
 		OrderPause: time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
 		Logger:     logger.Named("coordinator"),
 	})
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -51,6 +51,9 @@
 	l.background.Wait()
 }
 
+// Partitions returns the number of partitions.
+func (l *Logs) Partitions() int { return len(l.partitions) }
+
 // PartitionOf returns the number of the partition that holds a job.
 func (l *Logs) PartitionOf(jobID string) int {
 	return int(xxhash.Sum64String(jobID) % uint64(len(l.partitions)))
--- a/internal/scheduler/kept.go
+++ b/internal/scheduler/kept.go
@@ -54,6 +54,7 @@
 	waiting.carried = known != nil
 	switch {
 	case known == nil:
+		m.recover(opened, waiting)
 	case known.result != nil:
 		if fits(opened, known.result.Versions) {
 			m.finishAs(waiting, known.result.Text, known.result.Versions)
@@ -66,6 +67,7 @@
 		waiting.text, waiting.lastID, waiting.versions = known.item.text, known.item.lastID, known.item.versions
 		if running := known.item.attempt; running != nil && !running.cancelled {
 			waiting.attempt = running
+			waiting.unsaved = known.item.unsaved
 			running.item = waiting
 			return
 		}
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -29,6 +29,10 @@
 	kept map[string]*keptItem
 	// demand holds the expected tokens of a step of each model.
 	demand map[string]float64
+	// savedAt is when progress was last saved.
+	savedAt time.Time
+	// recovered is what predecessors saved of their runs, by item.
+	recovered map[string]*batch.Partial
 
 	mayOrder bool
 	epoch    int64
@@ -41,6 +45,7 @@
 	options.ConcurrentLoads = cmp.Or(options.ConcurrentLoads, DefaultConcurrentLoads)
 	options.StallTimeout = cmp.Or(options.StallTimeout, DefaultStallTimeout)
 	options.FreshnessLimit = cmp.Or(options.FreshnessLimit, DefaultFreshnessLimit)
+	options.SaveInterval = cmp.Or(options.SaveInterval, DefaultSaveInterval)
 	options.ServerPause = cmp.Or(options.ServerPause, DefaultServerPause)
 	return &Machine{
 		options:  options,
@@ -307,10 +312,9 @@
 	running.engine.versions[owner.job.model] = max(running.engine.versions[owner.job.model], event.Version)
 	owner.text = append(owner.text, event.Data)
 	owner.lastID = event.ID
-	if !slices.Contains(owner.versions, event.Version) {
-		owner.versions = append(owner.versions, event.Version)
-		slices.Sort(owner.versions)
-	}
+	owner.versions = batch.MergeVersions(owner.versions, []int64{event.Version})
+	owner.unsaved.text = append(owner.unsaved.text, event.Data)
+	owner.unsaved.versions = batch.MergeVersions(owner.unsaved.versions, []int64{event.Version})
 }
 
 func (m *Machine) mixesVersions(owner *item, version int64) bool {
@@ -321,6 +325,7 @@
 // restart forgets the text of earlier attempts.
 func (i *item) restart() {
 	i.text, i.versions, i.lastID = nil, nil, ""
+	i.unsaved = unsaved{}
 }
 
 // gapSmoothing is the weight of the newest gap between events.
@@ -347,6 +352,7 @@
 	delete(m.attempts, id)
 	delete(ended.engine.attempts, id)
 	owner := ended.item
+	m.save(ended)
 	owner.attempt = nil
 	switch {
 	case owner.kept:
@@ -410,6 +416,7 @@
 	m.moveStalled(now)
 	m.giveUp(now)
 	m.forgetKept(now)
+	m.saveAll(now)
 	m.schedule(now)
 }
 
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -15,13 +15,14 @@
 
 // fixture drives a machine on a clock of its own, and keeps what it decided.
 type fixture struct {
-	t       *testing.T
-	machine *Machine
-	now     time.Time
-	starts  []Start
-	cancels []Cancel
-	orders  []Order
-	results []batch.Result
+	t        *testing.T
+	machine  *Machine
+	now      time.Time
+	starts   []Start
+	cancels  []Cancel
+	orders   []Order
+	results  []batch.Result
+	progress []Progress
 }
 
 func newFixture(t *testing.T, change func(*routetable.Route)) *fixture {
@@ -50,6 +51,7 @@
 	f.cancels = append(f.cancels, output.Cancels...)
 	f.orders = append(f.orders, output.Orders...)
 	f.results = append(f.results, output.Results...)
+	f.progress = append(f.progress, output.Progress...)
 }
 
 // servers lists servers of the pool: id to loaded version.
@@ -437,6 +439,42 @@
 	}
 }
 
+func TestASuccessorGoesOnFromWhatWasSaved(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(8, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	for id := 1; id <= 6; id++ {
+		f.event(1, fmt.Sprint(id), 1)
+	}
+	fold := batch.NewProgressFold()
+	for _, progress := range f.savedProgress() {
+		record, err := batch.EncodeProgress(&progress.Progress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := fold.Apply(record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	successor := newFixture(t, nil)
+	successor.machine.HandleRecovered(fold.Partials())
+	successor.servers(8, map[string]int64{"a": 1})
+	successor.job("j", 1, 10)
+	if got := successor.starts[0].After; got != "6" {
+		t.Fatalf("the successor goes on after %q", got)
+	}
+	successor.event(1, "7", 1)
+	successor.end(1, EndCompleted)
+	if got := successor.results[0].Text; got != "data 1\ndata 2\ndata 3\ndata 4\ndata 5\ndata 6\ndata 7" {
+		t.Errorf("text %q", got)
+	}
+}
+
+func (f *fixture) savedProgress() []Progress {
+	f.pass(DefaultSaveInterval + time.Millisecond)
+	return f.progress
+}
+
 // Equal inputs give equal outputs, whatever the order of maps.
 func TestTheMachineIsDeterministic(t *testing.T) {
 	run := func() []Start {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -68,6 +68,14 @@
 	Orders  []Order
 	// Results are to be appended to the store.
 	Results []batch.Result
+	// Progress is to be appended to the store, in this order.
+	Progress []Progress
+}
+
+// Progress is what a run has made, with the job that it belongs to.
+type Progress struct {
+	JobID string
+	batch.Progress
 }
 
 // EndReason says how an attempt ended.
@@ -111,6 +119,8 @@
 
 // Options configure a Machine.
 type Options struct {
+	// Term is the epoch of the lease under which the machine runs.
+	Term int64
 	// ConcurrentLoads bounds the servers of one service that load at once.
 	ConcurrentLoads int
 	// StallTimeout is the time without an event after which an item is moved.
@@ -120,6 +130,8 @@
 	FreshnessLimit time.Duration
 	// ServerPause is how long a server gets no items after it failed one.
 	ServerPause time.Duration
+	// SaveInterval is the time between two savings of the runs' progress.
+	SaveInterval time.Duration
 }
 
 // The defaults of Options.
@@ -128,6 +140,7 @@
 	DefaultStallTimeout    = 900 * time.Millisecond
 	DefaultFreshnessLimit  = 1800 * time.Millisecond
 	DefaultServerPause     = 500 * time.Millisecond
+	DefaultSaveInterval    = 400 * time.Millisecond
 )
 
 // item is one item that has no result in the log.
@@ -138,6 +151,7 @@
 	service string
 	// text holds the data of the events so far.
 	text     []string
+	unsaved  unsaved
 	lastID   string
 	versions []int64
 	failures int
@@ -154,6 +168,14 @@
 	notBefore time.Time
 }
 
+// unsaved is what an item's run made since its last progress.
+type unsaved struct {
+	begin    bool
+	from     string
+	text     []string
+	versions []int64
+}
+
 type job struct {
 	id        string
 	host      string
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,13 +21,16 @@
 	TopicServers
 	// TopicJobs holds batch jobs, their results and their ends.
 	TopicJobs
+	// TopicProgress holds what the runs of open batch jobs have made so far. Only
+	// the newest seconds of it are kept.
+	TopicProgress
 	// TopicLeases holds the claims and renewals of leases.
 	TopicLeases
 )
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"operator", "servers", "jobs", "leases"}[t]
+	return [...]string{"operator", "servers", "jobs", "progress", "leases"}[t]
 }
 
 // Partition is one log of a topic.
@@ -71,6 +74,8 @@
 	// Newest returns the newest record of each key of a keyed topic, and the
 	// partition's end from which a Read continues.
 	Newest(ctx context.Context, topic Topic) ([]Record, int64, error)
+	// Trim drops the records before an offset.
+	Trim(ctx context.Context, partition Partition, before int64) error
 }
 
 // ErrRefused says that the store did not carry out a call and never will.
--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -77,8 +77,11 @@
 	m.notify()
 }
 
-// Trim drops the records before an offset.
-func (m *Memory) Trim(at store.Partition, before int64) {
+// Trim implements store.Log.
+func (m *Memory) Trim(ctx context.Context, at store.Partition, before int64) error {
+	if _, err := m.enter(ctx); err != nil {
+		return err
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	p := m.at(at)
@@ -86,6 +89,7 @@
 		p.records = p.records[1:]
 		p.first++
 	}
+	return nil
 }
 
 // at returns a partition. The mutex is held.
