Take a partition for read only where the store's end was seen

Ruled out: the store's answer (the reading node had not asked for the end). Change: an answer that there is nothing yet needs a read to the end of the partition within 0.8 s; else the end is asked for first. Conclusion: TestAPartThatWasReadIsNotTakenForAll failed before and passes now.

--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -10,6 +10,7 @@
 
 	"dalehook/internal/batch"
 	"dalehook/internal/gateway"
+	"dalehook/internal/joblog"
 	"dalehook/internal/routetable"
 	"dalehook/internal/store"
 )
@@ -115,7 +116,7 @@
 func (n *Node) results(ctx context.Context, jobID string, from int) (total int, results []batch.Result, ended bool, verdict Verdict) {
 	verdict = VerdictAbsent
 	err := n.jobs.View(ctx, jobID,
-		func(state *batch.State) bool { return from <= len(state.Results) },
+		joblog.HasPosition(from),
 		func(state *batch.State) {
 			if state == nil {
 				return
@@ -135,7 +136,7 @@
 func (n *Node) ItemBody(ctx context.Context, jobID, itemID string) (body []byte, verdict Verdict) {
 	verdict = VerdictAbsent
 	err := n.jobs.View(ctx, jobID,
-		func(state *batch.State) bool { return state.Item(itemID) != nil },
+		joblog.HasItem(itemID),
 		func(state *batch.State) {
 			if state == nil || state.Item(itemID) == nil || state.Listed(itemID) {
 				return
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -66,10 +66,27 @@
 	return err
 }
 
+// Condition says whether what is known of a job, nil for nothing, suffices for an
+// answer. Fresh says that the partition was read to its end just now.
+type Condition func(state *batch.State, fresh bool) bool
+
+// HasPosition holds where a result at the position is known, or where it is known
+// that there is none yet.
+func HasPosition(position int) Condition {
+	return func(state *batch.State, fresh bool) bool {
+		return state != nil && (position < len(state.Results) || fresh && position == len(state.Results))
+	}
+}
+
+// HasItem holds where an item without a result is known.
+func HasItem(itemID string) Condition {
+	return func(state *batch.State, _ bool) bool { return state != nil && state.Item(itemID) != nil }
+}
+
 // View calls visit with a job's state, nil when the log holds no such job. When
 // satisfied does not hold for what is known already, the store is asked first.
 // It returns ErrUncertain when it could not be.
-func (l *Logs) View(ctx context.Context, jobID string, satisfied func(*batch.State) bool, visit func(*batch.State)) error {
+func (l *Logs) View(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	p := l.partitions[l.PartitionOf(jobID)]
 	p.touch()
 	if p.visitIf(jobID, satisfied, visit) {
--- /dev/null
+++ b/internal/joblog/joblog_test.go
@@ -0,0 +1,156 @@
+package joblog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+// appendJob writes a job and the given number of its results.
+func appendJob(t *testing.T, log store.Log, logs *Logs, id string, items, results int) {
+	t.Helper()
+	job := &batch.Job{ID: id}
+	for i := range items {
+		job.Items = append(job.Items, batch.Item{ID: fmt.Sprint("i", i)})
+	}
+	records, err := batch.EncodeJob(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range results {
+		more, err := batch.EncodeResult(&batch.Result{JobID: id, ItemID: fmt.Sprint("i", i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, more...)
+	}
+	if err := logs.Append(context.Background(), id, records); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func start(t *testing.T, log store.Log) *Logs {
+	logs := NewLogs(Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { logs.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return logs
+}
+
+// read returns the number of results from a position on, -1 for no such job.
+func read(logs *Logs, id string, from int) (int, error) {
+	count := -1
+	err := logs.View(context.Background(), id, HasPosition(from), func(state *batch.State) {
+		if state != nil {
+			count = len(state.Results) - from
+		}
+	})
+	return count, err
+}
+
+func TestAPartThatWasReadIsNotTakenForAll(t *testing.T) {
+	memory := storetest.NewMemory()
+	writer := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, memory, writer, "job", 6, 6)
+	// The partition was read as far as position 2, and no further yet.
+	logs := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	p := logs.partitions[0]
+	p.touch()
+	batch, err := memory.Read(context.Background(), p.at, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	batch.Records, batch.Next = batch.Records[:3], 3
+	p.apply(batch, time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		logs.Run(ctx)
+	}()
+	if count, err := read(logs, "job", 2); err != nil || count != 4 {
+		t.Errorf("%d results from position 2 on, %v", count, err)
+	}
+}
+
+func TestAnAbsentJobIsAbsentOnlyWhenTheStoreSaysSo(t *testing.T) {
+	memory := storetest.NewMemory()
+	logs := start(t, memory)
+	if count, err := read(logs, "job", 0); err != nil || count != -1 {
+		t.Errorf("an absent job: %d results, %v", count, err)
+	}
+	memory.SetFault(storetest.FaultRefuse)
+	if _, err := read(logs, "job", 0); !errors.Is(err, ErrUncertain) {
+		t.Errorf("without the store: %v", err)
+	}
+	memory.SetFault(storetest.FaultNone)
+	appendJob(t, memory, logs, "job", 2, 1)
+	if count, err := read(logs, "job", 0); err != nil || count != 1 {
+		t.Errorf("a job that was just accepted: %d results, %v", count, err)
+	}
+}
+
+func TestAPositionReadElsewhereIsThere(t *testing.T) {
+	memory := storetest.NewMemory()
+	logs := start(t, memory)
+	appendJob(t, memory, logs, "job", 300, 0)
+	for count := range 300 {
+		records, err := batch.EncodeResult(&batch.Result{JobID: "job", ItemID: fmt.Sprint("i", count)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := logs.Append(context.Background(), "job", records); err != nil {
+			t.Fatal(err)
+		}
+		// A client that has seen position count asks for it here at once.
+		if got, err := read(logs, "job", count+1); err != nil || got != 0 {
+			t.Fatalf("after %d results: %d beyond, %v", count+1, got, err)
+		}
+	}
+}
+
+func TestWaitForEndsWithTheNextResult(t *testing.T) {
+	memory := storetest.NewMemory()
+	logs := start(t, memory)
+	appendJob(t, memory, logs, "job", 2, 0)
+	if _, err := read(logs, "job", 0); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	waited := make(chan struct{})
+	go func() { logs.WaitFor(ctx, "job", 0); close(waited) }()
+	records, err := batch.EncodeResult(&batch.Result{JobID: "job", ItemID: "i1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := logs.Append(context.Background(), "job", records); err != nil {
+		t.Fatal(err)
+	}
+	<-waited
+	if ctx.Err() != nil {
+		t.Error("the wait went on")
+	}
+}
+
+func TestReadingGoesOnAfterATrim(t *testing.T) {
+	memory := storetest.NewMemory()
+	logs := start(t, memory)
+	appendJob(t, memory, logs, "old", 1, 1)
+	if err := memory.Trim(context.Background(), store.Partition{Topic: store.TopicJobs}, 2); err != nil {
+		t.Fatal(err)
+	}
+	appendJob(t, memory, logs, "new", 1, 1)
+	if count, err := read(logs, "new", 0); err != nil || count != 1 {
+		t.Errorf("%d results, %v", count, err)
+	}
+}
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -22,6 +22,10 @@
 	retryPause = 100 * time.Millisecond
 	// catchUpTimeout bounds the asking for the partition's end.
 	catchUpTimeout = 1500 * time.Millisecond
+	// freshFor is how long a read to the end stands for the end itself. It is
+	// shorter than the time after which a position that was read at one node must
+	// be there at all.
+	freshFor = 800 * time.Millisecond
 	// interest is how long a partition is followed after it was last asked for.
 	interest = 8 * time.Second
 )
@@ -39,8 +43,10 @@
 	subscriber Subscriber
 	fold       *batch.Fold
 	// next is the offset of the first record that was not read.
-	next   int64
-	failed bool
+	next int64
+	// freshAt is when a read last came to the partition's end.
+	freshAt time.Time
+	failed  bool
 }
 
 func newPartition(options Options, number int) *partition {
@@ -99,11 +105,11 @@
 	visit(p.fold.Job(jobID))
 }
 
-func (p *partition) visitIf(jobID string, satisfied func(*batch.State) bool, visit func(*batch.State)) bool {
+func (p *partition) visitIf(jobID string, satisfied Condition, visit func(*batch.State)) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	state := p.fold.Job(jobID)
-	if state == nil || !satisfied(state) {
+	if !satisfied(state, time.Since(p.freshAt) < freshFor) {
 		return false
 	}
 	visit(state)
@@ -177,6 +183,7 @@
 	}
 	p.fold = batch.NewFold()
 	p.next = 0
+	p.freshAt = time.Time{}
 }
 
 func (p *partition) advance(ctx context.Context) error {
@@ -210,6 +217,9 @@
 	}
 	moved := p.next != read.Next
 	p.next = read.Next
+	if read.Next >= read.End {
+		p.freshAt = time.Now()
+	}
 	if p.subscriber != nil && read.Next >= read.End {
 		p.subscriber.HandleFresh(p.at.Number, began)
 	}
