--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -23,6 +23,8 @@
 type entry struct {
 	Kind   kind
 	Holder string
+	// Address is where the holder answers whether it runs; claims bear it.
+	Address string `json:",omitempty"`
 	// Epoch is one more than the offset of the holder's claim; claims have none.
 	Epoch int64 `json:",omitempty"`
 }
@@ -33,6 +35,9 @@
 	TTL time.Duration
 	// Renewal is the time between renewals.
 	Renewal time.Duration
+	// Doubt is the time without a renewal after which the holder is asked whether
+	// it still runs.
+	Doubt time.Duration
 	// Margin is taken off TTL where the holder judges its own lease.
 	Margin time.Duration
 }
@@ -45,15 +50,16 @@
 	ClaimedAt time.Time
 	// Until is when the lease runs out unless it is renewed.
 	Until time.Time
-	// Succeeded says that another node held the lease before.
+	// Succeeded says that another process held the lease before.
 	Succeeded bool
 }
 
 // Machine is one node's view of a lease. It does no I/O; it is used by one
 // goroutine.
 type Machine struct {
-	self   string
-	timing Timing
+	self    string
+	address string
+	timing  Timing
 
 	// end is the offset after the last record that was read.
 	end int64
@@ -68,13 +74,18 @@
 	renewedAt    time.Time
 	held         Lease
 	leaving      bool
-	succeeded    bool
+	// holderAddress is where the holder answers.
+	holderAddress string
+	// ended says that the holder's process seems to have ended.
+	ended     bool
+	succeeded bool
 }
 
 // NewMachine returns the machine of a node called self, a name that no other
 // process has, nor an earlier one of this node.
-func NewMachine(self string, timing Timing) *Machine {
-	return &Machine{self: self, timing: timing}
+// It answers at address whether it runs.
+func NewMachine(self, address string, timing Timing) *Machine {
+	return &Machine{self: self, address: address, timing: timing}
 }
 
 // Append is a record to append at End.
@@ -123,13 +134,16 @@
 	}
 	switch read.Kind {
 	case kindClaim:
-		m.succeeded = m.succeeded || m.epoch != 0 || m.holder != ""
+		m.succeeded = m.epoch != 0
+		m.ended = false
 		m.holder = read.Holder
+		m.holderAddress = read.Address
 		m.epoch = offset + 1
 		m.seenAt = now
 	case kindRenew:
 		if read.Holder == m.holder && read.Epoch == m.epoch {
 			m.seenAt = now
+			m.ended = false
 		}
 	case kindRelease:
 		if read.Holder == m.holder && read.Epoch == m.epoch {
@@ -154,10 +168,10 @@
 	if m.holder == m.self {
 		return m.keep(now)
 	}
-	if m.leaving || m.holder != "" && !m.expired(now) {
+	if m.leaving || m.holder != "" && !m.expired(now) && !m.ended {
 		return nil
 	}
-	return m.append(entry{Kind: kindClaim, Holder: m.self}, false)
+	return m.append(entry{Kind: kindClaim, Holder: m.self, Address: m.address}, false)
 }
 
 func (m *Machine) keep(now time.Time) *Append {
@@ -170,6 +184,23 @@
 	return m.append(entry{Kind: kindRenew, Holder: m.self, Epoch: m.epoch}, true)
 }
 
+// Doubtful returns the holder to ask after: another process that was not heard of
+// for longer than it takes to renew.
+func (m *Machine) Doubtful(now time.Time) (holder, address string, doubtful bool) {
+	if m.leaving || m.holder == "" || m.holder == m.self || m.holderAddress == "" || m.ended {
+		return "", "", false
+	}
+	return m.holder, m.holderAddress, now.Sub(m.seenAt) > m.timing.Doubt
+}
+
+// HandleHolderEnded notes that the holder's process seems to have ended. The lease
+// may be claimed then; a holder that runs all the same is fenced by the claim.
+func (m *Machine) HandleHolderEnded(holder string) {
+	if m.holder == holder {
+		m.ended = true
+	}
+}
+
 func (m *Machine) expired(now time.Time) bool {
 	return now.Sub(m.seenAt) > m.timing.TTL && now.Sub(m.readFailedAt) > m.timing.TTL
 }
--- a/internal/election/machine_test.go
+++ b/internal/election/machine_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-var testTiming = Timing{TTL: 2 * time.Second, Renewal: 500 * time.Millisecond, Margin: 200 * time.Millisecond}
+var testTiming = Timing{TTL: 2 * time.Second, Renewal: 500 * time.Millisecond, Doubt: 800 * time.Millisecond, Margin: 200 * time.Millisecond}
 
 // world is a partition and the machines that read it, on a clock of its own.
 type world struct {
@@ -21,7 +21,7 @@
 func newWorld(count int) *world {
 	w := &world{now: time.Unix(1000, 0)}
 	for i := range count {
-		w.machines = append(w.machines, NewMachine(fmt.Sprint("node-", i), testTiming))
+		w.machines = append(w.machines, NewMachine(fmt.Sprint("node-", i), fmt.Sprint("address-", i), testTiming))
 	}
 	return w
 }
@@ -144,6 +144,39 @@
 	}
 }
 
+func TestAHolderThatEndedIsSucceededAtOnce(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	if _, _, doubtful := w.machines[1].Doubtful(w.now); doubtful {
+		t.Fatal("a holder that was just heard of is in doubt")
+	}
+	w.now = w.now.Add(testTiming.Doubt + time.Millisecond)
+	holder, address, doubtful := w.machines[1].Doubtful(w.now)
+	if !doubtful || holder != "node-0" || address != "address-0" {
+		t.Fatalf("in doubt: %v, %s at %s", doubtful, holder, address)
+	}
+	w.machines[1].HandleHolderEnded(holder)
+	w.step(w.machines[1])
+	lease, held := w.machines[1].Held(w.now)
+	if !held || !lease.Succeeded {
+		t.Errorf("held %v, %+v", held, lease)
+	}
+}
+
+func TestARenewalClearsTheDoubt(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	w.machines[1].HandleHolderEnded("node-0")
+	w.now = w.now.Add(testTiming.Renewal)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	if got := w.held(); len(got) != 1 || got[0] != "node-0" {
+		t.Errorf("held by %v", got)
+	}
+}
+
 // Whatever is lost, paused or late, two nodes never hold the lease at once.
 func TestTheLeaseHasOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -16,6 +16,7 @@
 	readTimeout   = 900 * time.Millisecond
 	appendTimeout = 900 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
+	askTimeout    = 150 * time.Millisecond
 )
 
 // Options configure Run.
@@ -24,6 +25,10 @@
 	// Number is the partition of the topic of leases.
 	Number int
 	Self   string
+	// Address is where this process answers whether it runs.
+	Address string
+	// Ask asks whether the process of a holder seems to have ended.
+	Ask    func(ctx context.Context, address, holder string) (ended bool)
 	Timing Timing
 	Logger *zap.Logger
 	// Observe is told after each step how this node stands.
@@ -34,7 +39,7 @@
 
 // Run takes part in the election until the context ends.
 func Run(ctx context.Context, options Options) {
-	runner := runner{Options: options, machine: NewMachine(options.Self, options.Timing)}
+	runner := runner{Options: options, machine: NewMachine(options.Self, options.Address, options.Timing)}
 	runner.at = store.Partition{Topic: store.TopicLeases, Number: options.Number}
 	for ctx.Err() == nil {
 		if err := runner.step(ctx); err != nil {
@@ -67,6 +72,7 @@
 		return err
 	}
 	if caughtUp {
+		r.ask(ctx)
 		err = r.append(ctx)
 	}
 	r.tell()
@@ -94,6 +100,21 @@
 	return r.machine.End() >= batch.End, nil
 }
 
+// ask asks after a holder that was not heard of.
+func (r *runner) ask(ctx context.Context) {
+	holder, address, doubtful := r.machine.Doubtful(time.Now())
+	if !doubtful || r.Ask == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if !r.Ask(ctx, address, holder) {
+		return
+	}
+	r.machine.HandleHolderEnded(holder)
+	r.Logger.Info("holder ended", zap.String("holder", holder), zap.Int64("offset", r.machine.End()))
+}
+
 func (r *runner) append(ctx context.Context) error {
 	sentAt := time.Now()
 	wanted := r.machine.Tick(sentAt)
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -18,6 +18,7 @@
 	"dalehook/internal/follow"
 	"dalehook/internal/gateway"
 	"dalehook/internal/joblog"
+	"dalehook/internal/liveness"
 	"dalehook/internal/routetable"
 	"dalehook/internal/store"
 )
@@ -59,7 +60,7 @@
 	// ready, so that new connections go elsewhere.
 	leaveNotice = 2700 * time.Millisecond
 	// leaveReserve is kept from the grace period for the end of the process.
-	leaveReserve = 600 * time.Millisecond
+	leaveReserve = 1200 * time.Millisecond
 	// headerTimeout, idleTimeout and headerBytes bound callers.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
@@ -69,7 +70,7 @@
 )
 
 // leaseTiming is the timing of the coordinator's lease.
-var leaseTiming = election.Timing{TTL: 2 * time.Second, Renewal: 500 * time.Millisecond, Margin: 200 * time.Millisecond}
+var leaseTiming = election.Timing{TTL: 2 * time.Second, Renewal: 500 * time.Millisecond, Doubt: 800 * time.Millisecond, Margin: 200 * time.Millisecond}
 
 // Node is one process of the service.
 type Node struct {
@@ -112,7 +113,17 @@
 	if err != nil {
 		return err
 	}
+	internal, err := net.Listen("tcp", n.options.Settings.Listen.Internal)
+	if err != nil {
+		return fmt.Errorf("listen for other nodes: %w", err)
+	}
+	defer internal.Close()
 	var background conc.WaitGroup
+	background.Go(func() {
+		if err := liveness.Serve(internal, n.process()); err != nil {
+			n.logger.Error("nodes are not answered", zap.Error(err))
+		}
+	})
 	n.start(ctx, &background)
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
@@ -130,6 +141,7 @@
 	for _, s := range servers {
 		s.server.Close()
 	}
+	internal.Close()
 	background.Wait()
 	n.logger.Info("stopped", zap.Error(err))
 	return err
@@ -154,13 +166,21 @@
 	background.Go(func() { n.coordinator.Run(ctx) })
 	background.Go(func() {
 		election.Run(ctx, election.Options{
-			Log: log, Self: n.options.Settings.Node + "/" + n.options.Incarnation, Timing: leaseTiming,
+			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming, Ask: askHolder,
 			Logger: n.logger.Named("election"), Observe: n.coordinator.ObserveLease, Leaving: n.left,
 		})
 	})
 	background.Go(func() { n.sweep(ctx) })
 }
 
+// process names this process unlike any other.
+func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
+
+func askHolder(ctx context.Context, address, holder string) (ended bool) {
+	verdict := liveness.Ask(ctx, address, holder)
+	return verdict == liveness.Refused || verdict == liveness.Replaced
+}
+
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(forgetInterval)
 	defer ticker.Stop()
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -20,6 +20,8 @@
 	Listen struct {
 		Requests  string `json:"requests"`
 		Readiness string `json:"readiness"`
+		// Internal is where nodes ask each other whether they run.
+		Internal string `json:"internal"`
 		// Metrics may be empty.
 		Metrics string `json:"metrics"`
 	} `json:"listen"`
@@ -76,6 +78,7 @@
 	require(s.Node != "", "node is missing")
 	require(s.Listen.Requests != "", "listen.requests is missing")
 	require(s.Listen.Readiness != "", "listen.readiness is missing")
+	require(s.Listen.Internal != "", "listen.internal is missing")
 	require(s.Store.Address != "", "store.address is missing")
 	require(s.Store.Partitions > 0, "store.partitions must be above 0")
 	require(s.OrderPauseMs >= 0, "order_pause_ms must not be below 0")
