--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -88,6 +88,7 @@
 	lease      election.Lease
 	cancels    map[scheduler.AttemptID]context.CancelFunc
 	background conc.WaitGroup
+	statedAt   time.Time
 }
 
 // New returns a coordinator without the lease.
@@ -110,6 +111,7 @@
 			return
 		case <-ticker.C:
 			c.input(func(now time.Time, machine *scheduler.Machine) { machine.Tick(now) })
+			c.logState()
 		}
 	}
 }
@@ -125,6 +127,26 @@
 	c.carryOut(c.machine.Take())
 }
 
+// stateInterval is the time between two logs of the scheduler's state.
+const stateInterval = 500 * time.Millisecond
+
+// logState logs what the scheduler sees, at the level debug.
+func (c *Coordinator) logState() {
+	entry := c.options.Logger.Check(zap.DebugLevel, "state")
+	now := time.Now()
+	if entry == nil || now.Sub(c.statedAt) < stateInterval {
+		return
+	}
+	c.statedAt = now
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.machine == nil {
+		return
+	}
+	engines, jobs := c.machine.Summary(now)
+	entry.Write(zap.Any("engines", engines), zap.Any("jobs", jobs))
+}
+
 // ObserveTable takes a new configuration.
 func (c *Coordinator) ObserveTable(table *routetable.Table) {
 	c.mutex.Lock()
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -14,7 +14,7 @@
 const (
 	readWait      = 200 * time.Millisecond
 	readTimeout   = 900 * time.Millisecond
-	appendTimeout = 900 * time.Millisecond
+	appendTimeout = 450 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
 	askTimeout    = 150 * time.Millisecond
 )
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -70,7 +70,7 @@
 )
 
 // leaseTiming is the timing of the coordinator's lease.
-var leaseTiming = election.Timing{TTL: 2 * time.Second, Renewal: 500 * time.Millisecond, Doubt: 800 * time.Millisecond, Margin: 200 * time.Millisecond}
+var leaseTiming = election.Timing{TTL: 2500 * time.Millisecond, Renewal: 500 * time.Millisecond, Doubt: 800 * time.Millisecond, Margin: 200 * time.Millisecond}
 
 // Node is one process of the service.
 type Node struct {
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -37,10 +37,10 @@
 
 const (
 	// appendTimeout bounds one append for a caller.
-	appendTimeout = 1500 * time.Millisecond
+	appendTimeout = 700 * time.Millisecond
 	// appendTries bounds the appends for one call. Records of a job may stand
 	// twice in the log; the second copies are void.
-	appendTries = 2
+	appendTries = 3
 )
 
 // Table returns the configuration in force, or nil.
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -25,7 +25,7 @@
 		if next.finished {
 			continue
 		}
-		if full || now.Before(next.notBefore) {
+		if full {
 			waiting = append(waiting, next)
 			continue
 		}
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -414,6 +414,7 @@
 // Tick lets time-outs take effect.
 func (m *Machine) Tick(now time.Time) {
 	m.moveStalled(now)
+	m.moveToFaster(now)
 	m.giveUp(now)
 	m.forgetKept(now)
 	m.saveAll(now)
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -475,6 +475,42 @@
 	return f.progress
 }
 
+func TestRunsMoveToFasterEnginesOnceNothingWaits(t *testing.T) {
+	f := newFixture(t, func(route *routetable.Route) { route.Resumable = true })
+	f.servers(1, map[string]int64{"a": 1, "b": 1})
+	f.job("j", 1, 30, 20, 10)
+	slow, fast := f.starts[0], f.starts[1]
+	events := 0
+	pace := func() {
+		for range 10 {
+			events++
+			f.now = f.now.Add(20 * time.Millisecond)
+			f.event(fast.Attempt, fmt.Sprint(events), 1)
+			if events%4 == 0 {
+				f.event(slow.Attempt, fmt.Sprint(events/4), 1)
+			}
+		}
+	}
+	pace()
+	pace()
+	f.pass(time.Millisecond)
+	if len(f.cancels) != 0 {
+		t.Fatal("a run was moved while an item waited")
+	}
+	f.end(fast.Attempt, EndCompleted)
+	third := f.starts[2]
+	f.end(third.Attempt, EndCompleted)
+	f.pass(time.Millisecond)
+	if len(f.cancels) != 1 || f.cancels[0].Attempt != slow.Attempt {
+		t.Fatalf("cancels %v", f.cancels)
+	}
+	f.end(slow.Attempt, EndCancelled)
+	moved := f.starts[3]
+	if moved.Server != fast.Server || moved.After != "5" {
+		t.Errorf("moved to %+v", moved)
+	}
+}
+
 // Equal inputs give equal outputs, whatever the order of maps.
 func TestTheMachineIsDeterministic(t *testing.T) {
 	run := func() []Start {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -164,8 +164,8 @@
 	carried bool
 	// final is the result of a finished item that completed.
 	final *batch.Result
-	// notBefore delays the next attempt.
-	notBefore time.Time
+	// movedAt is when the item was last moved to a faster engine.
+	movedAt time.Time
 }
 
 // unsaved is what an item's run made since its last progress.
