Log each decision without ever blocking, and serve metrics

Cause: a failed request could not be followed from its id to its cause. Change: one line a request, an item's attempt (with what its choice went by and how old that was), a finished item, a job taken up, a changed server, a load; lines wait in a bounded queue, and a reader that stands still costs lines. Prometheus counters and histograms on an address of the settings; the collector runs at 25 per cent.

--- a/cmd/dalehook-node/run.go
+++ b/cmd/dalehook-node/run.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"dalehook/internal/frontend"
+	"dalehook/internal/logs"
 	"dalehook/platform"
 )
 
@@ -24,10 +25,22 @@
 
 // The collector runs often, since memory is dearer than processor time.
 const (
-	collectPercent = 60
+	collectPercent = 25
 	memoryShare    = 0.7
 )
 
+// Bounds of the log.
+const (
+	// lineBuffer is how many bytes of lines wait for their reader.
+	lineBuffer = 256 << 10
+	// closeTimeout bounds the writing of the last lines.
+	closeTimeout = 300 * time.Millisecond
+	// linesFull is how many lines of one message are written in a second; beyond
+	// them, one of linesSampled is.
+	linesFull    = 400
+	linesSampled = 50
+)
+
 // settingsFlag is the flag that names the settings file.
 type settingsFlag struct{ path string }
 
@@ -62,7 +75,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	logger, err := newLogger(settings.LogLevel)
+	lines := logs.NewWriter(os.Stdout, lineBuffer)
+	defer lines.Close(closeTimeout)
+	logger, err := newLogger(settings.LogLevel, lines)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
@@ -72,6 +87,7 @@
 		Settings:    settings,
 		Adapter:     platform.NewAdapter(settings),
 		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		LostLines:   lines.Dropped,
 		Logger:      logger,
 	})
 	signals := make(chan os.Signal, 1)
@@ -112,7 +128,7 @@
 	}
 }
 
-func newLogger(level string) (*zap.Logger, error) {
+func newLogger(level string, lines *logs.Writer) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("log_level: %w", err)
@@ -120,6 +136,6 @@
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
 	encoding.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(os.Stdout), parsed)
-	return zap.New(core), nil
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), lines, parsed)
+	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, linesFull, linesSampled)), nil
 }
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -46,6 +46,9 @@
 	OutcomeDead
 )
 
+// String implements fmt.Stringer.
+func (o Outcome) String() string { return [...]string{"completed", "dead"}[o] }
+
 // Result is the final state of an item.
 type Result struct {
 	JobID  string
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -56,6 +56,19 @@
 	Load(ctx context.Context, order scheduler.Order, orders int64) (OrderAnswer, error)
 }
 
+// Observer counts what the coordinator does.
+type Observer interface {
+	ObserveAttempt(reason scheduler.EndReason)
+	ObserveResult(outcome string)
+	ObserveLoad(taken bool)
+}
+
+// State is what a coordinator does now.
+type State struct {
+	Leading                bool
+	Open, Running, Waiting int
+}
+
 // Options configure a Coordinator.
 type Options struct {
 	Engines   Engines
@@ -67,6 +80,7 @@
 	// orders of two holders are that far apart.
 	OrderPause time.Duration
 	Logger     *zap.Logger
+	Observer   Observer
 }
 
 // tickInterval is the time between two ticks of the scheduler.
@@ -147,6 +161,16 @@
 	entry.Write(zap.Any("engines", engines), zap.Any("jobs", jobs))
 }
 
+// State returns what the coordinator does now.
+func (c *Coordinator) State() State {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.machine == nil {
+		return State{}
+	}
+	return State{Leading: true, Open: c.machine.Open(), Running: c.machine.Running(), Waiting: c.machine.Waiting()}
+}
+
 // ObserveTable takes a new configuration.
 func (c *Coordinator) ObserveTable(table *routetable.Table) {
 	c.mutex.Lock()
@@ -259,6 +283,8 @@
 	f.coordinator.inputOf(f.machine, func(now time.Time) {
 		switch {
 		case change.Accepted != nil && !change.Accepted.Ended:
+			f.coordinator.options.Logger.Info("job taken up", zap.String("job", change.Accepted.Job.ID),
+				zap.Int("partition", partition), zap.Int("results", len(change.Accepted.Results)))
 			f.machine.HandleJob(now, partition, change.Accepted.Job, change.Accepted.Results)
 		case change.Listed != nil:
 			f.machine.HandleListed(now, change.Listed)
@@ -314,6 +340,9 @@
 		c.options.Logger.Error("result lost", zap.String("item", result.ItemID), zap.Error(err))
 		return
 	}
+	c.options.Observer.ObserveResult(result.Outcome.String())
+	c.options.Logger.Info("item finished", zap.String("job", result.JobID), zap.String("item", result.ItemID),
+		zap.Stringer("outcome", result.Outcome), zap.Int64s("versions", result.Versions), zap.Int64("epoch", c.lease.Epoch))
 	at := store.Partition{Topic: store.TopicJobs, Number: c.options.Jobs.PartitionOf(result.JobID)}
 	c.writer.add(at, records)
 }
@@ -330,17 +359,20 @@
 }
 
 func (c *Coordinator) run(ctx context.Context, machine *scheduler.Machine, start scheduler.Start) {
+	began := time.Now()
 	reason, err := c.options.Engines.Run(ctx, start, func(event scheduler.Event) {
 		c.inputOf(machine, func(now time.Time) { machine.HandleEvent(now, start.Attempt, event) })
 	})
 	if ctx.Err() != nil {
 		reason = scheduler.EndCancelled
 	}
-	if reason != scheduler.EndCompleted {
-		c.options.Logger.Info("item attempt ended", zap.String("job", start.JobID), zap.String("item", start.Item.ID),
-			zap.String("server", start.Server.ID), zap.String("after", start.After),
-			zap.Stringer("reason", reason), zap.Error(err))
-	}
+	c.options.Observer.ObserveAttempt(reason)
+	c.options.Logger.Info("item attempt ended", zap.String("job", start.JobID), zap.String("item", start.Item.ID),
+		zap.Uint64("attempt", uint64(start.Attempt)), zap.String("server", start.Server.ID), zap.String("after", start.After),
+		zap.Int64("epoch", start.Inputs.Term), zap.Int64("version", start.Inputs.Version),
+		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
+		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", time.Since(began)),
+		zap.Stringer("reason", reason), zap.Error(err))
 	c.inputOf(machine, func(now time.Time) {
 		c.cancels[start.Attempt]()
 		delete(c.cancels, start.Attempt)
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -35,6 +35,7 @@
 	c.options.Logger.Info("load ordered", zap.String("server", order.Server.ID), zap.String("model", order.Model),
 		zap.Int64("version", order.Version), zap.Int64("epoch", order.Epoch), zap.Int64("loaded", version),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
+	c.options.Observer.ObserveLoad(err == nil && version >= order.Version)
 	c.inputOf(machine, func(now time.Time) {
 		machine.HandleLoad(now, order.Server.ID, order.Model, scheduler.Load{Taken: err == nil, Version: version})
 	})
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Server is one incarnation of a back end.
@@ -41,6 +42,21 @@
 	mutex   sync.Mutex
 	servers map[string]*Server
 	current *Snapshot
+	readAt  time.Time
+}
+
+// NoteRead notes that the list was read at now.
+func (d *Directory) NoteRead(now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.readAt = now
+}
+
+// Age returns the time since the list was read.
+func (d *Directory) Age(now time.Time) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return now.Sub(d.readAt)
 }
 
 // NewDirectory returns an empty directory.
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -33,6 +33,8 @@
 	Replace func([]store.Record)
 	// Change takes the records that came since, in order.
 	Change func([]store.Record)
+	// Read is told of each answered read, also where nothing had changed.
+	Read func()
 }
 
 // Keyed follows a keyed topic until the context ends. It starts from the newest
@@ -79,6 +81,7 @@
 	}
 	r.next = batch.Next
 	r.seen = max(r.seen, batch.Next)
+	r.Read()
 	return nil
 }
 
@@ -95,6 +98,7 @@
 	r.Replace(records)
 	r.next = end
 	r.seen = end
+	r.Read()
 	return nil
 }
 
--- /dev/null
+++ b/internal/frontend/metrics.go
@@ -0,0 +1,145 @@
+package frontend
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"dalehook/internal/coordinator"
+	"dalehook/internal/gateway"
+	"dalehook/internal/scheduler"
+)
+
+// latencyBuckets are the bounds of the histograms, in seconds.
+var latencyBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10}
+
+// nodeMetrics counts what the logs tell. Its labels have few values each.
+type nodeMetrics struct {
+	registry       *prometheus.Registry
+	requests       *prometheus.CounterVec
+	requestSeconds *prometheus.HistogramVec
+	attempts       prometheus.Counter
+	jobCalls       *prometheus.CounterVec
+	itemAttempts   *prometheus.CounterVec
+	results        *prometheus.CounterVec
+	loads          *prometheus.CounterVec
+	storeCalls     *prometheus.CounterVec
+	storeSeconds   *prometheus.HistogramVec
+}
+
+var _ coordinator.Observer = (*nodeMetrics)(nil)
+
+func newNodeMetrics(n *Node, lostLines func() int64) *nodeMetrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, labels)
+	}
+	m := &nodeMetrics{
+		registry:       prometheus.NewRegistry(),
+		requests:       counter("dalehook_requests_total", "Single requests by kind of route, answer and reason.", "kind", "status", "reason"),
+		requestSeconds: histogram("dalehook_request_seconds", "Time from a request read to its answer, by kind of route.", "kind"),
+		attempts:       prometheus.NewCounter(prometheus.CounterOpts{Name: "dalehook_request_attempts_total", Help: "Attempts of single requests at servers."}),
+		jobCalls:       counter("dalehook_job_calls_total", "Calls about batch jobs by call and verdict.", "call", "verdict"),
+		itemAttempts:   counter("dalehook_item_attempts_total", "Runs of items by the way they ended.", "end"),
+		results:        counter("dalehook_results_total", "Results written by outcome.", "outcome"),
+		loads:          counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
+		storeCalls:     counter("dalehook_store_calls_total", "Calls to the store by call and status of the answer, 0 for none.", "call", "status"),
+		storeSeconds:   histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
+	}
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.itemAttempts, m.results, m.loads,
+		m.storeCalls, m.storeSeconds, collectors.NewGoCollector())
+	m.registerGauges(n, lostLines)
+	return m
+}
+
+// registerGauges adds what is read when the page is asked for.
+func (m *nodeMetrics) registerGauges(n *Node, lostLines func() int64) {
+	gauge := func(name, help string, read func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+	}
+	gauge("dalehook_configuration_version", "Version of the configuration in force, 0 for none.", func() float64 {
+		if table := n.table.Load(); table != nil {
+			return float64(table.Version)
+		}
+		return 0
+	})
+	gauge("dalehook_configuration_age_seconds", "Time since the configuration was read.", func() float64 {
+		return time.Since(time.Unix(0, n.operatorReadAt.Load())).Seconds()
+	})
+	gauge("dalehook_servers", "Servers in the list.", func() float64 { return float64(n.directory.Snapshot().Count()) })
+	gauge("dalehook_servers_age_seconds", "Time since the list of servers was read.", func() float64 {
+		return n.directory.Age(time.Now()).Seconds()
+	})
+	gauge("dalehook_ready", "1 while the node wants new connections.", func() float64 { return truth(n.Ready()) })
+	gauge("dalehook_coordinator", "1 while the node coordinates the batch jobs.", func() float64 {
+		return truth(n.coordinator.State().Leading)
+	})
+	gauge("dalehook_open_jobs", "Open batch jobs, at the coordinator.", func() float64 { return float64(n.coordinator.State().Open) })
+	gauge("dalehook_running_items", "Items that run, at the coordinator.", func() float64 { return float64(n.coordinator.State().Running) })
+	gauge("dalehook_waiting_items", "Items that wait, at the coordinator.", func() float64 { return float64(n.coordinator.State().Waiting) })
+	if lostLines != nil {
+		gauge("dalehook_log_lines_lost", "Log lines that were lost since the start.", func() float64 { return float64(lostLines()) })
+	}
+}
+
+func truth(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
+func (m *nodeMetrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
+
+func (m *nodeMetrics) observeRequest(outcome gateway.Outcome) {
+	kind := outcome.Kind.String()
+	m.requests.WithLabelValues(kind, strconv.Itoa(outcome.Status), reasonClass(outcome.Reason)).Inc()
+	m.requestSeconds.WithLabelValues(kind).Observe(outcome.Took.Seconds())
+	m.attempts.Add(float64(outcome.Attempts))
+}
+
+// reasonClass cuts a reason to its first words, so that there are few.
+func reasonClass(reason string) string {
+	class, _, _ := strings.Cut(reason, ":")
+	return class
+}
+
+func (m *nodeMetrics) observeJobCall(call string, verdict Verdict) {
+	m.jobCalls.WithLabelValues(call, verdict.String()).Inc()
+}
+
+// ObserveAttempt implements coordinator.Observer.
+func (m *nodeMetrics) ObserveAttempt(reason scheduler.EndReason) {
+	m.itemAttempts.WithLabelValues(reason.String()).Inc()
+}
+
+// ObserveResult implements coordinator.Observer.
+func (m *nodeMetrics) ObserveResult(outcome string) { m.results.WithLabelValues(outcome).Inc() }
+
+// ObserveLoad implements coordinator.Observer.
+func (m *nodeMetrics) ObserveLoad(taken bool) {
+	outcome := "failed"
+	if taken {
+		outcome = "loaded"
+	}
+	m.loads.WithLabelValues(outcome).Inc()
+}
+
+func (m *nodeMetrics) observeStore(call string, status int, took time.Duration) {
+	m.storeCalls.WithLabelValues(call, strconv.Itoa(status)).Inc()
+	if call != callThatWaits {
+		m.storeSeconds.WithLabelValues(call).Observe(took.Seconds())
+	}
+}
+
+// callThatWaits is the call whose time says nothing of the store.
+const callThatWaits = "read"
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -39,12 +39,17 @@
 	Version(record store.Record) (model string, version int64, ok bool)
 	// Server decodes the record of a server.
 	Server(record store.Record) (directory.Server, error)
+	// ObserveStore sets what is told of each call to the store: its name, the
+	// status of its answer, 0 for none, and the time it took.
+	ObserveStore(observe func(call string, status int, took time.Duration))
 }
 
 // Options configure a Node.
 type Options struct {
 	Settings *Settings
 	Adapter  Adapter
+	// LostLines returns the number of log lines that were lost; it may be nil.
+	LostLines func() int64
 	// Incarnation tells this process from earlier ones of the same node.
 	Incarnation string
 	Logger      *zap.Logger
@@ -74,26 +79,32 @@
 
 // Node is one process of the service.
 type Node struct {
-	options     Options
-	logger      *zap.Logger
-	table       atomic.Pointer[routetable.Table]
-	listed      atomic.Bool
-	leaving     atomic.Bool
-	left        chan struct{}
-	directory   *directory.Directory
-	gateway     *gateway.Gateway
-	jobs        *joblog.Logs
-	coordinator *coordinator.Coordinator
+	options Options
+	logger  *zap.Logger
+	servers *zap.Logger
+	table   atomic.Pointer[routetable.Table]
+	metrics *nodeMetrics
+	// operatorReadAt is when the configuration was last read, in Unix nanoseconds.
+	operatorReadAt atomic.Int64
+	listed         atomic.Bool
+	leaving        atomic.Bool
+	left           chan struct{}
+	directory      *directory.Directory
+	gateway        *gateway.Gateway
+	jobs           *joblog.Logs
+	coordinator    *coordinator.Coordinator
 }
 
 // NewNode assembles a node.
 func NewNode(options Options) *Node {
 	adapter, logger := options.Adapter, options.Logger
-	n := &Node{options: options, logger: logger, left: make(chan struct{}), directory: directory.NewDirectory()}
+	n := &Node{options: options, logger: logger.Named("node"), servers: logger.Named("servers"), left: make(chan struct{}), directory: directory.NewDirectory()}
+	n.metrics = newNodeMetrics(n, options.LostLines)
 	n.gateway = gateway.NewGateway(gateway.Options{
 		Backend: adapter.Backend(), Directory: n.directory, Zone: options.Settings.Zone,
-		Logger: logger.Named("gateway"),
+		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest,
 	})
+	adapter.ObserveStore(n.metrics.observeStore)
 	n.jobs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
@@ -101,6 +112,7 @@
 		Engines: adapter.Engines(), Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
 		OrderPause: time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
 		Logger:     logger.Named("coordinator"),
+		Observer:   n.metrics,
 	})
 	return n
 }
@@ -152,14 +164,15 @@
 	log := n.options.Adapter.Log()
 	background.Go(func() {
 		follow.Keyed(ctx, follow.KeyedOptions{
-			Log: log, Topic: store.TopicOperator, Pace: operatorPace, Logger: n.logger.Named("operator"),
-			Replace: n.handleOperator, Change: n.handleOperator,
+			Log: log, Topic: store.TopicOperator, Pace: operatorPace, Logger: n.options.Logger.Named("operator"),
+			Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead,
 		})
 	})
 	background.Go(func() {
 		follow.Keyed(ctx, follow.KeyedOptions{
-			Log: log, Topic: store.TopicServers, Pace: listPace, Logger: n.logger.Named("servers"),
+			Log: log, Topic: store.TopicServers, Pace: listPace, Logger: n.servers,
 			Replace: n.replaceServers, Change: n.changeServers,
+			Read: func() { n.directory.NoteRead(time.Now()) },
 		})
 	})
 	background.Go(func() { n.jobs.Run(ctx) })
@@ -167,7 +180,7 @@
 	background.Go(func() {
 		election.Run(ctx, election.Options{
 			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming, Ask: askHolder,
-			Logger: n.logger.Named("election"), Observe: n.coordinator.ObserveLease, Leaving: n.left,
+			Logger: n.options.Logger.Named("election"), Observe: n.coordinator.ObserveLease, Leaving: n.left,
 		})
 	})
 	background.Go(func() { n.sweep(ctx) })
@@ -210,17 +223,21 @@
 func (n *Node) listen() ([]boundServer, error) {
 	listen := n.options.Settings.Listen
 	var bound []boundServer
-	for address, handler := range map[string]http.Handler{
+	handlers := map[string]http.Handler{
 		listen.Requests:  n.options.Adapter.Requests(n),
 		listen.Readiness: n.options.Adapter.Readiness(n),
-	} {
+	}
+	if listen.Metrics != "" {
+		handlers[listen.Metrics] = n.metrics.handler()
+	}
+	for address, handler := range handlers {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", address, err)
 		}
 		bound = append(bound, boundServer{listener: listener, server: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-			ErrorLog: zap.NewStdLog(n.logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+			ErrorLog: zap.NewStdLog(n.options.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 		}})
 	}
 	return bound, nil
@@ -286,6 +303,7 @@
 		}
 	}
 	n.directory.Replace(servers)
+	n.servers.Info("list of servers read", zap.Int("servers", len(servers)))
 	n.listed.Store(true)
 	n.coordinator.ObserveServers()
 }
@@ -296,12 +314,13 @@
 		if len(record.Value) == 0 {
 			if n.directory.Remove(record.Key) {
 				changed = true
-				n.logger.Info("server gone", zap.String("server", record.Key), zap.Int64("offset", record.Offset))
+				n.servers.Info("server gone", zap.String("server", record.Key), zap.Int64("offset", record.Offset))
 			}
 			continue
 		}
 		if server, ok := n.decodeServer(record); ok && n.directory.Put(server) {
 			changed = true
+			n.logServer(server, record.Offset)
 		}
 	}
 	if changed {
@@ -309,6 +328,14 @@
 	}
 }
 
+func (n *Node) logServer(server directory.Server, offset int64) {
+	n.servers.Info("server changed", zap.String("server", server.ID), zap.String("service", server.Service),
+		zap.String("address", server.Address), zap.Bool("draining", server.Draining),
+		zap.Any("versions", server.Versions), zap.Int64("offset", offset))
+}
+
+func (n *Node) noteOperatorRead() { n.operatorReadAt.Store(time.Now().UnixNano()) }
+
 func (n *Node) decodeServer(record store.Record) (directory.Server, bool) {
 	if len(record.Value) == 0 {
 		return directory.Server{}, false
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -64,6 +64,7 @@
 		return VerdictRefused
 	}
 	verdict := n.append(ctx, job.ID, records)
+	n.metrics.observeJobCall("submit", verdict)
 	n.logger.Info("batch job submitted", zap.String("job", job.ID), zap.String("model", job.Model), zap.Int("step", job.Step),
 		zap.Int("items", len(job.Items)), zap.Int64("minimum", job.MinVersion), zap.Stringer("verdict", verdict))
 	return verdict
@@ -76,6 +77,7 @@
 		return VerdictRefused
 	}
 	verdict := n.append(ctx, jobID, records)
+	n.metrics.observeJobCall("end", verdict)
 	n.logger.Info("batch job ended", zap.String("job", jobID), zap.Stringer("verdict", verdict))
 	return verdict
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	deadline time.Time
 	tried    map[string]bool
 	attempts int
+	// servers holds the ids of the servers tried, in order.
+	servers []string
 	// reason says why the last attempt brought nothing.
 	reason string
 	// unrun is true while no server may have run the request.
@@ -120,13 +122,11 @@
 func (c *call) log(status int) {
 	took := time.Since(c.request.Received)
 	c.gateway.options.Observe(Outcome{Kind: c.route.Kind, Status: status, Reason: c.reason, Attempts: c.attempts, Took: took})
-	if status == http.StatusOK && c.attempts == 1 {
-		return
-	}
 	c.gateway.options.Logger.Info("request answered",
 		zap.String("request", c.request.ID), zap.Int("status", status), zap.String("route", c.route.Name),
 		zap.String("service", c.service), zap.Int64("configuration", c.table.Version),
-		zap.Int("attempts", c.attempts), zap.String("reason", c.reason), zap.Duration("took", took))
+		zap.Duration("list_age", c.gateway.options.Directory.Age(time.Now())),
+		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took))
 }
 
 // Refuse answers that a request has not run, and when to come back.
@@ -235,6 +235,7 @@
 	}
 	c.attempts++
 	c.tried[server.ID] = true
+	c.servers = append(c.servers, server.ID)
 	return server
 }
 
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -109,5 +109,12 @@
 		After:         next.lastID,
 		ExpectVersion: expected,
 		Deadline:      next.job.giveUpAt,
+		Inputs: Inputs{
+			Term:     m.options.Term,
+			Version:  chosen.versions[next.job.model],
+			Attempts: len(chosen.attempts) - 1,
+			Gap:      time.Duration(chosen.gap * float64(time.Second)),
+			ReadAge:  now.Sub(m.fresh[next.job.partition]),
+		},
 	})
 }
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -69,6 +69,15 @@
 // Running returns the number of attempts under way, and Open that of open jobs.
 func (m *Machine) Running() int { return len(m.attempts) }
 
+// Waiting returns the number of items that wait for an engine.
+func (m *Machine) Waiting() int {
+	waiting := 0
+	for _, open := range m.jobs {
+		waiting += len(open.queue)
+	}
+	return waiting
+}
+
 // Open returns the number of open jobs.
 func (m *Machine) Open() int { return len(m.jobs) }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -27,6 +27,21 @@
 	ExpectVersion int64
 	// Deadline is when the item may be given up.
 	Deadline time.Time
+	Inputs   Inputs
+}
+
+// Inputs are what the choice of an engine went by, for logs.
+type Inputs struct {
+	// Term is the epoch of the lease.
+	Term int64
+	// Version is the weight version that the engine was taken to have.
+	Version int64
+	// Attempts is the number of items that ran there.
+	Attempts int
+	// Gap is the engine's time between events; 0 when unknown.
+	Gap time.Duration
+	// ReadAge is the age of what was known of the job.
+	ReadAge time.Duration
 }
 
 // Server is the address of one incarnation of an engine.
