--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,6 +225,10 @@
 	if c.attempts >= max(c.route.MaxAttempts, 1) || !c.unrun && !c.route.Repeatable() {
 		return nil
 	}
+	if !time.Now().Before(c.deadline) {
+		c.reason = "deadline"
+		return nil
+	}
 	servers := c.gateway.options.Directory.Snapshot().Ready(c.service)
 	server := c.gateway.balancer.choose(time.Now(), servers, c.tried)
 	if server == nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -170,6 +170,28 @@
 	}
 }
 
+// A node that was frozen wakes with requests whose callers have left long ago.
+func TestARequestPastItsDeadlineIsNotSent(t *testing.T) {
+	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindStream} {
+		backend := &script{answers: []answerFunc{whole(200, "ok")}}
+		list := directory.NewDirectory()
+		list.Put(directory.Server{ID: "s", Service: "svc", Slots: 4})
+		gateway := NewGateway(Options{Backend: backend, Directory: list, Logger: zap.NewNop()})
+		route := &routetable.Route{Kind: kind, MaxAttempts: 3, Targets: []routetable.Target{{Service: "svc", Weight: 1}}}
+		table := routetable.NewTable(1, []routetable.Route{*route}, nil, routetable.Limits{})
+		recorder := httptest.NewRecorder()
+		gateway.Serve(context.Background(), recorder, table, route, &Request{
+			ID: "id", Method: "POST", Target: "/", Received: time.Now().Add(-5 * time.Second), Deadline: time.Now().Add(-4 * time.Second),
+		})
+		if backend.count() != 0 {
+			t.Errorf("%v: sent after its deadline", kind)
+		}
+		if recorder.Code != http.StatusServiceUnavailable {
+			t.Errorf("%v: status %d", kind, recorder.Code)
+		}
+	}
+}
+
 const (
 	eventOne = "id: 1\ndata: a\n\n"
 	eventTwo = "id: 2\ndata: b\n\n"
