--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,71 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"dalehook/internal/explain"
+)
+
+// explainCommand tells the life of one request, item or batch job from log files.
+type explainCommand struct{ streams Streams }
+
+func newExplainCommand(streams Streams) *explainCommand { return &explainCommand{streams: streams} }
+
+// Name implements subcommands.Command.
+func (*explainCommand) Name() string { return "explain" }
+
+// Synopsis implements subcommands.Command.
+func (*explainCommand) Synopsis() string { return "tell one request's life from nodes' logs" }
+
+// Usage implements subcommands.Command.
+func (*explainCommand) Usage() string {
+	return `explain ID [FILE ...]:
+	Reads log files of nodes, or the standard input, and tells the life of the
+	request, item or batch job ID in order: what decided each step, how old that
+	was, and what happened meanwhile to the nodes and servers that it met.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (*explainCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *explainCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() == 0 {
+		fmt.Fprintln(c.streams.Error, "explain: name an id")
+		return subcommands.ExitUsageError
+	}
+	lines, err := readLogs(flags.Args()[1:])
+	if err != nil {
+		return reportFailure(c.streams, "explain", err)
+	}
+	if err := explain.Explain(flags.Arg(0), lines).Write(c.streams.Output); err != nil {
+		return reportFailure(c.streams, "explain", err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func readLogs(paths []string) ([]explain.Line, error) {
+	if len(paths) == 0 {
+		return explain.Read("input", os.Stdin)
+	}
+	var all []explain.Line
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := explain.Read(path, file)
+		file.Close()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,7 @@
 	c.gateway.options.Logger.Info("request answered",
 		zap.String("request", c.request.ID), zap.Int("status", status), zap.String("route", c.route.Name),
 		zap.String("service", c.service), zap.Int64("configuration", c.table.Version),
-		zap.Duration("list_age", c.gateway.options.Directory.Age(time.Now())),
+		zap.Int("attempts", c.attempts), zap.Duration("list_age", c.gateway.options.Directory.Age(time.Now())),
 		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took))
 }
 
