--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -46,9 +46,16 @@
 // Table returns the configuration in force, or nil.
 func (n *Node) Table() *routetable.Table { return n.table.Load() }
 
+// storeSilence is the time without an answer of the store after which a node asks
+// for no new connections: others may still reach the store.
+const storeSilence = 1500 * time.Millisecond
+
 // Ready says whether new connections are wanted.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.table.Load() != nil && n.listed.Load()
+	if n.leaving.Load() || n.table.Load() == nil || !n.listed.Load() {
+		return false
+	}
+	return time.Since(time.Unix(0, n.operatorReadAt.Load())) < storeSilence
 }
 
 // Serve answers a single request.
