--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -59,7 +59,7 @@
 
 // mayRun says whether an engine may take an item now.
 func (m *Machine) mayRun(now time.Time, next *item, candidate *engine) bool {
-	if !candidate.listed || candidate.service != next.service || candidate.loading {
+	if !candidate.listed || candidate.service != next.service || candidate.loading || candidate.draining {
 		return false
 	}
 	if len(candidate.attempts) >= candidate.slots || now.Before(candidate.pausedUntil) {
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -179,6 +179,16 @@
 	if len(known.attempts) == 0 {
 		return true
 	}
+	if !servesNothing(known, jobs) {
+		return false
+	}
+	// A run of a single version would start anew under the next one.
+	known.draining = known.runsSingleVersion()
+	return !known.draining
+}
+
+// servesNothing says whether items wait that an engine's version may not serve.
+func servesNothing(known *engine, jobs []*job) bool {
 	for _, open := range jobs {
 		if open.model == known.model && len(open.queue) > 0 && open.minimum > known.versions[known.model] {
 			return true
@@ -187,8 +197,19 @@
 	return false
 }
 
+func (e *engine) runsSingleVersion() bool {
+	for _, running := range e.attempts {
+		route := running.item.job.route
+		if route != nil && route.SingleVersion {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) order(known *engine) {
 	known.loading = true
+	known.draining = false
 	m.output.Orders = append(m.output.Orders, Order{
 		Server:  known.server,
 		Model:   known.model,
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -300,6 +300,23 @@
 	}
 }
 
+func TestRunsOfASingleVersionEndBeforeALoad(t *testing.T) {
+	f := newFixture(t, func(route *routetable.Route) { route.SingleVersion = true })
+	f.servers(2, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.machine.HandleLease(f.now, 1, true)
+	f.machine.HandleVersion(f.now, "m", 2)
+	f.job("k", 2, 10)
+	f.job("l", 1, 10)
+	if len(f.orders) != 0 || len(f.starts) != 1 {
+		t.Fatalf("orders %+v, starts %+v", f.orders, f.starts)
+	}
+	f.end(1, EndCompleted)
+	if len(f.orders) != 1 {
+		t.Errorf("orders %+v", f.orders)
+	}
+}
+
 func TestModelsShareTheEngines(t *testing.T) {
 	machine := NewMachine(Options{})
 	now := time.Unix(1000, 0)
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -232,6 +232,8 @@
 	// model is the model whose new versions this engine loads.
 	model    string
 	attempts map[AttemptID]*attempt
+	// draining engines take no items, since they are to load once they are idle.
+	draining bool
 	// loading is set from an order's start to its end.
 	loading     bool
 	pausedUntil time.Time
