--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -66,10 +66,12 @@
 	leaveNotice = 2700 * time.Millisecond
 	// leaveReserve is kept from the grace period for the end of the process.
 	leaveReserve = 1200 * time.Millisecond
-	// headerTimeout, idleTimeout and headerBytes bound callers.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
-	headerBytes   = 16 << 10
+	// headerTimeout, idleTimeout and headerBytes bound callers while nothing is
+	// known of the configuration's limits, which may be narrower or wider. What
+	// the configuration says of sizes is checked for each request.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerBytes   = 1 << 20
 	// forgetInterval is the time between two sweeps of what was seen of servers.
 	forgetInterval = 5 * time.Second
 )
--- /dev/null
+++ b/internal/frontend/settings_test.go
@@ -0,0 +1,53 @@
+package frontend
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+const goodSettings = `{"node":"n","zone":"z","listen":{"requests":"127.0.0.1:1","readiness":"127.0.0.1:2","internal":"127.0.0.1:3"},
+ "store":{"address":"127.0.0.1:4","partitions":12},"order_pause_ms":3000,"grace_seconds":8,"memory_mb":344}`
+
+func TestSettings(t *testing.T) {
+	settings, err := ParseSettings([]byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if settings.Node != "n" || settings.Store.Partitions != 12 || settings.LogLevel != "info" {
+		t.Errorf("settings %+v", settings)
+	}
+	cases := []struct{ name, text, want string }{
+		{"no JSON", "{", "decode"},
+		{"more text", goodSettings + "{}", "text follows"},
+		{"unknown key", strings.Replace(goodSettings, `"zone"`, `"zones"`, 1), "zones"},
+		{"no partitions", strings.Replace(goodSettings, `"partitions":12`, `"partitions":0`, 1), "store.partitions"},
+		{"nothing", "{}", "node is missing"},
+		{"negative pause", strings.Replace(goodSettings, "3000", "-1", 1), "order_pause_ms"},
+	}
+	for _, c := range cases {
+		if _, err := ParseSettings([]byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+}
+
+// Every key that the template fills is a key of the settings.
+func TestTheTemplateFillsTheSettings(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/node.json.template")
+	if err != nil {
+		t.Fatal(err)
+	}
+	filled := string(text)
+	for {
+		open := strings.Index(filled, "{{")
+		if open < 0 {
+			break
+		}
+		end := strings.Index(filled, "}}")
+		filled = filled[:open] + "7" + filled[end+2:]
+	}
+	if _, err := ParseSettings([]byte(filled)); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -42,6 +42,8 @@
 type partition struct {
 	first   int64
 	records []store.Record
+	// newest keeps keyed records whose history is gone.
+	newest []store.Record
 }
 
 func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
@@ -92,6 +94,18 @@
 	return nil
 }
 
+// Forget drops the history before an offset, but not the newest record of a key.
+func (m *Memory) Forget(at store.Partition, before int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p := m.at(at)
+	for len(p.records) > 0 && p.first < before {
+		p.newest = append(p.newest, p.records[0])
+		p.records = p.records[1:]
+		p.first++
+	}
+}
+
 // at returns a partition. The mutex is held.
 func (m *Memory) at(at store.Partition) *partition {
 	if m.partitions[at] == nil {
@@ -200,7 +214,7 @@
 	p := m.at(store.Partition{Topic: topic})
 	newest := make(map[string]store.Record)
 	var keys []string
-	for _, record := range p.records {
+	for _, record := range append(slices.Clone(p.newest), p.records...) {
 		if _, known := newest[record.Key]; !known {
 			keys = append(keys, record.Key)
 		}
