Say in status what a node does not know of a back end

Cause: with the README's processes, a plan for engine-1 and engine-2 was confirmed and only engine-3 ever showed the model, in status at a third node. Reproduced: the two other nodes show version 1 on all three engines within 15 s; the third polls only engine-3, and showed the others like engines without a model. Ruled out: the plan (its loads were ordered), the second plan without loads (right). Change: a back end without a report is 'not known here', in JSON 'unreported'. Conclusion: TestStatusTellsWhatIsNotKnown failed before and passes now.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -218,6 +218,8 @@
 		Members:       []machine.MemberStatus{{ID: "cayma-1", Incarnation: 7, Zone: "cayma", State: "alive"}},
 		Backends: []machine.BackendStatus{
 			{ID: "engine-1", Kind: cluster.KindEngine, Pool: "language", Zone: "cayma", State: cluster.StateLive, Running: 3, Waiting: 1, Model: "captions", Version: 4},
+			{ID: "engine-2", Kind: cluster.KindEngine, Pool: "language", Zone: "cercado", State: cluster.StateLive, Unreported: true},
+			{ID: "engine-3", Kind: cluster.KindEngine, Pool: "language", Zone: "cercado", State: cluster.StateLive},
 			{ID: "bridge-1", Kind: cluster.KindService, Pool: "bridge", Zone: "cercado", State: cluster.StateLeaving},
 		},
 		Events: []machine.EventStatus{{Name: "council hearing", Digest: "d1", Revision: 12, Start: time.Date(2026, 12, 7, 10, 0, 0, 0, time.UTC)}},
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -70,8 +70,7 @@
 	}
 	backends := newTable("Back ends", table.Row{"back end", "kind", "pool", "zone", "state", "running", "waiting", "model", "version"})
 	for _, backend := range report.Backends {
-		backends.AppendRow(table.Row{backend.ID, backend.Kind, backend.Pool, backend.Zone, backend.State,
-			backend.Running, backend.Waiting, backend.Model, versionText(backend)})
+		backends.AppendRow(backendRow(backend))
 	}
 	events := newTable("Events in force", table.Row{"event", "start", "revision", "digest"})
 	for _, event := range report.Events {
@@ -88,6 +87,17 @@
 	}
 }
 
+// unknownHere stands where a node has no report of a back end: other nodes watch it.
+const unknownHere = "not known here"
+
+func backendRow(backend machine.BackendStatus) table.Row {
+	row := table.Row{backend.ID, backend.Kind, backend.Pool, backend.Zone, backend.State}
+	if backend.Unreported {
+		return append(row, "", "", unknownHere, "")
+	}
+	return append(row, backend.Running, backend.Waiting, backend.Model, versionText(backend))
+}
+
 func newTable(title string, header table.Row) table.Writer {
 	writer := table.NewWriter()
 	writer.SetTitle(title)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -54,3 +54,20 @@
 		}
 	}
 }
+
+// A node that does not watch a back end says so in its status; it does not show it
+// as one without a model.
+func TestStatusTellsWhatIsNotKnown(t *testing.T) {
+	c := New(Options{Self: cluster.Node{ID: "node-1", Incarnation: 1, Zone: "cercado", PeerAddress: "127.0.0.1:1"}})
+	now := time.Unix(2, 0)
+	engine := cluster.Machine{ID: "engine-1", Kind: cluster.KindEngine, Pool: "language", Zone: "cercado", Address: "127.0.0.1:9", State: cluster.StateLive}
+	c.Step(now, machine.MachineList{Machines: []cluster.Machine{engine}})
+	status := c.status()
+	if len(status.Backends) != 1 || !status.Backends[0].Unreported {
+		t.Fatalf("back ends %+v", status.Backends)
+	}
+	c.Step(now, machine.BackendReport{Backend: "engine-1", Model: "captions", Version: 1})
+	if got := c.status().Backends[0]; got.Unreported || got.Model != "captions" {
+		t.Errorf("back end %+v", got)
+	}
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -24,7 +24,7 @@
 		report.Backends = append(report.Backends, machine.BackendStatus{
 			ID: backend.ID, Kind: backend.Kind, Pool: backend.Pool, Zone: backend.Zone, State: backend.State,
 			Running: backend.Report.Running, Waiting: backend.Report.Waiting,
-			Model: backend.Report.Model, Version: backend.Report.Version,
+			Model: backend.Report.Model, Version: backend.Report.Version, Unreported: backend.ReportAt.IsZero(),
 		})
 	}
 	for _, event := range control.Events() {
--- a/internal/machine/call.go
+++ b/internal/machine/call.go
@@ -265,6 +265,9 @@
 	Waiting int                  `json:"waiting"`
 	Model   cluster.ModelName    `json:"model,omitempty"`
 	Version cluster.Version      `json:"version,omitempty"`
+	// Unreported says that this node has no report of the back end, since others
+	// watch it: its load and model are not known here.
+	Unreported bool `json:"unreported,omitempty"`
 }
 
 // EventStatus is a confirmed event.
