Give orders at once after a release; let the youngest process follow it

Cause: where all machines are stopped and started in turn, the lease passed from one that was stopped to one that was stopped next, and each successor waited 3 s with its orders while engines of old versions served nothing. Change: after a release the claim waits for a hundredth of the process's age, 0.4 s at most; orders wait only where the predecessor may still act, or where engines check no fencing tokens; a leaving holder saves its runs' progress first. Waits and the noting of a lost store stand once (pause.For, follow.Outage) in place of four and three times.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -79,8 +79,11 @@
 	// OrderPause is the time after a take-over in which no order is given, so that
 	// orders of two holders are that far apart.
 	OrderPause time.Duration
-	Logger     *zap.Logger
-	Observer   Observer
+	// Fenced says that engines refuse orders with an old epoch. Then the pause is
+	// kept only where the predecessor may still act.
+	Fenced   bool
+	Logger   *zap.Logger
+	Observer Observer
 }
 
 // tickInterval is the time between two ticks of the scheduler.
@@ -161,6 +164,11 @@
 	entry.Write(zap.Any("engines", engines), zap.Any("jobs", jobs))
 }
 
+// Save saves the progress of all runs now, for a successor.
+func (c *Coordinator) Save() {
+	c.input(func(_ time.Time, machine *scheduler.Machine) { machine.Save() })
+}
+
 // State returns what the coordinator does now.
 func (c *Coordinator) State() State {
 	c.mutex.Lock()
@@ -209,11 +217,11 @@
 	c.setLease(standing)
 	c.input(func(now time.Time, machine *scheduler.Machine) {
 		lease := standing.Lease
-		pause := time.Duration(0)
-		if lease.Succeeded {
-			pause = c.options.OrderPause
+		wait := time.Duration(0)
+		if lease.Contested || lease.Succeeded && !c.options.Fenced {
+			wait = c.options.OrderPause
 		}
-		machine.HandleLease(now, lease.Epoch, standing.Held && !now.Before(lease.ClaimedAt.Add(pause)))
+		machine.HandleLease(now, lease.Epoch, standing.Held && !now.Before(lease.ClaimedAt.Add(wait)))
 	})
 }
 
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/pause"
 	"dalehook/internal/scheduler"
 )
 
@@ -83,8 +84,8 @@
 }
 
 // await looks at the engine until it has the version or is idle without it.
-func (c *Coordinator) await(ctx context.Context, order scheduler.Order, pause time.Duration, cause error) (int64, error) {
-	for sleep(ctx, pause) {
+func (c *Coordinator) await(ctx context.Context, order scheduler.Order, look time.Duration, cause error) (int64, error) {
+	for pause.For(ctx, look) {
 		state, err := c.state(ctx, order)
 		if err != nil {
 			return 0, err
@@ -92,19 +93,7 @@
 		if state.Version >= order.Version || !state.Busy {
 			return state.Version, cause
 		}
-		pause = nextLook
+		look = nextLook
 	}
 	return 0, ctx.Err()
 }
-
-// sleep returns false when the context ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/coordinator/writer.go
+++ b/internal/coordinator/writer.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
 
@@ -84,7 +85,7 @@
 			return
 		}
 		for !w.append(at, records) {
-			if !sleep(w.term, appendPause) {
+			if !pause.For(w.term, appendPause) {
 				return
 			}
 		}
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -52,6 +52,9 @@
 	Until time.Time
 	// Succeeded says that another process held the lease before.
 	Succeeded bool
+	// Contested says that the process before may still run and act on the lease:
+	// it did not release it, nor did a later process of its node answer.
+	Contested bool
 }
 
 // Machine is one node's view of a lease. It does no I/O; it is used by one
@@ -76,16 +79,21 @@
 	leaving      bool
 	// holderAddress is where the holder answers.
 	holderAddress string
-	// ended says that the holder's process seems to have ended.
-	ended     bool
-	succeeded bool
+	// ended says that the holder's process seems to have ended, certain that a
+	// later process of its node answered.
+	ended, certain       bool
+	succeeded, contested bool
+	// startedAt is when this process started.
+	startedAt time.Time
+	// releasedAt is when a release was read; zero while the lease has a holder.
+	releasedAt time.Time
 }
 
 // NewMachine returns the machine of a node called self, a name that no other
 // process has, nor an earlier one of this node.
 // It answers at address whether it runs.
-func NewMachine(self, address string, timing Timing) *Machine {
-	return &Machine{self: self, address: address, timing: timing}
+func NewMachine(now time.Time, self, address string, timing Timing) *Machine {
+	return &Machine{self: self, address: address, timing: timing, startedAt: now}
 }
 
 // Append is a record to append at End.
@@ -135,7 +143,9 @@
 	switch read.Kind {
 	case kindClaim:
 		m.succeeded = m.epoch != 0
-		m.ended = false
+		m.contested = m.holder != "" && !m.certain
+		m.ended, m.certain = false, false
+		m.releasedAt = time.Time{}
 		m.holder = read.Holder
 		m.holderAddress = read.Address
 		m.epoch = offset + 1
@@ -143,11 +153,12 @@
 	case kindRenew:
 		if read.Holder == m.holder && read.Epoch == m.epoch {
 			m.seenAt = now
-			m.ended = false
+			m.ended, m.certain = false, false
 		}
 	case kindRelease:
 		if read.Holder == m.holder && read.Epoch == m.epoch {
 			m.holder = ""
+			m.releasedAt = now
 		}
 	}
 	return nil
@@ -168,7 +179,7 @@
 	if m.holder == m.self {
 		return m.keep(now)
 	}
-	if m.leaving || m.holder != "" && !m.expired(now) && !m.ended {
+	if m.leaving || m.holder != "" && !m.expired(now) && !m.ended || m.ClaimIn(now) > 0 {
 		return nil
 	}
 	return m.append(entry{Kind: kindClaim, Holder: m.self, Address: m.address}, false)
@@ -195,12 +206,30 @@
 
 // HandleHolderEnded notes that the holder's process seems to have ended. The lease
 // may be claimed then; a holder that runs all the same is fenced by the claim.
-func (m *Machine) HandleHolderEnded(holder string) {
+// Certain says that a later process of its node answered.
+func (m *Machine) HandleHolderEnded(holder string, certain bool) {
 	if m.holder == holder {
 		m.ended = true
+		m.certain = m.certain || certain
 	}
 }
 
+// After a release the youngest processes claim first: where nodes are stopped and
+// started in turn, they are the ones that are not stopped next.
+const (
+	claimDelayShare = 100
+	claimDelayMost  = 400 * time.Millisecond
+)
+
+// ClaimIn returns how long this process leaves a released lease to others.
+func (m *Machine) ClaimIn(now time.Time) time.Duration {
+	if m.releasedAt.IsZero() {
+		return 0
+	}
+	delay := min(m.releasedAt.Sub(m.startedAt)/claimDelayShare, claimDelayMost)
+	return max(m.releasedAt.Add(delay).Sub(now), 0)
+}
+
 func (m *Machine) expired(now time.Time) bool {
 	return now.Sub(m.seenAt) > m.timing.TTL && now.Sub(m.readFailedAt) > m.timing.TTL
 }
@@ -222,7 +251,7 @@
 		return
 	}
 	if m.held.Epoch != m.epoch || m.held.ClaimedAt.IsZero() {
-		m.held = Lease{Epoch: m.epoch, ClaimedAt: now, Succeeded: m.succeeded}
+		m.held = Lease{Epoch: m.epoch, ClaimedAt: now, Succeeded: m.succeeded, Contested: m.contested}
 	}
 	m.renewedAt = sentAt
 	m.held.Until = sentAt.Add(m.timing.TTL - m.timing.Margin)
--- a/internal/election/machine_test.go
+++ b/internal/election/machine_test.go
@@ -21,7 +21,7 @@
 func newWorld(count int) *world {
 	w := &world{now: time.Unix(1000, 0)}
 	for i := range count {
-		w.machines = append(w.machines, NewMachine(fmt.Sprint("node-", i), fmt.Sprint("address-", i), testTiming))
+		w.machines = append(w.machines, NewMachine(w.now, fmt.Sprint("node-", i), fmt.Sprint("address-", i), testTiming))
 	}
 	return w
 }
@@ -142,6 +142,47 @@
 	if got := w.held(); len(got) != 1 || got[0] != "node-1" {
 		t.Errorf("held by %v", got)
 	}
+	if lease, _ := w.machines[1].Held(w.now); lease.Contested {
+		t.Error("a released lease is contested")
+	}
+}
+
+func TestTheYoungestProcessFollowsARelease(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.now = w.now.Add(30 * time.Second)
+	young := NewMachine(w.now, "young", "", testTiming)
+	w.machines = append(w.machines, young)
+	w.step(w.machines[0])
+	w.now = w.now.Add(time.Second)
+	w.machines[0].Leave()
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	if got := w.held(); len(got) != 0 {
+		t.Fatalf("an old process claimed at once: %v", got)
+	}
+	w.step(young)
+	if got := w.held(); len(got) != 0 {
+		t.Fatalf("claimed before its time: %v", got)
+	}
+	w.now = w.now.Add(young.ClaimIn(w.now))
+	w.step(w.machines[1])
+	w.step(young)
+	if got := w.held(); len(got) != 1 || got[0] != "young" {
+		t.Errorf("held by %v", got)
+	}
+}
+
+func TestASuccessorKnowsWhetherItsPredecessorMayAct(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	w.now = w.now.Add(testTiming.Doubt + time.Millisecond)
+	w.machines[1].HandleHolderEnded("node-0", true)
+	w.step(w.machines[1])
+	if lease, held := w.machines[1].Held(w.now); !held || lease.Contested || !lease.Succeeded {
+		t.Errorf("after a process that was replaced: held %v, %+v", held, lease)
+	}
 }
 
 func TestAHolderThatEndedIsSucceededAtOnce(t *testing.T) {
@@ -156,10 +197,10 @@
 	if !doubtful || holder != "node-0" || address != "address-0" {
 		t.Fatalf("in doubt: %v, %s at %s", doubtful, holder, address)
 	}
-	w.machines[1].HandleHolderEnded(holder)
+	w.machines[1].HandleHolderEnded(holder, false)
 	w.step(w.machines[1])
 	lease, held := w.machines[1].Held(w.now)
-	if !held || !lease.Succeeded {
+	if !held || !lease.Succeeded || !lease.Contested {
 		t.Errorf("held %v, %+v", held, lease)
 	}
 }
@@ -168,7 +209,7 @@
 	w := newWorld(2)
 	w.step(w.machines[0])
 	w.step(w.machines[1])
-	w.machines[1].HandleHolderEnded("node-0")
+	w.machines[1].HandleHolderEnded("node-0", true)
 	w.now = w.now.Add(testTiming.Renewal)
 	w.step(w.machines[0])
 	w.step(w.machines[1])
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/follow"
+	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
 
@@ -27,8 +29,9 @@
 	Self   string
 	// Address is where this process answers whether it runs.
 	Address string
-	// Ask asks whether the process of a holder seems to have ended.
-	Ask    func(ctx context.Context, address, holder string) (ended bool)
+	// Ask asks whether the process of a holder seems to have ended; certain says
+	// that a later process of its node answered.
+	Ask    func(ctx context.Context, address, holder string) (ended, certain bool)
 	Timing Timing
 	Logger *zap.Logger
 	// Observe is told after each step how this node stands.
@@ -39,15 +42,15 @@
 
 // Run takes part in the election until the context ends.
 func Run(ctx context.Context, options Options) {
-	runner := runner{Options: options, machine: NewMachine(options.Self, options.Address, options.Timing)}
+	runner := runner{Options: options, machine: NewMachine(time.Now(), options.Self, options.Address, options.Timing)}
+	runner.outage.Logger = options.Logger
 	runner.at = store.Partition{Topic: store.TopicLeases, Number: options.Number}
 	for ctx.Err() == nil {
-		if err := runner.step(ctx); err != nil {
-			runner.note(err)
-			pause(ctx, retryPause)
-			continue
+		err := runner.step(ctx)
+		runner.outage.Note(err, zap.Stringer("partition", runner.at))
+		if err != nil {
+			pause.For(ctx, retryPause)
 		}
-		runner.note(nil)
 	}
 }
 
@@ -55,7 +58,7 @@
 	Options
 	machine *Machine
 	at      store.Partition
-	failed  bool
+	outage  follow.Outage
 	holding bool
 }
 
@@ -82,7 +85,11 @@
 func (r *runner) read(ctx context.Context) (caughtUp bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	batch, err := r.Log.Read(ctx, r.at, r.machine.End(), readWait)
+	wait := readWait
+	if claimIn := r.machine.ClaimIn(time.Now()); claimIn > 0 {
+		wait = min(wait, claimIn)
+	}
+	batch, err := r.Log.Read(ctx, r.at, r.machine.End(), wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		r.machine.HandleTrimmed(trimmed.First)
@@ -108,11 +115,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if !r.Ask(ctx, address, holder) {
+	ended, certain := r.Ask(ctx, address, holder)
+	if !ended {
 		return
 	}
-	r.machine.HandleHolderEnded(holder)
-	r.Logger.Info("holder ended", zap.String("holder", holder), zap.Int64("offset", r.machine.End()))
+	r.machine.HandleHolderEnded(holder, certain)
+	r.Logger.Info("holder ended", zap.String("holder", holder), zap.Bool("certain", certain), zap.Int64("offset", r.machine.End()))
 }
 
 func (r *runner) append(ctx context.Context) error {
@@ -146,26 +154,7 @@
 			word = "lease taken"
 		}
 		r.Logger.Info(word, zap.Int64("epoch", lease.Epoch), zap.String("holder", r.machine.Holder()),
-			zap.Bool("succeeded", lease.Succeeded), zap.Int64("offset", r.machine.End()))
+			zap.Bool("succeeded", lease.Succeeded), zap.Bool("contested", lease.Contested), zap.Int64("offset", r.machine.End()))
 	}
 	r.Observe(standing)
 }
-
-func (r *runner) note(err error) {
-	if err != nil && !r.failed {
-		r.Logger.Warn("store lost", zap.Stringer("partition", r.at), zap.Error(err))
-	}
-	if err == nil && r.failed {
-		r.Logger.Info("store regained", zap.Stringer("partition", r.at))
-	}
-	r.failed = err != nil
-}
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
 
@@ -40,15 +41,15 @@
 // Keyed follows a keyed topic until the context ends. It starts from the newest
 // records, and again whenever the store has dropped what it had not read.
 func Keyed(ctx context.Context, options KeyedOptions) {
-	reader := keyedReader{KeyedOptions: options, next: -1}
+	reader := keyedReader{KeyedOptions: options, next: -1, outage: Outage{Logger: options.Logger}}
 	for ctx.Err() == nil {
 		err := reader.advance(ctx)
-		pause := options.Pace
+		length := options.Pace
 		if err != nil {
-			pause = retryPause
+			length = retryPause
 		}
-		reader.note(err)
-		sleep(ctx, pause)
+		reader.outage.Note(err, zap.Stringer("topic", options.Topic), zap.Int64("offset", reader.next))
+		pause.For(ctx, length)
 	}
 }
 
@@ -58,7 +59,7 @@
 	next int64
 	// seen is the highest end that the store has told.
 	seen   int64
-	failed bool
+	outage Outage
 }
 
 func (r *keyedReader) advance(ctx context.Context) error {
@@ -101,26 +102,3 @@
 	r.Read()
 	return nil
 }
-
-// note logs a lost store once and its return once.
-func (r *keyedReader) note(err error) {
-	if err != nil && !r.failed {
-		r.Logger.Warn("store lost", zap.Stringer("topic", r.Topic), zap.Int64("offset", r.next), zap.Error(err))
-	}
-	if err == nil && r.failed {
-		r.Logger.Info("store regained", zap.Stringer("topic", r.Topic), zap.Int64("offset", r.next))
-	}
-	r.failed = err != nil
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -113,6 +113,7 @@
 	n.coordinator = coordinator.New(coordinator.Options{
 		Engines: adapter.Engines(), Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
 		OrderPause: time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
+		Fenced:     options.Settings.FencingEnforced,
 		Logger:     logger.Named("coordinator"),
 		Observer:   n.metrics,
 	})
@@ -191,9 +192,9 @@
 // process names this process unlike any other.
 func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
 
-func askHolder(ctx context.Context, address, holder string) (ended bool) {
+func askHolder(ctx context.Context, address, holder string) (ended, certain bool) {
 	verdict := liveness.Ask(ctx, address, holder)
-	return verdict == liveness.Refused || verdict == liveness.Replaced
+	return verdict == liveness.Refused || verdict == liveness.Replaced, verdict == liveness.Replaced
 }
 
 func (n *Node) sweep(ctx context.Context) {
@@ -249,6 +250,7 @@
 func (n *Node) Leave() {
 	if n.leaving.CompareAndSwap(false, true) {
 		n.logger.Info("leaving")
+		n.coordinator.Save()
 		close(n.left)
 	}
 }
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -33,6 +33,8 @@
 	} `json:"store"`
 	// OrderPauseMs is the least time between the orders of two holders of the lease.
 	OrderPauseMs int `json:"order_pause_ms"`
+	// FencingEnforced says that engines refuse orders with an old fencing token.
+	FencingEnforced bool `json:"fencing_enforced"`
 	// GraceSeconds is the time from the signal to stop to the kill.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMb is the memory that the process may take; 0 means no bound.
--- a/internal/frontend/settings_test.go
+++ b/internal/frontend/settings_test.go
@@ -45,7 +45,11 @@
 			break
 		}
 		end := strings.Index(filled, "}}")
-		filled = filled[:open] + "7" + filled[end+2:]
+		value := "7"
+		if strings.HasSuffix(filled[open:end], "Enforced") {
+			value = "true"
+		}
+		filled = filled[:open] + value + filled[end+2:]
 	}
 	if _, err := ParseSettings([]byte(filled)); err != nil {
 		t.Error(err)
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/follow"
+	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
 
@@ -35,6 +37,7 @@
 	log    store.Log
 	at     store.Partition
 	logger *zap.Logger
+	outage follow.Outage
 
 	mutex sync.Mutex
 	// changed is closed and replaced whenever anything below changes.
@@ -46,7 +49,6 @@
 	next int64
 	// freshAt is when a read last came to the partition's end.
 	freshAt time.Time
-	failed  bool
 }
 
 func newPartition(options Options, number int) *partition {
@@ -54,6 +56,7 @@
 		log:     options.Log,
 		at:      store.Partition{Topic: store.TopicJobs, Number: number},
 		logger:  options.Logger,
+		outage:  follow.Outage{Logger: options.Logger},
 		changed: make(chan struct{}),
 		fold:    batch.NewFold(),
 	}
@@ -164,12 +167,12 @@
 // run follows the partition while it is wanted.
 func (p *partition) run(ctx context.Context) {
 	for ctx.Err() == nil && p.waitUntil(ctx, p.wanted) {
-		if err := p.advance(ctx); err != nil {
-			p.note(err)
-			sleep(ctx, retryPause)
+		err := p.advance(ctx)
+		p.outage.Note(err, zap.Stringer("partition", p.at), zap.Int64("offset", p.next))
+		if err != nil {
+			pause.For(ctx, retryPause)
 			continue
 		}
-		p.note(nil)
 		p.forgetUnwanted()
 	}
 }
@@ -227,23 +230,3 @@
 		p.notify()
 	}
 }
-
-// note logs a lost store once and its return once.
-func (p *partition) note(err error) {
-	if err != nil && !p.failed {
-		p.logger.Warn("store lost", zap.Stringer("partition", p.at), zap.Int64("offset", p.next), zap.Error(err))
-	}
-	if err == nil && p.failed {
-		p.logger.Info("store regained", zap.Stringer("partition", p.at), zap.Int64("offset", p.next))
-	}
-	p.failed = err != nil
-}
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// Save saves the progress of all runs.
+func (m *Machine) Save() {
+	for _, running := range m.sortedAttempts() {
+		m.save(running)
+	}
+}
+
 // save appends what a run made since its last progress.
 func (m *Machine) save(running *attempt) {
 	owner := running.item
