--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -10,6 +10,11 @@
 	moveInterval = 1200 * time.Millisecond
 	// moveAfter is the number of events that a run makes before it is moved.
 	moveAfter = 3
+	// longAfter is the number of events after which an item counts as a long one,
+	// which a small gain is worth a new connection for.
+	longAfter = 14
+	// muchSlower is how many times slower an engine is that every run leaves.
+	muchSlower = 2
 	// moveAtOnce bounds the moves of one tick.
 	moveAtOnce = 8
 )
@@ -53,9 +58,13 @@
 
 // fasterEngine returns the fastest engine that is worth a move of a run, or nil.
 func (m *Machine) fasterEngine(now time.Time, running *attempt, engines []*engine, promised map[*engine]int) *engine {
+	gain := float64(muchSlower)
+	if len(running.item.text) >= longAfter {
+		gain = moveGain
+	}
 	var best *engine
 	for _, candidate := range engines {
-		if candidate.gap <= 0 || candidate.gap*moveGain > running.engine.gap || !m.mayRun(now, running.item, candidate) {
+		if candidate.gap <= 0 || candidate.gap*gain > running.engine.gap || !m.mayRun(now, running.item, candidate) {
 			continue
 		}
 		if len(candidate.attempts)+promised[candidate] >= candidate.slots {
