Ask after the lease's holder as soon as a process starts

Cause: after a loss of all machines each process waited 0.8 s before it asked whether the holder whose old renewals it had read still runs; the successor then read 20 s of saved progress (0.48 s for 1,552 items). Change: renewals read at the start do not count as heard of; progress is kept 10 s.

--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -17,9 +17,9 @@
 	// recoverTimeout bounds the reading of what predecessors saved.
 	recoverTimeout = 1200 * time.Millisecond
 	// progressKept is how long saved progress is of use.
-	progressKept = 20 * time.Second
+	progressKept = 10 * time.Second
 	// trimInterval is the time between two trims of a partition.
-	trimInterval = 5 * time.Second
+	trimInterval = 2 * time.Second
 )
 
 // recoverProgress reads what predecessors saved. What can not be read in time is
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -83,6 +83,11 @@
 	// later process of its node answered.
 	ended, certain       bool
 	succeeded, contested bool
+	// caughtUp is set once the log was read to its end: how old the renewals before
+	// that were is not known.
+	caughtUp bool
+	// heard says that a claim or renewal of the holder came since then.
+	heard bool
 	// startedAt is when this process started.
 	startedAt time.Time
 	// releasedAt is when a release was read; zero while the lease has a holder.
@@ -148,11 +153,13 @@
 		m.releasedAt = time.Time{}
 		m.holder = read.Holder
 		m.holderAddress = read.Address
+		m.heard = m.caughtUp
 		m.epoch = offset + 1
 		m.seenAt = now
 	case kindRenew:
 		if read.Holder == m.holder && read.Epoch == m.epoch {
 			m.seenAt = now
+			m.heard = m.caughtUp
 			m.ended, m.certain = false, false
 		}
 	case kindRelease:
@@ -196,12 +203,14 @@
 }
 
 // Doubtful returns the holder to ask after: another process that was not heard of
-// for longer than it takes to renew.
+// for longer than it takes to renew, or not at all since this process started. The
+// log was read to its end.
 func (m *Machine) Doubtful(now time.Time) (holder, address string, doubtful bool) {
+	m.caughtUp = true
 	if m.leaving || m.holder == "" || m.holder == m.self || m.holderAddress == "" || m.ended {
 		return "", "", false
 	}
-	return m.holder, m.holderAddress, now.Sub(m.seenAt) > m.timing.Doubt
+	return m.holder, m.holderAddress, !m.heard || now.Sub(m.seenAt) > m.timing.Doubt
 }
 
 // HandleHolderEnded notes that the holder's process seems to have ended. The lease
--- a/internal/election/machine_test.go
+++ b/internal/election/machine_test.go
@@ -189,6 +189,12 @@
 	w := newWorld(2)
 	w.step(w.machines[0])
 	w.step(w.machines[1])
+	if _, _, doubtful := w.machines[1].Doubtful(w.now); !doubtful {
+		t.Fatal("a holder that was not heard of since the start is not in doubt")
+	}
+	w.now = w.now.Add(testTiming.Renewal)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
 	if _, _, doubtful := w.machines[1].Doubtful(w.now); doubtful {
 		t.Fatal("a holder that was just heard of is in doubt")
 	}
