--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -18,6 +18,7 @@
 	readTimeout   = 900 * time.Millisecond
 	appendTimeout = 450 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
+	slowestRead   = time.Second
 	askTimeout    = 150 * time.Millisecond
 )
 
@@ -45,12 +46,11 @@
 	runner := runner{Options: options, machine: NewMachine(time.Now(), options.Self, options.Address, options.Timing)}
 	runner.outage.Logger = options.Logger
 	runner.at = store.Partition{Topic: store.TopicLeases, Number: options.Number}
+	pace := follow.Pace{Most: slowestRead, Retry: retryPause}
 	for ctx.Err() == nil {
 		err := runner.step(ctx)
 		runner.outage.Note(err, zap.Stringer("partition", runner.at))
-		if err != nil {
-			pause.For(ctx, retryPause)
-		}
+		pause.For(ctx, pace.Next(err))
 	}
 }
 
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -19,6 +19,9 @@
 	// readTimeout bounds a read. A store that stays silent longer is asked again
 	// on another connection.
 	readTimeout = 1200 * time.Millisecond
+	// slowestRead is the longest pause between two reads, which bounds the age of
+	// what is known while the store throttles reads.
+	slowestRead = 1200 * time.Millisecond
 	// retryPause is the time between a failed call and the next.
 	retryPause = 100 * time.Millisecond
 )
@@ -42,14 +45,11 @@
 // records, and again whenever the store has dropped what it had not read.
 func Keyed(ctx context.Context, options KeyedOptions) {
 	reader := keyedReader{KeyedOptions: options, next: -1, outage: Outage{Logger: options.Logger}}
+	pace := Pace{Base: options.Pace, Most: slowestRead, Retry: retryPause}
 	for ctx.Err() == nil {
 		err := reader.advance(ctx)
-		length := options.Pace
-		if err != nil {
-			length = retryPause
-		}
 		reader.outage.Note(err, zap.Stringer("topic", options.Topic), zap.Int64("offset", reader.next))
-		pause.For(ctx, length)
+		pause.For(ctx, pace.Next(err))
 	}
 }
 
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -22,6 +22,8 @@
 	readTimeout = 1500 * time.Millisecond
 	// retryPause is the time between a failed read and the next.
 	retryPause = 100 * time.Millisecond
+	// slowestRead is the longest pause between two reads.
+	slowestRead = 600 * time.Millisecond
 	// catchUpTimeout bounds the asking for the partition's end.
 	catchUpTimeout = 1500 * time.Millisecond
 	// freshFor is how long a read to the end stands for the end itself. It is
@@ -166,14 +168,14 @@
 
 // run follows the partition while it is wanted.
 func (p *partition) run(ctx context.Context) {
+	pace := follow.Pace{Most: slowestRead, Retry: retryPause}
 	for ctx.Err() == nil && p.waitUntil(ctx, p.wanted) {
 		err := p.advance(ctx)
 		p.outage.Note(err, zap.Stringer("partition", p.at), zap.Int64("offset", p.next))
-		if err != nil {
-			pause.For(ctx, retryPause)
-			continue
+		if err == nil {
+			p.forgetUnwanted()
 		}
-		p.forgetUnwanted()
+		pause.For(ctx, pace.Next(err))
 	}
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -81,6 +81,9 @@
 // ErrRefused says that the store did not carry out a call and never will.
 var ErrRefused = errors.New("store refused the call")
 
+// ErrThrottled says that the store refused a call since there are too many of them.
+var ErrThrottled = fmt.Errorf("%w: too many calls", ErrRefused)
+
 // ConditionError says that a conditional append was not carried out.
 type ConditionError struct {
 	// End is the partition's end.
