--- /dev/null
+++ b/internal/scheduler/engines.go
@@ -0,0 +1,55 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dalehook/internal/directory"
+)
+
+// HandleServers takes the list of ready servers.
+func (m *Machine) HandleServers(now time.Time, servers []*directory.Server) {
+	for _, known := range m.engines {
+		known.listed = false
+	}
+	for _, server := range servers {
+		m.learn(server)
+	}
+	for id, known := range m.engines {
+		if !known.listed && len(known.attempts) == 0 && !known.loading {
+			delete(m.engines, id)
+		}
+	}
+	m.divide()
+	m.schedule(now)
+}
+
+func (m *Machine) learn(server *directory.Server) {
+	known := m.engines[server.ID]
+	if known == nil {
+		known = &engine{
+			server:   Server{ID: server.ID, Address: server.Address},
+			versions: make(map[string]int64),
+			attempts: make(map[AttemptID]*attempt),
+		}
+		m.engines[server.ID] = known
+	}
+	known.listed = true
+	known.service = server.Service
+	known.slots = server.Slots
+	for model, version := range server.Versions {
+		// The list lags behind what orders and answers have told.
+		known.versions[model] = max(known.versions[model], version)
+	}
+}
+
+// sortedEngines returns the engines in the order of their ids.
+func (m *Machine) sortedEngines() []*engine {
+	engines := make([]*engine, 0, len(m.engines))
+	for _, known := range m.engines {
+		engines = append(engines, known)
+	}
+	slices.SortFunc(engines, func(a, b *engine) int { return cmp.Compare(a.server.ID, b.server.ID) })
+	return engines
+}
--- /dev/null
+++ b/internal/scheduler/jobs.go
@@ -0,0 +1,162 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dalehook/internal/batch"
+)
+
+// HandleJob takes a job that stands in the log of a partition, with the results
+// that it has there.
+func (m *Machine) HandleJob(now time.Time, partition int, accepted *batch.Job, results []batch.Result) {
+	if m.jobs[accepted.ID] != nil {
+		return
+	}
+	m.arrivals++
+	opened := &job{
+		id:        accepted.ID,
+		host:      accepted.Host,
+		path:      accepted.Path,
+		model:     accepted.Model,
+		minimum:   accepted.MinVersion,
+		partition: partition,
+		order:     m.arrivals,
+		items:     make(map[string]*item, len(accepted.Items)),
+		groups:    make(map[string]int),
+		groupOf:   make(map[string]string, len(accepted.Items)),
+		done:      make(map[string]*batch.Result),
+	}
+	for i := range accepted.Items {
+		opened.add(&accepted.Items[i])
+	}
+	m.jobs[opened.id] = opened
+	for i := range results {
+		opened.list(&results[i])
+	}
+	m.route(opened)
+	if opened.route != nil {
+		opened.giveUpAt = now.Add(opened.route.ItemLifetime)
+	}
+	m.observeDemand(accepted)
+	for i := range accepted.Items {
+		if waiting := opened.items[accepted.Items[i].ID]; waiting != nil {
+			m.resume(opened, waiting)
+		}
+	}
+	slices.SortStableFunc(opened.queue, longestFirst)
+	m.divide()
+	m.schedule(now)
+}
+
+func (j *job) add(source *batch.Item) {
+	if _, known := j.groupOf[source.ID]; known {
+		return
+	}
+	j.items[source.ID] = &item{job: j, source: source}
+	j.groupOf[source.ID] = source.Group
+	j.groups[source.Group]++
+}
+
+// list takes a result that stands in the log. It returns the item, nil when it
+// had a result already.
+func (j *job) list(result *batch.Result) *item {
+	listed := j.items[result.ItemID]
+	if listed == nil {
+		return nil
+	}
+	delete(j.items, result.ItemID)
+	j.done[result.ItemID] = result
+	j.groups[j.groupOf[result.ItemID]]--
+	return listed
+}
+
+// demandSmoothing is the weight of the newest step in a model's demand.
+const demandSmoothing = 0.4
+
+// observeDemand learns how much work a step of a model is.
+func (m *Machine) observeDemand(accepted *batch.Job) {
+	total := 0.0
+	for i := range accepted.Items {
+		total += float64(max(accepted.Items[i].Expected, 1))
+	}
+	before, known := m.demand[accepted.Model]
+	if !known {
+		before = total
+	}
+	m.demand[accepted.Model] = before + demandSmoothing*(total-before)
+}
+
+// longestFirst orders items: carried ones, then the longest.
+func longestFirst(a, b *item) int {
+	if carried := boolean(b.carried) - boolean(a.carried); carried != 0 {
+		return carried
+	}
+	return cmp.Compare(b.source.Expected, a.source.Expected)
+}
+
+// route finds a job's route, and the service of each of its items.
+func (m *Machine) route(job *job) {
+	if m.table == nil {
+		return
+	}
+	job.route = m.table.Match(job.host, job.path)
+	if job.route == nil {
+		return
+	}
+	for id, waiting := range job.items {
+		target, _ := job.route.Pick(draw(id))
+		waiting.service = target.Service
+	}
+}
+
+// draw maps an item's id to [0, 1), the same at every node.
+func draw(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
+}
+
+// HandleListed takes a result that stands in the log.
+func (m *Machine) HandleListed(now time.Time, result *batch.Result) {
+	open := m.jobs[result.JobID]
+	if open == nil {
+		return
+	}
+	listed := open.list(result)
+	if listed == nil {
+		return
+	}
+	listed.finished = true
+	m.cancel(listed.attempt)
+	m.schedule(now)
+}
+
+// HandleEnded takes the end of a job. What its unfinished groups have made is
+// kept, and their runs go on for a while: such groups may come again.
+func (m *Machine) HandleEnded(now time.Time, jobID string) {
+	ended := m.jobs[jobID]
+	if ended == nil {
+		return
+	}
+	delete(m.jobs, jobID)
+	m.keep(now, ended)
+	m.schedule(now)
+}
+
+// giveUp lists the waiting items of jobs whose time is over as dead.
+func (m *Machine) giveUp(now time.Time) {
+	for _, job := range m.sortedJobs() {
+		if job.giveUpAt.IsZero() || now.Before(job.giveUpAt) {
+			continue
+		}
+		for _, waiting := range sortedItems(job) {
+			if !waiting.finished {
+				m.cancel(waiting.attempt)
+				m.finish(waiting, batch.OutcomeDead)
+			}
+		}
+		job.queue = nil
+	}
+}
