Answer a read that has followed its step back to its own node

While a step is handed over, owners answer 'moved to' each other; after four moves the origin waits for its next resend, and where the fourth move named the origin itself, the resend was left out, and so were the time-outs, as if its own step held the read. Ruled out: load alone (the read had neither an owner nor a time-out, however long). Conclusion: TestReadThatMovedHereIsAnswered failed before and passes now.

--- a/internal/rollout/failure_test.go
+++ b/internal/rollout/failure_test.go
@@ -392,3 +392,19 @@
 	n.deliver(func() { n.machine.Leave(w.now) })
 	w.runUntil(time.Second, "the last node is not held by its step", func() bool { return !n.machine.Busy() })
 }
+
+// A read that has followed the step from owner to owner, and at last to its own
+// node, is answered all the same.
+func TestReadThatMovedHereIsAnswered(t *testing.T) {
+	w, owner := started(t, 300)
+	origin := w.other(owner)
+	call := w.read(origin, "step-1", "", 200*time.Millisecond, 0)
+	w.run(20 * time.Millisecond)
+	origin.deliver(func() {
+		read := origin.machine.reads[0]
+		origin.machine.cancelRead(read)
+		read.moves = maxReadMoves
+		origin.machine.moveRead(w.now, read, origin.node.ID)
+	})
+	w.runUntil(5*time.Second, "the read is answered", func() bool { return w.answers[call] != nil })
+}
--- a/internal/rollout/read.go
+++ b/internal/rollout/read.go
@@ -138,8 +138,8 @@
 // tickReads sends open reads again and gives up those whose owner is away.
 func (m *Machine) tickReads(now time.Time) {
 	for _, read := range append([]*originRead(nil), m.reads...) {
-		if m.isSelf(read.target) {
-			continue // held by this node's own step, which answers it
+		if m.isSelf(read.target) && m.holdsOwn(read) {
+			continue // this node's own step answers it
 		}
 		owner, ok := m.ownerOf(read.step)
 		switch {
@@ -155,6 +155,20 @@
 	}
 }
 
+// holdsOwn reports whether a step of this node holds a read of this node.
+func (m *Machine) holdsOwn(read *originRead) bool {
+	s := m.steps[read.step]
+	if s == nil {
+		return false
+	}
+	for _, held := range s.reads {
+		if held.same(m.self.ID, m.self.Incarnation, read.id) {
+			return true
+		}
+	}
+	return false
+}
+
 // findRead returns an open read of this node.
 func (m *Machine) findRead(id uint64) *originRead {
 	for _, read := range m.reads {
