Read the store less often: the list, the operators' records and the lease

Ruled out: slower reads alone by throttling (follow.Pace stays, for what remains). Change: the list is read each 0.2 s (0.12), reads of the operators' records are held 1 s (0.5), nodes other than the holder wait for the lease's next renewal, and read as often as the holder only while it is in doubt; a node without the store's word for 2 s (1.5) is not ready.

--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -213,6 +213,15 @@
 	return m.holder, m.holderAddress, !m.heard || now.Sub(m.seenAt) > m.timing.Doubt
 }
 
+// DoubtIn returns the time until the holder is in doubt; 0 when it is, when there is
+// none, and for the holder itself.
+func (m *Machine) DoubtIn(now time.Time) time.Duration {
+	if m.holder == "" || m.holder == m.self || !m.heard {
+		return 0
+	}
+	return max(m.seenAt.Add(m.timing.Doubt).Sub(now), 0)
+}
+
 // HandleHolderEnded notes that the holder's process seems to have ended. The lease
 // may be claimed then; a holder that runs all the same is fenced by the claim.
 // Certain says that a later process of its node answered.
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -14,8 +14,11 @@
 
 // The timing of calls to the store.
 const (
-	readWait      = 200 * time.Millisecond
-	readTimeout   = 900 * time.Millisecond
+	// The holder reads often enough to renew in time; the others wait for its next
+	// renewal, and read as often as the holder while it is in doubt.
+	holderWait    = 200 * time.Millisecond
+	followerWait  = 600 * time.Millisecond
+	readTimeout   = 1300 * time.Millisecond
 	appendTimeout = 450 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
 	slowestRead   = time.Second
@@ -85,7 +88,10 @@
 func (r *runner) read(ctx context.Context) (caughtUp bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	wait := readWait
+	wait := holderWait
+	if doubtIn := r.machine.DoubtIn(time.Now()); doubtIn > 0 {
+		wait = min(doubtIn, followerWait)
+	}
 	if claimIn := r.machine.ClaimIn(time.Now()); claimIn > 0 {
 		wait = min(wait, claimIn)
 	}
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -14,11 +14,9 @@
 
 // The timing of reads.
 const (
-	// readWait is how long the store may hold a read that finds nothing.
-	readWait = 500 * time.Millisecond
-	// readTimeout bounds a read. A store that stays silent longer is asked again
-	// on another connection.
-	readTimeout = 1200 * time.Millisecond
+	// answerTime bounds a read beyond its wait. A store that stays silent longer is
+	// asked again on another connection.
+	answerTime = 700 * time.Millisecond
 	// slowestRead is the longest pause between two reads, which bounds the age of
 	// what is known while the store throttles reads.
 	slowestRead = 1200 * time.Millisecond
@@ -31,7 +29,9 @@
 	Log   store.Log
 	Topic store.Topic
 	// Pace is the shortest time between two reads.
-	Pace   time.Duration
+	Pace time.Duration
+	// Wait is how long the store may hold a read that finds nothing.
+	Wait   time.Duration
 	Logger *zap.Logger
 	// Replace takes the newest record of every key.
 	Replace func([]store.Record)
@@ -63,12 +63,12 @@
 }
 
 func (r *keyedReader) advance(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, readTimeout)
+	call, cancel := context.WithTimeout(ctx, r.Wait+answerTime)
 	defer cancel()
 	if r.next < 0 {
 		return r.load(call)
 	}
-	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, readWait)
+	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, r.Wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		r.next = -1
--- a/internal/follow/keyed_test.go
+++ b/internal/follow/keyed_test.go
@@ -54,7 +54,7 @@
 	go func() {
 		defer close(ended)
 		Keyed(ctx, KeyedOptions{
-			Log: log, Topic: store.TopicServers, Pace: time.Millisecond, Logger: zap.NewNop(),
+			Log: log, Topic: store.TopicServers, Pace: time.Millisecond, Wait: 100 * time.Millisecond, Logger: zap.NewNop(),
 			Replace: f.replace, Change: f.change, Read: func() {},
 		})
 	}()
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -57,10 +57,13 @@
 
 // The timing of a node.
 const (
-	// listPace is the shortest time between two reads of the list of servers.
-	listPace = 120 * time.Millisecond
-	// operatorPace is the same for what operators and trainers put.
+	// listPace is the shortest time between two reads of the list of servers, whose
+	// heartbeats come all the time; listWait is how long a read waits for news.
+	listPace = 200 * time.Millisecond
+	listWait = 500 * time.Millisecond
+	// operatorPace and operatorWait are the same for what operators and trainers put.
 	operatorPace = 30 * time.Millisecond
+	operatorWait = time.Second
 	// leaveNotice is how long a leaving node serves after it called itself not
 	// ready, so that new connections go elsewhere.
 	leaveNotice = 2700 * time.Millisecond
@@ -167,13 +170,13 @@
 	log := n.options.Adapter.Log()
 	background.Go(func() {
 		follow.Keyed(ctx, follow.KeyedOptions{
-			Log: log, Topic: store.TopicOperator, Pace: operatorPace, Logger: n.options.Logger.Named("operator"),
+			Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: n.options.Logger.Named("operator"),
 			Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead,
 		})
 	})
 	background.Go(func() {
 		follow.Keyed(ctx, follow.KeyedOptions{
-			Log: log, Topic: store.TopicServers, Pace: listPace, Logger: n.servers,
+			Log: log, Topic: store.TopicServers, Pace: listPace, Wait: listWait, Logger: n.servers,
 			Replace: n.replaceServers, Change: n.changeServers,
 			Read: func() { n.directory.NoteRead(time.Now()) },
 		})
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -48,7 +48,7 @@
 
 // storeSilence is the time without an answer of the store after which a node asks
 // for no new connections: others may still reach the store.
-const storeSilence = 1500 * time.Millisecond
+const storeSilence = 2 * time.Second
 
 // Ready says whether new connections are wanted.
 func (n *Node) Ready() bool {
