Let as many engines load at once as the way to the weights carries

Cause: at most two engines loaded at once, whatever the fleet. On the grown deployment (48 engines, three models, a new version of each every 4 s) some eight engines a version came forward, so that a third of the fleet could serve the newest steps while the rest waited for weights; steps ran late and the last were never asked. Ruled out: slots (a fifth of them in use), the store, the coordinator's processor.

Change: a window for each service's loads. It grows by one with each load that was as fast as the fastest while the window was full, and shrinks where loads became slower; it never falls below two.

Unread field Load.Taken became Load.Ordered, which is read.

--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -32,42 +32,47 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(term, loadTimeout)
 	defer cancel()
-	version, err := c.order(ctx, order)
+	version, ordered, err := c.order(ctx, order)
 	c.options.Logger.Info("load ordered", zap.String("server", order.Server.ID), zap.String("model", order.Model),
 		zap.Int64("version", order.Version), zap.Int64("epoch", order.Epoch), zap.Int64("loaded", version),
 		zap.Duration("took", time.Since(began)), zap.Error(err))
 	c.options.Observer.ObserveLoad(err == nil && version >= order.Version)
 	c.inputOf(machine, func(now time.Time) {
-		machine.HandleLoad(now, order.Server.ID, order.Model, scheduler.Load{Taken: err == nil, Version: version})
+		machine.HandleLoad(now, order.Server.ID, order.Model, scheduler.Load{Ordered: ordered && err == nil, Version: version})
 	})
 }
 
-func (c *Coordinator) order(ctx context.Context, order scheduler.Order) (int64, error) {
+// order returns the version that the engine has afterwards, 0 when that is not
+// known, and whether the engine took the order and was seen to carry it out.
+func (c *Coordinator) order(ctx context.Context, order scheduler.Order) (version int64, ordered bool, err error) {
 	state, err := c.state(ctx, order)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	if state.Version >= order.Version {
-		return state.Version, nil
+		return state.Version, false, nil
 	}
 	if state.Busy {
-		return c.await(ctx, order, 0, errEngineBusy)
+		version, err = c.await(ctx, order, 0, errEngineBusy)
+		return version, false, err
 	}
 	if !c.mayOrder(order) {
-		return 0, context.Canceled
+		return 0, false, context.Canceled
 	}
 	call, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	answer, err := c.options.Engines.Load(call, order, state.Orders)
 	cancel()
 	switch answer {
 	case OrderHolds:
-		return order.Version, nil
+		return order.Version, false, nil
 	case OrderUnderWay:
-		return c.await(ctx, order, firstLook, nil)
+		version, err = c.await(ctx, order, firstLook, nil)
+		return version, true, err
 	case OrderUnknown:
-		return c.await(ctx, order, unknownPause, err)
+		version, err = c.await(ctx, order, unknownPause, err)
+		return version, false, err
 	}
-	return 0, err
+	return 0, false, err
 }
 
 // mayOrder checks the lease once more right before an order leaves.
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -159,16 +159,25 @@
 		}
 	}
 	for _, known := range oldestFirst(engines) {
-		if loading[known.service] >= m.options.ConcurrentLoads {
+		if loading[known.service] >= m.loadWindow(known.service).limit {
 			continue
 		}
 		if m.shouldLoad(now, known, jobs) {
-			m.order(known)
 			loading[known.service]++
+			known.loadsAtOnce = loading[known.service]
+			m.order(now, known)
 		}
 	}
 }
 
+// loadWindow returns the bound of a service's loads at once.
+func (m *Machine) loadWindow(service string) *loadWindow {
+	if m.windows[service] == nil {
+		m.windows[service] = newLoadWindow(m.options.ConcurrentLoads)
+	}
+	return m.windows[service]
+}
+
 // oldestFirst orders engines by how soon their version serves nothing, the faster
 // ones first among equals. Loads share the way to the weights, so that not every
 // engine can load every version; one that is a version behind still serves.
@@ -221,8 +230,9 @@
 	return false
 }
 
-func (m *Machine) order(known *engine) {
+func (m *Machine) order(now time.Time, known *engine) {
 	known.loading = true
+	known.loadBegan = now
 	known.draining = false
 	m.output.Orders = append(m.output.Orders, Order{
 		Server:  known.server,
@@ -240,6 +250,9 @@
 		return
 	}
 	known.loading = false
+	if load.Ordered && load.Version >= m.newest[model] {
+		m.loadWindow(known.service).observe(now, now.Sub(known.loadBegan), known.loadsAtOnce)
+	}
 	if load.Version > 0 {
 		known.versions[model] = load.Version
 	}
--- /dev/null
+++ b/internal/scheduler/loadwindow_test.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// loadUntil plays loads of a fleet whose way to the weights carries so many at
+// full speed, and returns the most that were under way at once in the last round.
+func loadUntil(t *testing.T, engines, carried, rounds int) int {
+	t.Helper()
+	f := newFixture(t, nil)
+	versions := make(map[string]int64)
+	for i := range engines {
+		versions[fmt.Sprintf("e%02d", i)] = 1
+	}
+	f.servers(4, versions)
+	f.machine.HandleLease(f.now, 7, true)
+	f.take()
+	atOnce := 0
+	for round := range rounds {
+		f.machine.HandleVersion(f.now, "m", int64(round+2))
+		f.take()
+		most := 0
+		for len(f.orders) > 0 {
+			under := f.orders
+			f.orders = nil
+			most = max(most, len(under))
+			f.now = f.now.Add(time.Duration(float64(time.Second) * max(1, float64(len(under))/float64(carried))))
+			for _, order := range under {
+				f.machine.HandleLoad(f.now, order.Server.ID, "m", Load{Ordered: true, Version: order.Version})
+			}
+			f.fresh()
+		}
+		atOnce = most
+	}
+	return atOnce
+}
+
+func TestLoadsAtOnceFollowWhatTheWayToTheWeightsCarries(t *testing.T) {
+	if got := loadUntil(t, 48, 10, 6); got < 9 {
+		t.Errorf("%d loads at once where 10 are carried at full speed", got)
+	}
+}
+
+func TestLoadsAtOnceStayFewWhereTheyBecomeSlower(t *testing.T) {
+	if got := loadUntil(t, 12, 2, 6); got > 3 {
+		t.Errorf("%d loads at once where 2 are carried at full speed", got)
+	}
+}
+
+func TestALoadWindowDoesNotWidenForOthersFaults(t *testing.T) {
+	window := newLoadWindow(2)
+	now := time.Unix(1000, 0)
+	window.observe(now, time.Second, 2)
+	window.observe(now, 5*time.Second, 1)
+	if window.limit != 3 {
+		t.Errorf("one slow load alone leaves a window of %d", window.limit)
+	}
+	window.observe(now, 2*time.Second, 3)
+	if window.limit != 2 {
+		t.Errorf("slow loads leave a window of %d", window.limit)
+	}
+	window.observe(now, time.Second, 2)
+	if window.limit != 2 {
+		t.Errorf("a window that was too wide is at once %d again", window.limit)
+	}
+	window.observe(now.Add(windowRetry+time.Second), time.Second, 2)
+	if window.limit != 3 {
+		t.Errorf("a window that was too wide is not tried again: %d", window.limit)
+	}
+}
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -25,6 +25,8 @@
 	kept map[string]*keptItem
 	// demand holds the expected tokens of a step of each model.
 	demand map[string]float64
+	// windows bound the loads of each service.
+	windows map[string]*loadWindow
 	// savedAt is when progress was last saved.
 	savedAt time.Time
 	// recovered is what predecessors saved of their runs, by item.
@@ -52,6 +54,7 @@
 		fresh:    make(map[int]time.Time),
 		kept:     make(map[string]*keptItem),
 		demand:   make(map[string]float64),
+		windows:  make(map[string]*loadWindow),
 	}
 }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -127,7 +127,8 @@
 
 // Load is what an order came to.
 type Load struct {
-	Taken bool
+	// Ordered says that the server took the order and was seen to carry it out.
+	Ordered bool
 	// Version is the version that the server has now; 0 when it is not known.
 	Version int64
 }
@@ -136,7 +137,8 @@
 type Options struct {
 	// Term is the epoch of the lease under which the machine runs.
 	Term int64
-	// ConcurrentLoads bounds the servers of one service that load at once.
+	// ConcurrentLoads is how many servers of one service may always load at once;
+	// more do where loads do not become slower by it.
 	ConcurrentLoads int
 	// StallTimeout is the time without an event after which an item is moved.
 	StallTimeout time.Duration
@@ -234,8 +236,11 @@
 	attempts map[AttemptID]*attempt
 	// draining engines take no items, since they are to load once they are idle.
 	draining bool
-	// loading is set from an order's start to its end.
-	loading     bool
+	// loading is set from an order's start to its end, loadBegan is that start.
+	loading   bool
+	loadBegan time.Time
+	// loadsAtOnce is how many servers of the service loaded when this one began.
+	loadsAtOnce int
 	pausedUntil time.Time
 	// gap is the smoothed time between two events, in seconds; 0 when unknown.
 	gap float64
