Soak of the real processes under faults from outside

Four nodes as separate processes before four engines, two service servers and the store, all stand-ins in test files. Loopback proxies delay, reset, cut one way and silence connections; nodes are killed, paused, stopped and started by signals; the store refuses, throttles, loses and delays calls, for one node or all; servers break off, fail, hang, crash and drain. Trainers, callers and an examiner check the promises while it runs: at most once, refusals that hold, whole answers and texts, versions, positions that never change, bodies, drains, fences, recovery, no process that ends by itself.

--- /dev/null
+++ b/test/soak/process_test.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// graceTime is the time between SIGTERM and SIGKILL, in seconds.
+const graceTime = 8
+
+// process is one node: a program that is started again whenever it ends.
+type process struct {
+	name     string
+	binary   string
+	settings string
+	log      *os.File
+	// requests and readiness are the node's own addresses.
+	requests, readiness string
+	// door is its way to the store, link the callers' way to it.
+	door *door
+	link *proxy
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// expected says that the end of the running process was brought about.
+	expected bool
+	// faultUntil is when the last fault on the node or its links ends.
+	faultUntil time.Time
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func newProcess(t *testing.T, name, binary, directory string, store *storeStandIn) *process {
+	t.Helper()
+	p := &process{
+		name: name, binary: binary, door: newDoor(t, store),
+		requests: freeAddress(t), readiness: freeAddress(t),
+		settings: filepath.Join(directory, name+".json"),
+	}
+	p.link = newProxy(t, p.requests)
+	settings := map[string]any{
+		"node": name, "zone": "z",
+		"listen":         map[string]string{"requests": p.requests, "readiness": p.readiness, "internal": freeAddress(t)},
+		"store":          map[string]any{"address": p.door.address(), "partitions": partitions},
+		"order_pause_ms": 3000, "fencing_enforced": true, "grace_seconds": graceTime, "memory_mb": 300,
+	}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.log, err = os.Create(filepath.Join(directory, name+".log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func (p *process) start() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	command := exec.Command(p.binary, "run", "-settings", p.settings)
+	command.Stdout, command.Stderr = p.log, p.log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.command, p.ended, p.expected = command, ended, false
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the running process only.
+func (p *process) signal(signal syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		p.expected = true
+	}
+	if p.command != nil {
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// exitCode returns the code of the process, -1 while it runs or if a signal ended it.
+func (p *process) exitCode() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil || p.command.ProcessState == nil {
+		return -1
+	}
+	return p.command.ProcessState.ExitCode()
+}
+
+func (p *process) endedChannel() chan struct{} {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.ended
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.endedChannel()
+}
+
+var errLeftLate = errors.New("did not end within the grace period")
+
+// stop lets the process leave as planned.
+func (p *process) stop() error {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.endedChannel():
+	case <-time.After(graceTime * time.Second):
+		p.kill()
+		return errLeftLate
+	}
+	if code := p.exitCode(); code != 0 {
+		return fmt.Errorf("left with code %d", code)
+	}
+	return nil
+}
+
+// diedByItself says whether the process ended without being told to.
+func (p *process) diedByItself() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	select {
+	case <-p.ended:
+		return !p.expected
+	default:
+		return false
+	}
+}
+
+// touchTime is how long a node is out of touch after a fault has ended.
+const touchTime = 3 * time.Second
+
+func (p *process) noteFault(until time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if until.After(p.faultUntil) {
+		p.faultUntil = until
+	}
+}
+
+// inTouch says whether the node had no fault at since, nor shortly before it.
+func (p *process) inTouch(since time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return since.After(p.faultUntil.Add(touchTime))
+}
--- /dev/null
+++ b/test/soak/proxy_test.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// linkFault is how a proxy treats the connections through it.
+type linkFault int
+
+const (
+	linkFine linkFault = iota
+	// linkDelayed holds every piece of data back for linkDelay.
+	linkDelayed
+	// linkReset resets what is open and what comes.
+	linkReset
+	// linkCutForth drops what the opener sends, linkCutBack what it is answered.
+	linkCutForth
+	linkCutBack
+	// linkSilent drops both.
+	linkSilent
+)
+
+var linkFaultNames = [...]string{"fine", "delayed", "reset", "cut forth", "cut back", "silent"}
+
+func (f linkFault) String() string { return linkFaultNames[f] }
+
+// linkDelay is the added time of a delayed link, one way.
+const linkDelay = 150 * time.Millisecond
+
+// proxy passes the connections to one address on.
+type proxy struct {
+	listener net.Listener
+
+	mutex  sync.Mutex
+	target string
+	fault  linkFault
+	open   map[*net.TCPConn]bool
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener, target: target, open: make(map[*net.TCPConn]bool)}
+	go p.serve()
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) setFault(fault linkFault) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.fault = fault
+	if fault == linkReset {
+		p.resetLocked()
+	}
+}
+
+func (p *proxy) current() linkFault {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.fault
+}
+
+func (p *proxy) close() {
+	p.listener.Close()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.resetLocked()
+}
+
+func (p *proxy) resetLocked() {
+	for conn := range p.open {
+		reset(conn)
+	}
+}
+
+// reset closes a connection so that its peer reads an error, not an end.
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	conn.Close()
+}
+
+func (p *proxy) serve() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.pass(conn.(*net.TCPConn))
+	}
+}
+
+func (p *proxy) pass(opened *net.TCPConn) {
+	if p.current() == linkReset {
+		reset(opened)
+		return
+	}
+	onward, err := net.Dial("tcp", p.target)
+	if err != nil {
+		reset(opened)
+		return
+	}
+	target := onward.(*net.TCPConn)
+	p.register(opened, target)
+	defer p.unregister(opened, target)
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(target, opened, linkCutForth) })
+	both.Go(func() { p.copy(opened, target, linkCutBack) })
+	both.Wait()
+}
+
+func (p *proxy) register(conns ...*net.TCPConn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, conn := range conns {
+		p.open[conn] = true
+	}
+}
+
+func (p *proxy) unregister(conns ...*net.TCPConn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, conn := range conns {
+		delete(p.open, conn)
+		conn.Close()
+	}
+}
+
+// copy passes data one way. What a cut drops is never sent, so the connection is
+// of no use afterwards: it stays silent, as behind a partition, until it is closed.
+func (p *proxy) copy(to, from *net.TCPConn, cut linkFault) {
+	buffer := make([]byte, 16<<10)
+	lost := false
+	for {
+		count, err := from.Read(buffer)
+		fault := p.current()
+		lost = lost || count > 0 && (fault == cut || fault == linkSilent)
+		if fault == linkDelayed {
+			time.Sleep(linkDelay)
+		}
+		if count > 0 && !lost {
+			if _, failed := to.Write(buffer[:count]); failed != nil {
+				reset(from)
+				return
+			}
+		}
+		if err == io.EOF && !lost {
+			_ = to.CloseWrite()
+			return
+		}
+		if err != nil {
+			reset(to)
+			return
+		}
+	}
+}
