Load busy engines too, and first those that items wait for

Loads went to engines by their version number across models, so the model with the lowest numbers got all of them; and a busy engine loaded only once its version served nothing.

Change: engines load as soon as a version is named, busy ones while at least two more engines of their model take items than load; urgency is how many items of the model wait beyond the slots that are loading, then how many versions an engine is behind, then idle ones. The window starts at a sixth of the service's engines. Engines that run items of a single version wait as before.

--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -146,52 +146,105 @@
 	return models
 }
 
-// orderLoads orders engines to load new versions: an idle engine at once, a busy
-// one when work waits that its version may not serve.
+// orderLoads orders engines to load new versions, as many at once as the window of
+// their service allows, the most urgent first.
 func (m *Machine) orderLoads(now time.Time, jobs []*job, engines []*engine) {
 	if !m.mayOrder {
 		return
 	}
 	loading := make(map[string]int)
+	open := make(map[string]int)
+	short := m.missingSlots(jobs, engines)
+	var candidates []*engine
 	for _, known := range engines {
-		if known.loading {
+		switch {
+		case known.loading:
 			loading[known.service]++
+			open[known.model]--
+		case known.listed:
+			open[known.model]++
+		}
+		if m.shouldLoad(now, known, jobs) {
+			candidates = append(candidates, known)
 		}
 	}
-	for _, known := range oldestFirst(engines) {
-		if loading[known.service] >= m.loadWindow(known.service).limit {
+	for len(candidates) > 0 {
+		next := slices.MinFunc(candidates, func(a, b *engine) int { return m.compareUrgency(short, a, b) })
+		candidates = slices.DeleteFunc(candidates, func(other *engine) bool { return other == next })
+		if loading[next.service] >= m.loadWindow(next.service).limit {
 			continue
 		}
-		if m.shouldLoad(now, known, jobs) {
-			loading[known.service]++
-			known.loadsAtOnce = loading[known.service]
-			m.order(now, known)
+		if open[next.model] < openMargin && len(next.attempts) > 0 && !servesNothing(next, jobs) {
+			continue
+		}
+		loading[next.service]++
+		open[next.model] -= 2
+		short[next.model] -= next.slots
+		next.loadsAtOnce = loading[next.service]
+		m.order(now, next)
+	}
+}
+
+// openMargin is how many more engines of a model must take items than load, for a
+// busy one to load while its version still serves. A loading engine starts nothing.
+const openMargin = 2
+
+// firstWindowShare is the share of a service's engines that load at once while nothing
+// is known of the way to the weights, which grows with the fleet.
+const firstWindowShare = 6
+
+func (m *Machine) listedEngines(service string) int {
+	count := 0
+	for _, known := range m.engines {
+		if known.listed && known.service == service {
+			count++
+		}
+	}
+	return count
+}
+
+// missingSlots returns, by model, how many items wait beyond the slots of the
+// engines that are loading already.
+func (m *Machine) missingSlots(jobs []*job, engines []*engine) map[string]int {
+	missing := make(map[string]int)
+	for _, open := range jobs {
+		missing[open.model] += len(open.queue)
+	}
+	for _, known := range engines {
+		if known.loading {
+			missing[known.model] -= known.slots
 		}
 	}
+	return missing
+}
+
+// compareUrgency orders engines by how much their loads are needed: those of models
+// whose items wait for engines, then those the most versions behind, then idle ones,
+// then the fastest. Loads share the way to the weights, so that not every engine can
+// load every version; one that is a version behind still serves.
+func (m *Machine) compareUrgency(short map[string]int, a, b *engine) int {
+	return cmp.Or(
+		-cmp.Compare(max(short[a.model], 0), max(short[b.model], 0)),
+		-cmp.Compare(m.lag(a), m.lag(b)),
+		cmp.Compare(len(a.attempts), len(b.attempts)),
+		cmp.Compare(a.gap, b.gap),
+		cmp.Compare(a.server.ID, b.server.ID),
+	)
+}
+
+// lag returns how many versions an engine is behind.
+func (m *Machine) lag(known *engine) int64 {
+	return m.newest[known.model] - known.versions[known.model]
 }
 
 // loadWindow returns the bound of a service's loads at once.
 func (m *Machine) loadWindow(service string) *loadWindow {
 	if m.windows[service] == nil {
-		m.windows[service] = newLoadWindow(m.options.ConcurrentLoads)
+		m.windows[service] = newLoadWindow(m.options.ConcurrentLoads, m.listedEngines(service)/firstWindowShare)
 	}
 	return m.windows[service]
 }
 
-// oldestFirst orders engines by how soon their version serves nothing, the faster
-// ones first among equals. Loads share the way to the weights, so that not every
-// engine can load every version; one that is a version behind still serves.
-func oldestFirst(engines []*engine) []*engine {
-	ordered := slices.Clone(engines)
-	slices.SortStableFunc(ordered, func(a, b *engine) int {
-		if difference := cmp.Compare(a.versions[a.model], b.versions[b.model]); difference != 0 {
-			return difference
-		}
-		return cmp.Compare(a.gap, b.gap)
-	})
-	return ordered
-}
-
 func (m *Machine) shouldLoad(now time.Time, known *engine, jobs []*job) bool {
 	if !known.listed || known.loading || known.model == "" || now.Before(known.loadAfter) {
 		return false
@@ -199,15 +252,13 @@
 	if known.versions[known.model] >= m.newest[known.model] {
 		return false
 	}
-	if len(known.attempts) == 0 {
+	// Runs go on while their engine loads, and under the new version afterwards. A
+	// run of a single version would start anew under the next one.
+	if !known.runsSingleVersion() {
 		return true
 	}
-	if !servesNothing(known, jobs) {
-		return false
-	}
-	// A run of a single version would start anew under the next one.
-	known.draining = known.runsSingleVersion()
-	return !known.draining
+	known.draining = servesNothing(known, jobs)
+	return false
 }
 
 // servesNothing says whether items wait that an engine's version may not serve.
--- a/internal/scheduler/loadwindow.go
+++ b/internal/scheduler/loadwindow.go
@@ -25,7 +25,9 @@
 	retryAt time.Time
 }
 
-func newLoadWindow(least int) *loadWindow { return &loadWindow{least: least, limit: least} }
+func newLoadWindow(least, first int) *loadWindow {
+	return &loadWindow{least: least, limit: max(least, first)}
+}
 
 // observe takes a load that took a time while so many loaded at once.
 func (w *loadWindow) observe(now time.Time, took time.Duration, atOnce int) {
--- a/internal/scheduler/loadwindow_test.go
+++ b/internal/scheduler/loadwindow_test.go
@@ -51,7 +51,7 @@
 }
 
 func TestALoadWindowDoesNotWidenForOthersFaults(t *testing.T) {
-	window := newLoadWindow(2)
+	window := newLoadWindow(2, 0)
 	now := time.Unix(1000, 0)
 	window.observe(now, time.Second, 2)
 	window.observe(now, 5*time.Second, 1)
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -300,6 +300,48 @@
 	}
 }
 
+func TestBusyEnginesLoadWhileOthersTakeItems(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1, "b": 1, "c": 1})
+	f.job("j", 1, 10, 10, 10)
+	f.machine.HandleLease(f.now, 1, true)
+	f.machine.HandleVersion(f.now, "m", 2)
+	f.take()
+	if len(f.orders) != 1 {
+		t.Fatalf("of three busy engines whose version serves, %d were ordered", len(f.orders))
+	}
+}
+
+// The engines of the model whose items wait load first, whatever its versions are.
+func TestLoadsThatItemsWaitForComeFirst(t *testing.T) {
+	machine := NewMachine(Options{ConcurrentLoads: 1})
+	now := time.Unix(1000, 0)
+	var routes []routetable.Route
+	for _, model := range []string{"m", "n"} {
+		routes = append(routes, routetable.Route{
+			Name: model, Host: "h", Prefix: "/" + model + "/", Kind: routetable.KindBatch, MaxAttempts: 3,
+			Targets: []routetable.Target{{Service: "pool", Weight: 1}}, ItemLifetime: 40 * time.Second,
+		})
+	}
+	service := routetable.Service{Name: "pool", Models: []string{"m", "n"}}
+	machine.HandleTable(now, routetable.NewTable(1, routes, []routetable.Service{service}, routetable.Limits{}))
+	machine.HandleFresh(now, 0, now)
+	var servers []*directory.Server
+	for _, id := range []string{"a", "b", "c", "d"} {
+		servers = append(servers, &directory.Server{ID: id, Service: "pool", Slots: 2, Versions: map[string]int64{"m": 3, "n": 8}})
+	}
+	machine.HandleServers(now, servers)
+	machine.HandleVersion(now, "m", 4)
+	machine.HandleVersion(now, "n", 9)
+	machine.HandleJob(now, 0, &batch.Job{ID: "j", Host: "h", Path: "/n/j", Model: "n", MinVersion: 9, Items: []batch.Item{{ID: "i", Path: "/n/i"}}}, nil)
+	machine.Take()
+	machine.HandleLease(now, 1, true)
+	orders := machine.Take().Orders
+	if len(orders) != 1 || orders[0].Model != "n" {
+		t.Errorf("orders %+v", orders)
+	}
+}
+
 func TestTheOldestEnginesLoadFirst(t *testing.T) {
 	f := newFixture(t, nil)
 	f.servers(1, map[string]int64{"a": 3, "b": 2, "c": 3, "d": 1})
