Relay the list of a large fleet by the coordinator; read heartbeats by digest

The other nodes read that, and the heartbeats from the offset it names once it is silent for 1 s.

Ruled out: the list's newest records at a slower pace (as many bytes); groups of readers by zone (no gain over one reader, and one more membership).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,22 +20,41 @@
 	Draining bool
 	// Versions holds the loaded weight version of each model.
 	Versions map[string]int64
+	// Digest is that of the server's entry in the store, without what every
+	// heartbeat changes; 0 when it is not known.
+	Digest uint64
 }
 
 // Snapshot is the list at one moment. It is not changed once published.
 type Snapshot struct {
-	byID      map[string]*Server
-	byService map[string][]*Server
+	// all holds the servers of each service, ready those that take new work, both
+	// ordered by id.
+	all   map[string][]*Server
+	ready map[string][]*Server
+	count int
 }
 
-// Server returns the server with an id, or nil.
-func (s *Snapshot) Server(id string) *Server { return s.byID[id] }
-
 // Ready returns the servers of a service that take new work, ordered by id.
-func (s *Snapshot) Ready(service string) []*Server { return s.byService[service] }
+func (s *Snapshot) Ready(service string) []*Server { return s.ready[service] }
+
+// All calls visit for every server, those of a service in the order of their ids.
+func (s *Snapshot) All(visit func(*Server)) {
+	for _, servers := range s.all {
+		for _, server := range servers {
+			visit(server)
+		}
+	}
+}
 
 // Count returns the number of servers listed.
-func (s *Snapshot) Count() int { return len(s.byID) }
+func (s *Snapshot) Count() int { return s.count }
+
+// Change is news of one server.
+type Change struct {
+	ID string
+	// Server is nil where the server is gone.
+	Server *Server
+}
 
 // Directory is the folded list. It may be used by several goroutines.
 type Directory struct {
@@ -45,6 +64,11 @@
 	readAt  time.Time
 }
 
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{servers: make(map[string]*Server), current: &Snapshot{}}
+}
+
 // NoteRead notes that the list was read at now.
 func (d *Directory) NoteRead(now time.Time) {
 	d.mutex.Lock()
@@ -59,46 +83,60 @@
 	return now.Sub(d.readAt)
 }
 
-// NewDirectory returns an empty directory.
-func NewDirectory() *Directory {
-	d := &Directory{servers: make(map[string]*Server)}
-	d.publish()
-	return d
+// Holds says whether a server's entry is listed with a digest.
+func (d *Directory) Holds(id string, digest uint64) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	known := d.servers[id]
+	return known != nil && known.Digest == digest
 }
 
 // Replace sets the whole list.
 func (d *Directory) Replace(servers []Server) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	changed := make(map[string]bool)
+	for _, known := range d.servers {
+		changed[known.Service] = true
+	}
 	d.servers = make(map[string]*Server, len(servers))
 	for i := range servers {
 		d.servers[servers[i].ID] = &servers[i]
+		changed[servers[i].Service] = true
 	}
-	d.publish()
+	d.publish(changed)
 }
 
-// Put adds or changes one server and says whether the list changed.
-func (d *Directory) Put(server Server) bool {
+// Apply takes changes in order and returns those that changed the list.
+func (d *Directory) Apply(changes []Change) []Change {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if known := d.servers[server.ID]; known != nil && equal(known, &server) {
-		return false
+	var effective []Change
+	services := make(map[string]bool)
+	for _, change := range changes {
+		before := d.servers[change.ID]
+		if before == nil && change.Server == nil {
+			continue
+		}
+		if before != nil {
+			if change.Server != nil && equal(before, change.Server) {
+				d.servers[change.ID] = change.Server
+				continue
+			}
+			services[before.Service] = true
+		}
+		if change.Server == nil {
+			delete(d.servers, change.ID)
+		} else {
+			d.servers[change.ID] = change.Server
+			services[change.Server.Service] = true
+		}
+		effective = append(effective, change)
 	}
-	d.servers[server.ID] = &server
-	d.publish()
-	return true
-}
-
-// Remove deletes a server and says whether it was listed.
-func (d *Directory) Remove(id string) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.servers[id] == nil {
-		return false
+	if len(effective) > 0 {
+		d.publish(services)
 	}
-	delete(d.servers, id)
-	d.publish()
-	return true
+	return effective
 }
 
 // Snapshot returns the list as it stands.
@@ -108,26 +146,39 @@
 	return d.current
 }
 
-func (d *Directory) publish() {
-	snapshot := &Snapshot{
-		byID:      make(map[string]*Server, len(d.servers)),
-		byService: make(map[string][]*Server),
+// publish makes a snapshot; only the lists of the services that changed are new.
+func (d *Directory) publish(changed map[string]bool) {
+	snapshot := &Snapshot{all: make(map[string][]*Server), ready: make(map[string][]*Server), count: len(d.servers)}
+	for service, servers := range d.current.all {
+		if !changed[service] {
+			snapshot.all[service], snapshot.ready[service] = servers, d.current.ready[service]
+		}
 	}
-	for id, server := range d.servers {
-		snapshot.byID[id] = server
-		if !server.Draining {
-			snapshot.byService[server.Service] = append(snapshot.byService[server.Service], server)
+	for _, server := range d.servers {
+		if changed[server.Service] {
+			snapshot.all[server.Service] = append(snapshot.all[server.Service], server)
 		}
 	}
-	for _, servers := range snapshot.byService {
+	for service := range changed {
+		servers := snapshot.all[service]
 		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+		for _, server := range servers {
+			if !server.Draining {
+				snapshot.ready[service] = append(snapshot.ready[service], server)
+			}
+		}
 	}
 	d.current = snapshot
 }
 
+// SameIgnoringVersions says whether two entries differ in nothing but the loaded
+// weights.
+func SameIgnoringVersions(a, b *Server) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone && a.Slots == b.Slots && a.Draining == b.Draining
+}
+
 func equal(a, b *Server) bool {
-	if a.Service != b.Service || a.Address != b.Address || a.Zone != b.Zone ||
-		a.Slots != b.Slots || a.Draining != b.Draining || len(a.Versions) != len(b.Versions) {
+	if !SameIgnoringVersions(a, b) || len(a.Versions) != len(b.Versions) {
 		return false
 	}
 	for model, version := range a.Versions {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -13,10 +13,23 @@
 	return text
 }
 
+// put applies the entry of one server and says whether the list changed.
+func put(d *Directory, server Server) bool {
+	return len(d.Apply([]Change{{ID: server.ID, Server: &server}})) > 0
+}
+
+func remove(d *Directory, id string) bool { return len(d.Apply([]Change{{ID: id}})) > 0 }
+
+func listed(snapshot *Snapshot) map[string]bool {
+	known := make(map[string]bool)
+	snapshot.All(func(server *Server) { known[server.ID] = true })
+	return known
+}
+
 func TestDirectory(t *testing.T) {
 	d := NewDirectory()
 	for _, id := range []string{"c", "a", "b"} {
-		if !d.Put(Server{ID: id, Service: "s", Versions: map[string]int64{"m": 1}}) {
+		if !put(d, Server{ID: id, Service: "s", Versions: map[string]int64{"m": 1}}) {
 			t.Errorf("%s changed nothing", id)
 		}
 	}
@@ -24,20 +37,23 @@
 	if got := ids(before.Ready("s")); got != "abc" {
 		t.Errorf("ready %s", got)
 	}
-	if d.Put(Server{ID: "a", Service: "s", Versions: map[string]int64{"m": 1}}) {
+	if put(d, Server{ID: "a", Service: "s", Versions: map[string]int64{"m": 1}, Digest: 5}) {
 		t.Error("a heartbeat without news changed the list")
 	}
-	if !d.Put(Server{ID: "a", Service: "s", Versions: map[string]int64{"m": 2}}) {
+	if !d.Holds("a", 5) || d.Holds("a", 4) || d.Holds("z", 5) {
+		t.Error("the digest of the newest entry is not held")
+	}
+	if !put(d, Server{ID: "a", Service: "s", Versions: map[string]int64{"m": 2}}) {
 		t.Error("a new version changed nothing")
 	}
-	d.Put(Server{ID: "b", Service: "s", Draining: true})
-	if !d.Remove("c") || d.Remove("c") {
+	put(d, Server{ID: "b", Service: "s", Draining: true})
+	if !remove(d, "c") || remove(d, "c") {
 		t.Error("a server is removed once")
 	}
 	if got := ids(d.Snapshot().Ready("s")); got != "a" {
 		t.Errorf("ready %s", got)
 	}
-	if d.Snapshot().Count() != 2 || d.Snapshot().Server("c") != nil {
+	if d.Snapshot().Count() != 2 || listed(d.Snapshot())["c"] {
 		t.Error("the removed server is listed")
 	}
 	if got := ids(before.Ready("s")); got != "abc" {
@@ -49,6 +65,21 @@
 	}
 }
 
+func TestServersMayChangeTheirService(t *testing.T) {
+	d := NewDirectory()
+	d.Replace([]Server{{ID: "a", Service: "s"}, {ID: "b", Service: "t"}})
+	changes := d.Apply([]Change{{ID: "a", Server: &Server{ID: "a", Service: "t"}}, {ID: "c", Server: &Server{ID: "c", Service: "s"}}, {ID: "c"}})
+	if len(changes) != 3 {
+		t.Errorf("effective changes %v", changes)
+	}
+	if got := ids(d.Snapshot().Ready("t")); got != "ab" {
+		t.Errorf("ready %s", got)
+	}
+	if got := ids(d.Snapshot().Ready("s")); got != "" {
+		t.Errorf("ready %s", got)
+	}
+}
+
 func TestAge(t *testing.T) {
 	d := NewDirectory()
 	now := time.Unix(1000, 0)
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -37,14 +37,22 @@
 	Replace func([]store.Record)
 	// Change takes the records that came since, in order.
 	Change func([]store.Record)
-	// Read is told of each answered read, also where nothing had changed.
-	Read func()
+	// Read is told of each answered read, also where nothing had changed, with the
+	// offset that follows what was read.
+	Read func(next int64)
+	// From is the offset to begin at, all before it being known; without FromKnown
+	// the newest records are read first.
+	From      int64
+	FromKnown bool
 }
 
 // Keyed follows a keyed topic until the context ends. It starts from the newest
 // records, and again whenever the store has dropped what it had not read.
 func Keyed(ctx context.Context, options KeyedOptions) {
 	reader := keyedReader{KeyedOptions: options, next: -1, outage: Outage{Logger: options.Logger}}
+	if options.FromKnown {
+		reader.next, reader.seen = options.From, options.From
+	}
 	pace := Pace{Base: options.Pace, Most: slowestRead, Retry: retryPause}
 	for ctx.Err() == nil {
 		err := reader.advance(ctx)
@@ -82,7 +90,7 @@
 	}
 	r.next = batch.Next
 	r.seen = max(r.seen, batch.Next)
-	r.Read()
+	r.Read(r.next)
 	return nil
 }
 
@@ -99,6 +107,6 @@
 	r.Replace(records)
 	r.next = end
 	r.seen = end
-	r.Read()
+	r.Read(r.next)
 	return nil
 }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -21,6 +21,7 @@
 	"dalehook/internal/joblog"
 	"dalehook/internal/liveness"
 	"dalehook/internal/routetable"
+	"dalehook/internal/serverlist"
 	"dalehook/internal/store"
 )
 
@@ -40,6 +41,9 @@
 	Version(record store.Record) (model string, version int64, ok bool)
 	// Server decodes the record of a server.
 	Server(record store.Record) (directory.Server, error)
+	// ServerDigest tells the entries of a server apart without what every heartbeat
+	// changes.
+	ServerDigest(value []byte) uint64
 	// ObserveStore sets what is told of each call to the store: its name, the
 	// status of its answer, 0 for none, and the time it took.
 	ObserveStore(observe func(call string, status int, took time.Duration))
@@ -112,15 +116,14 @@
 type Node struct {
 	options Options
 	logger  *zap.Logger
-	servers *zap.Logger
 	table   atomic.Pointer[routetable.Table]
 	metrics *nodeMetrics
 	// operatorReadAt is when the configuration was last read, in Unix nanoseconds.
 	operatorReadAt atomic.Int64
-	listed         atomic.Bool
 	leaving        atomic.Bool
 	left           chan struct{}
 	directory      *directory.Directory
+	servers        *serverlist.List
 	gateway        *gateway.Gateway
 	jobs           *joblog.Logs
 	coordinator    *coordinator.Coordinator
@@ -129,7 +132,7 @@
 // NewNode assembles a node.
 func NewNode(options Options) *Node {
 	adapter, logger := options.Adapter, options.Logger
-	n := &Node{options: options, logger: logger.Named("node"), servers: logger.Named("servers"), left: make(chan struct{}), directory: directory.NewDirectory()}
+	n := &Node{options: options, logger: logger.Named("node"), left: make(chan struct{}), directory: directory.NewDirectory()}
 	n.metrics = newNodeMetrics(n, options.LostLines)
 	n.gateway = gateway.NewGateway(gateway.Options{
 		Backend: adapter.Backend(), Directory: n.directory, Zone: options.Settings.Zone,
@@ -139,6 +142,12 @@
 	n.jobs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
+	n.servers = serverlist.New(serverlist.Options{
+		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), Pace: listPace, Wait: listWait,
+		Decode: adapter.Server, Digest: adapter.ServerDigest,
+		Leading: func() (int64, bool) { return n.coordinator.Epoch() },
+		Changed: func() { n.coordinator.ObserveServers() },
+	})
 	n.coordinator = coordinator.New(coordinator.Options{
 		Engines: adapter.Engines(), Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
 		OrderPause: time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
@@ -200,13 +209,7 @@
 			Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead,
 		})
 	})
-	background.Go(func() {
-		follow.Keyed(ctx, follow.KeyedOptions{
-			Log: log, Topic: store.TopicServers, Pace: listPace, Wait: listWait, Logger: n.servers,
-			Replace: n.replaceServers, Change: n.changeServers,
-			Read: func() { n.directory.NoteRead(time.Now()) },
-		})
-	})
+	background.Go(func() { n.servers.Run(ctx) })
 	background.Go(func() { n.jobs.Run(ctx) })
 	background.Go(func() { n.coordinator.Run(ctx) })
 	background.Go(func() {
@@ -328,55 +331,4 @@
 	n.coordinator.ObserveServers()
 }
 
-func (n *Node) replaceServers(records []store.Record) {
-	servers := make([]directory.Server, 0, len(records))
-	for _, record := range records {
-		if server, ok := n.decodeServer(record); ok {
-			servers = append(servers, server)
-		}
-	}
-	n.directory.Replace(servers)
-	n.servers.Info("list of servers read", zap.Int("servers", len(servers)))
-	n.listed.Store(true)
-	n.coordinator.ObserveServers()
-}
-
-func (n *Node) changeServers(records []store.Record) {
-	changed := false
-	for _, record := range records {
-		if len(record.Value) == 0 {
-			if n.directory.Remove(record.Key) {
-				changed = true
-				n.servers.Info("server gone", zap.String("server", record.Key), zap.Int64("offset", record.Offset))
-			}
-			continue
-		}
-		if server, ok := n.decodeServer(record); ok && n.directory.Put(server) {
-			changed = true
-			n.logServer(server, record.Offset)
-		}
-	}
-	if changed {
-		n.coordinator.ObserveServers()
-	}
-}
-
-func (n *Node) logServer(server directory.Server, offset int64) {
-	n.servers.Info("server changed", zap.String("server", server.ID), zap.String("service", server.Service),
-		zap.String("address", server.Address), zap.Bool("draining", server.Draining),
-		zap.Any("versions", server.Versions), zap.Int64("offset", offset))
-}
-
-func (n *Node) noteOperatorRead() { n.operatorReadAt.Store(time.Now().UnixNano()) }
-
-func (n *Node) decodeServer(record store.Record) (directory.Server, bool) {
-	if len(record.Value) == 0 {
-		return directory.Server{}, false
-	}
-	server, err := n.options.Adapter.Server(record)
-	if err != nil {
-		n.logger.Error("server entry void", zap.Error(err))
-		return directory.Server{}, false
-	}
-	return server, true
-}
+func (n *Node) noteOperatorRead(int64) { n.operatorReadAt.Store(time.Now().UnixNano()) }
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -52,7 +52,7 @@
 
 // Ready says whether new connections are wanted.
 func (n *Node) Ready() bool {
-	if n.leaving.Load() || n.table.Load() == nil || !n.listed.Load() {
+	if n.leaving.Load() || n.table.Load() == nil || !n.servers.Complete() {
 		return false
 	}
 	return time.Since(time.Unix(0, n.operatorReadAt.Load())) < storeSilence
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"sync"
 	"time"
 
@@ -113,8 +114,10 @@
 func (b *balancer) forget(listed *directory.Snapshot) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for id, state := range b.seen {
-		if listed.Server(id) == nil && state.inFlight == 0 {
+	gone := maps.Clone(b.seen)
+	listed.All(func(server *directory.Server) { delete(gone, server.ID) })
+	for id, state := range gone {
+		if state.inFlight == 0 {
 			delete(b.seen, id)
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -83,7 +83,8 @@
 	backend := &script{answers: answers}
 	list := directory.NewDirectory()
 	for i := range 3 {
-		list.Put(directory.Server{ID: fmt.Sprint("s", i), Service: "svc", Zone: "z", Slots: 4})
+		put := directory.Server{ID: fmt.Sprint("s", i), Service: "svc", Zone: "z", Slots: 4}
+		list.Apply([]directory.Change{{ID: put.ID, Server: &put}})
 	}
 	gateway := NewGateway(Options{Backend: backend, Directory: list, Zone: "z", Logger: zap.NewNop()})
 	route := &routetable.Route{
@@ -179,7 +180,8 @@
 	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindStream} {
 		backend := &script{answers: []answerFunc{whole(200, "ok")}}
 		list := directory.NewDirectory()
-		list.Put(directory.Server{ID: "s", Service: "svc", Slots: 4})
+		put := directory.Server{ID: "s", Service: "svc", Slots: 4}
+		list.Apply([]directory.Change{{ID: put.ID, Server: &put}})
 		gateway := NewGateway(Options{Backend: backend, Directory: list, Logger: zap.NewNop()})
 		route := &routetable.Route{Kind: kind, MaxAttempts: 3, Targets: []routetable.Target{{Service: "svc", Weight: 1}}}
 		table := routetable.NewTable(1, []routetable.Route{*route}, nil, routetable.Limits{})
--- /dev/null
+++ b/internal/serverlist/serverlist_test.go
@@ -0,0 +1,182 @@
+package serverlist
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"dalehook/internal/directory"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// countedLog counts the reads of the servers' topic, and may lose what is appended.
+type countedLog struct {
+	*storetest.Memory
+	reads  atomic.Int64
+	silent atomic.Bool
+}
+
+func (l *countedLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if at.Topic == store.TopicServers {
+		l.reads.Add(1)
+	}
+	return l.Memory.Read(ctx, at, from, wait)
+}
+
+func (l *countedLog) AppendAt(ctx context.Context, at store.Partition, end int64, payloads [][]byte) (int64, error) {
+	if l.silent.Load() {
+		return 0, store.ErrRefused
+	}
+	return l.Memory.AppendAt(ctx, at, end, payloads)
+}
+
+// fleet is a store with servers, and nodes that follow their list.
+type fleet struct {
+	t   *testing.T
+	log *countedLog
+	ctx context.Context
+	end func()
+
+	mutex  sync.Mutex
+	leader int
+	epoch  int64
+	lists  []*directory.Directory
+}
+
+func newFleet(t *testing.T, nodes, servers, large int) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{t: t, log: &countedLog{Memory: storetest.NewMemory()}, ctx: ctx, leader: 0, epoch: 1}
+	for i := range servers {
+		f.put(fmt.Sprintf("i-%03d", i), "ready")
+	}
+	var running sync.WaitGroup
+	f.end = func() { cancel(); running.Wait() }
+	t.Cleanup(f.end)
+	for node := range nodes {
+		list := directory.NewDirectory()
+		f.lists = append(f.lists, list)
+		running.Go(func() {
+			New(Options{
+				Log: f.log, Directory: list, Logger: zap.NewNop(), Decode: decode, Digest: xxhash.Sum64,
+				Leading: func() (int64, bool) { return f.leading(node) }, Changed: func() {},
+				LargeFleet: large, Pace: 5 * time.Millisecond, Wait: 50 * time.Millisecond,
+			}).Run(ctx)
+		})
+	}
+	return f
+}
+
+func (f *fleet) leading(node int) (int64, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.epoch, f.leader == node
+}
+
+func (f *fleet) lead(node int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.leader = node
+	f.epoch++
+}
+
+func decode(record store.Record) (directory.Server, error) {
+	state, _, _ := strings.Cut(string(record.Value), " ")
+	return directory.Server{ID: record.Key, Service: "s", Draining: state != "ready", Versions: map[string]int64{"m": 1}}, nil
+}
+
+func (f *fleet) put(id, state string) { f.log.Put(store.TopicServers, id, []byte(state)) }
+
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	f.t.Fatalf("never: %s", what)
+}
+
+// all says whether all nodes have so many ready servers.
+func (f *fleet) all(ready int) func() bool {
+	return func() bool {
+		for _, list := range f.lists {
+			if len(list.Snapshot().Ready("s")) != ready {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestNodesOfASmallFleetReadTheHeartbeats(t *testing.T) {
+	f := newFleet(t, 2, 5, 100)
+	f.eventually("five servers", f.all(5))
+	f.put("i-001", "draining")
+	f.eventually("four servers", f.all(4))
+	f.lead(-1)
+	f.put("i-002", "")
+	f.eventually("three servers without a coordinator", f.all(3))
+}
+
+// relayIsRead waits until heartbeats are read by one node alone: two reads a pace at
+// the most in a time in which three nodes would make many more.
+func (f *fleet) relayIsRead() {
+	f.eventually("the relay is read", func() bool {
+		before := f.log.reads.Load()
+		time.Sleep(300 * time.Millisecond)
+		return f.log.reads.Load()-before <= 8
+	})
+}
+
+func TestNodesOfALargeFleetReadTheRelay(t *testing.T) {
+	f := newFleet(t, 4, 30, 10)
+	f.eventually("all servers", f.all(30))
+	f.relayIsRead()
+	f.put("i-001", "draining")
+	f.put("i-002", "")
+	f.put("i-900", "ready")
+	f.eventually("the changes", f.all(29))
+}
+
+func TestASilentRelayIsNotGoneBy(t *testing.T) {
+	f := newFleet(t, 4, 30, 10)
+	f.eventually("all servers", f.all(30))
+	f.relayIsRead()
+	f.log.silent.Store(true)
+	f.put("i-001", "draining")
+	f.eventually("the change without a relay", f.all(29))
+	f.log.silent.Store(false)
+	f.put("i-003", "draining")
+	f.eventually("the change with the relay back", f.all(28))
+}
+
+func TestASuccessorRelays(t *testing.T) {
+	f := newFleet(t, 3, 30, 10)
+	f.eventually("all servers", f.all(30))
+	f.relayIsRead()
+	f.lead(2)
+	f.put("i-001", "draining")
+	f.eventually("the change by the successor", f.all(29))
+	f.eventually("the successor knows weight versions", func() bool {
+		for _, server := range f.lists[2].Snapshot().Ready("s") {
+			if server.Versions["m"] != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	f.relayIsRead()
+	f.put("i-002", "draining")
+	f.eventually("another change", f.all(28))
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,11 +26,14 @@
 	TopicProgress
 	// TopicLeases holds the claims and renewals of leases.
 	TopicLeases
+	// TopicServerRelay holds what the coordinator of a large fleet tells the other
+	// nodes of the list of servers. Only the newest seconds of it are kept.
+	TopicServerRelay
 )
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"operator", "servers", "jobs", "progress", "leases"}[t]
+	return [...]string{"operator", "servers", "jobs", "progress", "leases", "server relay"}[t]
 }
 
 // Partition is one log of a topic.
--- a/test/soak/store_test.go
+++ b/test/soak/store_test.go
@@ -145,7 +145,7 @@
 
 var topics = map[string]store.Topic{
 	"keyed.op": store.TopicOperator, "keyed.servers": store.TopicServers, "jobs": store.TopicJobs,
-	"progress": store.TopicProgress, "leases": store.TopicLeases,
+	"progress": store.TopicProgress, "leases": store.TopicLeases, "relay": store.TopicServerRelay,
 }
 
 func (s *storeStandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
