--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -6,12 +6,17 @@
 
 // schedule starts what can be started, and orders loads.
 func (m *Machine) schedule(now time.Time) {
-	engines := m.sortedEngines()
-	jobs := m.sortedJobs()
-	for _, open := range jobs {
-		m.startItems(now, open, engines)
+	m.startWaiting(now)
+	m.orderLoads(now)
+}
+
+// startWaiting starts what can be started, job by job.
+func (m *Machine) startWaiting(now time.Time) {
+	for _, open := range m.sortedJobs() {
+		if len(open.queue) > 0 {
+			m.startItems(now, open, m.sortedEngines())
+		}
 	}
-	m.orderLoads(now, jobs, engines)
 }
 
 // startItems starts a job's waiting items while engines have room.
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -49,19 +49,37 @@
 	i.unsaved = unsaved{}
 }
 
-// gapSmoothing is the weight of the newest gap between events.
-const gapSmoothing = 0.1
+// An engine's pace is taken over several events of a run, since events that were held
+// up come all at once.
+const (
+	// paceEvents is the number of events after which a run gives a sample, paceTime
+	// the time after which fewer do, but no less than paceFewest.
+	paceEvents = 8
+	paceFewest = 3
+	paceTime   = 300 * time.Millisecond
+	// paceSmoothing is the weight of the newest sample.
+	paceSmoothing = 0.35
+)
 
+// observe notes an event of a run, and its engine's pace.
 func (a *attempt) observe(now time.Time) {
-	if a.events > 0 {
-		gap := now.Sub(a.lastSeen).Seconds()
-		if a.engine.gap == 0 {
-			a.engine.gap = gap
-		}
-		a.engine.gap += gapSmoothing * (gap - a.engine.gap)
-	}
 	a.events++
 	a.lastSeen = now
+	if a.sampleBegan.IsZero() {
+		a.sampleBegan = now
+		return
+	}
+	a.sampled++
+	took := now.Sub(a.sampleBegan)
+	if a.sampled < paceEvents && (a.sampled < paceFewest || took < paceTime) {
+		return
+	}
+	gap := took.Seconds() / float64(a.sampled)
+	if a.engine.gap == 0 {
+		a.engine.gap = gap
+	}
+	a.engine.gap += paceSmoothing * (gap - a.engine.gap)
+	a.sampleBegan, a.sampled = now, 0
 }
 
 // HandleAttemptEnd takes the end of an attempt.
@@ -81,7 +99,10 @@
 	case !owner.finished:
 		m.settle(now, ended, reason)
 	}
-	m.schedule(now)
+	m.startWaiting(now)
+	if len(ended.engine.attempts) == 0 {
+		m.orderLoads(now)
+	}
 }
 
 // settle decides what follows the end of an attempt whose item is still wanted.
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 	for id, known := range m.engines {
 		if !known.listed && len(known.attempts) == 0 && !known.loading {
 			delete(m.engines, id)
+			m.ordered = nil
 		}
 	}
 	m.divide()
@@ -34,6 +36,7 @@
 			attempts: make(map[AttemptID]*attempt),
 		}
 		m.engines[server.ID] = known
+		m.ordered = nil
 	}
 	known.listed = true
 	known.service = server.Service
@@ -44,12 +47,11 @@
 	}
 }
 
-// sortedEngines returns the engines in the order of their ids.
+// sortedEngines returns the engines in the order of their ids. The list is made anew
+// only when engines come or go.
 func (m *Machine) sortedEngines() []*engine {
-	engines := make([]*engine, 0, len(m.engines))
-	for _, known := range m.engines {
-		engines = append(engines, known)
+	if m.ordered == nil {
+		m.ordered = slices.SortedFunc(maps.Values(m.engines), func(a, b *engine) int { return cmp.Compare(a.server.ID, b.server.ID) })
 	}
-	slices.SortFunc(engines, func(a, b *engine) int { return cmp.Compare(a.server.ID, b.server.ID) })
-	return engines
+	return m.ordered
 }
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -130,7 +130,7 @@
 	}
 	listed.finished = true
 	m.cancel(listed.attempt)
-	m.schedule(now)
+	m.startWaiting(now)
 }
 
 // HandleEnded takes the end of a job. What its unfinished groups have made is
@@ -142,7 +142,7 @@
 	}
 	delete(m.jobs, jobID)
 	m.keep(now, ended)
-	m.schedule(now)
+	m.startWaiting(now)
 }
 
 // giveUp lists the waiting items of jobs whose time is over as dead.
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -146,42 +146,36 @@
 	return models
 }
 
+// Looking at all engines takes time in proportion to their number, so that a fleet of
+// many is looked at a little less often.
+const (
+	// manyEngines is the number from which on loads are ordered in intervals.
+	manyEngines = 100
+	// orderIntervalPerEngine is the interval for each engine.
+	orderIntervalPerEngine = 10 * time.Microsecond
+)
+
 // orderLoads orders engines to load new versions, as many at once as the window of
 // their service allows, the most urgent first.
-func (m *Machine) orderLoads(now time.Time, jobs []*job, engines []*engine) {
+func (m *Machine) orderLoads(now time.Time) {
 	if !m.mayOrder {
 		return
 	}
-	loading := make(map[string]int)
-	open := make(map[string]int)
-	short := m.missingSlots(jobs, engines)
-	var candidates []*engine
-	for _, known := range engines {
-		switch {
-		case known.loading:
-			loading[known.service]++
-			open[known.model]--
-		case known.listed:
-			open[known.model]++
-		}
-		if m.shouldLoad(now, known, jobs) {
-			candidates = append(candidates, known)
-		}
+	interval := time.Duration(len(m.engines)) * orderIntervalPerEngine
+	if len(m.engines) >= manyEngines && now.Sub(m.loadsOrderedAt) < interval {
+		return // the next tick looks again
 	}
-	for len(candidates) > 0 {
-		next := slices.MinFunc(candidates, func(a, b *engine) int { return m.compareUrgency(short, a, b) })
-		candidates = slices.DeleteFunc(candidates, func(other *engine) bool { return other == next })
-		if loading[next.service] >= m.loadWindow(next.service).limit {
-			continue
-		}
-		if open[next.model] < openMargin && len(next.attempts) > 0 && !servesNothing(next, jobs) {
+	m.loadsOrderedAt = now
+	queues := m.loadQueues(now)
+	for next := m.mostUrgent(queues); next != nil; next = m.mostUrgent(queues) {
+		known := next.candidates[0].engine
+		next.candidates = next.candidates[1:]
+		if next.open < openMargin && len(known.attempts) > 0 && !servesNothing(known, next.waiting) {
 			continue
 		}
-		loading[next.service]++
-		open[next.model] -= 2
-		short[next.model] -= next.slots
-		next.loadsAtOnce = loading[next.service]
-		m.order(now, next)
+		next.open -= 2
+		next.missing -= known.slots
+		m.order(now, known)
 	}
 }
 
@@ -189,52 +183,112 @@
 // busy one to load while its version still serves. A loading engine starts nothing.
 const openMargin = 2
 
-// firstWindowShare is the share of a service's engines that load at once while nothing
-// is known of the way to the weights, which grows with the fleet.
-const firstWindowShare = 6
+// loadQueue holds the engines of a model and service that may load.
+type loadQueue struct {
+	service, model string
+	candidates     []loadCandidate
+	// open is how many more engines take items than load.
+	open int
+	// missing is how many items wait beyond the slots that are loading.
+	missing int
+	// waiting holds the model's jobs with items that wait.
+	waiting []*job
+}
 
-func (m *Machine) listedEngines(service string) int {
-	count := 0
-	for _, known := range m.engines {
-		if known.listed && known.service == service {
-			count++
-		}
-	}
-	return count
+type loadCandidate struct {
+	engine *engine
+	// lag is how many versions the engine is behind.
+	lag int64
 }
 
-// missingSlots returns, by model, how many items wait beyond the slots of the
-// engines that are loading already.
-func (m *Machine) missingSlots(jobs []*job, engines []*engine) map[string]int {
-	missing := make(map[string]int)
-	for _, open := range jobs {
-		missing[open.model] += len(open.queue)
+// loadQueues returns the engines that may load, those of one model and service in the
+// order in which they should: the most versions behind, then idle ones, then the
+// fastest. Loads share the way to the weights, so that not every engine can load every
+// version; one that is a version behind still serves.
+func (m *Machine) loadQueues(now time.Time) []*loadQueue {
+	waiting := make(map[string][]*job)
+	for _, open := range m.sortedJobs() {
+		if len(open.queue) > 0 {
+			waiting[open.model] = append(waiting[open.model], open)
+		}
 	}
-	for _, known := range engines {
-		if known.loading {
-			missing[known.model] -= known.slots
+	var queues []*loadQueue
+	byName := make(map[[2]string]*loadQueue)
+	for _, known := range m.sortedEngines() {
+		name := [2]string{known.service, known.model}
+		queue := byName[name]
+		if queue == nil {
+			queue = &loadQueue{service: known.service, model: known.model, waiting: waiting[known.model]}
+			for _, open := range queue.waiting {
+				queue.missing += len(open.queue)
+			}
+			byName[name] = queue
+			queues = append(queues, queue)
 		}
+		m.enqueueLoad(now, queue, known)
+	}
+	for _, queue := range queues {
+		slices.SortStableFunc(queue.candidates, compareLoads)
+	}
+	return queues
+}
+
+func (m *Machine) enqueueLoad(now time.Time, queue *loadQueue, known *engine) {
+	switch {
+	case known.loading:
+		queue.open--
+		queue.missing -= known.slots
+	case known.listed:
+		queue.open++
+	}
+	if m.shouldLoad(now, known, queue.waiting) {
+		lag := m.newest[known.model] - known.versions[known.model]
+		queue.candidates = append(queue.candidates, loadCandidate{engine: known, lag: lag})
 	}
-	return missing
 }
 
-// compareUrgency orders engines by how much their loads are needed: those of models
-// whose items wait for engines, then those the most versions behind, then idle ones,
-// then the fastest. Loads share the way to the weights, so that not every engine can
-// load every version; one that is a version behind still serves.
-func (m *Machine) compareUrgency(short map[string]int, a, b *engine) int {
+func compareLoads(a, b loadCandidate) int {
 	return cmp.Or(
-		-cmp.Compare(max(short[a.model], 0), max(short[b.model], 0)),
-		-cmp.Compare(m.lag(a), m.lag(b)),
-		cmp.Compare(len(a.attempts), len(b.attempts)),
-		cmp.Compare(a.gap, b.gap),
-		cmp.Compare(a.server.ID, b.server.ID),
+		-cmp.Compare(a.lag, b.lag),
+		cmp.Compare(len(a.engine.attempts), len(b.engine.attempts)),
+		cmp.Compare(a.engine.gap, b.engine.gap),
 	)
 }
 
-// lag returns how many versions an engine is behind.
-func (m *Machine) lag(known *engine) int64 {
-	return m.newest[known.model] - known.versions[known.model]
+// mostUrgent returns the queue whose first engine is to load next, nil when none is:
+// models whose items wait come first, then those the most versions behind.
+func (m *Machine) mostUrgent(queues []*loadQueue) *loadQueue {
+	var best *loadQueue
+	for _, queue := range queues {
+		if len(queue.candidates) == 0 || m.loading[queue.service] >= m.loadWindow(queue.service).limit {
+			continue
+		}
+		if best == nil || queue.before(best) {
+			best = queue
+		}
+	}
+	return best
+}
+
+func (q *loadQueue) before(other *loadQueue) bool {
+	if own, others := max(q.missing, 0), max(other.missing, 0); own != others {
+		return own > others
+	}
+	return q.candidates[0].lag > other.candidates[0].lag
+}
+
+// firstWindowShare is the share of a service's engines that load at once while nothing
+// is known of the way to the weights, which grows with the fleet.
+const firstWindowShare = 6
+
+func (m *Machine) listedEngines(service string) int {
+	count := 0
+	for _, known := range m.engines {
+		if known.listed && known.service == service {
+			count++
+		}
+	}
+	return count
 }
 
 // loadWindow returns the bound of a service's loads at once.
@@ -245,7 +299,7 @@
 	return m.windows[service]
 }
 
-func (m *Machine) shouldLoad(now time.Time, known *engine, jobs []*job) bool {
+func (m *Machine) shouldLoad(now time.Time, known *engine, waiting []*job) bool {
 	if !known.listed || known.loading || known.model == "" || now.Before(known.loadAfter) {
 		return false
 	}
@@ -257,14 +311,14 @@
 	if !known.runsSingleVersion() {
 		return true
 	}
-	known.draining = servesNothing(known, jobs)
+	known.draining = servesNothing(known, waiting)
 	return false
 }
 
 // servesNothing says whether items wait that an engine's version may not serve.
-func servesNothing(known *engine, jobs []*job) bool {
-	for _, open := range jobs {
-		if open.model == known.model && len(open.queue) > 0 && open.minimum > known.versions[known.model] {
+func servesNothing(known *engine, waiting []*job) bool {
+	for _, open := range waiting {
+		if open.minimum > known.versions[known.model] {
 			return true
 		}
 	}
@@ -284,6 +338,8 @@
 func (m *Machine) order(now time.Time, known *engine) {
 	known.loading = true
 	known.loadBegan = now
+	m.loading[known.service]++
+	known.loadsAtOnce = m.loading[known.service]
 	known.draining = false
 	m.output.Orders = append(m.output.Orders, Order{
 		Server:  known.server,
@@ -300,6 +356,9 @@
 	if known == nil {
 		return
 	}
+	if known.loading {
+		m.loading[known.service]--
+	}
 	known.loading = false
 	if load.Ordered && load.Version >= m.newest[model] {
 		m.loadWindow(known.service).observe(now, now.Sub(known.loadBegan), known.loadsAtOnce)
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -11,10 +11,12 @@
 // Machine schedules the open batch jobs of all services. It is not safe for
 // concurrent use.
 type Machine struct {
-	options  Options
-	table    *routetable.Table
-	jobs     map[string]*job
-	engines  map[string]*engine
+	options Options
+	table   *routetable.Table
+	jobs    map[string]*job
+	engines map[string]*engine
+	// ordered holds the engines by id; nil when it is to be made anew.
+	ordered  []*engine
 	attempts map[AttemptID]*attempt
 	newest   map[string]int64
 	fresh    map[int]time.Time
@@ -27,6 +29,10 @@
 	demand map[string]float64
 	// windows bound the loads of each service.
 	windows map[string]*loadWindow
+	// loading counts the engines of each service that load.
+	loading map[string]int
+	// loadsOrderedAt is when loads were last ordered.
+	loadsOrderedAt time.Time
 	// savedAt is when progress was last saved.
 	savedAt time.Time
 	// recovered is what predecessors saved of their runs, by item.
@@ -55,6 +61,7 @@
 		kept:     make(map[string]*keptItem),
 		demand:   make(map[string]float64),
 		windows:  make(map[string]*loadWindow),
+		loading:  make(map[string]int),
 	}
 }
 
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -586,6 +586,25 @@
 }
 
 // Equal inputs give equal outputs, whatever the order of maps.
+// Events that were held up come all at once; that makes no engine fast.
+func TestEventsThatComeAtOnceDoNotMakeAnEngineFast(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	number := 0
+	for range 10 {
+		f.now = f.now.Add(200 * time.Millisecond)
+		for range 4 {
+			number++
+			f.event(1, fmt.Sprint(number), 1)
+		}
+	}
+	engines, _ := f.machine.Summary(f.now)
+	if got := engines[0].Gap; got < 40 || got > 70 {
+		t.Errorf("the pace of 50 ms an event is taken for %d ms", got)
+	}
+}
+
 func TestTheMachineIsDeterministic(t *testing.T) {
 	run := func() []Start {
 		f := newFixture(t, nil)
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // When runs are moved to faster engines.
 const (
@@ -29,7 +33,7 @@
 			waiting[open.model] = true
 		}
 	}
-	engines := m.sortedEngines()
+	fastest := m.fastestEngines()
 	promised := make(map[*engine]int)
 	moves := 0
 	for _, running := range m.sortedAttempts() {
@@ -39,7 +43,7 @@
 		if waiting[running.item.job.model] || !mayMove(now, running) {
 			continue
 		}
-		target := m.fasterEngine(now, running, engines, promised)
+		target := m.fasterEngine(now, running, fastest[running.item.service], promised)
 		if target == nil {
 			continue
 		}
@@ -56,23 +60,35 @@
 		running.events >= moveAfter && !running.engine.loading && now.Sub(owner.movedAt) >= moveInterval
 }
 
-// fasterEngine returns the fastest engine that is worth a move of a run, or nil.
-func (m *Machine) fasterEngine(now time.Time, running *attempt, engines []*engine, promised map[*engine]int) *engine {
+// fastestEngines returns the engines of each service with a known pace and a free
+// slot, the fastest first.
+func (m *Machine) fastestEngines() map[string][]*engine {
+	fastest := make(map[string][]*engine)
+	for _, known := range m.sortedEngines() {
+		if known.gap > 0 && len(known.attempts) < known.slots {
+			fastest[known.service] = append(fastest[known.service], known)
+		}
+	}
+	for _, engines := range fastest {
+		slices.SortStableFunc(engines, func(a, b *engine) int { return cmp.Compare(a.gap, b.gap) })
+	}
+	return fastest
+}
+
+// fasterEngine returns the fastest engine that is worth a move of a run, or nil. The
+// engines are in the order of their pace.
+func (m *Machine) fasterEngine(now time.Time, running *attempt, fastest []*engine, promised map[*engine]int) *engine {
 	gain := float64(muchSlower)
 	if len(running.item.text) >= longAfter {
 		gain = moveGain
 	}
-	var best *engine
-	for _, candidate := range engines {
-		if candidate.gap <= 0 || candidate.gap*gain > running.engine.gap || !m.mayRun(now, running.item, candidate) {
-			continue
-		}
-		if len(candidate.attempts)+promised[candidate] >= candidate.slots {
-			continue
+	for _, candidate := range fastest {
+		if candidate.gap*gain > running.engine.gap {
+			return nil
 		}
-		if best == nil || candidate.gap < best.gap {
-			best = candidate
+		if m.mayRun(now, running.item, candidate) && len(candidate.attempts)+promised[candidate] < candidate.slots {
+			return candidate
 		}
 	}
-	return best
+	return nil
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -221,6 +221,10 @@
 	begun    time.Time
 	lastSeen time.Time
 	events   int
+	// sampleBegan is when the sample of the engine's pace that is being taken began,
+	// sampled the number of its events.
+	sampleBegan time.Time
+	sampled     int
 	// cancelled attempts take no more events.
 	cancelled bool
 }
