Fill fast engines before slow ones

Cause: an engine with all slots in use counted as twice as slow, where its events come some 5% slower (a step takes 0.637 ms and 0.004 ms for each run); so long items began on engines that are 1.3 times slower while fast ones had free slots, and moved later.

Change: full slots count as a quarter slower.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -80,10 +80,14 @@
 // foreignPenalty is added to the cost of an engine that belongs to another model.
 const foreignPenalty = 10
 
-// cost rates an engine for an item; lower is better. Events come hardly slower
-// when more slots are in use, so the fastest engines are filled first.
+// loadWeight is by how much an engine's pace counts as slower with all slots in use.
+// It is more than events come slower by, so that engines of about one pace share the
+// items, and the long ones among them, and less than slow engines are slower by.
+const loadWeight = 0.25
+
+// cost rates an engine for an item; lower is better.
 func (e *engine) cost(next *item) float64 {
-	cost := 1 + float64(len(e.attempts))/float64(max(e.slots, 1))
+	cost := 1 + loadWeight*float64(len(e.attempts))/float64(max(e.slots, 1))
 	cost *= max(e.gap, minimumGap)
 	if e.model != next.job.model {
 		cost += foreignPenalty
