One stand-in of the store for platform's tests and the soak; shorter reads of the scheduler

Cause: the store's stand-in stood twice (platform's tests and the soak).

Change: platform/platformtest has the stand-in.

--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -16,8 +16,11 @@
 
 // The timing of a partition's reads.
 const (
-	// readWait is how long the store may hold a read that finds nothing.
-	readWait = 700 * time.Millisecond
+	// readWait is how long the store may hold a read that finds nothing; the
+	// scheduler's reads are held for a shorter time, since a read that meets an append
+	// under way was seen to be held to its end, and a step waits for it.
+	readWait          = 700 * time.Millisecond
+	schedulerReadWait = 350 * time.Millisecond
 	// readTimeout bounds a read.
 	readTimeout = 1500 * time.Millisecond
 	// retryPause is the time between a failed read and the next.
@@ -196,7 +199,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	read, err := p.log.Read(ctx, p.at, p.next, readWait)
+	read, err := p.log.Read(ctx, p.at, p.next, p.wait())
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		read, err = store.Batch{Next: trimmed.First, End: trimmed.First + 1}, nil
@@ -208,6 +211,16 @@
 	return nil
 }
 
+// wait returns how long a read that finds nothing may be held.
+func (p *partition) wait() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.subscriber != nil {
+		return schedulerReadWait
+	}
+	return readWait
+}
+
 func (p *partition) apply(read store.Batch, began time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"dalehook/platform/platformtest"
 )
 
 // graceTime is the time between SIGTERM and SIGKILL, in seconds.
@@ -48,7 +50,7 @@
 	return listener.Addr().String()
 }
 
-func newProcess(t *testing.T, name, binary, directory string, store *storeStandIn) *process {
+func newProcess(t *testing.T, name, binary, directory string, store *platformtest.Store) *process {
 	t.Helper()
 	p := &process{
 		name: name, binary: binary, door: newDoor(t, store),
--- a/test/soak/schedule_test.go
+++ b/test/soak/schedule_test.go
@@ -236,9 +236,9 @@
 	w.noteFault(until)
 	for _, topic := range []store.Topic{store.TopicOperator, store.TopicServers} {
 		at := store.Partition{Topic: topic}
-		_, end, err := w.store.memory.Newest(w.t.Context(), topic)
+		_, end, err := w.store.Memory.Newest(w.t.Context(), topic)
 		if err == nil {
-			w.store.memory.Forget(at, end)
+			w.store.Memory.Forget(at, end)
 		}
 	}
 }
--- a/test/soak/server_test.go
+++ b/test/soak/server_test.go
@@ -122,7 +122,7 @@
 		"service": s.service, "address": s.link.address(), "zone": "z", "slots": engineSlots, "state": state,
 		"models": loaded, "sequence": s.sequence,
 	})
-	s.world.store.memory.Put(store.TopicServers, s.id, entry)
+	s.world.store.Memory.Put(store.TopicServers, s.id, entry)
 	if s.draining && s.drainedAt.IsZero() {
 		s.drainedAt = time.Now()
 	}
@@ -142,7 +142,7 @@
 	s.link.close()
 	s.http.CloseClientConnections()
 	s.http.Close()
-	s.world.store.memory.Put(store.TopicServers, s.id, nil)
+	s.world.store.Memory.Put(store.TopicServers, s.id, nil)
 }
 
 func (s *server) setFault(fault serverFault) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"dalehook/internal/store/storetest"
+	"dalehook/platform/platformtest"
 )
 
 var (
@@ -78,7 +78,7 @@
 
 func play(t *testing.T, seed uint64, length time.Duration) {
 	directory := t.TempDir()
-	w := newWorld(t, &storeStandIn{memory: storetest.NewMemory()})
+	w := newWorld(t, platformtest.NewStore())
 	w.putConfiguration(1, 0)
 	for range engineCount {
 		w.servers = append(w.servers, newServer(t, w, "models"))
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dalehook/internal/store"
+	"dalehook/platform/platformtest"
 )
 
 // The deployment of a soak.
@@ -63,7 +64,7 @@
 // world is everything around the nodes, and what was seen of them.
 type world struct {
 	t       *testing.T
-	store   *storeStandIn
+	store   *platformtest.Store
 	nodes   []*process
 	servers []*server
 	stopped chan struct{}
@@ -85,7 +86,7 @@
 	incarnations int
 }
 
-func newWorld(t *testing.T, memory *storeStandIn) *world {
+func newWorld(t *testing.T, memory *platformtest.Store) *world {
 	w := &world{
 		t: t, store: memory, stopped: make(chan struct{}),
 		requests: make(map[string]*sent), items: make(map[string]*jobRecord), bodies: make(map[string]string),
@@ -158,7 +159,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.store.memory.Put(store.TopicOperator, "config", text)
+	w.store.Memory.Put(store.TopicOperator, "config", text)
 }
 
 // nameVersion names the newest weight version of a model.
@@ -166,7 +167,7 @@
 	w.mutex.Lock()
 	w.newest[model] = max(w.newest[model], version)
 	w.mutex.Unlock()
-	w.store.memory.Put(store.TopicOperator, "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
+	w.store.Memory.Put(store.TopicOperator, "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
 }
 
 func (w *world) newestOf(model string) int64 {
