One node relays the list where the coordinator does not

Reading kept the store so busy that the relay stayed late.

Change: a record of the relay says what changed since the record before it in the log, on the condition of the log's end, so that any node can write it. A node that finds the relay silent for 1 to 1.7 s, at a time of its own, reads the heartbeats from the offset that the relay named, and relays for the rest. At most eight lines a read tell of changed servers, none of new weights.

Ruled out: epochs of the lease in the records; a lease of its own for the relay.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,13 @@
 GO ?= go
 BINARY := bin/dalehook
 SEEDS ?= 200
+LOGS ?=
 
 # The tests named in KNOWN-RED.txt are the only ones passed over.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: build demo test race simulate soak bench lint clean
+.PHONY: build demo test race simulate soak soak-processes bench lint clean
 
 build:
 	$(GO) build -o $(BINARY) ./cmd/dalehook
@@ -32,6 +33,11 @@
 soak:
 	$(GO) test -count=1 -timeout 60m -run '^TestSoak$$' -v ./internal/sim -seeds=$(SEEDS)
 
+# Real processes under faults from outside, on fresh seeds; LOGS=directory keeps the
+# logs of those that fail.
+soak-processes:
+	$(GO) test -count=1 -timeout 60m -run '^TestFreshSeeds$$' -v ./test/soak -seeds=$(SEEDS) -logs=$(LOGS)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -191,13 +191,6 @@
 	return State{Leading: true, Open: c.machine.Open(), Running: c.machine.Running(), Waiting: c.machine.Waiting()}
 }
 
-// Epoch returns the lease's epoch while this node coordinates.
-func (c *Coordinator) Epoch() (epoch int64, leading bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.lease.Epoch, c.machine != nil
-}
-
 // ObserveTable takes a new configuration.
 func (c *Coordinator) ObserveTable(table *routetable.Table) {
 	c.mutex.Lock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -54,6 +54,9 @@
 	ID string
 	// Server is nil where the server is gone.
 	Server *Server
+	// Before is the entry that was changed, set where changes were applied; nil where
+	// the server was not listed.
+	Before *Server
 }
 
 // Directory is the folded list. It may be used by several goroutines.
@@ -115,6 +118,7 @@
 	services := make(map[string]bool)
 	for _, change := range changes {
 		before := d.servers[change.ID]
+		change.Before = before
 		if before == nil && change.Server == nil {
 			continue
 		}
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -145,7 +145,7 @@
 	n.servers = serverlist.New(serverlist.Options{
 		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), Pace: listPace, Wait: listWait,
 		Decode: adapter.Server, Digest: adapter.ServerDigest,
-		Leading: func() (int64, bool) { return n.coordinator.Epoch() },
+		Self: n.process(), Leading: func() bool { return n.coordinator.State().Leading },
 		Changed: func() { n.coordinator.ObserveServers() },
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
--- a/internal/serverlist/publish.go
+++ b/internal/serverlist/publish.go
@@ -20,53 +20,19 @@
 	readAgeLimit = 700 * time.Millisecond
 )
 
-// relayWriter appends the relay's records under one lease.
-type relayWriter struct {
-	list      *List
-	publisher publisher
-	// end is the relay's end; -1 while it is not known.
-	end int64
-	// previousFull and lastFull are the offsets of the last two full records.
-	previousFull, lastFull int64
-}
-
-// runPublisher relays the list while this node coordinates a large fleet.
+// runPublisher relays the list of a large fleet while this node reads the heartbeats.
 func (l *List) runPublisher(ctx context.Context) {
-	var writer *relayWriter
 	for pause.For(ctx, publishPace) {
-		epoch, leading := l.options.Leading()
-		if !leading || !l.hasVersions() || !l.large() {
-			writer = nil
-			continue
-		}
-		if writer == nil || writer.publisher.epoch != epoch {
-			writer = &relayWriter{list: l, publisher: publisher{epoch: epoch}, end: -1, previousFull: -1, lastFull: -1}
-		}
-		if err := writer.step(ctx); err != nil {
-			l.options.Logger.Warn("list not relayed", zap.Int64("epoch", epoch), zap.Error(err))
+		if err := l.publish(ctx); err != nil {
+			l.options.Logger.Warn("list not relayed", zap.Error(err))
 		}
 	}
 }
 
-// step appends what is to be told now. Records stand in the log on the condition of
-// its end, so that a coordinator that was succeeded adds none.
-func (w *relayWriter) step(ctx context.Context) error {
-	l := w.list
-	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
-	defer cancel()
-	if w.end < 0 {
-		if err := w.findEnd(ctx); err != nil {
-			return err
-		}
-	}
-	now := time.Now()
-	if l.options.Directory.Age(now) > readAgeLimit {
-		return nil
-	}
-	l.mutex.Lock()
-	read := l.next
-	l.mutex.Unlock()
-	record := w.publisher.next(now, l.options.Directory.Snapshot(), read)
+// publish appends what is to be told now on the condition of the relay's end: of
+// several nodes that relay one is heard, and one that was held up adds nothing.
+func (l *List) publish(ctx context.Context) error {
+	record, at := l.nextRecord(time.Now())
 	if record == nil {
 		return nil
 	}
@@ -74,39 +40,36 @@
 	if err != nil {
 		return err
 	}
-	offset, err := l.options.Log.AppendAt(ctx, relayPartition, w.end, [][]byte{payload})
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	offset, err := l.options.Log.AppendAt(ctx, relayPartition, at, [][]byte{payload})
+	var condition *store.ConditionError
+	if errors.As(err, &condition) {
+		return nil // the record of another node is read next
+	}
 	if err != nil {
-		// Whether the record stands is not known: begin anew after the true end.
-		w.publisher.forget()
-		w.end = -1
 		return err
 	}
-	w.end = offset + 1
-	if record.Full {
-		return w.trim(ctx, offset)
+	l.mutex.Lock()
+	l.relay.handle(time.Now(), offset, record, false)
+	before := l.relay.previousFull
+	l.mutex.Unlock()
+	if record.Full && before >= 0 {
+		// A reader that begins at the first record kept finds a full one.
+		return l.options.Log.Trim(ctx, relayPartition, before)
 	}
 	return nil
 }
 
-func (w *relayWriter) findEnd(ctx context.Context) error {
-	read, err := w.list.options.Log.Read(ctx, relayPartition, 0, 0)
-	var trimmed *store.TrimmedError
-	if errors.As(err, &trimmed) {
-		read, err = w.list.options.Log.Read(ctx, relayPartition, trimmed.First, 0)
-	}
-	if err != nil {
-		return err
+// nextRecord returns the record to append now and the end to append it at.
+func (l *List) nextRecord(now time.Time) (*relayRecord, int64) {
+	if !l.large() || l.options.Directory.Age(now) > readAgeLimit {
+		return nil, 0
 	}
-	w.end = read.End
-	return nil
-}
-
-// trim drops what stands before the full record before the last: a reader that begins
-// at the first record kept finds a full one.
-func (w *relayWriter) trim(ctx context.Context, full int64) error {
-	w.previousFull, w.lastFull = w.lastFull, full
-	if w.previousFull < 0 {
-		return nil
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.direct || !l.complete || !l.relayRead {
+		return nil, 0
 	}
-	return w.list.options.Log.Trim(ctx, relayPartition, w.previousFull)
+	return l.relay.tell(now, l.options.Directory.Snapshot(), l.next), l.relay.end
 }
--- a/internal/serverlist/relay.go
+++ b/internal/serverlist/relay.go
@@ -11,16 +11,17 @@
 	"dalehook/internal/directory"
 )
 
-// relayRecord is what the coordinator tells the other nodes of the list: entries
-// without their weight versions, which only the coordinator needs.
+// relayRecord is what a node that reads the heartbeats tells the others of the list:
+// entries without their weight versions, which only the coordinator needs. A record
+// that is not full says what changed since the record before it in the log.
 type relayRecord struct {
-	// Epoch is that of the coordinator's lease.
-	Epoch int64
+	// Author names the process that wrote the record.
+	Author string
 	// Full says that Put holds all servers, else it holds those that changed.
 	Full    bool
 	Put     []relayEntry
 	Removed []string
-	// Next is the offset in the topic of servers up to which the coordinator had read.
+	// Next is the offset in the topic of servers up to which the author had read.
 	Next int64
 }
 
@@ -63,67 +64,63 @@
 
 // The timing of relays.
 const (
-	// relayInterval is the longest time between two records of the coordinator.
+	// relayInterval is the longest time between two records.
 	relayInterval = 400 * time.Millisecond
 	// fullInterval is the time between two records with all servers.
 	fullInterval = 10 * time.Second
+	// relayStale is the age of the last record beyond which nodes begin to read the
+	// heartbeats themselves, one after the other within relaySpread: the first of them
+	// relays for the rest. Together with the time of a read it stays below the time in
+	// which a server that leaves must get no more requests.
+	relayStale  = time.Second
+	relaySpread = 700 * time.Millisecond
 )
 
-// publisher decides what the coordinator tells of the list. It does no I/O.
-type publisher struct {
-	epoch int64
-	// told holds the servers that were told; nil before the first record.
-	told   map[string]*directory.Server
-	toldAt time.Time
-	fullAt time.Time
+// relay folds the records of the relay and makes new ones. It does no I/O.
+type relay struct {
+	self string
+	// servers is nil until a full record came.
+	servers map[string]*directory.Server
+	// end is the offset after the last record, next that up to which its author had
+	// read the heartbeats.
+	end, next int64
+	// toldAt is when the last record came, toldByOthersAt the last one of another
+	// process, fullAt the last full one.
+	toldAt, toldByOthersAt, fullAt time.Time
+	// previousFull and lastFull are the offsets of the last two full records.
+	previousFull, lastFull int64
 }
 
-// next returns the record to append now, or nil.
-func (p *publisher) next(now time.Time, snapshot *directory.Snapshot, read int64) *relayRecord {
-	record := &relayRecord{Epoch: p.epoch, Next: read, Full: p.told == nil || now.Sub(p.fullAt) >= fullInterval}
-	current := make(map[string]*directory.Server, snapshot.Count())
-	snapshot.All(func(server *directory.Server) {
-		current[server.ID] = server
-		before := p.told[server.ID]
-		if record.Full || before == nil || before != server && !directory.SameIgnoringVersions(before, server) {
-			record.Put = append(record.Put, entryOf(server))
-		}
-	})
-	for _, id := range slices.Sorted(maps.Keys(p.told)) {
-		if current[id] == nil {
-			record.Removed = append(record.Removed, id)
-		}
+func newRelay(self string) relay { return relay{self: self, previousFull: -1, lastFull: -1} }
+
+// handle takes the record at an offset and returns the changes that it makes. Records
+// before the first full one are void. Old says that the record may have stood in the
+// log for long, so that it says nothing of its author's being there.
+func (r *relay) handle(now time.Time, offset int64, record *relayRecord, old bool) []directory.Change {
+	if offset < r.end {
+		return nil
 	}
-	if !record.Full && len(record.Put) == 0 && len(record.Removed) == 0 && now.Sub(p.toldAt) < relayInterval {
+	r.end = offset + 1
+	if !record.Full && r.servers == nil {
 		return nil
 	}
-	p.told, p.toldAt = current, now
+	r.next = record.Next
+	if !old {
+		r.toldAt = now
+	}
+	if !old && record.Author != r.self {
+		r.toldByOthersAt = now
+	}
 	if record.Full {
-		p.fullAt = now
+		r.fullAt = now
+		r.previousFull, r.lastFull = r.lastFull, offset
 	}
-	return record
-}
-
-// forget makes the next record a full one, since the last may not stand in the log.
-func (p *publisher) forget() { p.told = nil }
-
-// receiver folds relay records. It does no I/O.
-type receiver struct {
-	epoch int64
-	// servers is nil until a full record came.
-	servers map[string]*directory.Server
-	next    int64
-	freshAt time.Time
+	return r.apply(record)
 }
 
-// handle takes a record that was read at now and returns the changes it makes.
-// Records of coordinators that were succeeded, and those before the first full one,
-// are void.
-func (r *receiver) handle(now time.Time, record *relayRecord) (changes []directory.Change, full bool) {
-	if record.Epoch < r.epoch || !record.Full && (r.servers == nil || record.Epoch != r.epoch) {
-		return nil, false
-	}
-	r.epoch, r.next, r.freshAt = record.Epoch, record.Next, now
+func (r *relay) apply(record *relayRecord) []directory.Change {
+	var changes []directory.Change
+	before := r.servers
 	if record.Full {
 		r.servers = make(map[string]*directory.Server, len(record.Put))
 	}
@@ -136,21 +133,44 @@
 		delete(r.servers, id)
 		changes = append(changes, directory.Change{ID: id})
 	}
-	return changes, record.Full
+	if record.Full {
+		for _, id := range slices.Sorted(maps.Keys(before)) {
+			if r.servers[id] == nil {
+				changes = append(changes, directory.Change{ID: id})
+			}
+		}
+	}
+	return changes
 }
 
-// fresh says whether the relay is young enough to go by.
-func (r *receiver) fresh(now time.Time) bool {
-	return r.servers != nil && now.Sub(r.freshAt) < relayStale
+// tell returns the record to append at the relay's end, or nil. The list was read up
+// to an offset.
+func (r *relay) tell(now time.Time, snapshot *directory.Snapshot, read int64) *relayRecord {
+	if read < r.next {
+		return nil // others know more
+	}
+	record := &relayRecord{Author: r.self, Next: read, Full: r.servers == nil || now.Sub(r.fullAt) >= fullInterval}
+	current := make(map[string]bool, snapshot.Count())
+	snapshot.All(func(server *directory.Server) {
+		current[server.ID] = true
+		before := r.servers[server.ID]
+		if record.Full || before == nil || !directory.SameIgnoringVersions(before, server) {
+			record.Put = append(record.Put, entryOf(server))
+		}
+	})
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+		if !record.Full && !current[id] {
+			record.Removed = append(record.Removed, id)
+		}
+	}
+	if !record.Full && len(record.Put) == 0 && len(record.Removed) == 0 && now.Sub(r.toldAt) < relayInterval {
+		return nil
+	}
+	return record
 }
 
-// relayStale is the age of the last record beyond which a node reads the list itself.
-// Together with the time of a first read it stays below the time in which a server
-// that leaves must get no more requests.
-const relayStale = time.Second
-
 // list returns all servers, ordered by id.
-func (r *receiver) list() []directory.Server {
+func (r *relay) list() []directory.Server {
 	servers := make([]directory.Server, 0, len(r.servers))
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
 		servers = append(servers, *r.servers[id])
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -1,7 +1,7 @@
 // Package serverlist keeps a node's directory of back ends up to date from the store.
 // In a small fleet every node reads the back ends' heartbeats itself. In a large one
-// only the coordinator does; it relays what changed by a topic of the product, and the
-// other nodes read the heartbeats only while the relay is silent.
+// the coordinator does, and relays what changed by a topic of the product. Whoever
+// finds the relay silent reads the heartbeats instead and relays for the others.
 package serverlist
 
 import (
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -31,8 +32,10 @@
 	// every heartbeat changes.
 	Decode func(store.Record) (directory.Server, error)
 	Digest func(value []byte) uint64
-	// Leading returns the epoch of the coordinator's lease while this node holds it.
-	Leading func() (epoch int64, leading bool)
+	// Self names this process unlike any other.
+	Self string
+	// Leading says whether this node coordinates; it needs weight versions then.
+	Leading func() bool
 	// Changed is told whenever the directory has changed.
 	Changed func()
 	// LargeFleet is the number of servers from which on the list is relayed.
@@ -46,8 +49,12 @@
 type List struct {
 	options Options
 
-	mutex    sync.Mutex
-	receiver receiver
+	mutex sync.Mutex
+	relay relay
+	// relayRead is set once the relay was read to its end, at relayReadAt.
+	relayRead   bool
+	relayReadAt time.Time
+	startedAt   time.Time
 	// complete is set once the whole list was known, direct while this node reads
 	// the heartbeats itself, next is the offset up to which the directory has them.
 	complete bool
@@ -62,7 +69,7 @@
 	if options.LargeFleet == 0 {
 		options.LargeFleet = DefaultLargeFleet
 	}
-	return &List{options: options}
+	return &List{options: options, relay: newRelay(options.Self)}
 }
 
 // The timing of a list.
@@ -74,6 +81,9 @@
 	relayTimeout = 1200 * time.Millisecond
 	relayRetry   = 150 * time.Millisecond
 	relaySlowest = 600 * time.Millisecond
+	// startPatience is how long a node that starts waits for the relay to speak, where
+	// there is one, before it reads the whole list.
+	startPatience = 900 * time.Millisecond
 )
 
 var relayPartition = store.Partition{Topic: store.TopicServerRelay}
@@ -87,6 +97,9 @@
 
 // Run keeps the directory up to date until the context ends.
 func (l *List) Run(ctx context.Context) {
+	l.mutex.Lock()
+	l.startedAt = time.Now()
+	l.mutex.Unlock()
 	var background conc.WaitGroup
 	background.Go(func() { l.runDirect(ctx) })
 	background.Go(func() { l.runRelay(ctx) })
@@ -100,23 +113,63 @@
 }
 
 // wantsDirect says whether this node is to read the heartbeats itself.
-func (l *List) wantsDirect() bool {
-	if _, leading := l.options.Leading(); leading || !l.large() {
+func (l *List) wantsDirect(now time.Time) bool {
+	if l.options.Leading() {
+		return true
+	}
+	large := l.large()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case !l.relayRead:
+		return l.direct || now.Sub(l.startedAt) > startPatience
+	case l.relay.servers == nil || l.complete && !large:
 		return true
+	case !l.complete:
+		return now.Sub(l.relayReadAt) > startPatience && now.Sub(l.relay.toldByOthersAt) > relayStale
+	case l.direct:
+		return now.Sub(l.relay.toldByOthersAt) > relayStale
 	}
+	return now.Sub(l.relay.toldByOthersAt) > relayStale+l.spread()
+}
+
+// spread is this node's share of the time in which nodes begin to read heartbeats.
+func (l *List) spread() time.Duration {
+	return time.Duration(float64(relaySpread) * float64(xxhash.Sum64String(l.options.Self)%1000) / 1000)
+}
+
+// adoptable says whether the directory is to be taken from the relay.
+func (l *List) adoptable(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.complete || !l.receiver.fresh(time.Now())
+	return !l.complete && l.relay.servers != nil && now.Sub(l.relay.toldByOthersAt) < relayStale
 }
 
 // runDirect reads the heartbeats while this node is to.
 func (l *List) runDirect(ctx context.Context) {
 	for ctx.Err() == nil {
-		if l.wantsDirect() {
+		now := time.Now()
+		switch {
+		case l.wantsDirect(now):
 			l.followHeartbeats(ctx)
+		case l.adoptable(now):
+			l.adoptRelay()
 		}
+		l.awaitCheck(ctx)
+	}
+}
+
+// awaitCheck waits until it is time to look again, a short time before the relay was
+// read for the first time.
+func (l *List) awaitCheck(ctx context.Context) {
+	l.mutex.Lock()
+	known := l.relayRead
+	l.mutex.Unlock()
+	if known {
 		pause.For(ctx, checkInterval)
+		return
 	}
+	pause.For(ctx, checkInterval/20)
 }
 
 // followHeartbeats reads the heartbeats until the relay takes over, or until this node
@@ -124,7 +177,7 @@
 func (l *List) followHeartbeats(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	_, leading := l.options.Leading()
+	leading := l.options.Leading()
 	l.mutex.Lock()
 	l.direct = true
 	known := l.complete && (l.versions || !leading)
@@ -144,14 +197,14 @@
 // endWhenRelayed ends the reading of heartbeats once the relay is to be gone by.
 func (l *List) endWhenRelayed(ctx context.Context, end context.CancelFunc) {
 	for pause.For(ctx, checkInterval) {
-		_, leading := l.options.Leading()
-		if l.wantsDirect() && (!leading || l.hasVersions()) {
+		leading := l.options.Leading()
+		if l.wantsDirect(time.Now()) && (!leading || l.hasVersions()) {
 			continue
 		}
+		end()
 		if !leading {
 			l.adoptRelay()
 		}
-		end()
 		return
 	}
 }
@@ -165,9 +218,9 @@
 // adoptRelay makes the directory what the relay says.
 func (l *List) adoptRelay() {
 	l.mutex.Lock()
-	l.direct, l.versions = false, false
-	l.next = l.receiver.next
-	servers := l.receiver.list()
+	l.direct, l.versions, l.complete = false, false, true
+	l.next = l.relay.next
+	servers := l.relay.list()
 	l.mutex.Unlock()
 	l.options.Directory.Replace(servers)
 	l.options.Directory.NoteRead(time.Now())
@@ -243,12 +296,18 @@
 }
 
 // linesOfChange bounds the lines that one read of the list may log.
-const linesOfChange = 20
+const linesOfChange = 8
 
+// log tells what changed, but for weight versions, which the coordinator tells.
 func (l *List) log(changes []directory.Change) {
-	for i, change := range changes {
-		if i == linesOfChange {
-			l.options.Logger.Info("more servers changed", zap.Int("servers", len(changes)-i))
+	lines := 0
+	for _, change := range changes {
+		if change.Server != nil && change.Before != nil && directory.SameIgnoringVersions(change.Before, change.Server) {
+			continue
+		}
+		lines++
+		if lines > linesOfChange {
+			l.options.Logger.Info("more servers changed", zap.Int("servers", len(changes)))
 			return
 		}
 		if change.Server == nil {
@@ -256,71 +315,82 @@
 			continue
 		}
 		l.options.Logger.Info("server changed", zap.String("server", change.ID), zap.String("service", change.Server.Service),
-			zap.String("address", change.Server.Address), zap.Bool("draining", change.Server.Draining), zap.Any("versions", change.Server.Versions))
+			zap.String("address", change.Server.Address), zap.Bool("draining", change.Server.Draining))
 	}
 }
 
-// runRelay follows the relay while the fleet is large and another node coordinates.
+// runRelay follows the relay of a large fleet. It is read once in a small one too,
+// since a node that starts does not know the fleet's size.
 func (l *List) runRelay(ctx context.Context) {
-	next := int64(0)
 	pace := follow.Pace{Most: relaySlowest, Retry: relayRetry}
 	outage := follow.Outage{Logger: l.options.Logger}
 	for ctx.Err() == nil {
-		if _, leading := l.options.Leading(); leading || !l.large() {
+		if l.knowsRelay() && !l.large() {
 			pause.For(ctx, checkInterval)
 			continue
 		}
-		read, err := l.readRelay(ctx, next)
-		var trimmed *store.TrimmedError
-		if errors.As(err, &trimmed) {
-			next, err = trimmed.First, nil
-		} else if err == nil {
-			l.handleRelay(read.Records)
-			next = read.Next
-		}
+		err := l.advanceRelay(ctx)
 		outage.Note(err, zap.Stringer("partition", relayPartition))
 		pause.For(ctx, pace.Next(err))
 	}
 }
 
-func (l *List) readRelay(ctx context.Context, next int64) (store.Batch, error) {
+func (l *List) knowsRelay() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.relayRead
+}
+
+// advanceRelay reads on. The first reads wait for nothing: what they bring may be old.
+func (l *List) advanceRelay(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	return l.options.Log.Read(ctx, relayPartition, next, relayWait)
+	l.mutex.Lock()
+	from, first := l.relay.end, !l.relayRead
+	l.mutex.Unlock()
+	wait := relayWait
+	if first {
+		wait = 0
+	}
+	read, err := l.options.Log.Read(ctx, relayPartition, from, wait)
+	var trimmed *store.TrimmedError
+	if errors.As(err, &trimmed) {
+		read, err = l.options.Log.Read(ctx, relayPartition, trimmed.First, 0)
+	}
+	if err != nil {
+		return err
+	}
+	l.handleRelay(read, first)
+	return nil
 }
 
-func (l *List) handleRelay(records []store.Record) {
-	var effective []directory.Change
-	for _, read := range records {
-		record, err := decodeRelay(read.Value)
+func (l *List) handleRelay(read store.Batch, old bool) {
+	now := time.Now()
+	l.mutex.Lock()
+	var changes []directory.Change
+	for _, stored := range read.Records {
+		record, err := decodeRelay(stored.Value)
 		if err != nil {
-			l.options.Logger.Error("relay void", zap.Int64("offset", read.Offset), zap.Error(err))
+			l.options.Logger.Error("relay void", zap.Int64("offset", stored.Offset), zap.Error(err))
 			continue
 		}
-		effective = append(effective, l.takeRelay(record)...)
+		changes = append(changes, l.relay.handle(now, stored.Offset, record, old)...)
 	}
-	if len(effective) > 0 {
-		l.log(effective)
-		l.options.Changed()
+	l.relay.end = max(l.relay.end, read.Next)
+	if !l.relayRead && read.Next >= read.End {
+		l.relayRead, l.relayReadAt = true, now
 	}
-}
-
-// takeRelay folds a record; the directory follows it unless heartbeats are read.
-func (l *List) takeRelay(record *relayRecord) []directory.Change {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	changes, full := l.receiver.handle(time.Now(), record)
-	if l.direct || l.receiver.servers == nil {
-		return nil
+	follows := l.complete && !l.direct && len(read.Records) > 0
+	if follows {
+		l.next = l.relay.next
+		l.options.Directory.NoteRead(now)
 	}
-	l.next = l.receiver.next
-	l.options.Directory.NoteRead(time.Now())
-	if full {
-		l.options.Directory.Snapshot().All(func(server *directory.Server) {
-			if l.receiver.servers[server.ID] == nil {
-				changes = append(changes, directory.Change{ID: server.ID})
-			}
-		})
+	l.mutex.Unlock()
+	if !follows {
+		return
+	}
+	if effective := l.options.Directory.Apply(changes); len(effective) > 0 {
+		l.log(effective)
+		l.options.Changed()
 	}
-	return l.options.Directory.Apply(changes)
 }
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -25,12 +25,17 @@
 	*storetest.Memory
 	reads  atomic.Int64
 	silent atomic.Bool
+	// relayDown refuses reads of the relay.
+	relayDown atomic.Bool
 }
 
 func (l *countedLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	if at.Topic == store.TopicServers {
 		l.reads.Add(1)
 	}
+	if at.Topic == store.TopicServerRelay && l.relayDown.Load() {
+		return store.Batch{}, store.ErrRefused
+	}
 	return l.Memory.Read(ctx, at, from, wait)
 }
 
@@ -50,13 +55,13 @@
 
 	mutex  sync.Mutex
 	leader int
-	epoch  int64
 	lists  []*directory.Directory
 }
 
 func newFleet(t *testing.T, nodes, servers, large int) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{t: t, log: &countedLog{Memory: storetest.NewMemory()}, ctx: ctx, leader: 0, epoch: 1}
+	f := &fleet{t: t, log: &countedLog{Memory: storetest.NewMemory()}, ctx: ctx, leader: 0}
+	f.log.relayDown.Store(large > 0 && servers < large)
 	for i := range servers {
 		f.put(fmt.Sprintf("i-%03d", i), "ready")
 	}
@@ -69,7 +74,7 @@
 		running.Go(func() {
 			New(Options{
 				Log: f.log, Directory: list, Logger: zap.NewNop(), Decode: decode, Digest: xxhash.Sum64,
-				Leading: func() (int64, bool) { return f.leading(node) }, Changed: func() {},
+				Self: fmt.Sprint("node-", node), Leading: func() bool { return f.leading(node) }, Changed: func() {},
 				LargeFleet: large, Pace: 5 * time.Millisecond, Wait: 50 * time.Millisecond,
 			}).Run(ctx)
 		})
@@ -77,17 +82,16 @@
 	return f
 }
 
-func (f *fleet) leading(node int) (int64, bool) {
+func (f *fleet) leading(node int) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.epoch, f.leader == node
+	return f.leader == node
 }
 
 func (f *fleet) lead(node int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.leader = node
-	f.epoch++
 }
 
 func decode(record store.Record) (directory.Server, error) {
@@ -119,6 +123,7 @@
 	}
 }
 
+// The relay of a small fleet is refused in these tests: nothing depends on it.
 func TestNodesOfASmallFleetReadTheHeartbeats(t *testing.T) {
 	f := newFleet(t, 2, 5, 100)
 	f.eventually("five servers", f.all(5))
@@ -180,3 +185,16 @@
 	f.put("i-002", "draining")
 	f.eventually("another change", f.all(28))
 }
+
+// Without a coordinator one of the nodes reads the heartbeats and relays.
+func TestANodeRelaysInThePlaceOfTheCoordinator(t *testing.T) {
+	f := newFleet(t, 5, 30, 10)
+	f.eventually("all servers", f.all(30))
+	f.relayIsRead()
+	f.lead(-1)
+	f.put("i-001", "draining")
+	f.eventually("the change without a coordinator", f.all(29))
+	f.relayIsRead()
+	f.put("i-002", "draining")
+	f.eventually("another change", f.all(28))
+}
