--- a/cmd/dalehook-node/run.go
+++ b/cmd/dalehook-node/run.go
@@ -70,6 +70,13 @@
 
 // Execute implements subcommands.Command.
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// Signals are taken from the first: one that comes before would end the process
+	// as if it had failed.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGPIPE)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := frontend.LoadSettings(c.settings.path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -90,11 +97,6 @@
 		LostLines:   lines.Dropped,
 		Logger:      logger,
 	})
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGPIPE)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
 			reload(c.settings.path, logger)
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -17,6 +17,8 @@
 	// answerTime bounds a read beyond its wait. A store that stays silent longer is
 	// asked again on another connection.
 	answerTime = 700 * time.Millisecond
+	// loadTime bounds the reading of the newest records, which may be many pages.
+	loadTime = 5 * time.Second
 	// slowestRead is the longest pause between two reads, which bounds the age of
 	// what is known while the store throttles reads.
 	slowestRead = 1200 * time.Millisecond
@@ -37,9 +39,9 @@
 	Replace func([]store.Record)
 	// Change takes the records that came since, in order.
 	Change func([]store.Record)
-	// Read is told of each answered read, also where nothing had changed, with the
-	// offset that follows what was read.
-	Read func(next int64)
+	// Read is told of each answered read, also where nothing had changed: the offset
+	// that follows what was read, and whether that was the end.
+	Read func(next int64, end bool)
 	// From is the offset to begin at, all before it being known; without FromKnown
 	// the newest records are read first.
 	From      int64
@@ -71,11 +73,11 @@
 }
 
 func (r *keyedReader) advance(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, r.Wait+answerTime)
-	defer cancel()
 	if r.next < 0 {
-		return r.load(call)
+		return r.load(ctx)
 	}
+	call, cancel := context.WithTimeout(ctx, r.Wait+answerTime)
+	defer cancel()
 	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, r.Wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -90,13 +92,15 @@
 	}
 	r.next = batch.Next
 	r.seen = max(r.seen, batch.Next)
-	r.Read(r.next)
+	r.Read(r.next, r.next >= batch.End)
 	return nil
 }
 
 var errStaleList = errors.New("list is older than what was read")
 
 func (r *keyedReader) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTime)
+	defer cancel()
 	records, end, err := r.Log.Newest(ctx, r.Topic)
 	if err != nil {
 		return err
@@ -107,6 +111,6 @@
 	r.Replace(records)
 	r.next = end
 	r.seen = end
-	r.Read(r.next)
+	r.Read(r.next, true)
 	return nil
 }
--- a/internal/follow/pace_test.go
+++ b/internal/follow/pace_test.go
@@ -39,3 +39,17 @@
 		t.Error("a throttled call may have been carried out")
 	}
 }
+
+func TestFailuresInARowAreAskedAfterLessOften(t *testing.T) {
+	pace := Pace{Base: 10 * time.Millisecond, Most: time.Second, Retry: 100 * time.Millisecond}
+	silent := errors.New("silent")
+	for failure, want := range []int{100, 200, 300, 400, 400} {
+		if got := pace.Next(silent); got != time.Duration(want)*time.Millisecond {
+			t.Errorf("after %d failures %v", failure+1, got)
+		}
+	}
+	pace.Next(nil)
+	if got := pace.Next(silent); got != pace.Retry {
+		t.Errorf("after a call that went through and a failure %v", got)
+	}
+}
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -331,4 +331,4 @@
 	n.coordinator.ObserveServers()
 }
 
-func (n *Node) noteOperatorRead(int64) { n.operatorReadAt.Store(time.Now().UnixNano()) }
+func (n *Node) noteOperatorRead(int64, bool) { n.operatorReadAt.Store(time.Now().UnixNano()) }
--- a/internal/serverlist/publish.go
+++ b/internal/serverlist/publish.go
@@ -52,11 +52,10 @@
 	}
 	l.mutex.Lock()
 	l.relay.handle(time.Now(), offset, record, false)
-	before := l.relay.previousFull
 	l.mutex.Unlock()
-	if record.Full && before >= 0 {
-		// A reader that begins at the first record kept finds a full one.
-		return l.options.Log.Trim(ctx, relayPartition, before)
+	if record.Full {
+		// Readers begin at the first record kept, which is a full one.
+		return l.options.Log.Trim(ctx, relayPartition, offset)
 	}
 	return nil
 }
--- a/internal/serverlist/relay.go
+++ b/internal/serverlist/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"encoding/gob"
 	"fmt"
 	"maps"
@@ -46,17 +47,26 @@
 	}
 }
 
+// encodeRelay encodes a record and compresses it: full records have thousands of
+// entries alike, and all nodes that start at once read one.
 func encodeRelay(record *relayRecord) ([]byte, error) {
 	var buffer bytes.Buffer
-	if err := gob.NewEncoder(&buffer).Encode(record); err != nil {
+	compressor, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress a relay of the list: %w", err)
+	}
+	if err := gob.NewEncoder(compressor).Encode(record); err != nil {
 		return nil, fmt.Errorf("encode a relay of the list: %w", err)
 	}
+	if err := compressor.Close(); err != nil {
+		return nil, fmt.Errorf("compress a relay of the list: %w", err)
+	}
 	return buffer.Bytes(), nil
 }
 
 func decodeRelay(payload []byte) (*relayRecord, error) {
 	record := &relayRecord{}
-	if err := gob.NewDecoder(bytes.NewReader(payload)).Decode(record); err != nil {
+	if err := gob.NewDecoder(flate.NewReader(bytes.NewReader(payload))).Decode(record); err != nil {
 		return nil, fmt.Errorf("decode a relay of the list: %w", err)
 	}
 	return record, nil
@@ -69,11 +79,14 @@
 	// fullInterval is the time between two records with all servers.
 	fullInterval = 10 * time.Second
 	// relayStale is the age of the last record beyond which nodes begin to read the
-	// heartbeats themselves, one after the other within relaySpread: the first of them
-	// relays for the rest. Together with the time of a read it stays below the time in
-	// which a server that leaves must get no more requests.
+	// heartbeats themselves, within relaySpread, a few of them early and most of them
+	// late: the first relays for the rest. A server that leaves must get no more
+	// requests after two seconds.
 	relayStale  = time.Second
-	relaySpread = 700 * time.Millisecond
+	relaySpread = 900 * time.Millisecond
+	// relayHaste makes few nodes early: a share x of all begins within x to this power
+	// of the spread. Of 300 nodes one begins within 0.43 of it, and ten within 0.6.
+	relayHaste = 0.15
 )
 
 // relay folds the records of the relay and makes new ones. It does no I/O.
@@ -87,11 +100,9 @@
 	// toldAt is when the last record came, toldByOthersAt the last one of another
 	// process, fullAt the last full one.
 	toldAt, toldByOthersAt, fullAt time.Time
-	// previousFull and lastFull are the offsets of the last two full records.
-	previousFull, lastFull int64
 }
 
-func newRelay(self string) relay { return relay{self: self, previousFull: -1, lastFull: -1} }
+func newRelay(self string) relay { return relay{self: self} }
 
 // handle takes the record at an offset and returns the changes that it makes. Records
 // before the first full one are void. Old says that the record may have stood in the
@@ -113,7 +124,6 @@
 	}
 	if record.Full {
 		r.fullAt = now
-		r.previousFull, r.lastFull = r.lastFull, offset
 	}
 	return r.apply(record)
 }
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -55,8 +56,10 @@
 	relayRead   bool
 	relayReadAt time.Time
 	startedAt   time.Time
-	// complete is set once the whole list was known, direct while this node reads
-	// the heartbeats itself, next is the offset up to which the directory has them.
+	// based is set once the directory holds the whole list as it stood at some time,
+	// complete once it was brought up to date. Direct is set while this node reads the
+	// heartbeats itself; next is the offset up to which the directory has them.
+	based    bool
 	complete bool
 	direct   bool
 	next     int64
@@ -82,8 +85,8 @@
 	relayRetry   = 150 * time.Millisecond
 	relaySlowest = 600 * time.Millisecond
 	// startPatience is how long a node that starts waits for the relay to speak, where
-	// there is one, before it reads the whole list.
-	startPatience = 900 * time.Millisecond
+	// there is one, before it reads heartbeats, some nodes longer than others.
+	startPatience = 300 * time.Millisecond
 )
 
 var relayPartition = store.Partition{Topic: store.TopicServerRelay}
@@ -107,9 +110,13 @@
 	background.Wait()
 }
 
-// large says whether the fleet is one whose list is relayed.
+// large says whether the fleet is one whose list is relayed, by what this node has
+// or by what the relay told it.
 func (l *List) large() bool {
-	return l.options.Directory.Snapshot().Count() >= l.options.LargeFleet
+	count := l.options.Directory.Snapshot().Count()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(count, len(l.relay.servers)) >= l.options.LargeFleet
 }
 
 // wantsDirect says whether this node is to read the heartbeats itself.
@@ -125,8 +132,8 @@
 		return l.direct || now.Sub(l.startedAt) > startPatience
 	case l.relay.servers == nil || l.complete && !large:
 		return true
-	case !l.complete:
-		return now.Sub(l.relayReadAt) > startPatience && now.Sub(l.relay.toldByOthersAt) > relayStale
+	case !l.complete && !l.direct:
+		return now.Sub(l.relayReadAt) > startPatience+l.spread() && now.Sub(l.relay.toldByOthersAt) > relayStale
 	case l.direct:
 		return now.Sub(l.relay.toldByOthersAt) > relayStale
 	}
@@ -135,7 +142,8 @@
 
 // spread is this node's share of the time in which nodes begin to read heartbeats.
 func (l *List) spread() time.Duration {
-	return time.Duration(float64(relaySpread) * float64(xxhash.Sum64String(l.options.Self)%1000) / 1000)
+	share := float64(xxhash.Sum64String(l.options.Self)>>11) / (1 << 53)
+	return time.Duration(float64(relaySpread) * math.Pow(share, relayHaste))
 }
 
 // adoptable says whether the directory is to be taken from the relay.
@@ -178,14 +186,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	leading := l.options.Leading()
-	l.mutex.Lock()
-	l.direct = true
-	known := l.complete && (l.versions || !leading)
-	from := l.next
-	l.mutex.Unlock()
+	from, known, versions := l.beginDirect(leading)
 	l.options.Logger.Info("list read from heartbeats", zap.Bool("leading", leading), zap.Bool("known", known), zap.Int64("offset", from))
 	var watch conc.WaitGroup
-	watch.Go(func() { l.endWhenRelayed(ctx, cancel) })
+	watch.Go(func() { l.endWhenRelayed(ctx, cancel, versions) })
 	follow.Keyed(ctx, follow.KeyedOptions{
 		Log: l.options.Log, Topic: store.TopicServers, Pace: l.options.Pace, Wait: l.options.Wait, Logger: l.options.Logger,
 		Replace: l.replace, Change: l.change, Read: l.noteRead, From: from, FromKnown: known,
@@ -194,11 +198,33 @@
 	watch.Wait()
 }
 
-// endWhenRelayed ends the reading of heartbeats once the relay is to be gone by.
-func (l *List) endWhenRelayed(ctx context.Context, end context.CancelFunc) {
+// beginDirect returns the offset from which the heartbeats are to be read, where what
+// was before is known: from earlier reads, or from what the relay told last. A node
+// that coordinates begins with the newest entries, which have weight versions; versions
+// says whether the list will have them.
+func (l *List) beginDirect(leading bool) (from int64, known, versions bool) {
+	l.mutex.Lock()
+	l.direct = true
+	relayed := !l.based && l.relay.servers != nil
+	servers := l.relay.list()
+	if relayed {
+		l.based, l.next = true, l.relay.next
+	}
+	from, known = l.next, l.based && (l.versions || !leading)
+	versions = l.versions || !known
+	l.mutex.Unlock()
+	if relayed && known {
+		l.options.Directory.Replace(servers)
+	}
+	return from, known, versions
+}
+
+// endWhenRelayed ends the reading of heartbeats once the relay is to be gone by, or once
+// this node coordinates and the reading does not bring weight versions.
+func (l *List) endWhenRelayed(ctx context.Context, end context.CancelFunc, versions bool) {
 	for pause.For(ctx, checkInterval) {
 		leading := l.options.Leading()
-		if l.wantsDirect(time.Now()) && (!leading || l.hasVersions()) {
+		if l.wantsDirect(time.Now()) && (versions || !leading) {
 			continue
 		}
 		end()
@@ -209,16 +235,10 @@
 	}
 }
 
-func (l *List) hasVersions() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.versions
-}
-
 // adoptRelay makes the directory what the relay says.
 func (l *List) adoptRelay() {
 	l.mutex.Lock()
-	l.direct, l.versions, l.complete = false, false, true
+	l.direct, l.versions, l.based, l.complete = false, false, true, true
 	l.next = l.relay.next
 	servers := l.relay.list()
 	l.mutex.Unlock()
@@ -239,7 +259,7 @@
 	l.options.Directory.Replace(servers)
 	l.options.Logger.Info("list of servers read", zap.Int("servers", len(servers)))
 	l.mutex.Lock()
-	l.complete, l.versions = true, true
+	l.based, l.versions = true, true
 	l.mutex.Unlock()
 	l.options.Changed()
 }
@@ -288,11 +308,16 @@
 	return server, true
 }
 
-func (l *List) noteRead(next int64) {
-	l.options.Directory.NoteRead(time.Now())
+// noteRead notes a read of the heartbeats; a list that was not read to the end is as
+// old as before.
+func (l *List) noteRead(next int64, end bool) {
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	l.next = next
+	l.complete = l.complete || end
+	l.mutex.Unlock()
+	if end {
+		l.options.Directory.NoteRead(time.Now())
+	}
 }
 
 // linesOfChange bounds the lines that one read of the list may log.
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -23,8 +23,11 @@
 // countedLog counts the reads of the servers' topic, and may lose what is appended.
 type countedLog struct {
 	*storetest.Memory
-	reads  atomic.Int64
-	silent atomic.Bool
+	reads atomic.Int64
+	loads atomic.Int64
+	// loadTime is how long the newest records take to read, a time.Duration.
+	loadTime atomic.Int64
+	silent   atomic.Bool
 	// relayDown refuses reads of the relay.
 	relayDown atomic.Bool
 }
@@ -39,6 +42,16 @@
 	return l.Memory.Read(ctx, at, from, wait)
 }
 
+func (l *countedLog) Newest(ctx context.Context, topic store.Topic) ([]store.Record, int64, error) {
+	l.loads.Add(1)
+	select {
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	case <-time.After(time.Duration(l.loadTime.Load())):
+	}
+	return l.Memory.Newest(ctx, topic)
+}
+
 func (l *countedLog) AppendAt(ctx context.Context, at store.Partition, end int64, payloads [][]byte) (int64, error) {
 	if l.silent.Load() {
 		return 0, store.ErrRefused
@@ -52,6 +65,9 @@
 	log *countedLog
 	ctx context.Context
 	end func()
+	// large is the number of servers from which on the list is relayed.
+	large   int
+	running sync.WaitGroup
 
 	mutex  sync.Mutex
 	leader int
@@ -65,23 +81,29 @@
 	for i := range servers {
 		f.put(fmt.Sprintf("i-%03d", i), "ready")
 	}
-	var running sync.WaitGroup
-	f.end = func() { cancel(); running.Wait() }
+	f.large = large
+	f.end = func() { cancel(); f.running.Wait() }
 	t.Cleanup(f.end)
-	for node := range nodes {
-		list := directory.NewDirectory()
-		f.lists = append(f.lists, list)
-		running.Go(func() {
-			New(Options{
-				Log: f.log, Directory: list, Logger: zap.NewNop(), Decode: decode, Digest: xxhash.Sum64,
-				Self: fmt.Sprint("node-", node), Leading: func() bool { return f.leading(node) }, Changed: func() {},
-				LargeFleet: large, Pace: 5 * time.Millisecond, Wait: 50 * time.Millisecond,
-			}).Run(ctx)
-		})
+	for range nodes {
+		f.start()
 	}
 	return f
 }
 
+// start starts a node and returns its list.
+func (f *fleet) start() *List {
+	node := len(f.lists)
+	kept := directory.NewDirectory()
+	f.lists = append(f.lists, kept)
+	list := New(Options{
+		Log: f.log, Directory: kept, Logger: zap.NewNop(), Decode: decode, Digest: xxhash.Sum64,
+		Self: fmt.Sprint("node-", node), Leading: func() bool { return f.leading(node) }, Changed: func() {},
+		LargeFleet: f.large, Pace: 5 * time.Millisecond, Wait: 50 * time.Millisecond,
+	})
+	f.running.Go(func() { list.Run(f.ctx) })
+	return list
+}
+
 func (f *fleet) leading(node int) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -170,6 +192,8 @@
 	f := newFleet(t, 3, 30, 10)
 	f.eventually("all servers", f.all(30))
 	f.relayIsRead()
+	// The whole list takes longer to read than the time between two looks at how.
+	f.log.loadTime.Store(int64(3 * checkInterval))
 	f.lead(2)
 	f.put("i-001", "draining")
 	f.eventually("the change by the successor", f.all(29))
@@ -198,3 +222,21 @@
 	f.put("i-002", "draining")
 	f.eventually("another change", f.all(28))
 }
+
+// A node that starts takes the list from the relay; where nobody relays, it goes on
+// from what was told last. Either way it does not read the whole list.
+func TestANodeThatStartsDoesNotReadTheWholeList(t *testing.T) {
+	f := newFleet(t, 3, 30, 10)
+	f.eventually("all servers", f.all(30))
+	f.relayIsRead()
+	before := f.log.loads.Load()
+	relayed := f.start()
+	f.eventually("the list of a node that starts", relayed.Complete)
+	f.log.silent.Store(true)
+	f.put("i-001", "draining")
+	alone := f.start()
+	f.eventually("the list of a node that starts while the relay is silent", func() bool { return alone.Complete() && f.all(29)() })
+	if loads := f.log.loads.Load() - before; loads != 0 {
+		t.Errorf("the whole list was read %d times", loads)
+	}
+}
