Remove the bench of the first design's control plane

Cause: `dalehook bench control` measured membership, views, pools and log readers of hollow nodes on a virtual clock. The platform makes these needless, the program there links none of them, and the users' bench plays 30, 100 and 300 real processes; the users ask to shrink what their bench replaces.

Kept: internal/load (the way of a request through a node), the simulator and the first design, which carry `dalehook node`, the demo and the rehearsal.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,6 +41,5 @@
 	commander.Register(newRehearseCommand(streams), groupRehearsal)
 	commander.Register(newLoadCommand(streams), groupRehearsal)
 	commander.Register(newStandinCommand(streams), groupRehearsal)
-	commander.Register(newBenchCommand(streams), groupRehearsal)
 	return commander
 }
