Take the relay's list only once no heartbeats come any more

Cause, found by reading: when the relay spoke again the directory was made what the relay says while a read of heartbeats could still be in flight. What it brought was applied afterwards: a server that the relay had removed in between stood in the list again, and no later record would remove it. Only fleets of 200 servers and more have a relay.

Change: the directory follows the relay once the reading of heartbeats has ended.

The test holds such a read up: 30 servers listed before, 29 after.

--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -182,8 +182,8 @@
 
 // followHeartbeats reads the heartbeats until the relay takes over, or until this node
 // needs the weight versions that it did not read.
-func (l *List) followHeartbeats(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+func (l *List) followHeartbeats(outer context.Context) {
+	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	leading := l.options.Leading()
 	from, known, versions := l.beginDirect(leading)
@@ -196,6 +196,10 @@
 	})
 	cancel()
 	watch.Wait()
+	// Only now do no heartbeats come any more, which may be older than the relay.
+	if outer.Err() == nil && !l.wantsDirect(time.Now()) {
+		l.adoptRelay()
+	}
 }
 
 // beginDirect returns the offset from which the heartbeats are to be read, where what
@@ -228,9 +232,6 @@
 			continue
 		}
 		end()
-		if !leading {
-			l.adoptRelay()
-		}
 		return
 	}
 }
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -240,3 +240,54 @@
 		t.Errorf("the whole list was read %d times", loads)
 	}
 }
+
+// lateLog holds the reads of the servers' topic up, and answers them with what it is
+// given, also after their context has ended.
+type lateLog struct {
+	*countedLog
+	asked chan struct{}
+	late  chan store.Batch
+}
+
+func (l *lateLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if at.Topic != store.TopicServers {
+		return l.countedLog.Read(ctx, at, from, wait)
+	}
+	select {
+	case l.asked <- struct{}{}:
+	default:
+	}
+	return <-l.late, nil
+}
+
+// Heartbeats that arrive after the relay has spoken again bring no server back.
+func TestLateHeartbeatsDoNotUndoTheRelay(t *testing.T) {
+	f := newFleet(t, 1, 30, 10)
+	f.eventually("all servers", f.all(30))
+	log := &lateLog{countedLog: f.log, asked: make(chan struct{}, 1), late: make(chan store.Batch)}
+	kept := directory.NewDirectory()
+	list := New(Options{
+		Log: log, Directory: kept, Logger: zap.NewNop(), Decode: decode, Digest: xxhash.Sum64,
+		Self: "late", Leading: func() bool { return false }, Changed: func() {},
+		LargeFleet: f.large, Pace: 5 * time.Millisecond, Wait: 50 * time.Millisecond,
+	})
+	f.running.Go(func() { list.Run(f.ctx) })
+	f.eventually("the relayed list", func() bool { return kept.Snapshot().Count() == 30 })
+	f.log.silent.Store(true)
+	<-log.asked
+	f.put("i-001", "")
+	f.log.silent.Store(false)
+	f.eventually("the relay's news", func() bool {
+		list.mutex.Lock()
+		defer list.mutex.Unlock()
+		return len(list.relay.servers) == 29
+	})
+	time.Sleep(3 * checkInterval)
+	log.late <- store.Batch{Records: []store.Record{{Key: "i-001", Value: []byte("ready late")}}, Next: 1, End: 1}
+	f.eventually("the list as the relay tells it", func() bool { return kept.Snapshot().Count() == 29 })
+	time.Sleep(3 * checkInterval)
+	if got := kept.Snapshot().Count(); got != 29 {
+		t.Errorf("%d servers are listed", got)
+	}
+	close(log.late)
+}
