Server list: follow the relay under one lock; look rarely in small fleets

Causes: adoptRelay and handleRelay changed the directory after they had let go of the mutex, from two goroutines: a list taken from the relay could overwrite what was relayed after it, and a server removed in between would stay, since later full records are compared with the relay's own list.

Change: the directory follows the relay under the mutex; the loops look once a second in a small fleet (one pause for all three, publishPace is gone). beginDirect sets the relayed list without a copy of its conditions. The tests' common beginning stands once.

No test fails first: the window lies between two statements. All tests of the package pass unchanged in what they assert.

--- a/internal/serverlist/publish.go
+++ b/internal/serverlist/publish.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// publishPace is the time between two looks at what is to be relayed.
-	publishPace = 100 * time.Millisecond
 	// publishTimeout bounds an append or a trim.
 	publishTimeout = 700 * time.Millisecond
 	// readAgeLimit is the age of the directory beyond which it is not relayed.
@@ -22,7 +20,7 @@
 
 // runPublisher relays the list of a large fleet while this node reads the heartbeats.
 func (l *List) runPublisher(ctx context.Context) {
-	for pause.For(ctx, publishPace) {
+	for pause.For(ctx, l.checkPause()) {
 		if err := l.publish(ctx); err != nil {
 			l.options.Logger.Warn("list not relayed", zap.Error(err))
 		}
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -50,6 +50,8 @@
 type List struct {
 	options Options
 
+	// The directory is made what the relay says under the mutex, so that what was
+	// relayed earlier never overwrites what was relayed later.
 	mutex sync.Mutex
 	relay relay
 	// relayRead is set once the relay was read to its end, at relayReadAt.
@@ -77,8 +79,10 @@
 
 // The timing of a list.
 const (
-	// checkInterval is the time between two looks at which way the list is read.
+	// checkInterval is the time between two looks at which way the list is read, and
+	// smallInterval that in a small fleet, where it is read in one way only.
 	checkInterval = 100 * time.Millisecond
+	smallInterval = time.Second
 	// relayWait is how long the store may hold a read of the relay that finds nothing.
 	relayWait    = 500 * time.Millisecond
 	relayTimeout = 1200 * time.Millisecond
@@ -119,6 +123,14 @@
 	return max(count, len(l.relay.servers)) >= l.options.LargeFleet
 }
 
+// checkPause returns the time until the next look at how the list is read.
+func (l *List) checkPause() time.Duration {
+	if l.large() {
+		return checkInterval
+	}
+	return smallInterval
+}
+
 // wantsDirect says whether this node is to read the heartbeats itself.
 func (l *List) wantsDirect(now time.Time) bool {
 	if l.options.Leading() {
@@ -208,25 +220,20 @@
 // says whether the list will have them.
 func (l *List) beginDirect(leading bool) (from int64, known, versions bool) {
 	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	l.direct = true
-	relayed := !l.based && l.relay.servers != nil
-	servers := l.relay.list()
-	if relayed {
+	if !l.based && l.relay.servers != nil {
 		l.based, l.next = true, l.relay.next
+		l.options.Directory.Replace(l.relay.list())
 	}
-	from, known = l.next, l.based && (l.versions || !leading)
-	versions = l.versions || !known
-	l.mutex.Unlock()
-	if relayed && known {
-		l.options.Directory.Replace(servers)
-	}
-	return from, known, versions
+	known = l.based && (l.versions || !leading)
+	return l.next, known, l.versions || !known
 }
 
 // endWhenRelayed ends the reading of heartbeats once the relay is to be gone by, or once
 // this node coordinates and the reading does not bring weight versions.
 func (l *List) endWhenRelayed(ctx context.Context, end context.CancelFunc, versions bool) {
-	for pause.For(ctx, checkInterval) {
+	for pause.For(ctx, l.checkPause()) {
 		leading := l.options.Leading()
 		if l.wantsDirect(time.Now()) && (versions || !leading) {
 			continue
@@ -241,11 +248,11 @@
 	l.mutex.Lock()
 	l.direct, l.versions, l.based, l.complete = false, false, true, true
 	l.next = l.relay.next
-	servers := l.relay.list()
-	l.mutex.Unlock()
+	next, servers := l.next, l.relay.list()
 	l.options.Directory.Replace(servers)
 	l.options.Directory.NoteRead(time.Now())
-	l.options.Logger.Info("list taken from the relay", zap.Int("servers", len(servers)), zap.Int64("offset", l.next))
+	l.mutex.Unlock()
+	l.options.Logger.Info("list taken from the relay", zap.Int("servers", len(servers)), zap.Int64("offset", next))
 	l.options.Changed()
 }
 
@@ -352,7 +359,7 @@
 	outage := follow.Outage{Logger: l.options.Logger}
 	for ctx.Err() == nil {
 		if l.knowsRelay() && !l.large() {
-			pause.For(ctx, checkInterval)
+			pause.For(ctx, smallInterval)
 			continue
 		}
 		err := l.advanceRelay(ctx)
@@ -406,16 +413,14 @@
 	if !l.relayRead && read.Next >= read.End {
 		l.relayRead, l.relayReadAt = true, now
 	}
-	follows := l.complete && !l.direct && len(read.Records) > 0
-	if follows {
+	var effective []directory.Change
+	if l.complete && !l.direct && len(read.Records) > 0 {
 		l.next = l.relay.next
 		l.options.Directory.NoteRead(now)
+		effective = l.options.Directory.Apply(changes)
 	}
 	l.mutex.Unlock()
-	if !follows {
-		return
-	}
-	if effective := l.options.Directory.Apply(changes); len(effective) > 0 {
+	if len(effective) > 0 {
 		l.log(effective)
 		l.options.Changed()
 	}
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -166,10 +166,16 @@
 	})
 }
 
-func TestNodesOfALargeFleetReadTheRelay(t *testing.T) {
-	f := newFleet(t, 4, 30, 10)
+// newRelayedFleet returns a fleet of thirty servers whose list is relayed.
+func newRelayedFleet(t *testing.T, nodes int) *fleet {
+	f := newFleet(t, nodes, 30, 10)
 	f.eventually("all servers", f.all(30))
 	f.relayIsRead()
+	return f
+}
+
+func TestNodesOfALargeFleetReadTheRelay(t *testing.T) {
+	f := newRelayedFleet(t, 4)
 	f.put("i-001", "draining")
 	f.put("i-002", "")
 	f.put("i-900", "ready")
@@ -177,9 +183,7 @@
 }
 
 func TestASilentRelayIsNotGoneBy(t *testing.T) {
-	f := newFleet(t, 4, 30, 10)
-	f.eventually("all servers", f.all(30))
-	f.relayIsRead()
+	f := newRelayedFleet(t, 4)
 	f.log.silent.Store(true)
 	f.put("i-001", "draining")
 	f.eventually("the change without a relay", f.all(29))
@@ -189,9 +193,7 @@
 }
 
 func TestASuccessorRelays(t *testing.T) {
-	f := newFleet(t, 3, 30, 10)
-	f.eventually("all servers", f.all(30))
-	f.relayIsRead()
+	f := newRelayedFleet(t, 3)
 	// The whole list takes longer to read than the time between two looks at how.
 	f.log.loadTime.Store(int64(3 * checkInterval))
 	f.lead(2)
@@ -212,9 +214,7 @@
 
 // Without a coordinator one of the nodes reads the heartbeats and relays.
 func TestANodeRelaysInThePlaceOfTheCoordinator(t *testing.T) {
-	f := newFleet(t, 5, 30, 10)
-	f.eventually("all servers", f.all(30))
-	f.relayIsRead()
+	f := newRelayedFleet(t, 5)
 	f.lead(-1)
 	f.put("i-001", "draining")
 	f.eventually("the change without a coordinator", f.all(29))
@@ -226,9 +226,7 @@
 // A node that starts takes the list from the relay; where nobody relays, it goes on
 // from what was told last. Either way it does not read the whole list.
 func TestANodeThatStartsDoesNotReadTheWholeList(t *testing.T) {
-	f := newFleet(t, 3, 30, 10)
-	f.eventually("all servers", f.all(30))
-	f.relayIsRead()
+	f := newRelayedFleet(t, 3)
 	before := f.log.loads.Load()
 	relayed := f.start()
 	f.eventually("the list of a node that starts", relayed.Complete)
