A node that reads no heartbeats follows the relay

Cause: since the directory was taken from the relay only right after the reading of heartbeats had ended, if the relay was fresh at that moment. Where it was just late, the node read nothing, kept the mark of one that does, and passed over all that the relay said afterwards.

Change: one place takes the directory from the relay, whenever the node reads no heartbeats and does not follow the relay yet.

--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -158,14 +158,16 @@
 	return time.Duration(float64(relaySpread) * math.Pow(share, relayHaste))
 }
 
-// adoptable says whether the directory is to be taken from the relay.
+// adoptable says whether the directory is to be taken from the relay: it does not follow
+// the relay yet, and no heartbeats come any more, which may be older.
 func (l *List) adoptable(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.complete && l.relay.servers != nil && now.Sub(l.relay.toldByOthersAt) < relayStale
+	return (l.direct || !l.complete) && l.relay.servers != nil && now.Sub(l.relay.toldByOthersAt) < relayStale
 }
 
-// runDirect reads the heartbeats while this node is to.
+// runDirect reads the heartbeats while this node is to, and has the directory follow the
+// relay while it is not.
 func (l *List) runDirect(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -194,8 +196,8 @@
 
 // followHeartbeats reads the heartbeats until the relay takes over, or until this node
 // needs the weight versions that it did not read.
-func (l *List) followHeartbeats(outer context.Context) {
-	ctx, cancel := context.WithCancel(outer)
+func (l *List) followHeartbeats(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	leading := l.options.Leading()
 	from, known, versions := l.beginDirect(leading)
@@ -208,10 +210,6 @@
 	})
 	cancel()
 	watch.Wait()
-	// Only now do no heartbeats come any more, which may be older than the relay.
-	if outer.Err() == nil && !l.wantsDirect(time.Now()) {
-		l.adoptRelay()
-	}
 }
 
 // beginDirect returns the offset from which the heartbeats are to be read, where what
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -289,3 +289,21 @@
 	}
 	close(log.late)
 }
+
+// A node whose reading of heartbeats ended as the relay was late follows the relay once
+// it speaks again.
+func TestANodeThatReadsNothingFollowsTheRelay(t *testing.T) {
+	kept := directory.NewDirectory()
+	list := New(Options{
+		Log: storetest.NewMemory(), Directory: kept, Logger: zap.NewNop(), Decode: decode, Digest: xxhash.Sum64,
+		Self: "late", Leading: func() bool { return false }, Changed: func() {}, LargeFleet: 1,
+	})
+	list.relayRead, list.based, list.complete, list.direct = true, true, true, true
+	list.relay.handle(time.Now(), 0, &relayRecord{Author: "other", Full: true, Put: []relayEntry{{ID: "i-001", Service: "s"}}}, false)
+	ctx, cancel := context.WithTimeout(context.Background(), relayStale/2)
+	defer cancel()
+	list.runDirect(ctx)
+	if list.direct || kept.Snapshot().Count() != 1 {
+		t.Errorf("direct %v, %d servers listed", list.direct, kept.Snapshot().Count())
+	}
+}
