Move the soak under platform/; keep the platform's names there in tests too

Cause: test/soak speaks to the nodes and to the store as the platform does, and so had the platform's names outside the one folder that is to know them; the check of names passed over test files.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # Real processes under faults from outside, on fresh seeds; LOGS=directory keeps the
 # logs of those that fail.
 soak-processes:
-	$(GO) test -count=1 -timeout 60m -run '^TestFreshSeeds$$' -v ./test/soak -seeds=$(SEEDS) -logs=$(LOGS)
+	$(GO) test -count=1 -timeout 60m -run '^TestFreshSeeds$$' -v ./platform/soak -seeds=$(SEEDS) -logs=$(LOGS)
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
