A partition is read once for an answer; a long first read may end

Cause: a node that was asked for a job of a partition it did not follow asked the store for the partition's end while its first read was under way, and got all of the partition a second time over its link. On a thin link the first read took longer than its 1.5 s, was given up and began anew with the same records, for ever.

Change: an answer waits for the first read; first reads wait for nothing and may take 3 s.

--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,3 +168,57 @@
 		t.Errorf("end %d, %v", end, err)
 	}
 }
+
+// thinLog counts the records that it hands out, and takes a time for the first read.
+type thinLog struct {
+	*storetest.Memory
+	records   atomic.Int64
+	firstRead atomic.Int64 // a time.Duration
+}
+
+func (l *thinLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return store.Batch{}, ctx.Err()
+	case <-time.After(time.Duration(l.firstRead.Load())):
+		l.firstRead.Store(0)
+	}
+	read, err := l.Memory.Read(ctx, at, from, wait)
+	l.records.Add(int64(len(read.Records)))
+	return read, err
+}
+
+// A node that begins to read a partition takes all of it over its link, once.
+func TestAPartitionIsReadOnceToAnswer(t *testing.T) {
+	log := &thinLog{Memory: storetest.NewMemory()}
+	writer := NewLogs(Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, log, writer, "job", 50, 50)
+	logs := start(t, log)
+	log.firstRead.Store(int64(50 * time.Millisecond))
+	if count, err := read(logs, "job", 0); err != nil || count != 50 {
+		t.Fatalf("%d results, %v", count, err)
+	}
+	stored, err := log.Memory.Read(context.Background(), store.Partition{Topic: store.TopicJobs}, 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := log.records.Load(); got != int64(len(stored.Records)) {
+		t.Errorf("%d records were read of a partition with %d", got, len(stored.Records))
+	}
+}
+
+// A long first read over a thin link comes to its end, though an answer may not wait so
+// long; later answers go by it.
+func TestALongFirstReadComesToItsEnd(t *testing.T) {
+	log := &thinLog{Memory: storetest.NewMemory()}
+	writer := NewLogs(Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, log, writer, "job", 5, 5)
+	logs := start(t, log)
+	log.firstRead.Store(int64(2 * time.Second))
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+		if count, err := read(logs, "job", 0); err == nil && count == 5 {
+			return
+		}
+	}
+	t.Error("the partition was never read")
+}
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -21,14 +21,17 @@
 	// under way was seen to be held to its end, and a step waits for it.
 	readWait          = 700 * time.Millisecond
 	schedulerReadWait = 350 * time.Millisecond
-	// readTimeout bounds a read.
-	readTimeout = 1500 * time.Millisecond
+	// readTimeout bounds a read of what is new, longReadTimeout one of a partition that
+	// is read from its start: over a thin link that takes its time, and a read that is
+	// given up begins anew with the same records.
+	readTimeout     = 1500 * time.Millisecond
+	longReadTimeout = 3 * time.Second
 	// retryPause is the time between a failed read and the next.
 	retryPause = 100 * time.Millisecond
 	// slowestRead is the longest pause between two reads.
 	slowestRead = 600 * time.Millisecond
-	// catchUpTimeout bounds the asking for the partition's end.
-	catchUpTimeout = 1500 * time.Millisecond
+	// catchUpTimeout bounds the reading up to the partition's end for an answer.
+	catchUpTimeout = 2200 * time.Millisecond
 	// freshFor is how long a read to the end stands for the end itself. It is
 	// shorter than the time after which a position that was read at one node must
 	// be there at all.
@@ -52,8 +55,12 @@
 	fold       *batch.Fold
 	// next is the offset of the first record that was not read.
 	next int64
-	// freshAt is when a read last came to the partition's end.
-	freshAt time.Time
+	// freshAt is when a read last came to the partition's end, freshBegan when that read
+	// began; both are zero until the partition was read from its start to its end.
+	freshAt, freshBegan time.Time
+	// failed is the last failure of a read, at failedAt.
+	failed   error
+	failedAt time.Time
 }
 
 func newPartition(options Options, number int) *partition {
@@ -142,11 +149,15 @@
 	}
 }
 
-// catchUp asks the store for the partition's end and waits until all before it
-// was read.
+// catchUp waits until all that stood in the partition when it was called was read.
 func (p *partition) catchUp(ctx context.Context) error {
+	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
+	fresh, err := p.awaitFirstRead(ctx, asked)
+	if err != nil || fresh {
+		return err
+	}
 	end, err := p.end(ctx)
 	if err != nil {
 		return err
@@ -157,6 +168,24 @@
 	return nil
 }
 
+// awaitFirstRead waits until the partition was read from its start to its end once.
+// Asking for the end before would bring all of it over the link a second time. Fresh
+// says that the read which came to the end began after asked.
+func (p *partition) awaitFirstRead(ctx context.Context, asked time.Time) (fresh bool, err error) {
+	settled := p.waitUntil(ctx, func() bool {
+		fresh = p.freshBegan.After(asked)
+		err = nil
+		if p.freshAt.IsZero() && p.failedAt.After(asked) {
+			err = p.failed
+		}
+		return !p.freshAt.IsZero() || err != nil
+	})
+	if !settled {
+		return false, ctx.Err()
+	}
+	return fresh, err
+}
+
 func (p *partition) end(ctx context.Context) (int64, error) {
 	p.mutex.Lock()
 	next := p.next
@@ -178,11 +207,20 @@
 		p.outage.Note(err, zap.Stringer("partition", p.at), zap.Int64("offset", p.next))
 		if err == nil {
 			p.forgetUnwanted()
+		} else {
+			p.noteFailure(err)
 		}
 		pause.For(ctx, pace.Next(err))
 	}
 }
 
+func (p *partition) noteFailure(err error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.failed, p.failedAt = err, time.Now()
+	p.notify()
+}
+
 // forgetUnwanted drops the state of a partition that nobody asked for.
 func (p *partition) forgetUnwanted() {
 	p.mutex.Lock()
@@ -192,14 +230,15 @@
 	}
 	p.fold = batch.NewFold()
 	p.next = 0
-	p.freshAt = time.Time{}
+	p.freshAt, p.freshBegan = time.Time{}, time.Time{}
 }
 
 func (p *partition) advance(ctx context.Context) error {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	wait, timeout := p.bounds()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	read, err := p.log.Read(ctx, p.at, p.next, p.wait())
+	read, err := p.log.Read(ctx, p.at, p.next, wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		read, err = store.Batch{Next: trimmed.First, End: trimmed.First + 1}, nil
@@ -211,14 +250,18 @@
 	return nil
 }
 
-// wait returns how long a read that finds nothing may be held.
-func (p *partition) wait() time.Duration {
+// bounds returns how long a read that finds nothing may be held, and how long a read
+// may take. The first reads of a partition wait for nothing.
+func (p *partition) bounds() (wait, timeout time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.subscriber != nil {
-		return schedulerReadWait
+	switch {
+	case p.freshAt.IsZero():
+		return 0, longReadTimeout
+	case p.subscriber != nil:
+		return schedulerReadWait, readTimeout
 	}
-	return readWait
+	return readWait, readTimeout
 }
 
 func (p *partition) apply(read store.Batch, began time.Time) {
@@ -236,13 +279,14 @@
 	}
 	moved := p.next != read.Next
 	p.next = read.Next
+	first := p.freshAt.IsZero()
 	if read.Next >= read.End {
-		p.freshAt = time.Now()
+		p.freshAt, p.freshBegan = time.Now(), began
 	}
 	if p.subscriber != nil && read.Next >= read.End {
 		p.subscriber.HandleFresh(p.at.Number, began)
 	}
-	if moved {
+	if moved || first {
 		p.notify()
 	}
 }
