--- a/cmd/dalehook/failure_load_test.go
+++ b/cmd/dalehook/failure_load_test.go
@@ -175,6 +175,13 @@
 	return step
 }
 
+// promptsOf returns the prompts of a step by sample. They do not change once made.
+func (l *load) promptsOf(step string) map[string]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.prompts[step]
+}
+
 // readStep reads a step along one chain of cursors to its end.
 func (l *load) readStep(turn *int, step, cursor string) error {
 	reads := 0
--- a/cmd/dalehook/failure_store_test.go
+++ b/cmd/dalehook/failure_store_test.go
@@ -104,7 +104,7 @@
 	if _, err := others[1].apiWithin(callTimeout).ReadSamples(w.ctx, client.Read{Step: refused.Step}); refusalOf(t, err).Status != http.StatusNotFound {
 		t.Errorf("read of the refused step: %v, want that it is not known", err)
 	}
-	for id, prompt := range l.prompts[refused.Step] {
+	for id, prompt := range l.promptsOf(refused.Step) {
 		if w.tags.seen(prompt) {
 			t.Errorf("sample %s of the refused step ran", id)
 		}
