Reward calls: an item is listed with the score of its own call

Ruled out: a node near the server that calls for the coordinator (another hop, and another part that must know the end of a job); a record of its own in the jobs' partitions for whole texts (read by every reader of a job; progress is read by successors alone).

Carried items keep a score only where the call is the same.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -3,6 +3,8 @@
 // partition come to the same state.
 package batch
 
+import "dalehook/internal/reward"
+
 // Item is one request of a batch job.
 type Item struct {
 	ID   string
@@ -17,6 +19,8 @@
 	Expected int `json:",omitempty"`
 	// Group names the items that share a prompt; empty when there are no groups.
 	Group string `json:",omitempty"`
+	// Reward scores the whole text; nil when the item needs no score.
+	Reward *reward.Call `json:",omitempty"`
 }
 
 // Job is a batch job as a caller submitted it.
@@ -59,6 +63,9 @@
 	Text string `json:",omitempty"`
 	// Versions are the weight versions that made the text, ascending.
 	Versions []int64 `json:",omitempty"`
+	// Score is what the item's reward call was answered with; empty for items that
+	// have none or are dead.
+	Score string `json:",omitempty"`
 }
 
 // End closes a job.
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -21,6 +21,9 @@
 	Text string
 	// Versions are the weight versions that made the events, ascending.
 	Versions []int64
+	// Whole says that the item's text ends here. Such a progress holds all of the text,
+	// since what was saved before may have been trimmed.
+	Whole bool `json:",omitempty"`
 }
 
 // EncodeProgress returns the record of a progress.
@@ -38,6 +41,8 @@
 	LastID   string
 	Text     []string
 	Versions []int64
+	// Whole says that the text is all that the item has.
+	Whole bool
 }
 
 // ProgressFold joins the progress of items. A part counts only where it follows
@@ -70,5 +75,6 @@
 	partial.LastID = progress.LastID
 	partial.Text = append(partial.Text, progress.Text)
 	partial.Versions = MergeVersions(partial.Versions, progress.Versions)
+	partial.Whole = progress.Whole
 	return nil
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"dalehook/internal/directory"
 	"dalehook/internal/election"
 	"dalehook/internal/joblog"
+	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scheduler"
 	"dalehook/internal/store"
@@ -61,17 +62,23 @@
 	ObserveAttempt(reason scheduler.EndReason)
 	ObserveResult(outcome string)
 	ObserveLoad(taken bool)
+	// ObserveReward takes what a reward call came to, and the time since its item's
+	// text was whole.
+	ObserveReward(verdict reward.Verdict, waited time.Duration)
 }
 
 // State is what a coordinator does now.
 type State struct {
 	Leading                bool
 	Open, Running, Waiting int
+	// Unscored is the number of items whose text is whole and has no score yet.
+	Unscored int
 }
 
 // Options configure a Coordinator.
 type Options struct {
 	Engines   Engines
+	Rewards   Rewards
 	Log       store.Log
 	Jobs      *joblog.Logs
 	Directory *directory.Directory
@@ -98,15 +105,17 @@
 	newest  map[string]int64
 	machine *scheduler.Machine // nil while the lease is not held
 	// term ends when the lease is lost.
-	term       context.Context
-	endTerm    context.CancelFunc
-	unfollow   func()
-	writer     *recordWriter
-	lease      election.Lease
-	cancels    map[scheduler.AttemptID]context.CancelFunc
-	background conc.WaitGroup
-	closed     bool
-	statedAt   time.Time
+	term     context.Context
+	endTerm  context.CancelFunc
+	unfollow func()
+	writer   *recordWriter
+	lease    election.Lease
+	cancels  map[scheduler.AttemptID]context.CancelFunc
+	// rewardCancels end the sends of reward calls.
+	rewardCancels map[reward.SendID]context.CancelFunc
+	background    conc.WaitGroup
+	closed        bool
+	statedAt      time.Time
 }
 
 // New returns a coordinator without the lease.
@@ -188,7 +197,10 @@
 	if c.machine == nil {
 		return State{}
 	}
-	return State{Leading: true, Open: c.machine.Open(), Running: c.machine.Running(), Waiting: c.machine.Waiting()}
+	return State{
+		Leading: true, Open: c.machine.Open(), Running: c.machine.Running(), Waiting: c.machine.Waiting(),
+		Unscored: c.machine.Unscored(),
+	}
 }
 
 // ObserveTable takes a new configuration.
@@ -253,6 +265,7 @@
 	options.Term = standing.Lease.Epoch
 	c.machine = scheduler.NewMachine(options)
 	c.cancels = make(map[scheduler.AttemptID]context.CancelFunc)
+	c.rewardCancels = make(map[reward.SendID]context.CancelFunc)
 	c.term, c.endTerm = context.WithCancel(context.Background())
 	c.writer = newRecordWriter(c.term, c.options.Log, c.options.Logger)
 	c.writer.appended = newTrimmer(c.term, c.options.Log, c.options.Logger).appended
@@ -342,6 +355,7 @@
 	for _, result := range output.Results {
 		c.appendResult(result)
 	}
+	c.sendRewards(output)
 }
 
 func (c *Coordinator) appendProgress(progress scheduler.Progress) {
--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -40,7 +40,10 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			for id, partial := range fold.Partials() {
-				all[id] = partial
+				// An item that came again in a later job may stand in two partitions.
+				if known := all[id]; known == nil || !known.Whole {
+					all[id] = partial
+				}
 			}
 		})
 	}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -12,6 +12,7 @@
 
 	"dalehook/internal/coordinator"
 	"dalehook/internal/gateway"
+	"dalehook/internal/reward"
 	"dalehook/internal/scheduler"
 )
 
@@ -28,6 +29,8 @@
 	itemAttempts   *prometheus.CounterVec
 	results        *prometheus.CounterVec
 	loads          *prometheus.CounterVec
+	rewardCalls    *prometheus.CounterVec
+	rewardSeconds  prometheus.Histogram
 	storeCalls     *prometheus.CounterVec
 	storeSeconds   *prometheus.HistogramVec
 }
@@ -50,11 +53,15 @@
 		itemAttempts:   counter("dalehook_item_attempts_total", "Runs of items by the way they ended.", "end"),
 		results:        counter("dalehook_results_total", "Results written by outcome.", "outcome"),
 		loads:          counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
-		storeCalls:     counter("dalehook_store_calls_total", "Calls to the store by call and status of the answer, 0 for none.", "call", "status"),
-		storeSeconds:   histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
+		rewardCalls:    counter("dalehook_reward_calls_total", "Sends of reward calls by what came of them.", "verdict"),
+		rewardSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "dalehook_reward_seconds", Help: "Time from an item's whole text to its score.", Buckets: latencyBuckets,
+		}),
+		storeCalls:   counter("dalehook_store_calls_total", "Calls to the store by call and status of the answer, 0 for none.", "call", "status"),
+		storeSeconds: histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.itemAttempts, m.results, m.loads,
-		m.storeCalls, m.storeSeconds, collectors.NewGoCollector())
+		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
 }
@@ -84,6 +91,9 @@
 	gauge("dalehook_open_jobs", "Open batch jobs, at the coordinator.", func() float64 { return float64(n.coordinator.State().Open) })
 	gauge("dalehook_running_items", "Items that run, at the coordinator.", func() float64 { return float64(n.coordinator.State().Running) })
 	gauge("dalehook_waiting_items", "Items that wait, at the coordinator.", func() float64 { return float64(n.coordinator.State().Waiting) })
+	gauge("dalehook_unscored_items", "Items whose text is whole and has no score yet, at the coordinator.", func() float64 {
+		return float64(n.coordinator.State().Unscored)
+	})
 	if lostLines != nil {
 		gauge("dalehook_log_lines_lost", "Log lines that were lost since the start.", func() float64 { return float64(lostLines()) })
 	}
@@ -134,6 +144,14 @@
 	m.loads.WithLabelValues(outcome).Inc()
 }
 
+// ObserveReward implements coordinator.Observer.
+func (m *nodeMetrics) ObserveReward(verdict reward.Verdict, waited time.Duration) {
+	m.rewardCalls.WithLabelValues(verdict.String()).Inc()
+	if verdict == reward.VerdictScored {
+		m.rewardSeconds.Observe(waited.Seconds())
+	}
+}
+
 func (m *nodeMetrics) observeStore(call string, status int, took time.Duration) {
 	m.storeCalls.WithLabelValues(call, strconv.Itoa(status)).Inc()
 	if call != callThatWaits {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -149,7 +149,7 @@
 		Changed: func() { n.coordinator.ObserveServers() },
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
-		Engines: adapter.Engines(), Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
+		Engines: adapter.Engines(), Rewards: &rewardCaller{gateway: n.gateway, logger: logger.Named("reward")}, Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
 		OrderPause: time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
 		Fenced:     options.Settings.FencingEnforced,
 		Logger:     logger.Named("coordinator"),
--- /dev/null
+++ b/internal/frontend/rewards.go
@@ -0,0 +1,43 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/coordinator"
+	"dalehook/internal/gateway"
+	"dalehook/internal/reward"
+)
+
+// rewardCaller makes reward calls by the gateway's rules.
+type rewardCaller struct {
+	gateway *gateway.Gateway
+	logger  *zap.Logger
+}
+
+var _ coordinator.Rewards = (*rewardCaller)(nil)
+
+// Score implements coordinator.Rewards.
+func (r *rewardCaller) Score(ctx context.Context, send reward.Send) reward.Answer {
+	path, _, _ := strings.Cut(send.Call.Path, "?")
+	began := time.Now()
+	result := r.gateway.Call(ctx, gateway.Call{
+		Request: &gateway.Request{
+			ID: send.Call.ID, Method: http.MethodPost, Target: send.Call.Path, Path: path, Host: send.Call.Host,
+			Header: make(http.Header), Body: send.Call.Body, Received: began, Deadline: send.Deadline,
+		},
+		Table: send.Table, Route: send.Route, Service: send.Service,
+	})
+	r.logger.Info("reward call answered", zap.String("job", send.Item.JobID), zap.String("item", send.Item.ItemID),
+		zap.String("request", send.Call.ID), zap.Bool("scored", result.Signature != ""),
+		zap.String("route", send.Route.Name), zap.String("service", send.Service),
+		zap.Int64("configuration", send.Table.Version), zap.Strings("servers", result.Servers),
+		zap.Int("try", send.Inputs.Try), zap.Int("failures", send.Inputs.Failures+result.Failures),
+		zap.Int("under_way", send.Inputs.UnderWay), zap.Int("room", send.Inputs.Room),
+		zap.Duration("waited", send.Inputs.Waited), zap.Duration("took", time.Since(began)), zap.String("reason", result.Reason))
+	return reward.Answer{Score: result.Signature, Failures: result.Failures}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,10 @@
 	reason string
 	// unrun is true while no server may have run the request.
 	unrun bool
+	// repeatable requests may run more than once.
+	repeatable bool
+	// failures counts the servers that answered that the request failed.
+	failures int
 }
 
 // Serve answers a request of a route.
@@ -95,7 +99,7 @@
 	}
 	c := &call{
 		gateway: g, request: request, route: route, table: table, service: target.Service,
-		deadline: deadlineOf(route, request), tried: make(map[string]bool), unrun: true,
+		deadline: deadlineOf(route, request), tried: make(map[string]bool), unrun: true, repeatable: route.Repeatable(),
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
@@ -166,13 +170,22 @@
 
 // single serves a request whose answer is one body.
 func (c *call) single(ctx context.Context, w http.ResponseWriter) int {
+	got, ok := c.await(ctx)
+	if !ok {
+		return c.fail(w)
+	}
+	return c.relay(w, got)
+}
+
+// await makes attempts until one brings the final answer; ok is false when none did.
+func (c *call) await(ctx context.Context) (got attempt, ok bool) {
 	results := make(chan attempt, max(c.route.MaxAttempts, 1))
 	pending := 0
 	var hedge <-chan time.Time
 	for {
 		if pending == 0 {
 			if !c.launch(ctx, results) {
-				return c.fail(w)
+				return attempt{}, false
 			}
 			pending++
 			hedge = c.hedgeTimer()
@@ -184,7 +197,7 @@
 				c.reason = "caller left"
 			}
 			c.unrun = false
-			return c.fail(w)
+			return attempt{}, false
 		case <-hedge:
 			hedge = nil
 			if c.launch(ctx, results) {
@@ -196,7 +209,7 @@
 				got.drop()
 				continue
 			}
-			return c.relay(w, got)
+			return got, true
 		}
 	}
 }
@@ -205,7 +218,7 @@
 func (r *Request) gone(ctx context.Context) bool { return ctx.Err() == context.Canceled }
 
 func (c *call) hedgeTimer() <-chan time.Time {
-	if !c.route.Repeatable() || c.route.LatencyTarget <= 0 {
+	if !c.repeatable || c.route.LatencyTarget <= 0 {
 		return nil
 	}
 	return time.After(time.Duration(hedgeShare * float64(c.route.LatencyTarget)))
@@ -222,7 +235,7 @@
 }
 
 func (c *call) nextServer() *directory.Server {
-	if c.attempts >= max(c.route.MaxAttempts, 1) || !c.unrun && !c.route.Repeatable() {
+	if c.attempts >= max(c.route.MaxAttempts, 1) || !c.unrun && !c.repeatable {
 		return nil
 	}
 	if !time.Now().Before(c.deadline) {
@@ -309,9 +322,12 @@
 	case got.answer.NotExecuted:
 		c.reason = "refused by the server"
 		return false
-	case got.answer.Status >= http.StatusInternalServerError && c.route.Repeatable():
+	case got.answer.Status >= http.StatusInternalServerError && c.repeatable:
 		c.reason = "failed at the server: " + strconv.Itoa(got.answer.Status)
 		c.unrun = false
+		if got.answer.Status == http.StatusInternalServerError {
+			c.failures++
+		}
 		return pending == 0 && c.attempts >= max(c.route.MaxAttempts, 1)
 	}
 	return true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,7 +74,7 @@
 // better or the head has been sent.
 func (r *streamRelay) takeFailure(answer *Answer) (done bool, status int) {
 	r.call.reason = "failed at the server"
-	if r.started || r.call.route.Repeatable() && answer.Status >= http.StatusInternalServerError {
+	if r.started || r.call.repeatable && answer.Status >= http.StatusInternalServerError {
 		return false, 0
 	}
 	copyHeader(r.w.Header(), answer.Header)
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -56,6 +56,8 @@
 	NotExecuted bool
 	// Load is nil when the server did not tell it.
 	Load *Load
+	// Signature is the server's mark on the answer; a success always has one.
+	Signature string
 }
 
 // SendError is an attempt that brought no answer.
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -151,6 +151,12 @@
 	return best
 }
 
+// MatchTarget is Match for a path that may have a query.
+func (t *Table) MatchTarget(host, target string) *Route {
+	path, _, _ := strings.Cut(target, "?")
+	return t.Match(host, path)
+}
+
 func canonicalHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:colon]
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -7,6 +7,7 @@
 // schedule starts what can be started, and orders loads.
 func (m *Machine) schedule(now time.Time) {
 	m.startWaiting(now)
+	m.sendRewards(now)
 	m.orderLoads(now)
 }
 
@@ -21,7 +22,7 @@
 
 // startItems starts a job's waiting items while engines have room.
 func (m *Machine) startItems(now time.Time, open *job, engines []*engine) {
-	if open.route == nil || now.Sub(m.fresh[open.partition]) > m.options.FreshnessLimit {
+	if open.route == nil || !m.isFresh(now, open.partition) {
 		return
 	}
 	waiting := open.queue[:0]
@@ -46,6 +47,12 @@
 	open.queue = waiting
 }
 
+// isFresh says whether a partition was read lately enough for items of its jobs to
+// cause requests: none of them may have ended long ago.
+func (m *Machine) isFresh(now time.Time, partition int) bool {
+	return now.Sub(m.fresh[partition]) <= m.options.FreshnessLimit
+}
+
 // choose returns the engine where an item is to run, or nil.
 func (m *Machine) choose(now time.Time, next *item, engines []*engine) *engine {
 	var best *engine
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -91,7 +91,9 @@
 	delete(m.attempts, id)
 	delete(ended.engine.attempts, id)
 	owner := ended.item
-	m.save(ended)
+	if reason != EndCompleted || ended.cancelled {
+		m.save(ended)
+	}
 	owner.attempt = nil
 	switch {
 	case owner.kept:
@@ -100,6 +102,7 @@
 		m.settle(now, ended, reason)
 	}
 	m.startWaiting(now)
+	m.sendRewards(now)
 	if len(ended.engine.attempts) == 0 {
 		m.orderLoads(now)
 	}
@@ -113,15 +116,15 @@
 	}
 	switch reason {
 	case EndCompleted:
-		m.finish(owner, batch.OutcomeCompleted)
+		m.complete(now, owner)
 		return
 	case EndImpossible:
-		m.finish(owner, batch.OutcomeDead)
+		m.finishDead(owner)
 		return
 	case EndFailed:
 		owner.failures++
 		if owner.job.route != nil && owner.failures >= max(owner.job.route.MaxAttempts, 1) {
-			m.finish(owner, batch.OutcomeDead)
+			m.finishDead(owner)
 			return
 		}
 	case EndNotExecuted:
@@ -135,24 +138,29 @@
 // notExecutedPause is how long a server that was full gets no more items.
 const notExecutedPause = 50 * time.Millisecond
 
-func (m *Machine) finish(owner *item, outcome batch.Outcome) {
-	if outcome == batch.OutcomeCompleted {
-		m.finishAs(owner, joinLines(owner.text), owner.versions)
-		return
-	}
+// finishDead lists an item as given up.
+func (m *Machine) finishDead(owner *item) {
 	owner.finished = true
 	owner.text = nil
-	m.output.Results = append(m.output.Results, batch.Result{JobID: owner.job.id, ItemID: owner.source.ID, Outcome: outcome})
+	m.output.Results = append(m.output.Results, batch.Result{
+		JobID: owner.job.id, ItemID: owner.source.ID, Outcome: batch.OutcomeDead,
+	})
 }
 
-// finishAs completes an item with a text.
-func (m *Machine) finishAs(owner *item, text string, versions []int64) {
+// finishScored lists an item with its text, and the score of it where it has one.
+func (m *Machine) finishScored(owner *item, score string) {
+	owner.final = owner.unscoredResult()
+	owner.final.Score = score
 	owner.finished = true
 	owner.text = nil
-	owner.final = &batch.Result{JobID: owner.job.id, ItemID: owner.source.ID, Text: text, Versions: versions}
 	m.output.Results = append(m.output.Results, *owner.final)
 }
 
+// unscoredResult returns the result of an item whose text is whole, without a score.
+func (i *item) unscoredResult() *batch.Result {
+	return &batch.Result{JobID: i.job.id, ItemID: i.source.ID, Text: joinLines(i.text), Versions: i.versions}
+}
+
 // moveStalled ends attempts that got no event for too long; they go on elsewhere.
 func (m *Machine) moveStalled(now time.Time) {
 	for _, running := range m.sortedAttempts() {
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -24,9 +24,21 @@
 		}
 	}
 	m.divide()
+	m.rewards.HandleSlots(m.slotsByService())
 	m.schedule(now)
 }
 
+// slotsByService returns the slots of the servers that are listed.
+func (m *Machine) slotsByService() map[string]int {
+	slots := make(map[string]int)
+	for _, known := range m.engines {
+		if known.listed {
+			slots[known.service] += known.slots
+		}
+	}
+	return slots
+}
+
 func (m *Machine) learn(server *directory.Server) {
 	known := m.engines[server.ID]
 	if known == nil {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -27,7 +27,7 @@
 		order:     m.arrivals,
 		items:     make(map[string]*item, len(accepted.Items)),
 		groups:    make(map[string]int),
-		groupOf:   make(map[string]string, len(accepted.Items)),
+		sources:   make(map[string]*batch.Item, len(accepted.Items)),
 		done:      make(map[string]*batch.Result),
 	}
 	for i := range accepted.Items {
@@ -44,7 +44,7 @@
 	m.observeDemand(accepted)
 	for i := range accepted.Items {
 		if waiting := opened.items[accepted.Items[i].ID]; waiting != nil {
-			m.resume(opened, waiting)
+			m.resume(now, opened, waiting)
 		}
 	}
 	slices.SortStableFunc(opened.queue, longestFirst)
@@ -53,11 +53,11 @@
 }
 
 func (j *job) add(source *batch.Item) {
-	if _, known := j.groupOf[source.ID]; known {
+	if j.sources[source.ID] != nil {
 		return
 	}
 	j.items[source.ID] = &item{job: j, source: source}
-	j.groupOf[source.ID] = source.Group
+	j.sources[source.ID] = source
 	j.groups[source.Group]++
 }
 
@@ -70,7 +70,7 @@
 	}
 	delete(j.items, result.ItemID)
 	j.done[result.ItemID] = result
-	j.groups[j.groupOf[result.ItemID]]--
+	j.groups[j.sources[result.ItemID].Group]--
 	return listed
 }
 
@@ -130,6 +130,7 @@
 	}
 	listed.finished = true
 	m.cancel(listed.attempt)
+	m.withdrawReward(listed)
 	m.startWaiting(now)
 }
 
@@ -143,6 +144,7 @@
 	delete(m.jobs, jobID)
 	m.keep(now, ended)
 	m.startWaiting(now)
+	m.sendRewards(now)
 }
 
 // giveUp lists the waiting items of jobs whose time is over as dead.
@@ -154,7 +156,8 @@
 		for _, waiting := range sortedItems(job) {
 			if !waiting.finished {
 				m.cancel(waiting.attempt)
-				m.finish(waiting, batch.OutcomeDead)
+				m.withdrawReward(waiting)
+				m.finishDead(waiting)
 			}
 		}
 		job.queue = nil
--- a/internal/scheduler/kept.go
+++ b/internal/scheduler/kept.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/reward"
 )
 
 // keptFor is how long the items of an ended job are kept.
@@ -17,47 +18,64 @@
 // keptItem is what is known of an item that has no open job.
 type keptItem struct {
 	item *item
-	// result is set when the item completed.
-	result    *batch.Result
+	// result is set when the item's text is whole; it has no score where the job ended
+	// before the answer to the reward call, or before the call.
+	result *batch.Result
+	// reward is the call that the result's score is the answer to.
+	reward    *reward.Call
 	runUntil  time.Time
 	keepUntil time.Time
 }
 
 // keep takes over the items of the groups that an ended job left unfinished.
 func (m *Machine) keep(now time.Time, ended *job) {
-	for _, id := range slices.Sorted(maps.Keys(ended.groupOf)) {
-		group := ended.groupOf[id]
+	for _, id := range slices.Sorted(maps.Keys(ended.sources)) {
+		source := ended.sources[id]
 		unfinished := ended.items[id]
-		whole := ended.groups[group] == 0
+		wholeGroup := ended.groups[source.Group] == 0
+		if unfinished != nil {
+			m.withdrawReward(unfinished)
+		}
+		kept := &keptItem{reward: source.Reward, keepUntil: now.Add(keptFor)}
 		switch {
-		case whole || group == "":
+		case wholeGroup || source.Group == "":
 			if unfinished != nil {
 				unfinished.finished = true
 				m.cancel(unfinished.attempt)
 			}
+			continue
 		case unfinished != nil && unfinished.final != nil:
-			m.kept[id] = &keptItem{result: unfinished.final, keepUntil: now.Add(keptFor)}
+			kept.result = unfinished.final
+		case unfinished != nil && unfinished.whole:
+			kept.result = unfinished.unscoredResult()
 		case unfinished != nil:
 			unfinished.kept = true
-			m.kept[id] = &keptItem{item: unfinished, runUntil: now.Add(keptRunFor), keepUntil: now.Add(keptFor)}
+			kept.item = unfinished
+			kept.runUntil = now.Add(keptRunFor)
 		case ended.done[id].Outcome == batch.OutcomeCompleted:
-			m.kept[id] = &keptItem{result: ended.done[id], keepUntil: now.Add(keptFor)}
+			kept.result = ended.done[id]
+		default:
+			continue
 		}
+		m.kept[id] = kept
 	}
 }
 
 // resume gives an item of a new job what is kept of it, as far as its versions
 // fit, and queues it unless it is running or complete.
-func (m *Machine) resume(opened *job, waiting *item) {
+func (m *Machine) resume(now time.Time, opened *job, waiting *item) {
 	known := m.kept[waiting.source.ID]
 	delete(m.kept, waiting.source.ID)
 	waiting.carried = known != nil
 	switch {
 	case known == nil:
-		m.recover(opened, waiting)
+		if m.recover(opened, waiting) {
+			m.complete(now, waiting)
+			return
+		}
 	case known.result != nil:
 		if fits(opened, known.result.Versions) {
-			m.finishAs(waiting, known.result.Text, known.result.Versions)
+			m.reuse(now, waiting, known)
 			return
 		}
 	case !fits(opened, known.item.versions):
@@ -75,6 +93,17 @@
 	opened.queue = append(opened.queue, waiting)
 }
 
+// reuse gives an item the whole text that is kept of it, and the score of that text if
+// it was made by the same reward call.
+func (m *Machine) reuse(now time.Time, waiting *item, known *keptItem) {
+	waiting.text, waiting.versions = []string{known.result.Text}, known.result.Versions
+	if known.result.Score != "" && known.reward.Equal(waiting.source.Reward) {
+		m.finishScored(waiting, known.result.Score)
+		return
+	}
+	m.complete(now, waiting)
+}
+
 // fits says whether text of some versions may stand in a job's results.
 func fits(opened *job, versions []int64) bool {
 	return len(versions) == 0 || slices.Min(versions) >= opened.minimum
@@ -87,7 +116,7 @@
 	if known == nil || known.item != owner || ended.cancelled || reason != EndCompleted {
 		return
 	}
-	known.result = &batch.Result{Text: joinLines(owner.text), Versions: owner.versions}
+	known.result = owner.unscoredResult()
 	known.item = nil
 }
 
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 )
 
@@ -35,6 +36,8 @@
 	loadsOrderedAt time.Time
 	// savedAt is when progress was last saved.
 	savedAt time.Time
+	// rewards holds the reward calls of items whose text is whole.
+	rewards *reward.Queue
 	// recovered is what predecessors saved of their runs, by item.
 	recovered map[string]*batch.Partial
 
@@ -62,6 +65,7 @@
 		demand:   make(map[string]float64),
 		windows:  make(map[string]*loadWindow),
 		loading:  make(map[string]int),
+		rewards:  reward.NewQueue(),
 	}
 }
 
@@ -84,12 +88,16 @@
 	return waiting
 }
 
+// Unscored returns the number of items whose text is whole and has no score yet.
+func (m *Machine) Unscored() int { return m.rewards.Len() }
+
 // Open returns the number of open jobs.
 func (m *Machine) Open() int { return len(m.jobs) }
 
 // HandleTable takes a new configuration.
 func (m *Machine) HandleTable(now time.Time, table *routetable.Table) {
 	m.table = table
+	m.rewards.HandleTable(table)
 	for _, job := range m.jobs {
 		m.route(job)
 	}
@@ -127,5 +135,6 @@
 	m.giveUp(now)
 	m.forgetKept(now)
 	m.saveAll(now)
+	m.saveWholeTexts(now)
 	m.schedule(now)
 }
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -22,13 +22,15 @@
 }
 
 // recover gives an item what a predecessor saved of it, if its versions fit.
-func (m *Machine) recover(opened *job, waiting *item) {
+// Whole says that nothing of its text is missing.
+func (m *Machine) recover(opened *job, waiting *item) (whole bool) {
 	partial := m.recovered[waiting.source.ID]
 	delete(m.recovered, waiting.source.ID)
 	if partial == nil || !fits(opened, partial.Versions) {
-		return
+		return false
 	}
 	waiting.text, waiting.lastID, waiting.versions = partial.Text, partial.LastID, partial.Versions
+	return partial.Whole
 }
 
 // saveAll saves the progress of the runs that have made enough.
@@ -69,6 +71,11 @@
 	owner.unsaved = unsaved{from: owner.lastID}
 }
 
+// wholeName stands for the run of a whole text, which no run goes on after.
+func (m *Machine) wholeName() string {
+	return strconv.FormatInt(m.options.Term, 36) + ".whole"
+}
+
 // runName names an attempt unlike those of other machines.
 func (m *Machine) runName(running *attempt) string {
 	return strconv.FormatInt(m.options.Term, 36) + "." + strconv.FormatUint(uint64(running.id), 36)
--- /dev/null
+++ b/internal/scheduler/rewards_test.go
@@ -0,0 +1,249 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/directory"
+	"dalehook/internal/reward"
+	"dalehook/internal/routetable"
+)
+
+// rewardFixture is a fixture whose items need scores.
+type rewardFixture struct {
+	*fixture
+	rewards   []reward.Send
+	withdrawn []reward.SendID
+}
+
+func newRewardFixture(t *testing.T) *rewardFixture {
+	f := &rewardFixture{fixture: newFixture(t, nil)}
+	f.table()
+	f.servers()
+	return f
+}
+
+func (f *rewardFixture) table() {
+	routes := []routetable.Route{
+		{Name: "r", Host: "h", Prefix: "/p/", Kind: routetable.KindBatch, MaxAttempts: 3, ItemLifetime: 40 * time.Second,
+			Targets: []routetable.Target{{Service: "pool", Weight: 1}}},
+		{Name: "score", Host: "h", Prefix: "/score/", MaxAttempts: 2, Targets: []routetable.Target{{Service: "app", Weight: 1}}},
+	}
+	services := []routetable.Service{{Name: "pool", Models: []string{"m"}}, {Name: "app"}}
+	f.machine.HandleTable(f.now, routetable.NewTable(2, routes, services, routetable.Limits{}))
+	f.take()
+}
+
+func (f *rewardFixture) servers() {
+	f.machine.HandleServers(f.now, []*directory.Server{
+		{ID: "a", Service: "pool", Address: "a:1", Slots: 4, Versions: map[string]int64{"m": 1}},
+		{ID: "x", Service: "app", Address: "x:1", Slots: 6},
+	})
+	f.take()
+}
+
+func (f *rewardFixture) take() {
+	output := f.machine.Take()
+	f.starts = append(f.starts, output.Starts...)
+	f.results = append(f.results, output.Results...)
+	f.progress = append(f.progress, output.Progress...)
+	f.rewards = append(f.rewards, output.Rewards...)
+	f.withdrawn = append(f.withdrawn, output.WithdrawnRewards...)
+}
+
+// job hands in a job; its calls are named after calls.
+func (f *rewardFixture) job(id string, items int, calls string) {
+	job := &batch.Job{ID: id, Host: "h", Path: "/p/" + id, Model: "m", MinVersion: 1}
+	for i := range items {
+		name := fmt.Sprint("item-", i)
+		job.Items = append(job.Items, batch.Item{
+			ID: name, Path: "/p/x", Group: "g", Reward: &reward.Call{ID: calls + name, Host: "h", Path: "/score/1"},
+		})
+	}
+	f.machine.HandleJob(f.now, 0, job, nil)
+	f.take()
+}
+
+func (f *rewardFixture) run(attempt AttemptID) {
+	f.machine.HandleEvent(f.now, attempt, Event{ID: "1", Data: "one", Version: 1})
+	f.machine.HandleEvent(f.now, attempt, Event{ID: "2", Data: "two", Version: 1})
+	f.machine.HandleAttemptEnd(f.now, attempt, EndCompleted)
+	f.take()
+}
+
+func (f *rewardFixture) answer(number int, answer reward.Answer) {
+	f.machine.HandleReward(f.now, f.rewards[number].ID, answer)
+	f.take()
+}
+
+func TestAResultWaitsForItsScore(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 1, "")
+	f.machine.HandleEvent(f.now, 1, Event{ID: "1", Data: "one", Version: 1})
+	f.take()
+	if len(f.rewards) != 0 {
+		t.Fatal("a reward call before the last event")
+	}
+	f.machine.HandleAttemptEnd(f.now, 1, EndCompleted)
+	f.take()
+	if len(f.rewards) != 1 || f.rewards[0].Call.ID != "item-0" || len(f.results) != 0 {
+		t.Fatalf("rewards %+v, results %+v", f.rewards, f.results)
+	}
+	f.answer(0, reward.Answer{Score: "good"})
+	want := []batch.Result{{JobID: "j", ItemID: "item-0", Text: "one", Versions: []int64{1}, Score: "good"}}
+	if diff := cmp.Diff(want, f.results); diff != "" {
+		t.Error(diff)
+	}
+	f.answer(0, reward.Answer{Score: "doubled"})
+	if len(f.results) != 1 {
+		t.Errorf("results %+v", f.results)
+	}
+}
+
+func TestARunThatBrokeGetsNoRewardCall(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 1, "")
+	f.machine.HandleEvent(f.now, 1, Event{ID: "1", Data: "one", Version: 1})
+	f.machine.HandleAttemptEnd(f.now, 1, EndBroken)
+	f.pass(time.Second)
+	if len(f.rewards) != 0 {
+		t.Errorf("rewards %+v", f.rewards)
+	}
+}
+
+func TestAnItemIsDeadOnceItsRewardCallFailedOftenEnough(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 1, "")
+	f.run(1)
+	f.answer(0, reward.Answer{Failures: 2})
+	want := []batch.Result{{JobID: "j", ItemID: "item-0", Outcome: batch.OutcomeDead}}
+	if diff := cmp.Diff(want, f.results); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// What stands in the store of a whole text suffices for a successor to make the reward
+// call without running the item, also where what was saved before is gone.
+func TestASuccessorMakesTheRewardCallWithoutRunningTheItem(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 1, "")
+	f.run(1)
+	fold := batch.NewProgressFold()
+	last := f.progress[len(f.progress)-1]
+	record, err := batch.EncodeProgress(&last.Progress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := fold.Apply(record); err != nil {
+		t.Fatal(err)
+	}
+	successor := newRewardFixture(t)
+	successor.machine.HandleRecovered(fold.Partials())
+	successor.job("j", 1, "")
+	if len(successor.starts) != 0 || len(successor.rewards) != 1 || len(successor.results) != 0 {
+		t.Fatalf("starts %+v, rewards %+v", successor.starts, successor.rewards)
+	}
+	successor.answer(0, reward.Answer{Score: "good"})
+	want := []batch.Result{{JobID: "j", ItemID: "item-0", Text: "one\ntwo", Versions: []int64{1}, Score: "good"}}
+	if diff := cmp.Diff(want, successor.results); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestAWholeTextThatWaitsIsSavedAgainBeforeItIsTrimmed(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 1, "")
+	f.run(1)
+	saved := len(f.progress)
+	f.now = f.now.Add(wholeSaveInterval)
+	f.machine.Tick(f.now)
+	f.take()
+	if len(f.progress) != saved+1 || !f.progress[saved].Whole || f.progress[saved].Text != "one\ntwo" {
+		t.Errorf("progress %+v", f.progress[saved:])
+	}
+}
+
+func TestNoRewardCallAfterTheEndOfTheJob(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 4, "")
+	for attempt := range AttemptID(4) {
+		f.run(attempt + 1)
+	}
+	if len(f.rewards) != 3 {
+		t.Fatalf("%d reward calls at a service that takes 3", len(f.rewards))
+	}
+	f.machine.HandleEnded(f.now, "j")
+	f.take()
+	if len(f.withdrawn) != 3 {
+		t.Errorf("withdrawn %v", f.withdrawn)
+	}
+	f.answer(0, reward.Answer{})
+	f.pass(time.Second)
+	if len(f.rewards) != 3 || len(f.results) != 0 {
+		t.Errorf("%d reward calls, results %+v", len(f.rewards), f.results)
+	}
+}
+
+// A group that was not whole comes again: its whole texts are not run again, and a
+// score counts only for the call that it was the answer to.
+func TestAnItemThatComesAgainNeedsTheScoreOfItsOwnCall(t *testing.T) {
+	cases := []struct {
+		name  string
+		calls string
+		// scored says that the first job listed the score.
+		scored  bool
+		rewards int
+	}{
+		{"the same call, scored", "", true, 0},
+		{"the same call, not scored", "", false, 1},
+		{"another call, scored", "new-", true, 1},
+	}
+	for _, c := range cases {
+		f := newRewardFixture(t)
+		f.job("first", 2, "")
+		f.run(1)
+		if c.scored {
+			f.answer(0, reward.Answer{Score: "good"})
+			f.machine.HandleListed(f.now, &f.results[0])
+		}
+		f.machine.HandleEnded(f.now, "first")
+		f.take()
+		starts, rewards := len(f.starts), len(f.rewards)
+		f.job("second", 1, c.calls)
+		if len(f.starts) != starts {
+			t.Errorf("%s: the item is run again", c.name)
+		}
+		if got := len(f.rewards) - rewards; got != c.rewards {
+			t.Errorf("%s: %d reward calls", c.name, got)
+			continue
+		}
+		want := "good"
+		if c.rewards == 1 {
+			want = "new score"
+			f.answer(rewards, reward.Answer{Score: want})
+		}
+		if last := f.results[len(f.results)-1]; last.JobID != "second" || last.Score != want || last.Text != "one\ntwo" {
+			t.Errorf("%s: result %+v", c.name, last)
+		}
+	}
+}
+
+func TestAnItemWhoseTimeIsOverIsGivenUpWithItsCall(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 1, "")
+	f.run(1)
+	f.now = f.now.Add(41 * time.Second)
+	f.machine.Tick(f.now)
+	f.take()
+	if len(f.withdrawn) != 1 || len(f.results) != 1 || f.results[0].Outcome != batch.OutcomeDead {
+		t.Fatalf("withdrawn %v, results %+v", f.withdrawn, f.results)
+	}
+	f.answer(0, reward.Answer{Score: "late"})
+	if len(f.results) != 1 {
+		t.Errorf("results %+v", f.results)
+	}
+}
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -45,7 +45,7 @@
 		}
 		jobs = append(jobs, JobSummary{
 			ID: open.id, Model: open.model, Minimum: open.minimum, Newest: m.newest[open.model],
-			Waiting: len(open.queue), Running: running, Left: len(open.items), Total: len(open.groupOf),
+			Waiting: len(open.queue), Running: running, Left: len(open.items), Total: len(open.sources),
 		})
 	}
 	return engines, jobs
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 )
 
@@ -85,6 +86,10 @@
 	Results []batch.Result
 	// Progress is to be appended to the store, in this order.
 	Progress []Progress
+	// WithdrawnRewards are sends whose answers are of no more use.
+	WithdrawnRewards []reward.SendID
+	// Rewards are reward calls to send.
+	Rewards []reward.Send
 }
 
 // Progress is what a run has made, with the job that it belongs to.
@@ -173,6 +178,10 @@
 	versions []int64
 	failures int
 	attempt  *attempt
+	// whole items have all of their text and wait for the answer to their reward call.
+	whole bool
+	// wholeSavedAt is when the whole text was last saved for a successor.
+	wholeSavedAt time.Time
 	// finished items wait for their result to stand in the log.
 	finished bool
 	// kept items are of jobs that ended; what they run may serve a later job.
@@ -210,8 +219,8 @@
 	groups map[string]int
 	// done holds the results in the log, by item.
 	done map[string]*batch.Result
-	// groupOf holds the group of each item.
-	groupOf map[string]string
+	// sources holds each item as it was submitted.
+	sources map[string]*batch.Item
 }
 
 type attempt struct {
