Progress: checkpoints of all the text, so that no long run begins anew

Change: the first progress of a run, the first one after a job takes a run over, and one each 4 s hold all of the text (checkpoints); what is no checkpoint follows within its run. The fold's rule for runs started after another's last event goes; its cases are replaced by those of checkpoints. What a completed run made is saved only where a score is still missing.

TestCheckpointsHoldAllOfTheText fails without the change.

--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -6,6 +6,9 @@
 	// Results stand in the order of the log; a result's index is its position.
 	Results []Result
 	Ended   bool
+	// Start is the offset of the job's first record in its partition, where the reader
+	// of the partition has noted it.
+	Start int64
 
 	listed map[string]bool
 	items  map[string]*Item
@@ -51,6 +54,10 @@
 	}
 }
 
+// Between says that the last record was the end of a message, so that the next one is a
+// beginning.
+func (f *Fold) Between() bool { return len(f.assembler.pending) == 0 }
+
 // Apply takes the next record. Of several records that accept one job, or list
 // one item, the first counts and the others are void,
 // and so are results that come after the end of their job.
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -5,15 +5,17 @@
 	"fmt"
 )
 
-// Progress is what a run has made of an item since the last progress. It lets a
-// successor go on where its predecessor's run was, instead of from nothing.
+// Progress is what is saved of an item that runs: a checkpoint with its text so far, or
+// what its run made since the last progress. It lets a successor go on where its
+// predecessor's run was, instead of from nothing.
 type Progress struct {
 	ItemID string
 	// Run names the run, unlike any other.
 	Run string
-	// Begin marks the first progress of a run.
-	Begin bool `json:",omitempty"`
-	// From is the id of the last event before this progress; empty at the start.
+	// Checkpoint marks a progress that holds the text from its start on, whichever runs
+	// made it. What was saved before counts no more.
+	Checkpoint bool `json:",omitempty"`
+	// From is the id of the last event before this progress; empty for checkpoints.
 	From string `json:",omitempty"`
 	// LastID is the id of the last event.
 	LastID string
@@ -21,8 +23,7 @@
 	Text string
 	// Versions are the weight versions that made the events, ascending.
 	Versions []int64
-	// Whole says that the item's text ends here. Such a progress holds all of the text,
-	// since what was saved before may have been trimmed.
+	// Whole says that the item's text ends here.
 	Whole bool `json:",omitempty"`
 }
 
@@ -45,9 +46,8 @@
 	Whole bool
 }
 
-// ProgressFold joins the progress of items. A part counts only where it follows
-// on what came before: within its run, or as the first of a run that was started
-// after exactly that event. So the texts of two runs are never mixed.
+// ProgressFold joins the progress of items. What is no checkpoint counts only where it
+// follows on what came before within its run. So the texts of two runs are never mixed.
 type ProgressFold struct {
 	partials map[string]*Partial
 }
@@ -64,14 +64,13 @@
 	if err := json.Unmarshal(record, &progress); err != nil {
 		return fmt.Errorf("decode a progress: %w", err)
 	}
-	if progress.Begin && progress.From == "" {
-		f.partials[progress.ItemID] = &Partial{}
+	if progress.Checkpoint {
+		f.partials[progress.ItemID] = &Partial{Run: progress.Run}
 	}
 	partial := f.partials[progress.ItemID]
-	if partial == nil || partial.LastID != progress.From || !progress.Begin && partial.Run != progress.Run {
+	if partial == nil || partial.LastID != progress.From || partial.Run != progress.Run {
 		return nil
 	}
-	partial.Run = progress.Run
 	partial.LastID = progress.LastID
 	partial.Text = append(partial.Text, progress.Text)
 	partial.Versions = MergeVersions(partial.Versions, progress.Versions)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -187,7 +187,7 @@
 
 // Save saves the progress of all runs now, for a successor.
 func (c *Coordinator) Save() {
-	c.input(func(_ time.Time, machine *scheduler.Machine) { machine.Save() })
+	c.input(func(now time.Time, machine *scheduler.Machine) { machine.Save(now) })
 }
 
 // State returns what the coordinator does now.
--- a/internal/coordinator/writer_test.go
+++ b/internal/coordinator/writer_test.go
@@ -74,7 +74,7 @@
 	memory := storetest.NewMemory()
 	at := store.Partition{Topic: store.TopicProgress, Number: 2}
 	for _, progress := range []batch.Progress{
-		{ItemID: "i", Run: "1.1", Begin: true, LastID: "3", Text: "a", Versions: []int64{1}},
+		{ItemID: "i", Run: "1.1", Checkpoint: true, LastID: "3", Text: "a", Versions: []int64{1}},
 		{ItemID: "i", Run: "1.1", From: "3", LastID: "5", Text: "b", Versions: []int64{2}},
 	} {
 		record, err := batch.EncodeProgress(&progress)
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -109,7 +109,8 @@
 	m.lastID++
 	begun := &attempt{id: m.lastID, item: next, engine: chosen, begun: now, lastSeen: now}
 	next.attempt = begun
-	next.unsaved = unsaved{begin: true, from: next.lastID}
+	next.unsaved = unsaved{from: next.lastID}
+	next.checkpointAt = time.Time{}
 	m.attempts[begun.id] = begun
 	chosen.attempts[begun.id] = begun
 	expected := int64(0)
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -92,7 +92,7 @@
 	delete(ended.engine.attempts, id)
 	owner := ended.item
 	if reason != EndCompleted || ended.cancelled {
-		m.save(ended)
+		m.save(now, ended)
 	}
 	owner.attempt = nil
 	switch {
--- a/internal/scheduler/kept.go
+++ b/internal/scheduler/kept.go
@@ -86,6 +86,8 @@
 		if running := known.item.attempt; running != nil && !running.cancelled {
 			waiting.attempt = running
 			waiting.unsaved = known.item.unsaved
+			// Saved progress stands with the job before, in another partition.
+			waiting.checkpointAt = time.Time{}
 			running.item = waiting
 			return
 		}
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -544,6 +544,48 @@
 	}
 }
 
+// A run that a later job takes over is saved with that job, all of it, and so is one that
+// lasts longer than saved progress is kept.
+func TestCheckpointsHoldAllOfTheText(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(8, map[string]int64{"a": 1})
+	group := func(id string) *batch.Job {
+		return &batch.Job{ID: id, Host: "h", Path: "/p/1", Model: "m", MinVersion: 1,
+			Items: []batch.Item{{ID: "i", Path: "/p/x", Expected: 9, Group: "g"}}}
+	}
+	f.machine.HandleJob(f.now, 0, group("first"), nil)
+	f.take()
+	events := 0
+	save := func() Progress {
+		for range minimumSaved {
+			events++
+			f.event(1, fmt.Sprint(events), 1)
+		}
+		saved := f.savedProgress()
+		return saved[len(saved)-1]
+	}
+	if got := save(); !got.Checkpoint || got.JobID != "first" {
+		t.Errorf("the first progress: %+v", got)
+	}
+	if got := save(); got.Checkpoint || got.From != "5" {
+		t.Errorf("the second progress: %+v", got)
+	}
+	f.machine.HandleEnded(f.now, "first")
+	f.machine.HandleJob(f.now, 0, group("second"), nil)
+	f.take()
+	got := save()
+	if !got.Checkpoint || got.JobID != "second" || got.LastID != "15" || strings.Count(got.Text, "data") != 15 {
+		t.Errorf("the progress of the second job: %+v", got)
+	}
+	if got := save(); got.Checkpoint {
+		t.Errorf("the progress after it: %+v", got)
+	}
+	f.now = f.now.Add(checkpointInterval)
+	if got := save(); !got.Checkpoint || strings.Count(got.Text, "data") != 25 {
+		t.Errorf("the progress after a long time: %+v", got)
+	}
+}
+
 func (f *fixture) savedProgress() []Progress {
 	f.pass(DefaultSaveInterval + time.Millisecond)
 	return f.progress
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -7,8 +7,13 @@
 	"dalehook/internal/batch"
 )
 
-// minimumSaved is the number of events below which a running item is not saved.
-const minimumSaved = 5
+const (
+	// minimumSaved is the number of events below which a running item is not saved.
+	minimumSaved = 5
+	// checkpointInterval is the time between two checkpoints of an item. It is well below
+	// the time after which saved progress is trimmed.
+	checkpointInterval = 4 * time.Second
+)
 
 // HandleRecovered takes what a predecessor saved of its runs, by item. It comes
 // before the jobs.
@@ -41,28 +46,32 @@
 	m.savedAt = now
 	for _, running := range m.sortedAttempts() {
 		if len(running.item.unsaved.text) >= minimumSaved {
-			m.save(running)
+			m.save(now, running)
 		}
 	}
 }
 
 // Save saves the progress of all runs.
-func (m *Machine) Save() {
+func (m *Machine) Save(now time.Time) {
 	for _, running := range m.sortedAttempts() {
-		m.save(running)
+		m.save(now, running)
 	}
 }
 
-// save appends what a run made since its last progress.
-func (m *Machine) save(running *attempt) {
+// save appends what a run made since its last progress, or all of its text when the
+// last checkpoint is old or was another run's.
+func (m *Machine) save(now time.Time, running *attempt) {
 	owner := running.item
 	if owner.kept || owner.finished || len(owner.unsaved.text) == 0 {
 		return
 	}
+	if now.Sub(owner.checkpointAt) >= checkpointInterval {
+		m.saveCheckpoint(now, owner, m.runName(running))
+		return
+	}
 	m.output.Progress = append(m.output.Progress, Progress{JobID: owner.job.id, Progress: batch.Progress{
 		ItemID:   owner.source.ID,
 		Run:      m.runName(running),
-		Begin:    owner.unsaved.begin,
 		From:     owner.unsaved.from,
 		LastID:   owner.lastID,
 		Text:     joinLines(owner.unsaved.text),
@@ -71,6 +80,21 @@
 	owner.unsaved = unsaved{from: owner.lastID}
 }
 
+// saveCheckpoint appends all of an item's text.
+func (m *Machine) saveCheckpoint(now time.Time, owner *item, run string) {
+	owner.checkpointAt = now
+	owner.unsaved = unsaved{from: owner.lastID}
+	m.output.Progress = append(m.output.Progress, Progress{JobID: owner.job.id, Progress: batch.Progress{
+		ItemID:     owner.source.ID,
+		Run:        run,
+		Checkpoint: true,
+		LastID:     owner.lastID,
+		Text:       joinLines(owner.text),
+		Versions:   owner.versions,
+		Whole:      owner.whole,
+	}})
+}
+
 // wholeName stands for the run of a whole text, which no run goes on after.
 func (m *Machine) wholeName() string {
 	return strconv.FormatInt(m.options.Term, 36) + ".whole"
--- a/internal/scheduler/rewards.go
+++ b/internal/scheduler/rewards.go
@@ -5,14 +5,9 @@
 	"slices"
 	"time"
 
-	"dalehook/internal/batch"
 	"dalehook/internal/reward"
 )
 
-// wholeSaveInterval is the time after which the whole text of an item that still has no
-// score is saved once more, before what was saved is trimmed.
-const wholeSaveInterval = 4 * time.Second
-
 // complete takes an item whose text is whole: it is listed once it has its score, at
 // once when it needs none.
 func (m *Machine) complete(now time.Time, owner *item) {
@@ -21,7 +16,7 @@
 		return
 	}
 	owner.whole = true
-	m.saveWhole(now, owner)
+	m.saveCheckpoint(now, owner, m.wholeName())
 	m.rewards.Add(now, owner.name(), owner.source.Reward, owner.job.partition, owner.job.giveUpAt)
 }
 
@@ -30,22 +25,8 @@
 	return reward.Item{JobID: i.job.id, ItemID: i.source.ID}
 }
 
-// saveWhole saves the whole text of an item, so that a successor makes the reward call
-// and not the text.
-func (m *Machine) saveWhole(now time.Time, owner *item) {
-	owner.wholeSavedAt = now
-	m.output.Progress = append(m.output.Progress, Progress{JobID: owner.job.id, Progress: batch.Progress{
-		ItemID:   owner.source.ID,
-		Run:      m.wholeName(),
-		Begin:    true,
-		LastID:   owner.lastID,
-		Text:     joinLines(owner.text),
-		Versions: owner.versions,
-		Whole:    true,
-	}})
-}
-
-// saveWholeTexts saves the texts that have waited long for their score once more.
+// saveWholeTexts saves the texts that have waited long for their score once more, so
+// that a successor makes the reward call and not the text.
 func (m *Machine) saveWholeTexts(now time.Time) {
 	if m.rewards.Len() == 0 {
 		return
@@ -53,14 +34,14 @@
 	var due []*item
 	for _, open := range m.jobs {
 		for _, unscored := range open.items {
-			if unscored.whole && !unscored.finished && now.Sub(unscored.wholeSavedAt) >= wholeSaveInterval {
+			if unscored.whole && !unscored.finished && now.Sub(unscored.checkpointAt) >= checkpointInterval {
 				due = append(due, unscored)
 			}
 		}
 	}
 	slices.SortFunc(due, func(a, b *item) int { return cmp.Compare(a.source.ID, b.source.ID) })
 	for _, unscored := range due {
-		m.saveWhole(now, unscored)
+		m.saveCheckpoint(now, unscored, m.wholeName())
 	}
 }
 
--- a/internal/scheduler/rewards_test.go
+++ b/internal/scheduler/rewards_test.go
@@ -159,7 +159,7 @@
 	f.job("j", 1, "")
 	f.run(1)
 	saved := len(f.progress)
-	f.now = f.now.Add(wholeSaveInterval)
+	f.now = f.now.Add(checkpointInterval)
 	f.machine.Tick(f.now)
 	f.take()
 	if len(f.progress) != saved+1 || !f.progress[saved].Whole || f.progress[saved].Text != "one\ntwo" {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -172,16 +172,17 @@
 	// service is the target of the route that this item goes to.
 	service string
 	// text holds the data of the events so far.
-	text     []string
-	unsaved  unsaved
-	lastID   string
-	versions []int64
-	failures int
-	attempt  *attempt
+	text    []string
+	unsaved unsaved
+	// checkpointAt is when all of the text was last saved; zero when what was saved
+	// is not to be followed on.
+	checkpointAt time.Time
+	lastID       string
+	versions     []int64
+	failures     int
+	attempt      *attempt
 	// whole items have all of their text and wait for the answer to their reward call.
 	whole bool
-	// wholeSavedAt is when the whole text was last saved for a successor.
-	wholeSavedAt time.Time
 	// finished items wait for their result to stand in the log.
 	finished bool
 	// kept items are of jobs that ended; what they run may serve a later job.
@@ -196,7 +197,6 @@
 
 // unsaved is what an item's run made since its last progress.
 type unsaved struct {
-	begin    bool
 	from     string
 	text     []string
 	versions []int64
