Jobs are read from where they begin; an answer waits for no more than it needs

Ruled out: more partitions (the coordinator polls each); reads by way of the coordinator (readers would depend on one machine).

Change: the coordinator, which reads all, writes where each job begins into an index topic; other nodes begin there. A job whose second copy stands in the log counts only where the index names that place; without an entry all is read, as before. A page or a body is answered as soon as it is known, also while the partition is still being read; an ended job needs no look at the end.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -318,6 +318,7 @@
 		case change.Accepted != nil && !change.Accepted.Ended:
 			f.coordinator.options.Logger.Info("job taken up", zap.String("job", change.Accepted.Job.ID),
 				zap.Int("partition", partition), zap.Int("results", len(change.Accepted.Results)))
+			f.coordinator.indexJob(partition, change.Accepted)
 			f.machine.HandleJob(now, partition, change.Accepted.Job, change.Accepted.Results)
 		case change.Listed != nil:
 			f.machine.HandleListed(now, change.Listed)
@@ -381,6 +382,16 @@
 	c.writer.add(at, records)
 }
 
+// indexJob tells readers where a job begins. The mutex is held.
+func (c *Coordinator) indexJob(partition int, accepted *batch.State) {
+	record, err := joblog.EncodeIndexEntry(joblog.IndexEntry{JobID: accepted.Job.ID, Start: accepted.Start})
+	if err != nil {
+		c.options.Logger.Error("job not indexed", zap.String("job", accepted.Job.ID), zap.Error(err))
+		return
+	}
+	c.writer.add(store.Partition{Topic: store.TopicJobIndex, Number: partition}, [][]byte{record})
+}
+
 // inputOf is input for the goroutines of a term that may have ended.
 func (c *Coordinator) inputOf(machine *scheduler.Machine, apply func(time.Time)) {
 	c.mutex.Lock()
--- /dev/null
+++ b/internal/joblog/index.go
@@ -0,0 +1,117 @@
+package joblog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"dalehook/internal/pause"
+	"dalehook/internal/store"
+)
+
+const (
+	// indexTimeout bounds a read of the index.
+	indexTimeout = 700 * time.Millisecond
+	// indexRetries is how often the index is read again for a job that it does not hold,
+	// indexPause the time between.
+	indexRetries = 3
+	indexPause   = 60 * time.Millisecond
+)
+
+// IndexEntry says where a job begins in its partition, so that a reader of the job need
+// not read what stands before it. Only a reader of all of the partition may write one: a
+// job may stand twice in it, and the second copy counts for nothing.
+type IndexEntry struct {
+	JobID string
+	// Start is the offset of the job's first record.
+	Start int64
+}
+
+// EncodeIndexEntry returns the record of an entry.
+func EncodeIndexEntry(entry IndexEntry) ([]byte, error) {
+	record, err := json.Marshal(entry)
+	if err != nil {
+		return nil, fmt.Errorf("encode the index entry of job %s: %w", entry.JobID, err)
+	}
+	return record, nil
+}
+
+// index is what is known of the entries of one partition. It is read when a job is
+// asked for that it does not hold.
+type index struct {
+	log store.Log
+	at  store.Partition
+
+	// reading is held while the store is read.
+	reading sync.Mutex
+	// mutex guards the fields below.
+	mutex  sync.Mutex
+	starts map[string]int64
+	next   int64
+}
+
+func newIndex(log store.Log, number int) *index {
+	return &index{log: log, at: store.Partition{Topic: store.TopicJobIndex, Number: number}, starts: make(map[string]int64)}
+}
+
+// find returns where a job begins, 0 when no entry tells. The entry of a job that was
+// accepted just now may be on its way.
+func (x *index) find(ctx context.Context, jobID string) (start int64, err error) {
+	for tries := 0; ; tries++ {
+		start, known := x.lookUp(jobID)
+		if known || tries > indexRetries {
+			return start, nil
+		}
+		if tries > 0 && !pause.For(ctx, indexPause) {
+			return 0, ctx.Err()
+		}
+		if err := x.read(ctx); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (x *index) lookUp(jobID string) (start int64, known bool) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	start, known = x.starts[jobID]
+	return start, known
+}
+
+// read reads the entries that are new.
+func (x *index) read(ctx context.Context) error {
+	x.reading.Lock()
+	defer x.reading.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, indexTimeout)
+	defer cancel()
+	for {
+		batch, err := x.log.Read(ctx, x.at, x.next, 0)
+		var trimmed *store.TrimmedError
+		if errors.As(err, &trimmed) && trimmed.First > x.next {
+			x.next = trimmed.First
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		x.add(batch)
+		if x.next >= batch.End || len(batch.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+func (x *index) add(batch store.Batch) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	for _, record := range batch.Records {
+		var entry IndexEntry
+		if json.Unmarshal(record.Value, &entry) == nil {
+			x.starts[entry.JobID] = entry.Start
+		}
+	}
+	x.next = batch.Next
+}
--- /dev/null
+++ b/internal/joblog/index_test.go
@@ -0,0 +1,179 @@
+package joblog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+func indexJob(t *testing.T, log store.Log, id string, start int64) {
+	t.Helper()
+	record, err := EncodeIndexEntry(IndexEntry{JobID: id, Start: start})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := log.Append(context.Background(), store.Partition{Topic: store.TopicJobIndex}, [][]byte{record}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func appendResults(t *testing.T, logs *Logs, id string, from, to int) {
+	t.Helper()
+	for i := from; i < to; i++ {
+		records, err := batch.EncodeResult(&batch.Result{JobID: id, ItemID: fmt.Sprint("i", i)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := logs.Append(context.Background(), id, records); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// checkRead reads a job's results from a position on.
+func checkRead(t *testing.T, logs *Logs, id string, from, want int) {
+	t.Helper()
+	count, err := read(logs, id, from)
+	if err != nil || count != want {
+		t.Errorf("job %s has %d results from %d on, %v; want %d", id, count, from, err, want)
+	}
+}
+
+func TestAJobIsReadFromWhereItBegins(t *testing.T) {
+	log := &thinLog{Memory: storetest.NewMemory()}
+	writer := NewLogs(Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, log, writer, "early", 50, 50)
+	appendJob(t, log, writer, "late", 4, 4)
+	indexJob(t, log, "early", 0)
+	indexJob(t, log, "late", 51)
+	logs := start(t, log)
+	checkRead(t, logs, "late", 0, 4)
+	if got := log.records.Load(); got != 5 {
+		t.Errorf("%d records were read for a job of 5", got)
+	}
+	checkRead(t, logs, "early", 0, 50)
+	checkRead(t, logs, "late", 1, 3)
+}
+
+// A job that began before the reading did may stand in the log once more: the copy is
+// void, and what was listed before it keeps its positions.
+func TestASecondCopyOfAJobIsNotTakenForTheFirst(t *testing.T) {
+	for _, indexed := range []bool{true, false} {
+		memory := storetest.NewMemory()
+		writer := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+		appendJob(t, memory, writer, "early", 3, 1)
+		appendJob(t, memory, writer, "late", 1, 1)
+		appendJob(t, memory, writer, "early", 3, 0)
+		appendResults(t, writer, "early", 1, 3)
+		indexJob(t, memory, "late", 2)
+		if indexed {
+			indexJob(t, memory, "early", 0)
+		}
+		logs := start(t, memory)
+		checkRead(t, logs, "late", 0, 1)
+		checkRead(t, logs, "early", 0, 3)
+	}
+}
+
+// pagedLog hands out one record a read, after a pause.
+type pagedLog struct {
+	*storetest.Memory
+	pause time.Duration
+}
+
+func (l *pagedLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	read, err := l.Memory.Read(ctx, at, from, wait)
+	if err != nil || at.Topic != store.TopicJobs || len(read.Records) == 0 {
+		return read, err
+	}
+	time.Sleep(l.pause)
+	read.Records = read.Records[:1]
+	read.Next = from + 1
+	return read, nil
+}
+
+func TestAnAnswerWaitsForNoMoreThanItNeeds(t *testing.T) {
+	memory := storetest.NewMemory()
+	writer := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, memory, writer, "first", 2, 2)
+	appendJob(t, memory, writer, "second", 200, 200)
+	logs := start(t, &pagedLog{Memory: memory, pause: 25 * time.Millisecond})
+	began := time.Now()
+	if count, err := read(logs, "first", 0); err != nil || count < 1 {
+		t.Fatalf("%d results, %v", count, err)
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the answer took %v", took)
+	}
+}
+
+// Who asks for an earlier job need not wait for a read that was to be held for news.
+func TestAnEarlierJobIsReadAtOnce(t *testing.T) {
+	memory := storetest.NewMemory()
+	writer := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, memory, writer, "early", 2, 2)
+	appendJob(t, memory, writer, "late", 2, 2)
+	indexJob(t, memory, "early", 0)
+	indexJob(t, memory, "late", 3)
+	logs := start(t, memory)
+	checkRead(t, logs, "late", 0, 2)
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	checkRead(t, logs, "early", 0, 2)
+	if took := time.Since(began); took > readWait/2 {
+		t.Errorf("the answer took %v", took)
+	}
+}
+
+func TestASubscriberSeesAllOfAPartition(t *testing.T) {
+	memory := storetest.NewMemory()
+	writer := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, memory, writer, "early", 1, 1)
+	appendJob(t, memory, writer, "late", 1, 1)
+	indexJob(t, memory, "late", 2)
+	logs := start(t, memory)
+	checkRead(t, logs, "late", 0, 1)
+	seen := &recorder{}
+	defer logs.Subscribe(seen)()
+	deadline := time.Now().Add(10 * time.Second)
+	for !seen.has("early", 0) || !seen.has("late", 2) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the subscriber sees %v", seen.starts)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// recorder is a subscriber that notes where jobs begin.
+type recorder struct {
+	mutex  sync.Mutex
+	starts map[string]int64
+}
+
+func (r *recorder) HandleChange(_ int, change batch.Change) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.starts == nil {
+		r.starts = make(map[string]int64)
+	}
+	if change.Accepted != nil {
+		r.starts[change.Accepted.Job.ID] = change.Accepted.Start
+	}
+}
+
+func (r *recorder) HandleFresh(int, time.Time) {}
+
+func (r *recorder) has(id string, start int64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	got, known := r.starts[id]
+	return known && got == start
+}
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -71,10 +71,13 @@
 type Condition func(state *batch.State, fresh bool) bool
 
 // HasPosition holds where a result at the position is known, or where it is known
-// that there is none yet.
+// that there is none yet, or never.
 func HasPosition(position int) Condition {
 	return func(state *batch.State, fresh bool) bool {
-		return state != nil && (position < len(state.Results) || fresh && position == len(state.Results))
+		if state == nil {
+			return false
+		}
+		return position < len(state.Results) || state.Ended || fresh && position == len(state.Results)
 	}
 }
 
@@ -83,16 +86,19 @@
 	return func(state *batch.State, _ bool) bool { return state != nil && state.Item(itemID) != nil }
 }
 
-// View calls visit with a job's state, nil when the log holds no such job. When
-// satisfied does not hold for what is known already, the store is asked first.
-// It returns ErrUncertain when it could not be.
+// View calls visit with a job's state, nil when the log holds no such job. The store is
+// asked until satisfied holds, or until all that stood in the job's partition when View
+// was called has been read. It returns ErrUncertain when that could not be.
 func (l *Logs) View(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	p := l.partitions[l.PartitionOf(jobID)]
-	p.touch()
 	if p.visitIf(jobID, satisfied, visit) {
+		p.touch()
 		return nil
 	}
-	if err := p.catchUp(ctx); err != nil {
+	if err := p.beginAt(ctx, jobID); err != nil {
+		return errors.Join(ErrUncertain, err)
+	}
+	if err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }); err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
 	p.visit(jobID, visit)
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -71,7 +71,7 @@
 		t.Fatal(err)
 	}
 	batch.Records, batch.Next = batch.Records[:3], 3
-	p.apply(batch, time.Now())
+	p.apply(0, batch, time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -169,7 +169,8 @@
 	}
 }
 
-// thinLog counts the records that it hands out, and takes a time for the first read.
+// thinLog counts the records of jobs that it hands out, and takes a time for the first
+// read of them.
 type thinLog struct {
 	*storetest.Memory
 	records   atomic.Int64
@@ -177,6 +178,9 @@
 }
 
 func (l *thinLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if at.Topic != store.TopicJobs {
+		return l.Memory.Read(ctx, at, from, wait)
+	}
 	select {
 	case <-ctx.Done():
 		return store.Batch{}, ctx.Err()
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -40,10 +40,12 @@
 	interest = 8 * time.Second
 )
 
-// partition is one partition as this node knows it.
+// partition is one partition as this node knows it: all of it for a subscriber, else from
+// the first job on that was asked for.
 type partition struct {
 	log    store.Log
 	at     store.Partition
+	index  *index
 	logger *zap.Logger
 	outage follow.Outage
 
@@ -53,10 +55,16 @@
 	wantedTill time.Time
 	subscriber Subscriber
 	fold       *batch.Fold
-	// next is the offset of the first record that was not read.
-	next int64
+	// from is the offset that the reading began at, next that of the first record that
+	// was not read.
+	from, next int64
+	// endRead ends the read under way, if there is one.
+	endRead context.CancelFunc
+	// message is the offset of the first record of the message that is being read.
+	message int64
 	// freshAt is when a read last came to the partition's end, freshBegan when that read
-	// began; both are zero until the partition was read from its start to its end.
+	// began; both are zero until the partition was read from where the reading began to
+	// its end.
 	freshAt, freshBegan time.Time
 	// failed is the last failure of a read, at failedAt.
 	failed   error
@@ -69,11 +77,22 @@
 		at:      store.Partition{Topic: store.TopicJobs, Number: number},
 		logger:  options.Logger,
 		outage:  follow.Outage{Logger: options.Logger},
+		index:   newIndex(options.Log, number),
 		changed: make(chan struct{}),
 		fold:    batch.NewFold(),
 	}
 }
 
+// resetLocked forgets what was read, and begins anew at an offset.
+func (p *partition) resetLocked(from int64) {
+	p.fold = batch.NewFold()
+	p.from, p.next = from, from
+	p.freshAt, p.freshBegan = time.Time{}, time.Time{}
+	if p.endRead != nil {
+		p.endRead()
+	}
+}
+
 // notify wakes all that wait. The mutex is held.
 func (p *partition) notify() {
 	close(p.changed)
@@ -83,6 +102,10 @@
 func (p *partition) touch() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.touchLocked()
+}
+
+func (p *partition) touchLocked() {
 	idle := !p.wanted()
 	p.wantedTill = time.Now().Add(interest)
 	if idle {
@@ -99,6 +122,9 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.subscriber = subscriber
+	if p.from > 0 {
+		p.resetLocked(0)
+	}
 	p.fold.Jobs(func(state *batch.State) {
 		subscriber.HandleChange(p.at.Number, batch.Change{Accepted: state})
 	})
@@ -114,23 +140,68 @@
 	}
 }
 
+// beginAt has the partition read from where a job begins, or from an earlier offset. A job
+// that the index does not hold may stand anywhere.
+func (p *partition) beginAt(ctx context.Context, jobID string) error {
+	start := int64(0)
+	if !p.readsAll() {
+		// An index that can not be read tells nothing.
+		start, _ = p.index.find(ctx, jobID)
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	begun := p.next > p.from || p.wanted()
+	if p.subscriber == nil && (!begun || start < p.from) {
+		p.resetLocked(start)
+	}
+	p.touchLocked()
+	return nil
+}
+
+// readsAll says whether the partition is read from its first record on.
+func (p *partition) readsAll() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.subscriber != nil || p.from == 0 && (p.next > 0 || p.wanted())
+}
+
+// jobLocked returns what is known of a job. Where the reading began in the midst of the
+// partition, a job that began before it may stand there once more, void.
+func (p *partition) jobLocked(jobID string) *batch.State {
+	state := p.fold.Job(jobID)
+	if state == nil || p.from == 0 {
+		return state
+	}
+	if start, known := p.index.lookUp(jobID); !known || start != state.Start {
+		return nil
+	}
+	return state
+}
+
 func (p *partition) visit(jobID string, visit func(*batch.State)) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	visit(p.fold.Job(jobID))
+	visit(p.jobLocked(jobID))
 }
 
 func (p *partition) visitIf(jobID string, satisfied Condition, visit func(*batch.State)) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	state := p.fold.Job(jobID)
-	if !satisfied(state, time.Since(p.freshAt) < freshFor) {
+	if !p.holds(jobID, satisfied) {
 		return false
 	}
-	visit(state)
+	visit(p.jobLocked(jobID))
 	return true
 }
 
+// holds says whether a condition holds for what is known of a job. The mutex is held.
+func (p *partition) holds(jobID string, satisfied Condition) bool {
+	return satisfied(p.jobLocked(jobID), time.Since(p.freshAt) < freshFor)
+}
+
 // waitUntil waits until condition holds, which is called with the mutex held.
 func (p *partition) waitUntil(ctx context.Context, condition func() bool) bool {
 	for {
@@ -149,41 +220,45 @@
 	}
 }
 
-// catchUp waits until all that stood in the partition when it was called was read.
-func (p *partition) catchUp(ctx context.Context) error {
+// catchUp waits until all that stood in the partition when it was called was read, or
+// until enough was. Enough is called with the mutex held.
+func (p *partition) catchUp(ctx context.Context, enough func() bool) error {
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	fresh, err := p.awaitFirstRead(ctx, asked)
-	if err != nil || fresh {
+	done, err := p.awaitFirstRead(ctx, asked, enough)
+	if err != nil || done {
 		return err
 	}
 	end, err := p.end(ctx)
 	if err != nil {
 		return err
 	}
-	if !p.waitUntil(ctx, func() bool { return p.next >= end }) {
+	if !p.waitUntil(ctx, func() bool { return p.next >= end || enough() }) {
 		return ctx.Err()
 	}
 	return nil
 }
 
-// awaitFirstRead waits until the partition was read from its start to its end once.
-// Asking for the end before would bring all of it over the link a second time. Fresh
-// says that the read which came to the end began after asked.
-func (p *partition) awaitFirstRead(ctx context.Context, asked time.Time) (fresh bool, err error) {
+// awaitFirstRead waits until the partition was read to its end once, or enough of it.
+// Asking for the end before would bring all of it over the link a second time. Done says
+// that enough was read, or all by a read that began after asked.
+func (p *partition) awaitFirstRead(ctx context.Context, asked time.Time, enough func() bool) (done bool, err error) {
 	settled := p.waitUntil(ctx, func() bool {
-		fresh = p.freshBegan.After(asked)
+		done = p.freshBegan.After(asked) || enough()
 		err = nil
 		if p.freshAt.IsZero() && p.failedAt.After(asked) {
 			err = p.failed
 		}
-		return !p.freshAt.IsZero() || err != nil
+		return done || !p.freshAt.IsZero() || err != nil
 	})
 	if !settled {
 		return false, ctx.Err()
 	}
-	return fresh, err
+	if done {
+		return true, nil
+	}
+	return false, err
 }
 
 func (p *partition) end(ctx context.Context) (int64, error) {
@@ -228,17 +303,16 @@
 	if p.wanted() {
 		return
 	}
-	p.fold = batch.NewFold()
-	p.next = 0
-	p.freshAt, p.freshBegan = time.Time{}, time.Time{}
+	p.resetLocked(0)
 }
 
 func (p *partition) advance(ctx context.Context) error {
 	began := time.Now()
-	wait, timeout := p.bounds()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	read, err := p.log.Read(ctx, p.at, p.next, wait)
+	ctx, next, wait := p.beginRead(ctx)
+	read, err := p.log.Read(ctx, p.at, next, wait)
+	if p.endOfRead(next) {
+		return nil // what was read is of no more use
+	}
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		read, err = store.Batch{Next: trimmed.First, End: trimmed.First + 1}, nil
@@ -246,33 +320,56 @@
 	if err != nil {
 		return err
 	}
-	p.apply(read, began)
+	p.apply(next, read, began)
 	return nil
 }
 
-// bounds returns how long a read that finds nothing may be held, and how long a read
-// may take. The first reads of a partition wait for nothing.
-func (p *partition) bounds() (wait, timeout time.Duration) {
+// beginRead returns where the next read begins and how long it may be held when it finds
+// nothing; its context bounds its time. The first reads of a partition wait for nothing.
+func (p *partition) beginRead(parent context.Context) (ctx context.Context, next int64, wait time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	timeout := readTimeout
 	switch {
 	case p.freshAt.IsZero():
-		return 0, longReadTimeout
+		timeout = longReadTimeout
 	case p.subscriber != nil:
-		return schedulerReadWait, readTimeout
+		wait = schedulerReadWait
+	default:
+		wait = readWait
 	}
-	return readWait, readTimeout
+	ctx, p.endRead = context.WithTimeout(parent, timeout)
+	return ctx, p.next, wait
+}
+
+// endOfRead says whether the reading began anew while a read from an offset was under way.
+func (p *partition) endOfRead(from int64) (anew bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.endRead()
+	p.endRead = nil
+	return p.next != from
 }
 
-func (p *partition) apply(read store.Batch, began time.Time) {
+// apply takes what a read from an offset brought, unless the reading has begun anew.
+func (p *partition) apply(from int64, read store.Batch, began time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if from != p.next {
+		return
+	}
 	for _, record := range read.Records {
+		if p.fold.Between() {
+			p.message = record.Offset
+		}
 		change, err := p.fold.Apply(record.Value)
 		if err != nil {
 			p.logger.Error("record void", zap.Stringer("partition", p.at), zap.Int64("offset", record.Offset), zap.Error(err))
 			continue
 		}
+		if change.Accepted != nil {
+			change.Accepted.Start = p.message
+		}
 		if p.subscriber != nil && change != (batch.Change{}) {
 			p.subscriber.HandleChange(p.at.Number, change)
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,6 +21,9 @@
 	TopicServers
 	// TopicJobs holds batch jobs, their results and their ends.
 	TopicJobs
+	// TopicJobIndex holds where each batch job begins in its partition of TopicJobs, in
+	// the partition of the same number.
+	TopicJobIndex
 	// TopicProgress holds what the runs of open batch jobs have made so far. Only
 	// the newest seconds of it are kept.
 	TopicProgress
@@ -33,7 +36,7 @@
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"operator", "servers", "jobs", "progress", "leases", "server relay"}[t]
+	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay"}[t]
 }
 
 // Partition is one log of a topic.
