A coordinator that can't reach the store yields and hands over; saved runs are found by job

What it had made and could not append was made anew: steps of 11 to 13 s, one ended by its time. - After a take-over or the loss of all machines, an item that came again from an earlier job was given what that job had saved of it, too old for the new one, and began from nothing: the longest items, which the step waits for. - Runs on an engine that went dark during a load waited 8 s for that load to be given up. - A holder that is gone without a word was waited for 2.5 s.

Change: - Who doubts the holder asks it to yield; a holder without an answer of the store for 0.7 s, and 0.3 s more, ends its term at once, and its successor fetches and appends what it could not: results, and checkpoints of all its runs. Nothing contests that lease. - Saved progress is found by partition and item; another job's is taken only where it fits. - A load counts as hung after 2 s. A holder whose node doesn't answer twice is succeeded after 1.4 s (contested as before: orders wait as long as they did). Saved progress is kept for 5 s, checkpoints each 2 s, and the jobs are read while progress is. - A read of the store for a caller that waits is held for 0.2 s (0.7 s before).

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -110,7 +110,9 @@
 	unfollow func()
 	writer   *recordWriter
 	lease    election.Lease
-	cancels  map[scheduler.AttemptID]context.CancelFunc
+	// handed is what the last term that was yielded left.
+	handed  handedOver
+	cancels map[scheduler.AttemptID]context.CancelFunc
 	// rewardCancels end the sends of reward calls.
 	rewardCancels map[reward.SendID]context.CancelFunc
 	background    conc.WaitGroup
@@ -275,16 +277,29 @@
 		c.machine.HandleVersion(now, model, version)
 	}
 	c.handleServers(now, c.machine)
-	term, machine := c.term, c.machine
-	c.background.Go(func() { c.follow(term, machine) })
+	term, machine, from := c.term, c.machine, standing.Lease.Yielded
+	c.background.Go(func() { c.follow(term, machine, from) })
 }
 
 // follow takes over what predecessors saved and subscribes to the jobs.
-func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine) {
+func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, from election.Yielded) {
 	began := time.Now()
-	partials := recoverProgress(term, c.options.Log, c.options.Jobs.Partitions(), c.options.Logger)
-	c.options.Logger.Info("progress recovered", zap.Int("items", len(partials)), zap.Duration("took", time.Since(began)))
-	c.inputOf(machine, func(time.Time) { machine.HandleRecovered(partials) })
+	if from.Address != "" {
+		c.takeOver(term, from)
+	}
+	// The jobs are read meanwhile.
+	c.options.Jobs.Touch()
+	recovered := recoverProgress(term, c.options.Log, c.options.Jobs.Partitions(), c.options.Logger)
+	items := 0
+	for _, partials := range recovered {
+		items += len(partials)
+	}
+	c.options.Logger.Info("progress recovered", zap.Int("items", items), zap.Duration("took", time.Since(began)))
+	c.inputOf(machine, func(now time.Time) {
+		for partition, partials := range recovered {
+			machine.HandleRecovered(now, partition, partials)
+		}
+	})
 	cancel := c.options.Jobs.Subscribe(&follower{coordinator: c, machine: machine})
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -17,18 +17,18 @@
 	// recoverTimeout bounds the reading of what predecessors saved.
 	recoverTimeout = 1200 * time.Millisecond
 	// progressKept is how long saved progress is of use.
-	progressKept = 10 * time.Second
+	progressKept = 5 * time.Second
 	// trimInterval is the time between two trims of a partition.
-	trimInterval = 2 * time.Second
+	trimInterval = time.Second
 )
 
-// recoverProgress reads what predecessors saved. What can not be read in time is
-// left out, and its items start anew.
-func recoverProgress(ctx context.Context, log store.Log, partitions int, logger *zap.Logger) map[string]*batch.Partial {
+// recoverProgress reads what predecessors saved, by partition and item. What can not be
+// read in time is left out, and its items start anew.
+func recoverProgress(ctx context.Context, log store.Log, partitions int, logger *zap.Logger) map[int]map[string]*batch.Partial {
 	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
 	defer cancel()
 	var mutex sync.Mutex
-	all := make(map[string]*batch.Partial)
+	all := make(map[int]map[string]*batch.Partial, partitions)
 	var readers conc.WaitGroup
 	for number := range partitions {
 		readers.Go(func() {
@@ -39,12 +39,7 @@
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			for id, partial := range fold.Partials() {
-				// An item that came again in a later job may stand in two partitions.
-				if known := all[id]; known == nil || !known.Whole {
-					all[id] = partial
-				}
-			}
+			all[number] = fold.Partials()
 		})
 	}
 	readers.Wait()
--- a/internal/coordinator/writer.go
+++ b/internal/coordinator/writer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/liveness"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
@@ -43,6 +45,8 @@
 	groups [][][]byte
 	size   int
 	active bool
+	// underWay holds the records of the append that was begun last, until it has ended.
+	underWay [][]byte
 }
 
 func newRecordWriter(term context.Context, log store.Log, logger *zap.Logger) *recordWriter {
@@ -106,9 +110,38 @@
 	queue.groups = queue.groups[count:]
 	queue.size -= size
 	queue.active = count > 0
+	queue.underWay = records
 	return records
 }
 
+// dropProgress forgets the progress that waits, since checkpoints follow.
+func (w *recordWriter) dropProgress() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for at, queue := range w.queues {
+		if at.Topic == store.TopicProgress {
+			queue.groups, queue.underWay, queue.size = nil, nil, 0
+		}
+	}
+}
+
+// pending returns the records that are not known to be appended, by partition.
+func (w *recordWriter) pending() []liveness.Pending {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var pending []liveness.Pending
+	for at, queue := range w.queues {
+		records := slices.Clone(queue.underWay)
+		for _, group := range queue.groups {
+			records = append(records, group...)
+		}
+		if len(records) > 0 {
+			pending = append(pending, liveness.Pending{Partition: at, Records: records})
+		}
+	}
+	return pending
+}
+
 func (w *recordWriter) append(at store.Partition, records [][]byte) bool {
 	ctx, cancel := context.WithTimeout(w.term, appendTimeout)
 	defer cancel()
--- a/internal/coordinator/writer_test.go
+++ b/internal/coordinator/writer_test.go
@@ -85,14 +85,14 @@
 			t.Fatal(err)
 		}
 	}
-	got := recoverProgress(context.Background(), memory, 4, zap.NewNop())["i"]
+	got := recoverProgress(context.Background(), memory, 4, zap.NewNop())[2]["i"]
 	if got == nil || got.LastID != "5" || len(got.Text) != 2 || len(got.Versions) != 2 {
 		t.Errorf("recovered %+v", got)
 	}
 	if err := memory.Trim(context.Background(), at, 1); err != nil {
 		t.Fatal(err)
 	}
-	if got := recoverProgress(context.Background(), memory, 4, zap.NewNop())["i"]; got != nil {
+	if got := recoverProgress(context.Background(), memory, 4, zap.NewNop())[2]["i"]; got != nil {
 		t.Errorf("recovered %+v from a run whose start is gone", got)
 	}
 }
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"dalehook/internal/liveness"
 )
 
 // kind says what a record does to the lease.
@@ -33,6 +35,8 @@
 type Timing struct {
 	// TTL is the time without a renewal after which the lease may be claimed.
 	TTL time.Duration
+	// SilentTTL is the same for a holder whose node did not answer, several times over.
+	SilentTTL time.Duration
 	// Renewal is the time between renewals.
 	Renewal time.Duration
 	// Doubt is the time without a renewal after which the holder is asked whether
@@ -58,8 +62,22 @@
 	// Contested says that the process before may still run and act on the lease:
 	// it did not release it, nor did a later process of its node answer.
 	Contested bool
+	// Yielded says where the process before hands over what it could not append; it is
+	// zero unless that process yielded the lease.
+	Yielded Yielded
+}
+
+// Yielded names a lease that its holder gave up.
+type Yielded struct {
+	// Address is where the holder answers.
+	Address string
+	Epoch   int64
 }
 
+// silentAnswers is how often in a row a holder's node must not have answered for the
+// lease to end sooner.
+const silentAnswers = 2
+
 // Machine is one node's view of a lease. It does no I/O; it is used by one
 // goroutine.
 type Machine struct {
@@ -86,6 +104,13 @@
 	// later process of its node answered.
 	ended, certain       bool
 	succeeded, contested bool
+	// silent counts the times in a row that the holder's node did not answer.
+	silent int
+	// yields says that the holder has yielded, yielded that the one before had.
+	yields  bool
+	yielded Yielded
+	// gaveUp is the epoch of the lease that this process has yielded; 0 for none.
+	gaveUp int64
 	// caughtUp is set once the log was read to its end: how old the renewals before
 	// that were is not known.
 	caughtUp bool
@@ -136,13 +161,13 @@
 // Standing returns this node's place.
 func (m *Machine) Standing(now time.Time) Standing {
 	lease, held := m.Held(now)
-	leading := m.holder == m.self && lease.Epoch == m.epoch && !lease.ClaimedAt.IsZero()
+	leading := m.holder == m.self && lease.Epoch == m.epoch && !lease.ClaimedAt.IsZero() && m.gaveUp != m.epoch
 	return Standing{Lease: lease, Held: held, Leading: leading}
 }
 
 // Held returns the lease while this node may rely on it.
 func (m *Machine) Held(now time.Time) (Lease, bool) {
-	held := m.holder == m.self && m.held.Epoch == m.epoch && now.Before(m.held.Until)
+	held := m.holder == m.self && m.held.Epoch == m.epoch && m.gaveUp != m.epoch && now.Before(m.held.Until)
 	return m.held, held
 }
 
@@ -157,7 +182,11 @@
 	case kindClaim:
 		m.succeeded = m.epoch != 0
 		m.contested = m.holder != "" && !m.certain
-		m.ended, m.certain = false, false
+		m.yielded = Yielded{}
+		if m.yields {
+			m.yielded = Yielded{Address: m.holderAddress, Epoch: m.epoch}
+		}
+		m.clearDoubt()
 		m.releasedAt, m.freeAt = time.Time{}, time.Time{}
 		m.predecessor, m.predecessorAddress = m.holder, m.holderAddress
 		m.holder = read.Holder
@@ -169,7 +198,7 @@
 		if read.Holder == m.holder && read.Epoch == m.epoch {
 			m.seenAt = now
 			m.heard = m.caughtUp
-			m.ended, m.certain = false, false
+			m.clearDoubt()
 		}
 	case kindRelease:
 		if read.Holder == m.holder && read.Epoch == m.epoch {
@@ -180,6 +209,12 @@
 	return nil
 }
 
+// clearDoubt forgets what asking after the holder told.
+func (m *Machine) clearDoubt() {
+	m.ended, m.certain, m.yields = false, false, false
+	m.silent = 0
+}
+
 // HandleReadFailure notes that the store could not be read.
 func (m *Machine) HandleReadFailure(now time.Time) { m.readFailedAt = now }
 
@@ -214,7 +249,7 @@
 }
 
 func (m *Machine) keep(now time.Time) *Append {
-	if m.leaving {
+	if m.leaving || m.gaveUp == m.epoch {
 		return m.append(entry{Kind: kindRelease, Holder: m.self, Epoch: m.epoch}, false)
 	}
 	if now.Sub(m.renewedAt) < m.timing.Renewal {
@@ -243,16 +278,30 @@
 	return max(m.seenAt.Add(m.timing.Doubt).Sub(now), 0)
 }
 
-// HandleHolderEnded notes that the holder's process seems to have ended. The lease
-// may be claimed then; a holder that runs all the same is fenced by the claim.
-// Certain says that a later process of its node answered.
-func (m *Machine) HandleHolderEnded(holder string, certain bool) {
-	if m.holder == holder {
-		m.ended = true
-		m.certain = m.certain || certain
+// HandleVerdict takes what asking after a holder told. Where its process seems to have
+// ended, or has yielded, the lease may be claimed; a holder that runs all the same is
+// fenced by the claim.
+func (m *Machine) HandleVerdict(holder string, verdict liveness.Verdict) {
+	if m.holder != holder {
+		return
+	}
+	if verdict == liveness.Unknown {
+		m.silent++
+		return
 	}
+	m.silent = 0
+	m.ended = m.ended || verdict != liveness.Alive
+	m.certain = m.certain || verdict == liveness.Replaced || verdict == liveness.Yielded
+	m.yields = m.yields || verdict == liveness.Yielded
 }
 
+// GiveUp notes that this process has yielded the lease of an epoch. It acts on it no more,
+// and releases it if nobody has claimed it.
+func (m *Machine) GiveUp(epoch int64) { m.gaveUp = epoch }
+
+// Epoch returns that of the lease, as far as was read.
+func (m *Machine) Epoch() int64 { return m.epoch }
+
 // After a release the youngest processes claim first: where nodes are stopped and
 // started in turn, they are the ones that are not stopped next.
 const (
@@ -299,7 +348,11 @@
 }
 
 func (m *Machine) expired(now time.Time) bool {
-	return now.Sub(m.seenAt) > m.timing.TTL && now.Sub(m.readFailedAt) > m.timing.TTL
+	lasts := m.timing.TTL
+	if m.timing.SilentTTL > 0 && m.silent >= silentAnswers {
+		lasts = m.timing.SilentTTL
+	}
+	return now.Sub(m.seenAt) > lasts && now.Sub(m.readFailedAt) > lasts
 }
 
 func (m *Machine) append(e entry, renews bool) *Append {
@@ -319,7 +372,7 @@
 		return
 	}
 	if m.held.Epoch != m.epoch || m.held.ClaimedAt.IsZero() {
-		m.held = Lease{Epoch: m.epoch, ClaimedAt: now, Succeeded: m.succeeded, Contested: m.contested}
+		m.held = Lease{Epoch: m.epoch, ClaimedAt: now, Succeeded: m.succeeded, Contested: m.contested, Yielded: m.yielded}
 	}
 	m.renewedAt = sentAt
 	m.held.Until = sentAt.Add(m.timing.TTL - m.timing.Margin)
--- a/internal/election/machine_test.go
+++ b/internal/election/machine_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	_ "dalehook/internal/fixedseed"
+	"dalehook/internal/liveness"
 )
 
 var testTiming = Timing{TTL: 2 * time.Second, Renewal: 500 * time.Millisecond, Doubt: 800 * time.Millisecond, Margin: 200 * time.Millisecond}
@@ -180,7 +181,7 @@
 	w.step(w.machines[0])
 	w.step(w.machines[1])
 	w.now = w.now.Add(testTiming.Doubt + time.Millisecond)
-	w.machines[1].HandleHolderEnded("node-0", true)
+	w.machines[1].HandleVerdict("node-0", liveness.Replaced)
 	w.step(w.machines[1])
 	if lease, held := w.machines[1].Held(w.now); !held || lease.Contested || !lease.Succeeded {
 		t.Errorf("after a process that was replaced: held %v, %+v", held, lease)
@@ -192,7 +193,7 @@
 	w.step(w.machines[0])
 	w.step(w.machines[1])
 	w.now = w.now.Add(testTiming.Doubt + time.Millisecond)
-	w.machines[1].HandleHolderEnded("node-0", false)
+	w.machines[1].HandleVerdict("node-0", liveness.Refused)
 	w.step(w.machines[1])
 	if lease, held := w.machines[1].Held(w.now); !held || !lease.Contested {
 		t.Fatalf("held %v, %+v", held, lease)
@@ -251,7 +252,7 @@
 	if !doubtful || holder != "node-0" || address != "address-0" {
 		t.Fatalf("in doubt: %v, %s at %s", doubtful, holder, address)
 	}
-	w.machines[1].HandleHolderEnded(holder, false)
+	w.machines[1].HandleVerdict(holder, liveness.Refused)
 	w.step(w.machines[1])
 	lease, held := w.machines[1].Held(w.now)
 	if !held || !lease.Succeeded || !lease.Contested {
@@ -263,7 +264,7 @@
 	w := newWorld(2)
 	w.step(w.machines[0])
 	w.step(w.machines[1])
-	w.machines[1].HandleHolderEnded("node-0", true)
+	w.machines[1].HandleVerdict("node-0", liveness.Replaced)
 	w.now = w.now.Add(testTiming.Renewal)
 	w.step(w.machines[0])
 	w.step(w.machines[1])
@@ -272,6 +273,104 @@
 	}
 }
 
+// A holder that runs but can not reach the store yields: it acts no more, and its successor
+// need not wait.
+func TestAHolderThatYieldsIsSucceededAtOnce(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	w.now = w.now.Add(testTiming.Doubt + time.Millisecond)
+	epoch := w.machines[1].Epoch()
+	w.machines[0].GiveUp(epoch)
+	if standing := w.machines[0].Standing(w.now); standing.Held || standing.Leading {
+		t.Errorf("a holder that yielded stands %+v", standing)
+	}
+	w.machines[1].HandleVerdict("node-0", liveness.Yielded)
+	w.step(w.machines[1])
+	lease, held := w.machines[1].Held(w.now)
+	if !held || lease.Contested || lease.Yielded != (Yielded{Address: "address-0", Epoch: epoch}) {
+		t.Errorf("held %v, %+v", held, lease)
+	}
+	w.step(w.machines[0])
+	if got := w.held(); len(got) != 1 || got[0] != "node-1" {
+		t.Errorf("held by %v", got)
+	}
+}
+
+func TestAHolderThatYieldedReleasesWhatNobodyClaims(t *testing.T) {
+	w := newWorld(2)
+	w.step(w.machines[0])
+	w.machines[0].GiveUp(w.machines[0].Epoch())
+	w.now = w.now.Add(testTiming.Renewal)
+	w.step(w.machines[0])
+	w.step(w.machines[1])
+	w.now = w.now.Add(claimDelayMost)
+	w.step(w.machines[1])
+	if got := w.held(); len(got) != 1 || got[0] != "node-1" {
+		t.Errorf("held by %v", got)
+	}
+}
+
+func TestAHolderWhoseNodeDoesNotAnswerIsSucceededSooner(t *testing.T) {
+	for _, verdicts := range [][]liveness.Verdict{
+		{liveness.Unknown, liveness.Unknown},
+		{liveness.Unknown},
+		{liveness.Unknown, liveness.Alive, liveness.Unknown},
+	} {
+		w := newWorld(2)
+		for _, m := range w.machines {
+			m.timing.SilentTTL = time.Second
+		}
+		w.step(w.machines[0])
+		w.step(w.machines[1])
+		w.now = w.now.Add(time.Second + time.Millisecond)
+		for _, verdict := range verdicts {
+			w.machines[1].HandleVerdict("node-0", verdict)
+		}
+		w.step(w.machines[1])
+		lease, held := w.machines[1].Held(w.now)
+		if want := len(verdicts) == 2; held != want || held && !lease.Contested {
+			t.Errorf("%v: held %v, %+v", verdicts, held, lease)
+		}
+	}
+}
+
+func TestALeaseIsYieldedOnlyWithoutTheStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hold := &Hold{Now: func() time.Time { return now }}
+	hold.noteContact(now)
+	hold.noteStanding(Standing{Lease: Lease{Epoch: 4}, Leading: true})
+	if hold.Yield(4) {
+		t.Error("yielded right after an answer of the store")
+	}
+	now = now.Add(yieldAfter)
+	if hold.Yield(3) {
+		t.Error("yielded the lease of another epoch")
+	}
+	if !hold.Yield(4) || hold.yieldedEpoch() != 4 {
+		t.Error("not yielded without the store")
+	}
+	hold.noteContact(now)
+	if !hold.Yield(4) {
+		t.Error("taken back")
+	}
+}
+
+// A store that was away for all is back for its holder too, a moment later.
+func TestALeaseIsNotYieldedWhenTheStoreComesBack(t *testing.T) {
+	start := time.Unix(1000, 0)
+	hold := &Hold{Now: func() time.Time { return start.Add(yieldAfter) }}
+	hold.noteContact(start)
+	hold.noteStanding(Standing{Lease: Lease{Epoch: 4}, Leading: true})
+	asked := make(chan bool)
+	go func() { asked <- hold.Yield(4) }()
+	time.Sleep(yieldWait / 4)
+	hold.noteContact(start.Add(yieldAfter))
+	if <-asked {
+		t.Error("yielded though the store answered")
+	}
+}
+
 // Whatever is lost, paused or late, two nodes never hold the lease at once.
 func TestTheLeaseHasOneHolder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/follow"
+	"dalehook/internal/liveness"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
@@ -22,7 +23,8 @@
 	appendTimeout = 450 * time.Millisecond
 	retryPause    = 100 * time.Millisecond
 	slowestRead   = time.Second
-	askTimeout    = 150 * time.Millisecond
+	// A holder that may have to yield takes yieldWait to answer.
+	askTimeout = yieldWait + 150*time.Millisecond
 )
 
 // Options configure Run.
@@ -33,10 +35,12 @@
 	Self   string
 	// Address is where this process answers whether it runs.
 	Address string
-	// Ask asks whether the process of a holder seems to have ended; certain says
-	// that a later process of its node answered.
-	Ask    func(ctx context.Context, address, holder string) (ended, certain bool)
+	// Ask asks at the node of a holder whether its process runs, and has it yield the
+	// lease of an epoch if it can not reach the store.
+	Ask    func(ctx context.Context, address, holder string, epoch int64) liveness.Verdict
 	Timing Timing
+	// Hold is told of this process's own lease; it may be nil.
+	Hold   *Hold
 	Logger *zap.Logger
 	// Observe is told after each step how this node stands.
 	Observe func(Standing)
@@ -77,6 +81,8 @@
 		r.tell()
 		return err
 	}
+	r.Hold.noteContact(time.Now())
+	r.machine.GiveUp(r.Hold.yieldedEpoch())
 	if caughtUp {
 		r.ask(ctx)
 		r.askPredecessor(ctx)
@@ -122,12 +128,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	ended, certain := r.Ask(ctx, address, holder)
-	if !ended {
+	verdict := r.Ask(ctx, address, holder, r.machine.Epoch())
+	r.machine.HandleVerdict(holder, verdict)
+	if verdict == liveness.Unknown || verdict == liveness.Alive {
 		return
 	}
-	r.machine.HandleHolderEnded(holder, certain)
-	r.Logger.Info("holder ended", zap.String("holder", holder), zap.Bool("certain", certain), zap.Int64("offset", r.machine.End()))
+	r.Logger.Info("holder ended", zap.String("holder", holder), zap.Stringer("verdict", verdict), zap.Int64("offset", r.machine.End()))
 }
 
 // askPredecessor asks after a predecessor that may still act on the lease, since
@@ -139,7 +145,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if _, certain := r.Ask(ctx, address, predecessor); certain {
+	if r.Ask(ctx, address, predecessor, 0) == liveness.Replaced {
 		r.machine.HandlePredecessorReplaced(predecessor)
 		r.Logger.Info("predecessor ended", zap.String("predecessor", predecessor), zap.Int64("offset", r.machine.End()))
 	}
@@ -167,8 +173,10 @@
 
 // tell reports the lease and logs when it is taken or lost.
 func (r *runner) tell() {
+	r.machine.GiveUp(r.Hold.yieldedEpoch())
 	standing := r.machine.Standing(time.Now())
 	lease := standing.Lease
+	r.Hold.noteStanding(standing)
 	if standing.Held != r.holding {
 		r.holding = standing.Held
 		word := "lease lost"
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -88,6 +88,7 @@
 // that not all of them ask it at once.
 const (
 	leaseTTL         = 2500 * time.Millisecond
+	leaseSilentTTL   = 1400 * time.Millisecond
 	leaseRenewal     = 500 * time.Millisecond
 	leaseMargin      = 200 * time.Millisecond
 	leaseDoubt       = 600 * time.Millisecond
@@ -106,7 +107,7 @@
 		missing = max(1-settings.ProcessorShare/coordinatorShare, 0)
 	}
 	return election.Timing{
-		TTL: leaseTTL, Renewal: leaseRenewal, Margin: leaseMargin,
+		TTL: leaseTTL, SilentTTL: leaseSilentTTL, Renewal: leaseRenewal, Margin: leaseMargin,
 		Doubt:    leaseDoubt + time.Duration(spread*float64(leaseDoubtSpread)),
 		Handicap: time.Duration(missing * float64(leaseHandicap)),
 	}
@@ -127,6 +128,8 @@
 	gateway        *gateway.Gateway
 	jobs           *joblog.Logs
 	coordinator    *coordinator.Coordinator
+	// hold is what is known of the lease while this process holds it.
+	hold election.Hold
 }
 
 // NewNode assembles a node.
@@ -173,7 +176,7 @@
 	defer internal.Close()
 	var background conc.WaitGroup
 	background.Go(func() {
-		if err := liveness.Serve(internal, n.process()); err != nil {
+		if err := liveness.Serve(internal, n.process(), n); err != nil {
 			n.logger.Error("nodes are not answered", zap.Error(err))
 		}
 	})
@@ -214,7 +217,8 @@
 	background.Go(func() { n.coordinator.Run(ctx) })
 	background.Go(func() {
 		election.Run(ctx, election.Options{
-			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming(n.options.Settings), Ask: askHolder,
+			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming(n.options.Settings), Ask: liveness.Ask,
+			Hold:   &n.hold,
 			Logger: n.options.Logger.Named("election"), Observe: n.coordinator.ObserveLease, Leaving: n.left,
 		})
 	})
@@ -224,11 +228,18 @@
 // process names this process unlike any other.
 func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
 
-func askHolder(ctx context.Context, address, holder string) (ended, certain bool) {
-	verdict := liveness.Ask(ctx, address, holder)
-	return verdict == liveness.Refused || verdict == liveness.Replaced, verdict == liveness.Replaced
+// Yield implements liveness.Holder.
+func (n *Node) Yield(epoch int64) bool {
+	if !n.hold.Yield(epoch) {
+		return false
+	}
+	n.coordinator.Yield(epoch)
+	return true
 }
 
+// Pending implements liveness.Holder.
+func (n *Node) Pending(epoch int64) []liveness.Pending { return n.coordinator.Pending(epoch) }
+
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(forgetInterval)
 	defer ticker.Stop()
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -66,6 +66,13 @@
 	return err
 }
 
+// Touch has all partitions read, for a subscriber that comes soon.
+func (l *Logs) Touch() {
+	for _, p := range l.partitions {
+		p.readFrom(0)
+	}
+}
+
 // Condition says whether what is known of a job, nil for nothing, suffices for an
 // answer. Fresh says that the partition was read to its end just now.
 type Condition func(state *batch.State, fresh bool) bool
@@ -109,6 +116,8 @@
 // context ends.
 func (l *Logs) WaitFor(ctx context.Context, jobID string, count int) {
 	p := l.partitions[l.PartitionOf(jobID)]
+	p.countWaiting(1)
+	defer p.countWaiting(-1)
 	p.waitUntil(ctx, func() bool {
 		state := p.fold.Job(jobID)
 		return state != nil && (len(state.Results) > count || state.Ended)
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -20,6 +20,7 @@
 	// scheduler's reads are held for a shorter time, since a read that meets an append
 	// under way was seen to be held to its end, and a step waits for it.
 	readWait          = 700 * time.Millisecond
+	callerReadWait    = 200 * time.Millisecond
 	schedulerReadWait = 350 * time.Millisecond
 	// readTimeout bounds a read of what is new, longReadTimeout one of a partition that
 	// is read from its start: over a thin link that takes its time, and a read that is
@@ -58,6 +59,8 @@
 	// from is the offset that the reading began at, next that of the first record that
 	// was not read.
 	from, next int64
+	// waiting counts the callers that wait for news.
+	waiting int
 	// endRead ends the read under way, if there is one.
 	endRead context.CancelFunc
 	// message is the offset of the first record of the message that is being read.
@@ -151,6 +154,12 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	p.readFrom(start)
+	return nil
+}
+
+// readFrom has the partition read from an offset on, or from an earlier one.
+func (p *partition) readFrom(start int64) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	begun := p.next > p.from || p.wanted()
@@ -158,7 +167,6 @@
 		p.resetLocked(start)
 	}
 	p.touchLocked()
-	return nil
 }
 
 // readsAll says whether the partition is read from its first record on.
@@ -202,6 +210,12 @@
 	return satisfied(p.jobLocked(jobID), time.Since(p.freshAt) < freshFor)
 }
 
+func (p *partition) countWaiting(change int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.waiting += change
+}
+
 // waitUntil waits until condition holds, which is called with the mutex held.
 func (p *partition) waitUntil(ctx context.Context, condition func() bool) bool {
 	for {
@@ -333,6 +347,8 @@
 	switch {
 	case p.freshAt.IsZero():
 		timeout = longReadTimeout
+	case p.waiting > 0:
+		wait = callerReadWait
 	case p.subscriber != nil:
 		wait = schedulerReadWait
 	default:
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -5,12 +5,28 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dalehook/internal/store"
 )
 
 func ask(address, process string) Verdict {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	return Ask(ctx, address, process)
+	return Ask(ctx, address, process, 7)
+}
+
+// holder yields the lease of epoch 7 once it is to.
+type holder struct{ yields bool }
+
+func (h *holder) Yield(epoch int64) bool { return h.yields && epoch == 7 }
+
+func (h *holder) Pending(epoch int64) []Pending {
+	if epoch != 7 {
+		return nil
+	}
+	return []Pending{{Partition: store.Partition{Topic: store.TopicJobs, Number: 3}, Records: [][]byte{[]byte("a"), []byte("b")}}}
 }
 
 func TestAsk(t *testing.T) {
@@ -19,14 +35,27 @@
 		t.Fatal(err)
 	}
 	address := listener.Addr().String()
+	held := &holder{}
 	ended := make(chan error, 1)
-	go func() { ended <- Serve(listener, "node/2") }()
+	go func() { ended <- Serve(listener, "node/2", held) }()
 	if got := ask(address, "node/2"); got != Alive {
 		t.Errorf("the process itself: %v", got)
 	}
 	if got := ask(address, "node/1"); got != Replaced {
 		t.Errorf("an earlier process: %v", got)
 	}
+	held.yields = true
+	if got := ask(address, "node/2"); got != Yielded {
+		t.Errorf("a process that yields: %v", got)
+	}
+	if got := ask(address, "node/1"); got != Replaced {
+		t.Errorf("an earlier process than one that yields: %v", got)
+	}
+	pending, err := TakeOver(context.Background(), address, 7)
+	want := []Pending{{Partition: store.Partition{Topic: store.TopicJobs, Number: 3}, Records: [][]byte{[]byte("a"), []byte("b")}}}
+	if diff := cmp.Diff(want, pending); err != nil || diff != "" {
+		t.Errorf("handed over: %v, %s", err, diff)
+	}
 	listener.Close()
 	if err := <-ended; err != nil {
 		t.Error(err)
@@ -44,7 +73,7 @@
 	defer listener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	if got := Ask(ctx, listener.Addr().String(), "node/1"); got != Unknown {
+	if got := Ask(ctx, listener.Addr().String(), "node/1", 7); got != Unknown {
 		t.Errorf("a node that says nothing: %v", got)
 	}
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -161,10 +161,15 @@
 	return &batch.Result{JobID: i.job.id, ItemID: i.source.ID, Text: joinLines(i.text), Versions: i.versions}
 }
 
+// loadStall is the time after the order of a load up to which runs on the engine are not
+// expected to make events. It is twice what a load takes that shares the way to the
+// weights with as many others as allowed.
+const loadStall = 2 * time.Second
+
 // moveStalled ends attempts that got no event for too long; they go on elsewhere.
 func (m *Machine) moveStalled(now time.Time) {
 	for _, running := range m.sortedAttempts() {
-		if running.engine.loading {
+		if running.engine.loading && now.Sub(running.engine.loadBegan) < loadStall {
 			running.lastSeen = now
 			continue
 		}
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -38,8 +38,9 @@
 	savedAt time.Time
 	// rewards holds the reward calls of items whose text is whole.
 	rewards *reward.Queue
-	// recovered is what predecessors saved of their runs, by item.
-	recovered map[string]*batch.Partial
+	// recovered is what predecessors saved of their runs, by partition and item.
+	recovered   map[int]map[string]*batch.Partial
+	recoveredAt time.Time
 
 	mayOrder bool
 	epoch    int64
@@ -55,17 +56,18 @@
 	options.SaveInterval = cmp.Or(options.SaveInterval, DefaultSaveInterval)
 	options.ServerPause = cmp.Or(options.ServerPause, DefaultServerPause)
 	return &Machine{
-		options:  options,
-		jobs:     make(map[string]*job),
-		engines:  make(map[string]*engine),
-		attempts: make(map[AttemptID]*attempt),
-		newest:   make(map[string]int64),
-		fresh:    make(map[int]time.Time),
-		kept:     make(map[string]*keptItem),
-		demand:   make(map[string]float64),
-		windows:  make(map[string]*loadWindow),
-		loading:  make(map[string]int),
-		rewards:  reward.NewQueue(),
+		options:   options,
+		jobs:      make(map[string]*job),
+		engines:   make(map[string]*engine),
+		attempts:  make(map[AttemptID]*attempt),
+		newest:    make(map[string]int64),
+		fresh:     make(map[int]time.Time),
+		kept:      make(map[string]*keptItem),
+		demand:    make(map[string]float64),
+		windows:   make(map[string]*loadWindow),
+		loading:   make(map[string]int),
+		rewards:   reward.NewQueue(),
+		recovered: make(map[int]map[string]*batch.Partial),
 	}
 }
 
@@ -134,6 +136,7 @@
 	m.moveToFaster(now)
 	m.giveUp(now)
 	m.forgetKept(now)
+	m.forgetRecovered(now)
 	m.saveAll(now)
 	m.saveWholeTexts(now)
 	m.schedule(now)
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -531,7 +531,7 @@
 		}
 	}
 	successor := newFixture(t, nil)
-	successor.machine.HandleRecovered(fold.Partials())
+	successor.machine.HandleRecovered(successor.now, 0, fold.Partials())
 	successor.servers(8, map[string]int64{"a": 1})
 	successor.job("j", 1, 10)
 	if got := successor.starts[0].After; got != "6" {
@@ -544,6 +544,54 @@
 	}
 }
 
+// An item that came again stands in the partitions of both jobs; what was made for the
+// earlier one may be too old for the later.
+func TestASuccessorTakesWhatWasSavedForTheJobItself(t *testing.T) {
+	old := map[string]*batch.Partial{"j-0": {LastID: "9", Text: []string{"old"}, Versions: []int64{1}}}
+	own := map[string]*batch.Partial{"j-0": {LastID: "4", Text: []string{"own"}, Versions: []int64{2}}}
+	cases := []struct {
+		name        string
+		first, here map[string]*batch.Partial
+		after       string
+	}{
+		{"both", old, own, "4"},
+		{"too old", old, nil, ""},
+		{"another job's that fits", own, nil, "4"},
+	}
+	for _, c := range cases {
+		f := newFixture(t, nil)
+		f.machine.HandleRecovered(f.now, 3, c.first)
+		f.machine.HandleRecovered(f.now, 0, c.here)
+		f.servers(8, map[string]int64{"a": 2})
+		f.job("j", 2, 10)
+		if got := f.starts[0].After; got != c.after {
+			t.Errorf("%s: goes on after %q, want %q", c.name, got, c.after)
+		}
+	}
+}
+
+// A load that does not come to an end must not hold the runs of its engine.
+func TestRunsLeaveAnEngineWhoseLoadHangs(t *testing.T) {
+	f := newFixture(t, func(route *routetable.Route) { route.Resumable = true })
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.event(1, "1", 1)
+	f.machine.order(f.now, f.machine.engines["a"])
+	f.take()
+	for range 10 {
+		f.pass(DefaultStallTimeout / 5)
+	}
+	if len(f.cancels) != 0 {
+		t.Fatal("cancelled during a load")
+	}
+	for range 10 {
+		f.pass(DefaultStallTimeout / 5)
+	}
+	if len(f.cancels) != 1 {
+		t.Errorf("cancels %v", f.cancels)
+	}
+}
+
 // A run that a later job takes over is saved with that job, all of it, and so is one that
 // lasts longer than saved progress is kept.
 func TestCheckpointsHoldAllOfTheText(t *testing.T) {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,32 +14,53 @@
 	minimumSaved = 5
 	// checkpointInterval is the time between two checkpoints of an item. It is well below
 	// the time after which saved progress is trimmed.
-	checkpointInterval = 4 * time.Second
+	checkpointInterval = 2 * time.Second
 )
 
-// HandleRecovered takes what a predecessor saved of its runs, by item. It comes
-// before the jobs.
-func (m *Machine) HandleRecovered(partials map[string]*batch.Partial) {
-	if m.recovered == nil {
-		m.recovered = make(map[string]*batch.Partial)
-	}
-	for id, partial := range partials {
-		m.recovered[id] = partial
+// HandleRecovered takes what predecessors saved of their runs for the jobs of a
+// partition, by item. It comes before the jobs.
+func (m *Machine) HandleRecovered(now time.Time, partition int, partials map[string]*batch.Partial) {
+	m.recovered[partition] = partials
+	m.recoveredAt = now
+}
+
+// forgetRecovered drops what predecessors saved once the jobs that it was for are known.
+func (m *Machine) forgetRecovered(now time.Time) {
+	if len(m.recovered) > 0 && now.Sub(m.recoveredAt) > keptFor {
+		clear(m.recovered)
 	}
 }
 
 // recover gives an item what a predecessor saved of it, if its versions fit.
 // Whole says that nothing of its text is missing.
 func (m *Machine) recover(opened *job, waiting *item) (whole bool) {
-	partial := m.recovered[waiting.source.ID]
-	delete(m.recovered, waiting.source.ID)
-	if partial == nil || !fits(opened, partial.Versions) {
+	partial := m.recoveredOf(opened, waiting.source.ID)
+	if partial == nil {
 		return false
 	}
 	waiting.text, waiting.lastID, waiting.versions = partial.Text, partial.LastID, partial.Versions
 	return partial.Whole
 }
 
+// recoveredOf returns the best of what was saved of an item: what was made for the job
+// itself, else for an earlier job that had the item as well.
+func (m *Machine) recoveredOf(opened *job, itemID string) *batch.Partial {
+	if own := m.recovered[opened.partition][itemID]; own != nil && fits(opened, own.Versions) {
+		return own
+	}
+	var best *batch.Partial
+	for _, partition := range slices.Sorted(maps.Keys(m.recovered)) {
+		other := m.recovered[partition][itemID]
+		if other == nil || !fits(opened, other.Versions) {
+			continue
+		}
+		if best == nil || !best.Whole && (other.Whole || len(other.Text) > len(best.Text)) {
+			best = other
+		}
+	}
+	return best
+}
+
 // saveAll saves the progress of the runs that have made enough.
 func (m *Machine) saveAll(now time.Time) {
 	if now.Sub(m.savedAt) < m.options.SaveInterval {
@@ -58,6 +81,16 @@
 	}
 }
 
+// SaveCheckpoints saves all of the text of all runs.
+func (m *Machine) SaveCheckpoints(now time.Time) {
+	for _, running := range m.sortedAttempts() {
+		owner := running.item
+		if !owner.kept && !owner.finished && len(owner.text) > 0 {
+			m.saveCheckpoint(now, owner, m.runName(running))
+		}
+	}
+}
+
 // save appends what a run made since its last progress, or all of its text when the
 // last checkpoint is old or was another run's.
 func (m *Machine) save(now time.Time, running *attempt) {
--- a/internal/scheduler/rewards_test.go
+++ b/internal/scheduler/rewards_test.go
@@ -142,7 +142,7 @@
 		t.Fatal(err)
 	}
 	successor := newRewardFixture(t)
-	successor.machine.HandleRecovered(fold.Partials())
+	successor.machine.HandleRecovered(successor.now, 0, fold.Partials())
 	successor.job("j", 1, "")
 	if len(successor.starts) != 0 || len(successor.rewards) != 1 || len(successor.results) != 0 {
 		t.Fatalf("starts %+v, rewards %+v", successor.starts, successor.rewards)
