--- a/cmd/dalehook-node/run.go
+++ b/cmd/dalehook-node/run.go
@@ -89,6 +89,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	logger = logger.With(zap.String("node", settings.Node))
 	boundMemory(settings.MemoryMb)
 	node := frontend.NewNode(frontend.Options{
 		Settings:    settings,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,13 +37,13 @@
 var keysOfIDs = []string{"request", "job", "item"}
 
 // headKeys are the fields that every line has.
-var headKeys = []string{"level", "ts", "logger", "msg"}
+var headKeys = []string{"level", "ts", "logger", "msg", "node"}
 
 // timeLayout is the layout of a line's time.
 const timeLayout = "2006-01-02T15:04:05.000Z0700"
 
-// Read returns the entries of a log; lines that are none are passed over. What
-// stands before an entry's brace names its node, else the source does.
+// Read returns the entries of a log; lines that are none are passed over. An entry's
+// field "node" names its node, else what stands before its brace, else the source.
 func Read(source string, reader io.Reader) ([]Line, error) {
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(nil, maxLineSize)
@@ -72,6 +72,9 @@
 	if words := strings.Fields(string(text[:brace])); len(words) > 0 {
 		line.Source = words[len(words)-1]
 	}
+	if node, ok := fields["node"].(string); ok {
+		line.Source = node
+	}
 	at, _ := fields["ts"].(string)
 	line.Time, _ = time.Parse(timeLayout, at)
 	line.Level, _ = fields["level"].(string)
@@ -175,7 +178,7 @@
 	if err := writeLines(w, s.ID, s.Own); err != nil {
 		return err
 	}
-	return writeLines(w, "meanwhile", s.Around)
+	return writeFolded(w, "meanwhile", fold(s.Around))
 }
 
 func writeLines(w io.Writer, title string, lines []Line) error {
@@ -186,13 +189,22 @@
 		return err
 	}
 	for _, line := range lines {
-		if _, err := fmt.Fprintf(w, "  %s  %-20s %s: %s%s\n", line.Time.Format("15:04:05.000"), line.Source, line.Part, line.Message, line.details()); err != nil {
+		if err := writeLine(w, line); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// clockLayout is the layout of times that are told.
+const clockLayout = "15:04:05.000"
+
+func writeLine(w io.Writer, line Line) error {
+	_, err := fmt.Fprintf(w, "  %s  %-20s %s: %s%s\n",
+		line.Time.Format(clockLayout), line.Source, line.Part, line.Message, line.details())
+	return err
+}
+
 // details renders the fields in the order of their names.
 func (l Line) details() string {
 	var text strings.Builder
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -185,7 +185,7 @@
 	for _, s := range servers {
 		background.Go(func() { failed <- s.serve() })
 	}
-	n.logger.Info("started", zap.String("node", n.options.Settings.Node), zap.String("zone", n.options.Settings.Zone),
+	n.logger.Info("started", zap.String("zone", n.options.Settings.Zone),
 		zap.String("requests", n.options.Settings.Listen.Requests))
 	select {
 	case <-ctx.Done():
