Saved progress is recovered partition by partition; a holder yields after 1.2 s

After an outage of the store for all, a coordinator that got its next answer late yielded, nobody claimed, and it released and took the lease again, with all runs lost.

Change: the jobs of a partition are taken up as soon as its progress is read, for up to 2.5 s; a holder yields after 1.2 s without an answer and 0.3 s more.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -105,11 +106,12 @@
 	newest  map[string]int64
 	machine *scheduler.Machine // nil while the lease is not held
 	// term ends when the lease is lost.
-	term     context.Context
-	endTerm  context.CancelFunc
-	unfollow func()
-	writer   *recordWriter
-	lease    election.Lease
+	term    context.Context
+	endTerm context.CancelFunc
+	// subscriber follows the jobs for the term; nil until it follows all partitions.
+	subscriber *follower
+	writer     *recordWriter
+	lease      election.Lease
 	// handed is what the last term that was yielded left.
 	handed  handedOver
 	cancels map[scheduler.AttemptID]context.CancelFunc
@@ -281,7 +283,8 @@
 	c.background.Go(func() { c.follow(term, machine, from) })
 }
 
-// follow takes over what predecessors saved and subscribes to the jobs.
+// follow takes over what predecessors left and subscribes to the jobs, partition by
+// partition.
 func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, from election.Yielded) {
 	began := time.Now()
 	if from.Address != "" {
@@ -289,34 +292,38 @@
 	}
 	// The jobs are read meanwhile.
 	c.options.Jobs.Touch()
-	recovered := recoverProgress(term, c.options.Log, c.options.Jobs.Partitions(), c.options.Logger)
-	items := 0
-	for _, partials := range recovered {
-		items += len(partials)
+	subscriber := &follower{coordinator: c, machine: machine}
+	var items atomic.Int64
+	var partitions conc.WaitGroup
+	for number := range c.options.Jobs.Partitions() {
+		partitions.Go(func() {
+			partials, err := recoverProgress(term, c.options.Log, number)
+			if err != nil {
+				c.options.Logger.Warn("progress not read", zap.Int("partition", number), zap.Error(err))
+			}
+			items.Add(int64(len(partials)))
+			c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
+			c.options.Jobs.Subscribe(number, subscriber)
+		})
 	}
-	c.options.Logger.Info("progress recovered", zap.Int("items", items), zap.Duration("took", time.Since(began)))
-	c.inputOf(machine, func(now time.Time) {
-		for partition, partials := range recovered {
-			machine.HandleRecovered(now, partition, partials)
-		}
-	})
-	cancel := c.options.Jobs.Subscribe(&follower{coordinator: c, machine: machine})
+	partitions.Wait()
+	c.options.Logger.Info("progress recovered", zap.Int64("items", items.Load()), zap.Duration("took", time.Since(began)))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.machine == machine {
-		c.unfollow = cancel
+		c.subscriber = subscriber
 		return
 	}
-	go cancel()
+	go c.options.Jobs.Unsubscribe(subscriber)
 }
 
 func (c *Coordinator) endTermLocked() {
 	c.machine = nil
 	c.endTerm()
-	if c.unfollow != nil {
+	if c.subscriber != nil {
 		// The partitions call back under their own mutexes.
-		go c.unfollow()
-		c.unfollow = nil
+		go c.options.Jobs.Unsubscribe(c.subscriber)
+		c.subscriber = nil
 	}
 }
 
--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
@@ -14,36 +13,25 @@
 )
 
 const (
-	// recoverTimeout bounds the reading of what predecessors saved.
-	recoverTimeout = 1200 * time.Millisecond
+	// recoverTimeout bounds the reading of what predecessors saved in a partition, whose
+	// jobs wait for it: a weak machine reads it over a thin link.
+	recoverTimeout = 2500 * time.Millisecond
 	// progressKept is how long saved progress is of use.
 	progressKept = 5 * time.Second
 	// trimInterval is the time between two trims of a partition.
 	trimInterval = time.Second
 )
 
-// recoverProgress reads what predecessors saved, by partition and item. What can not be
-// read in time is left out, and its items start anew.
-func recoverProgress(ctx context.Context, log store.Log, partitions int, logger *zap.Logger) map[int]map[string]*batch.Partial {
+// recoverProgress reads what predecessors saved for the jobs of a partition, by item. What
+// can not be read in time is left out, and its items start anew.
+func recoverProgress(ctx context.Context, log store.Log, number int) (map[string]*batch.Partial, error) {
 	ctx, cancel := context.WithTimeout(ctx, recoverTimeout)
 	defer cancel()
-	var mutex sync.Mutex
-	all := make(map[int]map[string]*batch.Partial, partitions)
-	var readers conc.WaitGroup
-	for number := range partitions {
-		readers.Go(func() {
-			fold, err := readProgress(ctx, log, store.Partition{Topic: store.TopicProgress, Number: number})
-			if err != nil {
-				logger.Warn("progress not read", zap.Int("partition", number), zap.Error(err))
-				return
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			all[number] = fold.Partials()
-		})
+	fold, err := readProgress(ctx, log, store.Partition{Topic: store.TopicProgress, Number: number})
+	if err != nil {
+		return nil, err
 	}
-	readers.Wait()
-	return all
+	return fold.Partials(), nil
 }
 
 func readProgress(ctx context.Context, log store.Log, at store.Partition) (*batch.ProgressFold, error) {
--- a/internal/coordinator/writer_test.go
+++ b/internal/coordinator/writer_test.go
@@ -85,14 +85,22 @@
 			t.Fatal(err)
 		}
 	}
-	got := recoverProgress(context.Background(), memory, 4, zap.NewNop())[2]["i"]
+	partials, err := recoverProgress(context.Background(), memory, at.Number)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := partials["i"]
 	if got == nil || got.LastID != "5" || len(got.Text) != 2 || len(got.Versions) != 2 {
 		t.Errorf("recovered %+v", got)
 	}
 	if err := memory.Trim(context.Background(), at, 1); err != nil {
 		t.Fatal(err)
 	}
-	if got := recoverProgress(context.Background(), memory, 4, zap.NewNop())[2]["i"]; got != nil {
+	partials, err = recoverProgress(context.Background(), memory, at.Number)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := partials["i"]; got != nil {
 		t.Errorf("recovered %+v from a run whose start is gone", got)
 	}
 }
--- a/internal/election/hold.go
+++ b/internal/election/hold.go
@@ -7,8 +7,9 @@
 
 // yieldAfter is the time without an answer of the store after which a holder yields its
 // lease to a process that does reach the store. It is above the time between two answers
-// that a holder gets of a slow store.
-const yieldAfter = 700 * time.Millisecond
+// that a holder gets of a slow store, or of one that is back after an outage and has many
+// callers.
+const yieldAfter = 1200 * time.Millisecond
 
 // yieldWait is how long a holder that is asked to yield still waits for the store.
 const yieldWait = 300 * time.Millisecond
--- a/internal/joblog/index_test.go
+++ b/internal/joblog/index_test.go
@@ -142,7 +142,8 @@
 	logs := start(t, memory)
 	checkRead(t, logs, "late", 0, 1)
 	seen := &recorder{}
-	defer logs.Subscribe(seen)()
+	logs.Subscribe(0, seen)
+	defer logs.Unsubscribe(seen)
 	deadline := time.Now().Add(10 * time.Second)
 	for !seen.has("early", 0) || !seen.has("late", 2) {
 		if time.Now().After(deadline) {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -135,15 +135,14 @@
 	HandleFresh(partition int, since time.Time)
 }
 
-// Subscribe follows all partitions for a subscriber until the returned function
-// is called.
-func (l *Logs) Subscribe(subscriber Subscriber) (cancel func()) {
+// Subscribe follows a partition for a subscriber until Unsubscribe.
+func (l *Logs) Subscribe(partition int, subscriber Subscriber) {
+	l.partitions[partition].subscribe(subscriber)
+}
+
+// Unsubscribe ends what a subscriber follows.
+func (l *Logs) Unsubscribe(subscriber Subscriber) {
 	for _, p := range l.partitions {
-		p.subscribe(subscriber)
-	}
-	return func() {
-		for _, p := range l.partitions {
-			p.unsubscribe(subscriber)
-		}
+		p.unsubscribe(subscriber)
 	}
 }
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -81,7 +81,8 @@
 	}
 }
 
-// SaveCheckpoints saves all of the text of all runs.
+// SaveCheckpoints saves all of the text of all runs, and of the items that wait for their
+// score: those before were perhaps not appended.
 func (m *Machine) SaveCheckpoints(now time.Time) {
 	for _, running := range m.sortedAttempts() {
 		owner := running.item
@@ -89,6 +90,13 @@
 			m.saveCheckpoint(now, owner, m.runName(running))
 		}
 	}
+	for _, open := range m.sortedJobs() {
+		for _, unscored := range sortedItems(open) {
+			if unscored.whole && !unscored.finished {
+				m.saveCheckpoint(now, unscored, m.wholeName())
+			}
+		}
+	}
 }
 
 // save appends what a run made since its last progress, or all of its text when the
--- a/internal/scheduler/rewards.go
+++ b/internal/scheduler/rewards.go
@@ -34,7 +34,8 @@
 	var due []*item
 	for _, open := range m.jobs {
 		for _, unscored := range open.items {
-			if unscored.whole && !unscored.finished && now.Sub(unscored.checkpointAt) >= checkpointInterval {
+			waits := unscored.whole && !unscored.finished
+			if waits && now.Sub(unscored.checkpointAt) >= checkpointInterval {
 				due = append(due, unscored)
 			}
 		}
