--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,10 @@
 test:
 	@test ! -s KNOWN-RED.txt || { echo "Passed over (KNOWN-RED.txt):"; cat KNOWN-RED.txt; }
 	./.ci/check-sequential $(SEQUENTIAL)
-	$(GO) test -timeout 15m $(SKIP) $(SEQUENTIAL)
+	$(GO) test -count=1 -timeout 15m $(SKIP) $(SEQUENTIAL)
 
 race:
-	$(GO) test -race -timeout 30m $(SKIP) $(CONCURRENT)
+	$(GO) test -count=1 -race -timeout 30m $(SKIP) $(CONCURRENT)
 
 # The simulation on its fixed seeds, which is a part of "make test".
 simulate:
