Job log: the offset of a partition is read under its mutex

Since the reading of a partition may begin anew at any time, its offset is written by other goroutines than the one that reads; that one read it for its log without the mutex.

Change: offset() takes the mutex.

--- a/internal/joblog/index_test.go
+++ b/internal/joblog/index_test.go
@@ -178,3 +178,22 @@
 	got, known := r.starts[id]
 	return known && got == start
 }
+
+// The reading begins anew while the loop that reads goes on; the race detector looks on.
+func TestReadingMayBeginAnewAtAnyTime(t *testing.T) {
+	memory := storetest.NewMemory()
+	writer := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, memory, writer, "early", 1, 1)
+	appendJob(t, memory, writer, "late", 1, 1)
+	indexJob(t, memory, "early", 0)
+	indexJob(t, memory, "late", 2)
+	logs := start(t, memory)
+	checkRead(t, logs, "late", 0, 1)
+	p := logs.partitions[0]
+	for i := range 20000 {
+		p.mutex.Lock()
+		p.resetLocked(int64(i % 3))
+		p.mutex.Unlock()
+	}
+	checkRead(t, logs, "early", 0, 1)
+}
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -293,7 +293,7 @@
 	pace := follow.Pace{Most: slowestRead, Retry: retryPause}
 	for ctx.Err() == nil && p.waitUntil(ctx, p.wanted) {
 		err := p.advance(ctx)
-		p.outage.Note(err, zap.Stringer("partition", p.at), zap.Int64("offset", p.next))
+		p.outage.Note(err, zap.Stringer("partition", p.at), zap.Int64("offset", p.offset()))
 		if err == nil {
 			p.forgetUnwanted()
 		} else {
@@ -303,6 +303,13 @@
 	}
 }
 
+// offset returns that of the first record that was not read.
+func (p *partition) offset() int64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.next
+}
+
 func (p *partition) noteFailure(err error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
