--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -80,3 +80,33 @@
 		}
 	}
 }
+
+// A server that is gone when the call is sent costs nothing, and one that began to leave
+// after the first choice is not chosen any more.
+func TestACallPassesOverServersThatAreGoneOrLeave(t *testing.T) {
+	list := directory.NewDirectory()
+	put := func(id string, draining bool) {
+		server := directory.Server{ID: id, Service: "svc", Zone: "z", Slots: 4, Draining: draining}
+		list.Apply([]directory.Change{{ID: id, Server: &server}})
+	}
+	for _, id := range []string{"s0", "s1", "s2"} {
+		put(id, false)
+	}
+	backend := &script{answers: []answerFunc{
+		func(ctx context.Context, attempt Attempt) (*Answer, *SendError) {
+			for _, id := range []string{"s0", "s1"} {
+				put(id, id != attempt.Server.ID)
+			}
+			return broken(false)(ctx, attempt)
+		},
+		signed(200, "ok"),
+	}}
+	gateway := NewGateway(Options{Backend: backend, Directory: list, Zone: "z", Logger: zap.NewNop()})
+	result := gateway.Call(context.Background(), Call{
+		Request: &Request{ID: "id", Method: http.MethodPost, Target: "/p", Received: time.Now(), Deadline: time.Now().Add(time.Second)},
+		Route:   &routetable.Route{MaxAttempts: 4}, Service: "svc",
+	})
+	if result.Signature == "" || len(result.Servers) != 2 || result.Servers[0] != "s0" || result.Servers[1] != "s2" {
+		t.Errorf("%+v", result)
+	}
+}
--- a/internal/scheduler/rewards_test.go
+++ b/internal/scheduler/rewards_test.go
@@ -247,3 +247,47 @@
 		t.Errorf("results %+v", f.results)
 	}
 }
+
+// A coordinator that was paused knows nothing of what ended meanwhile.
+func TestACoordinatorThatWokeSendsNoRewardCallBeforeItHasRead(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 4, "")
+	for attempt := range AttemptID(4) {
+		f.run(attempt + 1)
+	}
+	sent := len(f.rewards)
+	f.now = f.now.Add(5 * time.Second)
+	f.answer(0, reward.Answer{Score: "good"})
+	f.answer(1, reward.Answer{})
+	f.machine.Tick(f.now)
+	f.take()
+	if len(f.rewards) != sent {
+		t.Errorf("%d calls sent on old knowledge", len(f.rewards)-sent)
+	}
+	f.machine.HandleFresh(f.now, 0, f.now)
+	f.take()
+	if len(f.rewards) == sent {
+		t.Error("no call sent once the job was read again")
+	}
+}
+
+// A score whose listing was lost with its coordinator is asked for once more.
+func TestACoordinatorGoneBetweenScoreAndListing(t *testing.T) {
+	f := newRewardFixture(t)
+	f.job("j", 1, "")
+	f.run(1)
+	saved := f.progress[len(f.progress)-1].Progress
+	f.answer(0, reward.Answer{Score: "lost"})
+	if len(f.results) != 1 {
+		t.Fatalf("results %+v", f.results)
+	}
+	successor := newRewardFixture(t)
+	successor.machine.HandleRecovered(successor.now, 0, map[string]*batch.Partial{
+		"item-0": {LastID: saved.LastID, Text: []string{saved.Text}, Versions: saved.Versions, Whole: saved.Whole},
+	})
+	successor.job("j", 1, "")
+	successor.answer(0, reward.Answer{Score: "again"})
+	if len(successor.starts) != 0 || len(successor.results) != 1 || successor.results[0].Score != "again" {
+		t.Errorf("starts %+v, results %+v", successor.starts, successor.results)
+	}
+}
