Reward queue: a call is routed once for each configuration; one draw for items and calls

Change: what waits keeps its route for the configuration that it was found by, and the send under way; Route.PickFor has the draw.

--- a/internal/frontend/rewards.go
+++ b/internal/frontend/rewards.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,11 +22,10 @@
 
 // Score implements coordinator.Rewards.
 func (r *rewardCaller) Score(ctx context.Context, send reward.Send) reward.Answer {
-	path, _, _ := strings.Cut(send.Call.Path, "?")
 	began := time.Now()
 	result := r.gateway.Call(ctx, gateway.Call{
 		Request: &gateway.Request{
-			ID: send.Call.ID, Method: http.MethodPost, Target: send.Call.Path, Path: path, Host: send.Call.Host,
+			ID: send.Call.ID, Method: http.MethodPost, Target: send.Call.Path, Host: send.Call.Host,
 			Header: make(http.Header), Body: send.Call.Body, Received: began, Deadline: send.Deadline,
 		},
 		Table: send.Table, Route: send.Route, Service: send.Service,
--- a/internal/reward/queue.go
+++ b/internal/reward/queue.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"dalehook/internal/routetable"
 )
 
@@ -49,8 +47,14 @@
 	// pause is the time before the next send, which is not before notBefore.
 	pause     time.Duration
 	notBefore time.Time
-	// service is where the send under way goes.
-	service string
+	// route and service are where the call goes by routedBy, nil and empty for nowhere: many
+	// calls may wait, and all are looked at whenever one is answered.
+	route    *routetable.Route
+	service  string
+	routedBy *routetable.Table
+	// send is the send under way, 0 for none, and sentTo the service that it went to.
+	send    SendID
+	sentTo  string
 	removed bool
 }
 
@@ -93,12 +97,7 @@
 	}
 	delete(q.items, item)
 	removed.removed = true
-	for id, sent := range q.sends {
-		if sent == removed {
-			return id
-		}
-	}
-	return 0
+	return removed.send
 }
 
 // Next returns the sends that begin now. Fresh says whether what is known of the jobs
@@ -130,48 +129,41 @@
 	if !next.giveUpAt.IsZero() && next.giveUpAt.Before(deadline) {
 		deadline = next.giveUpAt
 	}
-	route, service := q.route(next.call)
-	room := q.room(service)
-	if route == nil || !now.Before(deadline) || q.underWay[service] >= room {
+	q.route(next)
+	room, underWay := q.room(next.service), q.underWay[next.service]
+	if next.route == nil || !now.Before(deadline) || underWay >= room {
 		return Send{}, false
 	}
-	if bound := now.Add(route.Timeout); route.Timeout > 0 && bound.Before(deadline) {
+	if bound := now.Add(next.route.Timeout); next.route.Timeout > 0 && bound.Before(deadline) {
 		deadline = bound
 	}
-	inputs := Inputs{
-		Try: next.tries + 1, Failures: next.failures, Waited: now.Sub(next.wholeAt), UnderWay: q.underWay[service], Room: room,
-	}
 	q.lastID++
 	q.sends[q.lastID] = next
-	q.underWay[service]++
-	next.service = service
+	q.underWay[next.service]++
+	next.send, next.sentTo = q.lastID, next.service
 	next.tries++
 	return Send{
-		ID: q.lastID, Item: next.item, Call: next.call, Table: q.table, Route: route, Service: service,
-		Deadline: deadline, Inputs: inputs,
+		ID: q.lastID, Item: next.item, Call: next.call, Table: q.table, Route: next.route, Service: next.service,
+		Deadline: deadline,
+		Inputs: Inputs{
+			Try: next.tries, Failures: next.failures, Waited: now.Sub(next.wholeAt), UnderWay: underWay, Room: room,
+		},
 	}, true
 }
 
-// route returns the route of a call and the service that it leads to; nil when the
-// configuration has none.
-func (q *Queue) route(call *Call) (*routetable.Route, string) {
-	if q.table == nil {
-		return nil, ""
+// route finds where a call goes by the configuration in force.
+func (q *Queue) route(routed *pending) {
+	if q.table == nil || routed.routedBy == q.table {
+		return
 	}
-	route := q.table.MatchTarget(call.Host, call.Path)
+	routed.route, routed.service, routed.routedBy = nil, "", q.table
+	route := q.table.MatchTarget(routed.call.Host, routed.call.Path)
 	if route == nil || route.Kind != routetable.KindSafe && route.Kind != routetable.KindUnsafe {
-		return nil, ""
+		return
 	}
-	target, found := route.Pick(draw(call.ID))
-	if !found {
-		return nil, ""
+	if target, found := route.PickFor(routed.call.ID); found {
+		routed.route, routed.service = route, target.Service
 	}
-	return route, target.Service
-}
-
-// draw maps a call's id to [0, 1), the same at every node.
-func draw(id string) float64 {
-	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
 }
 
 // room returns how many calls a service takes at once.
@@ -190,7 +182,8 @@
 		return Item{}, VerdictNone
 	}
 	delete(q.sends, id)
-	q.underWay[answered.service]--
+	q.underWay[answered.sentTo]--
+	answered.send = 0
 	if answered.removed {
 		return Item{}, VerdictNone
 	}
@@ -208,8 +201,8 @@
 	if answer.Score != "" {
 		return VerdictScored
 	}
-	route, _ := q.route(answered.call)
-	if route != nil && answered.failures >= max(route.MaxAttempts, 1) {
+	q.route(answered)
+	if answered.route != nil && answered.failures >= max(answered.route.MaxAttempts, 1) {
 		return VerdictDead
 	}
 	return VerdictRetry
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -5,6 +5,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says what may be done with a route's requests.
@@ -89,6 +91,12 @@
 	return r.Targets[len(r.Targets)-1], true
 }
 
+// PickFor chooses the target of whatever has an id, by weight and the same at every node.
+func (r *Route) PickFor(id string) (Target, bool) {
+	const mantissaBits = 53
+	return r.Pick(float64(xxhash.Sum64String(id)>>(64-mantissaBits)) / (1 << mantissaBits))
+}
+
 // Service is a group of servers that do the same work.
 type Service struct {
 	Name string
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"dalehook/internal/batch"
 )
 
@@ -108,16 +106,11 @@
 		return
 	}
 	for id, waiting := range job.items {
-		target, _ := job.route.Pick(draw(id))
+		target, _ := job.route.PickFor(id)
 		waiting.service = target.Service
 	}
 }
 
-// draw maps an item's id to [0, 1), the same at every node.
-func draw(id string) float64 {
-	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
-}
-
 // HandleListed takes a result that stands in the log.
 func (m *Machine) HandleListed(now time.Time, result *batch.Result) {
 	open := m.jobs[result.JobID]
