A lease that was yielded is told at once; what was handed over is dropped with the next term

Cause, by reading the change: whoever asked after a lease that had been yielded already waited another 0.3 s for the store; the records that were handed over were kept until the next yield; the clock of Hold was an exported field for its tests alone.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -268,6 +268,7 @@
 	options := c.options.Scheduler
 	options.Term = standing.Lease.Epoch
 	c.machine = scheduler.NewMachine(options)
+	c.handed = handedOver{}
 	c.cancels = make(map[scheduler.AttemptID]context.CancelFunc)
 	c.rewardCancels = make(map[reward.SendID]context.CancelFunc)
 	c.term, c.endTerm = context.WithCancel(context.Background())
--- a/internal/election/hold.go
+++ b/internal/election/hold.go
@@ -17,9 +17,6 @@
 // Hold is what a process knows of the lease that it holds, for those that ask at its node.
 // Its methods may be called by several goroutines.
 type Hold struct {
-	// Now returns the time; nil stands for time.Now.
-	Now func() time.Time
-
 	mutex     sync.Mutex
 	contactAt time.Time
 	// contacted is closed and replaced at each answer of the store.
@@ -34,10 +31,10 @@
 // now or before.
 func (h *Hold) Yield(epoch int64) bool {
 	h.mutex.Lock()
-	contacted, due := h.contacts(), h.due(epoch)
+	contacted, due, before := h.contacts(), h.due(epoch), h.yielded == epoch
 	h.mutex.Unlock()
-	if !due {
-		return false
+	if before || !due {
+		return before
 	}
 	select {
 	case <-contacted:
@@ -57,11 +54,7 @@
 	if h.yielded == epoch {
 		return true
 	}
-	now := time.Now
-	if h.Now != nil {
-		now = h.Now
-	}
-	return h.leading && h.epoch == epoch && now().Sub(h.contactAt) >= yieldAfter
+	return h.leading && h.epoch == epoch && time.Since(h.contactAt) >= yieldAfter
 }
 
 // contacts returns a channel that is closed at the next answer of the store. The mutex is
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -16,9 +16,9 @@
 
 // The timing of a partition's reads.
 const (
-	// readWait is how long the store may hold a read that finds nothing; the
-	// scheduler's reads are held for a shorter time, since a read that meets an append
-	// under way was seen to be held to its end, and a step waits for it.
+	// readWait is how long the store may hold a read that finds nothing. The reads of the
+	// scheduler, and those that a caller waits for, are held for a shorter time, since a
+	// read that meets an append under way was seen to be held to its end.
 	readWait          = 700 * time.Millisecond
 	callerReadWait    = 200 * time.Millisecond
 	schedulerReadWait = 350 * time.Millisecond
