Reads of jobs are passed on to the coordinator; a lease is renewed without reads

While no coordinator indexed jobs, all reads began at the partition's start; 20 a second took the 80 MB/s that the store reads. Trainers got results 2 to 8 s late, jobs could not be read (LOST), and after an outage lease, list and configuration waited behind those reads for 8 s (CONFIG, DENIED), since a holder renewed only after a read.

Ruled out: the store's calls a second (3,200 of 16,000), the coordinator's processor (0.17 of 0.8 core), the size of the configuration (430 KB: all nodes have it in 1.2 s).

Change: internal/nodecall (net/rpc over gob) carries the calls between nodes; liveness uses it; internal/jobread asks the coordinator, which answers from what it follows. The store is read from where the index says, a whole partition only by the coordinator, or where none was heard of for 4 s. A partition is followed for 2 s after a read. A holder renews its lease also when a read gets no answer.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -288,11 +288,11 @@
 // partition.
 func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, from election.Yielded) {
 	began := time.Now()
+	// The jobs are read meanwhile.
+	c.options.Jobs.Touch()
 	if from.Address != "" {
 		c.takeOver(term, from)
 	}
-	// The jobs are read meanwhile.
-	c.options.Jobs.Touch()
 	subscriber := &follower{coordinator: c, machine: machine}
 	var items atomic.Int64
 	var partitions conc.WaitGroup
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -156,13 +156,24 @@
 	// Leading says that this node claimed last, as far as was read, though its
 	// lease may have run out.
 	Leading bool
+	// Coordinator is where the holder answers, while that is another process which is
+	// not thought to have ended; else it is empty.
+	Coordinator string
 }
 
 // Standing returns this node's place.
 func (m *Machine) Standing(now time.Time) Standing {
 	lease, held := m.Held(now)
 	leading := m.holder == m.self && lease.Epoch == m.epoch && !lease.ClaimedAt.IsZero() && m.gaveUp != m.epoch
-	return Standing{Lease: lease, Held: held, Leading: leading}
+	return Standing{Lease: lease, Held: held, Leading: leading, Coordinator: m.coordinator()}
+}
+
+// coordinator returns where another process answers that holds the lease, as far as is known.
+func (m *Machine) coordinator() string {
+	if m.holder == "" || m.holder == m.self || m.ended || m.silent > 0 {
+		return ""
+	}
+	return m.holderAddress
 }
 
 // Held returns the lease while this node may rely on it.
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -78,6 +78,7 @@
 	caughtUp, err := r.read(ctx)
 	if err != nil {
 		r.machine.HandleReadFailure(time.Now())
+		err = errors.Join(err, r.renewUnread(ctx))
 		r.tell()
 		return err
 	}
@@ -151,6 +152,17 @@
 	}
 }
 
+// renewUnread renews a lease that this process holds though its partition could not be read:
+// many nodes may read at once what is large, while appends go through. The record is
+// appended only where the partition ends as it was read.
+func (r *runner) renewUnread(ctx context.Context) error {
+	r.machine.GiveUp(r.Hold.yieldedEpoch())
+	if !r.machine.Standing(time.Now()).Leading {
+		return nil
+	}
+	return r.append(ctx)
+}
+
 func (r *runner) append(ctx context.Context) error {
 	sentAt := time.Now()
 	wanted := r.machine.Tick(sentAt)
@@ -167,7 +179,9 @@
 	if err != nil {
 		return err
 	}
-	r.machine.HandleAppended(time.Now(), sentAt, wanted, offset)
+	now := time.Now()
+	r.Hold.noteContact(now)
+	r.machine.HandleAppended(now, sentAt, wanted, offset)
 	return nil
 }
 
--- /dev/null
+++ b/internal/frontend/jobreads_test.go
@@ -0,0 +1,225 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/joblog"
+	"dalehook/internal/jobread"
+	"dalehook/internal/nodecall"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+// readerNode is a reader of jobs on a store in memory.
+type readerNode struct {
+	*jobReader
+	sources []readSource
+}
+
+func newReaderNode(t *testing.T, memory *storetest.Memory) *readerNode {
+	jobs := joblog.NewLogs(joblog.Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		jobs.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	node := &readerNode{}
+	node.jobReader = newJobReader(jobs, func(source readSource) { node.sources = append(node.sources, source) }, zap.NewNop())
+	return node
+}
+
+// appendJob accepts a job with results for all of its items.
+func appendJob(t *testing.T, memory *storetest.Memory, id string, results int) {
+	t.Helper()
+	job := &batch.Job{ID: id}
+	for i := range results {
+		job.Items = append(job.Items, batch.Item{ID: fmt.Sprint(id, "-", i)})
+	}
+	records, err := batch.EncodeJob(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, item := range job.Items {
+		result, err := batch.EncodeResult(&batch.Result{JobID: id, ItemID: item.ID, Text: "text"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, result...)
+	}
+	if _, err := memory.Append(context.Background(), store.Partition{Topic: store.TopicJobs}, records); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func appendIndex(t *testing.T, memory *storetest.Memory, id string, start int64) {
+	t.Helper()
+	record, err := joblog.EncodeIndexEntry(joblog.IndexEntry{JobID: id, Start: start})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := memory.Append(context.Background(), store.Partition{Topic: store.TopicJobIndex}, [][]byte{record}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// serve has a node answer reads at the address returned.
+func serve(t *testing.T, reader jobread.Reader) string {
+	listener, server := listen(t), rpc.NewServer()
+	if err := jobread.Register(server, reader); err != nil {
+		t.Fatal(err)
+	}
+	go nodecall.Serve(listener, server)
+	return listener.Addr().String()
+}
+
+type subscriber struct{}
+
+func (subscriber) HandleChange(int, batch.Change) {}
+func (subscriber) HandleFresh(int, time.Time)     {}
+
+// A coordinator that stands still, is gone, or does not follow the jobs, costs a read no more
+// than the time it takes to notice that.
+func TestAReadIsAnsweredWhateverTheCoordinatorDoes(t *testing.T) {
+	memory := storetest.NewMemory()
+	appendJob(t, memory, "job", 3)
+	appendIndex(t, memory, "job", 0)
+	coordinator := newReaderNode(t, memory)
+	coordinator.jobs.Subscribe(0, subscriber{})
+	beginner := newReaderNode(t, memory)
+	beginner.jobs.Touch()
+	gone := listen(t)
+	gone.Close()
+	cases := []struct {
+		name, address string
+		source        readSource
+		most          time.Duration
+	}{
+		{"nobody coordinates", "", sourceStore, time.Second},
+		{"has just begun", serve(t, beginner), sourceCoordinator, time.Second},
+		{"in order", serve(t, coordinator), sourceCoordinator, time.Second},
+		{"gone", gone.Addr().String(), sourceStore, time.Second},
+		{"stands still", listen(t).Addr().String(), sourceStore, passOnPatience + time.Second},
+		{"follows nothing", serve(t, newReaderNode(t, memory)), sourceStore, time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			node := newReaderNode(t, memory)
+			node.observeCoordinator(false, c.address)
+			began := time.Now()
+			total, results, verdict := node.results(context.Background(), "job", 1, 0)
+			if total != 3 || len(results) != 2 || verdict != VerdictDone {
+				t.Errorf("total %d, %d results, %v", total, len(results), verdict)
+			}
+			if took := time.Since(began); took > c.most {
+				t.Errorf("answered after %v", took)
+			}
+			if len(node.sources) != 1 || node.sources[0] != c.source {
+				t.Errorf("answered from %v", node.sources)
+			}
+		})
+	}
+}
+
+// A coordinator that did not answer is left alone for a while.
+func TestASilentCoordinatorIsNotAskedAgainAtOnce(t *testing.T) {
+	memory := storetest.NewMemory()
+	appendJob(t, memory, "job-1", 1)
+	appendJob(t, memory, "job-2", 1)
+	node := newReaderNode(t, memory)
+	node.observeCoordinator(false, listen(t).Addr().String())
+	node.results(context.Background(), "job-1", 0, 0)
+	if address := node.answering(); address != "" {
+		t.Errorf("reads are still passed on to %s", address)
+	}
+	node.observeCoordinator(false, "127.0.0.1:1")
+	if node.answering() == "" {
+		t.Error("reads are not passed on to the next coordinator")
+	}
+}
+
+// Where a take-over may be under way, a job that the index does not hold is refused: to look
+// for it in the whole partition is the next coordinator's work.
+func TestAWholePartitionIsReadOnlyWhereNobodyElseDoes(t *testing.T) {
+	memory := storetest.NewMemory()
+	appendJob(t, memory, "job", 1)
+	node := newReaderNode(t, memory)
+	if _, _, verdict := node.results(context.Background(), "job", 0, 0); verdict != VerdictRefused {
+		t.Errorf("while a coordinator may come: %v", verdict)
+	}
+	node.seenAt = time.Now().Add(-takeOverTime)
+	if _, results, verdict := node.results(context.Background(), "job", 0, 0); verdict != VerdictDone || len(results) != 1 {
+		t.Errorf("where none comes: %v, %d results", verdict, len(results))
+	}
+	if _, _, verdict := node.results(context.Background(), "no such job", 0, 0); verdict != VerdictAbsent {
+		t.Errorf("a job that is not there: %v", verdict)
+	}
+}
+
+// An answer is held at the coordinator until there is a result.
+func TestAHeldReadEndsWithTheNextResult(t *testing.T) {
+	memory := storetest.NewMemory()
+	appendJob(t, memory, "job", 1)
+	coordinator := newReaderNode(t, memory)
+	coordinator.jobs.Subscribe(0, subscriber{})
+	node := newReaderNode(t, memory)
+	node.observeCoordinator(false, serve(t, coordinator))
+	job := &batch.Job{ID: "later", Items: []batch.Item{{ID: "later-0"}}}
+	records, err := batch.EncodeJob(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := store.Partition{Topic: store.TopicJobs}
+	if _, err := memory.Append(context.Background(), at, records); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan int)
+	go func() {
+		_, results, _ := node.results(context.Background(), "later", 0, 20*time.Second)
+		answered <- len(results)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	records, err = batch.EncodeResult(&batch.Result{JobID: "later", ItemID: "later-0", Text: "text"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := memory.Append(context.Background(), at, records); err != nil {
+		t.Fatal(err)
+	}
+	if count := <-answered; count != 1 {
+		t.Errorf("%d results", count)
+	}
+	if len(node.sources) != 1 || node.sources[0] != sourceCoordinator {
+		t.Errorf("answered from %v", node.sources)
+	}
+}
+
+func TestAPageIsCut(t *testing.T) {
+	results := []batch.Result{{Text: "aaaa"}, {Text: "bb"}, {Text: "cc"}}
+	for most, want := range map[int]int{0: 1, 5: 1, 6: 2, 100: 3} {
+		if got := len(cutResults(results, most)); got != want {
+			t.Errorf("%d of at most %d bytes, not %d", got, most, want)
+		}
+	}
+}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -26,6 +26,7 @@
 	requestSeconds *prometheus.HistogramVec
 	attempts       prometheus.Counter
 	jobCalls       *prometheus.CounterVec
+	jobReads       *prometheus.CounterVec
 	itemAttempts   *prometheus.CounterVec
 	results        *prometheus.CounterVec
 	loads          *prometheus.CounterVec
@@ -50,6 +51,7 @@
 		requestSeconds: histogram("dalehook_request_seconds", "Time from a request read to its answer, by kind of route.", "kind"),
 		attempts:       prometheus.NewCounter(prometheus.CounterOpts{Name: "dalehook_request_attempts_total", Help: "Attempts of single requests at servers."}),
 		jobCalls:       counter("dalehook_job_calls_total", "Calls about batch jobs by call and verdict.", "call", "verdict"),
+		jobReads:       counter("dalehook_job_reads_total", "Reads of batch jobs by where the answer was found.", "source"),
 		itemAttempts:   counter("dalehook_item_attempts_total", "Runs of items by the way they ended.", "end"),
 		results:        counter("dalehook_results_total", "Results written by outcome.", "outcome"),
 		loads:          counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
@@ -60,7 +62,7 @@
 		storeCalls:   counter("dalehook_store_calls_total", "Calls to the store by call and status of the answer, 0 for none.", "call", "status"),
 		storeSeconds: histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.itemAttempts, m.results, m.loads,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
@@ -127,6 +129,10 @@
 	m.jobCalls.WithLabelValues(call, verdict.String()).Inc()
 }
 
+func (m *nodeMetrics) observeJobRead(source readSource) {
+	m.jobReads.WithLabelValues(source.String()).Inc()
+}
+
 // ObserveAttempt implements coordinator.Observer.
 func (m *nodeMetrics) ObserveAttempt(reason scheduler.EndReason) {
 	m.itemAttempts.WithLabelValues(reason.String()).Inc()
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/rpc"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,9 @@
 	"dalehook/internal/follow"
 	"dalehook/internal/gateway"
 	"dalehook/internal/joblog"
+	"dalehook/internal/jobread"
 	"dalehook/internal/liveness"
+	"dalehook/internal/nodecall"
 	"dalehook/internal/routetable"
 	"dalehook/internal/serverlist"
 	"dalehook/internal/store"
@@ -127,6 +130,7 @@
 	servers        *serverlist.List
 	gateway        *gateway.Gateway
 	jobs           *joblog.Logs
+	jobReader      *jobReader
 	coordinator    *coordinator.Coordinator
 	// hold is what is known of the lease while this process holds it.
 	hold election.Hold
@@ -145,6 +149,7 @@
 	n.jobs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
+	n.jobReader = newJobReader(n.jobs, n.metrics.observeJobRead, logger.Named("jobs"))
 	n.servers = serverlist.New(serverlist.Options{
 		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), Pace: listPace, Wait: listWait,
 		Decode: adapter.Server, Digest: adapter.ServerDigest,
@@ -175,8 +180,12 @@
 	}
 	defer internal.Close()
 	var background conc.WaitGroup
+	calls := rpc.NewServer()
+	if err := errors.Join(liveness.Register(calls, n.process(), n), jobread.Register(calls, n.jobReader)); err != nil {
+		return err
+	}
 	background.Go(func() {
-		if err := liveness.Serve(internal, n.process(), n); err != nil {
+		if err := nodecall.Serve(internal, calls); err != nil {
 			n.logger.Error("nodes are not answered", zap.Error(err))
 		}
 	})
@@ -219,12 +228,18 @@
 		election.Run(ctx, election.Options{
 			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming(n.options.Settings), Ask: liveness.Ask,
 			Hold:   &n.hold,
-			Logger: n.options.Logger.Named("election"), Observe: n.coordinator.ObserveLease, Leaving: n.left,
+			Logger: n.options.Logger.Named("election"), Observe: n.observeLease, Leaving: n.left,
 		})
 	})
 	background.Go(func() { n.sweep(ctx) })
 }
 
+// observeLease takes this node's standing in the election.
+func (n *Node) observeLease(standing election.Standing) {
+	n.jobReader.observeCoordinator(standing.Leading, standing.Coordinator)
+	n.coordinator.ObserveLease(standing)
+}
+
 // process names this process unlike any other.
 func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
 
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -10,7 +10,6 @@
 
 	"dalehook/internal/batch"
 	"dalehook/internal/gateway"
-	"dalehook/internal/joblog"
 	"dalehook/internal/routetable"
 	"dalehook/internal/store"
 )
@@ -111,49 +110,10 @@
 
 // Results returns the results of a batch job from a position on.
 func (n *Node) Results(ctx context.Context, jobID string, from int, wait time.Duration) (total int, results []batch.Result, verdict Verdict) {
-	total, results, ended, verdict := n.results(ctx, jobID, from)
-	if verdict != VerdictDone || len(results) > 0 || ended || wait <= 0 {
-		return total, results, verdict
-	}
-	waiting, cancel := context.WithTimeout(ctx, wait)
-	n.jobs.WaitFor(waiting, jobID, from)
-	cancel()
-	total, results, _, verdict = n.results(ctx, jobID, from)
-	return total, results, verdict
-}
-
-func (n *Node) results(ctx context.Context, jobID string, from int) (total int, results []batch.Result, ended bool, verdict Verdict) {
-	verdict = VerdictAbsent
-	err := n.jobs.View(ctx, jobID,
-		joblog.HasPosition(from),
-		func(state *batch.State) {
-			if state == nil {
-				return
-			}
-			verdict = VerdictDone
-			total, ended = state.Total(), state.Ended
-			results = state.Results[min(from, len(state.Results)):]
-		})
-	if err != nil {
-		n.logger.Warn("batch job not read", zap.String("job", jobID), zap.Error(err))
-		return 0, nil, false, VerdictRefused
-	}
-	return total, results, ended, verdict
+	return n.jobReader.results(ctx, jobID, from, wait)
 }
 
 // ItemBody returns the body of an item that has no result yet.
 func (n *Node) ItemBody(ctx context.Context, jobID, itemID string) (body []byte, verdict Verdict) {
-	verdict = VerdictAbsent
-	err := n.jobs.View(ctx, jobID,
-		joblog.HasItem(itemID),
-		func(state *batch.State) {
-			if state == nil || state.Item(itemID) == nil || state.Listed(itemID) {
-				return
-			}
-			body, verdict = state.Item(itemID).Body, VerdictDone
-		})
-	if err != nil {
-		return nil, VerdictRefused
-	}
-	return body, verdict
+	return n.jobReader.itemBody(ctx, jobID, itemID)
 }
--- a/internal/joblog/index.go
+++ b/internal/joblog/index.go
@@ -57,19 +57,19 @@
 	return &index{log: log, at: store.Partition{Topic: store.TopicJobIndex, Number: number}, starts: make(map[string]int64)}
 }
 
-// find returns where a job begins, 0 when no entry tells. The entry of a job that was
-// accepted just now may be on its way.
-func (x *index) find(ctx context.Context, jobID string) (start int64, err error) {
+// find returns where a job begins, if an entry tells. The entry of a job that was accepted
+// just now may be on its way.
+func (x *index) find(ctx context.Context, jobID string) (start int64, known bool, err error) {
 	for tries := 0; ; tries++ {
 		start, known := x.lookUp(jobID)
 		if known || tries > indexRetries {
-			return start, nil
+			return start, known, nil
 		}
 		if tries > 0 && !pause.For(ctx, indexPause) {
-			return 0, ctx.Err()
+			return 0, false, ctx.Err()
 		}
 		if err := x.read(ctx); err != nil {
-			return 0, err
+			return 0, false, err
 		}
 	}
 }
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -97,19 +97,62 @@
 // asked until satisfied holds, or until all that stood in the job's partition when View
 // was called has been read. It returns ErrUncertain when that could not be.
 func (l *Logs) View(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
-	p := l.partitions[l.PartitionOf(jobID)]
-	if p.visitIf(jobID, satisfied, visit) {
-		p.touch()
+	if l.ViewKnown(jobID, satisfied, visit) {
 		return nil
 	}
+	p := l.partitions[l.PartitionOf(jobID)]
 	if err := p.beginAt(ctx, jobID); err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
-	if err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }); err != nil {
+	return p.viewCaughtUp(ctx, jobID, satisfied, visit)
+}
+
+// ViewKnown calls visit with a job's state where satisfied holds for what is known already,
+// and says whether it did. The store is not asked.
+func (l *Logs) ViewKnown(jobID string, satisfied Condition, visit func(*batch.State)) bool {
+	p := l.partitions[l.PartitionOf(jobID)]
+	if !p.visitIf(jobID, satisfied, visit) {
+		return false
+	}
+	p.touch()
+	return true
+}
+
+// ErrNotFollowed says that this node does not read all of a job's partition.
+var ErrNotFollowed = errors.New("partition is not followed here")
+
+// errNotIndexed says that the index does not tell where a job begins.
+var errNotIndexed = errors.New("job is not in the index")
+
+// ViewFollowed is View for a node that reads all of the job's partition already, and has
+// nothing read anew. It returns ErrNotFollowed where this node does not.
+func (l *Logs) ViewFollowed(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
+	if l.ViewKnown(jobID, satisfied, visit) {
+		return nil
+	}
+	p := l.partitions[l.PartitionOf(jobID)]
+	if !p.readsAll() {
+		return ErrNotFollowed
+	}
+	return p.viewCaughtUp(ctx, jobID, satisfied, visit)
+}
+
+// ViewIndexed is View for a job that the index holds: what it reads is bounded by the job's
+// own part of its partition. A job that the index does not hold is an ErrUncertain.
+func (l *Logs) ViewIndexed(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
+	if l.ViewKnown(jobID, satisfied, visit) {
+		return nil
+	}
+	p := l.partitions[l.PartitionOf(jobID)]
+	start, known, err := p.index.find(ctx, jobID)
+	if err == nil && !known {
+		err = errNotIndexed
+	}
+	if err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
-	p.visit(jobID, visit)
-	return nil
+	p.readFrom(start)
+	return p.viewCaughtUp(ctx, jobID, satisfied, visit)
 }
 
 // WaitFor waits until a job has more than count results, has ended, or the
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -37,8 +37,10 @@
 	// shorter than the time after which a position that was read at one node must
 	// be there at all.
 	freshFor = 800 * time.Millisecond
-	// interest is how long a partition is followed after it was last asked for.
-	interest = 8 * time.Second
+	// interest is how long a partition is followed after it was last asked for. A trainer
+	// reads twice a second, at any node: those of a small fleet are asked again soon, and
+	// those of a large one would read for nothing.
+	interest = 2 * time.Second
 )
 
 // partition is one partition as this node knows it: all of it for a subscriber, else from
@@ -149,7 +151,7 @@
 	start := int64(0)
 	if !p.readsAll() {
 		// An index that can not be read tells nothing.
-		start, _ = p.index.find(ctx, jobID)
+		start, _, _ = p.index.find(ctx, jobID)
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -234,6 +236,16 @@
 	}
 }
 
+// viewCaughtUp calls visit with a job's state once satisfied holds, or all that stood in the
+// partition was read.
+func (p *partition) viewCaughtUp(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
+	if err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }); err != nil {
+		return errors.Join(ErrUncertain, err)
+	}
+	p.visit(jobID, visit)
+	return nil
+}
+
 // catchUp waits until all that stood in the partition when it was called was read, or
 // until enough was. Enough is called with the mutex held.
 func (p *partition) catchUp(ctx context.Context, enough func() bool) error {
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -6,13 +6,13 @@
 
 import (
 	"context"
-	"encoding/gob"
 	"errors"
-	"fmt"
-	"net"
+	"net/rpc"
 	"syscall"
-	"time"
 
+	"github.com/rotisserie/eris"
+
+	"dalehook/internal/nodecall"
 	"dalehook/internal/store"
 )
 
@@ -54,62 +54,62 @@
 	Pending(epoch int64) []Pending
 }
 
-// question is what a node asks a process.
-type question struct {
-	// Epoch is that of the lease which the process is thought to hold.
+// Question is what a node asks a process.
+type Question struct {
+	// Epoch is that of the lease which the process is thought to hold; 0 asks only whether
+	// the process runs.
 	Epoch int64
-	// Pending asks for what was not appended under a lease that was yielded.
-	Pending bool
 }
 
-// reply is what a process says of itself.
-type reply struct {
+// Answer is what a process says of itself.
+type Answer struct {
 	Process string
 	Yielded bool
+}
+
+// HandedOver is what a process had not appended when it yielded.
+type HandedOver struct {
 	Pending []Pending
 }
 
-// answerTimeout bounds the reading of a question and the writing of its answer.
-const answerTimeout = time.Second
-
-// Serve answers for this process until the listener is closed.
-func Serve(listener net.Listener, process string, holder Holder) error {
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		go answer(conn, process, holder)
-	}
+// The calls of the service.
+const (
+	serviceName    = "Lease"
+	methodAsk      = serviceName + ".Ask"
+	methodHandOver = serviceName + ".HandOver"
+)
+
+// service answers for this process.
+type service struct {
+	process string
+	holder  Holder
 }
 
-func answer(conn net.Conn, process string, holder Holder) {
-	defer conn.Close()
-	if conn.SetDeadline(time.Now().Add(answerTimeout)) != nil {
-		return
-	}
-	var asked question
-	if gob.NewDecoder(conn).Decode(&asked) != nil {
-		return
-	}
-	said := reply{Process: process}
-	switch {
-	case asked.Pending:
-		said.Pending = holder.Pending(asked.Epoch)
-	case asked.Epoch > 0:
-		said.Yielded = holder.Yield(asked.Epoch)
+// Register has a server answer for this process.
+func Register(server *rpc.Server, process string, holder Holder) error {
+	return eris.Wrap(server.RegisterName(serviceName, &service{process: process, holder: holder}), "register the lease's calls")
+}
+
+// Ask says which process this is, and yields the lease where it has to.
+func (s *service) Ask(question Question, answer *Answer) error {
+	answer.Process = s.process
+	if question.Epoch > 0 {
+		answer.Yielded = s.holder.Yield(question.Epoch)
 	}
-	// The asker learns from the silence that nothing was said.
-	_ = gob.NewEncoder(conn).Encode(said)
+	return nil
+}
+
+// HandOver gives what was not appended under a lease that was yielded.
+func (s *service) HandOver(question Question, answer *HandedOver) error {
+	answer.Pending = s.holder.Pending(question.Epoch)
+	return nil
 }
 
 // Ask asks the node at address whether a process still runs there, and whether it yields
 // the lease of an epoch.
 func Ask(ctx context.Context, address, process string, epoch int64) Verdict {
-	said, err := call(ctx, address, question{Epoch: epoch})
+	var said Answer
+	err := nodecall.Call(ctx, address, methodAsk, Question{Epoch: epoch}, &said)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
@@ -125,30 +125,9 @@
 
 // TakeOver returns what a process that yielded the lease of an epoch had not appended.
 func TakeOver(ctx context.Context, address string, epoch int64) ([]Pending, error) {
-	said, err := call(ctx, address, question{Epoch: epoch, Pending: true})
-	if err != nil {
-		return nil, fmt.Errorf("take over from %s: %w", address, err)
-	}
-	return said.Pending, nil
-}
-
-func call(ctx context.Context, address string, asked question) (*reply, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
+	var said HandedOver
+	if err := nodecall.Call(ctx, address, methodHandOver, Question{Epoch: epoch}, &said); err != nil {
 		return nil, err
 	}
-	defer conn.Close()
-	if deadline, bounded := ctx.Deadline(); bounded {
-		if err := conn.SetDeadline(deadline); err != nil {
-			return nil, err
-		}
-	}
-	if err := gob.NewEncoder(conn).Encode(asked); err != nil {
-		return nil, err
-	}
-	said := &reply{}
-	if err := gob.NewDecoder(conn).Decode(said); err != nil {
-		return nil, err
-	}
-	return said, nil
+	return said.Pending, nil
 }
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net"
+	"net/rpc"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"dalehook/internal/nodecall"
 	"dalehook/internal/store"
 )
 
@@ -29,6 +31,14 @@
 	return []Pending{{Partition: store.Partition{Topic: store.TopicJobs, Number: 3}, Records: [][]byte{[]byte("a"), []byte("b")}}}
 }
 
+func serve(listener net.Listener, process string, holder Holder) error {
+	server := rpc.NewServer()
+	if err := Register(server, process, holder); err != nil {
+		return err
+	}
+	return nodecall.Serve(listener, server)
+}
+
 func TestAsk(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -37,7 +47,7 @@
 	address := listener.Addr().String()
 	held := &holder{}
 	ended := make(chan error, 1)
-	go func() { ended <- Serve(listener, "node/2", held) }()
+	go func() { ended <- serve(listener, "node/2", held) }()
 	if got := ask(address, "node/2"); got != Alive {
 		t.Errorf("the process itself: %v", got)
 	}
