Load window: a slow load among few does not narrow it

A load counted as one of as many as had begun before it, so the first of a burst counted as one of three; one of them took 1.4 s in place of 1.1 (the coordinator was busy), and the window shrank to two for 12 s.

Ruled out: refused orders, the lease, engines that left (all loads were carried out in 1.16 s).

Change: a slow load counts as one of the most that were under way beside it; it says something only where at least half of the window was; a window loses a quarter at the most.

Tests that failed before: TestASlowLoadAmongFewDoesNotNarrowAWideWindow, TestLoadsThatBeginOneByOneCountAsMany.

--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -339,7 +339,8 @@
 	known.loading = true
 	known.loadBegan = now
 	m.loading[known.service]++
-	known.loadsAtOnce = m.loading[known.service]
+	known.loadBeganAs, known.loadsAtOnce = m.loading[known.service], 0
+	m.countLoads(known.service)
 	known.draining = false
 	m.output.Orders = append(m.output.Orders, Order{
 		Server:  known.server,
@@ -350,6 +351,15 @@
 	})
 }
 
+// countLoads notes at the engines of a service that load how many do so at once.
+func (m *Machine) countLoads(service string) {
+	for _, known := range m.engines {
+		if known.loading && known.service == service {
+			known.loadsAtOnce = max(known.loadsAtOnce, m.loading[service])
+		}
+	}
+}
+
 // HandleLoad takes what an order came to.
 func (m *Machine) HandleLoad(now time.Time, serverID, model string, load Load) {
 	known := m.engines[serverID]
@@ -361,7 +371,7 @@
 	}
 	known.loading = false
 	if load.Ordered && load.Version >= m.newest[model] {
-		m.loadWindow(known.service).observe(now, now.Sub(known.loadBegan), known.loadsAtOnce)
+		m.loadWindow(known.service).observe(now, now.Sub(known.loadBegan), known.loadBeganAs, known.loadsAtOnce)
 	}
 	if load.Version > 0 {
 		known.versions[model] = load.Version
--- a/internal/scheduler/loadwindow_test.go
+++ b/internal/scheduler/loadwindow_test.go
@@ -53,21 +53,59 @@
 func TestALoadWindowDoesNotWidenForOthersFaults(t *testing.T) {
 	window := newLoadWindow(2, 0)
 	now := time.Unix(1000, 0)
-	window.observe(now, time.Second, 2)
-	window.observe(now, 5*time.Second, 1)
+	window.observe(now, time.Second, 2, 2)
+	window.observe(now, 5*time.Second, 1, 1)
 	if window.limit != 3 {
 		t.Errorf("one slow load alone leaves a window of %d", window.limit)
 	}
-	window.observe(now, 2*time.Second, 3)
+	window.observe(now, 2*time.Second, 3, 3)
 	if window.limit != 2 {
 		t.Errorf("slow loads leave a window of %d", window.limit)
 	}
-	window.observe(now, time.Second, 2)
+	window.observe(now, time.Second, 2, 2)
 	if window.limit != 2 {
 		t.Errorf("a window that was too wide is at once %d again", window.limit)
 	}
-	window.observe(now.Add(windowRetry+time.Second), time.Second, 2)
+	window.observe(now.Add(windowRetry+time.Second), time.Second, 2, 2)
 	if window.limit != 3 {
 		t.Errorf("a window that was too wide is not tried again: %d", window.limit)
 	}
 }
+
+// A load that is slow while few are under way says nothing of many: its server, or the node
+// that looks at it, was slow.
+func TestASlowLoadAmongFewDoesNotNarrowAWideWindow(t *testing.T) {
+	window := newLoadWindow(2, 20)
+	now := time.Unix(1000, 0)
+	window.observe(now, time.Second, 20, 20)
+	before := window.limit
+	window.observe(now, 1500*time.Millisecond, 3, 3)
+	if window.limit != before {
+		t.Errorf("a window of %d became one of %d", before, window.limit)
+	}
+	window.observe(now, 1500*time.Millisecond, before, before)
+	if window.limit >= before || window.limit < before*3/4 {
+		t.Errorf("slow loads in a full window of %d leave one of %d", before, window.limit)
+	}
+}
+
+// The first load of many is one of many, though it began alone.
+func TestLoadsThatBeginOneByOneCountAsMany(t *testing.T) {
+	f := newFixture(t, nil)
+	versions := make(map[string]int64)
+	for i := range 48 {
+		versions[fmt.Sprintf("e%02d", i)] = 1
+	}
+	f.servers(4, versions)
+	f.machine.HandleLease(f.now, 7, true)
+	f.machine.HandleVersion(f.now, "m", 2)
+	f.take()
+	if len(f.orders) < 8 {
+		t.Fatalf("%d loads at once", len(f.orders))
+	}
+	for _, order := range f.orders {
+		if got := f.machine.engines[order.Server.ID].loadsAtOnce; got != len(f.orders) {
+			t.Errorf("a load of %d at once counts as one of %d", len(f.orders), got)
+		}
+	}
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -252,7 +252,10 @@
 	// loading is set from an order's start to its end, loadBegan is that start.
 	loading   bool
 	loadBegan time.Time
-	// loadsAtOnce is how many servers of the service loaded when this one began.
+	// loadBeganAs is how many servers of the service loaded when this one began, with it.
+	loadBeganAs int
+	// loadsAtOnce is how many servers of the service loaded at once since this one began, at
+	// the most.
 	loadsAtOnce int
 	pausedUntil time.Time
 	// gap is the smoothed time between two events, in seconds; 0 when unknown.
