--- /dev/null
+++ b/internal/frontend/jobreads_bench_test.go
@@ -0,0 +1,136 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/joblog"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+// countedLog counts the bytes that are read of jobs and their index.
+type countedLog struct {
+	*storetest.Memory
+	bytes atomic.Int64
+}
+
+func (c *countedLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	read, err := c.Memory.Read(ctx, at, from, wait)
+	for _, record := range read.Records {
+		c.bytes.Add(int64(len(record.Value)))
+	}
+	return read, err
+}
+
+// The sizes of a job on the large site: items, and bytes of a result's text.
+const (
+	benchItems = 192
+	benchText  = 4800
+)
+
+// appendBenchJob appends a job, its results and its end, and returns its records' number.
+func appendBenchJob(b *testing.B, memory *storetest.Memory, id string) int64 {
+	b.Helper()
+	job := &batch.Job{ID: id}
+	for i := range benchItems {
+		job.Items = append(job.Items, batch.Item{ID: fmt.Sprint(id, "-", i), Body: make([]byte, 600)})
+	}
+	records, err := batch.EncodeJob(job)
+	if err != nil {
+		b.Fatal(err)
+	}
+	text := strings.Repeat("x", benchText)
+	for _, item := range job.Items {
+		result, err := batch.EncodeResult(&batch.Result{JobID: id, ItemID: item.ID, Text: text})
+		if err != nil {
+			b.Fatal(err)
+		}
+		records = append(records, result...)
+	}
+	if _, err := memory.Append(context.Background(), store.Partition{Topic: store.TopicJobs}, records); err != nil {
+		b.Fatal(err)
+	}
+	return int64(len(records))
+}
+
+// BenchmarkColdRead reads the last results of a job at a node that knows nothing, by the
+// number of other jobs before it in its partition: by the coordinator, from where the index
+// says that the job begins, and of the whole partition. It tells the bytes read of the store.
+func BenchmarkColdRead(b *testing.B) {
+	for _, others := range []int{1, 10, 100} {
+		log := &countedLog{Memory: storetest.NewMemory()}
+		start := int64(0)
+		for i := range others {
+			start += appendBenchJob(b, log.Memory, fmt.Sprint("other-", i))
+		}
+		appendBenchJob(b, log.Memory, "job")
+		appendBenchIndex(b, log.Memory, "job", start)
+		coordinator, stop := benchReader(log)
+		coordinator.jobs.Subscribe(0, subscriber{})
+		address := serve(b, coordinator)
+		for _, way := range []string{"coordinator", "index", "partition"} {
+			b.Run(fmt.Sprintf("%s/%d", way, others), func(b *testing.B) {
+				benchmarkColdRead(b, log, way, address)
+			})
+		}
+		stop()
+	}
+}
+
+func benchmarkColdRead(b *testing.B, log *countedLog, way, address string) {
+	before := int64(0)
+	for range b.N {
+		node, stop := benchReader(log)
+		switch way {
+		case "coordinator":
+			node.observeCoordinator(false, address)
+		case "partition":
+			node.seenAt = time.Now().Add(-takeOverTime)
+		}
+		before = log.bytes.Load()
+		if way == "partition" {
+			node.jobs.Follow(context.Background(), 0)
+		}
+		_, results, verdict := node.results(context.Background(), "job", benchItems-10, 0)
+		if verdict != VerdictDone || len(results) != 10 {
+			b.Fatalf("%v, %d results", verdict, len(results))
+		}
+		stop()
+	}
+	b.ReportMetric(float64(log.bytes.Load()-before), "store-bytes/read")
+}
+
+func appendBenchIndex(b *testing.B, memory *storetest.Memory, id string, start int64) {
+	b.Helper()
+	record, err := joblog.EncodeIndexEntry(joblog.IndexEntry{JobID: id, Start: start})
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := memory.Append(context.Background(), store.Partition{Topic: store.TopicJobIndex}, [][]byte{record}); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// benchReader is newReaderNode for benchmarks, whose nodes end before the benchmark does.
+func benchReader(log store.Log) (*jobReader, func()) {
+	jobs := joblog.NewLogs(joblog.Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		jobs.Run(ctx)
+	}()
+	reader := newJobReader(jobs, func(readSource) {}, zap.NewNop())
+	return reader, func() {
+		cancel()
+		<-ended
+	}
+}
--- a/internal/frontend/jobreads_test.go
+++ b/internal/frontend/jobreads_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -85,7 +85,7 @@
 }
 
 // serve has a node answer reads at the address returned.
-func serve(t *testing.T, reader jobread.Reader) string {
+func serve(t testing.TB, reader jobread.Reader) string {
 	listener, server := listen(t), rpc.NewServer()
 	if err := jobread.Register(server, reader); err != nil {
 		t.Fatal(err)
