Items wait for a while before they take an engine that is known to be slow

Ruled out: moving runs sooner, before their pace is known (events come in bursts).

Change: an item that waits for less than 0.8 s doesn't take an engine that was more than twice slower than usual (the median) within the last 3 s.

Tests: TestItemsWaitForAWhileBeforeTheyTakeASlowEngine, TestASlowEngineIsTriedAgain.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
@@ -27,6 +28,7 @@
 	}
 	waiting := open.queue[:0]
 	full := false
+	usual := usualGap(engines)
 	for _, next := range open.queue {
 		if next.finished {
 			continue
@@ -35,7 +37,7 @@
 			waiting = append(waiting, next)
 			continue
 		}
-		chosen := m.choose(now, next, engines)
+		chosen := m.choose(now, next, engines, usual)
 		if chosen == nil {
 			full = len(open.route.Targets) <= 1
 			waiting = append(waiting, next)
@@ -53,12 +55,43 @@
 	return now.Sub(m.fresh[partition]) <= m.options.FreshnessLimit
 }
 
-// choose returns the engine where an item is to run, or nil.
-func (m *Machine) choose(now time.Time, next *item, engines []*engine) *engine {
+const (
+	// slowPatience is how long an item waits for another slot before it takes an engine
+	// known to be slow. Half of the items end within this time; a run on a slow engine is
+	// moved after 1.2 to 1.5 s.
+	slowPatience = 800 * time.Millisecond
+	// paceFreshFor is how long an engine counts as slow without a new sample of its pace.
+	paceFreshFor = 3 * time.Second
+)
+
+// usualGap returns the median of the gaps that are known, 0 when none is.
+func usualGap(engines []*engine) float64 {
+	gaps := make([]float64, 0, len(engines))
+	for _, known := range engines {
+		if known.listed && known.gap > 0 {
+			gaps = append(gaps, known.gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)/2]
+}
+
+// isSlow says whether an engine is known to be much slower than usual now.
+func (e *engine) isSlow(now time.Time, usual float64) bool {
+	return usual > 0 && e.gap > muchSlower*usual && now.Sub(e.pacedAt) < paceFreshFor
+}
+
+// choose returns the engine where an item is to run, or nil. Usual is the engines' usual
+// time between events.
+func (m *Machine) choose(now time.Time, next *item, engines []*engine, usual float64) *engine {
 	var best *engine
 	var bestCost float64
+	patient := now.Sub(next.waitingSince) < slowPatience
 	for _, candidate := range engines {
-		if !m.mayRun(now, next, candidate) {
+		if !m.mayRun(now, next, candidate) || patient && candidate.isSlow(now, usual) {
 			continue
 		}
 		cost := candidate.cost(next)
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -79,6 +79,7 @@
 		a.engine.gap = gap
 	}
 	a.engine.gap += paceSmoothing * (gap - a.engine.gap)
+	a.engine.pacedAt = now
 	a.sampleBegan, a.sampled = now, 0
 }
 
@@ -132,6 +133,7 @@
 	case EndBroken:
 		ended.engine.pausedUntil = now.Add(m.options.ServerPause)
 	}
+	owner.waitingSince = now
 	owner.job.queue = slices.Insert(owner.job.queue, 0, owner)
 }
 
--- a/internal/scheduler/kept.go
+++ b/internal/scheduler/kept.go
@@ -92,6 +92,7 @@
 			return
 		}
 	}
+	waiting.waitingSince = now
 	opened.queue = append(opened.queue, waiting)
 }
 
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -113,6 +113,54 @@
 	}
 }
 
+// An item that has not waited for long leaves an engine alone that is known to be slow: a slot
+// elsewhere is free sooner than the item would have to be moved.
+func TestItemsWaitForAWhileBeforeTheyTakeASlowEngine(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1, "b": 1, "c": 1})
+	slow := func() {
+		for id, gap := range map[string]float64{"a": 0.08, "b": 0.08, "c": 0.3} {
+			f.machine.engines[id].gap, f.machine.engines[id].pacedAt = gap, f.now
+		}
+	}
+	slow()
+	f.job("j", 1, 30, 20, 10)
+	if diff := cmp.Diff([]string{"j-0", "j-1"}, f.startedItems()); diff != "" {
+		t.Fatal(diff)
+	}
+	f.end(f.starts[0].Attempt, EndCompleted)
+	if diff := cmp.Diff([]string{"j-0", "j-1", "j-2"}, f.startedItems()); diff != "" {
+		t.Fatal(diff)
+	}
+	if server := f.starts[2].Server.ID; server == "c" {
+		t.Error("the item took the slow engine")
+	}
+	f.job("k", 1, 10)
+	f.pass(slowPatience / 2)
+	if len(f.starts) != 3 {
+		t.Fatalf("started %v", f.startedItems())
+	}
+	slow()
+	f.pass(slowPatience)
+	if len(f.starts) != 4 || f.starts[3].Server.ID != "c" {
+		t.Errorf("an item that has waited is not started: %v", f.startedItems())
+	}
+}
+
+// What was slow some time ago may be sound again; it is tried.
+func TestASlowEngineIsTriedAgain(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1, "b": 1, "c": 1})
+	for id, gap := range map[string]float64{"a": 0.08, "b": 0.08, "c": 0.3} {
+		f.machine.engines[id].gap, f.machine.engines[id].pacedAt = gap, f.now
+	}
+	f.pass(paceFreshFor + time.Second)
+	f.job("j", 1, 30, 20, 10)
+	if len(f.starts) != 3 {
+		t.Errorf("started %v", f.startedItems())
+	}
+}
+
 func TestAResultHoldsTheTextAndItsVersions(t *testing.T) {
 	f := newFixture(t, nil)
 	f.servers(1, map[string]int64{"a": 1})
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -191,6 +191,8 @@
 	carried bool
 	// final is the result of a finished item that completed.
 	final *batch.Result
+	// waitingSince is when the item last came to its job's queue.
+	waitingSince time.Time
 	// movedAt is when the item was last moved to a faster engine.
 	movedAt time.Time
 }
@@ -260,6 +262,8 @@
 	pausedUntil time.Time
 	// gap is the smoothed time between two events, in seconds; 0 when unknown.
 	gap float64
+	// pacedAt is when the gap was last sampled.
+	pacedAt time.Time
 	// loadAfter delays the next order to this engine.
 	loadAfter time.Time
 }
