--- /dev/null
+++ b/internal/coordinator/follower.go
@@ -0,0 +1,63 @@
+package coordinator
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/joblog"
+	"dalehook/internal/scheduler"
+	"dalehook/internal/store"
+)
+
+// follower takes the changes of the jobs for one term.
+type follower struct {
+	coordinator *Coordinator
+	machine     *scheduler.Machine
+}
+
+// HandleChange implements joblog.Subscriber.
+func (f *follower) HandleChange(partition int, change batch.Change) {
+	f.coordinator.inputOf(f.machine, func(now time.Time) {
+		if change.Accepted != nil && !f.coordinator.options.Jobs.Indexed(change.Accepted.Job.ID) {
+			f.coordinator.indexJob(partition, change.Accepted)
+		}
+		switch {
+		case change.Accepted != nil && !change.Accepted.Ended:
+			f.coordinator.options.Logger.Info("job taken up", zap.String("job", change.Accepted.Job.ID),
+				zap.Int("partition", partition), zap.Int("results", len(change.Accepted.Results)))
+			f.machine.HandleJob(now, partition, change.Accepted.Job, change.Accepted.Results)
+		case change.Listed != nil:
+			f.machine.HandleListed(now, change.Listed)
+		case change.Ended != nil:
+			f.machine.HandleEnded(now, change.Ended.Job.ID)
+		}
+	})
+}
+
+// HandleOpenFrom implements joblog.Subscriber.
+func (f *follower) HandleOpenFrom(partition int, openFrom int64) {
+	f.coordinator.inputOf(f.machine, func(time.Time) {
+		f.coordinator.appendIndexEntry(partition, joblog.IndexEntry{OpenFrom: openFrom})
+	})
+}
+
+// HandleFresh implements joblog.Subscriber.
+func (f *follower) HandleFresh(partition int, since time.Time) {
+	f.coordinator.inputOf(f.machine, func(now time.Time) { f.machine.HandleFresh(now, partition, since) })
+}
+
+// indexJob tells readers where a job begins. The mutex is held.
+func (c *Coordinator) indexJob(partition int, accepted *batch.State) {
+	c.appendIndexEntry(partition, joblog.IndexEntry{JobID: accepted.Job.ID, Start: accepted.Start})
+}
+
+func (c *Coordinator) appendIndexEntry(partition int, entry joblog.IndexEntry) {
+	record, err := joblog.EncodeIndexEntry(entry)
+	if err != nil {
+		c.options.Logger.Error("index entry lost", zap.Int("partition", partition), zap.Error(err))
+		return
+	}
+	c.writer.add(store.Partition{Topic: store.TopicJobIndex, Number: partition}, [][]byte{record})
+}
--- /dev/null
+++ b/internal/coordinator/output.go
@@ -0,0 +1,83 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/scheduler"
+	"dalehook/internal/store"
+)
+
+// carryOut starts what the scheduler decided. The mutex is held.
+func (c *Coordinator) carryOut(output scheduler.Output) {
+	for _, cancelled := range output.Cancels {
+		if cancel := c.cancels[cancelled.Attempt]; cancel != nil {
+			cancel()
+		}
+	}
+	for _, start := range output.Starts {
+		ctx, cancel := context.WithCancel(c.term)
+		c.cancels[start.Attempt] = cancel
+		machine := c.machine
+		c.background.Go(func() { c.run(ctx, machine, start) })
+	}
+	for _, order := range output.Orders {
+		term, machine := c.term, c.machine
+		c.background.Go(func() { c.load(term, machine, order) })
+	}
+	for _, progress := range output.Progress {
+		c.appendProgress(progress)
+	}
+	for _, result := range output.Results {
+		c.appendResult(result)
+	}
+	c.sendRewards(output)
+}
+
+func (c *Coordinator) appendProgress(progress scheduler.Progress) {
+	record, err := batch.EncodeProgress(&progress.Progress)
+	if err != nil {
+		c.options.Logger.Error("progress lost", zap.String("item", progress.ItemID), zap.Error(err))
+		return
+	}
+	at := store.Partition{Topic: store.TopicProgress, Number: c.options.Jobs.PartitionOf(progress.JobID)}
+	c.writer.add(at, [][]byte{record})
+}
+
+func (c *Coordinator) appendResult(result batch.Result) {
+	records, err := batch.EncodeResult(&result)
+	if err != nil {
+		c.options.Logger.Error("result lost", zap.String("item", result.ItemID), zap.Error(err))
+		return
+	}
+	c.options.Observer.ObserveResult(result.Outcome.String())
+	c.options.Logger.Info("item finished", zap.String("job", result.JobID), zap.String("item", result.ItemID),
+		zap.Stringer("outcome", result.Outcome), zap.Int64s("versions", result.Versions), zap.Int64("epoch", c.lease.Epoch))
+	at := store.Partition{Topic: store.TopicJobs, Number: c.options.Jobs.PartitionOf(result.JobID)}
+	c.writer.add(at, records)
+}
+
+func (c *Coordinator) run(ctx context.Context, machine *scheduler.Machine, start scheduler.Start) {
+	began := time.Now()
+	reason, err := c.options.Engines.Run(ctx, start, func(event scheduler.Event) {
+		c.inputOf(machine, func(now time.Time) { machine.HandleEvent(now, start.Attempt, event) })
+	})
+	if ctx.Err() != nil {
+		reason = scheduler.EndCancelled
+	}
+	c.options.Observer.ObserveAttempt(reason)
+	c.options.Logger.Info("item attempt ended", zap.String("job", start.JobID), zap.String("item", start.Item.ID),
+		zap.Uint64("attempt", uint64(start.Attempt)), zap.String("server", start.Server.ID), zap.String("after", start.After),
+		zap.Int64("epoch", start.Inputs.Term), zap.Int64("version", start.Inputs.Version),
+		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
+		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", time.Since(began)),
+		zap.Stringer("reason", reason), zap.Error(err))
+	c.inputOf(machine, func(now time.Time) {
+		c.cancels[start.Attempt]()
+		delete(c.cancels, start.Attempt)
+		machine.HandleAttemptEnd(now, start.Attempt, reason)
+	})
+}
--- /dev/null
+++ b/internal/coordinator/term.go
@@ -0,0 +1,92 @@
+package coordinator
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"dalehook/internal/election"
+	"dalehook/internal/reward"
+	"dalehook/internal/scheduler"
+)
+
+// setLease begins or ends a term. A term goes on while the lease could not be renewed and nobody else claimed it:
+// runs do no harm then, and only orders need a lease in force.
+func (c *Coordinator) setLease(standing election.Standing) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.machine != nil && (!standing.Leading || standing.Lease.Epoch != c.lease.Epoch) {
+		c.endTermLocked()
+	}
+	c.lease = standing.Lease
+	if c.closed || !standing.Leading || c.machine != nil || c.table == nil {
+		return
+	}
+	options := c.options.Scheduler
+	options.Term = standing.Lease.Epoch
+	c.machine = scheduler.NewMachine(options)
+	c.handed = handedOver{}
+	c.cancels = make(map[scheduler.AttemptID]context.CancelFunc)
+	c.rewardCancels = make(map[reward.SendID]context.CancelFunc)
+	c.term, c.endTerm = context.WithCancel(context.Background())
+	c.writer = newRecordWriter(c.term, c.options.Log, c.options.Logger)
+	c.writer.appended = newTrimmer(c.term, c.options.Log, c.options.Logger).appended
+	now := time.Now()
+	c.machine.HandleTable(now, c.table)
+	for model, version := range c.newest {
+		c.machine.HandleVersion(now, model, version)
+	}
+	c.handleServers(now, c.machine)
+	term, machine, from := c.term, c.machine, standing.Lease.Yielded
+	c.background.Go(func() { c.follow(term, machine, from) })
+}
+
+// follow takes over what predecessors left and subscribes to the jobs, partition by
+// partition.
+func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, from election.Yielded) {
+	began := time.Now()
+	var partitions conc.WaitGroup
+	// The jobs are read meanwhile.
+	for number := range c.options.Jobs.Partitions() {
+		partitions.Go(func() { c.options.Jobs.Follow(term, number) })
+	}
+	partitions.Wait()
+	if from.Address != "" {
+		c.takeOver(term, from)
+	}
+	subscriber := &follower{coordinator: c, machine: machine}
+	var items atomic.Int64
+	for number := range c.options.Jobs.Partitions() {
+		partitions.Go(func() {
+			partials, err := recoverProgress(term, c.options.Log, number)
+			if err != nil {
+				c.options.Logger.Warn("progress not read", zap.Int("partition", number), zap.Error(err))
+			}
+			items.Add(int64(len(partials)))
+			c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
+			c.options.Jobs.Subscribe(number, subscriber)
+		})
+	}
+	partitions.Wait()
+	c.options.Logger.Info("progress recovered", zap.Int64("items", items.Load()), zap.Duration("took", time.Since(began)))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.machine == machine {
+		c.subscriber = subscriber
+		return
+	}
+	go c.options.Jobs.Unsubscribe(subscriber)
+}
+
+func (c *Coordinator) endTermLocked() {
+	c.machine = nil
+	c.endTerm()
+	if c.subscriber != nil {
+		// The partitions call back under their own mutexes.
+		go c.options.Jobs.Unsubscribe(c.subscriber)
+		c.subscriber = nil
+	}
+}
--- /dev/null
+++ b/internal/joblog/subscription.go
@@ -0,0 +1,102 @@
+package joblog
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+)
+
+func (p *partition) subscribe(subscriber Subscriber) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.subscriber = subscriber
+	if !p.covers {
+		p.resetLocked(0)
+	}
+	p.fold.Jobs(func(state *batch.State) {
+		subscriber.HandleChange(p.at.Number, batch.Change{Accepted: state})
+	})
+	p.notify()
+}
+
+// unsubscribe ends a subscription unless another has replaced it.
+func (p *partition) unsubscribe(subscriber Subscriber) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.subscriber == subscriber {
+		p.subscriber = nil
+	}
+}
+
+// follow has the partition read from where the first open job begins. What the index can not
+// tell is read.
+func (p *partition) follow(ctx context.Context) {
+	from, err := p.index.findOpen(ctx)
+	if err != nil {
+		p.logger.Warn("partition read from its start", zap.Stringer("partition", p.at), zap.Error(err))
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.followedLocked() {
+		p.resetLocked(from)
+		p.covers = true
+	}
+	p.touchLocked()
+}
+
+// followed says whether the partition is being read from where the first open job begins, or
+// from an earlier offset.
+func (p *partition) followed() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.followedLocked()
+}
+
+func (p *partition) followedLocked() bool {
+	return p.subscriber != nil || p.covers && (p.next > p.from || p.wanted())
+}
+
+// handleChange takes what the record at an offset changed. The mutex is held.
+func (p *partition) handleChange(change batch.Change, offset int64) {
+	if change.Accepted != nil {
+		change.Accepted.Start = p.message
+		if p.beganBefore(change.Accepted.Job.ID) {
+			p.fold.Drop(change.Accepted.Job.ID)
+			return
+		}
+	}
+	if p.subscriber == nil || change == (batch.Change{}) {
+		return
+	}
+	p.subscriber.HandleChange(p.at.Number, change)
+	if change.Ended != nil {
+		p.tellOpenFrom(offset + 1)
+	}
+}
+
+// beganBefore says that a job stands in the partition before the reading began, so that what
+// was read now is a void copy. The mutex is held.
+func (p *partition) beganBefore(jobID string) bool {
+	if !p.covers || p.from == 0 {
+		return false
+	}
+	start, known := p.index.lookUp(jobID)
+	return known && start < p.from
+}
+
+// tellOpenFrom tells the subscriber where the first open job begins, next when none is open.
+// The mutex is held.
+func (p *partition) tellOpenFrom(next int64) {
+	openFrom := next
+	p.fold.Jobs(func(state *batch.State) {
+		if !state.Ended {
+			openFrom = min(openFrom, state.Start)
+		}
+	})
+	if openFrom > p.openFrom {
+		p.openFrom = openFrom
+		p.subscriber.HandleOpenFrom(p.at.Number, openFrom)
+	}
+}
