A coordinator that began at the first open job knows which jobs are absent

Cause: since take-overs begin at the first open job, a coordinator could not tell a job that ended before from one that never was; other nodes then answered 503 for an absent job, as long as they lived.

Change: all jobs before are in the index, so one that is neither there nor among those read is absent. Tests: TestAnEndedJobIsReadBesideASubscriber, TestAnEndedJobOutlivesAllNodes.

--- a/internal/joblog/follow_test.go
+++ b/internal/joblog/follow_test.go
@@ -104,6 +104,11 @@
 	if !errors.Is(err, ErrNotFollowed) {
 		t.Errorf("error %v", err)
 	}
+	absent := false
+	err = logs.ViewFollowed(context.Background(), "no such job", HasPosition(0), func(state *batch.State) { absent = state == nil })
+	if err != nil || !absent {
+		t.Errorf("an absent job: %v", err)
+	}
 	if !seen.has("open", 4) || seen.has("ended", 0) {
 		t.Errorf("the subscriber sees %v", seen.starts)
 	}
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -136,8 +136,8 @@
 var errNotIndexed = errors.New("job is not in the index")
 
 // ViewFollowed is View for a node that reads all open jobs of the partition already, and has
-// nothing read anew. It returns ErrNotFollowed where this node does not, and for a job that
-// is not among them where the reading did not begin at the partition's start.
+// nothing of it read anew. It returns ErrNotFollowed where this node does not, and for a job
+// that ended before where the reading began.
 func (l *Logs) ViewFollowed(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	if l.ViewKnown(jobID, satisfied, visit) {
 		return nil
@@ -146,16 +146,24 @@
 	if !p.followed() {
 		return ErrNotFollowed
 	}
-	var followed bool
-	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State) {
-		if followed = state != nil || p.from == 0; followed {
+	var state *batch.State
+	err := p.viewCaughtUp(ctx, jobID, satisfied, func(found *batch.State) {
+		if state = found; state != nil {
 			visit(state)
 		}
 	})
-	if err == nil && !followed {
+	if err != nil || state != nil {
+		return err
+	}
+	began, err := p.beganBefore(ctx, jobID)
+	switch {
+	case err != nil:
+		return errors.Join(ErrUncertain, err)
+	case began:
 		return ErrNotFollowed
 	}
-	return err
+	visit(nil)
+	return nil
 }
 
 // ViewIndexed is View for a job that the index holds: what it reads is bounded by the job's
