--- /dev/null
+++ b/internal/jobread/jobread_test.go
@@ -0,0 +1,51 @@
+package jobread
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/nodecall"
+)
+
+// reader answers with what it was asked for.
+type reader struct{}
+
+func (reader) FollowedResults(question ResultsQuestion) Results {
+	return Results{
+		Verdict: Found, Total: question.From, Ended: true,
+		Results: []batch.Result{{JobID: question.JobID, ItemID: "item", Outcome: batch.OutcomeDead, Text: "text", Versions: []int64{1, 2}, Score: "score"}},
+	}
+}
+
+func (reader) FollowedBody(question BodyQuestion) Body {
+	return Body{Verdict: Absent, Bytes: []byte(question.JobID + question.ItemID)}
+}
+
+// What a node answers arrives whole at the node that asks.
+func TestAnswersArriveWhole(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	server := rpc.NewServer()
+	if err := Register(server, reader{}); err != nil {
+		t.Fatal(err)
+	}
+	go nodecall.Serve(listener, server)
+	address := listener.Addr().String()
+	asked := ResultsQuestion{JobID: "job", From: 7}
+	results, err := AskResults(context.Background(), address, asked)
+	if diff := cmp.Diff(reader{}.FollowedResults(asked), results); err != nil || diff != "" {
+		t.Errorf("results: %v, %s", err, diff)
+	}
+	body, err := AskBody(context.Background(), address, BodyQuestion{JobID: "job", ItemID: "item"})
+	if diff := cmp.Diff(Body{Verdict: Absent, Bytes: []byte("jobitem")}, body); err != nil || diff != "" {
+		t.Errorf("body: %v, %s", err, diff)
+	}
+}
