A read does not take a job for absent that stands before where the reading moved on to

Cause (reading the diff again): a node that takes over the lease while a caller's read is under way there has its partitions read from their first open job, a later offset; the read then ended at the partition's end without the job and answered 404 (LOST).

Change: such a read is an ErrUncertain, 503. The offset that the reading began at is taken under the same lock as the job's state. Test: TestAJobIsNotAbsentWhereTheReadingMovedOn.

--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,11 @@
 	./$(BINARY) demo
 
 # Each test runs once, whole: here what starts no goroutine, with the simulation on its
-# fixed seeds, and under the race detector (make race) all the rest. The fleets of hundreds of
-# nodes are too many for the detector: they are played here, and smaller ones there.
+# fixed seeds, and under the race detector (make race) all the rest.
 test:
 	@test ! -s KNOWN-RED.txt || { echo "Passed over (KNOWN-RED.txt):"; cat KNOWN-RED.txt; }
 	./.ci/check-sequential $(SEQUENTIAL)
 	$(GO) test -count=1 -timeout 15m $(SKIP) $(SEQUENTIAL)
-	$(GO) test -count=1 -timeout 15m -run '^TestAFleet' $(SKIP) ./internal/frontend
 
 race:
 	$(GO) test -count=1 -race -timeout 30m $(SKIP) $(CONCURRENT)
--- a/internal/frontend/outage_test.go
+++ b/internal/frontend/outage_test.go
@@ -13,11 +13,14 @@
 	"dalehook/internal/election"
 	"dalehook/internal/follow"
 	"dalehook/internal/liveness"
+	"dalehook/internal/pause"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
 
 const (
+	// fleetNodes is the number of nodes of a large fleet.
+	fleetNodes = 300
 	// backWithin is how long after an outage the lease is held again and a small configuration
 	// that was put meanwhile is known at all nodes.
 	backWithin = 2 * time.Second
@@ -132,12 +135,10 @@
 	for _, record := range read.Records {
 		size += len(record.Value)
 	}
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, l.send(size)) {
 		return store.Batch{}, ctx.Err()
-	case <-time.After(l.send(size)):
-		return read, nil
 	}
+	return read, nil
 }
 
 func (l nodeLog) Newest(ctx context.Context, topic store.Topic) ([]store.Record, int64, error) {
--- a/internal/joblog/catchup.go
+++ b/internal/joblog/catchup.go
@@ -14,23 +14,38 @@
 // catchUpTimeout bounds the reading up to the partition's end for an answer.
 const catchUpTimeout = 2200 * time.Millisecond
 
-// beginAt has the partition read from where a job begins, or from an earlier offset. A job
-// that the index does not hold may stand anywhere.
-func (p *partition) beginAt(ctx context.Context, jobID string) error {
-	start := int64(0)
-	if !p.followed() {
-		// An index that can not be read tells nothing, and the job is looked for everywhere.
-		var err error
-		if start, _, err = p.index.find(ctx, jobID); err != nil {
-			p.logger.Info("index not read", zap.Stringer("partition", p.at), zap.String("job", jobID), zap.Error(err))
-			start = 0
-		}
+// startOf returns the offset from which a job is to be looked for. A job that the index does
+// not hold may stand anywhere, and so may all when it can not be read.
+func (p *partition) startOf(ctx context.Context, jobID string) int64 {
+	start, _, err := p.index.find(ctx, jobID)
+	if err != nil {
+		p.logger.Info("index not read", zap.Stringer("partition", p.at), zap.String("job", jobID), zap.Error(err))
+		return 0
 	}
+	return start
+}
+
+// errReadingMoved says that the reading began anew, for a subscriber, behind where a job may
+// stand.
+var errReadingMoved = errors.New("partition is read from a later offset now")
+
+// viewFrom is viewCaughtUp for a job that does not begin before an offset, from which, or from
+// an earlier one, the partition is read.
+func (p *partition) viewFrom(ctx context.Context, start int64, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	if ctx.Err() != nil {
-		return ctx.Err()
+		return errors.Join(ErrUncertain, ctx.Err())
 	}
 	p.readFrom(start)
-	return nil
+	moved := false
+	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State, from int64) {
+		if moved = state == nil && from > start; !moved {
+			visit(state)
+		}
+	})
+	if err == nil && moved {
+		return errors.Join(ErrUncertain, errReadingMoved)
+	}
+	return err
 }
 
 // readFrom has the partition read from an offset on, or from an earlier one.
@@ -45,12 +60,14 @@
 }
 
 // viewCaughtUp calls visit with a job's state once satisfied holds, or all that stood in the
-// partition was read.
-func (p *partition) viewCaughtUp(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
+// partition was read, and with the offset that the reading began at.
+func (p *partition) viewCaughtUp(ctx context.Context, jobID string, satisfied Condition, visit func(state *batch.State, from int64)) error {
 	if err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }); err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
-	p.visit(jobID, visit)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	visit(p.jobLocked(jobID), p.from)
 	return nil
 }
 
--- a/internal/joblog/follow_test.go
+++ b/internal/joblog/follow_test.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// A read that began before a subscriber came, which had the reading begin at a later offset,
+// does not take a job for absent that stands before.
+func TestAJobIsNotAbsentWhereTheReadingMovedOn(t *testing.T) {
+	_, logs, _ := subscribed(t)
+	err := logs.partitions[0].viewFrom(context.Background(), 0, "ended", HasPosition(0), func(*batch.State) {
+		t.Error("a state is given")
+	})
+	if !errors.Is(err, ErrUncertain) {
+		t.Errorf("error %v", err)
+	}
+}
+
 // A job may stand in the log once more after it has ended, since the append of the first copy
 // got no answer. It must not run again.
 func TestACopyOfAnEndedJobIsVoid(t *testing.T) {
--- a/internal/joblog/index.go
+++ b/internal/joblog/index.go
@@ -94,6 +94,15 @@
 	return start, known
 }
 
+// holds says whether the index holds a job now.
+func (x *index) holds(ctx context.Context, jobID string) (bool, error) {
+	if err := x.read(ctx); err != nil {
+		return false, err
+	}
+	_, known := x.lookUp(jobID)
+	return known, nil
+}
+
 // findOpen returns the offset from which on all open jobs begin, as far as the index tells.
 func (x *index) findOpen(ctx context.Context) (int64, error) {
 	if err := x.read(ctx); err != nil {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -111,10 +111,7 @@
 		}
 		return nil
 	}
-	if err := p.beginAt(ctx, jobID); err != nil {
-		return errors.Join(ErrUncertain, err)
-	}
-	return p.viewCaughtUp(ctx, jobID, satisfied, visit)
+	return p.viewFrom(ctx, p.startOf(ctx, jobID), jobID, satisfied, visit)
 }
 
 // ViewKnown calls visit with a job's state where satisfied holds for what is known already,
@@ -146,22 +143,23 @@
 	if !p.followed() {
 		return ErrNotFollowed
 	}
-	var state *batch.State
-	err := p.viewCaughtUp(ctx, jobID, satisfied, func(found *batch.State) {
-		if state = found; state != nil {
+	visited := false
+	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State, from int64) {
+		if visited = state != nil || from == 0; visited {
 			visit(state)
 		}
 	})
-	if err != nil || state != nil {
+	if err != nil || visited {
 		return err
 	}
-	began, err := p.beganBefore(ctx, jobID)
+	indexed, err := p.index.holds(ctx, jobID)
 	switch {
 	case err != nil:
 		return errors.Join(ErrUncertain, err)
-	case began:
+	case indexed:
 		return ErrNotFollowed
 	}
+	// All jobs that begin before where the reading began are in the index.
 	visit(nil)
 	return nil
 }
@@ -180,8 +178,7 @@
 	if err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
-	p.readFrom(start)
-	return p.viewCaughtUp(ctx, jobID, satisfied, visit)
+	return p.viewFrom(ctx, start, jobID, satisfied, visit)
 }
 
 // WaitFor waits until a job has more than count results, has ended, or the
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -125,12 +125,6 @@
 	return state
 }
 
-func (p *partition) visit(jobID string, visit func(*batch.State)) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	visit(p.jobLocked(jobID))
-}
-
 func (p *partition) visitIf(jobID string, satisfied Condition, visit func(*batch.State)) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -86,26 +86,6 @@
 	return known && start < p.from
 }
 
-// beganBefore says whether a job that is not among those read stands in the partition before
-// the reading began. All jobs there are in the index.
-func (p *partition) beganBefore(ctx context.Context, jobID string) (bool, error) {
-	if p.readsWhole() {
-		return false, nil
-	}
-	if err := p.index.read(ctx); err != nil {
-		return false, err
-	}
-	_, known := p.index.lookUp(jobID)
-	return known, nil
-}
-
-// readsWhole says whether the partition is read from its first record on.
-func (p *partition) readsWhole() bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.from == 0
-}
-
 // tellOpenFrom tells the subscriber where the first open job begins, next when none is open.
 // The mutex is held.
 func (p *partition) tellOpenFrom(next int64) {
