Stand-in of the store: a refused call brings nothing of what is put meanwhile

The stand-in looked at its fault before it took its mutex; a read entered just before the fault brought the records that were put after it, so that the follower need not read the list again.

Change: the fault is looked at under the mutex as well. Test that failed before, 3 of 3: TestNothingIsReadWhileCallsAreRefused.

--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -195,6 +195,10 @@
 func (m *Memory) read(at store.Partition, from int64) (store.Batch, <-chan struct{}, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.fault == FaultRefuse {
+		// The fault may have begun since the call was entered.
+		return store.Batch{}, nil, store.ErrRefused
+	}
 	p := m.at(at)
 	if from < p.first {
 		return store.Batch{}, nil, &store.TrimmedError{First: p.first}
@@ -211,6 +215,9 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if m.fault == FaultRefuse {
+		return nil, 0, store.ErrRefused
+	}
 	p := m.at(store.Partition{Topic: topic})
 	newest := make(map[string]store.Record)
 	var keys []string
