Scheduler: an engine is slow by the pace of its own service

Cause (reading the diff again): the usual time between events was the median over the engines of all services, so that a service whose engines are twice slower than those of another was taken for slow: its items waited 0.8 s for nothing. It was also taken anew for each job at each end of a run.

Change: by service, once for all jobs that wait. Test that failed before: TestAServiceOfSlowerEnginesIsNotTakenForSlow.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -14,21 +14,27 @@
 
 // startWaiting starts what can be started, job by job.
 func (m *Machine) startWaiting(now time.Time) {
+	engines := m.sortedEngines()
+	var usual map[string]float64
 	for _, open := range m.sortedJobs() {
-		if len(open.queue) > 0 {
-			m.startItems(now, open, m.sortedEngines())
+		if len(open.queue) == 0 {
+			continue
+		}
+		if usual == nil {
+			usual = usualGaps(engines)
 		}
+		m.startItems(now, open, engines, usual)
 	}
 }
 
-// startItems starts a job's waiting items while engines have room.
-func (m *Machine) startItems(now time.Time, open *job, engines []*engine) {
+// startItems starts a job's waiting items while engines have room. Usual are the usual times
+// between events, by service.
+func (m *Machine) startItems(now time.Time, open *job, engines []*engine, usual map[string]float64) {
 	if open.route == nil || !m.isFresh(now, open.partition) {
 		return
 	}
 	waiting := open.queue[:0]
 	full := false
-	usual := usualGap(engines)
 	for _, next := range open.queue {
 		if next.finished {
 			continue
@@ -37,7 +43,7 @@
 			waiting = append(waiting, next)
 			continue
 		}
-		chosen := m.choose(now, next, engines, usual)
+		chosen := m.choose(now, next, engines, usual[next.service])
 		if chosen == nil {
 			full = len(open.route.Targets) <= 1
 			waiting = append(waiting, next)
@@ -64,19 +70,21 @@
 	paceFreshFor = 3 * time.Second
 )
 
-// usualGap returns the median of the gaps that are known, 0 when none is.
-func usualGap(engines []*engine) float64 {
-	gaps := make([]float64, 0, len(engines))
+// usualGaps returns the median of the gaps that are known, by service; services without one
+// are left out.
+func usualGaps(engines []*engine) map[string]float64 {
+	gaps := make(map[string][]float64)
 	for _, known := range engines {
 		if known.listed && known.gap > 0 {
-			gaps = append(gaps, known.gap)
+			gaps[known.service] = append(gaps[known.service], known.gap)
 		}
 	}
-	if len(gaps) == 0 {
-		return 0
+	usual := make(map[string]float64, len(gaps))
+	for service, known := range gaps {
+		slices.Sort(known)
+		usual[service] = known[len(known)/2]
 	}
-	slices.Sort(gaps)
-	return gaps[len(gaps)/2]
+	return usual
 }
 
 // isSlow says whether an engine is known to be much slower than usual now.
@@ -84,8 +92,8 @@
 	return usual > 0 && e.gap > muchSlower*usual && now.Sub(e.pacedAt) < paceFreshFor
 }
 
-// choose returns the engine where an item is to run, or nil. Usual is the engines' usual
-// time between events.
+// choose returns the engine where an item is to run, or nil. Usual is the usual time between
+// events of the item's service, 0 when none is known.
 func (m *Machine) choose(now time.Time, next *item, engines []*engine, usual float64) *engine {
 	var best *engine
 	var bestCost float64
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -147,6 +147,28 @@
 	}
 }
 
+// An engine is slow by the pace of its own service; another service may have faster ones.
+func TestAServiceOfSlowerEnginesIsNotTakenForSlow(t *testing.T) {
+	f := newFixture(t, nil)
+	var servers []*directory.Server
+	for id, service := range map[string]string{"a": "pool", "b": "pool", "x": "other", "y": "other", "z": "other"} {
+		servers = append(servers, &directory.Server{
+			ID: id, Service: service, Address: id + ":1", Slots: 1, Versions: map[string]int64{"m": 1},
+		})
+	}
+	f.machine.HandleServers(f.now, servers)
+	for _, known := range f.machine.engines {
+		known.gap, known.pacedAt = 0.08, f.now
+		if known.service == "pool" {
+			known.gap = 0.3
+		}
+	}
+	f.job("j", 1, 20, 10)
+	if len(f.starts) != 2 {
+		t.Errorf("started %v", f.startedItems())
+	}
+}
+
 // What was slow some time ago may be sound again; it is tried.
 func TestASlowEngineIsTriedAgain(t *testing.T) {
 	f := newFixture(t, nil)
