Reads: one loop to a partition's end, one way to ask the coordinator

The calls to the coordinator noted its answer in two places, and an answer did not count as having seen it, so that a node could read whole partitions though a coordinator was there (TestACoordinatorThatAnswersAgainIsThere failed before).

--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -36,26 +36,19 @@
 
 func readProgress(ctx context.Context, log store.Log, at store.Partition) (*batch.ProgressFold, error) {
 	fold := batch.NewProgressFold()
-	for next := int64(0); ; {
-		read, err := log.Read(ctx, at, next, 0)
-		var trimmed *store.TrimmedError
-		if errors.As(err, &trimmed) && trimmed.First > next {
-			next = trimmed.First
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
+	var void error
+	_, err := store.ReadOn(ctx, log, at, 0, func(read store.Batch) bool {
 		for _, record := range read.Records {
-			if err := fold.Apply(record.Value); err != nil {
-				return nil, err
+			if void = fold.Apply(record.Value); void != nil {
+				return false
 			}
 		}
-		next = read.Next
-		if next >= read.End || len(read.Records) == 0 {
-			return fold, nil
-		}
+		return true
+	})
+	if err := errors.Join(err, void); err != nil {
+		return nil, err
 	}
+	return fold, nil
 }
 
 // trimmer drops progress that is of no more use.
--- a/internal/frontend/jobreads.go
+++ b/internal/frontend/jobreads.go
@@ -129,18 +129,30 @@
 	return r.leading || time.Since(r.seenAt) > takeOverTime
 }
 
+// ask makes a call to the coordinator at an address, and notes whether it answered.
+func (r *jobReader) ask(ctx context.Context, address, jobID string, patience time.Duration, call func(context.Context) error) (answered bool) {
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	err := call(bounded)
+	if ctx.Err() == nil {
+		// Else the caller has left, which says nothing of the coordinator.
+		r.noteAnswer(address, jobID, err)
+	}
+	return err == nil
+}
+
 // noteAnswer takes whether the coordinator at an address answered.
 func (r *jobReader) noteAnswer(address, jobID string, err error) {
 	r.mutex.Lock()
-	first := r.failedAt.IsZero()
-	r.failedAt = time.Time{}
-	if err != nil {
-		r.failedAt = time.Now()
+	defer r.mutex.Unlock()
+	if err == nil {
+		r.failedAt, r.seenAt = time.Time{}, time.Now()
+		return
 	}
-	r.mutex.Unlock()
-	if err != nil && first {
+	if r.failedAt.IsZero() {
 		r.logger.Warn("coordinator does not answer reads", zap.String("address", address), zap.String("job", jobID), zap.Error(err))
 	}
+	r.failedAt = time.Now()
 }
 
 // results returns a job's results from a position on. Where there is none yet, the answer
@@ -188,14 +200,12 @@
 	return page
 }
 
-func (r *jobReader) askResults(ctx context.Context, address string, question jobread.ResultsQuestion) jobread.Results {
-	call, cancel := context.WithTimeout(ctx, question.Wait+passOnPatience)
-	defer cancel()
-	page, err := jobread.AskResults(call, address, question)
-	if ctx.Err() == nil {
-		r.noteAnswer(address, question.JobID, err)
-	}
-	if err != nil {
+func (r *jobReader) askResults(ctx context.Context, address string, question jobread.ResultsQuestion) (page jobread.Results) {
+	answered := r.ask(ctx, address, question.JobID, question.Wait+passOnPatience, func(ctx context.Context) (err error) {
+		page, err = jobread.AskResults(ctx, address, question)
+		return err
+	})
+	if !answered {
 		return jobread.Results{}
 	}
 	return page
@@ -305,18 +315,16 @@
 }
 
 // passBodyOn asks the coordinator for a body, if one is known.
-func (r *jobReader) passBodyOn(ctx context.Context, jobID, itemID string) jobread.Body {
+func (r *jobReader) passBodyOn(ctx context.Context, jobID, itemID string) (body jobread.Body) {
 	address := r.passOnTo(ctx)
 	if address == "" {
 		return jobread.Body{}
 	}
-	call, cancel := context.WithTimeout(ctx, passOnPatience)
-	defer cancel()
-	body, err := jobread.AskBody(call, address, jobread.BodyQuestion{JobID: jobID, ItemID: itemID})
-	if ctx.Err() == nil {
-		r.noteAnswer(address, jobID, err)
-	}
-	if err != nil {
+	answered := r.ask(ctx, address, jobID, passOnPatience, func(ctx context.Context) (err error) {
+		body, err = jobread.AskBody(ctx, address, jobread.BodyQuestion{JobID: jobID, ItemID: itemID})
+		return err
+	})
+	if !answered {
 		return jobread.Body{}
 	}
 	return body
--- a/internal/frontend/jobreads_bench_test.go
+++ b/internal/frontend/jobreads_bench_test.go
@@ -8,10 +8,7 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"dalehook/internal/batch"
-	"dalehook/internal/joblog"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
@@ -72,8 +69,8 @@
 			start += appendBenchJob(b, log.Memory, fmt.Sprint("other-", i))
 		}
 		appendBenchJob(b, log.Memory, "job")
-		appendBenchIndex(b, log.Memory, "job", start)
-		coordinator, stop := benchReader(log)
+		appendIndex(b, log.Memory, "job", start)
+		coordinator, stop := startReader(log, func(readSource) {})
 		coordinator.jobs.Subscribe(0, subscriber{})
 		address := serve(b, coordinator)
 		for _, way := range []string{"coordinator", "index", "partition"} {
@@ -88,7 +85,7 @@
 func benchmarkColdRead(b *testing.B, log *countedLog, way, address string) {
 	before := int64(0)
 	for range b.N {
-		node, stop := benchReader(log)
+		node, stop := startReader(log, func(readSource) {})
 		switch way {
 		case "coordinator":
 			node.observeCoordinator(false, address)
@@ -107,30 +104,3 @@
 	}
 	b.ReportMetric(float64(log.bytes.Load()-before), "store-bytes/read")
 }
-
-func appendBenchIndex(b *testing.B, memory *storetest.Memory, id string, start int64) {
-	b.Helper()
-	record, err := joblog.EncodeIndexEntry(joblog.IndexEntry{JobID: id, Start: start})
-	if err != nil {
-		b.Fatal(err)
-	}
-	if _, err := memory.Append(context.Background(), store.Partition{Topic: store.TopicJobIndex}, [][]byte{record}); err != nil {
-		b.Fatal(err)
-	}
-}
-
-// benchReader is newReaderNode for benchmarks, whose nodes end before the benchmark does.
-func benchReader(log store.Log) (*jobReader, func()) {
-	jobs := joblog.NewLogs(joblog.Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		jobs.Run(ctx)
-	}()
-	reader := newJobReader(jobs, func(readSource) {}, zap.NewNop())
-	return reader, func() {
-		cancel()
-		<-ended
-	}
-}
--- a/internal/frontend/jobreads_test.go
+++ b/internal/frontend/jobreads_test.go
@@ -25,20 +25,26 @@
 }
 
 func newReaderNode(t *testing.T, memory *storetest.Memory) *readerNode {
-	jobs := joblog.NewLogs(joblog.Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	node := &readerNode{}
+	reader, stop := startReader(memory, func(source readSource) { node.sources = append(node.sources, source) })
+	t.Cleanup(stop)
+	node.jobReader = reader
+	return node
+}
+
+// startReader returns a reader on a store with one partition, and what ends its reading.
+func startReader(log store.Log, observe func(readSource)) (reader *jobReader, stop func()) {
+	jobs := joblog.NewLogs(joblog.Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		jobs.Run(ctx)
 	}()
-	t.Cleanup(func() {
+	return newJobReader(jobs, observe, zap.NewNop()), func() {
 		cancel()
 		<-ended
-	})
-	node := &readerNode{}
-	node.jobReader = newJobReader(jobs, func(source readSource) { node.sources = append(node.sources, source) }, zap.NewNop())
-	return node
+	}
 }
 
 // appendJob accepts a job with results for all of its items.
@@ -64,7 +70,7 @@
 	}
 }
 
-func appendIndex(t *testing.T, memory *storetest.Memory, id string, start int64) {
+func appendIndex(t testing.TB, memory *storetest.Memory, id string, start int64) {
 	t.Helper()
 	record, err := joblog.EncodeIndexEntry(joblog.IndexEntry{JobID: id, Start: start})
 	if err != nil {
@@ -178,6 +184,19 @@
 	}
 }
 
+// A coordinator that answers again after a silence is there: whole partitions are not read.
+func TestACoordinatorThatAnswersAgainIsThere(t *testing.T) {
+	memory := storetest.NewMemory()
+	follower := newReaderNode(t, memory)
+	node := newReaderNode(t, memory)
+	node.observeCoordinator(false, serve(t, follower))
+	node.failedAt = time.Now().Add(-2 * takeOverTime)
+	node.seenAt = node.failedAt
+	if _, _, verdict := node.results(context.Background(), "job", 0, 0); verdict != VerdictRefused {
+		t.Errorf("%v", verdict)
+	}
+}
+
 // An answer is held at the coordinator until there is a result.
 func TestAHeldReadEndsWithTheNextResult(t *testing.T) {
 	memory := storetest.NewMemory()
--- a/internal/joblog/index.go
+++ b/internal/joblog/index.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -119,21 +118,11 @@
 	defer x.reading.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, indexTimeout)
 	defer cancel()
-	for {
-		batch, err := x.log.Read(ctx, x.at, x.next, 0)
-		var trimmed *store.TrimmedError
-		if errors.As(err, &trimmed) && trimmed.First > x.next {
-			x.next = trimmed.First
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		x.add(batch)
-		if x.next >= batch.End || len(batch.Records) == 0 {
-			return nil
-		}
-	}
+	_, err := store.ReadOn(ctx, x.log, x.at, x.next, func(read store.Batch) bool {
+		x.add(read)
+		return true
+	})
+	return err
 }
 
 func (x *index) add(batch store.Batch) {
--- a/internal/jobread/jobread.go
+++ b/internal/jobread/jobread.go
@@ -1,6 +1,7 @@
 // Package jobread passes reads of batch jobs on to the node that coordinates them. That node
-// follows all partitions, so a read there costs no more than what it returns. Anywhere else
-// it would begin with the partition from where the job begins, other jobs' records with it.
+// follows the partitions of all open jobs, so a read there costs no more than what it returns.
+// Anywhere else the partition would be read from where the job begins, with other jobs'
+// records.
 package jobread
 
 import (
@@ -30,8 +31,8 @@
 
 // The verdicts.
 const (
-	// NotFollowed: the node does not read all of the job's partition, and says nothing of
-	// the job.
+	// NotFollowed: the node does not read the job's partition, or not from where the job
+	// begins, and says nothing of the job.
 	NotFollowed Verdict = iota
 	// Behind: the node reads the partition, but has not come far enough in time.
 	Behind
