Tenants and their API keys

Cause: keys of callers were not looked at.

A table of routes holds the tenants of its version, so a key and a route are always judged by one version. Single requests, submissions, reads, bodies and ends ask Admit; jobs, progress, kept items and reward calls bear the tenant that submitted them; a job is absent for others, and an end by another tenant is void in the fold.

--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -15,6 +15,9 @@
 	total  int
 }
 
+// Is says whether a name is that of the job.
+func (s *State) Is(name Name) bool { return s.Job.ID == name.ID && s.Job.Tenant == name.Tenant }
+
 // Listed says whether an item has a result.
 func (s *State) Listed(itemID string) bool { return s.listed[itemID] }
 
@@ -109,7 +112,7 @@
 
 func (f *Fold) end(end *End) Change {
 	state := f.jobs[end.JobID]
-	if state == nil || state.Ended {
+	if state == nil || state.Ended || state.Job.Tenant != end.Tenant {
 		return Change{}
 	}
 	state.Ended = true
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -140,3 +140,36 @@
 		}
 	})
 }
+
+func TestOnlyItsTenantEndsAJob(t *testing.T) {
+	fold := NewFold()
+	records, err := EncodeJob(&Job{ID: "j", Tenant: "a", Items: []Item{{ID: "i"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	apply := func(records [][]byte, err error) Change {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var last Change
+		for _, record := range records {
+			if last, err = fold.Apply(record); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return last
+	}
+	apply(records, nil)
+	for _, stranger := range []string{"b", ""} {
+		if change := apply(EncodeEnd(&End{JobID: "j", Tenant: stranger})); change.Ended != nil {
+			t.Errorf("tenant %q ended the job", stranger)
+		}
+	}
+	if change := apply(EncodeEnd(&End{JobID: "j", Tenant: "a"})); change.Ended == nil {
+		t.Error("its tenant did not end the job")
+	}
+	if state := fold.Job("j"); !state.Is(Name{Tenant: "a", ID: "j"}) || state.Is(Name{Tenant: "b", ID: "j"}) || state.Is(Name{ID: "j"}) {
+		t.Error("a job's name is taken for another's")
+	}
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -23,10 +23,19 @@
 	Reward *reward.Call `json:",omitempty"`
 }
 
+// Name names a job to those who may know of it.
+type Name struct {
+	// Tenant is whose jobs are looked among; empty for those of nobody.
+	Tenant string
+	ID     string
+}
+
 // Job is a batch job as a caller submitted it.
 type Job struct {
-	ID   string
-	Host string
+	ID string
+	// Tenant is on whose behalf the items run; empty where callers need no keys.
+	Tenant string `json:",omitempty"`
+	Host   string
 	// Path is the path that the job was submitted to; it chooses the route.
 	Path string
 	// Step counts a trainer's jobs from 0.
@@ -71,4 +80,6 @@
 // End closes a job.
 type End struct {
 	JobID string
+	// Tenant is that of the caller. The end of another tenant's job is void.
+	Tenant string `json:",omitempty"`
 }
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -10,6 +10,8 @@
 // predecessor's run was, instead of from nothing.
 type Progress struct {
 	ItemID string
+	// Tenant is that of the job that the progress was made for.
+	Tenant string `json:",omitempty"`
 	// Run names the run, unlike any other.
 	Run string
 	// Checkpoint marks a progress that holds the text from its start on, whichever runs
@@ -38,6 +40,7 @@
 
 // Partial is the text of an item as far as progress tells it.
 type Partial struct {
+	Tenant   string
 	Run      string
 	LastID   string
 	Text     []string
@@ -65,7 +68,7 @@
 		return fmt.Errorf("decode a progress: %w", err)
 	}
 	if progress.Checkpoint {
-		f.partials[progress.ItemID] = &Partial{Run: progress.Run}
+		f.partials[progress.ItemID] = &Partial{Tenant: progress.Tenant, Run: progress.Run}
 	}
 	partial := f.partials[progress.ItemID]
 	if partial == nil || partial.LastID != progress.From || partial.Run != progress.Run {
--- a/internal/frontend/jobreads.go
+++ b/internal/frontend/jobreads.go
@@ -157,16 +157,16 @@
 
 // results returns a job's results from a position on. Where there is none yet, the answer
 // may be held for wait.
-func (r *jobReader) results(ctx context.Context, jobID string, from int, wait time.Duration) (total int, results []batch.Result, verdict Verdict) {
-	page := r.knownResults(jobID, from)
+func (r *jobReader) results(ctx context.Context, job batch.Name, from int, wait time.Duration) (total int, results []batch.Result, verdict Verdict) {
+	page := r.knownResults(job, from)
 	if page.Verdict == jobread.Found {
 		r.observe(sourceKnown)
-		page = r.awaitLocally(ctx, jobID, from, wait, page)
-	} else if page = r.passResultsOn(ctx, jobID, from, wait); page.Verdict != jobread.NotFollowed {
+		page = r.awaitLocally(ctx, job, from, wait, page)
+	} else if page = r.passResultsOn(ctx, job, from, wait); page.Verdict != jobread.NotFollowed {
 		r.observe(sourceCoordinator)
 	} else {
 		r.observe(sourceStore)
-		page = r.awaitLocally(ctx, jobID, from, wait, r.storedResults(ctx, jobID, from))
+		page = r.awaitLocally(ctx, job, from, wait, r.storedResults(ctx, job, from))
 	}
 	return page.Total, page.Results, verdictOf(page.Verdict)
 }
@@ -183,12 +183,12 @@
 
 // passResultsOn asks the coordinator, if one is known: for what there is now, so that one
 // that is gone is soon noticed, and once more where the answer may be held.
-func (r *jobReader) passResultsOn(ctx context.Context, jobID string, from int, wait time.Duration) jobread.Results {
+func (r *jobReader) passResultsOn(ctx context.Context, job batch.Name, from int, wait time.Duration) jobread.Results {
 	address := r.passOnTo(ctx)
 	if address == "" {
 		return jobread.Results{}
 	}
-	question := jobread.ResultsQuestion{JobID: jobID, From: from, MostBytes: passOnBytes}
+	question := jobread.ResultsQuestion{Job: job, From: from, MostBytes: passOnBytes}
 	page := r.askResults(ctx, address, question)
 	if page.Verdict != jobread.Found || len(page.Results) > 0 || page.Ended || wait <= 0 {
 		return page
@@ -201,7 +201,7 @@
 }
 
 func (r *jobReader) askResults(ctx context.Context, address string, question jobread.ResultsQuestion) (page jobread.Results) {
-	answered := r.ask(ctx, address, question.JobID, question.Wait+passOnPatience, func(ctx context.Context) (err error) {
+	answered := r.ask(ctx, address, question.Job.ID, question.Wait+passOnPatience, func(ctx context.Context) (err error) {
 		page, err = jobread.AskResults(ctx, address, question)
 		return err
 	})
@@ -212,27 +212,27 @@
 }
 
 // awaitLocally holds a page without results until this node's own reading brings one.
-func (r *jobReader) awaitLocally(ctx context.Context, jobID string, from int, wait time.Duration, page jobread.Results) jobread.Results {
+func (r *jobReader) awaitLocally(ctx context.Context, job batch.Name, from int, wait time.Duration, page jobread.Results) jobread.Results {
 	if page.Verdict != jobread.Found || len(page.Results) > 0 || page.Ended || wait <= 0 {
 		return page
 	}
 	waiting, cancel := context.WithTimeout(ctx, wait)
-	r.jobs.WaitFor(waiting, jobID, from)
+	r.jobs.WaitFor(waiting, job.ID, from)
 	cancel()
-	return r.storedResults(ctx, jobID, from)
+	return r.storedResults(ctx, job, from)
 }
 
 // knownResults returns what this node knows of a job, if that suffices.
-func (r *jobReader) knownResults(jobID string, from int) (page jobread.Results) {
-	r.jobs.ViewKnown(jobID, joblog.HasPosition(from), func(state *batch.State) { page = pageOf(state, from) })
+func (r *jobReader) knownResults(job batch.Name, from int) (page jobread.Results) {
+	r.jobs.ViewKnown(job.ID, joblog.HasPosition(from), func(state *batch.State) { page = pageOf(state, job, from) })
 	return page
 }
 
 // storedResults returns what the store says of a job.
-func (r *jobReader) storedResults(ctx context.Context, jobID string, from int) (page jobread.Results) {
-	err := r.view(ctx, jobID, joblog.HasPosition(from), func(state *batch.State) { page = pageOf(state, from) })
+func (r *jobReader) storedResults(ctx context.Context, job batch.Name, from int) (page jobread.Results) {
+	err := r.view(ctx, job.ID, joblog.HasPosition(from), func(state *batch.State) { page = pageOf(state, job, from) })
 	if err != nil {
-		r.logger.Warn("batch job not read", zap.String("job", jobID), zap.Error(err))
+		r.logger.Warn("batch job not read", zap.String("job", job.ID), zap.Error(err))
 		return jobread.Results{Verdict: jobread.Behind}
 	}
 	return page
@@ -246,9 +246,10 @@
 	return r.jobs.ViewIndexed(ctx, jobID, satisfied, visit)
 }
 
-// pageOf returns a job's results from a position on; the state is nil for no such job.
-func pageOf(state *batch.State, from int) jobread.Results {
-	if state == nil {
+// pageOf returns a job's results from a position on; the state is nil for no such job. To
+// other tenants a job is as if it were not there.
+func pageOf(state *batch.State, job batch.Name, from int) jobread.Results {
+	if state == nil || !state.Is(job) {
 		return jobread.Results{Verdict: jobread.Absent}
 	}
 	return jobread.Results{
@@ -261,11 +262,11 @@
 func (r *jobReader) FollowedResults(question jobread.ResultsQuestion) (page jobread.Results) {
 	if question.Wait > 0 {
 		waiting, cancel := context.WithTimeout(context.Background(), question.Wait)
-		r.jobs.WaitFor(waiting, question.JobID, question.From)
+		r.jobs.WaitFor(waiting, question.Job.ID, question.From)
 		cancel()
 	}
-	err := r.viewFollowed(question.JobID, joblog.HasPosition(question.From), func(state *batch.State) {
-		page = pageOf(state, question.From)
+	err := r.viewFollowed(question.Job.ID, joblog.HasPosition(question.From), func(state *batch.State) {
+		page = pageOf(state, question.Job, question.From)
 	})
 	if err != nil {
 		return jobread.Results{Verdict: verdictOfError(err)}
@@ -301,27 +302,27 @@
 }
 
 // itemBody returns the body of an item that has no result yet.
-func (r *jobReader) itemBody(ctx context.Context, jobID, itemID string) ([]byte, Verdict) {
+func (r *jobReader) itemBody(ctx context.Context, job batch.Name, itemID string) ([]byte, Verdict) {
 	body := jobread.Body{}
-	if r.jobs.ViewKnown(jobID, joblog.HasItem(itemID), func(state *batch.State) { body = bodyOf(state, itemID) }) {
+	if r.jobs.ViewKnown(job.ID, joblog.HasItem(itemID), func(state *batch.State) { body = bodyOf(state, job, itemID) }) {
 		r.observe(sourceKnown)
-	} else if body = r.passBodyOn(ctx, jobID, itemID); body.Verdict != jobread.NotFollowed {
+	} else if body = r.passBodyOn(ctx, job, itemID); body.Verdict != jobread.NotFollowed {
 		r.observe(sourceCoordinator)
 	} else {
 		r.observe(sourceStore)
-		body = r.storedBody(ctx, jobID, itemID)
+		body = r.storedBody(ctx, job, itemID)
 	}
 	return body.Bytes, verdictOf(body.Verdict)
 }
 
 // passBodyOn asks the coordinator for a body, if one is known.
-func (r *jobReader) passBodyOn(ctx context.Context, jobID, itemID string) (body jobread.Body) {
+func (r *jobReader) passBodyOn(ctx context.Context, job batch.Name, itemID string) (body jobread.Body) {
 	address := r.passOnTo(ctx)
 	if address == "" {
 		return jobread.Body{}
 	}
-	answered := r.ask(ctx, address, jobID, passOnPatience, func(ctx context.Context) (err error) {
-		body, err = jobread.AskBody(ctx, address, jobread.BodyQuestion{JobID: jobID, ItemID: itemID})
+	answered := r.ask(ctx, address, job.ID, passOnPatience, func(ctx context.Context) (err error) {
+		body, err = jobread.AskBody(ctx, address, jobread.BodyQuestion{Job: job, ItemID: itemID})
 		return err
 	})
 	if !answered {
@@ -330,18 +331,18 @@
 	return body
 }
 
-func (r *jobReader) storedBody(ctx context.Context, jobID, itemID string) (body jobread.Body) {
-	err := r.view(ctx, jobID, joblog.HasItem(itemID), func(state *batch.State) { body = bodyOf(state, itemID) })
+func (r *jobReader) storedBody(ctx context.Context, job batch.Name, itemID string) (body jobread.Body) {
+	err := r.view(ctx, job.ID, joblog.HasItem(itemID), func(state *batch.State) { body = bodyOf(state, job, itemID) })
 	if err != nil {
-		r.logger.Warn("item not read", zap.String("job", jobID), zap.String("item", itemID), zap.Error(err))
+		r.logger.Warn("item not read", zap.String("job", job.ID), zap.String("item", itemID), zap.Error(err))
 		return jobread.Body{Verdict: jobread.Behind}
 	}
 	return body
 }
 
 // bodyOf returns the body of a job's item; the state is nil for no such job.
-func bodyOf(state *batch.State, itemID string) jobread.Body {
-	if state == nil || state.Item(itemID) == nil || state.Listed(itemID) {
+func bodyOf(state *batch.State, job batch.Name, itemID string) jobread.Body {
+	if state == nil || !state.Is(job) || state.Item(itemID) == nil || state.Listed(itemID) {
 		return jobread.Body{Verdict: jobread.Absent}
 	}
 	return jobread.Body{Verdict: jobread.Found, Bytes: state.Item(itemID).Body}
@@ -349,8 +350,8 @@
 
 // FollowedBody implements jobread.Reader.
 func (r *jobReader) FollowedBody(question jobread.BodyQuestion) (body jobread.Body) {
-	err := r.viewFollowed(question.JobID, joblog.HasItem(question.ItemID), func(state *batch.State) {
-		body = bodyOf(state, question.ItemID)
+	err := r.viewFollowed(question.Job.ID, joblog.HasItem(question.ItemID), func(state *batch.State) {
+		body = bodyOf(state, question.Job, question.ItemID)
 	})
 	if err != nil {
 		return jobread.Body{Verdict: verdictOfError(err)}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -34,6 +34,7 @@
 	rewardSeconds  prometheus.Histogram
 	storeCalls     *prometheus.CounterVec
 	storeSeconds   *prometheus.HistogramVec
+	keysRefused    *prometheus.CounterVec
 }
 
 var _ coordinator.Observer = (*nodeMetrics)(nil)
@@ -61,9 +62,10 @@
 		}),
 		storeCalls:   counter("dalehook_store_calls_total", "Calls to the store by call and status of the answer, 0 for none.", "call", "status"),
 		storeSeconds: histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
+		keysRefused:  counter("dalehook_keys_refused_total", "Requests refused for their key: none, or one that is not known.", "key"),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
-		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, collectors.NewGoCollector())
+		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
 }
@@ -80,7 +82,7 @@
 		return 0
 	})
 	gauge("dalehook_configuration_age_seconds", "Time since the configuration was read.", func() float64 {
-		return time.Since(time.Unix(0, n.operatorReadAt.Load())).Seconds()
+		return n.configurationAge(time.Now()).Seconds()
 	})
 	gauge("dalehook_servers", "Servers in the list.", func() float64 { return float64(n.directory.Snapshot().Count()) })
 	gauge("dalehook_servers_age_seconds", "Time since the list of servers was read.", func() float64 {
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -27,11 +27,13 @@
 	VerdictUnknown
 	// VerdictAbsent: there is no such job or item.
 	VerdictAbsent
+	// VerdictKeyUnknown: the caller bears no key that is known.
+	VerdictKeyUnknown
 )
 
 // String implements fmt.Stringer.
 func (v Verdict) String() string {
-	return [...]string{"done", "refused", "unknown", "absent"}[v]
+	return [...]string{"done", "refused", "unknown", "absent", "key unknown"}[v]
 }
 
 const (
@@ -54,7 +56,7 @@
 	if n.leaving.Load() || n.table.Load() == nil || !n.servers.Complete() {
 		return false
 	}
-	return time.Since(time.Unix(0, n.operatorReadAt.Load())) < storeSilence
+	return n.configurationAge(time.Now()) < storeSilence
 }
 
 // Serve answers a single request.
@@ -77,14 +79,14 @@
 }
 
 // End closes a batch job.
-func (n *Node) End(ctx context.Context, jobID string) Verdict {
-	records, err := batch.EncodeEnd(&batch.End{JobID: jobID})
+func (n *Node) End(ctx context.Context, job batch.Name) Verdict {
+	records, err := batch.EncodeEnd(&batch.End{JobID: job.ID, Tenant: job.Tenant})
 	if err != nil {
 		return VerdictRefused
 	}
-	verdict := n.append(ctx, jobID, records)
+	verdict := n.append(ctx, job.ID, records)
 	n.metrics.observeJobCall("end", verdict)
-	n.logger.Info("batch job ended", zap.String("job", jobID), zap.Stringer("verdict", verdict))
+	n.logger.Info("batch job ended", zap.String("job", job.ID), zap.Stringer("verdict", verdict))
 	return verdict
 }
 
@@ -109,11 +111,11 @@
 }
 
 // Results returns the results of a batch job from a position on.
-func (n *Node) Results(ctx context.Context, jobID string, from int, wait time.Duration) (total int, results []batch.Result, verdict Verdict) {
-	return n.jobReader.results(ctx, jobID, from, wait)
+func (n *Node) Results(ctx context.Context, job batch.Name, from int, wait time.Duration) (total int, results []batch.Result, verdict Verdict) {
+	return n.jobReader.results(ctx, job, from, wait)
 }
 
 // ItemBody returns the body of an item that has no result yet.
-func (n *Node) ItemBody(ctx context.Context, jobID, itemID string) (body []byte, verdict Verdict) {
-	return n.jobReader.itemBody(ctx, jobID, itemID)
+func (n *Node) ItemBody(ctx context.Context, job batch.Name, itemID string) (body []byte, verdict Verdict) {
+	return n.jobReader.itemBody(ctx, job, itemID)
 }
--- a/internal/frontend/rewards.go
+++ b/internal/frontend/rewards.go
@@ -10,6 +10,7 @@
 	"dalehook/internal/coordinator"
 	"dalehook/internal/gateway"
 	"dalehook/internal/reward"
+	"dalehook/internal/routetable"
 )
 
 // rewardCaller makes reward calls by the gateway's rules.
@@ -27,6 +28,7 @@
 		Request: &gateway.Request{
 			ID: send.Call.ID, Method: http.MethodPost, Target: send.Call.Path, Host: send.Call.Host,
 			Header: make(http.Header), Body: send.Call.Body, Received: began, Deadline: send.Deadline,
+			Caller: routetable.Caller{Tenant: send.Item.Tenant, Priority: send.Table.PriorityOf(send.Route, send.Item.Tenant)},
 		},
 		Table: send.Table, Route: send.Route, Service: send.Service,
 	})
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/routetable"
 )
 
 // Request is one request of a caller, read whole.
@@ -21,6 +22,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Caller is on whose behalf the request runs.
+	Caller routetable.Caller
 	// Received is when the request had been read.
 	Received time.Time
 	// Deadline is when the caller stops waiting; zero when it did not say.
--- a/internal/jobread/jobread.go
+++ b/internal/jobread/jobread.go
@@ -17,7 +17,7 @@
 
 // ResultsQuestion asks for results of a job.
 type ResultsQuestion struct {
-	JobID string
+	Job batch.Name
 	// From is the position of the first result wanted.
 	From int
 	// Wait is how long the answer may be held until there is a result.
@@ -58,7 +58,8 @@
 
 // BodyQuestion asks for the body of an item.
 type BodyQuestion struct {
-	JobID, ItemID string
+	Job    batch.Name
+	ItemID string
 }
 
 // Body is the body of an item that has no result yet. An item with a result, and one of a
--- a/internal/jobread/jobread_test.go
+++ b/internal/jobread/jobread_test.go
@@ -18,12 +18,12 @@
 func (reader) FollowedResults(question ResultsQuestion) Results {
 	return Results{
 		Verdict: Found, Total: question.From, Ended: true,
-		Results: []batch.Result{{JobID: question.JobID, ItemID: "item", Outcome: batch.OutcomeDead, Text: "text", Versions: []int64{1, 2}, Score: "score"}},
+		Results: []batch.Result{{JobID: question.Job.ID, ItemID: "item", Outcome: batch.OutcomeDead, Text: "text", Versions: []int64{1, 2}, Score: "score"}},
 	}
 }
 
 func (reader) FollowedBody(question BodyQuestion) Body {
-	return Body{Verdict: Absent, Bytes: []byte(question.JobID + question.ItemID)}
+	return Body{Verdict: Absent, Bytes: []byte(question.Job.ID + question.ItemID)}
 }
 
 // What a node answers arrives whole at the node that asks.
@@ -39,12 +39,12 @@
 	}
 	go nodecall.Serve(listener, server)
 	address := listener.Addr().String()
-	asked := ResultsQuestion{JobID: "job", From: 7}
+	asked := ResultsQuestion{Job: batch.Name{ID: "job"}, From: 7}
 	results, err := AskResults(context.Background(), address, asked)
 	if diff := cmp.Diff(reader{}.FollowedResults(asked), results); err != nil || diff != "" {
 		t.Errorf("results: %v, %s", err, diff)
 	}
-	body, err := AskBody(context.Background(), address, BodyQuestion{JobID: "job", ItemID: "item"})
+	body, err := AskBody(context.Background(), address, BodyQuestion{Job: batch.Name{ID: "job"}, ItemID: "item"})
 	if diff := cmp.Diff(Body{Verdict: Absent, Bytes: []byte("jobitem")}, body); err != nil || diff != "" {
 		t.Errorf("body: %v, %s", err, diff)
 	}
--- a/internal/reward/call.go
+++ b/internal/reward/call.go
@@ -33,6 +33,8 @@
 
 // Item names the item of a batch job that a call scores.
 type Item struct {
+	// Tenant is on whose behalf the call is made; empty for nobody's.
+	Tenant        string
 	JobID, ItemID string
 }
 
--- /dev/null
+++ b/internal/routetable/access_test.go
@@ -0,0 +1,77 @@
+package routetable
+
+import (
+	"testing"
+
+	"dalehook/internal/tenant"
+)
+
+func accessTable(tenants *tenant.Set) *Table {
+	table := NewTable(1, []Route{
+		{Name: "closed", Host: "h", Prefix: "/closed/", Priority: 2},
+		{Name: "open", Host: "h", Prefix: "/open/", Priority: 2, Public: true},
+		{Name: "jobs", Host: "h", Prefix: "/jobs/", Kind: KindBatch},
+		{Name: "open jobs", Host: "open", Prefix: "/jobs/", Kind: KindBatch, Public: true},
+	}, nil, Limits{})
+	table.Tenants = tenants
+	return table
+}
+
+func twoTenants() *tenant.Set {
+	urgent := 0
+	return tenant.NewSet([]tenant.Tenant{
+		{Name: "urgent", Keys: []string{"u"}, Priority: &urgent}, {Name: "plain", Keys: []string{"p"}},
+	})
+}
+
+func TestAdmit(t *testing.T) {
+	cases := []struct {
+		name, path, key string
+		keyless         bool
+		want            Caller
+		admitted        bool
+	}{
+		{"a known key", "/closed/1", "p", false, Caller{Tenant: "plain", Priority: 2}, true},
+		{"the tenant's priority goes first", "/closed/1", "u", false, Caller{Tenant: "urgent", Priority: 0}, true},
+		{"an unknown key", "/closed/1", "x", false, Caller{Priority: 2}, false},
+		{"no key", "/closed/1", "", false, Caller{Priority: 2}, false},
+		{"no key on a public route", "/open/1", "", false, Caller{Priority: 2}, true},
+		{"an unknown key on a public route", "/open/1", "x", false, Caller{Priority: 2}, true},
+		{"a known key on a public route", "/open/1", "p", false, Caller{Tenant: "plain", Priority: 2}, true},
+		{"no keys are asked for", "/closed/1", "x", true, Caller{Priority: 2}, true},
+	}
+	for _, c := range cases {
+		tenants := twoTenants()
+		if c.keyless {
+			tenants = nil
+		}
+		table := accessTable(tenants)
+		got, admitted := table.Admit(table.Match("h", c.path), c.key)
+		if got != c.want || admitted != c.admitted {
+			t.Errorf("%s: %+v, admitted %v", c.name, got, admitted)
+		}
+	}
+}
+
+func TestAdmitToJobs(t *testing.T) {
+	cases := []struct {
+		name, host, key, want string
+		admitted              bool
+	}{
+		{"a known key", "h", "p", "plain", true},
+		{"an unknown key", "h", "x", "", false},
+		{"no key", "h:80", "", "", false},
+		{"no key where jobs are public", "OPEN:80", "", "", true},
+		{"a known key where jobs are public", "open", "u", "urgent", true},
+		{"a host without routes", "nowhere", "", "", false},
+	}
+	table := accessTable(twoTenants())
+	for _, c := range cases {
+		if got, admitted := table.AdmitToJobs(c.host, c.key); got != c.want || admitted != c.admitted {
+			t.Errorf("%s: %q, admitted %v", c.name, got, admitted)
+		}
+	}
+	if got, admitted := accessTable(nil).AdmitToJobs("h", ""); got != "" || !admitted {
+		t.Errorf("without tenants: %q, admitted %v", got, admitted)
+	}
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dalehook/internal/tenant"
 )
 
 // Kind says what may be done with a route's requests.
@@ -62,6 +64,8 @@
 	ItemLifetime time.Duration
 	// ResultDeadline is the time by which the results of a batch job are due.
 	ResultDeadline time.Duration
+	// Public routes ask for no API key.
+	Public bool
 }
 
 // Repeatable says whether a request of the route may run more than once.
@@ -122,6 +126,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Tenants are those whose keys callers must bear; nil where no keys are asked for.
+	Tenants *tenant.Set
 
 	byHost map[string][]*Route
 }
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -162,6 +162,7 @@
 		Attempt:       begun.id,
 		JobID:         next.job.id,
 		Host:          next.job.host,
+		Tenant:        next.job.tenant,
 		Item:          next.source,
 		Server:        chosen.server,
 		After:         next.lastID,
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -17,6 +17,7 @@
 	m.arrivals++
 	opened := &job{
 		id:        accepted.ID,
+		tenant:    accepted.Tenant,
 		host:      accepted.Host,
 		path:      accepted.Path,
 		model:     accepted.Model,
--- a/internal/scheduler/kept.go
+++ b/internal/scheduler/kept.go
@@ -27,6 +27,9 @@
 	keepUntil time.Time
 }
 
+// keptName names an item that is kept. What was made for one tenant is nobody else's.
+func keptName(tenantName, itemID string) string { return tenantName + "/" + itemID }
+
 // keep takes over the items of the groups that an ended job left unfinished.
 func (m *Machine) keep(now time.Time, ended *job) {
 	for _, id := range slices.Sorted(maps.Keys(ended.sources)) {
@@ -57,15 +60,16 @@
 		default:
 			continue
 		}
-		m.kept[id] = kept
+		m.kept[keptName(ended.tenant, id)] = kept
 	}
 }
 
 // resume gives an item of a new job what is kept of it, as far as its versions
 // fit, and queues it unless it is running or complete.
 func (m *Machine) resume(now time.Time, opened *job, waiting *item) {
-	known := m.kept[waiting.source.ID]
-	delete(m.kept, waiting.source.ID)
+	name := keptName(opened.tenant, waiting.source.ID)
+	known := m.kept[name]
+	delete(m.kept, name)
 	waiting.carried = known != nil
 	switch {
 	case known == nil:
@@ -115,7 +119,7 @@
 // settleKept takes the end of an attempt of a kept item.
 func (m *Machine) settleKept(ended *attempt, reason EndReason) {
 	owner := ended.item
-	known := m.kept[owner.source.ID]
+	known := m.kept[keptName(owner.job.tenant, owner.source.ID)]
 	if known == nil || known.item != owner || ended.cancelled || reason != EndCompleted {
 		return
 	}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -45,13 +45,13 @@
 // recoveredOf returns the best of what was saved of an item: what was made for the job
 // itself, else for an earlier job that had the item as well.
 func (m *Machine) recoveredOf(opened *job, itemID string) *batch.Partial {
-	if own := m.recovered[opened.partition][itemID]; own != nil && fits(opened, own.Versions) {
+	if own := m.recovered[opened.partition][itemID]; own != nil && opened.mayTake(own) {
 		return own
 	}
 	var best *batch.Partial
 	for _, partition := range slices.Sorted(maps.Keys(m.recovered)) {
 		other := m.recovered[partition][itemID]
-		if other == nil || !fits(opened, other.Versions) {
+		if other == nil || !opened.mayTake(other) {
 			continue
 		}
 		if best == nil || !best.Whole && (other.Whole || len(other.Text) > len(best.Text)) {
@@ -61,6 +61,11 @@
 	return best
 }
 
+// mayTake says whether what was saved of an item may stand in the job's results.
+func (j *job) mayTake(saved *batch.Partial) bool {
+	return saved.Tenant == j.tenant && fits(j, saved.Versions)
+}
+
 // saveAll saves the progress of the runs that have made enough.
 func (m *Machine) saveAll(now time.Time) {
 	if now.Sub(m.savedAt) < m.options.SaveInterval {
@@ -112,6 +117,7 @@
 	}
 	m.output.Progress = append(m.output.Progress, Progress{JobID: owner.job.id, Progress: batch.Progress{
 		ItemID:   owner.source.ID,
+		Tenant:   owner.job.tenant,
 		Run:      m.runName(running),
 		From:     owner.unsaved.from,
 		LastID:   owner.lastID,
@@ -127,6 +133,7 @@
 	owner.unsaved = unsaved{from: owner.lastID}
 	m.output.Progress = append(m.output.Progress, Progress{JobID: owner.job.id, Progress: batch.Progress{
 		ItemID:     owner.source.ID,
+		Tenant:     owner.job.tenant,
 		Run:        run,
 		Checkpoint: true,
 		LastID:     owner.lastID,
--- a/internal/scheduler/rewards.go
+++ b/internal/scheduler/rewards.go
@@ -22,7 +22,7 @@
 
 // name returns what the item's reward call goes by.
 func (i *item) name() reward.Item {
-	return reward.Item{JobID: i.job.id, ItemID: i.source.ID}
+	return reward.Item{Tenant: i.job.tenant, JobID: i.job.id, ItemID: i.source.ID}
 }
 
 // saveWholeTexts saves the texts that have waited long for their score once more, so
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -19,8 +19,10 @@
 	Attempt AttemptID
 	JobID   string
 	Host    string
-	Item    *batch.Item
-	Server  Server
+	// Tenant is on whose behalf the item runs; empty for nobody's.
+	Tenant string
+	Item   *batch.Item
+	Server Server
 	// After is the id of the last event that is kept from earlier attempts; empty
 	// when the item starts anew.
 	After string
@@ -206,6 +208,7 @@
 
 type job struct {
 	id        string
+	tenant    string
 	host      string
 	path      string
 	model     string
