Usage of tenants is counted and reported; keys reach nodes that the store turns away

Kept: nodes append what they count to one partition, at once after a rest, else once a second; the holder of the lease ends a window by a record there, and what stands before that record counts. So two holders can not report different counts, whichever of them acts. A node without the store has the coordinator append.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -242,12 +242,8 @@
 func (c *Coordinator) ObserveLease(standing election.Standing) {
 	c.setLease(standing)
 	c.input(func(now time.Time, machine *scheduler.Machine) {
-		lease := standing.Lease
-		wait := time.Duration(0)
-		if lease.Contested || lease.Succeeded && !c.options.Fenced {
-			wait = c.options.OrderPause
-		}
-		machine.HandleLease(now, lease.Epoch, standing.Held && !now.Before(lease.ClaimedAt.Add(wait)))
+		settled := standing.Lease.SettledAt(c.options.OrderPause, c.options.Fenced)
+		machine.HandleLease(now, standing.Lease.Epoch, standing.Held && !now.Before(settled))
 	})
 }
 
--- a/internal/election/hold.go
+++ b/internal/election/hold.go
@@ -88,6 +88,9 @@
 	h.leading, h.epoch = standing.Leading, standing.Lease.Epoch
 }
 
+// Yielded says whether the lease of an epoch was given up.
+func (h *Hold) Yielded(epoch int64) bool { return epoch > 0 && h.yieldedEpoch() == epoch }
+
 // yieldedEpoch returns the epoch that was given up last, 0 for none.
 func (h *Hold) yieldedEpoch() int64 {
 	if h == nil {
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -67,6 +67,16 @@
 	Yielded Yielded
 }
 
+// SettledAt returns from when on nothing that the process before does on the lease can meet
+// what this one does: at once, unless that process may still act, or nobody checks the epoch
+// (not fenced); then after a pause.
+func (l Lease) SettledAt(pause time.Duration, fenced bool) time.Time {
+	if l.Contested || l.Succeeded && !fenced {
+		return l.ClaimedAt.Add(pause)
+	}
+	return l.ClaimedAt
+}
+
 // Yielded names a lease that its holder gave up.
 type Yielded struct {
 	// Address is where the holder answers.
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -22,6 +22,9 @@
 	// slowestRead is the longest pause between two reads, which bounds the age of
 	// what is known while the store throttles reads.
 	slowestRead = 1200 * time.Millisecond
+	// relayPause is the shortest time between two reads by way of another node: hundreds of
+	// nodes may ask the same one.
+	relayPause = 900 * time.Millisecond
 	// retryPause is the time between a failed call and the next.
 	retryPause = 100 * time.Millisecond
 )
@@ -42,12 +45,24 @@
 	// Read is told of each answered read, also where nothing had changed: the offset
 	// that follows what was read, and whether that was the end.
 	Read func(next int64, end bool)
+	// Relayed reads the topic from an offset by way of another node, for when the store turns
+	// this one away; below 0 it reads the newest records. It may be nil.
+	Relayed func(ctx context.Context, from int64) (Relay, error)
 	// From is the offset to begin at, all before it being known; without FromKnown
 	// the newest records are read first.
 	From      int64
 	FromKnown bool
 }
 
+// Relay is what another node read of a keyed topic.
+type Relay struct {
+	Records []store.Record
+	// Whole says that the records are the newest of each key, not what came after the offset.
+	Whole bool
+	// Next is the offset after what was read.
+	Next int64
+}
+
 // Keyed follows a keyed topic until the context ends. It starts from the newest
 // records, and again whenever the store has dropped what it had not read.
 func Keyed(ctx context.Context, options KeyedOptions) {
@@ -58,6 +73,10 @@
 	pace := Pace{Base: options.Pace, Most: slowestRead, Retry: retryPause}
 	for ctx.Err() == nil {
 		err := reader.advance(ctx)
+		reader.failing = err != nil
+		if err != nil && options.Relayed != nil {
+			reader.advanceRelayed(ctx)
+		}
 		reader.outage.Note(err, zap.Stringer("topic", options.Topic), zap.Int64("offset", reader.next))
 		pause.For(ctx, pace.Next(err))
 	}
@@ -70,15 +89,25 @@
 	// seen is the highest end that the store has told.
 	seen   int64
 	outage Outage
+	// failing says that the last read failed.
+	failing bool
+	// relayedAt is when another node was last asked to read.
+	relayedAt time.Time
 }
 
 func (r *keyedReader) advance(ctx context.Context) error {
 	if r.next < 0 {
 		return r.load(ctx)
 	}
+	wait := r.Wait
+	if r.failing {
+		// Whether the store answers again is to be known at once.
+		wait = 0
+	}
+	// Many nodes may read at once what is large, so that the time for an answer stays the same.
 	call, cancel := context.WithTimeout(ctx, r.Wait+answerTime)
 	defer cancel()
-	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, r.Wait)
+	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		r.next = -1
@@ -96,6 +125,29 @@
 	return nil
 }
 
+// advanceRelayed takes what another node reads. It does not count as a read of the store.
+func (r *keyedReader) advanceRelayed(ctx context.Context) {
+	if time.Since(r.relayedAt) < relayPause {
+		return
+	}
+	r.relayedAt = time.Now()
+	relay, err := r.Relayed(ctx, r.next)
+	if err != nil {
+		r.Logger.Debug("no other node reads the store", zap.Stringer("topic", r.Topic), zap.Error(err))
+		return
+	}
+	if relay.Next < r.seen {
+		return // that node's store is behind what is known here
+	}
+	switch {
+	case relay.Whole:
+		r.Replace(relay.Records)
+	case len(relay.Records) > 0:
+		r.Change(relay.Records)
+	}
+	r.next, r.seen = relay.Next, relay.Next
+}
+
 var errStaleList = errors.New("list is older than what was read")
 
 func (r *keyedReader) load(ctx context.Context) error {
--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -10,12 +10,18 @@
 
 // Admit says on whose behalf a request of a route runs whose caller bears a key, empty for
 // none.
-func (n *Node) Admit(table *routetable.Table, route *routetable.Route, requestID, key string) (caller routetable.Caller, admitted bool) {
-	caller, admitted = table.Admit(route, key)
+func (n *Node) Admit(table *routetable.Table, route *routetable.Route, requestID, key string) (caller routetable.Caller, verdict Verdict) {
+	caller, admitted := table.Admit(route, key)
+	where := []zap.Field{zap.String("request", requestID), zap.String("route", route.Name)}
 	if !admitted {
-		n.noteKeyRefused(table, key, zap.String("request", requestID), zap.String("route", route.Name))
+		n.noteKeyRefused(table, missing(key), where...)
+		return caller, VerdictKeyUnknown
 	}
-	return caller, admitted
+	if table.Tenants != nil && !route.Public && n.keysTooOld(time.Now()) {
+		n.noteKeyRefused(table, keyNotSure, where...)
+		return caller, VerdictRefused
+	}
+	return caller, VerdictDone
 }
 
 // AdmitToJobs says on whose behalf batch jobs of a host are read and ended by a caller that
@@ -27,25 +33,53 @@
 	}
 	tenantName, admitted := table.AdmitToJobs(host, key)
 	if !admitted {
-		n.noteKeyRefused(table, key, zap.String("host", host))
+		n.noteKeyRefused(table, missing(key), zap.String("host", host))
 		return "", VerdictKeyUnknown
 	}
+	if tenantName != "" && n.keysTooOld(time.Now()) {
+		n.noteKeyRefused(table, keyNotSure, zap.String("host", host))
+		return "", VerdictRefused
+	}
 	return tenantName, VerdictDone
 }
 
-// noteKeyRefused counts and logs a caller without a known key; the key is not shown.
-func (n *Node) noteKeyRefused(table *routetable.Table, key string, fields ...zap.Field) {
-	reason := "unknown"
+// keysTooOld says whether a key that is known here may have been withdrawn so long ago that
+// it must serve no more. Operators choose by fail_closed whether callers are then refused or
+// served by what was last known.
+func (n *Node) keysTooOld(now time.Time) bool {
+	bound := time.Duration(n.options.Settings.Access.RevocationMs) * time.Millisecond
+	return n.options.Settings.Access.FailClosed && n.configurationAge(now) > bound
+}
+
+// keyRefusal says why a key is refused.
+type keyRefusal string
+
+const (
+	// keyNone: the caller bears no key.
+	keyNone keyRefusal = "none"
+	// keyUnknown: the key belongs to no tenant.
+	keyUnknown keyRefusal = "unknown"
+	// keyNotSure: the key is known, but not whether it still belongs to its tenant.
+	keyNotSure keyRefusal = "not sure"
+)
+
+// missing returns why a key that is not known is refused.
+func missing(key string) keyRefusal {
 	if key == "" {
-		reason = "none"
+		return keyNone
 	}
-	n.metrics.keysRefused.WithLabelValues(reason).Inc()
-	n.logger.Info("key refused", append(fields, zap.String("key", reason), zap.Int64("configuration", table.Version),
+	return keyUnknown
+}
+
+// noteKeyRefused counts and logs a caller without a known key; the key is not shown.
+func (n *Node) noteKeyRefused(table *routetable.Table, reason keyRefusal, fields ...zap.Field) {
+	n.metrics.keysRefused.WithLabelValues(string(reason)).Inc()
+	n.logger.Info("key refused", append(fields, zap.String("key", string(reason)), zap.Int64("configuration", table.Version),
 		zap.Duration("configuration_age", n.configurationAge(time.Now())))...)
 }
 
-// configurationAge returns the time since the store last said that no newer configuration
-// than the one in force was there.
+// configurationAge returns the time since the store, or another node that reads it, last said
+// what the newest configuration is.
 func (n *Node) configurationAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, n.operatorReadAt.Load()))
+	return now.Sub(time.Unix(0, n.configuredAt.Load()))
 }
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -35,6 +35,8 @@
 	storeCalls     *prometheus.CounterVec
 	storeSeconds   *prometheus.HistogramVec
 	keysRefused    *prometheus.CounterVec
+	usageReports   *prometheus.CounterVec
+	usageLost      prometheus.Counter
 }
 
 var _ coordinator.Observer = (*nodeMetrics)(nil)
@@ -63,9 +65,13 @@
 		storeCalls:   counter("dalehook_store_calls_total", "Calls to the store by call and status of the answer, 0 for none.", "call", "status"),
 		storeSeconds: histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
 		keysRefused:  counter("dalehook_keys_refused_total", "Requests refused for their key: none, or one that is not known.", "key"),
+		usageReports: counter("dalehook_usage_reports_total", "Reports of a window's usage by what came of them.", "outcome"),
+		usageLost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_usage_lost_total", Help: "Requests that were counted and could not be appended in time.",
+		}),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
-		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, collectors.NewGoCollector())
+		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
 }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -26,6 +26,8 @@
 	"dalehook/internal/routetable"
 	"dalehook/internal/serverlist"
 	"dalehook/internal/store"
+	"dalehook/internal/storeproxy"
+	"dalehook/internal/usage"
 )
 
 // Adapter is how a node speaks to what stands around it.
@@ -37,6 +39,8 @@
 	Log() store.Log
 	Backend() gateway.Backend
 	Engines() coordinator.Engines
+	// Provider takes reports of usage; it is called only where the settings name one.
+	Provider() usage.Provider
 	// Table decodes the record of the operator's topic that holds the
 	// configuration; it returns nil for a record that does not.
 	Table(record store.Record) (*routetable.Table, error)
@@ -122,18 +126,26 @@
 	logger  *zap.Logger
 	table   atomic.Pointer[routetable.Table]
 	metrics *nodeMetrics
-	// operatorReadAt is when the configuration was last read, in Unix nanoseconds.
-	operatorReadAt atomic.Int64
-	leaving        atomic.Bool
-	left           chan struct{}
-	directory      *directory.Directory
-	servers        *serverlist.List
-	gateway        *gateway.Gateway
-	jobs           *joblog.Logs
-	jobReader      *jobReader
-	coordinator    *coordinator.Coordinator
+	// operatorReadAt is when the store last said what the newest configuration is,
+	// configuredAt when it or another node did, in Unix nanoseconds.
+	operatorReadAt, configuredAt atomic.Int64
+	leaving                      atomic.Bool
+	left                         chan struct{}
+	directory                    *directory.Directory
+	servers                      *serverlist.List
+	gateway                      *gateway.Gateway
+	jobs                         *joblog.Logs
+	jobReader                    *jobReader
+	coordinator                  *coordinator.Coordinator
 	// hold is what is known of the lease while this process holds it.
 	hold election.Hold
+	// peers are the nodes that coordinated last, or asked this one whether it does.
+	peers storeproxy.Peers
+	// standing is this process's place in the election; nil before it is known.
+	standing atomic.Pointer[election.Standing]
+	// usageSender and usageReporter are nil where no usage is reported.
+	usageSender   *usage.Sender
+	usageReporter *usage.Reporter
 }
 
 // NewNode assembles a node.
@@ -143,7 +155,7 @@
 	n.metrics = newNodeMetrics(n, options.LostLines)
 	n.gateway = gateway.NewGateway(gateway.Options{
 		Backend: adapter.Backend(), Directory: n.directory, Zone: options.Settings.Zone,
-		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest,
+		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest, Began: n.noteBegan,
 	})
 	adapter.ObserveStore(n.metrics.observeStore)
 	n.jobs = joblog.NewLogs(joblog.Options{
@@ -163,6 +175,7 @@
 		Logger:     logger.Named("coordinator"),
 		Observer:   n.metrics,
 	})
+	n.usageSender, n.usageReporter = n.newUsage(logger)
 	return n
 }
 
@@ -181,7 +194,8 @@
 	defer internal.Close()
 	var background conc.WaitGroup
 	calls := rpc.NewServer()
-	if err := errors.Join(liveness.Register(calls, n.process(), n), jobread.Register(calls, n.jobReader)); err != nil {
+	if err := errors.Join(liveness.Register(calls, n.process(), n), jobread.Register(calls, n.jobReader), usage.Register(calls, n.options.Adapter.Log()),
+		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers))); err != nil {
 		return err
 	}
 	background.Go(func() {
@@ -218,7 +232,7 @@
 	background.Go(func() {
 		follow.Keyed(ctx, follow.KeyedOptions{
 			Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: n.options.Logger.Named("operator"),
-			Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead,
+			Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
 		})
 	})
 	background.Go(func() { n.servers.Run(ctx) })
@@ -226,17 +240,23 @@
 	background.Go(func() { n.coordinator.Run(ctx) })
 	background.Go(func() {
 		election.Run(ctx, election.Options{
-			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming(n.options.Settings), Ask: liveness.Ask,
+			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming(n.options.Settings), Ask: n.askHolder,
 			Hold:   &n.hold,
 			Logger: n.options.Logger.Named("election"), Observe: n.observeLease, Leaving: n.left,
 		})
 	})
 	background.Go(func() { n.sweep(ctx) })
+	if n.usageSender != nil {
+		background.Go(func() { n.usageSender.Run(ctx) })
+		background.Go(func() { n.usageReporter.Run(ctx) })
+	}
 }
 
 // observeLease takes this node's standing in the election.
 func (n *Node) observeLease(standing election.Standing) {
 	n.jobReader.observeCoordinator(standing.Leading, standing.Coordinator)
+	n.standing.Store(&standing)
+	n.peers.Note(standing.Coordinator)
 	n.coordinator.ObserveLease(standing)
 }
 
@@ -324,6 +344,11 @@
 			n.logger.Warn("requests cut by the end of the grace period", zap.Error(err))
 		}
 	}
+	if n.usageSender != nil {
+		last, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		n.usageSender.Flush(last)
+	}
 }
 
 func (n *Node) handleOperator(records []store.Record) {
@@ -357,4 +382,27 @@
 	n.coordinator.ObserveServers()
 }
 
-func (n *Node) noteOperatorRead(int64, bool) { n.operatorReadAt.Store(time.Now().UnixNano()) }
+// noteOperatorRead notes that the store said what the newest configuration is.
+func (n *Node) noteOperatorRead(int64, bool) {
+	now := time.Now().UnixNano()
+	n.operatorReadAt.Store(now)
+	n.configuredAt.Store(now)
+}
+
+// readRelayed has another node read what the operator put.
+func (n *Node) readRelayed(ctx context.Context, from int64) (follow.Relay, error) {
+	answer, err := storeproxy.Ask(ctx, &n.peers, storeproxy.Question{From: from})
+	if err != nil {
+		return follow.Relay{}, err
+	}
+	n.configuredAt.Store(time.Now().UnixNano())
+	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
+}
+
+// askHolder asks at the node of a holder of the lease whether its process runs.
+func (n *Node) askHolder(ctx context.Context, address, holder string, epoch int64) liveness.Verdict {
+	return liveness.Ask(ctx, n.options.Settings.Listen.Internal, address, holder, epoch)
+}
+
+// NoteAsked implements liveness.Holder.
+func (n *Node) NoteAsked(address string) { n.peers.Note(address) }
--- a/internal/frontend/outage_test.go
+++ b/internal/frontend/outage_test.go
@@ -16,6 +16,7 @@
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
+	"dalehook/internal/storeproxy"
 )
 
 const (
@@ -158,12 +159,15 @@
 // fleetNode is a node's part in the election, and what it knows of the operator's topic.
 type fleetNode struct {
 	hold  election.Hold
+	peers storeproxy.Peers
+	proxy *storeproxy.Proxy
 	mutex sync.Mutex
 	held  bool
 	known int
 }
 
 func (n *fleetNode) observe(standing election.Standing) {
+	n.peers.Note(standing.Coordinator)
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.held = standing.Held
@@ -192,7 +196,9 @@
 func startFleet(ctx context.Context, running *sync.WaitGroup) *fleetOfNodes {
 	f := &fleetOfNodes{store: &fleetStore{memory: storetest.NewMemory()}}
 	for number := range fleetNodes {
-		node, log := &fleetNode{}, nodeLog{fleetStore: f.store, node: number}
+		log := nodeLog{fleetStore: f.store, node: number}
+		node := &fleetNode{}
+		node.proxy = storeproxy.NewProxy(log, &node.peers)
 		f.nodes = append(f.nodes, node)
 		name := fmt.Sprint(number)
 		settings := &Settings{Node: name}
@@ -201,28 +207,47 @@
 			defer running.Done()
 			election.Run(ctx, election.Options{
 				Log: log, Self: name, Address: name, Timing: leaseTiming(settings), Hold: &node.hold, Logger: zap.NewNop(),
-				Observe: node.observe, Leaving: make(chan struct{}), Ask: f.ask,
+				Observe: node.observe, Leaving: make(chan struct{}), Ask: f.askFrom(name),
 			})
 		}()
 		go func() {
 			defer running.Done()
 			follow.Keyed(ctx, follow.KeyedOptions{
 				Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: zap.NewNop(),
-				Replace: node.learn, Change: node.learn, Read: func(int64, bool) {},
+				Replace: node.learn, Change: node.learn, Read: func(int64, bool) {}, Relayed: f.relayed(node),
 			})
 		}()
 	}
 	return f
 }
 
-// ask asks at the node of a holder, which always answers.
-func (f *fleetOfNodes) ask(_ context.Context, address, _ string, epoch int64) liveness.Verdict {
+func (f *fleetOfNodes) at(address string) *fleetNode {
 	var number int
 	fmt.Sscan(address, &number)
-	if epoch > 0 && f.nodes[number].hold.Yield(epoch) {
-		return liveness.Yielded
+	return f.nodes[number]
+}
+
+// askFrom returns how a node asks at the node of a holder, which always answers.
+func (f *fleetOfNodes) askFrom(name string) func(context.Context, string, string, int64) liveness.Verdict {
+	return func(_ context.Context, address, _ string, epoch int64) liveness.Verdict {
+		holder := f.at(address)
+		holder.peers.Note(name)
+		if epoch > 0 && holder.hold.Yield(epoch) {
+			return liveness.Yielded
+		}
+		return liveness.Alive
+	}
+}
+
+// relayed returns how a node has others read for it.
+func (f *fleetOfNodes) relayed(node *fleetNode) func(context.Context, int64) (follow.Relay, error) {
+	call := func(ctx context.Context, address string, question storeproxy.Question) (storeproxy.Answer, error) {
+		return f.at(address).proxy.Read(question), ctx.Err()
+	}
+	return func(ctx context.Context, from int64) (follow.Relay, error) {
+		answer, err := storeproxy.AskBy(ctx, call, &node.peers, storeproxy.Question{From: from})
+		return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, err
 	}
-	return liveness.Alive
 }
 
 // holders returns how many nodes hold the lease.
@@ -281,6 +306,53 @@
 	}
 }
 
+// applyDuringOutage is within what time a configuration, and so the withdrawal of a key, is known
+// at all nodes while the store turns a share of them away: what the platform allows.
+const applyDuringOutage = 3 * time.Second
+
+// While the store turns a share of the nodes away, be the coordinator among them or not, all
+// nodes come to know what the operator puts.
+func TestNodesThatTheStoreTurnsAwayLearnOfChanges(t *testing.T) {
+	for _, kind := range []outage{outageRefuses, outageSilent, outageResets, outageSlow} {
+		for _, withCoordinator := range []bool{false, true} {
+			t.Run(fmt.Sprintf("kind %d, the coordinator too %v", kind, withCoordinator), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playWithdrawals(t, kind, withCoordinator) })
+			})
+		}
+	}
+}
+
+func playWithdrawals(t *testing.T, kind outage, withCoordinator bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	f := startFleet(ctx, &running)
+	defer running.Wait()
+	defer cancel()
+	f.put(sizeBefore)
+	time.Sleep(5 * time.Second)
+	coordinator := 0
+	for number, node := range f.nodes {
+		if held, _ := node.state(); held {
+			coordinator = number
+		}
+	}
+	f.store.strike(kind, func(node int) bool {
+		if node == coordinator {
+			return withCoordinator
+		}
+		return node%3 == 0
+	})
+	// Changes come at once, and again when others have taken over.
+	for change := 1; change <= 3; change++ {
+		size := sizeBefore + change
+		f.put(size)
+		time.Sleep(applyDuringOutage)
+		if unaware := f.unaware(size); unaware > 0 {
+			t.Errorf("change %d: %d nodes do not know of it after %v", change, unaware, applyDuringOutage)
+		}
+	}
+}
+
 // The sizes of configurations, in bytes: one before the outage, and of 60 and some 1,400
 // routes during it.
 const (
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -56,7 +56,7 @@
 	if n.leaving.Load() || n.table.Load() == nil || !n.servers.Complete() {
 		return false
 	}
-	return n.configurationAge(time.Now()) < storeSilence
+	return time.Since(time.Unix(0, n.operatorReadAt.Load())) < storeSilence
 }
 
 // Serve answers a single request.
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 )
 
 // Settings are a node's settings, as they stand in its file.
@@ -31,6 +32,28 @@
 		// Partitions is the number of partitions of each topic.
 		Partitions int `json:"partitions"`
 	} `json:"store"`
+	// Provider is the service that takes reports and orders from the holder of the lease.
+	Provider struct {
+		// Address is IP:PORT; empty where there is none.
+		Address string `json:"address"`
+		// Duties are what the holder does there: "usage" for reports of usage.
+		Duties []string `json:"duties"`
+	} `json:"provider"`
+	// Access is what becomes of callers with keys while this node can not learn whether they
+	// were withdrawn.
+	Access struct {
+		// FailClosed refuses them; else they are served by what was last known.
+		FailClosed bool `json:"fail_closed"`
+		// RevocationMs is the age of what is known of keys from which on that holds.
+		RevocationMs int `json:"revocation_ms"`
+	} `json:"access"`
+	// Usage is how the requests of tenants are counted.
+	Usage struct {
+		// WindowSeconds is the length of a window.
+		WindowSeconds float64 `json:"window_seconds"`
+		// LatenessSeconds is the time after a window's end by which it is reported.
+		LatenessSeconds float64 `json:"lateness_seconds"`
+	} `json:"usage"`
 	// OrderPauseMs is the least time between the orders of two holders of the lease.
 	OrderPauseMs int `json:"order_pause_ms"`
 	// FencingEnforced says that engines refuse orders with an old fencing token.
@@ -72,6 +95,14 @@
 	return settings, nil
 }
 
+// dutyUsage is the duty of reporting usage.
+const dutyUsage = "usage"
+
+// reportsUsage says whether the usage of tenants is counted and reported.
+func (s *Settings) reportsUsage() bool {
+	return s.Provider.Address != "" && slices.Contains(s.Provider.Duties, dutyUsage)
+}
+
 func (s *Settings) check() error {
 	var faults []error
 	require := func(holds bool, fault string) {
@@ -85,6 +116,14 @@
 	require(s.Listen.Internal != "", "listen.internal is missing")
 	require(s.Store.Address != "", "store.address is missing")
 	require(s.Store.Partitions > 0, "store.partitions must be above 0")
+	require(s.Access.RevocationMs >= 0, "access.revocation_ms must not be below 0")
+	require(!s.Access.FailClosed || s.Access.RevocationMs > 0, "access.revocation_ms must be above 0 where access.fail_closed is set")
+	require(s.Usage.WindowSeconds >= 0, "usage.window_seconds must not be below 0")
+	require(s.Usage.LatenessSeconds >= 0, "usage.lateness_seconds must not be below 0")
+	if s.reportsUsage() {
+		require(s.Usage.WindowSeconds > 0, "usage.window_seconds must be above 0 where provider.duties has usage")
+		require(s.Usage.LatenessSeconds > 0, "usage.lateness_seconds must be above 0 where provider.duties has usage")
+	}
 	require(s.OrderPauseMs >= 0, "order_pause_ms must not be below 0")
 	require(s.GraceSeconds > 0, "grace_seconds must be above 0")
 	require(s.MemoryMb >= 0, "memory_mb must not be below 0")
--- /dev/null
+++ b/internal/frontend/usage.go
@@ -0,0 +1,71 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/election"
+	"dalehook/internal/usage"
+)
+
+// flushTimeout bounds the last append of what a leaving node has counted.
+const flushTimeout = 500 * time.Millisecond
+
+var errNobodyKnown = errors.New("no other node is known to coordinate")
+
+// newUsage returns what counts and reports the usage of tenants, nil where nobody asks for it.
+func (n *Node) newUsage(logger *zap.Logger) (*usage.Sender, *usage.Reporter) {
+	settings := n.options.Settings
+	if !settings.reportsUsage() {
+		return nil, nil
+	}
+	log := n.options.Adapter.Log()
+	length := seconds(settings.Usage.WindowSeconds)
+	sender := usage.NewSender(usage.SenderOptions{
+		Log: log, Process: n.process(), Length: length, Forward: n.forwardUsage, Logger: logger.Named("usage"),
+		Lost: func(requests int) { n.metrics.usageLost.Add(float64(requests)) },
+	})
+	reporter := usage.NewReporter(usage.ReporterOptions{
+		Log: log, Provider: n.options.Adapter.Provider(), Length: length, Lateness: seconds(settings.Usage.LatenessSeconds),
+		Term: n.term, Logger: logger.Named("usage"),
+		Observe: func(outcome string) { n.metrics.usageReports.WithLabelValues(outcome).Inc() },
+	})
+	return sender, reporter
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// noteBegan counts a request that began to run at a server.
+func (n *Node) noteBegan(tenantName string, at time.Time) {
+	if n.usageSender != nil && tenantName != "" {
+		n.usageSender.Count(tenantName, at)
+	}
+}
+
+// forwardUsage has the coordinator append a record that this node could not.
+func (n *Node) forwardUsage(ctx context.Context, record []byte) error {
+	address := n.jobReader.answering()
+	if address == "" {
+		return errNobodyKnown
+	}
+	return usage.AskToAppend(ctx, address, record)
+}
+
+// term returns this node's hold of the lease, for what is done at the provider under it.
+func (n *Node) term() usage.Term {
+	standing := n.standing.Load()
+	if standing == nil {
+		return usage.Term{}
+	}
+	return usage.Term{Epoch: standing.Lease.Epoch, Acting: n.acts(time.Now(), *standing)}
+}
+
+// acts says whether this node may act on the lease now.
+func (n *Node) acts(now time.Time, standing election.Standing) bool {
+	pause := time.Duration(n.options.Settings.OrderPauseMs) * time.Millisecond
+	settled := standing.Lease.SettledAt(pause, n.options.Settings.FencingEnforced)
+	return standing.Held && now.Before(standing.Lease.Until) && !now.Before(settled) && !n.hold.Yielded(standing.Lease.Epoch)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,8 @@
 	Logger *zap.Logger
 	// Observe is told of each request that was answered.
 	Observe func(Outcome)
+	// Began is told of each request that began to run at a server, of which tenant and when.
+	Began func(tenantName string, at time.Time)
 }
 
 // Outcome is how a request ended, for metrics.
@@ -46,6 +48,9 @@
 	if options.Observe == nil {
 		options.Observe = func(Outcome) {}
 	}
+	if options.Began == nil {
+		options.Began = func(string, time.Time) {}
+	}
 	return &Gateway{options: options, balancer: newBalancer(options.Zone)}
 }
 
@@ -269,9 +274,20 @@
 		got.read()
 	}
 	c.gateway.observe(began, server, got)
+	if got.ran() {
+		c.gateway.options.Began(c.request.Caller.Tenant, began)
+	}
 	return got
 }
 
+// ran says whether a server began to run the request, as far as is known.
+func (a *attempt) ran() bool {
+	if a.failed != nil {
+		return a.failed.Sent
+	}
+	return !a.answer.NotExecuted
+}
+
 // leftUntil returns the time until a deadline, at least a millisecond.
 func leftUntil(deadline time.Time) time.Duration {
 	return max(time.Until(deadline), time.Millisecond)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"dalehook/internal/eventstream"
 )
@@ -58,6 +59,7 @@
 		return false, 0
 	}
 	c.unrun = false
+	c.gateway.options.Began(c.request.Caller.Tenant, time.Now())
 	if answer.Status != http.StatusOK {
 		return r.takeFailure(answer)
 	}
--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -52,6 +52,8 @@
 	Yield(epoch int64) bool
 	// Pending returns what the process had not appended when it yielded an epoch.
 	Pending(epoch int64) []Pending
+	// NoteAsked is told where a node answers that asked, and so reaches the store.
+	NoteAsked(address string)
 }
 
 // Question is what a node asks a process.
@@ -59,6 +61,8 @@
 	// Epoch is that of the lease which the process is thought to hold; 0 asks only whether
 	// the process runs.
 	Epoch int64
+	// From is where the node that asks answers; it reaches the store.
+	From string
 }
 
 // Answer is what a process says of itself.
@@ -93,6 +97,7 @@
 // Ask says which process this is, and yields the lease where it has to.
 func (s *service) Ask(question Question, answer *Answer) error {
 	answer.Process = s.process
+	s.holder.NoteAsked(question.From)
 	if question.Epoch > 0 {
 		answer.Yielded = s.holder.Yield(question.Epoch)
 	}
@@ -106,10 +111,10 @@
 }
 
 // Ask asks the node at address whether a process still runs there, and whether it yields
-// the lease of an epoch.
-func Ask(ctx context.Context, address, process string, epoch int64) Verdict {
+// the lease of an epoch. From is where the node that asks answers.
+func Ask(ctx context.Context, from, address, process string, epoch int64) Verdict {
 	var said Answer
-	err := nodecall.Call(ctx, address, methodAsk, Question{Epoch: epoch}, &said)
+	err := nodecall.Call(ctx, address, methodAsk, Question{Epoch: epoch, From: from}, &said)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
--- a/internal/liveness/liveness_test.go
+++ b/internal/liveness/liveness_test.go
@@ -16,14 +16,19 @@
 func ask(address, process string) Verdict {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	return Ask(ctx, address, process, 7)
+	return Ask(ctx, "asker:1", address, process, 7)
 }
 
 // holder yields the lease of epoch 7 once it is to.
-type holder struct{ yields bool }
+type holder struct {
+	yields    bool
+	askedFrom string
+}
 
 func (h *holder) Yield(epoch int64) bool { return h.yields && epoch == 7 }
 
+func (h *holder) NoteAsked(address string) { h.askedFrom = address }
+
 func (h *holder) Pending(epoch int64) []Pending {
 	if epoch != 7 {
 		return nil
@@ -51,6 +56,9 @@
 	if got := ask(address, "node/2"); got != Alive {
 		t.Errorf("the process itself: %v", got)
 	}
+	if held.askedFrom != "asker:1" {
+		t.Errorf("it was asked from %q", held.askedFrom)
+	}
 	if got := ask(address, "node/1"); got != Replaced {
 		t.Errorf("an earlier process: %v", got)
 	}
@@ -83,7 +91,7 @@
 	defer listener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	if got := Ask(ctx, listener.Addr().String(), "node/1", 7); got != Unknown {
+	if got := Ask(ctx, "asker:1", listener.Addr().String(), "node/1", 7); got != Unknown {
 		t.Errorf("a node that says nothing: %v", got)
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -32,11 +32,13 @@
 	// TopicServerRelay holds what the coordinator of a large fleet tells the other
 	// nodes of the list of servers. Only the newest seconds of it are kept.
 	TopicServerRelay
+	// TopicUsage holds what nodes count of the requests that ran, and the ends of windows.
+	TopicUsage
 )
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay"}[t]
+	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay", "usage"}[t]
 }
 
 // Partition is one log of a topic.
--- /dev/null
+++ b/internal/storeproxy/storeproxy.go
@@ -0,0 +1,224 @@
+// Package storeproxy lets a node that the store turns away read what operators put there by
+// way of another node. A store may refuse some machines while it serves all others.
+package storeproxy
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net/rpc"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/singleflight"
+
+	"dalehook/internal/nodecall"
+	"dalehook/internal/store"
+)
+
+const (
+	// readTimeout bounds the read that a node makes for another.
+	readTimeout = 600 * time.Millisecond
+	// freshFor is how long an answer is given again: hundreds of nodes may ask at once.
+	freshFor = 200 * time.Millisecond
+	// askTimeout bounds the asking of one node, above readTimeout.
+	askTimeout = 800 * time.Millisecond
+	// mostPeers is how many nodes are remembered: the ones that coordinated last.
+	mostPeers = 4
+)
+
+// Question asks for the records of the operator's topic.
+type Question struct {
+	// From is the offset to read on from; below 0 the newest record of each key is asked for.
+	From int64
+}
+
+// Answer holds the records.
+type Answer struct {
+	Records []store.Record
+	// Whole says that the records are the newest of each key, not what came after From.
+	Whole bool
+	// Next is the offset after what was read.
+	Next int64
+	// Failed says that this node could not read the store either; Peer is where a node
+	// answers that could when it was last heard of, empty for none.
+	Failed bool
+	Peer   string
+}
+
+// Peers remembers where other nodes answer. It may be used by several goroutines.
+type Peers struct {
+	mutex     sync.Mutex
+	addresses []string
+}
+
+// Note remembers an address as the last that was heard of.
+func (p *Peers) Note(address string) {
+	if address == "" {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := slices.DeleteFunc(p.addresses, func(other string) bool { return other == address })
+	p.addresses = append([]string{address}, known...)
+	p.addresses = p.addresses[:min(len(p.addresses), mostPeers)]
+}
+
+// Known returns the addresses, the last that was heard of first.
+func (p *Peers) Known() []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.Clone(p.addresses)
+}
+
+// The calls of the service.
+const (
+	serviceName = "Store"
+	methodRead  = serviceName + ".Read"
+)
+
+// Proxy reads the store for other nodes. It may be used by several goroutines.
+type Proxy struct {
+	log   store.Log
+	peers *Peers
+
+	// reads are those under way, by the offset: nodes that ask for the same share one.
+	reads singleflight.Group
+
+	mutex  sync.Mutex
+	latest map[int64]latestRead
+}
+
+type latestRead struct {
+	answer Answer
+	at     time.Time
+}
+
+// NewProxy returns a proxy to a store. Peers are told to the nodes that it can not help.
+func NewProxy(log store.Log, peers *Peers) *Proxy {
+	return &Proxy{log: log, peers: peers, latest: make(map[int64]latestRead)}
+}
+
+type service struct{ proxy *Proxy }
+
+// Register has a server read the store for other nodes.
+func Register(server *rpc.Server, proxy *Proxy) error {
+	return eris.Wrap(server.RegisterName(serviceName, &service{proxy: proxy}), "register the reading for other nodes")
+}
+
+// Read reads the operator's topic for another node.
+func (s *service) Read(question Question, answer *Answer) error {
+	*answer = s.proxy.Read(question)
+	return nil
+}
+
+// Read answers a question from the store, or from what was read of it just before.
+func (p *Proxy) Read(question Question) Answer {
+	if answer, fresh := p.fresh(question.From); fresh {
+		return answer
+	}
+	shared, _, _ := p.reads.Do(strconv.FormatInt(question.From, 10), func() (any, error) {
+		answer := p.readNow(question)
+		p.note(question.From, answer)
+		return answer, nil
+	})
+	return shared.(Answer)
+}
+
+func (p *Proxy) fresh(from int64) (answer Answer, fresh bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	latest := p.latest[from]
+	return latest.answer, time.Since(latest.at) < freshFor
+}
+
+// note remembers an answer, and forgets the others that are no longer fresh.
+func (p *Proxy) note(from int64, answer Answer) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(p.latest, func(_ int64, read latestRead) bool { return now.Sub(read.at) >= freshFor })
+	p.latest[from] = latestRead{answer: answer, at: now}
+}
+
+func (p *Proxy) readNow(question Question) Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	var answer Answer
+	if err := read(ctx, p.log, question, &answer); err == nil {
+		return answer
+	}
+	failed := Answer{Failed: true}
+	if known := p.peers.Known(); len(known) > 0 {
+		failed.Peer = known[0]
+	}
+	return failed
+}
+
+func read(ctx context.Context, log store.Log, question Question, answer *Answer) error {
+	if question.From >= 0 {
+		batch, err := log.Read(ctx, store.Partition{Topic: store.TopicOperator}, question.From, 0)
+		if err == nil {
+			answer.Records, answer.Next = batch.Records, batch.Next
+			return nil
+		}
+		var trimmed *store.TrimmedError
+		if !errors.As(err, &trimmed) {
+			return err
+		}
+	}
+	records, end, err := log.Newest(ctx, store.TopicOperator)
+	answer.Records, answer.Next, answer.Whole = records, end, true
+	return err
+}
+
+var errNobody = errors.New("no other node reads the store")
+
+// Call asks the node at an address.
+type Call func(ctx context.Context, address string, question Question) (Answer, error)
+
+// Ask has other nodes read the store, one after the other until one can.
+func Ask(ctx context.Context, peers *Peers, question Question) (Answer, error) {
+	return AskBy(ctx, CallNode, peers, question)
+}
+
+// AskBy is Ask by a way of calling nodes.
+func AskBy(ctx context.Context, call Call, peers *Peers, question Question) (Answer, error) {
+	asked := make(map[string]bool)
+	failure := errNobody
+	addresses := peers.Known()
+	for len(addresses) > 0 {
+		address := addresses[0]
+		addresses = addresses[1:]
+		if asked[address] {
+			continue
+		}
+		asked[address] = true
+		answer, err := askOne(ctx, call, address, question)
+		switch {
+		case err != nil:
+			failure = err
+		case answer.Failed && answer.Peer != "":
+			addresses = append([]string{answer.Peer}, addresses...)
+		case !answer.Failed:
+			peers.Note(address)
+			return answer, nil
+		}
+	}
+	return Answer{}, failure
+}
+
+func askOne(ctx context.Context, call Call, address string, question Question) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return call(ctx, address, question)
+}
+
+// CallNode is the Call of nodes on the network.
+func CallNode(ctx context.Context, address string, question Question) (answer Answer, err error) {
+	err = nodecall.Call(ctx, address, methodRead, question, &answer)
+	return answer, err
+}
