--- a/internal/frontend/settings_test.go
+++ b/internal/frontend/settings_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"os"
 	"regexp"
 	"strings"
@@ -34,34 +35,36 @@
 	}
 }
 
-// without are the parts of the template that stand where a deployment does not have a field:
-// its name, and the text.
-var without = regexp.MustCompile(`\{\{\^([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
+var (
+	// section is a part of the template that stands where a field is given and true (#), or
+	// where there is none or it is false (^).
+	section = regexp.MustCompile(`\{\{([#^])([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
+	gap     = regexp.MustCompile(`\{\{([^}|]*)(\|json)?\}\}`)
+)
 
-// fill fills the template as the platform does: with all fields, or without those that a
-// deployment may lack.
-func fill(template string, whole bool) string {
-	lacking := make(map[string]bool)
-	for _, match := range without.FindAllStringSubmatch(template, -1) {
-		lacking[match[1]] = !whole
-	}
-	if whole {
-		template = without.ReplaceAllString(template, "")
-	} else {
-		template = without.ReplaceAllString(template, "$2")
+// fill fills the template as the platform does. Values are those of the fields that do not
+// have the one that stands for most; nil is a field that the deployment does not have.
+func fill(template string, values map[string]any) string {
+	value := func(field string) any {
+		if known, special := values[field]; special {
+			return known
+		}
+		return 7
 	}
-	gap := regexp.MustCompile(`\{\{([^}|]*)(\|json)?\}\}`)
+	template = section.ReplaceAllStringFunc(template, func(text string) string {
+		parts := section.FindStringSubmatch(text)
+		given := value(parts[2]) != nil && value(parts[2]) != false
+		if given == (parts[1] == "#") {
+			return parts[3]
+		}
+		return ""
+	})
 	return gap.ReplaceAllStringFunc(template, func(text string) string {
-		field := gap.FindStringSubmatch(text)
-		switch {
-		case lacking[field[1]]:
+		known := value(gap.FindStringSubmatch(text)[1])
+		if known == nil {
 			return ""
-		case field[2] != "":
-			return `["usage","scaling"]`
-		case strings.HasSuffix(field[1], "Enforced"), strings.HasSuffix(field[1], "Closed"):
-			return "true"
 		}
-		return "7"
+		return fmt.Sprint(known)
 	})
 }
 
@@ -72,13 +75,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, whole := range []bool{true, false} {
-		settings, err := ParseSettings([]byte(fill(string(text), whole)))
+	const duties = `["usage","scaling"]`
+	cases := []struct {
+		name       string
+		values     map[string]any
+		usage      bool
+		failClosed bool
+	}{
+		{"all fields", map[string]any{"cloudApi.duties": duties, "bounds.fencingEnforced": true, "bounds.failClosed": true}, true, true},
+		{"false ones", map[string]any{"cloudApi.duties": duties, "bounds.fencingEnforced": false, "bounds.failClosed": false}, true, false},
+		{"a few fields", map[string]any{
+			"cloudApi.address": nil, "cloudApi.duties": nil, "bounds.fencingEnforced": true, "bounds.failClosed": nil,
+			"bounds.revocationMs": nil, "bounds.usageWindowS": nil, "bounds.usageLatenessS": nil, "limits.cpuShare": nil,
+		}, false, false},
+	}
+	for _, c := range cases {
+		settings, err := ParseSettings([]byte(fill(string(text), c.values)))
 		if err != nil {
-			t.Fatalf("whole %v: %v", whole, err)
+			t.Errorf("%s: %v", c.name, err)
+			continue
 		}
-		if settings.reportsUsage() != whole {
-			t.Errorf("whole %v: usage is reported: %v", whole, settings.reportsUsage())
+		if settings.reportsUsage() != c.usage || settings.Access.FailClosed != c.failClosed {
+			t.Errorf("%s: %+v", c.name, settings)
 		}
 	}
 }
