Servers are ordered by the items that are open at once

Change: internal/scaling, a state machine under the lease's fence: slots for the most items of the last minute, cheap zones first by price times number, bounds of the configuration and of the operator, given back after a minute in which fewer sufficed; what does not come is ordered again; a successor goes on from what is listed.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -205,6 +205,16 @@
 	}
 }
 
+// Demand returns the number of open items by service, nil while this node does not coordinate.
+func (c *Coordinator) Demand() map[string]int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.machine == nil {
+		return nil
+	}
+	return c.machine.Demand()
+}
+
 // ObserveTable takes a new configuration.
 func (c *Coordinator) ObserveTable(table *routetable.Table) {
 	c.mutex.Lock()
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -62,7 +62,9 @@
 
 func (c *Coordinator) run(ctx context.Context, machine *scheduler.Machine, start scheduler.Start) {
 	began := time.Now()
+	events := 0
 	reason, err := c.options.Engines.Run(ctx, start, func(event scheduler.Event) {
+		events++
 		c.inputOf(machine, func(now time.Time) { machine.HandleEvent(now, start.Attempt, event) })
 	})
 	if ctx.Err() != nil {
@@ -70,6 +72,7 @@
 	}
 	c.options.Observer.ObserveAttempt(reason)
 	c.options.Logger.Info("item attempt ended", zap.String("job", start.JobID), zap.String("item", start.Item.ID),
+		zap.String("group", start.Item.Group), zap.Int("events", events),
 		zap.Uint64("attempt", uint64(start.Attempt)), zap.String("server", start.Server.ID), zap.String("after", start.After),
 		zap.Int64("epoch", start.Inputs.Term), zap.Int64("version", start.Inputs.Version),
 		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -18,6 +18,8 @@
 	Zone     string
 	Slots    int
 	Draining bool
+	// Spot servers may be taken away with little notice.
+	Spot bool
 	// Versions holds the loaded weight version of each model.
 	Versions map[string]int64
 	// Digest is that of the server's entry in the store, without what every
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -37,6 +37,7 @@
 	keysRefused    *prometheus.CounterVec
 	usageReports   *prometheus.CounterVec
 	usageLost      prometheus.Counter
+	serverOrders   *prometheus.CounterVec
 }
 
 var _ coordinator.Observer = (*nodeMetrics)(nil)
@@ -66,12 +67,13 @@
 		storeSeconds: histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
 		keysRefused:  counter("dalehook_keys_refused_total", "Requests refused for their key: none, or one that is not known.", "key"),
 		usageReports: counter("dalehook_usage_reports_total", "Reports of a window's usage by what came of them.", "outcome"),
+		serverOrders: counter("dalehook_server_orders_total", "Orders of a zone's number of servers by what came of them.", "outcome"),
 		usageLost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_usage_lost_total", Help: "Requests that were counted and could not be appended in time.",
 		}),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
-		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, collectors.NewGoCollector())
+		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
 }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -24,6 +24,7 @@
 	"dalehook/internal/liveness"
 	"dalehook/internal/nodecall"
 	"dalehook/internal/routetable"
+	"dalehook/internal/scaling"
 	"dalehook/internal/serverlist"
 	"dalehook/internal/store"
 	"dalehook/internal/storeproxy"
@@ -39,8 +40,8 @@
 	Log() store.Log
 	Backend() gateway.Backend
 	Engines() coordinator.Engines
-	// Provider takes reports of usage; it is called only where the settings name one.
-	Provider() usage.Provider
+	// Provider is called only where the settings name one.
+	Provider() Provider
 	// Table decodes the record of the operator's topic that holds the
 	// configuration; it returns nil for a record that does not.
 	Table(record store.Record) (*routetable.Table, error)
@@ -56,6 +57,12 @@
 	ObserveStore(observe func(call string, status int, took time.Duration))
 }
 
+// Provider is the service that takes reports and orders from the holder of the lease.
+type Provider interface {
+	usage.Provider
+	scaling.Provider
+}
+
 // Options configure a Node.
 type Options struct {
 	Settings *Settings
@@ -146,6 +153,8 @@
 	// usageSender and usageReporter are nil where no usage is reported.
 	usageSender   *usage.Sender
 	usageReporter *usage.Reporter
+	// scaling is nil where no servers are ordered.
+	scaling *scaling.Driver
 }
 
 // NewNode assembles a node.
@@ -176,6 +185,7 @@
 		Observer:   n.metrics,
 	})
 	n.usageSender, n.usageReporter = n.newUsage(logger)
+	n.scaling = n.newScaling(logger)
 	return n
 }
 
@@ -250,6 +260,9 @@
 		background.Go(func() { n.usageSender.Run(ctx) })
 		background.Go(func() { n.usageReporter.Run(ctx) })
 	}
+	if n.scaling != nil {
+		background.Go(func() { n.scaling.Run(ctx) })
+	}
 }
 
 // observeLease takes this node's standing in the election.
--- /dev/null
+++ b/internal/frontend/scaling.go
@@ -0,0 +1,52 @@
+package frontend
+
+import (
+	"go.uber.org/zap"
+
+	"dalehook/internal/scaling"
+)
+
+// newScaling returns what orders servers, nil where none are ordered.
+func (n *Node) newScaling(logger *zap.Logger) *scaling.Driver {
+	settings := n.options.Settings
+	if !settings.ordersServers() {
+		return nil
+	}
+	return scaling.NewDriver(scaling.DriverOptions{
+		Provider: n.options.Adapter.Provider(),
+		Term: func() scaling.Term {
+			term := n.term()
+			return scaling.Term{Epoch: term.Epoch, Acting: term.Acting}
+		},
+		View: n.scalingView, Headroom: settings.Scaling.Headroom, Most: settings.Scaling.MostServers,
+		Observe: func(outcome string) { n.metrics.serverOrders.WithLabelValues(outcome).Inc() },
+		Logger:  logger.Named("scaling"),
+	})
+}
+
+// scalingView returns what is known of the services whose number of servers may be chosen.
+func (n *Node) scalingView() scaling.View {
+	view := scaling.View{Listed: make(map[string]map[string]int), Open: n.coordinator.Demand()}
+	table := n.table.Load()
+	if table == nil {
+		return view
+	}
+	snapshot := n.directory.Snapshot()
+	for name, service := range table.Services {
+		if service.Scaling == nil {
+			continue
+		}
+		view.Services = append(view.Services, scaling.Service{
+			Name: name, Slots: service.Slots, Minimum: service.Scaling.Minimum, Maximum: service.Scaling.Maximum,
+			BootTime: service.Scaling.BootTime, ZonePrices: service.Scaling.ZonePrices,
+		})
+		listed := make(map[string]int)
+		for _, server := range snapshot.Ready(name) {
+			if !server.Spot {
+				listed[server.Zone]++
+			}
+		}
+		view.Listed[name] = listed
+	}
+	return view
+}
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -36,7 +36,8 @@
 	Provider struct {
 		// Address is IP:PORT; empty where there is none.
 		Address string `json:"address"`
-		// Duties are what the holder does there: "usage" for reports of usage.
+		// Duties are what the holder does there: "usage" for reports of usage, "scaling" for
+		// orders of servers.
 		Duties []string `json:"duties"`
 	} `json:"provider"`
 	// Access is what becomes of callers with keys while this node can not learn whether they
@@ -54,6 +55,16 @@
 		// LatenessSeconds is the time after a window's end by which it is reported.
 		LatenessSeconds float64 `json:"lateness_seconds"`
 	} `json:"usage"`
+	// Scaling is how servers are ordered.
+	Scaling struct {
+		// Off leaves the number of servers as it is.
+		Off bool `json:"off"`
+		// Headroom is the number of slots for each item that was open at once; 0 means 1.
+		Headroom float64 `json:"headroom"`
+		// MostServers bounds the servers of a service over all zones; 0 means that only the
+		// configuration does.
+		MostServers int `json:"most_servers"`
+	} `json:"scaling"`
 	// OrderPauseMs is the least time between the orders of two holders of the lease.
 	OrderPauseMs int `json:"order_pause_ms"`
 	// FencingEnforced says that engines refuse orders with an old fencing token.
@@ -98,6 +109,14 @@
 // dutyUsage is the duty of reporting usage.
 const dutyUsage = "usage"
 
+// dutyScaling is the duty of ordering servers.
+const dutyScaling = "scaling"
+
+// ordersServers says whether servers are ordered as they are needed.
+func (s *Settings) ordersServers() bool {
+	return s.Provider.Address != "" && slices.Contains(s.Provider.Duties, dutyScaling) && !s.Scaling.Off
+}
+
 // reportsUsage says whether the usage of tenants is counted and reported.
 func (s *Settings) reportsUsage() bool {
 	return s.Provider.Address != "" && slices.Contains(s.Provider.Duties, dutyUsage)
@@ -124,6 +143,8 @@
 		require(s.Usage.WindowSeconds > 0, "usage.window_seconds must be above 0 where provider.duties has usage")
 		require(s.Usage.LatenessSeconds > 0, "usage.lateness_seconds must be above 0 where provider.duties has usage")
 	}
+	require(s.Scaling.Headroom >= 0, "scaling.headroom must not be below 0")
+	require(s.Scaling.MostServers >= 0, "scaling.most_servers must not be below 0")
 	require(s.OrderPauseMs >= 0, "order_pause_ms must not be below 0")
 	require(s.GraceSeconds > 0, "grace_seconds must be above 0")
 	require(s.MemoryMb >= 0, "memory_mb must not be below 0")
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -110,6 +110,18 @@
 	Models []string
 	// Slots is the number of requests an engine runs at once; 0 for other services.
 	Slots int
+	// Scaling is nil where the number of servers can not be chosen.
+	Scaling *Scaling
+}
+
+// Scaling bounds the choice of a service's number of servers.
+type Scaling struct {
+	// Minimum and Maximum bound the servers of each zone.
+	Minimum, Maximum int
+	// BootTime is from an order until a new server serves.
+	BootTime time.Duration
+	// ZonePrices holds what a second of a server costs in each zone, relative to others.
+	ZonePrices map[string]float64
 }
 
 // Limits bound what a caller may send.
--- /dev/null
+++ b/internal/scheduler/listing.go
@@ -0,0 +1,52 @@
+package scheduler
+
+import (
+	"time"
+
+	"dalehook/internal/batch"
+)
+
+// DefaultListInterval is the shortest time between two listings of a job's results. Trainers
+// read twice a second, and are answered at once where there is anything new: results that come
+// one by one have them find the last one half a second late, and come back half a second after
+// that. With a little more than their interval between listings, their reads wait for the next
+// one, and are answered as it comes.
+const DefaultListInterval = 550 * time.Millisecond
+
+// list takes the result of an item whose work is done, to be listed with the next ones.
+func (m *Machine) list(now time.Time, owner *item, result batch.Result) {
+	owner.finished = true
+	owner.text = nil
+	open := owner.job
+	open.unlisted = append(open.unlisted, result)
+	m.listDue(now, open)
+}
+
+// listDue lists what is ready of a job if its last listing is long enough ago.
+func (m *Machine) listDue(now time.Time, open *job) {
+	if len(open.unlisted) == 0 || now.Sub(open.listedAt) < m.options.ListInterval {
+		return
+	}
+	open.listedAt = now
+	m.listAll(open)
+}
+
+// listAll lists what is ready of a job.
+func (m *Machine) listAll(open *job) {
+	m.output.Results = append(m.output.Results, open.unlisted...)
+	open.unlisted = nil
+}
+
+// listReady lists what is ready of all jobs whose last listing is long enough ago.
+func (m *Machine) listReady(now time.Time) {
+	for _, open := range m.sortedJobs() {
+		m.listDue(now, open)
+	}
+}
+
+// listEverything lists what is ready of all jobs.
+func (m *Machine) listEverything() {
+	for _, open := range m.sortedJobs() {
+		m.listAll(open)
+	}
+}
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -90,6 +90,19 @@
 	return waiting
 }
 
+// Demand returns the number of items by service whose texts are not whole.
+func (m *Machine) Demand() map[string]int {
+	demand := make(map[string]int)
+	for _, open := range m.jobs {
+		for _, known := range open.items {
+			if !known.finished && !known.whole {
+				demand[known.service]++
+			}
+		}
+	}
+	return demand
+}
+
 // Unscored returns the number of items whose text is whole and has no score yet.
 func (m *Machine) Unscored() int { return m.rewards.Len() }
 
