--- a/internal/scheduler/listing.go
+++ b/internal/scheduler/listing.go
@@ -14,12 +14,10 @@
 const DefaultListInterval = 550 * time.Millisecond
 
 // list takes the result of an item whose work is done, to be listed with the next ones.
-func (m *Machine) list(now time.Time, owner *item, result batch.Result) {
+func (m *Machine) list(owner *item, result batch.Result) {
 	owner.finished = true
 	owner.text = nil
-	open := owner.job
-	open.unlisted = append(open.unlisted, result)
-	m.listDue(now, open)
+	owner.job.unlisted = append(owner.job.unlisted, result)
 }
 
 // listDue lists what is ready of a job if its last listing is long enough ago.
