--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -37,6 +37,7 @@
 	commander.Register(newWithdrawCommand(streams), groupOperators)
 	commander.Register(newStatusCommand(streams), groupOperators)
 	commander.Register(newExplainCommand(streams), groupOperators)
+	commander.Register(newStepsCommand(streams), groupOperators)
 	commander.Register(newDemoCommand(streams), groupRehearsal)
 	commander.Register(newRehearseCommand(streams), groupRehearsal)
 	commander.Register(newLoadCommand(streams), groupRehearsal)
--- /dev/null
+++ b/internal/explain/steps_test.go
@@ -0,0 +1,43 @@
+package explain
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// stepLog is the log of one step of two wanted groups of three, and of one that never became
+// ready. The last item of the wanted groups is b-1: it began late, was moved, and was listed
+// after its text was whole.
+const stepLog = `
+{"level":"info","ts":"2026-01-01T00:00:00.000Z","logger":"node","msg":"batch job submitted","node":"n","job":"j","model":"m","step":3,"wanted_groups":2}
+{"level":"info","ts":"2026-01-01T00:00:02.000Z","logger":"coordinator","msg":"item attempt ended","node":"n","job":"j","item":"a-1","group":"a","events":40,"server":"s-1","reason":"completed","took":2000}
+{"level":"info","ts":"2026-01-01T00:00:01.500Z","logger":"coordinator","msg":"item attempt ended","node":"n","job":"j","item":"b-1","group":"b","events":10,"server":"s-1","reason":"cancelled","took":1000}
+{"level":"info","ts":"2026-01-01T00:00:04.000Z","logger":"coordinator","msg":"item attempt ended","node":"n","job":"j","item":"b-1","group":"b","events":40,"server":"s-2","reason":"completed","took":2200}
+{"level":"info","ts":"2026-01-01T00:00:05.000Z","logger":"coordinator","msg":"item attempt ended","node":"n","job":"j","item":"c-1","group":"c","events":90,"server":"s-2","reason":"completed","took":5000}
+{"level":"info","ts":"2026-01-01T00:00:04.300Z","logger":"coordinator","msg":"item finished","node":"n","job":"j","item":"b-1"}
+{"level":"info","ts":"2026-01-01T00:00:04.800Z","logger":"node","msg":"batch job ended","node":"n","job":"j"}
+{"level":"info","ts":"2026-01-01T00:00:05.000Z","logger":"node","msg":"batch job submitted","node":"n","job":"k","model":"m","step":4,"wanted_groups":1}
+{"level":"info","ts":"2026-01-01T00:00:06.000Z","logger":"coordinator","msg":"item attempt ended","node":"n","job":"k","item":"d-1","group":"d","events":2,"server":"s-2","reason":"cancelled","took":500}
+`
+
+func TestSteps(t *testing.T) {
+	lines, err := Read("n", strings.NewReader(stepLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	if err := WriteSteps(&text, Steps(lines)); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "steps", text.Bytes())
+}
+
+func TestNoStep(t *testing.T) {
+	var text bytes.Buffer
+	if err := WriteSteps(&text, Steps(nil)); err != nil || !strings.Contains(text.String(), "no whole step") {
+		t.Errorf("%q, %v", text.String(), err)
+	}
+}
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -74,7 +74,7 @@
 	verdict := n.append(ctx, job.ID, records)
 	n.metrics.observeJobCall("submit", verdict)
 	n.logger.Info("batch job submitted", zap.String("job", job.ID), zap.String("model", job.Model), zap.Int("step", job.Step),
-		zap.Int("items", len(job.Items)), zap.Int64("minimum", job.MinVersion), zap.Stringer("verdict", verdict))
+		zap.Int("items", len(job.Items)), zap.Int("wanted_groups", job.WantedGroups), zap.Int64("minimum", job.MinVersion), zap.Stringer("verdict", verdict))
 	return verdict
 }
 
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -46,7 +46,6 @@
 			m.resume(now, opened, waiting)
 		}
 	}
-	m.listDue(now, opened)
 	slices.SortStableFunc(opened.queue, longestFirst)
 	m.divide()
 	m.schedule(now)
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -79,9 +79,8 @@
 	}
 }
 
-// Save saves the progress of all runs, and lists what is ready.
+// Save saves the progress of all runs.
 func (m *Machine) Save(now time.Time) {
-	m.listEverything()
 	for _, running := range m.sortedAttempts() {
 		m.save(now, running)
 	}
@@ -90,7 +89,6 @@
 // SaveCheckpoints saves all of the text of all runs, and of the items that wait for their
 // score: those before were perhaps not appended.
 func (m *Machine) SaveCheckpoints(now time.Time) {
-	m.listEverything()
 	for _, running := range m.sortedAttempts() {
 		owner := running.item
 		if !owner.kept && !owner.finished && len(owner.text) > 0 {
