--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -80,9 +80,10 @@
 }
 
 // Resign has the machine start and order nothing any more, and saves the progress of all runs,
-// which go on.
+// which go on; what is ready is listed at once.
 func (m *Machine) Resign(now time.Time) {
 	m.resigned = true
+	m.listEverything()
 	for _, running := range m.sortedAttempts() {
 		m.save(now, running)
 	}
@@ -92,6 +93,7 @@
 // ended ones: a successor needs nothing else, and what was saved before was perhaps not
 // appended.
 func (m *Machine) SaveCheckpoints(now time.Time) {
+	m.listEverything()
 	for _, open := range m.sortedJobs() {
 		for _, known := range sortedItems(open) {
 			if !known.finished && len(known.text) > 0 {
