--- a/internal/frontend/scaling.go
+++ b/internal/frontend/scaling.go
@@ -14,11 +14,8 @@
 	}
 	return scaling.NewDriver(scaling.DriverOptions{
 		Provider: n.options.Adapter.Provider(),
-		Term: func() scaling.Term {
-			term := n.term()
-			return scaling.Term{Epoch: term.Epoch, Acting: term.Acting}
-		},
-		View: n.scalingView, Headroom: settings.Scaling.Headroom, Most: settings.Scaling.MostServers,
+		Term:     n.term,
+		View:     n.scalingView, Headroom: settings.Scaling.Headroom, Most: settings.Scaling.MostServers,
 		Observe: func(outcome string) { n.metrics.serverOrders.WithLabelValues(outcome).Inc() },
 		Logger:  logger.Named("scaling"),
 	})
--- a/internal/frontend/usage.go
+++ b/internal/frontend/usage.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/duty"
 	"dalehook/internal/election"
 	"dalehook/internal/usage"
 )
@@ -55,12 +56,12 @@
 }
 
 // term returns this node's hold of the lease, for what is done at the provider under it.
-func (n *Node) term() usage.Term {
+func (n *Node) term() duty.Term {
 	standing := n.standing.Load()
 	if standing == nil {
-		return usage.Term{}
+		return duty.Term{}
 	}
-	return usage.Term{Epoch: standing.Lease.Epoch, Acting: n.acts(time.Now(), *standing)}
+	return duty.Term{Epoch: standing.Lease.Epoch, Acting: n.acts(time.Now(), *standing)}
 }
 
 // acts says whether this node may act on the lease now.
--- a/internal/scaling/driver.go
+++ b/internal/scaling/driver.go
@@ -7,12 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/duty"
 	"dalehook/internal/pause"
 )
 
-// ErrFenced says that an order was refused since a later holder has ordered.
-var ErrFenced = errors.New("a later holder of the lease has ordered")
-
 // Provider takes orders. One that got no answer may be carried out seconds later.
 type Provider interface {
 	OrderServers(ctx context.Context, order Order) error
@@ -27,13 +25,6 @@
 	Open map[string]int
 }
 
-// Term is this process's hold of the lease.
-type Term struct {
-	Epoch int64
-	// Acting says that orders may be given under the epoch now.
-	Acting bool
-}
-
 const (
 	// tickInterval is the time between two decisions.
 	tickInterval = 200 * time.Millisecond
@@ -45,7 +36,7 @@
 type DriverOptions struct {
 	Provider Provider
 	// Term returns this process's hold of the lease, View what it knows.
-	Term func() Term
+	Term func() duty.Term
 	View func() View
 	// Headroom and Most are those of Options.
 	Headroom float64
@@ -94,7 +85,7 @@
 }
 
 func (d *Driver) order(ctx context.Context, order Order, view View) {
-	if term := d.options.Term(); !term.Acting || term.Epoch != order.Epoch {
+	if term := d.options.Term(); !term.Covers(order.Epoch) {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -102,7 +93,7 @@
 	err := d.options.Provider.OrderServers(call, order)
 	outcome := OutcomeTaken
 	switch {
-	case errors.Is(err, ErrFenced):
+	case errors.Is(err, duty.ErrFenced):
 		outcome = OutcomeFenced
 	case err != nil:
 		outcome = OutcomeUnknown
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/duty"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
@@ -20,21 +21,11 @@
 	Epoch int64
 }
 
-// ErrFenced says that a report was refused since a later holder has reported.
-var ErrFenced = errors.New("a later holder of the lease has reported")
-
 // Provider takes reports. A report that got no answer may be taken seconds later.
 type Provider interface {
 	ReportUsage(ctx context.Context, report Report) error
 }
 
-// Term is this process's hold of the lease.
-type Term struct {
-	Epoch int64
-	// Acting says that reports may be made under the epoch now.
-	Acting bool
-}
-
 const (
 	// closeShare is the share of the time for a report after which a window is closed. Until
 	// then nodes that stood still or were cut off append what they counted; afterwards a
@@ -64,7 +55,7 @@
 	// Length is that of a window, Lateness the time after its end by which it is due.
 	Length, Lateness time.Duration
 	// Term returns this process's hold of the lease.
-	Term func() Term
+	Term func() duty.Term
 	// Observe is told of each report and what came of it.
 	Observe func(outcome string)
 	Logger  *zap.Logger
@@ -126,7 +117,7 @@
 
 // begin starts a term: what predecessors closed is read again, and reported again where it
 // may not have been.
-func (r *Reporter) begin(term Term) {
+func (r *Reporter) begin(term duty.Term) {
 	r.epoch = term.Epoch
 	r.ledger, r.next, r.loaded = NewLedger(mostWindows), 0, false
 	r.first = WindowAt(r.clock.Now(), r.options.Length)
@@ -250,7 +241,7 @@
 	counts, _ := r.ledger.Counts(window)
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if term := r.options.Term(); !term.Acting || term.Epoch != r.epoch {
+	if term := r.options.Term(); !term.Covers(r.epoch) {
 		return nil
 	}
 	err := r.options.Provider.ReportUsage(call, Report{Window: window, Counts: counts, Epoch: r.epoch})
@@ -267,7 +258,7 @@
 		r.reported[window] = true
 		r.options.Observe("taken")
 		r.options.Logger.Info("usage reported", fields...)
-	case errors.Is(err, ErrFenced):
+	case errors.Is(err, duty.ErrFenced):
 		r.fenced = true
 		r.options.Observe("fenced")
 		r.options.Logger.Warn("usage report fenced off", fields...)
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"dalehook/internal/duty"
 	"dalehook/internal/store/storetest"
 )
 
@@ -45,7 +46,7 @@
 		return p.fail
 	}
 	if report.Epoch < p.epoch {
-		return ErrFenced
+		return duty.ErrFenced
 	}
 	p.epoch = report.Epoch
 	if before, known := p.reports[report.Window]; known {
@@ -79,11 +80,11 @@
 	h.holder = holder
 }
 
-func (h *holders) term(process string) func() Term {
-	return func() Term {
+func (h *holders) term(process string) func() duty.Term {
+	return func() duty.Term {
 		h.mutex.Lock()
 		defer h.mutex.Unlock()
-		return Term{Epoch: h.epoch, Acting: h.holder == process}
+		return duty.Term{Epoch: h.epoch, Acting: h.holder == process}
 	}
 }
 
