--- a/internal/frontend/settings_test.go
+++ b/internal/frontend/settings_test.go
@@ -53,6 +53,9 @@
 	}
 	template = section.ReplaceAllStringFunc(template, func(text string) string {
 		parts := section.FindStringSubmatch(text)
+		if list, isList := value(parts[2]).([]string); isList && parts[1] == "#" {
+			return repeat(parts[3], list)
+		}
 		given := value(parts[2]) != nil && value(parts[2]) != false
 		if given == (parts[1] == "#") {
 			return parts[3]
@@ -60,14 +63,31 @@
 		return ""
 	})
 	return gap.ReplaceAllStringFunc(template, func(text string) string {
-		known := value(gap.FindStringSubmatch(text)[1])
-		if known == nil {
+		parts := gap.FindStringSubmatch(text)
+		known := value(parts[1])
+		switch {
+		case known == nil && parts[2] != "":
+			return "null"
+		case known == nil:
 			return ""
 		}
 		return fmt.Sprint(known)
 	})
 }
 
+// repeat fills a section once for each entry of a list.
+func repeat(text string, list []string) string {
+	var filled strings.Builder
+	for i, entry := range list {
+		comma := ","
+		if i == len(list)-1 {
+			comma = ""
+		}
+		filled.WriteString(strings.NewReplacer("{{.}}", entry, "{{,}}", comma).Replace(text))
+	}
+	return filled.String()
+}
+
 // Every key that the template fills is a key of the settings, on deployments with and without
 // what not all of them have.
 func TestTheTemplateFillsTheSettings(t *testing.T) {
@@ -75,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const duties = `["usage","scaling"]`
+	duties := []string{"usage", "scaling"}
 	cases := []struct {
 		name       string
 		values     map[string]any
