Weak nodes leave the lease to strong ones for longer than old ones to young ones

Change: the handicap of a node without any of the half core that a coordinator needs is 0.8 s, so that one with a fifth of a core waits for 0.49 s. Nodes with half a core and more have none, as before.

--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -108,9 +108,11 @@
 	leaseDoubt       = 600 * time.Millisecond
 	leaseDoubtSpread = 300 * time.Millisecond
 	// coordinatorShare is the share of a core that the coordinator of a large fleet
-	// needs; processes with less leave the lease to others for up to leaseHandicap.
+	// needs; processes with less leave the lease to others for up to leaseHandicap: one with a
+	// fifth of a core, which falls behind the events of some hundred runs, for longer than the
+	// oldest process leaves it to younger ones.
 	coordinatorShare = 0.5
-	leaseHandicap    = 400 * time.Millisecond
+	leaseHandicap    = 800 * time.Millisecond
 )
 
 // leaseTiming returns the timing of a node's part in the election.
