--- a/internal/routetable/access_test.go
+++ b/internal/routetable/access_test.go
@@ -1,6 +1,7 @@
 package routetable
 
 import (
+	"fmt"
 	"testing"
 
 	"dalehook/internal/tenant"
@@ -75,3 +76,29 @@
 		t.Errorf("without tenants: %q, admitted %v", got, admitted)
 	}
 }
+
+// BenchmarkAdmit judges a request of one of 60 routes: without tenants, and with a key of one
+// of 1,000.
+func BenchmarkAdmit(b *testing.B) {
+	var tenants []tenant.Tenant
+	for i := range 1000 {
+		tenants = append(tenants, tenant.Tenant{Name: fmt.Sprint("t", i), Keys: []string{fmt.Sprintf("key-%020d", i)}})
+	}
+	for name, set := range map[string]*tenant.Set{"without tenants": nil, "1000 keys": tenant.NewSet(tenants)} {
+		var routes []Route
+		for i := range 60 {
+			routes = append(routes, Route{Host: "h", Prefix: fmt.Sprintf("/r%d/", i)})
+		}
+		table := NewTable(1, routes, nil, Limits{})
+		table.Tenants = set
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				route := table.Match("h", "/r59/x")
+				if _, admitted := table.Admit(route, tenants[7].Keys[0]); !admitted {
+					b.Fatal("a key is not known")
+				}
+			}
+		})
+	}
+}
