--- /dev/null
+++ b/internal/frontend/leading.go
@@ -0,0 +1,70 @@
+package frontend
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dalehook/internal/election"
+	"dalehook/internal/liveness"
+)
+
+// The timing of the coordinator's lease. Nodes doubt the holder at different times, so
+// that not all of them ask it at once.
+const (
+	leaseTTL         = 2500 * time.Millisecond
+	leaseSilentTTL   = 1400 * time.Millisecond
+	leaseRenewal     = 500 * time.Millisecond
+	leaseMargin      = 200 * time.Millisecond
+	leaseDoubt       = 600 * time.Millisecond
+	leaseDoubtSpread = 300 * time.Millisecond
+	// coordinatorShare is the share of a core that the coordinator of a large fleet
+	// needs; processes with less leave the lease to others for up to leaseHandicap: one with a
+	// fifth of a core, which falls behind the events of some hundred runs, for longer than the
+	// oldest process leaves it to younger ones.
+	coordinatorShare = 0.5
+	leaseHandicap    = 800 * time.Millisecond
+)
+
+// leaseTiming returns the timing of a node's part in the election.
+func leaseTiming(settings *Settings) election.Timing {
+	spread := float64(xxhash.Sum64String(settings.Node)%1000) / 1000
+	missing := 0.0
+	if settings.ProcessorShare > 0 {
+		missing = max(1-settings.ProcessorShare/coordinatorShare, 0)
+	}
+	return election.Timing{
+		TTL: leaseTTL, SilentTTL: leaseSilentTTL, Renewal: leaseRenewal, Margin: leaseMargin,
+		Doubt:    leaseDoubt + time.Duration(spread*float64(leaseDoubtSpread)),
+		Handicap: time.Duration(missing * float64(leaseHandicap)),
+	}
+}
+
+// observeLease takes this node's standing in the election.
+func (n *Node) observeLease(standing election.Standing) {
+	n.jobReader.observeCoordinator(standing.Leading, standing.Coordinator)
+	n.standing.Store(&standing)
+	n.peers.Note(standing.Coordinator)
+	n.coordinator.ObserveLease(standing)
+}
+
+// Yield implements liveness.Holder.
+func (n *Node) Yield(epoch int64) bool {
+	if !n.hold.Yield(epoch) {
+		return false
+	}
+	n.coordinator.Yield(epoch)
+	return true
+}
+
+// HandOver implements liveness.Holder.
+func (n *Node) HandOver(epoch int64) liveness.HandedOver { return n.coordinator.HandOver(epoch) }
+
+// askHolder asks at the node of a holder of the lease whether its process runs.
+func (n *Node) askHolder(ctx context.Context, address, holder string, epoch int64) liveness.Verdict {
+	return liveness.Ask(ctx, n.options.Settings.Listen.Internal, address, holder, epoch)
+}
+
+// NoteAsked implements liveness.Holder.
+func (n *Node) NoteAsked(address string) { n.peers.Note(address) }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -98,37 +97,6 @@
 	forgetInterval = 5 * time.Second
 )
 
-// The timing of the coordinator's lease. Nodes doubt the holder at different times, so
-// that not all of them ask it at once.
-const (
-	leaseTTL         = 2500 * time.Millisecond
-	leaseSilentTTL   = 1400 * time.Millisecond
-	leaseRenewal     = 500 * time.Millisecond
-	leaseMargin      = 200 * time.Millisecond
-	leaseDoubt       = 600 * time.Millisecond
-	leaseDoubtSpread = 300 * time.Millisecond
-	// coordinatorShare is the share of a core that the coordinator of a large fleet
-	// needs; processes with less leave the lease to others for up to leaseHandicap: one with a
-	// fifth of a core, which falls behind the events of some hundred runs, for longer than the
-	// oldest process leaves it to younger ones.
-	coordinatorShare = 0.5
-	leaseHandicap    = 800 * time.Millisecond
-)
-
-// leaseTiming returns the timing of a node's part in the election.
-func leaseTiming(settings *Settings) election.Timing {
-	spread := float64(xxhash.Sum64String(settings.Node)%1000) / 1000
-	missing := 0.0
-	if settings.ProcessorShare > 0 {
-		missing = max(1-settings.ProcessorShare/coordinatorShare, 0)
-	}
-	return election.Timing{
-		TTL: leaseTTL, SilentTTL: leaseSilentTTL, Renewal: leaseRenewal, Margin: leaseMargin,
-		Doubt:    leaseDoubt + time.Duration(spread*float64(leaseDoubtSpread)),
-		Handicap: time.Duration(missing * float64(leaseHandicap)),
-	}
-}
-
 // Node is one process of the service.
 type Node struct {
 	options Options
@@ -267,29 +235,9 @@
 	}
 }
 
-// observeLease takes this node's standing in the election.
-func (n *Node) observeLease(standing election.Standing) {
-	n.jobReader.observeCoordinator(standing.Leading, standing.Coordinator)
-	n.standing.Store(&standing)
-	n.peers.Note(standing.Coordinator)
-	n.coordinator.ObserveLease(standing)
-}
-
 // process names this process unlike any other.
 func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
 
-// Yield implements liveness.Holder.
-func (n *Node) Yield(epoch int64) bool {
-	if !n.hold.Yield(epoch) {
-		return false
-	}
-	n.coordinator.Yield(epoch)
-	return true
-}
-
-// HandOver implements liveness.Holder.
-func (n *Node) HandOver(epoch int64) liveness.HandedOver { return n.coordinator.HandOver(epoch) }
-
 func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(forgetInterval)
 	defer ticker.Stop()
@@ -413,11 +361,3 @@
 	n.configuredAt.Store(time.Now().UnixNano())
 	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
 }
-
-// askHolder asks at the node of a holder of the lease whether its process runs.
-func (n *Node) askHolder(ctx context.Context, address, holder string, epoch int64) liveness.Verdict {
-	return liveness.Ask(ctx, n.options.Settings.Listen.Internal, address, holder, epoch)
-}
-
-// NoteAsked implements liveness.Holder.
-func (n *Node) NoteAsked(address string) { n.peers.Note(address) }
