Texts that are handed over do not pass through the queue of appends

Cause: the checkpoints of a hand-over were queued for the store first, and what was still pending was handed over. What the store had taken in these ms was missing there, and the successor, told that it had all, did not read the store for it: such items began anew.

Ruled out: the time-out of the call, which took 10 ms.

TestAllTextsAreHandedOver fails without the change.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -11,6 +11,7 @@
 	"dalehook/internal/election"
 	"dalehook/internal/liveness"
 	"dalehook/internal/pause"
+	"dalehook/internal/scheduler"
 	"dalehook/internal/store"
 )
 
@@ -79,12 +80,36 @@
 func (c *Coordinator) handOverLocked() {
 	c.writer.dropProgress()
 	c.machine.SaveCheckpoints(time.Now())
-	c.carryOut(c.machine.Take())
-	c.handed = handedOver{epoch: c.termEpoch, left: liveness.HandedOver{Pending: c.writer.pending(), Whole: true}}
+	output := c.machine.Take()
+	// The texts go to the successor all together: what the writer had appended of them by now
+	// would be missing from what is pending there.
+	progress := c.progressRecords(output.Progress)
+	output.Progress = nil
+	c.carryOut(output)
+	c.handed = handedOver{epoch: c.termEpoch, left: liveness.HandedOver{Pending: append(c.writer.pending(), progress...), Whole: true}}
 	c.endTermLocked()
 	c.options.Logger.Info("term handed over", zap.Int64("epoch", c.termEpoch), zap.Int("partitions", len(c.handed.left.Pending)))
 }
 
+// progressRecords returns the records of progress by partition.
+func (c *Coordinator) progressRecords(saved []scheduler.Progress) []liveness.Pending {
+	var pending []liveness.Pending
+	index := make(map[store.Partition]int)
+	for _, progress := range saved {
+		at, record, ok := c.encodeProgress(progress)
+		if !ok {
+			continue
+		}
+		if _, known := index[at]; !known {
+			index[at] = len(pending)
+			pending = append(pending, liveness.Pending{Partition: at})
+		}
+		of := &pending[index[at]]
+		of.Records = append(of.Records, record)
+	}
+	return pending
+}
+
 // takeOver has the predecessor end its runs, appends what it could not, and returns the
 // progress of its items by partition; whole says that nothing else needs to be read of it.
 func (c *Coordinator) takeOver(term context.Context, from election.Yielded) (partials map[int]map[string]*batch.Partial, whole bool) {
--- /dev/null
+++ b/internal/coordinator/handover_test.go
@@ -0,0 +1,113 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/directory"
+	"dalehook/internal/election"
+	"dalehook/internal/joblog"
+	"dalehook/internal/liveness"
+	"dalehook/internal/reward"
+	"dalehook/internal/routetable"
+	"dalehook/internal/scheduler"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+// oneEvent is a pool of engines whose runs make one event and then stand still.
+type oneEvent struct{ made chan string }
+
+func (e oneEvent) Run(ctx context.Context, start scheduler.Start, emit func(scheduler.Event)) (scheduler.EndReason, error) {
+	emit(scheduler.Event{ID: "1", Data: "data of " + start.Item.ID, Version: 1})
+	e.made <- start.Item.ID
+	<-ctx.Done()
+	return scheduler.EndBroken, ctx.Err()
+}
+
+func (oneEvent) State(context.Context, scheduler.Server, string) (EngineState, error) {
+	return EngineState{Version: 1}, nil
+}
+
+func (oneEvent) Load(context.Context, scheduler.Order, int64) (OrderAnswer, error) {
+	return OrderHolds, nil
+}
+
+// nothingObserved observes nothing.
+type nothingObserved struct{}
+
+func (nothingObserved) ObserveAttempt(scheduler.EndReason)          {}
+func (nothingObserved) ObserveResult(string)                        {}
+func (nothingObserved) ObserveLoad(bool)                            {}
+func (nothingObserved) ObserveReward(reward.Verdict, time.Duration) {}
+
+// lead returns a coordinator that runs the items of a job under epoch 1, each of which has made
+// an event.
+func lead(t *testing.T, items int) *Coordinator {
+	t.Helper()
+	memory := storetest.NewMemory()
+	job := &batch.Job{ID: "j", Host: "h", Path: "/p/1", Model: "m", MinVersion: 1}
+	for i := range items {
+		job.Items = append(job.Items, batch.Item{ID: string(rune('a' + i)), Path: "/p/x"})
+	}
+	records, err := batch.EncodeJob(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	jobs := joblog.NewLogs(joblog.Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	if err := jobs.Append(context.Background(), job.ID, records); err != nil {
+		t.Fatal(err)
+	}
+	servers := directory.NewDirectory()
+	servers.Replace([]directory.Server{{ID: "s", Service: "pool", Slots: items, Versions: map[string]int64{"m": 1}}})
+	engines := oneEvent{made: make(chan string, items)}
+	c := New(Options{Engines: engines, Log: memory, Jobs: jobs, Directory: servers, Logger: zap.NewNop(), Observer: nothingObserved{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); c.Run(ctx) }()
+	reading := make(chan struct{})
+	go func() { defer close(reading); jobs.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended; <-reading })
+	route := routetable.Route{Name: "r", Host: "h", Prefix: "/p/", Kind: routetable.KindBatch, MaxAttempts: 3, Resumable: true,
+		Targets: []routetable.Target{{Service: "pool", Weight: 1}}, ItemLifetime: time.Minute}
+	c.ObserveTable(routetable.NewTable(1, []routetable.Route{route}, []routetable.Service{{Name: "pool", Models: []string{"m"}}}, routetable.Limits{}))
+	now := time.Now()
+	c.ObserveLease(election.Standing{Leading: true, Held: true, Lease: election.Lease{Epoch: 1, ClaimedAt: now, Until: now.Add(time.Minute)}})
+	for range items {
+		<-engines.made
+	}
+	return c
+}
+
+func handedTexts(left liveness.HandedOver) int {
+	texts := 0
+	for _, pending := range left.Pending {
+		if pending.Partition.Topic == store.TopicProgress {
+			texts += len(pending.Records)
+		}
+	}
+	return texts
+}
+
+// All texts are handed over, be the store as quick as it may with what it was given of them.
+func TestAllTextsAreHandedOver(t *testing.T) {
+	const items = 200 // enough for the queue to be at work while they are handed over
+	for range 5 {
+		c := lead(t, items)
+		if left := c.HandOver(1); left.Whole || len(left.Pending) > 0 {
+			t.Fatalf("handed over before the term was given up: %+v", left)
+		}
+		c.Resign()
+		left := c.HandOver(1)
+		if got := handedTexts(left); got != items || !left.Whole {
+			t.Fatalf("%d texts of %d, whole %v", got, items, left.Whole)
+		}
+		if again := c.HandOver(1); handedTexts(again) != items {
+			t.Errorf("%d texts when asked again", handedTexts(again))
+		}
+	}
+}
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -36,13 +36,19 @@
 }
 
 func (c *Coordinator) appendProgress(progress scheduler.Progress) {
+	if at, record, ok := c.encodeProgress(progress); ok {
+		c.writer.add(at, [][]byte{record})
+	}
+}
+
+// encodeProgress returns the record of a progress, and the partition where it stands.
+func (c *Coordinator) encodeProgress(progress scheduler.Progress) (at store.Partition, record []byte, ok bool) {
 	record, err := batch.EncodeProgress(&progress.Progress)
 	if err != nil {
 		c.options.Logger.Error("progress lost", zap.String("item", progress.ItemID), zap.Error(err))
-		return
+		return store.Partition{}, nil, false
 	}
-	at := store.Partition{Topic: store.TopicProgress, Number: c.options.Jobs.PartitionOf(progress.JobID)}
-	c.writer.add(at, [][]byte{record})
+	return store.Partition{Topic: store.TopicProgress, Number: c.options.Jobs.PartitionOf(progress.JobID)}, record, true
 }
 
 // appendResults appends results, those of one partition in one call: readers find them all at
