--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -31,7 +31,9 @@
 	for _, progress := range output.Progress {
 		c.appendProgress(progress)
 	}
-	c.appendResults(output.Results)
+	for _, result := range output.Results {
+		c.appendResult(result)
+	}
 	c.sendRewards(output)
 }
 
@@ -51,26 +53,17 @@
 	return store.Partition{Topic: store.TopicProgress, Number: c.options.Jobs.PartitionOf(progress.JobID)}, record, true
 }
 
-// appendResults appends results, those of one partition in one call: readers find them all at
-// once.
-func (c *Coordinator) appendResults(results []batch.Result) {
-	groups := make(map[store.Partition][][]byte)
-	for i := range results {
-		result := &results[i]
-		records, err := batch.EncodeResult(result)
-		if err != nil {
-			c.options.Logger.Error("result lost", zap.String("item", result.ItemID), zap.Error(err))
-			continue
-		}
-		c.options.Observer.ObserveResult(result.Outcome.String())
-		c.options.Logger.Info("item finished", zap.String("job", result.JobID), zap.String("item", result.ItemID),
-			zap.Stringer("outcome", result.Outcome), zap.Int64s("versions", result.Versions), zap.Int64("epoch", c.lease.Epoch))
-		at := store.Partition{Topic: store.TopicJobs, Number: c.options.Jobs.PartitionOf(result.JobID)}
-		groups[at] = append(groups[at], records...)
-	}
-	for at, records := range groups {
-		c.writer.add(at, records)
+func (c *Coordinator) appendResult(result batch.Result) {
+	records, err := batch.EncodeResult(&result)
+	if err != nil {
+		c.options.Logger.Error("result lost", zap.String("item", result.ItemID), zap.Error(err))
+		return
 	}
+	c.options.Observer.ObserveResult(result.Outcome.String())
+	c.options.Logger.Info("item finished", zap.String("job", result.JobID), zap.String("item", result.ItemID),
+		zap.Stringer("outcome", result.Outcome), zap.Int64s("versions", result.Versions), zap.Int64("epoch", c.lease.Epoch))
+	at := store.Partition{Topic: store.TopicJobs, Number: c.options.Jobs.PartitionOf(result.JobID)}
+	c.writer.add(at, records)
 }
 
 func (c *Coordinator) run(ctx context.Context, machine *scheduler.Machine, start scheduler.Start) {
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -102,7 +102,6 @@
 	case !owner.finished:
 		m.settle(now, ended, reason)
 	}
-	m.listDue(now, owner.job)
 	m.startWaiting(now)
 	m.sendRewards(now)
 	if len(ended.engine.attempts) == 0 {
@@ -141,16 +140,22 @@
 // notExecutedPause is how long a server that was full gets no more items.
 const notExecutedPause = 50 * time.Millisecond
 
-// finishDead gives an item up.
+// finishDead lists an item as given up.
 func (m *Machine) finishDead(owner *item) {
-	m.list(owner, batch.Result{JobID: owner.job.id, ItemID: owner.source.ID, Outcome: batch.OutcomeDead})
+	owner.finished = true
+	owner.text = nil
+	m.output.Results = append(m.output.Results, batch.Result{
+		JobID: owner.job.id, ItemID: owner.source.ID, Outcome: batch.OutcomeDead,
+	})
 }
 
-// finishScored takes an item's text, which is whole, and the score of it where it has one.
+// finishScored lists an item with its text, and the score of it where it has one.
 func (m *Machine) finishScored(owner *item, score string) {
 	owner.final = owner.unscoredResult()
 	owner.final.Score = score
-	m.list(owner, *owner.final)
+	owner.finished = true
+	owner.text = nil
+	m.output.Results = append(m.output.Results, *owner.final)
 }
 
 // unscoredResult returns the result of an item whose text is whole, without a score.
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -26,8 +26,6 @@
 		order:     m.arrivals,
 		items:     make(map[string]*item, len(accepted.Items)),
 		groups:    make(map[string]int),
-		unready:   make(map[string]int),
-		wanted:    accepted.WantedGroups,
 		sources:   make(map[string]*batch.Item, len(accepted.Items)),
 		done:      make(map[string]*batch.Result),
 	}
@@ -48,7 +46,6 @@
 			m.resume(now, opened, waiting)
 		}
 	}
-	m.listDue(now, opened)
 	slices.SortStableFunc(opened.queue, longestFirst)
 	m.divide()
 	m.schedule(now)
@@ -61,7 +58,6 @@
 	j.items[source.ID] = &item{job: j, source: source}
 	j.sources[source.ID] = source
 	j.groups[source.Group]++
-	j.unready[source.Group]++
 }
 
 // list takes a result that stands in the log. It returns the item, nil when it
@@ -74,9 +70,6 @@
 	delete(j.items, result.ItemID)
 	j.done[result.ItemID] = result
 	j.groups[j.sources[result.ItemID].Group]--
-	if !listed.finished {
-		j.noteReady(listed)
-	}
 	return listed
 }
 
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -56,7 +56,6 @@
 	options.StallTimeout = cmp.Or(options.StallTimeout, DefaultStallTimeout)
 	options.FreshnessLimit = cmp.Or(options.FreshnessLimit, DefaultFreshnessLimit)
 	options.SaveInterval = cmp.Or(options.SaveInterval, DefaultSaveInterval)
-	options.ListInterval = cmp.Or(options.ListInterval, DefaultListInterval)
 	options.ServerPause = cmp.Or(options.ServerPause, DefaultServerPause)
 	return &Machine{
 		options:   options,
@@ -149,7 +148,6 @@
 // Tick lets time-outs take effect.
 func (m *Machine) Tick(now time.Time) {
 	if m.resigned {
-		m.listReady(now)
 		m.saveAll(now)
 		return
 	}
@@ -158,7 +156,6 @@
 	m.giveUp(now)
 	m.forgetKept(now)
 	m.forgetRecovered(now)
-	m.listReady(now)
 	m.saveAll(now)
 	m.saveWholeTexts(now)
 	m.schedule(now)
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -513,7 +513,6 @@
 	f.event(2, "2", 2) // a run of the ended job goes on
 	f.end(3, EndBroken)
 	f.grouped("k", 2, "g/0", "g/1", "g/2")
-	f.now = f.now.Add(DefaultListInterval) // the next listing of the job is due at once
 	want := batch.Result{JobID: "k", ItemID: "g/0", Text: "data 1", Versions: []int64{2}}
 	if diff := cmp.Diff(want, f.results[1]); diff != "" {
 		t.Error(diff)
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -80,10 +80,9 @@
 }
 
 // Resign has the machine start and order nothing any more, and saves the progress of all runs,
-// which go on; what is ready is listed at once.
+// which go on.
 func (m *Machine) Resign(now time.Time) {
 	m.resigned = true
-	m.listEverything()
 	for _, running := range m.sortedAttempts() {
 		m.save(now, running)
 	}
@@ -93,7 +92,6 @@
 // ended ones: a successor needs nothing else, and what was saved before was perhaps not
 // appended.
 func (m *Machine) SaveCheckpoints(now time.Time) {
-	m.listEverything()
 	for _, open := range m.sortedJobs() {
 		for _, known := range sortedItems(open) {
 			if !known.finished && len(known.text) > 0 {
--- a/internal/scheduler/rewards.go
+++ b/internal/scheduler/rewards.go
@@ -75,7 +75,6 @@
 		case reward.VerdictDead:
 			m.finishDead(owner)
 		}
-		m.listDue(now, owner.job)
 	}
 	m.sendRewards(now)
 	return verdict
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -154,8 +154,6 @@
 	FreshnessLimit time.Duration
 	// ServerPause is how long a server gets no items after it failed one.
 	ServerPause time.Duration
-	// ListInterval is the shortest time between two listings of a job's results.
-	ListInterval time.Duration
 	// SaveInterval is the time between two savings of the runs' progress.
 	SaveInterval time.Duration
 }
@@ -224,14 +222,6 @@
 	queue []*item
 	// groups holds the number of items without a result by group.
 	groups map[string]int
-	// unready holds the number of items by group whose results are not ready, whole is the
-	// number of groups without any, wanted how many of these the trainer waits for.
-	unready       map[string]int
-	whole, wanted int
-	// unlisted holds the results that are ready and not listed, listedAt is when results were
-	// last listed.
-	unlisted []batch.Result
-	listedAt time.Time
 	// done holds the results in the log, by item.
 	done map[string]*batch.Result
 	// sources holds each item as it was submitted.
