Planned stop: how long each listener drained, and how many requests were cut

Cause: the warning at the end of a grace period named neither the listener nor a number, so that a listener of readiness or metrics that holds the callers' up could not be told from requests that take long.

Change: a line and a counter. No logic changed.

--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -38,6 +38,7 @@
 	usageReports   *prometheus.CounterVec
 	usageLost      prometheus.Counter
 	serverOrders   *prometheus.CounterVec
+	requestsCut    prometheus.Counter
 }
 
 var _ coordinator.Observer = (*nodeMetrics)(nil)
@@ -71,9 +72,12 @@
 		usageLost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_usage_lost_total", Help: "Requests that were counted and could not be appended in time.",
 		}),
+		requestsCut: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_requests_cut_total", Help: "Requests that were under way at the end of a planned stop's grace period.",
+		}),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
-		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, collectors.NewGoCollector())
+		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsCut, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
 }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -252,8 +252,20 @@
 }
 
 type boundServer struct {
+	address  string
 	server   *http.Server
 	listener net.Listener
+	// underWay is the number of requests that were read and not answered yet.
+	underWay *atomic.Int64
+}
+
+// counting counts the requests that a handler has under way.
+func counting(handler http.Handler, underWay *atomic.Int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		underWay.Add(1)
+		defer underWay.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
 }
 
 func (s boundServer) serve() error {
@@ -279,8 +291,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", address, err)
 		}
-		bound = append(bound, boundServer{listener: listener, server: &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		underWay := &atomic.Int64{}
+		bound = append(bound, boundServer{address: address, listener: listener, underWay: underWay, server: &http.Server{
+			Handler: counting(handler, underWay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 			ErrorLog: zap.NewStdLog(n.options.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 		}})
 	}
@@ -303,8 +316,13 @@
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
 	for _, s := range servers {
-		if err := s.server.Shutdown(ctx); err != nil {
-			n.logger.Warn("requests cut by the end of the grace period", zap.Error(err))
+		began := time.Now()
+		err := s.server.Shutdown(ctx)
+		cut := s.underWay.Load()
+		n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", time.Since(began)), zap.Int64("cut", cut))
+		if err != nil {
+			n.metrics.requestsCut.Add(float64(cut))
+			n.logger.Warn("requests cut by the end of the grace period", zap.String("address", s.address), zap.Int64("cut", cut), zap.Error(err))
 		}
 	}
 	if n.usageSender != nil {
