A planned stop ends no connection whose request has arrived

Cause: http.Server.Shutdown closes connections that count as idle, and one counts as idle until the whole head of its next request was parsed. A process that shares its processor can stand still between the arrival of a request, its being read and its being parsed: the connection is closed under its caller. The listeners were shut down one after the other under one deadline, in the order of a map; a connection that was opened and not used counts as in use for 5 s, so that one of the readiness listener took the time of requests that were under way.

Ruled out: SetKeepAlivesEnabled(false), which closes idle connections in the same way; wrapping the handlers' answers, which hides from net/http's MaxBytesReader what it closes; another HTTP server.

Change: internal/drain. From the signal on answers say that they are the last. The listeners drain side by side. What the end of the grace period cuts is counted by connections with a request, in part or whole.

--- /dev/null
+++ b/internal/drain/drain.go
@@ -0,0 +1,253 @@
+// Package drain ends an HTTP/1.1 server without cutting what its callers have sent.
+//
+// net/http's own Shutdown closes every connection that counts as idle, and one counts as idle
+// until the whole head of its next request was parsed: a request that has arrived, or was read
+// in part, is closed under its caller. Here a connection is ended only by the goroutine that
+// reads it, after a last look whether anything has arrived. From Leave on, answers say that
+// they are their connection's last, so that callers move on by themselves; from Drain on, no
+// connection is accepted once those that wait were, connections that rest are ended, and what
+// is under way is waited for.
+package drain
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// restTime is how long a connection must have rested before it is ended: a caller that has
+// just connected, or just read an answer, is likely to send.
+const restTime = 250 * time.Millisecond
+
+// acceptTime bounds the accepting of a connection that waits, should it be gone by then.
+const acceptTime = 100 * time.Millisecond
+
+// Options configure a Server.
+type Options struct {
+	// HTTP serves the connections. Its handler is wrapped and its ConnState is taken; it is
+	// served and ended by this package alone.
+	HTTP *http.Server
+}
+
+// Server serves an HTTP server's connections and keeps account of them. Its methods may be
+// called by several goroutines.
+type Server struct {
+	http    *http.Server
+	leaving atomic.Bool
+	// ended is closed once no connection is accepted any more.
+	ended chan struct{}
+
+	mutex    sync.Mutex
+	listener net.Listener
+	draining bool
+	conns    map[*conn]struct{}
+	// gone wakes a Drain each time a connection has ended.
+	gone chan struct{}
+}
+
+// NewServer returns a server that accepts nothing yet.
+func NewServer(options Options) *Server {
+	s := &Server{
+		http: options.HTTP, ended: make(chan struct{}), conns: make(map[*conn]struct{}), gone: make(chan struct{}, 1),
+	}
+	s.http.Handler = s.closing(s.http.Handler)
+	s.http.ConnState = func(accepted net.Conn, state http.ConnState) {
+		if c, ok := accepted.(*conn); ok {
+			c.setState(state)
+		}
+	}
+	return s
+}
+
+// closing has a handler's answers say, once the server leaves, that they are their
+// connection's last.
+func (s *Server) closing(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// Serve serves the connections of a listener, once in the life of a server. It returns nil
+// once a Drain or a Close has ended it, and closes the listener.
+func (s *Server) Serve(listener net.Listener) error {
+	defer close(s.ended)
+	s.mutex.Lock()
+	s.listener = listener
+	s.mutex.Unlock()
+	err := s.http.Serve(&acceptor{Listener: listener, server: s})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, errDrained) {
+		return nil
+	}
+	return eris.Wrap(err, "accept connections")
+}
+
+// Leave has answers say from now on that they are their connection's last.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Drain leaves, accepts what waits to be accepted, and ends connections as soon as they rest.
+// It returns when no connection is left, or when the context ends; then it cuts what is under
+// way, and returns how many connections had a request there, in part or whole.
+func (s *Server) Drain(ctx context.Context) (cut int) {
+	s.Leave()
+	for _, c := range s.beginDrain() {
+		c.drain()
+	}
+	accepting := s.ended
+	for accepting != nil || s.open() > 0 {
+		select {
+		case <-accepting:
+			accepting = nil
+		case <-s.gone:
+		case <-ctx.Done():
+			return s.cut()
+		}
+	}
+	return 0
+}
+
+// beginDrain wakes whoever waits for a connection, and returns the open ones.
+func (s *Server) beginDrain() []*conn {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.draining = true
+	if s.listener != nil {
+		wake(s.listener)
+	}
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	return open
+}
+
+// cut closes all connections and returns how many of them had a request.
+func (s *Server) cut() int {
+	requests := 0
+	s.mutex.Lock()
+	for c := range s.conns {
+		if !c.resting() {
+			requests++
+		}
+	}
+	s.mutex.Unlock()
+	s.Close()
+	return requests
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() {
+	// What the listener has to say at its end helps nobody.
+	_ = s.http.Close()
+}
+
+func (s *Server) open() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.conns)
+}
+
+// add takes account of a connection. One that comes in the midst of a drain rests first like
+// any other.
+func (s *Server) add(accepted net.Conn) *conn {
+	c := &conn{Conn: accepted, server: s, since: time.Now()}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.conns[c] = struct{}{}
+	c.draining = s.draining
+	return c
+}
+
+func (s *Server) remove(c *conn) {
+	s.mutex.Lock()
+	delete(s.conns, c)
+	s.mutex.Unlock()
+	select {
+	case s.gone <- struct{}{}:
+	default:
+	}
+}
+
+// errDrained ends the accepting of connections.
+var errDrained = errors.New("the server is drained")
+
+// acceptor is a listener whose connections a server keeps account of.
+type acceptor struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener. Once the server drains, it accepts what waits.
+func (a *acceptor) Accept() (net.Conn, error) {
+	for {
+		if a.drained() {
+			if !readable(a.Listener) {
+				a.Listener.Close()
+				return nil, errDrained
+			}
+			setDeadline(a.Listener, time.Now().Add(acceptTime))
+		}
+		accepted, err := a.Listener.Accept()
+		if err == nil {
+			return a.server.add(accepted), nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+	}
+}
+
+func (a *acceptor) drained() bool {
+	a.server.mutex.Lock()
+	defer a.server.mutex.Unlock()
+	return a.server.draining
+}
+
+// longAgo is a deadline that ends what waits.
+var longAgo = time.Unix(1, 0)
+
+// wake ends a listener's wait for a connection.
+func wake(listener net.Listener) { setDeadline(listener, longAgo) }
+
+func setDeadline(listener net.Listener, at time.Time) {
+	if bounded, ok := listener.(interface{ SetDeadline(time.Time) error }); ok {
+		// It fails only at a closed listener, which waits no more.
+		_ = bounded.SetDeadline(at)
+	}
+}
+
+// readable says whether a read, or an accept, of a socket would find something. It waits for
+// nothing, whatever the socket's deadline. What is no socket has nothing.
+func readable(socket any) bool {
+	system, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false // closed
+	}
+	found := false
+	err = raw.Control(func(descriptor uintptr) {
+		polled := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN}}
+		for {
+			count, err := unix.Poll(polled, 0)
+			if !errors.Is(err, unix.EINTR) {
+				found = err == nil && count > 0
+				return
+			}
+		}
+	})
+	return err == nil && found
+}
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,423 @@
+package drain
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// stepTime bounds each step of these tests.
+const stepTime = 20 * time.Second
+
+// testServer is a server whose handler for /held answers once it is released.
+type testServer struct {
+	*Server
+	t        *testing.T
+	address  string
+	began    chan string
+	released chan struct{}
+	served   chan error
+}
+
+func start(t *testing.T) *testServer {
+	return startOn(t, func(listener net.Listener) net.Listener { return listener })
+}
+
+func startOn(t *testing.T, wrap func(net.Listener) net.Listener) *testServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{
+		t: t, address: listener.Addr().String(), began: make(chan string, 100), released: make(chan struct{}), served: make(chan error, 1),
+	}
+	s.Server = NewServer(Options{HTTP: &http.Server{Handler: s, ReadHeaderTimeout: stepTime, IdleTimeout: stepTime}})
+	go func() { s.served <- s.Serve(wrap(listener)) }()
+	t.Cleanup(func() {
+		s.Close()
+		if err := <-s.served; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+	return s
+}
+
+// ServeHTTP answers with the path and the length of the body.
+func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.began <- r.URL.Path
+	if strings.HasPrefix(r.URL.Path, "/held") {
+		<-s.released
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "%s %d", r.URL.Path, len(body))
+}
+
+// drain begins a drain that is bounded by a time; the channel gets what was cut.
+func (s *testServer) drain(bound time.Duration) chan int {
+	cut := make(chan int, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		defer cancel()
+		cut <- s.Drain(ctx)
+	}()
+	return cut
+}
+
+func (s *testServer) awaitDraining() {
+	s.t.Helper()
+	eventually(s.t, "the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", s.address)
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(stepTime); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("it does not come about that %s", what)
+}
+
+func expectCut(t *testing.T, cut chan int, want int) {
+	t.Helper()
+	if got := <-cut; got != want {
+		t.Errorf("%d requests cut, want %d", got, want)
+	}
+}
+
+// caller is a connection to a server.
+type caller struct {
+	net.Conn
+	t      *testing.T
+	reader *bufio.Reader
+}
+
+func (s *testServer) dial() *caller {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(stepTime)); err != nil {
+		s.t.Fatal(err)
+	}
+	return &caller{Conn: conn, t: s.t, reader: bufio.NewReader(conn)}
+}
+
+func (c *caller) write(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// expect reads an answer and checks it.
+func (c *caller) expect(want string, last bool) {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		c.t.Fatalf("no answer %q: %v", want, err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil || string(text) != want || response.Close != last {
+		c.t.Errorf("answer %q, %v, last %v; want %q, last %v", text, err, response.Close, want, last)
+	}
+}
+
+// expectEnd checks that the connection ends without another byte.
+func (c *caller) expectEnd() {
+	c.t.Helper()
+	if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		c.t.Errorf("the connection does not end: %v", err)
+	}
+}
+
+func TestADrainWithNothingUnderWayEndsAtOnce(t *testing.T) {
+	s := start(t)
+	kept, unused := s.dial(), s.dial()
+	kept.write(get("/a"))
+	kept.expect("/a 0", false)
+	expectCut(t, s.drain(stepTime), 0)
+	kept.expectEnd()
+	unused.expectEnd()
+}
+
+func TestALeavingServerSaysThatAnswersAreTheLast(t *testing.T) {
+	s := start(t)
+	kept := s.dial()
+	kept.write(get("/a"))
+	kept.expect("/a 0", false)
+	s.Leave()
+	kept.write(get("/b"))
+	kept.expect("/b 0", true)
+	kept.expectEnd()
+	late := s.dial()
+	late.write(get("/c"))
+	late.expect("/c 0", true)
+}
+
+func TestADrainWaitsForWhatIsUnderWay(t *testing.T) {
+	s := start(t)
+	held, half, body := s.dial(), s.dial(), s.dial()
+	held.write(get("/held"))
+	half.write("GET /half HTTP/1.1\r\nHo")
+	body.write("POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc")
+	<-s.began
+	<-s.began
+	eventually(t, "the half head is read", func() bool { return s.requests() == 3 })
+	cut := s.drain(stepTime)
+	s.awaitDraining()
+	time.Sleep(2 * restTime)
+	half.write("st: h\r\n\r\n")
+	half.expect("/half 0", true)
+	body.write("defghij")
+	body.expect("/body 10", false) // its handler began before
+	close(s.released)
+	held.expect("/held 0", false)
+	expectCut(t, cut, 0)
+}
+
+// requests returns how many connections have a request.
+func (s *testServer) requests() (count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.conns {
+		if !c.resting() {
+			count++
+		}
+	}
+	return count
+}
+
+func TestWhatIsUnderWayAtTheEndIsCutAndCounted(t *testing.T) {
+	s := start(t)
+	held, half, kept := s.dial(), s.dial(), s.dial()
+	kept.write(get("/a"))
+	kept.expect("/a 0", false)
+	held.write(get("/held"))
+	half.write("GET /half HT")
+	eventually(t, "both are read", func() bool { return s.requests() == 2 })
+	expectCut(t, s.drain(2*restTime), 2)
+	held.expectEnd()
+	half.expectEnd()
+	kept.expectEnd()
+	close(s.released)
+}
+
+// Two requests in one write, the second cut off in its head: what is left of it lies in
+// net/http's buffer while the connection counts as idle.
+func TestADrainWaitsForRequestsThatCameWithOthers(t *testing.T) {
+	for _, arrived := range []string{"GET ", "GET /next HTTP/1.1\r\nHo", get("/next")} {
+		t.Run(fmt.Sprint(len(arrived)), func(t *testing.T) {
+			s := start(t)
+			c := s.dial()
+			c.write(get("/first") + arrived)
+			c.expect("/first 0", false)
+			time.Sleep(restTime)
+			cut := s.drain(stepTime)
+			s.awaitDraining()
+			time.Sleep(2 * restTime)
+			c.write(get("/next")[len(arrived):])
+			c.expect("/next 0", len(arrived) < len(get("/next")))
+			expectCut(t, cut, 0)
+		})
+	}
+}
+
+// A byte of the next request that was found while the handler ran.
+func TestADrainWaitsForARequestWhoseFirstByteCameEarly(t *testing.T) {
+	s := start(t)
+	c := s.dial()
+	c.write(get("/held"))
+	<-s.began
+	c.write("G")
+	time.Sleep(restTime)
+	close(s.released)
+	c.expect("/held 0", false)
+	cut := s.drain(stepTime)
+	s.awaitDraining()
+	time.Sleep(2 * restTime)
+	c.write(get("/next")[1:])
+	c.expect("/next 0", true)
+	expectCut(t, cut, 0)
+}
+
+// stillListener accepts nothing, and its connections read nothing, while the process is made
+// to stand still.
+type stillListener struct {
+	*net.TCPListener
+	still *atomic.Bool
+}
+
+type stillConn struct {
+	*net.TCPConn
+	still *atomic.Bool
+}
+
+func await(still *atomic.Bool) {
+	for still.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (l *stillListener) Accept() (net.Conn, error) {
+	await(l.still)
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &stillConn{TCPConn: conn, still: l.still}, nil
+}
+
+func (c *stillConn) Read(p []byte) (int, error) {
+	await(c.still)
+	n, err := c.TCPConn.Read(p)
+	await(c.still)
+	return n, err
+}
+
+func TestADrainAfterAStandstillServesWhatArrivedMeanwhile(t *testing.T) {
+	var still atomic.Bool
+	s := startOn(t, func(listener net.Listener) net.Listener {
+		return &stillListener{TCPListener: listener.(*net.TCPListener), still: &still}
+	})
+	var kept []*caller
+	for range 20 {
+		c := s.dial()
+		c.write(get("/a"))
+		c.expect("/a 0", false)
+		kept = append(kept, c)
+	}
+	still.Store(true)
+	first := s.dial() // takes the accept that is under way already
+	cut := s.drain(stepTime)
+	waiting := []*caller{first}
+	for range 20 {
+		waiting = append(waiting, s.dial())
+	}
+	time.Sleep(2 * restTime)
+	for _, c := range append(kept, waiting...) {
+		c.write(get("/b"))
+	}
+	still.Store(false)
+	for _, c := range append(kept, waiting...) {
+		c.expect("/b 0", true)
+	}
+	expectCut(t, cut, 0)
+}
+
+// Callers that send at once after each answer until one is the last: all are answered.
+func TestNoRequestIsCutUnderLoad(t *testing.T) {
+	s := start(t)
+	const callers = 50
+	ended := make(chan error, callers)
+	for i := range callers {
+		c := s.dial()
+		go func() {
+			for n := 0; ; n++ {
+				if _, err := io.WriteString(c, get(fmt.Sprintf("/%d/%d", i, n))); err != nil {
+					ended <- err
+					return
+				}
+				response, err := http.ReadResponse(c.reader, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, response.Body)
+				}
+				if err != nil || response.Close {
+					ended <- err
+					return
+				}
+				<-s.began
+			}
+		}()
+	}
+	time.Sleep(restTime)
+	s.Leave()
+	cut := s.drain(stepTime)
+	for range callers {
+		if err := <-ended; err != nil {
+			t.Errorf("a request was not answered: %v", err)
+		}
+		select {
+		case <-s.began:
+		default:
+		}
+	}
+	expectCut(t, cut, 0)
+}
+
+// A connection that rests longer than it may is looked at once more, too.
+func TestARequestThatComesAsTheRestEndsIsServed(t *testing.T) {
+	var still atomic.Bool
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprintf(w, "%s 0", r.URL.Path) })
+	server := NewServer(Options{HTTP: &http.Server{Handler: handler, IdleTimeout: restTime}})
+	served := make(chan error, 1)
+	go func() {
+		served <- server.Serve(&stillListener{TCPListener: listener.(*net.TCPListener), still: &still})
+	}()
+	s := &testServer{Server: server, t: t, address: listener.Addr().String()}
+	c := s.dial()
+	still.Store(true)
+	c.write(get("/a"))
+	time.Sleep(restTime / 10)
+	still.Store(false)
+	c.expect("/a 0", false)
+	still.Store(true)
+	time.Sleep(2 * restTime)
+	c.write(get("/b"))
+	time.Sleep(restTime / 10)
+	still.Store(false)
+	c.expect("/b 0", false)
+	server.Close()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestADrainBeforeServeAcceptsWhatWaits(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(Options{HTTP: &http.Server{Handler: http.NotFoundHandler()}})
+	s := &testServer{Server: server, t: t, address: listener.Addr().String()}
+	c := s.dial()
+	c.write(get("/a"))
+	cut := s.drain(stepTime)
+	if err := server.Serve(listener); err != nil {
+		t.Error(err)
+	}
+	c.expect("404 page not found\n", true)
+	expectCut(t, cut, 0)
+}
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -15,6 +15,7 @@
 
 	"dalehook/internal/coordinator"
 	"dalehook/internal/directory"
+	"dalehook/internal/drain"
 	"dalehook/internal/election"
 	"dalehook/internal/follow"
 	"dalehook/internal/gateway"
@@ -253,28 +254,11 @@
 
 type boundServer struct {
 	address  string
-	server   *http.Server
+	server   *drain.Server
 	listener net.Listener
-	// underWay is the number of requests that were read and not answered yet.
-	underWay *atomic.Int64
 }
 
-// counting counts the requests that a handler has under way.
-func counting(handler http.Handler, underWay *atomic.Int64) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		underWay.Add(1)
-		defer underWay.Add(-1)
-		handler.ServeHTTP(w, r)
-	})
-}
-
-func (s boundServer) serve() error {
-	err := s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
+func (s boundServer) serve() error { return s.server.Serve(s.listener) }
 
 func (n *Node) listen() ([]boundServer, error) {
 	listen := n.options.Settings.Listen
@@ -291,11 +275,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", address, err)
 		}
-		underWay := &atomic.Int64{}
-		bound = append(bound, boundServer{address: address, listener: listener, underWay: underWay, server: &http.Server{
-			Handler: counting(handler, underWay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		bound = append(bound, boundServer{address: address, listener: listener, server: drain.NewServer(drain.Options{HTTP: &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 			ErrorLog: zap.NewStdLog(n.options.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-		}})
+		}})})
 	}
 	return bound, nil
 }
@@ -312,19 +295,18 @@
 // finish serves what is under way, within the grace period.
 func (n *Node) finish(servers []boundServer) {
 	ends := time.Now().Add(time.Duration(n.options.Settings.GraceSeconds*float64(time.Second)) - leaveReserve)
+	for _, s := range servers {
+		s.server.Leave()
+	}
 	time.Sleep(leaveNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), ends)
 	defer cancel()
+	// Each listener has the whole time: what one waits for is not taken from the others.
+	var drains conc.WaitGroup
 	for _, s := range servers {
-		began := time.Now()
-		err := s.server.Shutdown(ctx)
-		cut := s.underWay.Load()
-		n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", time.Since(began)), zap.Int64("cut", cut))
-		if err != nil {
-			n.metrics.requestsCut.Add(float64(cut))
-			n.logger.Warn("requests cut by the end of the grace period", zap.String("address", s.address), zap.Int64("cut", cut), zap.Error(err))
-		}
+		drains.Go(func() { n.drain(ctx, s) })
 	}
+	drains.Wait()
 	if n.usageSender != nil {
 		last, cancel := context.WithTimeout(context.Background(), flushTimeout)
 		defer cancel()
@@ -332,6 +314,17 @@
 	}
 }
 
+// drain serves what is under way at a listener.
+func (n *Node) drain(ctx context.Context, s boundServer) {
+	began := time.Now()
+	cut := s.server.Drain(ctx)
+	n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", time.Since(began)), zap.Int("cut", cut))
+	if cut > 0 {
+		n.metrics.requestsCut.Add(float64(cut))
+		n.logger.Warn("requests cut by the end of the grace period", zap.String("address", s.address), zap.Int("cut", cut))
+	}
+}
+
 func (n *Node) handleOperator(records []store.Record) {
 	for _, record := range records {
 		if model, version, ok := n.options.Adapter.Version(record); ok {
