The last flush of a leaving node keeps to its time

Cause: a flush waited for a mutex that another one holds during its append, and, where that fails, during the call that has another node append: up to 1.4 s together, whatever the time of the one that waits. A node that has requests under way until 1.2 s before the end of its grace period would be killed, before its last log lines are written.

Ruled out: that what follows waits without a bound; reads and appends end with the node's context, and a node whose store answers nothing ended 0.5 s after its last answer.

Change: a flush waits no longer for another than its context lasts.

--- a/internal/usage/sender.go
+++ b/internal/usage/sender.go
@@ -45,8 +45,9 @@
 	options SenderOptions
 	clock   Clock
 
-	// flushing is held while a batch is appended, so that only one is under way.
-	flushing sync.Mutex
+	// flushing holds a token while a batch is appended, so that only one is under way. It is
+	// no mutex, since a flush waits no longer for another than its context lasts.
+	flushing chan struct{}
 
 	mutex   sync.Mutex
 	counter *Counter
@@ -57,7 +58,7 @@
 // NewSender returns a sender that has counted nothing.
 func NewSender(options SenderOptions) *Sender {
 	return &Sender{
-		options: options, clock: NewClock(), counted: make(chan struct{}, 1),
+		options: options, clock: NewClock(), counted: make(chan struct{}, 1), flushing: make(chan struct{}, 1),
 		counter: NewCounter(options.Process, options.Length, keepCounts),
 	}
 }
@@ -94,8 +95,13 @@
 
 // Flush appends what was counted so far. It says whether nothing is left.
 func (s *Sender) Flush(ctx context.Context) bool {
-	s.flushing.Lock()
-	defer s.flushing.Unlock()
+	select {
+	case s.flushing <- struct{}{}:
+		defer func() { <-s.flushing }()
+	case <-ctx.Done():
+		s.options.Logger.Warn("usage not appended in time, another append is under way", zap.Error(ctx.Err()))
+		return false
+	}
 	for {
 		batch := s.next()
 		if batch == nil {
