The older node's planned stop ends no connection whose request was read, either

Cause: as in the frontend, http.Server.Shutdown closes a connection whose request has arrived and is not parsed yet.

Change: its HTTP server is drained by internal/drain, which now closes a listener that it can not wake.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -202,7 +202,11 @@
 		if err == nil {
 			return a.server.add(accepted), nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, net.ErrClosed) && a.drained():
+			return nil, errDrained
+		default:
 			return nil, err
 		}
 	}
@@ -217,14 +221,21 @@
 // longAgo is a deadline that ends what waits.
 var longAgo = time.Unix(1, 0)
 
-// wake ends a listener's wait for a connection.
-func wake(listener net.Listener) { setDeadline(listener, longAgo) }
+// wake ends a listener's wait for a connection; one that can not be woken is closed.
+func wake(listener net.Listener) {
+	if !setDeadline(listener, longAgo) {
+		listener.Close()
+	}
+}
 
-func setDeadline(listener net.Listener, at time.Time) {
-	if bounded, ok := listener.(interface{ SetDeadline(time.Time) error }); ok {
+// setDeadline bounds a listener's wait, if it knows deadlines.
+func setDeadline(listener net.Listener, at time.Time) (known bool) {
+	bounded, known := listener.(interface{ SetDeadline(time.Time) error })
+	if known {
 		// It fails only at a closed listener, which waits no more.
 		_ = bounded.SetDeadline(at)
 	}
+	return known
 }
 
 // readable says whether a read, or an accept, of a socket would find something. It waits for
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +15,7 @@
 
 	"dalehook/internal/api"
 	"dalehook/internal/cluster"
+	"dalehook/internal/drain"
 	"dalehook/internal/machine"
 	"dalehook/internal/peer"
 	"dalehook/internal/supervise"
@@ -52,7 +52,7 @@
 	reads     *logReads
 	api       *api.Handler
 	transport *peer.Transport
-	server    *http.Server
+	server    *drain.Server
 
 	// work is the context of everything that the node does; endWork ends it.
 	work    context.Context
@@ -110,14 +110,14 @@
 }
 
 // newServer returns the HTTP server for callers and operators.
-func (n *Node) newServer() *http.Server {
-	return &http.Server{
+func (n *Node) newServer() *drain.Server {
+	return drain.NewServer(drain.Options{HTTP: &http.Server{
 		Handler:           n.api,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          zap.NewStdLog(n.options.Logger.Named("http")),
 		BaseContext:       func(net.Listener) context.Context { return n.work },
-	}
+	}})
 }
 
 // Run drives the node. It returns nil once the machine has left, ErrStopped
@@ -226,8 +226,7 @@
 
 // serveHTTP serves callers and operators until the server is shut down.
 func (n *Node) serveHTTP() {
-	err := n.server.Serve(n.options.Listeners.Client)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if err := n.server.Serve(n.options.Listeners.Client); err != nil {
 		n.failed <- eris.Wrap(err, "node: serve callers")
 	}
 }
@@ -250,8 +249,8 @@
 	n.group.Go(func() {
 		ctx, cancel := context.WithTimeout(n.work, shutdownTimeout)
 		defer cancel()
-		if err := n.server.Shutdown(ctx); err != nil {
-			n.log.Warn("node: Calls were open at the end.", zap.Error(err))
+		if cut := n.server.Drain(ctx); cut > 0 {
+			n.log.Warn("node: Calls were open at the end.", zap.Int("calls", cut))
 		}
 		n.register(ctx, cluster.StateDead)
 		close(n.shutDown)
@@ -265,9 +264,7 @@
 	n.api.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if n.server.Shutdown(ctx) != nil {
-		n.server.Close()
-	}
+	n.server.Drain(ctx)
 	n.transport.Stop()
 	n.endWork()
 	n.group.Wait()
