Tests that fail: what a node has to end at a planned stop gets no answer

Seen: a request whose handler lasts until it is told to end finds its connection closed, 2 of 2 times. Known red until the mend.

--- a/internal/frontend/stop_test.go
+++ b/internal/frontend/stop_test.go
@@ -247,3 +247,28 @@
 		t.Errorf("logged: %s %v", line.Message, line.ContextMap())
 	}
 }
+
+// What was under way at the end of the grace period was cut: its caller read no answer, though
+// the node knew that the time was up. What proves it: a handler that lasts until it is told to
+// end gets its answer out.
+func TestAPlannedStopAnswersWhatItEnds(t *testing.T) {
+	t.Parallel()
+	began := make(chan struct{})
+	s := startStopping(t, func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusBadGateway)
+		io.WriteString(w, "no answer in time")
+	}, newGate())
+	s.node.options.Settings.GraceSeconds = (leaveNotice + leaveReserve + closedSoon).Seconds()
+	caller := s.dial(s.requests)
+	if err := caller.send("/long"); err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	finished := s.finish()
+	if body, _, err := caller.receive(); err != nil || body != "no answer in time" {
+		t.Errorf("a request that a node has to end gets %q, %v", body, err)
+	}
+	<-finished
+}
