What a planned stop has to end is answered

Cause: a request that is under way 1.2 s before the end of the grace period, one that came late to a server that hangs, found its connection closed. The node knows that its time is up, and can say so; a 502 promises nothing.

Ruled out: telling handlers earlier, since a server that works until then may be waited for; a 503, since the request may run.

Change: at the end of its time a drain ends the contexts of all requests with a cause of its own and gives handlers 0.2 s; the gateway's reason for the answer is that cause, not that the caller left. What was late is counted as before, by metric and log line under a name that says so. Streams that have begun break off as before.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -6,7 +6,7 @@
 // reads it, after a last look whether anything has arrived. From Leave on, answers say that
 // they are their connection's last, so that callers move on by themselves; from Drain on, no
 // connection is accepted once those that wait were, connections that rest are ended, and what
-// is under way is waited for.
+// is under way is waited for. What lasts too long is told to end, so that it is answered.
 package drain
 
 import (
@@ -28,13 +28,19 @@
 // just connected, or just read an answer, is likely to send.
 const restTime = 250 * time.Millisecond
 
+// lastAnswerTime is how long handlers that were told to end have for their answers.
+const lastAnswerTime = 200 * time.Millisecond
+
+// ErrTimeUp is the cause of the end of a request's context once a drain has no more time.
+var ErrTimeUp = errors.New("the server has no more time")
+
 // acceptTime bounds the accepting of a connection that waits, should it be gone by then.
 const acceptTime = 100 * time.Millisecond
 
 // Options configure a Server.
 type Options struct {
-	// HTTP serves the connections. Its handler is wrapped and its ConnState is taken; it is
-	// served and ended by this package alone.
+	// HTTP serves the connections. Its handler and BaseContext are wrapped and its ConnState is
+	// taken; it is served and ended by this package alone.
 	HTTP *http.Server
 }
 
@@ -48,8 +54,10 @@
 
 	mutex    sync.Mutex
 	listener net.Listener
-	draining bool
-	conns    map[*conn]struct{}
+	// endRequests ends the contexts of all requests; nil before Serve.
+	endRequests context.CancelCauseFunc
+	draining    bool
+	conns       map[*conn]struct{}
 	// gone wakes a Drain each time a connection has ended.
 	gone chan struct{}
 }
@@ -60,6 +68,7 @@
 		http: options.HTTP, ended: make(chan struct{}), conns: make(map[*conn]struct{}), gone: make(chan struct{}, 1),
 	}
 	s.http.Handler = s.closing(s.http.Handler)
+	s.http.BaseContext = s.ending(s.http.BaseContext)
 	s.http.ConnState = func(accepted net.Conn, state http.ConnState) {
 		if c, ok := accepted.(*conn); ok {
 			c.setState(state)
@@ -79,6 +88,21 @@
 	})
 }
 
+// ending gives requests contexts that the server can end. The parent may be nil.
+func (s *Server) ending(parent func(net.Listener) context.Context) func(net.Listener) context.Context {
+	return func(listener net.Listener) context.Context {
+		base := context.Background()
+		if parent != nil {
+			base = parent(listener)
+		}
+		ctx, end := context.WithCancelCause(base)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.endRequests = end
+		return ctx
+	}
+}
+
 // Serve serves the connections of a listener, once in the life of a server. It returns nil
 // once a Drain or a Close has ended it, and closes the listener.
 func (s *Server) Serve(listener net.Listener) error {
@@ -97,13 +121,29 @@
 func (s *Server) Leave() { s.leaving.Store(true) }
 
 // Drain leaves, accepts what waits to be accepted, and ends connections as soon as they rest.
-// It returns when no connection is left, or when the context ends; then it cuts what is under
-// way, and returns how many connections had a request there, in part or whole.
-func (s *Server) Drain(ctx context.Context) (cut int) {
+// It returns when no connection is left. When the context ends before, it ends the contexts of
+// all requests, with the cause ErrTimeUp, gives their handlers a moment for an answer, and
+// closes what is left; late is the number of connections that had a request by then, in part or
+// whole.
+func (s *Server) Drain(ctx context.Context) (late int) {
 	s.Leave()
 	for _, c := range s.beginDrain() {
 		c.drain()
 	}
+	if s.awaitEnd(ctx) {
+		return 0
+	}
+	late = s.requests()
+	s.tellToEnd()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswerTime)
+	defer cancel()
+	s.awaitEnd(last)
+	s.Close()
+	return late
+}
+
+// awaitEnd waits until no connection is left; it returns false when the context ends before.
+func (s *Server) awaitEnd(ctx context.Context) bool {
 	accepting := s.ended
 	for accepting != nil || s.open() > 0 {
 		select {
@@ -111,10 +151,19 @@
 			accepting = nil
 		case <-s.gone:
 		case <-ctx.Done():
-			return s.cut()
+			return false
 		}
 	}
-	return 0
+	return true
+}
+
+// tellToEnd ends the contexts of all requests.
+func (s *Server) tellToEnd() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.endRequests != nil {
+		s.endRequests(ErrTimeUp)
+	}
 }
 
 // beginDrain wakes whoever waits for a connection, and returns the open ones.
@@ -132,18 +181,16 @@
 	return open
 }
 
-// cut closes all connections and returns how many of them had a request.
-func (s *Server) cut() int {
-	requests := 0
+// requests returns how many connections have a request.
+func (s *Server) requests() (count int) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	for c := range s.conns {
 		if !c.resting() {
-			requests++
+			count++
 		}
 	}
-	s.mutex.Unlock()
-	s.Close()
-	return requests
+	return count
 }
 
 // Close closes the listener and all connections at once.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -69,15 +69,15 @@
 	fmt.Fprintf(w, "%s %d", r.URL.Path, len(body))
 }
 
-// drain begins a drain that is bounded by a time; the channel gets what was cut.
+// drain begins a drain that is bounded by a time; the channel gets how many requests were late.
 func (s *testServer) drain(bound time.Duration) chan int {
-	cut := make(chan int, 1)
+	late := make(chan int, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), bound)
 		defer cancel()
-		cut <- s.Drain(ctx)
+		late <- s.Drain(ctx)
 	}()
-	return cut
+	return late
 }
 
 func (s *testServer) awaitDraining() {
@@ -101,10 +101,10 @@
 	t.Fatalf("it does not come about that %s", what)
 }
 
-func expectCut(t *testing.T, cut chan int, want int) {
+func expectLate(t *testing.T, late chan int, want int) {
 	t.Helper()
-	if got := <-cut; got != want {
-		t.Errorf("%d requests cut, want %d", got, want)
+	if got := <-late; got != want {
+		t.Errorf("%d requests late, want %d", got, want)
 	}
 }
 
@@ -164,7 +164,7 @@
 	kept, unused := s.dial(), s.dial()
 	kept.write(get("/a"))
 	kept.expect("/a 0", false)
-	expectCut(t, s.drain(stepTime), 0)
+	expectLate(t, s.drain(stepTime), 0)
 	kept.expectEnd()
 	unused.expectEnd()
 }
@@ -192,7 +192,7 @@
 	<-s.began
 	<-s.began
 	eventually(t, "the half head is read", func() bool { return s.requests() == 3 })
-	cut := s.drain(stepTime)
+	late := s.drain(stepTime)
 	s.awaitDraining()
 	time.Sleep(2 * restTime)
 	half.write("st: h\r\n\r\n")
@@ -201,22 +201,10 @@
 	body.expect("/body 10", false) // its handler began before
 	close(s.released)
 	held.expect("/held 0", false)
-	expectCut(t, cut, 0)
+	expectLate(t, late, 0)
 }
 
-// requests returns how many connections have a request.
-func (s *testServer) requests() (count int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for c := range s.conns {
-		if !c.resting() {
-			count++
-		}
-	}
-	return count
-}
-
-func TestWhatIsUnderWayAtTheEndIsCutAndCounted(t *testing.T) {
+func TestWhatIsUnderWayAtTheEndIsClosedAndCounted(t *testing.T) {
 	s := start(t)
 	held, half, kept := s.dial(), s.dial(), s.dial()
 	kept.write(get("/a"))
@@ -224,13 +212,39 @@
 	held.write(get("/held"))
 	half.write("GET /half HT")
 	eventually(t, "both are read", func() bool { return s.requests() == 2 })
-	expectCut(t, s.drain(2*restTime), 2)
+	expectLate(t, s.drain(2*restTime), 2)
 	held.expectEnd()
 	half.expectEnd()
 	kept.expectEnd()
 	close(s.released)
 }
 
+// A handler that heeds its context gets an answer out at the end.
+func TestWhatIsToldToEndIsAnswered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := make(chan struct{})
+	server := NewServer(Options{HTTP: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		io.WriteString(w, context.Cause(r.Context()).Error())
+	})}})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	s := &testServer{Server: server, t: t, address: listener.Addr().String()}
+	c := s.dial()
+	c.write(get("/long"))
+	<-began
+	late := s.drain(restTime)
+	c.expect(ErrTimeUp.Error(), false)
+	expectLate(t, late, 1)
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
+
 // Two requests in one write, the second cut off in its head: what is left of it lies in
 // net/http's buffer while the connection counts as idle.
 func TestADrainWaitsForRequestsThatCameWithOthers(t *testing.T) {
@@ -241,12 +255,12 @@
 			c.write(get("/first") + arrived)
 			c.expect("/first 0", false)
 			time.Sleep(restTime)
-			cut := s.drain(stepTime)
+			late := s.drain(stepTime)
 			s.awaitDraining()
 			time.Sleep(2 * restTime)
 			c.write(get("/next")[len(arrived):])
 			c.expect("/next 0", len(arrived) < len(get("/next")))
-			expectCut(t, cut, 0)
+			expectLate(t, late, 0)
 		})
 	}
 }
@@ -261,12 +275,12 @@
 	time.Sleep(restTime)
 	close(s.released)
 	c.expect("/held 0", false)
-	cut := s.drain(stepTime)
+	late := s.drain(stepTime)
 	s.awaitDraining()
 	time.Sleep(2 * restTime)
 	c.write(get("/next")[1:])
 	c.expect("/next 0", true)
-	expectCut(t, cut, 0)
+	expectLate(t, late, 0)
 }
 
 // stillListener accepts nothing, and its connections read nothing, while the process is made
@@ -317,7 +331,7 @@
 	}
 	still.Store(true)
 	first := s.dial() // takes the accept that is under way already
-	cut := s.drain(stepTime)
+	late := s.drain(stepTime)
 	waiting := []*caller{first}
 	for range 20 {
 		waiting = append(waiting, s.dial())
@@ -330,7 +344,7 @@
 	for _, c := range append(kept, waiting...) {
 		c.expect("/b 0", true)
 	}
-	expectCut(t, cut, 0)
+	expectLate(t, late, 0)
 }
 
 // Callers that send at once after each answer until one is the last: all are answered.
@@ -360,7 +374,7 @@
 	}
 	time.Sleep(restTime)
 	s.Leave()
-	cut := s.drain(stepTime)
+	late := s.drain(stepTime)
 	for range callers {
 		if err := <-ended; err != nil {
 			t.Errorf("a request was not answered: %v", err)
@@ -370,7 +384,7 @@
 		default:
 		}
 	}
-	expectCut(t, cut, 0)
+	expectLate(t, late, 0)
 }
 
 // A connection that rests longer than it may is looked at once more, too.
@@ -414,10 +428,10 @@
 	s := &testServer{Server: server, t: t, address: listener.Addr().String()}
 	c := s.dial()
 	c.write(get("/a"))
-	cut := s.drain(stepTime)
+	late := s.drain(stepTime)
 	if err := server.Serve(listener); err != nil {
 		t.Error(err)
 	}
 	c.expect("404 page not found\n", true)
-	expectCut(t, cut, 0)
+	expectLate(t, late, 0)
 }
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -21,24 +21,24 @@
 
 // nodeMetrics counts what the logs tell. Its labels have few values each.
 type nodeMetrics struct {
-	registry       *prometheus.Registry
-	requests       *prometheus.CounterVec
-	requestSeconds *prometheus.HistogramVec
-	attempts       prometheus.Counter
-	jobCalls       *prometheus.CounterVec
-	jobReads       *prometheus.CounterVec
-	itemAttempts   *prometheus.CounterVec
-	results        *prometheus.CounterVec
-	loads          *prometheus.CounterVec
-	rewardCalls    *prometheus.CounterVec
-	rewardSeconds  prometheus.Histogram
-	storeCalls     *prometheus.CounterVec
-	storeSeconds   *prometheus.HistogramVec
-	keysRefused    *prometheus.CounterVec
-	usageReports   *prometheus.CounterVec
-	usageLost      prometheus.Counter
-	serverOrders   *prometheus.CounterVec
-	requestsCut    prometheus.Counter
+	registry          *prometheus.Registry
+	requests          *prometheus.CounterVec
+	requestSeconds    *prometheus.HistogramVec
+	attempts          prometheus.Counter
+	jobCalls          *prometheus.CounterVec
+	jobReads          *prometheus.CounterVec
+	itemAttempts      *prometheus.CounterVec
+	results           *prometheus.CounterVec
+	loads             *prometheus.CounterVec
+	rewardCalls       *prometheus.CounterVec
+	rewardSeconds     prometheus.Histogram
+	storeCalls        *prometheus.CounterVec
+	storeSeconds      *prometheus.HistogramVec
+	keysRefused       *prometheus.CounterVec
+	usageReports      *prometheus.CounterVec
+	usageLost         prometheus.Counter
+	serverOrders      *prometheus.CounterVec
+	requestsPastGrace prometheus.Counter
 }
 
 var _ coordinator.Observer = (*nodeMetrics)(nil)
@@ -72,12 +72,12 @@
 		usageLost: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_usage_lost_total", Help: "Requests that were counted and could not be appended in time.",
 		}),
-		requestsCut: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "dalehook_requests_cut_total", Help: "Requests that were under way at the end of a planned stop's grace period.",
+		requestsPastGrace: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_requests_past_grace_total", Help: "Requests that were under way at the end of a planned stop's grace period.",
 		}),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
-		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsCut, collectors.NewGoCollector())
+		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
 }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -317,11 +317,11 @@
 // drain serves what is under way at a listener.
 func (n *Node) drain(ctx context.Context, s boundServer) {
 	began := time.Now()
-	cut := s.server.Drain(ctx)
-	n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", time.Since(began)), zap.Int("cut", cut))
-	if cut > 0 {
-		n.metrics.requestsCut.Add(float64(cut))
-		n.logger.Warn("requests cut by the end of the grace period", zap.String("address", s.address), zap.Int("cut", cut))
+	late := s.server.Drain(ctx)
+	n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", time.Since(began)), zap.Int("late", late))
+	if late > 0 {
+		n.metrics.requestsPastGrace.Add(float64(late))
+		n.logger.Warn("requests ended by the end of the grace period", zap.String("address", s.address), zap.Int("late", late))
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,10 +197,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			c.reason = "deadline"
-			if c.request.gone(ctx) {
-				c.reason = "caller left"
-			}
+			c.reason = endReason(ctx)
 			c.unrun = false
 			return attempt{}, false
 		case <-hedge:
@@ -219,8 +216,17 @@
 	}
 }
 
-// gone says whether the caller has closed its connection.
-func (r *Request) gone(ctx context.Context) bool { return ctx.Err() == context.Canceled }
+// endReason says why a request's context has ended.
+func endReason(ctx context.Context) string {
+	switch cause := context.Cause(ctx); {
+	case ctx.Err() != context.Canceled:
+		return "deadline"
+	case cause != context.Canceled:
+		return "ended: " + cause.Error()
+	default:
+		return "caller left"
+	}
+}
 
 func (c *call) hedgeTimer() <-chan time.Time {
 	if !c.repeatable || c.route.LatencyTarget <= 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,7 +30,7 @@
 			return status
 		}
 		if ctx.Err() != nil {
-			c.reason = "deadline"
+			c.reason = endReason(ctx)
 			return relay.giveUp()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,8 +249,8 @@
 	n.group.Go(func() {
 		ctx, cancel := context.WithTimeout(n.work, shutdownTimeout)
 		defer cancel()
-		if cut := n.server.Drain(ctx); cut > 0 {
-			n.log.Warn("node: Calls were open at the end.", zap.Int("calls", cut))
+		if late := n.server.Drain(ctx); late > 0 {
+			n.log.Warn("node: Calls were open at the end.", zap.Int("calls", late))
 		}
 		n.register(ctx, cluster.StateDead)
 		close(n.shutDown)
