A job is absent only where all that may hold it was read

Cause: 'not found in what this node has read' was answered as 'not there'. What was read may have begun behind the job: the store drops old records and the reading goes on at the first that is kept; another caller has the reading begin anew between a caller's catching up and its look, or at an offset from where the reading no longer covers all open jobs; the index may come in part.

Change: the look happens under the same hold of the mutex as what it waited for. What a missing job means is told from what the reading covers: sure where the whole partition was read from its first record; the index decides where the reading begins at the first open job; else, and for a job that the index holds, the answer is that it is not known here (503, or the store is asked by the node that passed the read on). An index that tells of more than it brings is an error.

--- a/internal/joblog/catchup.go
+++ b/internal/joblog/catchup.go
@@ -14,36 +14,61 @@
 // catchUpTimeout bounds the reading up to the partition's end for an answer.
 const catchUpTimeout = 2200 * time.Millisecond
 
-// startOf returns the offset from which a job is to be looked for. A job that the index does
-// not hold may stand anywhere, and so may all when it can not be read.
-func (p *partition) startOf(ctx context.Context, jobID string) int64 {
-	start, _, err := p.index.find(ctx, jobID)
+// startOf returns the offset from which a job is to be looked for, and whether it is known to
+// begin there. A job that the index does not hold may stand anywhere, and so may all when it can
+// not be read.
+func (p *partition) startOf(ctx context.Context, jobID string) (start int64, known bool) {
+	start, known, err := p.index.find(ctx, jobID)
 	if err != nil {
 		p.logger.Info("index not read", zap.Stringer("partition", p.at), zap.String("job", jobID), zap.Error(err))
-		return 0
+		return 0, false
 	}
-	return start
+	return start, known
 }
 
-// errReadingMoved says that the reading began anew, for a subscriber, behind where a job may
-// stand.
-var errReadingMoved = errors.New("partition is read from a later offset now")
+// errMayStandElsewhere says that a job may stand where this node has not read: the store has
+// dropped the records, the reading began anew behind them, or the index was read in part.
+var errMayStandElsewhere = errors.New("job may stand where this node has not read")
+
+// absence is what it means that a partition was read and a job was not found.
+type absence int
+
+const (
+	// absenceUnsure: the job may stand where the reading did not come.
+	absenceUnsure absence = iota
+	// absenceUnlessIndexed: the job is in the index, or nowhere.
+	absenceUnlessIndexed
+	// absenceSure: the job is nowhere.
+	absenceSure
+)
+
+// absence says what it means that a job was not found now. The mutex is held.
+func (p *partition) absence() absence {
+	switch {
+	case p.cut || !p.covers:
+		return absenceUnsure
+	case p.from > 0:
+		// All jobs that begin before the first open one are in the index.
+		return absenceUnlessIndexed
+	}
+	return absenceSure
+}
 
 // viewFrom is viewCaughtUp for a job that does not begin before an offset, from which, or from
-// an earlier one, the partition is read.
-func (p *partition) viewFrom(ctx context.Context, start int64, jobID string, satisfied Condition, visit func(*batch.State)) error {
+// an earlier one, the partition is read. Where the job is known to begin there it is not absent.
+func (p *partition) viewFrom(ctx context.Context, start int64, known bool, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	if ctx.Err() != nil {
 		return errors.Join(ErrUncertain, ctx.Err())
 	}
 	p.readFrom(start)
-	moved := false
-	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State, from int64) {
-		if moved = state == nil && from > start; !moved {
+	unsure := false
+	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State, absence absence) {
+		if unsure = state == nil && (known || absence != absenceSure); !unsure {
 			visit(state)
 		}
 	})
-	if err == nil && moved {
-		return errors.Join(ErrUncertain, errReadingMoved)
+	if err == nil && unsure {
+		return errors.Join(ErrUncertain, errMayStandElsewhere)
 	}
 	return err
 }
@@ -60,56 +85,62 @@
 }
 
 // viewCaughtUp calls visit with a job's state once satisfied holds, or all that stood in the
-// partition was read, and with the offset that the reading began at.
-func (p *partition) viewCaughtUp(ctx context.Context, jobID string, satisfied Condition, visit func(state *batch.State, from int64)) error {
-	if err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }); err != nil {
+// partition was read, and with what it means that there is none.
+func (p *partition) viewCaughtUp(ctx context.Context, jobID string, satisfied Condition, visit func(state *batch.State, absence absence)) error {
+	err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }, func() { visit(p.jobLocked(jobID), p.absence()) })
+	if err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	visit(p.jobLocked(jobID), p.from)
 	return nil
 }
 
-// catchUp waits until all that stood in the partition when it was called was read, or
-// until enough was. Enough is called with the mutex held.
-func (p *partition) catchUp(ctx context.Context, enough func() bool) error {
+// catchUp waits until all that stood in the partition when it was called was read, or until
+// enough was, and calls look. Enough and look are called with the mutex held, look under the same
+// hold as what it waited for: in between, another caller may have the reading begin anew.
+func (p *partition) catchUp(ctx context.Context, enough func() bool, look func()) error {
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	done, err := p.awaitFirstRead(ctx, asked, enough)
-	if err != nil || done {
+	looked, err := p.awaitFirstRead(ctx, asked, enough, look)
+	if err != nil || looked {
 		return err
 	}
 	end, err := p.end(ctx)
 	if err != nil {
 		return err
 	}
-	if !p.waitUntil(ctx, func() bool { return p.next >= end || enough() }) {
+	caughtUp := p.waitUntil(ctx, func() bool {
+		if p.next < end && !enough() {
+			return false
+		}
+		look()
+		return true
+	})
+	if !caughtUp {
 		return ctx.Err()
 	}
 	return nil
 }
 
 // awaitFirstRead waits until the partition was read to its end once, or enough of it.
-// Asking for the end before would bring all of it over the link a second time. Done says
-// that enough was read, or all by a read that began after asked.
-func (p *partition) awaitFirstRead(ctx context.Context, asked time.Time, enough func() bool) (done bool, err error) {
+// Asking for the end before would bring all of it over the link a second time. It looks where
+// enough was read, or all by a read that began after asked.
+func (p *partition) awaitFirstRead(ctx context.Context, asked time.Time, enough func() bool, look func()) (looked bool, err error) {
 	settled := p.waitUntil(ctx, func() bool {
-		done = p.freshSince.After(asked) || enough()
-		err = nil
+		if p.freshSince.After(asked) || enough() {
+			look()
+			looked = true
+			return true
+		}
 		if p.freshSince.IsZero() && p.failedAt.After(asked) {
 			err = p.failed
 		}
-		return done || !p.freshSince.IsZero() || err != nil
+		return !p.freshSince.IsZero() || err != nil
 	})
 	if !settled {
 		return false, ctx.Err()
 	}
-	if done {
-		return true, nil
-	}
-	return false, err
+	return looked, err
 }
 
 // end reads on from where the reading is, and returns the partition's end. What it brings is
@@ -119,9 +150,10 @@
 	read, err := p.log.Read(ctx, p.at, next, 0)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
+		p.skipTo(next, trimmed.First)
 		// The first record that is kept is not the end.
-		read, err = p.log.Read(ctx, p.at, trimmed.First, 0)
-		return read.End, err
+		next = trimmed.First
+		read, err = p.log.Read(ctx, p.at, next, 0)
 	}
 	if err == nil {
 		p.apply(next, read, asked)
--- a/internal/joblog/index.go
+++ b/internal/joblog/index.go
@@ -118,10 +118,14 @@
 	defer x.reading.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, indexTimeout)
 	defer cancel()
-	_, err := store.ReadOn(ctx, x.log, x.at, x.next, func(read store.Batch) bool {
+	ended, err := store.ReadOn(ctx, x.log, x.at, x.next, func(read store.Batch) bool {
 		x.add(read)
 		return true
 	})
+	if err == nil && !ended {
+		// What is not in a part of the index may be in the rest.
+		return errCutOff
+	}
 	return err
 }
 
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -111,7 +111,8 @@
 		}
 		return nil
 	}
-	return p.viewFrom(ctx, p.startOf(ctx, jobID), jobID, satisfied, visit)
+	start, known := p.startOf(ctx, jobID)
+	return p.viewFrom(ctx, start, known, jobID, satisfied, visit)
 }
 
 // ViewKnown calls visit with a job's state where satisfied holds for what is known already,
@@ -143,14 +144,18 @@
 	if !p.touchFollowed() {
 		return ErrNotFollowed
 	}
-	visited := false
-	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State, from int64) {
-		if visited = state != nil || from == 0; visited {
+	visited, left := false, absenceUnsure
+	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State, absence absence) {
+		left = absence
+		if visited = state != nil || absence == absenceSure; visited {
 			visit(state)
 		}
 	})
-	if err != nil || visited {
+	switch {
+	case err != nil || visited:
 		return err
+	case left == absenceUnsure:
+		return ErrNotFollowed
 	}
 	indexed, err := p.index.holds(ctx, jobID)
 	switch {
@@ -159,7 +164,6 @@
 	case indexed:
 		return ErrNotFollowed
 	}
-	// All jobs that begin before where the reading began are in the index.
 	visit(nil)
 	return nil
 }
@@ -178,7 +182,7 @@
 	if err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
-	return p.viewFrom(ctx, start, jobID, satisfied, visit)
+	return p.viewFrom(ctx, start, known, jobID, satisfied, visit)
 }
 
 // WaitFor waits until a job has more than count results, has ended, or the
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -44,6 +44,8 @@
 	from, next int64
 	// covers says that no open job begins before from.
 	covers bool
+	// cut says that the store had dropped records from the reading's way.
+	cut bool
 	// openFrom is the offset that was last told to the subscriber, before which all jobs
 	// have ended.
 	openFrom int64
@@ -79,6 +81,7 @@
 	p.fold = batch.NewFold()
 	p.from, p.next = from, from
 	p.covers = from == 0
+	p.cut = false
 	p.openFrom = from
 	p.freshSince = time.Time{}
 	if p.endRead != nil {
@@ -86,6 +89,13 @@
 	}
 }
 
+// beginAgainLocked forgets what was read, and begins anew where the reading began.
+func (p *partition) beginAgainLocked() {
+	covers := p.covers
+	p.resetLocked(p.from)
+	p.covers = covers
+}
+
 // notify wakes all that wait. The mutex is held.
 func (p *partition) notify() {
 	close(p.changed)
--- a/internal/joblog/reading.go
+++ b/internal/joblog/reading.go
@@ -72,7 +72,8 @@
 	}
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
-		read, err = store.Batch{Next: trimmed.First, End: trimmed.First + 1}, nil
+		p.skipTo(next, trimmed.First)
+		return nil
 	}
 	if err != nil {
 		return err
@@ -111,6 +112,24 @@
 	return p.next != from
 }
 
+// skipTo takes that the store has dropped all records before first, that at next among them. What
+// is not found from then on may have stood there.
+func (p *partition) skipTo(next, first int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if next != p.next {
+		return
+	}
+	p.logger.Warn("records are gone", zap.Stringer("partition", p.at), zap.Int64("offset", next), zap.Int64("first", first))
+	if p.next > p.from && p.subscriber == nil {
+		// Results may be among what is gone, and those behind would move up in their place.
+		p.beginAgainLocked()
+	}
+	p.next = first
+	p.cut = true
+	p.notify()
+}
+
 // apply takes what a read from an offset brought that was asked at asked, unless the reading
 // has begun anew or another read has brought it.
 func (p *partition) apply(from int64, read store.Batch, asked time.Time) {
