--- /dev/null
+++ b/internal/frontend/endedjobs_bench_test.go
@@ -0,0 +1,132 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/joblog"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+// thinLink is the link of a weak node in bytes a second: 60 Mbit/s.
+const thinLink = 7_500_000
+
+// The sizes of a job of the grown deployment.
+const (
+	grownItems = 150
+	grownText  = 6000
+	grownBody  = 800
+	// grownJobs are the jobs of one partition.
+	grownJobs = 4
+)
+
+func grownJobID(number int) string { return fmt.Sprint("job-", number) }
+
+// endedJobs is a store with jobs that have ended, each with results for all items but the last,
+// and with one open job behind them.
+func endedJobs(t testing.TB) *storetest.Memory {
+	memory := storetest.NewMemory()
+	next := int64(0)
+	add := func(records [][]byte, err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := memory.Append(context.Background(), store.Partition{Topic: store.TopicJobs}, records); err != nil {
+			t.Fatal(err)
+		}
+		next += int64(len(records))
+	}
+	text := strings.Repeat("some text of a result. ", grownText/23)
+	for number := range grownJobs + 1 {
+		appendIndex(t, memory, grownJobID(number), next)
+		job := &batch.Job{ID: grownJobID(number)}
+		for i := range grownItems {
+			job.Items = append(job.Items, batch.Item{ID: fmt.Sprint(job.ID, "-", i), Body: make([]byte, grownBody)})
+		}
+		add(batch.EncodeJob(job))
+		if number == grownJobs {
+			break
+		}
+		for _, item := range job.Items[:grownItems-1] {
+			add(batch.EncodeResult(&batch.Result{JobID: job.ID, ItemID: item.ID, Text: text}))
+		}
+		add(batch.EncodeEnd(&batch.End{JobID: job.ID}))
+	}
+	record, err := joblog.EncodeIndexEntry(joblog.IndexEntry{OpenFrom: next - 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := memory.Append(context.Background(), store.Partition{Topic: store.TopicJobIndex}, [][]byte{record}); err != nil {
+		t.Fatal(err)
+	}
+	return memory
+}
+
+// readWhole reads a job's results page by page, and returns how long the first page took and how
+// long all of them.
+func readWhole(t testing.TB, node *jobReader, job string) (first, all time.Duration) {
+	began := time.Now()
+	for from := 0; from < grownItems-1; {
+		_, results, verdict := node.results(context.Background(), batch.Name{ID: job}, from, 0)
+		if verdict == VerdictAbsent {
+			t.Errorf("job %s is absent", job)
+			return
+		}
+		if from += len(results); first == 0 && len(results) > 0 {
+			first = time.Since(began)
+		}
+	}
+	return first, time.Since(began)
+}
+
+// BenchmarkEndedJobs reads jobs that ended before the coordinator's term at a cold node behind a
+// thin link: one, several of one partition at once in either order, and one by several callers. It
+// tells the time to the first page and to the last one of the slowest, and what was read.
+func BenchmarkEndedJobs(b *testing.B) {
+	cases := map[string][]int{
+		"one": {0}, "rising": {0, 1, 2, 3}, "falling": {3, 2, 1, 0}, "same": {1, 1, 1, 1},
+	}
+	memory := endedJobs(b)
+	for name, jobs := range cases {
+		b.Run(name, func(b *testing.B) { benchmarkEndedJobs(b, memory, jobs) })
+	}
+}
+
+func benchmarkEndedJobs(b *testing.B, memory *storetest.Memory, jobs []int) {
+	var slowestFirst, slowestAll time.Duration
+	reads, bytes := 0, 0
+	for range b.N {
+		coordinator, stopCoordinator := startReader(storetest.NewLink(memory, thinLink), func(readSource) {})
+		coordinator.jobs.Follow(context.Background(), 0)
+		coordinator.jobs.Subscribe(0, subscriber{})
+		log := storetest.NewLink(memory, thinLink)
+		node, stop := startReader(log, func(readSource) {})
+		node.observeCoordinator(false, serve(b, coordinator))
+		var readers sync.WaitGroup
+		var mutex sync.Mutex
+		for i, job := range jobs {
+			readers.Go(func() {
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				first, all := readWhole(b, node, grownJobID(job))
+				mutex.Lock()
+				defer mutex.Unlock()
+				slowestFirst, slowestAll = max(slowestFirst, first), max(slowestAll, all)
+			})
+		}
+		readers.Wait()
+		stop()
+		stopCoordinator()
+		moreReads, moreBytes := log.Sent()
+		reads, bytes = reads+moreReads, bytes+moreBytes
+	}
+	b.ReportMetric(slowestFirst.Seconds()*1000, "first-ms")
+	b.ReportMetric(slowestAll.Seconds()*1000, "all-ms")
+	b.ReportMetric(float64(reads)/float64(b.N), "reads")
+	b.ReportMetric(float64(bytes)/float64(b.N)/1e6, "MB")
+}
