Jobs that ended before the coordinator's term are read one by one, once, and kept a while

Cause: such a job is read by each node that is asked, by way of the partition's one reading: it went on through all later jobs to the partition's end; the reader of an earlier job had it begin anew, so that what had come over the link was lost and the reader of a later one waited for all before it; and two seconds after a caller had left, what had been read for it was forgotten.

Reads of the index cost one call where the job is in it.

Change: a job that the index holds has a reading of its own, from where it begins to its end, which all callers of the node share, and which goes on without them for 2 s. Records of other jobs are not decoded. At most three reads are under way at once, so that the first callers are answered in time and not all too late. Jobs are kept for 15 s after they were last asked for, 16 MiB of records at most; nothing is read that nobody asked for. The partition's own reading begins at its start or at the first open job, and nowhere else, so that what a missing job means no longer depends on who asked last. An item of a job that has ended is answered from what is known.

--- a/internal/batch/codec.go
+++ b/internal/batch/codec.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -61,6 +62,18 @@
 // assembler joins the fragments of messages.
 type assembler struct {
 	pending []byte
+	// marker stands in the first fragment of each message that is wanted; without one all are.
+	marker []byte
+	// skipping says that the last record began or went on with a message that is not wanted.
+	skipping bool
+}
+
+// skips says whether a record belongs to a message that is not wanted.
+func (a *assembler) skips(record []byte) bool {
+	begins := len(a.pending) == 0 && !a.skipping
+	skipped := a.skipping || begins && !bytes.Contains(record, a.marker)
+	a.skipping = skipped && record[0] == fragmentMore
+	return skipped
 }
 
 // add takes one record and returns the message that it completes, if any.
@@ -68,6 +81,9 @@
 	if len(record) == 0 {
 		return nil, errEmptyRecord
 	}
+	if a.skips(record) {
+		return nil, nil
+	}
 	if record[0] == fragmentMore {
 		a.pending = append(a.pending, record[1:]...)
 		return nil, nil
--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -1,5 +1,7 @@
 package batch
 
+import "encoding/json"
+
 // State is what the log says of one job.
 type State struct {
 	Job *Job
@@ -47,6 +49,17 @@
 // NewFold returns the state of an empty partition.
 func NewFold() *Fold { return &Fold{jobs: make(map[string]*State)} }
 
+// NewJobFold returns the state of an empty partition of which only one job is wanted: messages
+// that do not name it are not decoded.
+func NewJobFold(jobID string) *Fold {
+	fold := NewFold()
+	if marker, err := json.Marshal(jobID); err == nil {
+		// Each message names its job in its first fields.
+		fold.assembler.marker = marker
+	}
+	return fold
+}
+
 // Job returns the state of a job, or nil.
 func (f *Fold) Job(id string) *State { return f.jobs[id] }
 
--- a/internal/batch/fold_test.go
+++ b/internal/batch/fold_test.go
@@ -173,3 +173,40 @@
 		t.Error("a job's name is taken for another's")
 	}
 }
+
+// A fold of one job comes to the same state of it as a fold of all, whatever the sizes of the
+// messages between, and knows of no other.
+func TestAFoldOfOneJobIsThatOfAllForIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, one := NewFold(), NewJobFold("a\"<&>")
+		for range rapid.IntRange(1, 12).Draw(t, "messages") {
+			job := rapid.SampledFrom([]string{"a\"<&>", "b", "c"}).Draw(t, "job")
+			records := drawMessage(t, job)
+			apply(t, whole, records)
+			apply(t, one, records)
+		}
+		compare := cmp.AllowUnexported(State{})
+		if diff := cmp.Diff(whole.Job("a\"<&>"), one.Job("a\"<&>"), compare); diff != "" {
+			t.Fatal(diff)
+		}
+		if one.Job("b") != nil || one.Job("c") != nil {
+			t.Fatal("another job is known")
+		}
+	})
+}
+
+// drawMessage returns the records of some message of a job, of several fragments now and then.
+func drawMessage(t *rapid.T, job string) [][]byte {
+	text := strings.Repeat("x", rapid.SampledFrom([]int{1, 1, 1, fragmentSize, 2*fragmentSize + 5}).Draw(t, "size"))
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		records, err := EncodeJob(&Job{ID: job, Host: "host", Path: text, Items: []Item{{ID: "i0"}, {ID: "i1"}}})
+		return mustEncode(t, records, err)
+	case 3:
+		records, err := EncodeEnd(&End{JobID: job})
+		return mustEncode(t, records, err)
+	}
+	item := rapid.SampledFrom([]string{"i0", "i1"}).Draw(t, "item")
+	records, err := EncodeResult(&Result{JobID: job, ItemID: item, Text: text})
+	return mustEncode(t, records, err)
+}
--- a/internal/joblog/absent_test.go
+++ b/internal/joblog/absent_test.go
@@ -202,7 +202,6 @@
 	logs.partitions[0].index.openFrom = 4
 	logs.partitions[0].mutex.Lock()
 	logs.partitions[0].resetLocked(4)
-	logs.partitions[0].covers = true
 	logs.partitions[0].touchLocked()
 	logs.partitions[0].mutex.Unlock()
 	checkNotDenied(t, logs.ViewFollowed, "ended")
--- a/internal/joblog/catchup.go
+++ b/internal/joblog/catchup.go
@@ -45,7 +45,7 @@
 // absence says what it means that a job was not found now. The mutex is held.
 func (p *partition) absence() absence {
 	switch {
-	case p.cut || !p.covers:
+	case p.cut:
 		return absenceUnsure
 	case p.from > 0:
 		// All jobs that begin before the first open one are in the index.
@@ -54,16 +54,15 @@
 	return absenceSure
 }
 
-// viewFrom is viewCaughtUp for a job that does not begin before an offset, from which, or from
-// an earlier one, the partition is read. Where the job is known to begin there it is not absent.
-func (p *partition) viewFrom(ctx context.Context, start int64, known bool, jobID string, satisfied Condition, visit func(*batch.State)) error {
+// viewWhole is viewCaughtUp for a job that may stand anywhere: the partition is read from its start.
+func (p *partition) viewWhole(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	if ctx.Err() != nil {
 		return errors.Join(ErrUncertain, ctx.Err())
 	}
-	p.readFrom(start)
+	p.readFromStart()
 	unsure := false
 	err := p.viewCaughtUp(ctx, jobID, satisfied, func(state *batch.State, absence absence) {
-		if unsure = state == nil && (known || absence != absenceSure); !unsure {
+		if unsure = state == nil && absence != absenceSure; !unsure {
 			visit(state)
 		}
 	})
@@ -73,13 +72,13 @@
 	return err
 }
 
-// readFrom has the partition read from an offset on, or from an earlier one.
-func (p *partition) readFrom(start int64) {
+// readFromStart has the partition read from its start, unless a subscriber needs it from a later
+// offset on.
+func (p *partition) readFromStart() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	begun := p.next > p.from || p.wanted()
-	if p.subscriber == nil && (!begun || start < p.from) {
-		p.resetLocked(start)
+	if p.subscriber == nil && p.from > 0 {
+		p.resetLocked(0)
 	}
 	p.touchLocked()
 }
@@ -87,7 +86,7 @@
 // viewCaughtUp calls visit with a job's state once satisfied holds, or all that stood in the
 // partition was read, and with what it means that there is none.
 func (p *partition) viewCaughtUp(ctx context.Context, jobID string, satisfied Condition, visit func(state *batch.State, absence absence)) error {
-	err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }, func() { visit(p.jobLocked(jobID), p.absence()) })
+	err := p.catchUp(ctx, func() bool { return p.holds(jobID, satisfied) }, func() { visit(p.fold.Job(jobID), p.absence()) })
 	if err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
--- a/internal/joblog/ended_test.go
+++ b/internal/joblog/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -142,3 +143,125 @@
 		}
 	})
 }
+
+// openJob is a store with a job that has one result of three, and the node that has read it.
+func openJob(t *testing.T) (memory *storetest.Memory, writer, logs *Logs) {
+	memory = storetest.NewMemory()
+	writer = NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, memory, writer, "other", 1, 1)
+	appendJob(t, memory, writer, "open", 3, 1)
+	indexJob(t, memory, "open", 2)
+	logs = start(t, memory)
+	if count, _ := readEnded(t, logs, "open", 0); count != 1 {
+		t.Fatalf("%d results", count)
+	}
+	return memory, writer, logs
+}
+
+// An open job that no coordinator answers for is read by each node as well: what comes is seen by
+// those that wait for it, and by those that ask later.
+func TestAnOpenJobIsReadOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, writer, logs := openJob(t)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		waited := make(chan time.Duration)
+		began := time.Now()
+		go func() {
+			logs.WaitFor(ctx, "open", 1)
+			waited <- time.Since(began)
+		}()
+		time.Sleep(10 * time.Second)
+		appendResults(t, writer, "open", 1, 2)
+		if took := <-waited; took > 10*time.Second+callerReadWait {
+			t.Errorf("waited %v for a result that came after 10 s", took)
+		}
+		time.Sleep(settleTime)
+		appendResults(t, writer, "open", 2, 3)
+		time.Sleep(settleTime)
+		if count, _ := readEnded(t, logs, "open", 2); count != 1 {
+			t.Errorf("%d results from position 2 on", count)
+		}
+	})
+}
+
+// While the store does not answer, what was read before it is old is not taken for all, and a
+// caller is refused soon; after that the reading goes on.
+func TestAJobIsUncertainWhileTheStoreDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory, writer, logs := openJob(t)
+		time.Sleep(settleTime)
+		memory.SetFault(storetest.FaultRefuse)
+		err := logs.ViewIndexed(context.Background(), "open", HasPosition(1), func(*batch.State) { t.Error("a state is given") })
+		if !errors.Is(err, ErrUncertain) {
+			t.Errorf("error %v", err)
+		}
+		time.Sleep(retryPause)
+		memory.SetFault(storetest.FaultNone)
+		appendResults(t, writer, "open", 1, 2)
+		if count, _ := readEnded(t, logs, "open", 1); count != 1 {
+			t.Errorf("%d results from position 1 on", count)
+		}
+	})
+}
+
+// An item of a job that has ended is not looked for in the store again and again.
+func TestAnItemOfAnEndedJobIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		link := storetest.NewLink(storeOfEndedJobs(t, 1), weakLink)
+		logs := start(t, link)
+		view := func() {
+			err := logs.ViewIndexed(context.Background(), endedJob(0), HasItem("i149"), func(state *batch.State) {
+				if state == nil || !state.Ended {
+					t.Errorf("state %v", state)
+				}
+			})
+			if err != nil {
+				t.Error(err)
+			}
+		}
+		view()
+		before, _ := link.Sent()
+		view()
+		if reads, _ := link.Sent(); reads != before {
+			t.Errorf("%d reads for what is known", reads-before)
+		}
+	})
+}
+
+func kept(readings *jobReadings) (jobs, bytes int) {
+	readings.mutex.Lock()
+	defer readings.mutex.Unlock()
+	for _, reading := range readings.byJob {
+		_, size := reading.idle()
+		bytes += size
+	}
+	return len(readings.byJob), bytes
+}
+
+// What is kept of jobs is bounded in size and in time, and nothing is read for it.
+func TestKeptJobsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const jobs = 20
+		link := storetest.NewLink(storeOfEndedJobs(t, jobs), weakLink)
+		logs := start(t, link)
+		for number := range jobs {
+			if count, _ := readEnded(t, logs, endedJob(number), 0); count < 1 {
+				t.Errorf("job %d is not read", number)
+			}
+			// The reading goes on to the job's end.
+			time.Sleep(200 * time.Millisecond)
+		}
+		if _, bytes := kept(logs.readings); bytes > keepJobBytes+2*endedJobsBytes {
+			t.Errorf("%d bytes are kept", bytes)
+		}
+		before, _ := link.Sent()
+		time.Sleep(3 * keepJobFor)
+		if jobs, _ := kept(logs.readings); jobs > 0 {
+			t.Errorf("%d jobs are kept", jobs)
+		}
+		if reads, _ := link.Sent(); reads != before {
+			t.Errorf("%d reads that nobody asked for", reads-before)
+		}
+	})
+}
--- a/internal/joblog/follow_test.go
+++ b/internal/joblog/follow_test.go
@@ -118,7 +118,7 @@
 // does not take a job for absent that stands before.
 func TestAJobIsNotAbsentWhereTheReadingMovedOn(t *testing.T) {
 	_, logs, _ := subscribed(t)
-	err := logs.partitions[0].viewFrom(context.Background(), 0, false, "ended", HasPosition(0), func(*batch.State) {
+	err := logs.partitions[0].viewWhole(context.Background(), "ended", HasPosition(0), func(*batch.State) {
 		t.Error("a state is given")
 	})
 	if !errors.Is(err, ErrUncertain) {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -31,12 +31,13 @@
 type Logs struct {
 	options    Options
 	partitions []*partition
+	readings   *jobReadings
 	background conc.WaitGroup
 }
 
 // NewLogs returns Logs that read nothing yet.
 func NewLogs(options Options) *Logs {
-	l := &Logs{options: options}
+	l := &Logs{options: options, readings: newJobReadings()}
 	for number := range options.Partitions {
 		l.partitions = append(l.partitions, newPartition(options, number))
 	}
@@ -91,9 +92,12 @@
 	}
 }
 
-// HasItem holds where an item without a result is known.
+// HasItem holds where an item is known, or where it is known that the job has ended, whose items
+// are no longer asked for.
 func HasItem(itemID string) Condition {
-	return func(state *batch.State, _ bool) bool { return state != nil && state.Item(itemID) != nil }
+	return func(state *batch.State, _ bool) bool {
+		return state != nil && (state.Ended || state.Item(itemID) != nil)
+	}
 }
 
 // View calls visit with a job's state, nil when the log holds no such job. The store is
@@ -105,19 +109,31 @@
 		return err
 	}
 	p := l.partitions[l.PartitionOf(jobID)]
-	if p.followed() {
-		if err := p.scan(ctx, jobID, satisfied, visit); err != nil {
-			return errors.Join(ErrUncertain, err)
-		}
-		return nil
-	}
 	start, known := p.startOf(ctx, jobID)
-	return p.viewFrom(ctx, start, known, jobID, satisfied, visit)
+	switch {
+	case known:
+		return l.readings.of(p, jobID, start).view(ctx, satisfied, visit)
+	case !p.followed():
+		return p.viewWhole(ctx, jobID, satisfied, visit)
+	}
+	if err := p.scan(ctx, jobID, satisfied, visit); err != nil {
+		return errors.Join(ErrUncertain, err)
+	}
+	return nil
 }
 
 // ViewKnown calls visit with a job's state where satisfied holds for what is known already,
 // and says whether it did. The store is not asked.
 func (l *Logs) ViewKnown(jobID string, satisfied Condition, visit func(*batch.State)) bool {
+	if l.viewKnownFollowed(jobID, satisfied, visit) {
+		return true
+	}
+	kept := l.readings.kept(jobID)
+	return kept != nil && kept.viewKnown(satisfied, visit)
+}
+
+// viewKnownFollowed is ViewKnown for what stands in a partition that is followed.
+func (l *Logs) viewKnownFollowed(jobID string, satisfied Condition, visit func(*batch.State)) bool {
 	p := l.partitions[l.PartitionOf(jobID)]
 	if !p.visitIf(jobID, satisfied, visit) {
 		return false
@@ -137,7 +153,7 @@
 // nothing of it read anew. It returns ErrNotFollowed where this node does not, and for a job
 // that ended before where the reading began.
 func (l *Logs) ViewFollowed(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
-	if l.ViewKnown(jobID, satisfied, visit) {
+	if l.viewKnownFollowed(jobID, satisfied, visit) {
 		return nil
 	}
 	p := l.partitions[l.PartitionOf(jobID)]
@@ -168,13 +184,18 @@
 	return nil
 }
 
-// ViewIndexed is View for a job that the index holds: what it reads is bounded by the job's
-// own part of its partition. A job that the index does not hold is an ErrUncertain.
+// ViewIndexed is View for a job that is followed, or that the index holds: what it reads is bounded
+// by the job's own part of its partition. Any other job is an ErrUncertain.
 func (l *Logs) ViewIndexed(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	if l.ViewKnown(jobID, satisfied, visit) {
 		return nil
 	}
 	p := l.partitions[l.PartitionOf(jobID)]
+	if p.knows(jobID) {
+		if err := l.ViewFollowed(ctx, jobID, satisfied, visit); !errors.Is(err, ErrNotFollowed) {
+			return err
+		}
+	}
 	start, known, err := p.index.find(ctx, jobID)
 	if err == nil && !known {
 		err = errNotIndexed
@@ -182,13 +203,17 @@
 	if err != nil {
 		return errors.Join(ErrUncertain, err)
 	}
-	return p.viewFrom(ctx, start, known, jobID, satisfied, visit)
+	return l.readings.of(p, jobID, start).view(ctx, satisfied, visit)
 }
 
 // WaitFor waits until a job has more than count results, has ended, or the
 // context ends.
 func (l *Logs) WaitFor(ctx context.Context, jobID string, count int) {
 	p := l.partitions[l.PartitionOf(jobID)]
+	if kept := l.readings.kept(jobID); kept != nil && !p.knows(jobID) {
+		kept.waitFor(ctx, count)
+		return
+	}
 	p.countWaiting(1)
 	defer p.countWaiting(-1)
 	p.waitUntil(ctx, func() bool {
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -24,8 +24,8 @@
 	interest = 2 * time.Second
 )
 
-// partition is one partition as this node knows it: all of it for a subscriber, else from
-// the first job on that was asked for.
+// partition is one partition as this node knows it: from its start, or from where the first job
+// begins that was open when the reading began. A void copy of an earlier job is dropped as it comes.
 type partition struct {
 	log    store.Log
 	at     store.Partition
@@ -42,8 +42,6 @@
 	// from is the offset that the reading began at, next that of the first record that
 	// was not read.
 	from, next int64
-	// covers says that no open job begins before from.
-	covers bool
 	// cut says that the store had dropped records from the reading's way.
 	cut bool
 	// openFrom is the offset that was last told to the subscriber, before which all jobs
@@ -72,7 +70,6 @@
 		index:   newIndex(options, number),
 		changed: make(chan struct{}),
 		fold:    batch.NewFold(),
-		covers:  true,
 	}
 }
 
@@ -80,7 +77,6 @@
 func (p *partition) resetLocked(from int64) {
 	p.fold = batch.NewFold()
 	p.from, p.next = from, from
-	p.covers = from == 0
 	p.cut = false
 	p.openFrom = from
 	p.freshSince = time.Time{}
@@ -89,13 +85,6 @@
 	}
 }
 
-// beginAgainLocked forgets what was read, and begins anew where the reading began.
-func (p *partition) beginAgainLocked() {
-	covers := p.covers
-	p.resetLocked(p.from)
-	p.covers = covers
-}
-
 // notify wakes all that wait. The mutex is held.
 func (p *partition) notify() {
 	close(p.changed)
@@ -121,18 +110,11 @@
 	return p.subscriber != nil || time.Now().Before(p.wantedTill)
 }
 
-// jobLocked returns what is known of a job. Where the reading began in the midst of the
-// partition, a job that began before it may stand there once more, void. Where it covers all
-// open jobs, those were dropped as they came.
-func (p *partition) jobLocked(jobID string) *batch.State {
-	state := p.fold.Job(jobID)
-	if state == nil || p.covers {
-		return state
-	}
-	if start, known := p.index.lookUp(jobID); !known || start != state.Start {
-		return nil
-	}
-	return state
+// knows says whether a job stands in what was read.
+func (p *partition) knows(jobID string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.fold.Job(jobID) != nil
 }
 
 func (p *partition) visitIf(jobID string, satisfied Condition, visit func(*batch.State)) bool {
@@ -141,13 +123,13 @@
 	if !p.holds(jobID, satisfied) {
 		return false
 	}
-	visit(p.jobLocked(jobID))
+	visit(p.fold.Job(jobID))
 	return true
 }
 
 // holds says whether a condition holds for what is known of a job. The mutex is held.
 func (p *partition) holds(jobID string, satisfied Condition) bool {
-	return satisfied(p.jobLocked(jobID), time.Since(p.freshSince) < freshFor)
+	return satisfied(p.fold.Job(jobID), time.Since(p.freshSince) < freshFor)
 }
 
 func (p *partition) countWaiting(change int) {
--- a/internal/joblog/reading.go
+++ b/internal/joblog/reading.go
@@ -123,7 +123,7 @@
 	p.logger.Warn("records are gone", zap.Stringer("partition", p.at), zap.Int64("offset", next), zap.Int64("first", first))
 	if p.next > p.from && p.subscriber == nil {
 		// Results may be among what is gone, and those behind would move up in their place.
-		p.beginAgainLocked()
+		p.resetLocked(p.from)
 	}
 	p.next = first
 	p.cut = true
--- a/internal/joblog/scan.go
+++ b/internal/joblog/scan.go
@@ -13,18 +13,13 @@
 // errCutOff says that the store tells of records that it does not bring.
 var errCutOff = errors.New("partition is cut off before its end")
 
-// scan reads a job once, from where it begins to where satisfied holds or the partition ends,
-// and changes nothing of what is followed. A job that the index does not hold may stand
-// anywhere, also among records that the store has dropped.
+// scan reads a partition once for a job that may stand anywhere, from its start to where satisfied
+// holds or the partition ends, and changes nothing of what is followed.
 func (p *partition) scan(ctx context.Context, jobID string, satisfied Condition, visit func(*batch.State)) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	start, known, err := p.index.find(ctx, jobID)
-	if err != nil {
-		return err
-	}
-	fold, enough, next, gone := batch.NewFold(), false, start, false
-	ended, err := store.ReadOn(ctx, p.log, p.at, start, func(read store.Batch) bool {
+	fold, enough, next, gone := batch.NewJobFold(jobID), false, int64(0), false
+	ended, err := store.ReadOn(ctx, p.log, p.at, 0, func(read store.Batch) bool {
 		gone = gone || read.Next-int64(len(read.Records)) > next
 		next = read.Next
 		for _, record := range read.Records {
@@ -40,7 +35,8 @@
 		return err
 	case !ended && !enough:
 		return errCutOff
-	case gone && known, fold.Job(jobID) == nil && (gone || known):
+	case gone && fold.Job(jobID) == nil:
+		// It may have stood among the records that the store has dropped.
 		return errMayStandElsewhere
 	}
 	visit(fold.Job(jobID))
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -12,9 +12,6 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.subscriber = subscriber
-	if !p.covers {
-		p.resetLocked(0)
-	}
 	p.fold.Jobs(func(state *batch.State) {
 		subscriber.HandleChange(p.at.Number, batch.Change{Accepted: state})
 	})
@@ -41,7 +38,6 @@
 	defer p.mutex.Unlock()
 	if !p.followedLocked() {
 		p.resetLocked(from)
-		p.covers = true
 	}
 	p.touchLocked()
 }
@@ -67,7 +63,7 @@
 }
 
 func (p *partition) followedLocked() bool {
-	return p.subscriber != nil || p.covers && (p.next > p.from || p.wanted())
+	return p.subscriber != nil || p.next > p.from || p.wanted()
 }
 
 // handleChange takes what the record at an offset changed. The mutex is held.
@@ -91,7 +87,7 @@
 // isCopy says that a job stands in the partition before the reading began, so that what was
 // read now is a void copy. The mutex is held.
 func (p *partition) isCopy(jobID string) bool {
-	if !p.covers || p.from == 0 {
+	if p.from == 0 {
 		return false
 	}
 	start, known := p.index.lookUp(jobID)
