--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -209,12 +209,7 @@
 // start runs what follows the store.
 func (n *Node) start(ctx context.Context, background *conc.WaitGroup) {
 	log := n.options.Adapter.Log()
-	background.Go(func() {
-		follow.Keyed(ctx, follow.KeyedOptions{
-			Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: n.options.Logger.Named("operator"),
-			Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
-		})
-	})
+	background.Go(func() { follow.Keyed(ctx, n.operatorFollowing(log)) })
 	background.Go(func() { n.servers.Run(ctx) })
 	background.Go(func() { n.jobs.Run(ctx) })
 	background.Go(func() { n.coordinator.Run(ctx) })
@@ -235,6 +230,14 @@
 	}
 }
 
+// operatorFollowing says how this node follows what operators and trainers put.
+func (n *Node) operatorFollowing(log store.Log) follow.KeyedOptions {
+	return follow.KeyedOptions{
+		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: n.options.Logger.Named("operator"),
+		Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
+	}
+}
+
 // process names this process unlike any other.
 func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
 
