What is known of keys is as old as the read's question

A read of what operators put may be held for 1 s and be 0.7 s late, and a node that reads for others gives an answer again for 0.2 s, so that a withdrawn key was served after access.revocation_ms by a node that is to refuse what it can not be sure of.

Change: followers are told when a read was asked, and answers by way of another node tell how long ago the store was asked. Where access.fail_closed is set, reads are held for a quarter of the bound at most, so that no key is too old in a quiet store; elsewhere nothing changes for the store. Readiness goes by when an answer came, as before: it is about the store's silence.

--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -43,8 +43,9 @@
 	// Change takes the records that came since, in order.
 	Change func([]store.Record)
 	// Read is told of each answered read, also where nothing had changed: the offset
-	// that follows what was read, and whether that was the end.
-	Read func(next int64, end bool)
+	// that follows what was read, whether that was the end, and when the read was asked. The
+	// answer tells what stood there then; it may have been held, and be late.
+	Read func(next int64, end bool, asked time.Time)
 	// Relayed reads the topic from an offset by way of another node, for when the store turns
 	// this one away; below 0 it reads the newest records. It may be nil.
 	Relayed func(ctx context.Context, from int64) (Relay, error)
@@ -107,6 +108,7 @@
 	// Many nodes may read at once what is large, so that the time for an answer stays the same.
 	call, cancel := context.WithTimeout(ctx, r.Wait+answerTime)
 	defer cancel()
+	asked := time.Now()
 	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -121,7 +123,7 @@
 	}
 	r.next = batch.Next
 	r.seen = max(r.seen, batch.Next)
-	r.Read(r.next, r.next >= batch.End)
+	r.Read(r.next, r.next >= batch.End, asked)
 	return nil
 }
 
@@ -153,6 +155,7 @@
 func (r *keyedReader) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
+	asked := time.Now()
 	records, end, err := r.Log.Newest(ctx, r.Topic)
 	if err != nil {
 		return err
@@ -163,6 +166,6 @@
 	r.Replace(records)
 	r.next = end
 	r.seen = end
-	r.Read(r.next, true)
+	r.Read(r.next, true, asked)
 	return nil
 }
--- a/internal/follow/keyed_test.go
+++ b/internal/follow/keyed_test.go
@@ -55,7 +55,7 @@
 		defer close(ended)
 		Keyed(ctx, KeyedOptions{
 			Log: log, Topic: store.TopicServers, Pace: time.Millisecond, Wait: 100 * time.Millisecond, Logger: zap.NewNop(),
-			Replace: f.replace, Change: f.change, Read: func(int64, bool) {},
+			Replace: f.replace, Change: f.change, Read: func(int64, bool, time.Time) {},
 		})
 	}()
 	t.Cleanup(func() { cancel(); <-ended })
--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -47,8 +47,7 @@
 // it must serve no more. Operators choose by fail_closed whether callers are then refused or
 // served by what was last known.
 func (n *Node) keysTooOld(now time.Time) bool {
-	bound := time.Duration(n.options.Settings.Access.RevocationMs) * time.Millisecond
-	return n.options.Settings.Access.FailClosed && n.configurationAge(now) > bound
+	return n.options.Settings.Access.FailClosed && n.configurationAge(now) > n.revocation()
 }
 
 // keyRefusal says why a key is refused.
@@ -78,8 +77,22 @@
 		zap.Duration("configuration_age", n.configurationAge(time.Now())))...)
 }
 
-// configurationAge returns the time since the store, or another node that reads it, last said
-// what the newest configuration is.
+// configurationAge returns the time since the store was asked, by this node or another, for what
+// was answered last of the newest configuration.
 func (n *Node) configurationAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, n.configuredAt.Load()))
+	return n.configuredAt.age(now)
+}
+
+// operatorHold is how long the store may hold a read of what operators put. What is known of keys
+// ages by two holds in a quiet store, and no key is to be refused then.
+func (n *Node) operatorHold() time.Duration {
+	if !n.options.Settings.Access.FailClosed {
+		return operatorWait
+	}
+	return min(operatorWait, n.revocation()/4)
+}
+
+// revocation is the age of what is known of keys from which on it may be too old.
+func (n *Node) revocation() time.Duration {
+	return time.Duration(n.options.Settings.Access.RevocationMs) * time.Millisecond
 }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -103,17 +103,19 @@
 	logger  *zap.Logger
 	table   atomic.Pointer[routetable.Table]
 	metrics *nodeMetrics
-	// operatorReadAt is when the store last said what the newest configuration is,
-	// configuredAt when it or another node did, in Unix nanoseconds.
-	operatorReadAt, configuredAt atomic.Int64
-	leaving                      atomic.Bool
-	left                         chan struct{}
-	directory                    *directory.Directory
-	servers                      *serverlist.List
-	gateway                      *gateway.Gateway
-	jobs                         *joblog.Logs
-	jobReader                    *jobReader
-	coordinator                  *coordinator.Coordinator
+	// operatorReadAt is when the store last answered what the newest configuration is.
+	operatorReadAt moment
+	// configuredAt is when the store was asked, by this node or another, for what was
+	// answered last of the newest configuration.
+	configuredAt moment
+	leaving      atomic.Bool
+	left         chan struct{}
+	directory    *directory.Directory
+	servers      *serverlist.List
+	gateway      *gateway.Gateway
+	jobs         *joblog.Logs
+	jobReader    *jobReader
+	coordinator  *coordinator.Coordinator
 	// hold is what is known of the lease while this process holds it.
 	hold election.Hold
 	// peers are the nodes that coordinated last, or asked this one whether it does.
@@ -233,7 +235,7 @@
 // operatorFollowing says how this node follows what operators and trainers put.
 func (n *Node) operatorFollowing(log store.Log) follow.KeyedOptions {
 	return follow.KeyedOptions{
-		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: n.options.Logger.Named("operator"),
+		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: n.operatorHold(), Logger: n.options.Logger.Named("operator"),
 		Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
 	}
 }
@@ -348,19 +350,19 @@
 	n.coordinator.ObserveServers()
 }
 
-// noteOperatorRead notes that the store said what the newest configuration is.
-func (n *Node) noteOperatorRead(int64, bool) {
-	now := time.Now().UnixNano()
-	n.operatorReadAt.Store(now)
-	n.configuredAt.Store(now)
+// noteOperatorRead notes that the store, asked at asked, said what the newest configuration is.
+func (n *Node) noteOperatorRead(_ int64, _ bool, asked time.Time) {
+	n.operatorReadAt.advance(time.Now())
+	n.configuredAt.advance(asked)
 }
 
 // readRelayed has another node read what the operator put.
 func (n *Node) readRelayed(ctx context.Context, from int64) (follow.Relay, error) {
+	asked := time.Now()
 	answer, err := storeproxy.Ask(ctx, &n.peers, storeproxy.Question{From: from})
 	if err != nil {
 		return follow.Relay{}, err
 	}
-	n.configuredAt.Store(time.Now().UnixNano())
+	n.configuredAt.advance(asked.Add(-answer.Age))
 	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
 }
--- a/internal/frontend/outage_test.go
+++ b/internal/frontend/outage_test.go
@@ -212,7 +212,7 @@
 			defer running.Done()
 			follow.Keyed(ctx, follow.KeyedOptions{
 				Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: zap.NewNop(),
-				Replace: node.learn, Change: node.learn, Read: func(int64, bool) {}, Relayed: f.relayed(node),
+				Replace: node.learn, Change: node.learn, Read: func(int64, bool, time.Time) {}, Relayed: f.relayed(node),
 			})
 		}()
 	}
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -56,7 +56,7 @@
 	if n.leaving.Load() || n.table.Load() == nil || !n.servers.Complete() {
 		return false
 	}
-	return time.Since(time.Unix(0, n.operatorReadAt.Load())) < storeSilence
+	return n.operatorReadAt.age(time.Now()) < storeSilence
 }
 
 // Serve answers a single request.
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -316,7 +316,7 @@
 
 // noteRead notes a read of the heartbeats; a list that was not read to the end is as
 // old as before.
-func (l *List) noteRead(next int64, end bool) {
+func (l *List) noteRead(next int64, end bool, _ time.Time) {
 	l.mutex.Lock()
 	l.next = next
 	l.complete = l.complete || end
--- a/internal/storeproxy/storeproxy.go
+++ b/internal/storeproxy/storeproxy.go
@@ -43,6 +43,9 @@
 	Whole bool
 	// Next is the offset after what was read.
 	Next int64
+	// Age is how long before this answer the store was asked. A node that does not tell is
+	// taken to have asked it just then.
+	Age time.Duration
 	// Failed says that this node could not read the store either; Peer is where a node
 	// answers that could when it was last heard of, empty for none.
 	Failed bool
@@ -94,7 +97,15 @@
 
 type latestRead struct {
 	answer Answer
-	at     time.Time
+	// askedAt is when the store was asked, at when it had answered.
+	askedAt, at time.Time
+}
+
+// aged returns the answer with its age.
+func (r latestRead) aged() Answer {
+	answer := r.answer
+	answer.Age = time.Since(r.askedAt)
+	return answer
 }
 
 // NewProxy returns a proxy to a store. Peers are told to the nodes that it can not help.
@@ -121,27 +132,27 @@
 		return answer
 	}
 	shared, _, _ := p.reads.Do(strconv.FormatInt(question.From, 10), func() (any, error) {
-		answer := p.readNow(question)
-		p.note(question.From, answer)
-		return answer, nil
+		askedAt := time.Now()
+		latest := latestRead{answer: p.readNow(question), askedAt: askedAt, at: time.Now()}
+		p.note(question.From, latest)
+		return latest, nil
 	})
-	return shared.(Answer)
+	return shared.(latestRead).aged()
 }
 
 func (p *Proxy) fresh(from int64) (answer Answer, fresh bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	latest := p.latest[from]
-	return latest.answer, time.Since(latest.at) < freshFor
+	return latest.aged(), time.Since(latest.at) < freshFor
 }
 
 // note remembers an answer, and forgets the others that are no longer fresh.
-func (p *Proxy) note(from int64, answer Answer) {
+func (p *Proxy) note(from int64, latest latestRead) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	now := time.Now()
-	maps.DeleteFunc(p.latest, func(_ int64, read latestRead) bool { return now.Sub(read.at) >= freshFor })
-	p.latest[from] = latestRead{answer: answer, at: now}
+	maps.DeleteFunc(p.latest, func(_ int64, read latestRead) bool { return latest.at.Sub(read.at) >= freshFor })
+	p.latest[from] = latest
 }
 
 func (p *Proxy) readNow(question Question) Answer {
--- a/internal/storeproxy/storeproxy_test.go
+++ b/internal/storeproxy/storeproxy_test.go
@@ -161,3 +161,24 @@
 		t.Error(diff)
 	}
 }
+
+// An answer tells how long ago the store was asked, also one that is given again or shared.
+func TestAnAnswerTellsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		proxy := NewProxy(&countedLog{Log: operatorLog()}, &Peers{})
+		const readTakes = 100 * time.Millisecond // by countedLog
+		if age := proxy.Read(Question{From: 1}).Age; age != readTakes {
+			t.Errorf("read: %v", age)
+		}
+		time.Sleep(freshFor / 2)
+		if age := proxy.Read(Question{From: 1}).Age; age != readTakes+freshFor/2 {
+			t.Errorf("given again: %v", age)
+		}
+		time.Sleep(freshFor)
+		go proxy.Read(Question{From: 1})
+		time.Sleep(readTakes / 4)
+		if age := proxy.Read(Question{From: 1}).Age; age != readTakes {
+			t.Errorf("shared: %v", age)
+		}
+	})
+}
