An empty page of before a hold is no answer after it

Cause: a node asks the coordinator for what there is, and once more with a hold; when the second question got no answer, 1.75 s later at the latest, the first one's empty page was given.

Change: that page is given for as long as a read of the partition's end counts, from when it was asked for; after that the second question's failure counts: the store is read, or the caller refused.

--- a/internal/frontend/jobreads.go
+++ b/internal/frontend/jobreads.go
@@ -189,15 +189,17 @@
 		return jobread.Results{}
 	}
 	question := jobread.ResultsQuestion{Job: job, From: from, MostBytes: passOnBytes}
+	asked := time.Now()
 	page := r.askResults(ctx, address, question)
 	if page.Verdict != jobread.Found || len(page.Results) > 0 || page.Ended || wait <= 0 {
 		return page
 	}
 	question.Wait = wait
-	if later := r.askResults(ctx, address, question); later.Verdict == jobread.Found {
-		return later
+	later := r.askResults(ctx, address, question)
+	if later.Verdict != jobread.Found && time.Since(asked) < joblog.FreshFor {
+		return page
 	}
-	return page
+	return later // that there was nothing before the hold says too little by now
 }
 
 func (r *jobReader) askResults(ctx context.Context, address string, question jobread.ResultsQuestion) (page jobread.Results) {
--- a/internal/joblog/absent_test.go
+++ b/internal/joblog/absent_test.go
@@ -102,7 +102,7 @@
 	if err := log.Trim(context.Background(), store.Partition{Topic: store.TopicJobs}, 3); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(freshFor)
+	time.Sleep(FreshFor)
 	log.away.Store(false)
 	err := logs.View(context.Background(), "job", HasPosition(1), func(state *batch.State) {
 		t.Errorf("a state is given: %v", state)
--- a/internal/joblog/jobreading.go
+++ b/internal/joblog/jobreading.go
@@ -95,7 +95,7 @@
 // satisfies says whether a condition holds for what was read. Nothing comes after a job's end.
 // The mutex is held.
 func (r *jobReading) satisfies(satisfied Condition) bool {
-	return r.endedLocked() || satisfied(r.fold.Job(r.jobID), time.Since(r.freshSince) < freshFor)
+	return r.endedLocked() || satisfied(r.fold.Job(r.jobID), time.Since(r.freshSince) < FreshFor)
 }
 
 func (r *jobReading) endedLocked() bool {
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// freshFor is how long a read to the end stands for the end itself, from when it was
+	// FreshFor is how long a read to the end stands for the end itself, from when it was
 	// asked: the answer says what stood there then, and may be held, or wait for a process
 	// that stands still, until it is processed. It is shorter than the second after which a
 	// position that was read at one node must be there at all.
-	freshFor = 900 * time.Millisecond
+	FreshFor = 900 * time.Millisecond
 	// interest is how long a partition is followed after it was last asked for. A trainer
 	// reads twice a second, at any node: those of a small fleet are asked again soon, and
 	// those of a large one would read for nothing.
@@ -129,7 +129,7 @@
 
 // holds says whether a condition holds for what is known of a job. The mutex is held.
 func (p *partition) holds(jobID string, satisfied Condition) bool {
-	return satisfied(p.fold.Job(jobID), time.Since(p.freshSince) < freshFor)
+	return satisfied(p.fold.Job(jobID), time.Since(p.freshSince) < FreshFor)
 }
 
 func (p *partition) countWaiting(change int) {
