--- a/internal/joblog/follow_test.go
+++ b/internal/joblog/follow_test.go
@@ -151,3 +151,18 @@
 	appendEnd(t, writer, "last") // at 10
 	eventually(t, "all jobs have ended", func() bool { return seen.opensFrom(11) })
 }
+
+// Seen: reads of jobs that ended before the coordinator's term end with 503 while the coordinator
+// is short of processor time or the store is slow to it. The cause: before it said that it does not
+// follow such a job, it asked the store for the partition's end and for the index, within the half
+// second that it has for an answer. The proof: it says so while the store answers nothing.
+func TestAnEndedJobIsHandedBackWithoutTheStore(t *testing.T) {
+	log, logs, _ := subscribed(t)
+	log.SetFault(storetest.FaultSilent)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	err := logs.ViewFollowed(ctx, "ended", HasPosition(0), func(*batch.State) { t.Error("a state is given") })
+	if !errors.Is(err, ErrNotFollowed) {
+		t.Errorf("error %v", err)
+	}
+}
