A job that begins before the coordinator's reading is handed back at once

Cause: the coordinator asked the store for the partition's end and for the index before it said that it does not follow a job, and was behind (503) where that took over half a second; the node that had asked then read nothing itself.

Change: where the index that it has read tells that the job begins before the reading, it says so at once. That saves two calls of the store for each read of such a job.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -158,7 +158,7 @@
 		return nil
 	}
 	p := l.partitions[l.PartitionOf(jobID)]
-	if !p.touchFollowed() {
+	if !p.touchFollowed() || p.beginsBefore(jobID) {
 		return ErrNotFollowed
 	}
 	visited, left := false, absenceUnsure
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// beginsBefore says that a job is known to stand in the partition before the reading began: no
+// reading on brings it.
+func (p *partition) beginsBefore(jobID string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.isCopy(jobID)
+}
+
 // isCopy says that a job stands in the partition before the reading began, so that what was
 // read now is a void copy. The mutex is held.
 func (p *partition) isCopy(jobID string) bool {
