--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -13,18 +13,19 @@
 )
 
 const (
-	// freshFor is how long a read to the end stands for the end itself. It is
-	// shorter than the time after which a position that was read at one node must
-	// be there at all.
-	freshFor = 800 * time.Millisecond
+	// FreshFor is how long a read to the end stands for the end itself, from when it was
+	// asked: the answer says what stood there then, and may be held, or wait for a process
+	// that stands still, until it is processed. It is shorter than the second after which a
+	// position that was read at one node must be there at all.
+	FreshFor = 900 * time.Millisecond
 	// interest is how long a partition is followed after it was last asked for. A trainer
 	// reads twice a second, at any node: those of a small fleet are asked again soon, and
 	// those of a large one would read for nothing.
 	interest = 2 * time.Second
 )
 
-// partition is one partition as this node knows it: all of it for a subscriber, else from
-// the first job on that was asked for.
+// partition is one partition as this node knows it: from its start, or from where the first job
+// begins that was open when the reading began. A void copy of an earlier job is dropped as it comes.
 type partition struct {
 	log    store.Log
 	at     store.Partition
@@ -41,8 +42,8 @@
 	// from is the offset that the reading began at, next that of the first record that
 	// was not read.
 	from, next int64
-	// covers says that no open job begins before from.
-	covers bool
+	// cut says that the store had dropped records from the reading's way.
+	cut bool
 	// openFrom is the offset that was last told to the subscriber, before which all jobs
 	// have ended.
 	openFrom int64
@@ -52,10 +53,9 @@
 	endRead context.CancelFunc
 	// message is the offset of the first record of the message that is being read.
 	message int64
-	// freshAt is when a read last came to the partition's end, freshBegan when that read
-	// began; both are zero until the partition was read from where the reading began to
-	// its end.
-	freshAt, freshBegan time.Time
+	// freshSince is when the last read was asked that told the partition's end, up to which
+	// all was read; zero until the partition was read from where the reading began to its end.
+	freshSince time.Time
 	// failed is the last failure of a read, at failedAt.
 	failed   error
 	failedAt time.Time
@@ -70,7 +70,6 @@
 		index:   newIndex(options, number),
 		changed: make(chan struct{}),
 		fold:    batch.NewFold(),
-		covers:  true,
 	}
 }
 
@@ -78,9 +77,9 @@
 func (p *partition) resetLocked(from int64) {
 	p.fold = batch.NewFold()
 	p.from, p.next = from, from
-	p.covers = from == 0
+	p.cut = false
 	p.openFrom = from
-	p.freshAt, p.freshBegan = time.Time{}, time.Time{}
+	p.freshSince = time.Time{}
 	if p.endRead != nil {
 		p.endRead()
 	}
@@ -111,18 +110,11 @@
 	return p.subscriber != nil || time.Now().Before(p.wantedTill)
 }
 
-// jobLocked returns what is known of a job. Where the reading began in the midst of the
-// partition, a job that began before it may stand there once more, void. Where it covers all
-// open jobs, those were dropped as they came.
-func (p *partition) jobLocked(jobID string) *batch.State {
-	state := p.fold.Job(jobID)
-	if state == nil || p.covers {
-		return state
-	}
-	if start, known := p.index.lookUp(jobID); !known || start != state.Start {
-		return nil
-	}
-	return state
+// knows says whether a job stands in what was read.
+func (p *partition) knows(jobID string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.fold.Job(jobID) != nil
 }
 
 func (p *partition) visitIf(jobID string, satisfied Condition, visit func(*batch.State)) bool {
@@ -131,13 +123,13 @@
 	if !p.holds(jobID, satisfied) {
 		return false
 	}
-	visit(p.jobLocked(jobID))
+	visit(p.fold.Job(jobID))
 	return true
 }
 
 // holds says whether a condition holds for what is known of a job. The mutex is held.
 func (p *partition) holds(jobID string, satisfied Condition) bool {
-	return satisfied(p.jobLocked(jobID), time.Since(p.freshAt) < freshFor)
+	return satisfied(p.fold.Job(jobID), time.Since(p.freshSince) < FreshFor)
 }
 
 func (p *partition) countWaiting(change int) {
--- a/internal/joblog/reading.go
+++ b/internal/joblog/reading.go
@@ -64,7 +64,7 @@
 }
 
 func (p *partition) advance(ctx context.Context) error {
-	began := time.Now()
+	asked := time.Now()
 	ctx, next, wait := p.beginRead(ctx)
 	read, err := p.log.Read(ctx, p.at, next, wait)
 	if p.endOfRead(next) {
@@ -72,12 +72,13 @@
 	}
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
-		read, err = store.Batch{Next: trimmed.First, End: trimmed.First + 1}, nil
+		p.skipTo(next, trimmed.First)
+		return nil
 	}
 	if err != nil {
 		return err
 	}
-	p.apply(next, read, began)
+	p.apply(next, read, asked)
 	return nil
 }
 
@@ -88,7 +89,7 @@
 	defer p.mutex.Unlock()
 	timeout := readTimeout
 	switch {
-	case p.freshAt.IsZero():
+	case p.freshSince.IsZero():
 		timeout = longReadTimeout
 	case p.waiting > 0:
 		wait = callerReadWait
@@ -101,8 +102,9 @@
 	return ctx, p.next, wait
 }
 
-// endOfRead says whether the reading began anew while a read from an offset was under way.
-func (p *partition) endOfRead(from int64) (anew bool) {
+// endOfRead says whether the reading began anew, or went on by another read, while a read from an
+// offset was under way.
+func (p *partition) endOfRead(from int64) (moved bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.endRead()
@@ -110,8 +112,27 @@
 	return p.next != from
 }
 
-// apply takes what a read from an offset brought, unless the reading has begun anew.
-func (p *partition) apply(from int64, read store.Batch, began time.Time) {
+// skipTo takes that the store has dropped all records before first, that at next among them. What
+// is not found from then on may have stood there.
+func (p *partition) skipTo(next, first int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if next != p.next {
+		return
+	}
+	p.logger.Warn("records are gone", zap.Stringer("partition", p.at), zap.Int64("offset", next), zap.Int64("first", first))
+	if p.next > p.from && p.subscriber == nil {
+		// Results may be among what is gone, and those behind would move up in their place.
+		p.resetLocked(p.from)
+	}
+	p.next = first
+	p.cut = true
+	p.notify()
+}
+
+// apply takes what a read from an offset brought that was asked at asked, unless the reading
+// has begun anew or another read has brought it.
+func (p *partition) apply(from int64, read store.Batch, asked time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if from != p.next {
@@ -130,14 +151,24 @@
 	}
 	moved := p.next != read.Next
 	p.next = read.Next
-	first := p.freshAt.IsZero()
+	first := p.freshSince.IsZero()
 	if read.Next >= read.End {
-		p.freshAt, p.freshBegan = time.Now(), began
-	}
-	if p.subscriber != nil && read.Next >= read.End {
-		p.subscriber.HandleFresh(p.at.Number, began)
+		p.noteFresh(asked)
 	}
 	if moved || first {
 		p.notify()
 	}
 }
+
+// noteFresh takes that all was read up to the end that a read told which was asked at asked; of
+// two reads that were under way at once, the one asked first may be answered last. The mutex is
+// held.
+func (p *partition) noteFresh(asked time.Time) {
+	if !asked.After(p.freshSince) {
+		return
+	}
+	p.freshSince = asked
+	if p.subscriber != nil {
+		p.subscriber.HandleFresh(p.at.Number, asked)
+	}
+}
