Coordinator: its log names the beginning and end of each term, and who follows which jobs

A job that no term has taken up, or a partition that a term over follows, could not be told from the log: neither a term's beginning nor its end stood in it, and a job that was taken up named no epoch.

--- a/internal/coordinator/follower.go
+++ b/internal/coordinator/follower.go
@@ -26,7 +26,8 @@
 		switch {
 		case change.Accepted != nil && !change.Accepted.Ended:
 			f.coordinator.options.Logger.Info("job taken up", zap.String("job", change.Accepted.Job.ID),
-				zap.Int("partition", partition), zap.Int("results", len(change.Accepted.Results)))
+				zap.Int("partition", partition), zap.Int("results", len(change.Accepted.Results)),
+				zap.Int64("epoch", f.coordinator.termEpoch))
 			f.machine.HandleJob(now, partition, change.Accepted.Job, change.Accepted.Results)
 		case change.Listed != nil:
 			f.machine.HandleListed(now, change.Listed)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -47,13 +47,14 @@
 		c.machine.HandleVersion(now, model, version)
 	}
 	c.handleServers(now, c.machine)
-	term, machine, from := c.term, c.machine, standing.Lease.Yielded
-	c.background.Go(func() { c.follow(term, machine, from) })
+	c.options.Logger.Info("term begun", zap.Int64("epoch", c.termEpoch))
+	term, machine, lease := c.term, c.machine, standing.Lease
+	c.background.Go(func() { c.follow(term, machine, lease) })
 }
 
 // follow takes over what predecessors left and subscribes to the jobs, partition by
 // partition.
-func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, from election.Yielded) {
+func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, lease election.Lease) {
 	began := time.Now()
 	var partitions conc.WaitGroup
 	// The jobs are read meanwhile.
@@ -61,7 +62,7 @@
 		partitions.Go(func() { c.options.Jobs.Follow(term, number) })
 	}
 	partitions.Wait()
-	handed, whole := c.takeOver(term, from)
+	handed, whole := c.takeOver(term, lease.Yielded)
 	subscriber := &follower{coordinator: c, machine: machine}
 	var items atomic.Int64
 	for number := range c.options.Jobs.Partitions() {
@@ -73,11 +74,13 @@
 			items.Add(int64(len(partials)))
 			c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
 			c.options.Jobs.Subscribe(number, subscriber)
+			c.options.Logger.Info("jobs followed", zap.Int("partition", number), zap.Int64("epoch", lease.Epoch),
+				zap.Bool("term_over", term.Err() != nil))
 		})
 	}
 	partitions.Wait()
-	c.options.Logger.Info("progress recovered", zap.Int64("items", items.Load()), zap.Bool("handed_over", whole),
-		zap.Duration("took", time.Since(began)))
+	c.options.Logger.Info("progress recovered", zap.Int64("epoch", lease.Epoch), zap.Int64("items", items.Load()),
+		zap.Bool("handed_over", whole), zap.Duration("took", time.Since(began)))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.machine == machine {
@@ -91,6 +94,7 @@
 	c.machine = nil
 	c.resigned = false
 	c.endTerm()
+	c.options.Logger.Info("term ended", zap.Int64("epoch", c.termEpoch))
 	if c.subscriber != nil {
 		// The partitions call back under their own mutexes.
 		go c.options.Jobs.Unsubscribe(c.subscriber)
