A test, red: a term that is over follows the jobs in the place of the one that lasts

The old term's read of saved progress stands still until the same node leads again, as a process without a processor does.

--- a/internal/coordinator/handover_test.go
+++ b/internal/coordinator/handover_test.go
@@ -45,27 +45,30 @@
 func (nothingObserved) ObserveLoad(bool)                            {}
 func (nothingObserved) ObserveReward(reward.Verdict, time.Duration) {}
 
-// lead returns a coordinator that runs the items of a job under epoch 1, each of which has made
-// an event.
-func lead(t *testing.T, items int) *Coordinator {
+// appendJob has a job of so many items accepted.
+func appendJob(t *testing.T, jobs *joblog.Logs, id string, items int) {
 	t.Helper()
-	memory := storetest.NewMemory()
-	job := &batch.Job{ID: "j", Host: "h", Path: "/p/1", Model: "m", MinVersion: 1}
+	job := &batch.Job{ID: id, Host: "h", Path: "/p/1", Model: "m", MinVersion: 1}
 	for i := range items {
-		job.Items = append(job.Items, batch.Item{ID: string(rune('a' + i)), Path: "/p/x"})
+		job.Items = append(job.Items, batch.Item{ID: id + string(rune('a'+i)), Path: "/p/x"})
 	}
 	records, err := batch.EncodeJob(job)
 	if err != nil {
 		t.Fatal(err)
 	}
-	jobs := joblog.NewLogs(joblog.Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
 	if err := jobs.Append(context.Background(), job.ID, records); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// run returns a running coordinator that knows a route and an engine of so many slots, and the
+// jobs that it follows in one partition.
+func run(t *testing.T, log store.Log, engines Engines, slots int, logger *zap.Logger) (*Coordinator, *joblog.Logs) {
+	t.Helper()
+	jobs := joblog.NewLogs(joblog.Options{Log: log, Partitions: 1, Logger: logger})
 	servers := directory.NewDirectory()
-	servers.Replace([]directory.Server{{ID: "s", Service: "pool", Slots: items, Versions: map[string]int64{"m": 1}}})
-	engines := oneEvent{made: make(chan string, items)}
-	c := New(Options{Engines: engines, Log: memory, Jobs: jobs, Directory: servers, Logger: zap.NewNop(), Observer: nothingObserved{}})
+	servers.Replace([]directory.Server{{ID: "s", Service: "pool", Slots: slots, Versions: map[string]int64{"m": 1}}})
+	c := New(Options{Engines: engines, Log: log, Jobs: jobs, Directory: servers, Logger: logger, Observer: nothingObserved{}})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); c.Run(ctx) }()
@@ -75,8 +78,23 @@
 	route := routetable.Route{Name: "r", Host: "h", Prefix: "/p/", Kind: routetable.KindBatch, MaxAttempts: 3, Resumable: true,
 		Targets: []routetable.Target{{Service: "pool", Weight: 1}}, ItemLifetime: time.Minute}
 	c.ObserveTable(routetable.NewTable(1, []routetable.Route{route}, []routetable.Service{{Name: "pool", Models: []string{"m"}}}, routetable.Limits{}))
+	return c, jobs
+}
+
+// leads has a coordinator lead under an epoch.
+func leads(c *Coordinator, epoch int64) {
 	now := time.Now()
-	c.ObserveLease(election.Standing{Leading: true, Held: true, Lease: election.Lease{Epoch: 1, ClaimedAt: now, Until: now.Add(time.Minute)}})
+	c.ObserveLease(election.Standing{Leading: true, Held: true, Lease: election.Lease{Epoch: epoch, ClaimedAt: now, Until: now.Add(time.Minute)}})
+}
+
+// lead returns a coordinator that runs the items of a job under epoch 1, each of which has made
+// an event.
+func lead(t *testing.T, items int) *Coordinator {
+	t.Helper()
+	engines := oneEvent{made: make(chan string, items)}
+	c, jobs := run(t, storetest.NewMemory(), engines, items, zap.NewNop())
+	appendJob(t, jobs, "j", items)
+	leads(c, 1)
 	for range items {
 		<-engines.made
 	}
