A subscription to the jobs belongs to a term and ends with it

Cause: a term that ended while it took over went on to subscribe to each partition and took that back once it had been through all of them. Where the same node led again by then, its subscription replaced that of the new term, and the partition's changes went to a scheduler that was over: the jobs in it were scheduled by nobody for the rest of the term. The end of a term took its subscriptions back in a goroutine of its own, at any later time.

Ruled out: that a later read mends it. Nothing subscribes a second time within a term.

Change: Subscribe takes the term, checks it under the partition's mutex, and is taken back by the end of the term; Unsubscribe is gone. A term begins after the one before has ended, so that a subscription which comes late is void.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -106,10 +106,8 @@
 	// term ends when the lease is lost.
 	term    context.Context
 	endTerm context.CancelFunc
-	// subscriber follows the jobs for the term; nil until it follows all partitions.
-	subscriber *follower
-	writer     *recordWriter
-	lease      election.Lease
+	writer  *recordWriter
+	lease   election.Lease
 	// termEpoch is the epoch of the term.
 	termEpoch int64
 	// resigned says that the term goes on only until its successor takes over.
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -52,8 +52,8 @@
 	c.background.Go(func() { c.follow(term, machine, lease) })
 }
 
-// follow takes over what predecessors left and subscribes to the jobs, partition by
-// partition.
+// follow takes over what predecessors left and subscribes to the jobs for the term, partition
+// by partition.
 func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, lease election.Lease) {
 	began := time.Now()
 	var partitions conc.WaitGroup
@@ -73,7 +73,7 @@
 			}
 			items.Add(int64(len(partials)))
 			c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
-			c.options.Jobs.Subscribe(number, subscriber)
+			c.options.Jobs.Subscribe(term, number, subscriber)
 			c.options.Logger.Info("jobs followed", zap.Int("partition", number), zap.Int64("epoch", lease.Epoch),
 				zap.Bool("term_over", term.Err() != nil))
 		})
@@ -81,13 +81,6 @@
 	partitions.Wait()
 	c.options.Logger.Info("progress recovered", zap.Int64("epoch", lease.Epoch), zap.Int64("items", items.Load()),
 		zap.Bool("handed_over", whole), zap.Duration("took", time.Since(began)))
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.machine == machine {
-		c.subscriber = subscriber
-		return
-	}
-	go c.options.Jobs.Unsubscribe(subscriber)
 }
 
 func (c *Coordinator) endTermLocked() {
@@ -95,9 +88,4 @@
 	c.resigned = false
 	c.endTerm()
 	c.options.Logger.Info("term ended", zap.Int64("epoch", c.termEpoch))
-	if c.subscriber != nil {
-		// The partitions call back under their own mutexes.
-		go c.options.Jobs.Unsubscribe(c.subscriber)
-		c.subscriber = nil
-	}
 }
--- a/internal/frontend/jobreads_bench_test.go
+++ b/internal/frontend/jobreads_bench_test.go
@@ -71,7 +71,7 @@
 		appendBenchJob(b, log.Memory, "job")
 		appendIndex(b, log.Memory, "job", start)
 		coordinator, stop := startReader(log, func(readSource) {})
-		coordinator.jobs.Subscribe(0, subscriber{})
+		coordinator.jobs.Subscribe(context.Background(), 0, subscriber{})
 		address := serve(b, coordinator)
 		for _, way := range []string{"coordinator", "index", "partition"} {
 			b.Run(fmt.Sprintf("%s/%d", way, others), func(b *testing.B) {
--- a/internal/frontend/jobreads_test.go
+++ b/internal/frontend/jobreads_test.go
@@ -113,7 +113,7 @@
 	appendJob(t, memory, "job", 3)
 	appendIndex(t, memory, "job", 0)
 	coordinator := newReaderNode(t, memory)
-	coordinator.jobs.Subscribe(0, subscriber{})
+	coordinator.jobs.Subscribe(context.Background(), 0, subscriber{})
 	beginner := newReaderNode(t, memory)
 	beginner.jobs.Follow(context.Background(), 0)
 	gone := listen(t)
@@ -202,7 +202,7 @@
 	memory := storetest.NewMemory()
 	appendJob(t, memory, "job", 1)
 	coordinator := newReaderNode(t, memory)
-	coordinator.jobs.Subscribe(0, subscriber{})
+	coordinator.jobs.Subscribe(context.Background(), 0, subscriber{})
 	node := newReaderNode(t, memory)
 	node.observeCoordinator(false, serve(t, coordinator))
 	job := &batch.Job{ID: "later", Items: []batch.Item{{ID: "later-0"}}}
--- a/internal/joblog/follow_test.go
+++ b/internal/joblog/follow_test.go
@@ -76,8 +76,7 @@
 	logs := start(t, log)
 	logs.Follow(context.Background(), 0)
 	seen := &recorder{}
-	logs.Subscribe(0, seen)
-	t.Cleanup(func() { logs.Unsubscribe(seen) })
+	logs.Subscribe(t.Context(), 0, seen)
 	eventually(t, "the open job is seen", func() bool { return seen.has("open", 4) })
 	return log, logs, seen
 }
@@ -151,3 +150,37 @@
 	appendEnd(t, writer, "last") // at 10
 	eventually(t, "all jobs have ended", func() bool { return seen.opensFrom(11) })
 }
+
+// A subscription that its term's goroutine makes too late is void: the jobs go to the term that
+// lasts.
+func TestASubscriptionEndsWithItsTerm(t *testing.T) {
+	log := storetest.NewMemory()
+	logs := start(t, log)
+	over, end := context.WithCancel(context.Background())
+	before, after := &recorder{}, &recorder{}
+	logs.Subscribe(over, 0, before)
+	appendJob(t, log, logs, "first", 1, 0) // at 0
+	eventually(t, "the first term sees a job", func() bool { return before.has("first", 0) })
+	end()
+	logs.Subscribe(t.Context(), 0, after)
+	logs.Subscribe(over, 0, before)
+	appendJob(t, log, logs, "second", 1, 0) // at 1
+	eventually(t, "the term that lasts sees both jobs", func() bool { return after.has("first", 0) && after.has("second", 1) })
+	if before.has("second", 1) {
+		t.Error("the term that is over sees a job")
+	}
+}
+
+// Nobody follows the jobs of a term that is over.
+func TestAPartitionIsNotFollowedAfterTheTerm(t *testing.T) {
+	logs := start(t, storetest.NewMemory())
+	term, end := context.WithCancel(context.Background())
+	logs.Subscribe(term, 0, &recorder{})
+	end()
+	p := logs.partitions[0]
+	eventually(t, "the subscription has ended", func() bool {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		return p.subscriber == nil
+	})
+}
--- a/internal/joblog/index_test.go
+++ b/internal/joblog/index_test.go
@@ -142,8 +142,7 @@
 	logs := start(t, memory)
 	checkRead(t, logs, "late", 0, 1)
 	seen := &recorder{}
-	logs.Subscribe(0, seen)
-	defer logs.Unsubscribe(seen)
+	logs.Subscribe(t.Context(), 0, seen)
 	deadline := time.Now().Add(10 * time.Second)
 	for !seen.has("early", 0) || !seen.has("late", 2) {
 		if time.Now().After(deadline) {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -207,14 +207,8 @@
 	HandleFresh(partition int, since time.Time)
 }
 
-// Subscribe follows a partition for a subscriber until Unsubscribe.
-func (l *Logs) Subscribe(partition int, subscriber Subscriber) {
-	l.partitions[partition].subscribe(subscriber)
-}
-
-// Unsubscribe ends what a subscriber follows.
-func (l *Logs) Unsubscribe(subscriber Subscriber) {
-	for _, p := range l.partitions {
-		p.unsubscribe(subscriber)
-	}
+// Subscribe follows a partition for a subscriber, in the place of an earlier one, until the term
+// ends. A term that is over by now follows nothing.
+func (l *Logs) Subscribe(term context.Context, partition int, subscriber Subscriber) {
+	l.partitions[partition].subscribe(term, subscriber)
 }
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -8,10 +8,17 @@
 	"dalehook/internal/batch"
 )
 
-func (p *partition) subscribe(subscriber Subscriber) {
+// subscribe follows the partition for a subscriber until the term ends. Whoever subscribes next
+// does so after the end of the term before. The check, which is made with the mutex held, thus
+// keeps a subscription that comes late from replacing that of a later term.
+func (p *partition) subscribe(term context.Context, subscriber Subscriber) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if term.Err() != nil {
+		return
+	}
 	p.subscriber = subscriber
+	context.AfterFunc(term, func() { p.unsubscribe(subscriber) })
 	if !p.covers {
 		p.resetLocked(0)
 	}
