--- a/internal/joblog/follow_test.go
+++ b/internal/joblog/follow_test.go
@@ -184,3 +184,29 @@
 		return p.subscriber == nil
 	})
 }
+
+// Seen: the jobs of a partition are scheduled late after a take-over. It comes about where a
+// successor takes longer to read what its predecessor saved than a partition is kept for readers
+// that do not come back. Cause: what Follow had read for the successor was dropped by then, and
+// the partition was read anew, from its very start. Proof: it is read from the first open job
+// only.
+func TestWhatIsFollowedForASuccessorIsKeptUntilItSubscribes(t *testing.T) {
+	log := &readsFrom{Memory: storetest.NewMemory()}
+	log.lowest.Store(noRead)
+	writer := NewLogs(Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, log, writer, "ended", 2, 2)
+	appendEnd(t, writer, "ended")
+	appendJob(t, log, writer, "open", 2, 1)
+	indexJob(t, log, "ended", 0)
+	indexJob(t, log, "open", 4)
+	indexOpenFrom(t, log, 4)
+	logs := start(t, log)
+	logs.Follow(t.Context(), 0)
+	time.Sleep(interest + readWait + 2*slowestRead)
+	seen := &recorder{}
+	logs.Subscribe(t.Context(), 0, seen)
+	eventually(t, "the open job is seen", func() bool { return seen.has("open", 4) })
+	if lowest := log.lowest.Load(); lowest != 4 {
+		t.Errorf("read from offset %d on", lowest)
+	}
+}
