What is read for a successor is kept until its term ends

Cause: a partition is kept for 2 s after it was last asked for. A successor has it read before it takes over, which may take 3.1 s, and subscribes afterwards: by then all that was read could have been dropped, and the partition was read anew from its start instead of its first open job.

Change: Follow holds the partition for the term, as the subscription does.

Before: read from offset 0 on, where the first open job begins at 4. After: from 4 on.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -66,9 +66,9 @@
 	return err
 }
 
-// Follow has a partition read from where its first open job begins, for a subscriber that
-// comes soon.
-func (l *Logs) Follow(ctx context.Context, partition int) { l.partitions[partition].follow(ctx) }
+// Follow has a partition read from where its first open job begins until the term ends, for a
+// subscriber that comes once it has taken over.
+func (l *Logs) Follow(term context.Context, partition int) { l.partitions[partition].follow(term) }
 
 // Indexed says whether the index is known to hold a job.
 func (l *Logs) Indexed(jobID string) bool {
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -37,7 +37,9 @@
 	changed    chan struct{}
 	wantedTill time.Time
 	subscriber Subscriber
-	fold       *batch.Fold
+	// terms counts the terms under way that have the partition followed.
+	terms int
+	fold  *batch.Fold
 	// from is the offset that the reading began at, next that of the first record that
 	// was not read.
 	from, next int64
@@ -108,7 +110,7 @@
 
 // wanted says whether the partition is to be followed. The mutex is held.
 func (p *partition) wanted() bool {
-	return p.subscriber != nil || time.Now().Before(p.wantedTill)
+	return p.subscriber != nil || p.terms > 0 || time.Now().Before(p.wantedTill)
 }
 
 // jobLocked returns what is known of a job. Where the reading began in the midst of the
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -37,10 +37,10 @@
 	}
 }
 
-// follow has the partition read from where the first open job begins. What the index can not
-// tell is read.
-func (p *partition) follow(ctx context.Context) {
-	from, err := p.index.findOpen(ctx)
+// follow has the partition read from where the first open job begins, until the term ends. What
+// the index can not tell is read.
+func (p *partition) follow(term context.Context) {
+	from, err := p.index.findOpen(term)
 	if err != nil {
 		p.logger.Warn("partition read from its start", zap.Stringer("partition", p.at), zap.Error(err))
 	}
@@ -50,7 +50,21 @@
 		p.resetLocked(from)
 		p.covers = true
 	}
-	p.touchLocked()
+	p.holdLocked(term)
+}
+
+// holdLocked has the partition followed until the term ends. The subscription may come later than
+// a reader's interest lasts, and what was read would be read once more, from the very start.
+func (p *partition) holdLocked(term context.Context) {
+	p.terms++
+	p.notify()
+	context.AfterFunc(term, p.release)
+}
+
+func (p *partition) release() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.terms--
 }
 
 // followed says whether the partition is being read from where the first open job begins, or
