Three tests, red: items of open jobs wait while engines have room

A job that is read before its route gets no time, so that its items are sent with a millisecond left; a text of a single version that no engine has any more holds up the queue of its job; and an engine that takes no items until it has loaded a version goes on so once it has it.

--- /dev/null
+++ b/internal/scheduler/waiting_test.go
@@ -0,0 +1,101 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/routetable"
+)
+
+// table returns a configuration with the routes given and the pool of model m.
+func table(version int64, routes ...routetable.Route) *routetable.Table {
+	service := routetable.Service{Name: "pool", Models: []string{"m"}}
+	return routetable.NewTable(version, routes, []routetable.Service{service}, routetable.Limits{})
+}
+
+// batchRoute returns the route of the fixture's jobs.
+func batchRoute() routetable.Route {
+	return routetable.Route{
+		Name: "r", Host: "h", Prefix: "/p/", Kind: routetable.KindBatch, MaxAttempts: 3,
+		Targets: []routetable.Target{{Service: "pool", Weight: 1}}, ItemLifetime: 40 * time.Second,
+	}
+}
+
+// Seen: the items of a job are sent with a millisecond left, and none of them is ever given up.
+// It comes about where another node accepts a job of a route that is new, and this one reads the
+// job before the configuration. Cause: the time after which items may be given up was worked out
+// once, when the job came, and there was no route to take it from. Proof: the items that start
+// once the route is known have the route's time from when the job came.
+func TestAJobThatIsReadBeforeItsRouteHasTheRoutesTime(t *testing.T) {
+	f := newFixture(t, nil)
+	f.machine.HandleTable(f.now, table(2))
+	f.servers(1, map[string]int64{"a": 1})
+	came := f.now
+	f.job("j", 1, 10)
+	f.pass(time.Second)
+	if len(f.starts) != 0 {
+		t.Fatalf("starts %+v without a route", f.starts)
+	}
+	f.machine.HandleTable(f.now, table(3, batchRoute()))
+	f.take()
+	if len(f.starts) != 1 {
+		t.Fatalf("starts %+v", f.starts)
+	}
+	if left := f.starts[0].Deadline.Sub(came); left != batchRoute().ItemLifetime {
+		t.Errorf("the deadline is %v after the job came", left)
+	}
+	f.end(f.starts[0].Attempt, EndBroken)
+	f.pass(batchRoute().ItemLifetime)
+	if len(f.results) != 1 || f.results[0].Outcome != batch.OutcomeDead {
+		t.Errorf("results %+v once the item's time is over", f.results)
+	}
+}
+
+// Seen: on a route whose texts are of one version, the items of a job wait without end while
+// all engines have room. It comes about where the run of an item breaks and every engine has
+// loaded a newer version by then. Cause: no engine may go on with the item's text, the text was
+// kept all the same, and an item that finds no engine has those behind it in the queue wait as
+// well. Proof: those behind it start at once, and the item itself starts anew after a while.
+func TestATextThatNoEngineMayGoOnWithHoldsNothingUp(t *testing.T) {
+	f := newFixture(t, func(route *routetable.Route) { route.SingleVersion = true })
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 30, 20, 10)
+	f.event(1, "1", 1)
+	f.end(1, EndBroken)
+	f.servers(1, map[string]int64{"b": 2, "c": 2, "d": 2})
+	f.pass(tickOfTests)
+	if len(f.starts) != 3 {
+		t.Errorf("items %v have started, three engines have room", f.startedItems())
+	}
+	f.pass(slowPatience)
+	last := f.starts[len(f.starts)-1]
+	if len(f.starts) != 4 || last.Item.ID != "j-0" || last.After != "" || last.ExpectVersion != 2 {
+		t.Errorf("items %v have started, the last one after %q under version %d", f.startedItems(), last.After, last.ExpectVersion)
+	}
+}
+
+// tickOfTests is the time between two ticks.
+const tickOfTests = 50 * time.Millisecond
+
+// Seen: an engine with room takes no items until the next version is named. It comes about where
+// an engine that takes nothing more, so as to load a version once it is idle, has that version
+// before this scheduler orders it: by the order of a predecessor that was carried out late.
+// Cause: that it takes nothing more was taken back only by an order. Proof: the waiting job
+// starts as soon as the list of servers tells the version.
+func TestAnEngineThatHasTheVersionTakesItems(t *testing.T) {
+	f := newFixture(t, func(route *routetable.Route) { route.SingleVersion = true })
+	f.servers(2, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.machine.HandleLease(f.now, 1, true)
+	f.machine.HandleVersion(f.now, "m", 2)
+	f.job("k", 2, 10)
+	if len(f.starts) != 1 || len(f.orders) != 0 {
+		t.Fatalf("starts %+v, orders %+v while the engine is to become idle", f.starts, f.orders)
+	}
+	f.servers(2, map[string]int64{"a": 2})
+	f.pass(tickOfTests)
+	if len(f.starts) != 2 {
+		t.Errorf("items %v have started, the engine has room", f.startedItems())
+	}
+}
