A job that is read before its route is given up by the route's time

Cause: when a job's items may be given up was worked out once, as the job was read. A node may accept a job of a new route before the coordinator has the configuration: then the time stayed zero, each of its items was sent with a deadline of one millisecond, each failed run paused its engine, and none was ever given up.

Change: the time is worked out with the job's first route, from when the job was read.

Before: the deadline is in the year 1. After: the route's time from when the job came.

--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -24,6 +24,7 @@
 		minimum:   accepted.MinVersion,
 		partition: partition,
 		order:     m.arrivals,
+		cameAt:    now,
 		items:     make(map[string]*item, len(accepted.Items)),
 		groups:    make(map[string]int),
 		sources:   make(map[string]*batch.Item, len(accepted.Items)),
@@ -37,9 +38,6 @@
 		opened.list(&results[i])
 	}
 	m.route(opened)
-	if opened.route != nil {
-		opened.giveUpAt = now.Add(opened.route.ItemLifetime)
-	}
 	m.observeDemand(accepted)
 	for i := range accepted.Items {
 		if waiting := opened.items[accepted.Items[i].ID]; waiting != nil {
@@ -97,7 +95,8 @@
 	return cmp.Compare(b.source.Expected, a.source.Expected)
 }
 
-// route finds a job's route, and the service of each of its items.
+// route finds a job's route, and the service of each of its items. The job's first route says
+// when its items may be given up.
 func (m *Machine) route(job *job) {
 	if m.table == nil {
 		return
@@ -106,6 +105,10 @@
 	if job.route == nil {
 		return
 	}
+	if job.giveUpAt.IsZero() {
+		// The job may have been read before the configuration that has its route.
+		job.giveUpAt = job.cameAt.Add(job.route.ItemLifetime)
+	}
 	for id, waiting := range job.items {
 		target, _ := job.route.PickFor(id)
 		waiting.service = target.Service
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -215,9 +215,12 @@
 	minimum   int64
 	partition int
 	route     *routetable.Route
-	giveUpAt  time.Time
-	order     int
-	items     map[string]*item
+	// cameAt is when the job was read.
+	cameAt time.Time
+	// giveUpAt is when its items may be given up; zero until the job has had a route.
+	giveUpAt time.Time
+	order    int
+	items    map[string]*item
 	// queue holds the items that wait, the first to start first.
 	queue []*item
 	// groups holds the number of items without a result by group.
