An item starts anew where no engine may go on with its text, and holds none up meanwhile

Cause: on a route of single versions, only an engine of the text's version may go on with it. Where the run broke and the engines had loaded a newer version by then, none could; the text was kept all the same, and an item that finds no engine ended the pass over its job's queue, so that all behind it waited as well, until the job's time was over.

Change: only an item that any engine of its service might take ends the pass.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -49,9 +49,10 @@
 			waiting = append(waiting, next)
 			continue
 		}
-		chosen := m.choose(now, next, engines, usual[next.service])
+		chosen := m.chooseOrRestart(now, next, engines, usual[next.service])
 		if chosen == nil {
-			full = len(open.route.Targets) <= 1
+			// An engine that may not go on with one item's text may take the next item.
+			full = len(open.route.Targets) <= 1 && !next.isBound()
 			waiting = append(waiting, next)
 			continue
 		}
@@ -98,6 +99,31 @@
 	return usual > 0 && e.gap > muchSlower*usual && now.Sub(e.pacedAt) < paceFreshFor
 }
 
+// boundPatience is how long an item waits for an engine that may go on with its text, before it
+// starts anew elsewhere. It is as long as an item waits for a better engine than a slow one.
+const boundPatience = slowPatience
+
+// chooseOrRestart returns the engine where an item is to run, or nil. Usual is as for choose. A
+// text of a single version is forgotten where only engines of other versions have room.
+func (m *Machine) chooseOrRestart(now time.Time, next *item, engines []*engine, usual float64) *engine {
+	chosen := m.choose(now, next, engines, usual)
+	if chosen != nil || !next.isBound() || now.Sub(next.waitingSince) < boundPatience {
+		return chosen
+	}
+	anew := *next
+	anew.restart()
+	chosen = m.choose(now, &anew, engines, usual)
+	if chosen != nil {
+		next.restart()
+	}
+	return chosen
+}
+
+// isBound says whether only engines of one version may go on with an item's text.
+func (i *item) isBound() bool {
+	return i.job.route != nil && i.job.route.SingleVersion && len(i.versions) > 0
+}
+
 // choose returns the engine where an item is to run, or nil. Usual is the usual time between
 // events of the item's service, 0 when none is known.
 func (m *Machine) choose(now time.Time, next *item, engines []*engine, usual float64) *engine {
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -39,8 +39,7 @@
 }
 
 func (m *Machine) mixesVersions(owner *item, version int64) bool {
-	single := owner.job.route != nil && owner.job.route.SingleVersion
-	return single && len(owner.versions) > 0 && owner.versions[0] != version
+	return owner.isBound() && owner.versions[0] != version
 }
 
 // restart forgets the text of earlier attempts.
