An engine takes no items for a load's sake only while it has something to load

Cause: on routes of single versions an engine whose version waiting items may not have takes nothing more, so that it can load once it is idle. That was taken back by an order alone: an engine that had the version by then, as the order of a predecessor may be carried out late, took no items until the next version was named, and the same held without a lease in force.

Change: whether an engine is to become idle is worked out anew at each look at the loads, and holds for none where no order may be given.

Before: the job that waits for the version has not started. After: it starts at the next tick.

--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -159,6 +159,7 @@
 // their service allows, the most urgent first.
 func (m *Machine) orderLoads(now time.Time) {
 	if !m.mayOrder || m.resigned {
+		m.endDraining()
 		return
 	}
 	interval := time.Duration(len(m.engines)) * orderIntervalPerEngine
@@ -179,6 +180,13 @@
 	}
 }
 
+// endDraining has engines take items that were to become idle for an order.
+func (m *Machine) endDraining() {
+	for _, known := range m.engines {
+		known.draining = false
+	}
+}
+
 // openMargin is how many more engines of a model must take items than load, for a
 // busy one to load while its version still serves. A loading engine starts nothing.
 const openMargin = 2
@@ -299,7 +307,10 @@
 	return m.windows[service]
 }
 
+// shouldLoad says whether an engine may be ordered to load now, and has it take no items where it
+// is to become idle first: only as long as there is something to load.
 func (m *Machine) shouldLoad(now time.Time, known *engine, waiting []*job) bool {
+	known.draining = false
 	if !known.listed || known.loading || known.model == "" || now.Before(known.loadAfter) {
 		return false
 	}
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -99,3 +99,22 @@
 		t.Errorf("items %v have started, the engine has room", f.startedItems())
 	}
 }
+
+// An engine that was to load once it is idle takes items again where no order may be given.
+func TestAnEngineTakesItemsWhereNoOrderMayBeGiven(t *testing.T) {
+	f := newFixture(t, func(route *routetable.Route) { route.SingleVersion = true })
+	f.servers(2, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.machine.HandleLease(f.now, 1, true)
+	f.machine.HandleVersion(f.now, "m", 2)
+	f.job("k", 2, 10)
+	f.job("l", 1, 10)
+	if len(f.starts) != 1 {
+		t.Fatalf("starts %+v while the engine is to become idle", f.starts)
+	}
+	f.machine.HandleLease(f.now, 1, false)
+	f.pass(tickOfTests)
+	if len(f.starts) != 2 || f.starts[1].Item.ID != "l-0" {
+		t.Errorf("items %v have started", f.startedItems())
+	}
+}
