--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -118,3 +118,72 @@
 		t.Errorf("items %v have started", f.startedItems())
 	}
 }
+
+// blackHoles drives a machine whose engines with a name in silent never answer: a run there makes
+// no event and ends only once it is cancelled, an order fails after a second. It returns when the
+// item of each start began at an engine that answers.
+func blackHoles(f *fixture, silent map[string]bool, lasts time.Duration) map[string]time.Duration {
+	began := make(map[string]time.Duration)
+	orderedAt := make(map[string]time.Time)
+	starts, cancels, orders := 0, 0, 0
+	first := f.now
+	for f.now.Sub(first) < lasts {
+		f.pass(tickOfTests)
+		for _, start := range f.starts[starts:] {
+			if _, known := began[start.Item.ID]; !known && !silent[start.Server.ID] {
+				began[start.Item.ID] = f.now.Sub(first)
+			}
+		}
+		starts = len(f.starts)
+		ended := f.cancels[cancels:]
+		cancels = len(f.cancels)
+		for _, order := range f.orders[orders:] {
+			orderedAt[order.Server.ID] = f.now
+		}
+		orders = len(f.orders)
+		for _, cancelled := range ended {
+			f.end(cancelled.Attempt, EndCancelled)
+		}
+		for id, at := range orderedAt {
+			if f.now.Sub(at) >= time.Second {
+				delete(orderedAt, id)
+				f.machine.HandleLoad(f.now, id, "m", Load{})
+				f.take()
+			}
+		}
+	}
+	return began
+}
+
+// Seen: an item comes to no engine that answers while one has room. It comes about where several
+// engines take what they are sent and never answer. Cause: each was left alone for half a second
+// after it had held the item up for longer, and was preferred again by then, since nothing was
+// known of its pace. Proof: the item comes to the engine that answers.
+func TestAnItemLeavesEnginesThatNeverAnswer(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1, "b": 1, "c": 1, "z": 1})
+	f.job("j", 1, 10)
+	f.machine.engines["z"].gap = 0.03
+	silent := map[string]bool{"a": true, "b": true, "c": true}
+	began := blackHoles(f, silent, 10*time.Second)
+	if at, known := began["j-0"]; !known || at > 4*time.Second {
+		t.Errorf("the item came to the engine that answers after %v (%v)", at, known)
+	}
+}
+
+// Seen: an item stays at an engine that does not answer. It comes about where a new version is
+// named meanwhile. Cause: a run is not expected to make events while its engine loads, the end of
+// each order that failed counted as an event as well, and the next order came before the run
+// counted as stalled. Proof: the item comes to the engine that answers.
+func TestOrdersThatFailDoNotKeepARunWhereItIs(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 10)
+	f.machine.HandleLease(f.now, 1, true)
+	f.servers(1, map[string]int64{"a": 1, "z": 2})
+	f.machine.HandleVersion(f.now, "m", 2)
+	began := blackHoles(f, map[string]bool{"a": true}, 10*time.Second)
+	if at, known := began["j-0"]; !known || at > 4*time.Second {
+		t.Errorf("the item came to the engine that answers after %v (%v)", at, known)
+	}
+}
