An order that was not carried out does not keep the runs of its engine from being moved

Cause: a run is moved once it has made no event for 0.9 s. The time in which its engine is ordered to load does not count, and the end of each order counted as an event, also of one that got no answer. The next order came 0.4 s later, so that the items at an engine that answers nothing stayed there as long as it lacked a version.

Change: only an engine that told its version counts as heard of; the time that a load may take is added where the silence is judged, and not to the run.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -167,14 +167,20 @@
 // weights with as many others as allowed.
 const loadStall = 2 * time.Second
 
+// quietSince returns from when on an attempt should have made events. It is in the future for a
+// while after its engine was ordered to load.
+func (a *attempt) quietSince() time.Time {
+	loaded := a.engine.loadBegan.Add(loadStall)
+	if a.engine.loading && loaded.After(a.lastSeen) {
+		return loaded
+	}
+	return a.lastSeen
+}
+
 // moveStalled ends attempts that got no event for too long; they go on elsewhere.
 func (m *Machine) moveStalled(now time.Time) {
 	for _, running := range m.sortedAttempts() {
-		if running.engine.loading && now.Sub(running.engine.loadBegan) < loadStall {
-			running.lastSeen = now
-			continue
-		}
-		if !running.cancelled && now.Sub(running.lastSeen) > m.options.StallTimeout {
+		if !running.cancelled && now.Sub(running.quietSince()) > m.options.StallTimeout {
 			running.engine.pausedUntil = now.Add(m.options.ServerPause)
 			m.cancel(running)
 		}
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -390,8 +390,17 @@
 	if known.versions[model] < m.newest[model] {
 		known.loadAfter = now.Add(retryLoad)
 	}
-	for _, running := range known.attempts {
+	known.noteLoaded(now, load)
+	m.schedule(now)
+}
+
+// noteLoaded lets the runs of an engine go on after a load. One that was not reached does not
+// count as heard of: it may be ordered again and again, and its runs are to be moved.
+func (e *engine) noteLoaded(now time.Time, load Load) {
+	if load.Version == 0 {
+		return
+	}
+	for _, running := range e.attempts {
 		running.lastSeen = now
 	}
-	m.schedule(now)
 }
