Engines that did not answer a run are chosen last for a while

Cause: a run that gets no event is moved after 0.9 s, and its engine left alone for 0.5 s. Where two engines or more take what they are sent and never answer, the first was free again before the second had been given up, and both were preferred: as idle, or of a pace not known yet. The item went to and fro between them.

Change: for 5 s an engine whose last run got no answer is chosen only where no other has room, until it makes an event. It is no target of moves meanwhile.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -134,7 +134,7 @@
 		if !m.mayRun(now, next, candidate) || patient && candidate.isSlow(now, usual) {
 			continue
 		}
-		cost := candidate.cost(next)
+		cost := candidate.cost(now, next)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
@@ -157,8 +157,22 @@
 	return !m.mixesVersions(next, version)
 }
 
-// foreignPenalty is added to the cost of an engine that belongs to another model.
-const foreignPenalty = 10
+const (
+	// foreignPenalty is added to the cost of an engine that belongs to another model.
+	foreignPenalty = 10
+	// silentPenalty is added to the cost of an engine that did not answer a run. One may hold an
+	// item up for longer than it is left alone afterwards, so that a few of them would hand the
+	// item on among themselves. It is above all that engines differ by otherwise.
+	silentPenalty = 1000
+	// silentFor is how long that counts. Longer than it takes to try some others, and
+	// short enough for an engine that answers again to be of use.
+	silentFor = 5 * time.Second
+)
+
+// isSilent says whether an engine did not answer a run lately, nor any since.
+func (e *engine) isSilent(now time.Time) bool {
+	return !e.silentAt.IsZero() && now.Sub(e.silentAt) < silentFor
+}
 
 // loadWeight is by how much an engine's pace counts as slower with all slots in use.
 // It is more than events come slower by, so that engines of about one pace share the
@@ -166,12 +180,15 @@
 const loadWeight = 0.25
 
 // cost rates an engine for an item; lower is better.
-func (e *engine) cost(next *item) float64 {
+func (e *engine) cost(now time.Time, next *item) float64 {
 	cost := 1 + loadWeight*float64(len(e.attempts))/float64(max(e.slots, 1))
 	cost *= max(e.gap, minimumGap)
 	if e.model != next.job.model {
 		cost += foreignPenalty
 	}
+	if e.isSilent(now) {
+		cost += silentPenalty
+	}
 	return cost
 }
 
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -64,6 +64,7 @@
 func (a *attempt) observe(now time.Time) {
 	a.events++
 	a.lastSeen = now
+	a.engine.silentAt = time.Time{}
 	if a.sampleBegan.IsZero() {
 		a.sampleBegan = now
 		return
@@ -131,6 +132,9 @@
 		ended.engine.pausedUntil = now.Add(notExecutedPause)
 	case EndBroken:
 		ended.engine.pausedUntil = now.Add(m.options.ServerPause)
+		if ended.events == 0 {
+			ended.engine.silentAt = now
+		}
 	}
 	owner.waitingSince = now
 	owner.job.queue = slices.Insert(owner.job.queue, 0, owner)
@@ -182,6 +186,7 @@
 	for _, running := range m.sortedAttempts() {
 		if !running.cancelled && now.Sub(running.quietSince()) > m.options.StallTimeout {
 			running.engine.pausedUntil = now.Add(m.options.ServerPause)
+			running.engine.silentAt = now
 			m.cancel(running)
 		}
 	}
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -33,7 +33,7 @@
 			waiting[open.model] = true
 		}
 	}
-	fastest := m.fastestEngines()
+	fastest := m.fastestEngines(now)
 	promised := make(map[*engine]int)
 	moves := 0
 	for _, running := range m.sortedAttempts() {
@@ -61,11 +61,11 @@
 }
 
 // fastestEngines returns the engines of each service with a known pace and a free
-// slot, the fastest first.
-func (m *Machine) fastestEngines() map[string][]*engine {
+// slot that answer, the fastest first.
+func (m *Machine) fastestEngines(now time.Time) map[string][]*engine {
 	fastest := make(map[string][]*engine)
 	for _, known := range m.sortedEngines() {
-		if known.gap > 0 && len(known.attempts) < known.slots {
+		if known.gap > 0 && len(known.attempts) < known.slots && !known.isSilent(now) {
 			fastest[known.service] = append(fastest[known.service], known)
 		}
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -266,6 +266,8 @@
 	// the most.
 	loadsAtOnce int
 	pausedUntil time.Time
+	// silentAt is when a run last ended here for want of an answer; zero once an event came.
+	silentAt time.Time
 	// gap is the smoothed time between two events, in seconds; 0 when unknown.
 	gap float64
 	// pacedAt is when the gap was last sampled.
