--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -87,3 +87,26 @@
 	appendJob(t, jobs, "after", 1)
 	awaitItem(t, engines, "aftera")
 }
+
+// Seen: a process that is about to stop begins its term once more, runs its items beside its
+// successor, and names their progress as in the term before. It comes about where its release of
+// the lease can not be appended for as long as runs go on after a term was given up. Cause: a
+// lease that still stands began a term, be it given up or not. Proof: it leads no more once it
+// has handed over, and hands over the same again.
+func TestATermThatWasGivenUpDoesNotBeginAgain(t *testing.T) {
+	engines := newQuickEngines()
+	c, jobs := run(t, storetest.NewMemory(), engines, 8, zap.NewNop())
+	leads(c, 1)
+	c.Resign()
+	if left := c.HandOver(1); !left.Whole {
+		t.Fatalf("handed over %+v", left)
+	}
+	leads(c, 1)
+	if c.State().Leading {
+		t.Error("the term has begun once more")
+	}
+	// Nobody else has claimed the lease: a claim of this process is a term of its own.
+	leads(c, 2)
+	appendJob(t, jobs, "j", 1)
+	awaitItem(t, engines, "ja")
+}
