A term that was given up does not begin again under the same lease

Cause: a process that is about to stop hands its term over 1.5 s after it gave it up, whether or not its release of the lease could be appended by then. While the lease stood, the next look at it began the term anew under the same epoch: its items ran beside those of a successor, the names of its runs were those of the term before, and a successor that asked was told what had been handed over the first time.

Change: a lease whose term was handed over begins none.

Before: the process leads again. After: it does not, and leads under a later epoch.

--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -29,6 +29,11 @@
 		}
 	}
 	c.lease = standing.Lease
+	if standing.Lease.Epoch == c.handed.epoch {
+		// The lease stands until its release is appended; what was begun under it belongs to
+		// the successor.
+		return
+	}
 	if c.closed || !standing.Leading || c.machine != nil || c.table == nil {
 		return
 	}
