--- a/internal/coordinator/handover_test.go
+++ b/internal/coordinator/handover_test.go
@@ -65,7 +65,13 @@
 // jobs that it follows in one partition.
 func run(t *testing.T, log store.Log, engines Engines, slots int, logger *zap.Logger) (*Coordinator, *joblog.Logs) {
 	t.Helper()
-	jobs := joblog.NewLogs(joblog.Options{Log: log, Partitions: 1, Logger: logger})
+	return runPartitions(t, log, 1, engines, slots, logger)
+}
+
+// runPartitions is run for jobs in so many partitions.
+func runPartitions(t *testing.T, log store.Log, partitions int, engines Engines, slots int, logger *zap.Logger) (*Coordinator, *joblog.Logs) {
+	t.Helper()
+	jobs := joblog.NewLogs(joblog.Options{Log: log, Partitions: partitions, Logger: logger})
 	servers := directory.NewDirectory()
 	servers.Replace([]directory.Server{{ID: "s", Service: "pool", Slots: slots, Versions: map[string]int64{"m": 1}}})
 	c := New(Options{Engines: engines, Log: log, Jobs: jobs, Directory: servers, Logger: logger, Observer: nothingObserved{}})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -89,6 +89,9 @@
 // ErrRefused says that the store did not carry out a call and never will.
 var ErrRefused = errors.New("store refused the call")
 
+// ErrInvalid says that the store refused a call for what it holds, and would do so again.
+var ErrInvalid = fmt.Errorf("%w: call is not valid", ErrRefused)
+
 // ErrThrottled says that the store refused a call since there are too many of them.
 var ErrThrottled = fmt.Errorf("%w: too many calls", ErrRefused)
 
