Records that the store refuses for good are given up, and appends keep to its size

Cause: the writer of results and progress tried each append until it was taken, so that one which is never taken held up its partition for the rest of the term; and all that was handed over of a partition went into one append, beyond what the store takes in a call after an outage with large results, where it was given up after three tries.

Change: an append that is refused for what it holds is made group by group; a single group that is refused so is given up with an error in the log. The parts of what is handed over are those of the writer's appends, each of one megabyte at the most unless one group is larger.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -91,21 +91,17 @@
 	c.options.Logger.Info("term handed over", zap.Int64("epoch", c.termEpoch), zap.Int("partitions", len(c.handed.left.Pending)))
 }
 
-// progressRecords returns the records of progress by partition.
+// progressRecords returns the records of progress, in parts of one append each.
 func (c *Coordinator) progressRecords(saved []scheduler.Progress) []liveness.Pending {
-	var pending []liveness.Pending
-	index := make(map[store.Partition]int)
+	groups := make(map[store.Partition][][][]byte)
 	for _, progress := range saved {
-		at, record, ok := c.encodeProgress(progress)
-		if !ok {
-			continue
+		if at, record, ok := c.encodeProgress(progress); ok {
+			groups[at] = append(groups[at], [][]byte{record})
 		}
-		if _, known := index[at]; !known {
-			index[at] = len(pending)
-			pending = append(pending, liveness.Pending{Partition: at})
-		}
-		of := &pending[index[at]]
-		of.Records = append(of.Records, record)
+	}
+	var pending []liveness.Pending
+	for at, records := range groups {
+		pending = append(pending, inCalls(at, records)...)
 	}
 	return pending
 }
@@ -142,18 +138,25 @@
 
 // foldHandedOver returns the progress that was handed over, by partition and item.
 func (c *Coordinator) foldHandedOver(left liveness.HandedOver) map[int]map[string]*batch.Partial {
-	partials := make(map[int]map[string]*batch.Partial)
+	folds := make(map[int]*batch.ProgressFold)
 	for _, pending := range left.Pending {
 		if pending.Partition.Topic != store.TopicProgress {
 			continue
 		}
-		fold := batch.NewProgressFold()
+		fold := folds[pending.Partition.Number]
+		if fold == nil {
+			fold = batch.NewProgressFold()
+			folds[pending.Partition.Number] = fold
+		}
 		for _, record := range pending.Records {
 			if err := fold.Apply(record); err != nil {
 				c.options.Logger.Error("progress void", zap.Stringer("partition", pending.Partition), zap.Error(err))
 			}
 		}
-		partials[pending.Partition.Number] = fold.Partials()
+	}
+	partials := make(map[int]map[string]*batch.Partial, len(folds))
+	for number, fold := range folds {
+		partials[number] = fold.Partials()
 	}
 	return partials
 }
--- a/internal/coordinator/writer.go
+++ b/internal/coordinator/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +19,8 @@
 	appendTimeout = time.Second
 	// appendPause is the time between a failed append and the next.
 	appendPause = 150 * time.Millisecond
-	// appendSize is the size in bytes beyond which an append takes no more records.
+	// appendSize is the size in bytes that the groups of an append have together at the most. It
+	// is half of what the store takes; a larger group is appended alone.
 	appendSize = 1 << 20
 	// progressLimit is the size in bytes of waiting progress beyond which more of
 	// it is dropped: results matter, progress only helps.
@@ -45,8 +47,8 @@
 	groups [][][]byte
 	size   int
 	active bool
-	// underWay holds the records of the append that was begun last, until it has ended.
-	underWay [][]byte
+	// underWay holds the groups of the append that was begun last, until it has ended.
+	underWay [][][]byte
 }
 
 func newRecordWriter(term context.Context, log store.Log, logger *zap.Logger) *recordWriter {
@@ -84,34 +86,69 @@
 // write appends what waits in a queue until nothing does or the term ends.
 func (w *recordWriter) write(at store.Partition, queue *recordQueue) {
 	for {
-		records := w.next(queue)
-		if len(records) == 0 {
+		groups := w.next(queue)
+		if len(groups) == 0 || !w.appendInTerm(at, groups) {
 			return
 		}
-		for !w.append(at, records) {
-			if !pause.For(w.term, appendPause) {
-				return
-			}
+	}
+}
+
+// appendInTerm appends groups. It says whether nothing of them is left to append; something is
+// once the term has ended.
+func (w *recordWriter) appendInTerm(at store.Partition, groups [][][]byte) bool {
+	for {
+		err := w.append(at, slices.Concat(groups...))
+		switch {
+		case err == nil:
+			return true
+		case errors.Is(err, store.ErrInvalid):
+			return w.appendApart(at, groups)
+		}
+		if !pause.For(w.term, appendPause) {
+			return false
 		}
 	}
 }
 
-// next takes the records of the next append.
-func (w *recordWriter) next(queue *recordQueue) [][]byte {
+// appendApart is appendInTerm for groups that the store refuses for good together. A single one
+// is given up, so that those behind it are appended.
+func (w *recordWriter) appendApart(at store.Partition, groups [][][]byte) bool {
+	if len(groups) == 1 {
+		w.logger.Error("records lost", zap.Stringer("partition", at), zap.Int("records", len(groups[0])),
+			zap.Int("bytes", sizeOf(groups[0])))
+		return true
+	}
+	for _, group := range groups {
+		if !w.appendInTerm(at, [][][]byte{group}) {
+			return false
+		}
+	}
+	return true
+}
+
+// next takes the groups of the next append.
+func (w *recordWriter) next(queue *recordQueue) [][][]byte {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	var records [][]byte
-	size, count := 0, 0
-	for count < len(queue.groups) && size < appendSize {
-		records = append(records, queue.groups[count]...)
-		size += sizeOf(queue.groups[count])
-		count++
-	}
+	count, size := firstCall(queue.groups)
+	groups := queue.groups[:count]
 	queue.groups = queue.groups[count:]
 	queue.size -= size
 	queue.active = count > 0
-	queue.underWay = records
-	return records
+	queue.underWay = groups
+	return groups
+}
+
+// firstCall returns the number of groups that the next append takes, and their size in bytes.
+func firstCall(groups [][][]byte) (count, size int) {
+	for _, group := range groups {
+		if more := sizeOf(group); count == 0 || size+more <= appendSize {
+			count, size = count+1, size+more
+			continue
+		}
+		break
+	}
+	return count, size
 }
 
 // dropProgress forgets the progress that waits, since checkpoints follow.
@@ -125,33 +162,38 @@
 	}
 }
 
-// pending returns the records that are not known to be appended, by partition.
+// pending returns the records that are not known to be appended, in parts of one append each.
 func (w *recordWriter) pending() []liveness.Pending {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	var pending []liveness.Pending
 	for at, queue := range w.queues {
-		records := slices.Clone(queue.underWay)
-		for _, group := range queue.groups {
-			records = append(records, group...)
-		}
-		if len(records) > 0 {
-			pending = append(pending, liveness.Pending{Partition: at, Records: records})
-		}
+		pending = append(pending, inCalls(at, slices.Concat(queue.underWay, queue.groups))...)
 	}
 	return pending
 }
 
-func (w *recordWriter) append(at store.Partition, records [][]byte) bool {
+// inCalls returns the groups for a partition in parts of one append each, in order.
+func inCalls(at store.Partition, groups [][][]byte) []liveness.Pending {
+	var parts []liveness.Pending
+	for len(groups) > 0 {
+		count, _ := firstCall(groups)
+		parts = append(parts, liveness.Pending{Partition: at, Records: slices.Concat(groups[:count]...)})
+		groups = groups[count:]
+	}
+	return parts
+}
+
+func (w *recordWriter) append(at store.Partition, records [][]byte) error {
 	ctx, cancel := context.WithTimeout(w.term, appendTimeout)
 	defer cancel()
 	offset, err := w.log.Append(ctx, at, records)
 	if err != nil {
 		w.logger.Warn("records not appended", zap.Stringer("partition", at), zap.Int("records", len(records)), zap.Error(err))
-		return false
+		return err
 	}
 	if w.appended != nil {
 		w.appended(at, offset)
 	}
-	return true
+	return nil
 }
