A partition that takes no records holds no other up at a take-over

Cause: a successor appended what its predecessor had left to all partitions before it followed any. One that the store did not answer for, as it may be down for a share of its partitions, held up the jobs of all others for three tries of a second each.

Change: each partition's records are appended right before that partition is followed. Progress that was handed over whole is known for all partitions before the first is.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
@@ -106,34 +105,45 @@
 	return pending
 }
 
-// takeOver has the predecessor end its runs, appends what it could not, and returns the
-// progress of its items by partition; whole says that nothing else needs to be read of it.
-func (c *Coordinator) takeOver(term context.Context, from election.Yielded) (partials map[int]map[string]*batch.Partial, whole bool) {
+// takeOver has the predecessor end its runs and returns what it left; that is whole where nothing
+// else needs to be read of it.
+func (c *Coordinator) takeOver(term context.Context, from election.Yielded) liveness.HandedOver {
 	if from.Address == "" {
-		return nil, false
+		return liveness.HandedOver{}
 	}
 	ctx, cancel := context.WithTimeout(term, takeOverTimeout)
 	defer cancel()
 	left, err := liveness.TakeOver(ctx, from.Address, from.Epoch)
 	if err != nil {
 		c.options.Logger.Warn("nothing taken over", zap.String("address", from.Address), zap.Error(err))
-		return nil, false
+		return liveness.HandedOver{}
 	}
-	var results conc.WaitGroup
 	records := 0
 	for _, pending := range left.Pending {
 		records += len(pending.Records)
-		if left.Whole && pending.Partition.Topic == store.TopicProgress {
-			// It is known here already, and appended for those that come later.
-			c.background.Go(func() { c.appendHandedOver(term, pending) })
-			continue
-		}
-		results.Go(func() { c.appendHandedOver(term, pending) })
 	}
-	results.Wait()
 	c.options.Logger.Info("records taken over", zap.String("address", from.Address), zap.Int64("epoch", from.Epoch),
 		zap.Int("records", records), zap.Bool("whole", left.Whole))
-	return c.foldHandedOver(left), left.Whole
+	return left
+}
+
+// appendLeft appends what a predecessor left for the partitions of a number. Progress that is
+// known here already is appended meanwhile, for those that come later.
+func (c *Coordinator) appendLeft(term context.Context, left liveness.HandedOver, number int) {
+	var results, progress []liveness.Pending
+	for _, pending := range left.Pending {
+		switch {
+		case pending.Partition.Number != number:
+		case left.Whole && pending.Partition.Topic == store.TopicProgress:
+			progress = append(progress, pending)
+		default:
+			results = append(results, pending)
+		}
+	}
+	if len(progress) > 0 {
+		c.background.Go(func() { c.appendHandedOver(term, progress) })
+	}
+	c.appendHandedOver(term, results)
 }
 
 // foldHandedOver returns the progress that was handed over, by partition and item.
@@ -161,7 +171,14 @@
 	return partials
 }
 
-func (c *Coordinator) appendHandedOver(term context.Context, left liveness.Pending) {
+// appendHandedOver appends parts in order.
+func (c *Coordinator) appendHandedOver(term context.Context, parts []liveness.Pending) {
+	for _, part := range parts {
+		c.appendPart(term, part)
+	}
+}
+
+func (c *Coordinator) appendPart(term context.Context, left liveness.Pending) {
 	for range handedOverTries {
 		ctx, cancel := context.WithTimeout(term, appendTimeout)
 		_, err := c.options.Log.Append(ctx, left.Partition, left.Records)
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"dalehook/internal/batch"
 	"dalehook/internal/election"
 	"dalehook/internal/reward"
 	"dalehook/internal/scheduler"
@@ -58,7 +59,7 @@
 }
 
 // follow takes over what predecessors left and subscribes to the jobs for the term, partition
-// by partition.
+// by partition: one that the store does not take anything for holds no other up.
 func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, lease election.Lease) {
 	began := time.Now()
 	var partitions conc.WaitGroup
@@ -67,17 +68,21 @@
 		partitions.Go(func() { c.options.Jobs.Follow(term, number) })
 	}
 	partitions.Wait()
-	handed, whole := c.takeOver(term, lease.Yielded)
-	subscriber := &follower{coordinator: c, machine: machine}
+	left := c.takeOver(term, lease.Yielded)
 	var items atomic.Int64
+	if left.Whole {
+		// All of it comes first, since an item's text may stand in the partition of an earlier job.
+		for number, partials := range c.foldHandedOver(left) {
+			items.Add(c.handleRecovered(machine, number, partials))
+		}
+	}
+	subscriber := &follower{coordinator: c, machine: machine}
 	for number := range c.options.Jobs.Partitions() {
 		partitions.Go(func() {
-			partials := handed[number]
-			if !whole {
-				partials = c.recoverProgress(term, number)
+			c.appendLeft(term, left, number)
+			if !left.Whole {
+				items.Add(c.handleRecovered(machine, number, c.recoverProgress(term, number)))
 			}
-			items.Add(int64(len(partials)))
-			c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
 			c.options.Jobs.Subscribe(term, number, subscriber)
 			c.options.Logger.Info("jobs followed", zap.Int("partition", number), zap.Int64("epoch", lease.Epoch),
 				zap.Bool("term_over", term.Err() != nil))
@@ -85,7 +90,14 @@
 	}
 	partitions.Wait()
 	c.options.Logger.Info("progress recovered", zap.Int64("epoch", lease.Epoch), zap.Int64("items", items.Load()),
-		zap.Bool("handed_over", whole), zap.Duration("took", time.Since(began)))
+		zap.Bool("handed_over", left.Whole), zap.Duration("took", time.Since(began)))
+}
+
+// handleRecovered gives the scheduler of a term what is saved for the jobs of a partition, by
+// item, and returns the number of items.
+func (c *Coordinator) handleRecovered(machine *scheduler.Machine, number int, partials map[string]*batch.Partial) int64 {
+	c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
+	return int64(len(partials))
 }
 
 func (c *Coordinator) endTermLocked() {
