--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -187,3 +187,22 @@
 		t.Errorf("the item came to the engine that answers after %v (%v)", at, known)
 	}
 }
+
+// Seen: the items of a job wait behind one that no engine takes. It comes about where engines
+// refuse an item for good as though they were full, since it is larger than their memory. Cause:
+// an item that was refused came first again each time, and had the only slot whenever the engine
+// was asked again. Proof: the item behind it runs.
+func TestAnItemThatEveryEngineRefusesHoldsNoneUp(t *testing.T) {
+	f := newFixture(t, nil)
+	f.servers(1, map[string]int64{"a": 1})
+	f.job("j", 1, 30, 10)
+	for range 20 {
+		last := f.starts[len(f.starts)-1]
+		if last.Item.ID == "j-1" {
+			return
+		}
+		f.end(last.Attempt, EndNotExecuted)
+		f.pass(tickOfTests)
+	}
+	t.Errorf("items %v have started", f.startedItems())
+}
