An item that no engine takes several times in a row waits behind the others

Cause: an item whose attempt ended came first in its job's queue, so that one which every engine refuses, as servers do with what is larger than their memory, had each slot that became free, and those behind it none where one slot was free at a time.

Change: after more than three attempts in a row that no engine took, an item goes to the end of the queue.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -30,6 +30,7 @@
 		return
 	}
 	running.observe(now)
+	owner.refused = 0
 	running.engine.versions[owner.job.model] = max(running.engine.versions[owner.job.model], event.Version)
 	owner.text = append(owner.text, event.Data)
 	owner.lastID = event.ID
@@ -136,8 +137,26 @@
 			ended.engine.silentAt = now
 		}
 	}
+	if ended.events == 0 && (reason == EndNotExecuted || reason == EndBroken) {
+		owner.refused++
+	}
 	owner.waitingSince = now
-	owner.job.queue = slices.Insert(owner.job.queue, 0, owner)
+	owner.requeue()
+}
+
+// refusedInFront is how often in a row an item may have been refused and still comes first. Some
+// refusals are the servers' matter, which are full for a moment.
+const refusedInFront = 3
+
+// requeue has an item wait again: before those that have not begun yet, or behind all where no
+// engine took it several times in a row. No engine may ever take it, and it would have each slot
+// that becomes free.
+func (i *item) requeue() {
+	if i.refused > refusedInFront {
+		i.job.queue = append(i.job.queue, i)
+		return
+	}
+	i.job.queue = slices.Insert(i.job.queue, 0, i)
 }
 
 // notExecutedPause is how long a server that was full gets no more items.
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -182,7 +182,9 @@
 	lastID       string
 	versions     []int64
 	failures     int
-	attempt      *attempt
+	// refused counts the attempts in a row that no engine took.
+	refused int
+	attempt *attempt
 	// whole items have all of their text and wait for the answer to their reward call.
 	whole bool
 	// finished items wait for their result to stand in the log.
