Time in which the coordinator stood still counts for none of its runs

Cause: a run is moved once it has given no event for 0.9 s, by the time of the next tick. A process that gets no processor for that long reads no events either: all runs were ended and begun again elsewhere, and each of their engines was left alone for half a second, so that no item could start anywhere.

Change: a tick that comes more than 0.2 s late tells the scheduler how long nothing was handled, which counts for no run, and the log tells it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -92,8 +92,13 @@
 	Observer Observer
 }
 
-// tickInterval is the time between two ticks of the scheduler.
-const tickInterval = 50 * time.Millisecond
+const (
+	// tickInterval is the time between two ticks of the scheduler.
+	tickInterval = 50 * time.Millisecond
+	// lateTick is how much later than that a tick comes where the process stood still, for want
+	// of a processor. A tick on a busy machine comes some milliseconds late.
+	lateTick = 200 * time.Millisecond
+)
 
 // Coordinator runs the batch jobs while its node holds the lease.
 type Coordinator struct {
@@ -120,6 +125,8 @@
 	background    conc.WaitGroup
 	closed        bool
 	statedAt      time.Time
+	// tickedAt is when the scheduler of this term last ticked; before, when the term began.
+	tickedAt time.Time
 }
 
 // New returns a coordinator without the lease.
@@ -141,12 +148,23 @@
 			c.background.Wait()
 			return
 		case <-ticker.C:
-			c.input(func(now time.Time, machine *scheduler.Machine) { machine.Tick(now) })
+			c.input(c.tick)
 			c.logState()
 		}
 	}
 }
 
+// tick lets the scheduler's time-outs take effect. Time in which the process stood still counts
+// for no run, since the events that came meanwhile wait to be read. The mutex is held.
+func (c *Coordinator) tick(now time.Time, machine *scheduler.Machine) {
+	if late := now.Sub(c.tickedAt) - tickInterval; late > lateTick {
+		c.options.Logger.Info("stood still", zap.Duration("lasted", late))
+		machine.HandleStoodStill(now, late)
+	}
+	c.tickedAt = now
+	machine.Tick(now)
+}
+
 // close ends the term and begins no other. All goroutines are started under the
 // mutex while a term lasts, so that none is added once they are waited for.
 func (c *Coordinator) close() {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -48,6 +48,7 @@
 	c.writer = newRecordWriter(c.term, c.options.Log, c.options.Logger)
 	c.writer.appended = newTrimmer(c.term, c.options.Log, c.options.Logger).appended
 	now := time.Now()
+	c.tickedAt = now
 	c.machine.HandleTable(now, c.table)
 	for model, version := range c.newest {
 		c.machine.HandleVersion(now, model, version)
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -200,6 +200,18 @@
 	return a.lastSeen
 }
 
+// HandleStoodStill says that nothing was handled for a time, so that the events which came
+// meanwhile are still to come.
+func (m *Machine) HandleStoodStill(now time.Time, lasted time.Duration) {
+	for _, running := range m.attempts {
+		if seen := running.lastSeen.Add(lasted); seen.Before(now) {
+			running.lastSeen = seen
+			continue
+		}
+		running.lastSeen = now
+	}
+}
+
 // moveStalled ends attempts that got no event for too long; they go on elsewhere.
 func (m *Machine) moveStalled(now time.Time) {
 	for _, running := range m.sortedAttempts() {
