--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"dalehook/internal/batch"
 	"dalehook/internal/election"
 	"dalehook/internal/reward"
 	"dalehook/internal/scheduler"
@@ -29,6 +30,11 @@
 		}
 	}
 	c.lease = standing.Lease
+	if standing.Lease.Epoch == c.handed.epoch {
+		// The lease stands until its release is appended; what was begun under it belongs to
+		// the successor.
+		return
+	}
 	if c.closed || !standing.Leading || c.machine != nil || c.table == nil {
 		return
 	}
@@ -42,18 +48,20 @@
 	c.writer = newRecordWriter(c.term, c.options.Log, c.options.Logger)
 	c.writer.appended = newTrimmer(c.term, c.options.Log, c.options.Logger).appended
 	now := time.Now()
+	c.tickedAt = now
 	c.machine.HandleTable(now, c.table)
 	for model, version := range c.newest {
 		c.machine.HandleVersion(now, model, version)
 	}
 	c.handleServers(now, c.machine)
-	term, machine, from := c.term, c.machine, standing.Lease.Yielded
-	c.background.Go(func() { c.follow(term, machine, from) })
+	c.options.Logger.Info("term begun", zap.Int64("epoch", c.termEpoch))
+	term, machine, lease := c.term, c.machine, standing.Lease
+	c.background.Go(func() { c.follow(term, machine, lease) })
 }
 
-// follow takes over what predecessors left and subscribes to the jobs, partition by
-// partition.
-func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, from election.Yielded) {
+// follow takes over what predecessors left and subscribes to the jobs for the term, partition
+// by partition: one that the store does not take anything for holds no other up.
+func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, lease election.Lease) {
 	began := time.Now()
 	var partitions conc.WaitGroup
 	// The jobs are read meanwhile.
@@ -61,39 +69,41 @@
 		partitions.Go(func() { c.options.Jobs.Follow(term, number) })
 	}
 	partitions.Wait()
-	handed, whole := c.takeOver(term, from)
-	subscriber := &follower{coordinator: c, machine: machine}
+	left := c.takeOver(term, lease.Yielded)
 	var items atomic.Int64
+	if left.Whole {
+		// All of it comes first, since an item's text may stand in the partition of an earlier job.
+		for number, partials := range c.foldHandedOver(left) {
+			items.Add(c.handleRecovered(machine, number, partials))
+		}
+	}
+	subscriber := &follower{coordinator: c, machine: machine}
 	for number := range c.options.Jobs.Partitions() {
 		partitions.Go(func() {
-			partials := handed[number]
-			if !whole {
-				partials = c.recoverProgress(term, number)
+			c.appendLeft(term, left, number)
+			if !left.Whole {
+				items.Add(c.handleRecovered(machine, number, c.recoverProgress(term, number)))
 			}
-			items.Add(int64(len(partials)))
-			c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
-			c.options.Jobs.Subscribe(number, subscriber)
+			c.options.Jobs.Subscribe(term, number, subscriber)
+			c.options.Logger.Info("jobs followed", zap.Int("partition", number), zap.Int64("epoch", lease.Epoch),
+				zap.Bool("term_over", term.Err() != nil))
 		})
 	}
 	partitions.Wait()
-	c.options.Logger.Info("progress recovered", zap.Int64("items", items.Load()), zap.Bool("handed_over", whole),
-		zap.Duration("took", time.Since(began)))
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.machine == machine {
-		c.subscriber = subscriber
-		return
-	}
-	go c.options.Jobs.Unsubscribe(subscriber)
+	c.options.Logger.Info("progress recovered", zap.Int64("epoch", lease.Epoch), zap.Int64("items", items.Load()),
+		zap.Bool("handed_over", left.Whole), zap.Duration("took", time.Since(began)))
+}
+
+// handleRecovered gives the scheduler of a term what is saved for the jobs of a partition, by
+// item, and returns the number of items.
+func (c *Coordinator) handleRecovered(machine *scheduler.Machine, number int, partials map[string]*batch.Partial) int64 {
+	c.inputOf(machine, func(now time.Time) { machine.HandleRecovered(now, number, partials) })
+	return int64(len(partials))
 }
 
 func (c *Coordinator) endTermLocked() {
 	c.machine = nil
 	c.resigned = false
 	c.endTerm()
-	if c.subscriber != nil {
-		// The partitions call back under their own mutexes.
-		go c.options.Jobs.Unsubscribe(c.subscriber)
-		c.subscriber = nil
-	}
+	c.options.Logger.Info("term ended", zap.Int64("epoch", c.termEpoch))
 }
--- a/internal/frontend/endedjobs_bench_test.go
+++ b/internal/frontend/endedjobs_bench_test.go
@@ -104,7 +104,7 @@
 	for range b.N {
 		coordinator, stopCoordinator := startReader(storetest.NewLink(memory, thinLink), func(readSource) {})
 		coordinator.jobs.Follow(context.Background(), 0)
-		coordinator.jobs.Subscribe(0, subscriber{})
+		coordinator.jobs.Subscribe(b.Context(), 0, subscriber{})
 		log := storetest.NewLink(memory, thinLink)
 		node, stop := startReader(log, func(readSource) {})
 		node.observeCoordinator(false, serve(b, coordinator))
--- a/internal/joblog/absent_test.go
+++ b/internal/joblog/absent_test.go
@@ -53,7 +53,7 @@
 			t.Fatal(err)
 		}
 		reader, subscriber, follower, beside := start(t, memory), start(t, memory), start(t, memory), start(t, memory)
-		subscriber.Subscribe(0, &recorder{})
+		subscriber.Subscribe(t.Context(), 0, &recorder{})
 		follower.Follow(context.Background(), 0)
 		beside.Follow(context.Background(), 0)
 		for name, view := range map[string]viewOf{
@@ -163,10 +163,12 @@
 	indexOpenFrom(t, log, 6)
 	logs := start(t, log)
 	logs.Follow(context.Background(), 0)
+	term, endTerm := context.WithCancel(context.Background())
 	seen := &recorder{}
-	logs.Subscribe(0, seen)
+	logs.Subscribe(term, 0, seen)
 	eventually(t, "the open job is seen", func() bool { return seen.has("open", 6) })
-	logs.Unsubscribe(seen)
+	endTerm()
+	eventually(t, "the subscription has ended", func() bool { return !logs.partitions[0].subscribed() })
 	called := false
 	log.set(8, func() {
 		called = true
@@ -236,8 +238,7 @@
 	appendJob(t, memory, writer, "before", 2, 1)
 	logs := start(t, memory)
 	seen := &recorder{}
-	logs.Subscribe(0, seen)
-	defer logs.Unsubscribe(seen)
+	logs.Subscribe(t.Context(), 0, seen)
 	eventually(t, "the first job is seen", func() bool { return seen.has("before", 0) })
 	appendJob(t, memory, writer, "meanwhile", 2, 1)
 	if err := checkNotDenied(t, logs.ViewFollowed, "meanwhile"); err != nil {
--- a/internal/joblog/follow_test.go
+++ b/internal/joblog/follow_test.go
@@ -76,8 +76,7 @@
 	logs := start(t, log)
 	logs.Follow(context.Background(), 0)
 	seen := &recorder{}
-	logs.Subscribe(0, seen)
-	t.Cleanup(func() { logs.Unsubscribe(seen) })
+	logs.Subscribe(t.Context(), 0, seen)
 	eventually(t, "the open job is seen", func() bool { return seen.has("open", 4) })
 	return log, logs, seen
 }
@@ -166,3 +165,64 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// A subscription that its term's goroutine makes too late is void: the jobs go to the term that
+// lasts.
+func TestASubscriptionEndsWithItsTerm(t *testing.T) {
+	log := storetest.NewMemory()
+	logs := start(t, log)
+	over, end := context.WithCancel(context.Background())
+	before, after := &recorder{}, &recorder{}
+	logs.Subscribe(over, 0, before)
+	appendJob(t, log, logs, "first", 1, 0) // at 0
+	eventually(t, "the first term sees a job", func() bool { return before.has("first", 0) })
+	end()
+	logs.Subscribe(t.Context(), 0, after)
+	logs.Subscribe(over, 0, before)
+	appendJob(t, log, logs, "second", 1, 0) // at 1
+	eventually(t, "the term that lasts sees both jobs", func() bool { return after.has("first", 0) && after.has("second", 1) })
+	if before.has("second", 1) {
+		t.Error("the term that is over sees a job")
+	}
+}
+
+// Nobody follows the jobs of a term that is over.
+func TestAPartitionIsNotFollowedAfterTheTerm(t *testing.T) {
+	logs := start(t, storetest.NewMemory())
+	term, end := context.WithCancel(context.Background())
+	logs.Subscribe(term, 0, &recorder{})
+	end()
+	eventually(t, "the subscription has ended", func() bool { return !logs.partitions[0].subscribed() })
+}
+
+// Seen: the jobs of a partition are scheduled late after a take-over. It comes about where a
+// successor takes longer to read what its predecessor saved than a partition is kept for readers
+// that do not come back. Cause: what Follow had read for the successor was dropped by then, and
+// the partition was read anew, from its very start. Proof: it is read from the first open job
+// only.
+func TestWhatIsFollowedForASuccessorIsKeptUntilItSubscribes(t *testing.T) {
+	log := &readsFrom{Memory: storetest.NewMemory()}
+	log.lowest.Store(noRead)
+	writer := NewLogs(Options{Log: log, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, log, writer, "ended", 2, 2)
+	appendEnd(t, writer, "ended")
+	appendJob(t, log, writer, "open", 2, 1)
+	indexJob(t, log, "ended", 0)
+	indexJob(t, log, "open", 4)
+	indexOpenFrom(t, log, 4)
+	logs := start(t, log)
+	logs.Follow(t.Context(), 0)
+	time.Sleep(interest + readWait + 2*slowestRead)
+	seen := &recorder{}
+	logs.Subscribe(t.Context(), 0, seen)
+	eventually(t, "the open job is seen", func() bool { return seen.has("open", 4) })
+	if lowest := log.lowest.Load(); lowest != 4 {
+		t.Errorf("read from offset %d on", lowest)
+	}
+}
+
+func (p *partition) subscribed() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.subscriber != nil
+}
--- a/internal/joblog/fresh_test.go
+++ b/internal/joblog/fresh_test.go
@@ -132,8 +132,7 @@
 	appendJob(t, log, logs, "job", 1, 0)
 	if scheduler {
 		seen := &recorder{}
-		logs.Subscribe(0, seen)
-		defer logs.Unsubscribe(seen)
+		logs.Subscribe(t.Context(), 0, seen)
 	}
 	checkRead(t, logs, "job", 0, 0)
 	log.reads.Store(0)
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -68,9 +68,9 @@
 	return err
 }
 
-// Follow has a partition read from where its first open job begins, for a subscriber that
-// comes soon.
-func (l *Logs) Follow(ctx context.Context, partition int) { l.partitions[partition].follow(ctx) }
+// Follow has a partition read from where its first open job begins until the term ends, for a
+// subscriber that comes once it has taken over.
+func (l *Logs) Follow(term context.Context, partition int) { l.partitions[partition].follow(term) }
 
 // Indexed says whether the index is known to hold a job.
 func (l *Logs) Indexed(jobID string) bool {
@@ -237,14 +237,8 @@
 	HandleFresh(partition int, since time.Time)
 }
 
-// Subscribe follows a partition for a subscriber until Unsubscribe.
-func (l *Logs) Subscribe(partition int, subscriber Subscriber) {
-	l.partitions[partition].subscribe(subscriber)
-}
-
-// Unsubscribe ends what a subscriber follows.
-func (l *Logs) Unsubscribe(subscriber Subscriber) {
-	for _, p := range l.partitions {
-		p.unsubscribe(subscriber)
-	}
+// Subscribe follows a partition for a subscriber, in the place of an earlier one, until the term
+// ends. A term that is over by now follows nothing.
+func (l *Logs) Subscribe(term context.Context, partition int, subscriber Subscriber) {
+	l.partitions[partition].subscribe(term, subscriber)
 }
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -8,10 +8,17 @@
 	"dalehook/internal/batch"
 )
 
-func (p *partition) subscribe(subscriber Subscriber) {
+// subscribe follows the partition for a subscriber until the term ends. Whoever subscribes next
+// does so after the end of the term before. The check, which is made with the mutex held, thus
+// keeps a subscription that comes late from replacing that of a later term.
+func (p *partition) subscribe(term context.Context, subscriber Subscriber) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if term.Err() != nil {
+		return
+	}
 	p.subscriber = subscriber
+	context.AfterFunc(term, func() { p.unsubscribe(subscriber) })
 	p.fold.Jobs(func(state *batch.State) {
 		subscriber.HandleChange(p.at.Number, batch.Change{Accepted: state})
 	})
@@ -27,10 +34,10 @@
 	}
 }
 
-// follow has the partition read from where the first open job begins. What the index can not
-// tell is read.
-func (p *partition) follow(ctx context.Context) {
-	from, err := p.index.findOpen(ctx)
+// follow has the partition read from where the first open job begins, until the term ends. What
+// the index can not tell is read.
+func (p *partition) follow(term context.Context) {
+	from, err := p.index.findOpen(term)
 	if err != nil {
 		p.logger.Warn("partition read from its start", zap.Stringer("partition", p.at), zap.Error(err))
 	}
@@ -39,7 +46,21 @@
 	if !p.followedLocked() {
 		p.resetLocked(from)
 	}
-	p.touchLocked()
+	p.holdLocked(term)
+}
+
+// holdLocked has the partition followed until the term ends. The subscription may come later than
+// a reader's interest lasts, and what was read would be read once more, from the very start.
+func (p *partition) holdLocked(term context.Context) {
+	p.terms++
+	p.notify()
+	context.AfterFunc(term, p.release)
+}
+
+func (p *partition) release() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.terms--
 }
 
 // followed says whether the partition is being read from where the first open job begins, or
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -49,9 +49,10 @@
 			waiting = append(waiting, next)
 			continue
 		}
-		chosen := m.choose(now, next, engines, usual[next.service])
+		chosen := m.chooseOrRestart(now, next, engines, usual[next.service])
 		if chosen == nil {
-			full = len(open.route.Targets) <= 1
+			// An engine that may not go on with one item's text may take the next item.
+			full = len(open.route.Targets) <= 1 && !next.isBound()
 			waiting = append(waiting, next)
 			continue
 		}
@@ -98,6 +99,31 @@
 	return usual > 0 && e.gap > muchSlower*usual && now.Sub(e.pacedAt) < paceFreshFor
 }
 
+// boundPatience is how long an item waits for an engine that may go on with its text, before it
+// starts anew elsewhere. It is as long as an item waits for a better engine than a slow one.
+const boundPatience = slowPatience
+
+// chooseOrRestart returns the engine where an item is to run, or nil. Usual is as for choose. A
+// text of a single version is forgotten where only engines of other versions have room.
+func (m *Machine) chooseOrRestart(now time.Time, next *item, engines []*engine, usual float64) *engine {
+	chosen := m.choose(now, next, engines, usual)
+	if chosen != nil || !next.isBound() || now.Sub(next.waitingSince) < boundPatience {
+		return chosen
+	}
+	anew := *next
+	anew.restart()
+	chosen = m.choose(now, &anew, engines, usual)
+	if chosen != nil {
+		next.restart()
+	}
+	return chosen
+}
+
+// isBound says whether only engines of one version may go on with an item's text.
+func (i *item) isBound() bool {
+	return i.job.route != nil && i.job.route.SingleVersion && len(i.versions) > 0
+}
+
 // choose returns the engine where an item is to run, or nil. Usual is the usual time between
 // events of the item's service, 0 when none is known.
 func (m *Machine) choose(now time.Time, next *item, engines []*engine, usual float64) *engine {
@@ -108,7 +134,7 @@
 		if !m.mayRun(now, next, candidate) || patient && candidate.isSlow(now, usual) {
 			continue
 		}
-		cost := candidate.cost(next)
+		cost := candidate.cost(now, next)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
@@ -131,8 +157,22 @@
 	return !m.mixesVersions(next, version)
 }
 
-// foreignPenalty is added to the cost of an engine that belongs to another model.
-const foreignPenalty = 10
+const (
+	// foreignPenalty is added to the cost of an engine that belongs to another model.
+	foreignPenalty = 10
+	// silentPenalty is added to the cost of an engine that did not answer a run. One may hold an
+	// item up for longer than it is left alone afterwards, so that a few of them would hand the
+	// item on among themselves. It is above all that engines differ by otherwise.
+	silentPenalty = 1000
+	// silentFor is how long that counts. Longer than it takes to try some others, and
+	// short enough for an engine that answers again to be of use.
+	silentFor = 5 * time.Second
+)
+
+// isSilent says whether an engine did not answer a run lately, nor any since.
+func (e *engine) isSilent(now time.Time) bool {
+	return !e.silentAt.IsZero() && now.Sub(e.silentAt) < silentFor
+}
 
 // loadWeight is by how much an engine's pace counts as slower with all slots in use.
 // It is more than events come slower by, so that engines of about one pace share the
@@ -140,12 +180,15 @@
 const loadWeight = 0.25
 
 // cost rates an engine for an item; lower is better.
-func (e *engine) cost(next *item) float64 {
+func (e *engine) cost(now time.Time, next *item) float64 {
 	cost := 1 + loadWeight*float64(len(e.attempts))/float64(max(e.slots, 1))
 	cost *= max(e.gap, minimumGap)
 	if e.model != next.job.model {
 		cost += foreignPenalty
 	}
+	if e.isSilent(now) {
+		cost += silentPenalty
+	}
 	return cost
 }
 
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -30,6 +30,7 @@
 		return
 	}
 	running.observe(now)
+	owner.refused = 0
 	running.engine.versions[owner.job.model] = max(running.engine.versions[owner.job.model], event.Version)
 	owner.text = append(owner.text, event.Data)
 	owner.lastID = event.ID
@@ -39,8 +40,7 @@
 }
 
 func (m *Machine) mixesVersions(owner *item, version int64) bool {
-	single := owner.job.route != nil && owner.job.route.SingleVersion
-	return single && len(owner.versions) > 0 && owner.versions[0] != version
+	return owner.isBound() && owner.versions[0] != version
 }
 
 // restart forgets the text of earlier attempts.
@@ -65,6 +65,7 @@
 func (a *attempt) observe(now time.Time) {
 	a.events++
 	a.lastSeen = now
+	a.engine.silentAt = time.Time{}
 	if a.sampleBegan.IsZero() {
 		a.sampleBegan = now
 		return
@@ -132,9 +133,30 @@
 		ended.engine.pausedUntil = now.Add(notExecutedPause)
 	case EndBroken:
 		ended.engine.pausedUntil = now.Add(m.options.ServerPause)
+		if ended.events == 0 {
+			ended.engine.silentAt = now
+		}
+	}
+	if ended.events == 0 && (reason == EndNotExecuted || reason == EndBroken) {
+		owner.refused++
 	}
 	owner.waitingSince = now
-	owner.job.queue = slices.Insert(owner.job.queue, 0, owner)
+	owner.requeue()
+}
+
+// refusedInFront is how often in a row an item may have been refused and still comes first. Some
+// refusals are the servers' matter, which are full for a moment.
+const refusedInFront = 3
+
+// requeue has an item wait again: before those that have not begun yet, or behind all where no
+// engine took it several times in a row. No engine may ever take it, and it would have each slot
+// that becomes free.
+func (i *item) requeue() {
+	if i.refused > refusedInFront {
+		i.job.queue = append(i.job.queue, i)
+		return
+	}
+	i.job.queue = slices.Insert(i.job.queue, 0, i)
 }
 
 // notExecutedPause is how long a server that was full gets no more items.
@@ -168,15 +190,34 @@
 // weights with as many others as allowed.
 const loadStall = 2 * time.Second
 
+// quietSince returns from when on an attempt should have made events. It is in the future for a
+// while after its engine was ordered to load.
+func (a *attempt) quietSince() time.Time {
+	loaded := a.engine.loadBegan.Add(loadStall)
+	if a.engine.loading && loaded.After(a.lastSeen) {
+		return loaded
+	}
+	return a.lastSeen
+}
+
+// HandleStoodStill says that nothing was handled for a time, so that the events which came
+// meanwhile are still to come.
+func (m *Machine) HandleStoodStill(now time.Time, lasted time.Duration) {
+	for _, running := range m.attempts {
+		if seen := running.lastSeen.Add(lasted); seen.Before(now) {
+			running.lastSeen = seen
+			continue
+		}
+		running.lastSeen = now
+	}
+}
+
 // moveStalled ends attempts that got no event for too long; they go on elsewhere.
 func (m *Machine) moveStalled(now time.Time) {
 	for _, running := range m.sortedAttempts() {
-		if running.engine.loading && now.Sub(running.engine.loadBegan) < loadStall {
-			running.lastSeen = now
-			continue
-		}
-		if !running.cancelled && now.Sub(running.lastSeen) > m.options.StallTimeout {
+		if !running.cancelled && now.Sub(running.quietSince()) > m.options.StallTimeout {
 			running.engine.pausedUntil = now.Add(m.options.ServerPause)
+			running.engine.silentAt = now
 			m.cancel(running)
 		}
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -182,7 +182,9 @@
 	lastID       string
 	versions     []int64
 	failures     int
-	attempt      *attempt
+	// refused counts the attempts in a row that no engine took.
+	refused int
+	attempt *attempt
 	// whole items have all of their text and wait for the answer to their reward call.
 	whole bool
 	// finished items wait for their result to stand in the log.
@@ -215,9 +217,12 @@
 	minimum   int64
 	partition int
 	route     *routetable.Route
-	giveUpAt  time.Time
-	order     int
-	items     map[string]*item
+	// cameAt is when the job was read.
+	cameAt time.Time
+	// giveUpAt is when its items may be given up; zero until the job has had a route.
+	giveUpAt time.Time
+	order    int
+	items    map[string]*item
 	// queue holds the items that wait, the first to start first.
 	queue []*item
 	// groups holds the number of items without a result by group.
@@ -263,6 +268,8 @@
 	// the most.
 	loadsAtOnce int
 	pausedUntil time.Time
+	// silentAt is when a run last ended here for want of an answer; zero once an event came.
+	silentAt time.Time
 	// gap is the smoothed time between two events, in seconds; 0 when unknown.
 	gap float64
 	// pacedAt is when the gap was last sampled.
