--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -35,7 +35,6 @@
 	mutex      sync.Mutex
 	partitions map[store.Partition]*partition
 	fault      Fault
-	changed    chan struct{}
 	appends    int
 }
 
@@ -44,6 +43,9 @@
 	records []store.Record
 	// newest keeps keyed records whose history is gone.
 	newest []store.Record
+	// changed is closed when records come, or the fault changes: readers of one partition
+	// are not woken by what comes to others.
+	changed chan struct{}
 }
 
 func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
@@ -52,7 +54,7 @@
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{partitions: make(map[store.Partition]*partition), changed: make(chan struct{})}
+	return &Memory{partitions: make(map[store.Partition]*partition)}
 }
 
 // SetFault sets how later calls are treated.
@@ -60,7 +62,9 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.fault = fault
-	m.notify()
+	for _, p := range m.partitions {
+		p.notify()
+	}
 }
 
 // Appends returns how many appends were carried out.
@@ -76,7 +80,7 @@
 	defer m.mutex.Unlock()
 	p := m.at(store.Partition{Topic: topic})
 	p.records = append(p.records, store.Record{Offset: p.end(), Key: key, Value: value})
-	m.notify()
+	p.notify()
 }
 
 // Trim implements store.Log.
@@ -109,14 +113,14 @@
 // at returns a partition. The mutex is held.
 func (m *Memory) at(at store.Partition) *partition {
 	if m.partitions[at] == nil {
-		m.partitions[at] = &partition{}
+		m.partitions[at] = &partition{changed: make(chan struct{})}
 	}
 	return m.partitions[at]
 }
 
-func (m *Memory) notify() {
-	close(m.changed)
-	m.changed = make(chan struct{})
+func (p *partition) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 // enter applies the fault to a call.
@@ -160,7 +164,7 @@
 		p.records = append(p.records, store.Record{Offset: p.end(), Value: slices.Clone(payload)})
 	}
 	m.appends++
-	m.notify()
+	p.notify()
 	if fault == FaultLoseAnswer {
 		return 0, ErrLost
 	}
@@ -205,7 +209,7 @@
 	}
 	records := slices.Clone(p.records[min(from-p.first, int64(len(p.records))):])
 	batch := store.Batch{Records: records, End: p.end(), Next: from + int64(len(records))}
-	return batch, m.changed, nil
+	return batch, p.changed, nil
 }
 
 // Newest implements store.Log.
