--- a/internal/joblog/ended_test.go
+++ b/internal/joblog/ended_test.go
@@ -268,3 +268,24 @@
 		}
 	})
 }
+
+// Seen: a job that ended can not be read at a node for as long as others are being read there,
+// each caller begins anew. It comes about where what is being read takes all the
+// memory that there is for it. Cause: room was made after the new reading was added, and
+// that one was the first to go. Proof: the next caller finds the reading of the first.
+func TestANewReadingIsNotTheFirstToGo(t *testing.T) {
+	memory := storetest.NewMemory()
+	logs := start(t, memory)
+	p := logs.partitions[0]
+	first := logs.readings.of(p, "first", 0)
+	first.mutex.Lock()
+	first.active, first.bytes = true, keepJobBytes+1
+	first.mutex.Unlock()
+	second := logs.readings.of(p, "second", 10)
+	if logs.readings.of(p, "second", 10) != second {
+		t.Error("the reading begins anew")
+	}
+	first.mutex.Lock()
+	first.active = false
+	first.mutex.Unlock()
+}
--- a/internal/joblog/fresh_test.go
+++ b/internal/joblog/fresh_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
@@ -86,13 +88,15 @@
 // heldLog is a store that holds reads as asked, with wayTime on top, and counts them.
 type heldLog struct {
 	*storetest.Memory
-	reads atomic.Int64
+	// slower is added to wayTime.
+	slower time.Duration
+	reads  atomic.Int64
 }
 
 func (l *heldLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	if at.Topic == store.TopicJobs {
 		l.reads.Add(1)
-		time.Sleep(wayTime)
+		time.Sleep(wayTime + l.slower)
 	}
 	return l.Memory.Read(ctx, at, from, wait)
 }
@@ -143,3 +147,39 @@
 	}
 	return float64(log.reads.Load()) / time.Since(began).Seconds()
 }
+
+// Seen: the reads of one partition grow with the callers that wait for it, to 10 to 16 a second for
+// twenty of them, while the store takes some 0.2 s to answer. It comes about since what was read
+// last is too old for an answer then more often than not. Cause: each caller asked the
+// store for the partition's end by itself. Proof: twenty callers cost about what one does.
+func TestCallersShareTheReadOfThePartitionsEnd(t *testing.T) {
+	const (
+		callers = 20
+		// most is the number of reads a second: those that follow the partition, held for 0.35 s
+		// and answered 0.2 s later, and one for callers beside each of them.
+		most = 6.0
+	)
+	synctest.Test(t, func(t *testing.T) {
+		log := &heldLog{Memory: storetest.NewMemory(), slower: 200 * time.Millisecond}
+		logs := start(t, log)
+		appendJob(t, log, logs, "job", 1, 0)
+		logs.Subscribe(t.Context(), 0, &recorder{})
+		checkRead(t, logs, "job", 0, 0)
+		log.reads.Store(0)
+		began := time.Now()
+		var waiting conc.WaitGroup
+		for caller := range callers {
+			waiting.Go(func() {
+				time.Sleep(time.Duration(caller) * 25 * time.Millisecond)
+				for time.Since(began) < time.Minute {
+					checkRead(t, logs, "job", 0, 0)
+					time.Sleep(500 * time.Millisecond)
+				}
+			})
+		}
+		waiting.Wait()
+		if rate := float64(log.reads.Load()) / time.Since(began).Seconds(); rate > most {
+			t.Errorf("%.1f reads a second", rate)
+		}
+	})
+}
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -206,3 +206,27 @@
 	}
 	t.Errorf("items %v have started", f.startedItems())
 }
+
+// Seen: the item of an engine that never answers stays there for 5 to 19 s. It comes about where
+// every tick of the coordinator is late, as on a processor that many processes share. Cause: each
+// late tick counted the time in which the process stood still for none of its runs, without
+// a bound, so that the time without an event hardly grew. Proof: the run is moved after
+// twice the time that one may be without an event, however late the ticks are.
+func TestTicksThatAreAlwaysLateDoNotKeepARunAtASilentEngine(t *testing.T) {
+	const due = 50 * time.Millisecond
+	for _, every := range []time.Duration{due, 240 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, time.Second} {
+		f := newFixture(t, nil)
+		f.servers(1, map[string]int64{"a": 1, "b": 1})
+		f.job("j", 1, 10)
+		began := f.now
+		for len(f.cancels) == 0 && f.now.Sub(began) < 30*time.Second {
+			if late := every - due; late > 0 {
+				f.machine.HandleStoodStill(f.now.Add(every), late)
+			}
+			f.pass(every)
+		}
+		if took := f.now.Sub(began); took > 2*DefaultStallTimeout+2*every {
+			t.Errorf("ticks each %v: the run is moved after %v", every, took)
+		}
+	}
+}
