Late ticks excuse a run for a bounded time; callers share the read of the end; new readings stay

Ruled out: the older freshness, counted from an answer's arrival, which shares reads as well and denies what is there.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -58,14 +58,14 @@
 	endRequests context.CancelCauseFunc
 	draining    bool
 	conns       map[*conn]struct{}
-	// gone wakes a Drain each time a connection has ended.
+	// gone is closed and replaced each time a connection has ended; it wakes all that drain.
 	gone chan struct{}
 }
 
 // NewServer returns a server that accepts nothing yet.
 func NewServer(options Options) *Server {
 	s := &Server{
-		http: options.HTTP, ended: make(chan struct{}), conns: make(map[*conn]struct{}), gone: make(chan struct{}, 1),
+		http: options.HTTP, ended: make(chan struct{}), conns: make(map[*conn]struct{}), gone: make(chan struct{}),
 	}
 	s.http.Handler = s.closing(s.http.Handler)
 	s.http.BaseContext = s.ending(s.http.BaseContext)
@@ -145,16 +145,19 @@
 // awaitEnd waits until no connection is left; it returns false when the context ends before.
 func (s *Server) awaitEnd(ctx context.Context) bool {
 	accepting := s.ended
-	for accepting != nil || s.open() > 0 {
+	for {
+		open, gone := s.open()
+		if accepting == nil && open == 0 {
+			return true
+		}
 		select {
 		case <-accepting:
 			accepting = nil
-		case <-s.gone:
+		case <-gone:
 		case <-ctx.Done():
 			return false
 		}
 	}
-	return true
 }
 
 // tellToEnd ends the contexts of all requests.
@@ -199,10 +202,11 @@
 	_ = s.http.Close()
 }
 
-func (s *Server) open() int {
+// open returns the number of connections, and what is closed when one of them has ended.
+func (s *Server) open() (count int, gone <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.conns)
+	return len(s.conns), s.gone
 }
 
 // add takes account of a connection. One that comes in the midst of a drain rests first like
@@ -218,12 +222,10 @@
 
 func (s *Server) remove(c *conn) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	delete(s.conns, c)
-	s.mutex.Unlock()
-	select {
-	case s.gone <- struct{}{}:
-	default:
-	}
+	close(s.gone)
+	s.gone = make(chan struct{})
 }
 
 // errDrained ends the accepting of connections.
--- a/internal/joblog/catchup.go
+++ b/internal/joblog/catchup.go
@@ -104,7 +104,7 @@
 	if err != nil || looked {
 		return err
 	}
-	end, err := p.end(ctx)
+	end, err := p.endSince(ctx, asked)
 	if err != nil {
 		return err
 	}
@@ -142,6 +142,29 @@
 	return looked, err
 }
 
+// endSince returns where the partition ended after asked. One caller at a time asks the store: of
+// those that wait for a slow one, each would add a read, and what it brings is news for all.
+func (p *partition) endSince(ctx context.Context, asked time.Time) (int64, error) {
+	select {
+	case p.endAsking <- struct{}{}:
+		defer func() { <-p.endAsking }()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	if read, known := p.readSince(asked); known {
+		return read, nil
+	}
+	return p.end(ctx)
+}
+
+// readSince returns up to where the partition was read, if a read that was asked after a time came
+// to its end.
+func (p *partition) readSince(asked time.Time) (next int64, known bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.next, p.freshSince.After(asked)
+}
+
 // end reads on from where the reading is, and returns the partition's end. What it brings is
 // taken, so that it need not come over the link a second time before the caller is answered.
 func (p *partition) end(ctx context.Context) (int64, error) {
--- a/internal/joblog/jobreading.go
+++ b/internal/joblog/jobreading.go
@@ -170,10 +170,15 @@
 func (r *jobReading) readPage(ctx context.Context) error {
 	next, hold := r.nextRead()
 	if hold == 0 {
-		r.all.slots <- struct{}{}
-		defer func() { <-r.all.slots }()
+		select {
+		case r.all.slots <- struct{}{}:
+			defer func() { <-r.all.slots }()
+		case <-ctx.Done():
+			return r.noteFailure(ctx.Err(), time.Now())
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, longReadTimeout)
+	// A page that hangs holds a slot up, and with three of them all jobs of the node.
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	asked := time.Now()
 	read, err := r.readLog(ctx, next, hold)
@@ -335,8 +340,9 @@
 		log: p.log, at: p.at, jobID: jobID, from: from, next: from, logger: p.logger, all: j,
 		changed: make(chan struct{}), fold: batch.NewJobFold(jobID), askedFor: time.Now(),
 	}
-	j.byJob[jobID] = reading
+	// Room is made before: the new reading is not being read yet, and would be the first to go.
 	j.forgetLocked()
+	j.byJob[jobID] = reading
 	return reading
 }
 
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -58,6 +58,9 @@
 	// freshSince is when the last read was asked that told the partition's end, up to which
 	// all was read; zero until the partition was read from where the reading began to its end.
 	freshSince time.Time
+	// endAsking holds a token while a caller asks for the partition's end: the others take what
+	// that brings, or ask once for all who came meanwhile.
+	endAsking chan struct{}
 	// failed is the last failure of a read, at failedAt.
 	failed   error
 	failedAt time.Time
@@ -72,6 +75,8 @@
 		index:   newIndex(options, number),
 		changed: make(chan struct{}),
 		fold:    batch.NewFold(),
+
+		endAsking: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -65,6 +65,7 @@
 func (a *attempt) observe(now time.Time) {
 	a.events++
 	a.lastSeen = now
+	a.excused = 0
 	a.engine.silentAt = time.Time{}
 	if a.sampleBegan.IsZero() {
 		a.sampleBegan = now
@@ -201,14 +202,16 @@
 }
 
 // HandleStoodStill says that nothing was handled for a time, so that the events which came
-// meanwhile are still to come.
+// meanwhile are still to come. Between two events a run is excused for as long as it may be
+// without one, and no longer: where each tick is late, a silent engine would keep it.
 func (m *Machine) HandleStoodStill(now time.Time, lasted time.Duration) {
 	for _, running := range m.attempts {
-		if seen := running.lastSeen.Add(lasted); seen.Before(now) {
-			running.lastSeen = seen
+		excused := min(lasted, now.Sub(running.lastSeen), m.options.StallTimeout-running.excused)
+		if excused <= 0 {
 			continue
 		}
-		running.lastSeen = now
+		running.excused += excused
+		running.lastSeen = running.lastSeen.Add(excused)
 	}
 }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -239,7 +239,9 @@
 	engine   *engine
 	begun    time.Time
 	lastSeen time.Time
-	events   int
+	// excused is the time since the last event that counts for nothing, as nobody looked.
+	excused time.Duration
+	events  int
 	// sampleBegan is when the sample of the engine's pace that is being taken began,
 	// sampled the number of its events.
 	sampleBegan time.Time
