--- a/internal/coordinator/handover_test.go
+++ b/internal/coordinator/handover_test.go
@@ -135,3 +135,17 @@
 		}
 	}
 }
+
+// Seen: a successor is handed nothing, and begins the items of all jobs anew. It comes about where
+// the process stands still between noting that the lease is given up and telling the coordinator:
+// the election ends the term first. Cause: a term that ended so left nothing behind. Proof: all
+// texts are there for whoever asks under its epoch.
+func TestATermThatEndsBeforeItIsYieldedIsHandedOver(t *testing.T) {
+	const items = 3
+	c := lead(t, items)
+	c.ObserveLease(election.Standing{Lease: election.Lease{Epoch: 1}})
+	c.Yield(1)
+	if left := c.HandOver(1); handedTexts(left) != items || !left.Whole {
+		t.Errorf("%d texts of %d, whole %v", handedTexts(left), items, left.Whole)
+	}
+}
