A term that ends is handed over, also where the election ends it before the yield is told

Cause: the lease is noted as yielded before the coordinator is told; a process that stands still in between has the election end the term, which kept nothing for its successor. Ruled out: telling the coordinator under the hold's mutex, which ties two locks together. Change: a term that ends before it was given up leaves what one that was given up leaves.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -56,12 +56,17 @@
 	}
 	c.resigned = true
 	epoch := c.termEpoch
-	c.machine.Resign(time.Now())
-	c.carryOut(c.machine.Take())
+	c.startNothingLocked()
 	c.options.Logger.Info("term given up", zap.Int64("epoch", epoch), zap.String("how", how))
 	time.AfterFunc(resignedFor, func() { c.HandOver(epoch) })
 }
 
+// startNothingLocked has the term start and order nothing any more; its runs go on.
+func (c *Coordinator) startNothingLocked() {
+	c.machine.Resign(time.Now())
+	c.carryOut(c.machine.Take())
+}
+
 // HandOver ends the runs of a term that was given up, and returns what its successor needs; the
 // same again whenever it is asked.
 func (c *Coordinator) HandOver(epoch int64) liveness.HandedOver {
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -23,7 +23,10 @@
 		switch {
 		case standing.Leading && standing.Lease.Epoch == c.termEpoch:
 		case !c.resigned:
-			c.endTermLocked()
+			// The lease may have been yielded just now, before the coordinator was told: whoever
+			// claims it next asks for what is left.
+			c.startNothingLocked()
+			c.handOverLocked()
 		case standing.Leading:
 			// Nobody else has claimed what this process gave up.
 			c.handOverLocked()
