Sight: a log line for each attempt that a server broke off, with the request's fingerprint

What the nodes logged can not tell H1 (nothing outlives the call) from H3 (one try spreads the damage): repeats have ids of their own, and no line says which of them are one request. The fingerprint is a digest of caller, method, host, target and body. No change of logic.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -280,12 +280,23 @@
 		got.read()
 	}
 	c.gateway.observe(began, server, got)
+	if got.failed != nil && got.failed.Sent && ctx.Err() == nil {
+		c.logBroken(server, began, got.failed)
+	}
 	if got.ran() {
 		c.gateway.options.Began(c.request.Caller.Tenant, began)
 	}
 	return got
 }
 
+// logBroken tells that a server broke an attempt off, by the fingerprint that repeats of the
+// request share at all nodes.
+func (c *call) logBroken(server *directory.Server, began time.Time, failed *SendError) {
+	c.gateway.options.Logger.Info("attempt broken", zap.String("request", c.request.ID),
+		zap.String("fingerprint", c.request.Fingerprint().Short()), zap.String("server", server.ID),
+		zap.String("service", c.service), zap.Duration("took", time.Since(began)), zap.Error(failed))
+}
+
 // ran says whether a server began to run the request, as far as is known.
 func (a *attempt) ran() bool {
 	if a.failed != nil {
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
 )
 
@@ -32,6 +33,13 @@
 	LastEventID string
 }
 
+// Fingerprint tells the request from others, but not from its own repeats.
+func (r *Request) Fingerprint() quarantine.Fingerprint {
+	return quarantine.FingerprintOf(quarantine.Identity{
+		Caller: r.Caller.Tenant, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body,
+	})
+}
+
 // Attempt is a request on its way to one server.
 type Attempt struct {
 	Request *Request
