--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"dalehook/internal/directory"
 	"dalehook/internal/election"
 	"dalehook/internal/joblog"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scheduler"
@@ -76,12 +77,14 @@
 
 // Options configure a Coordinator.
 type Options struct {
-	Engines   Engines
-	Rewards   Rewards
-	Log       store.Log
-	Jobs      *joblog.Logs
-	Directory *directory.Directory
-	Scheduler scheduler.Options
+	Engines Engines
+	// Quarantine knows the items that crash engines; nil for none.
+	Quarantine *quarantine.Tracker
+	Rewards    Rewards
+	Log        store.Log
+	Jobs       *joblog.Logs
+	Directory  *directory.Directory
+	Scheduler  scheduler.Options
 	// OrderPause is the time after a take-over in which no order is given, so that
 	// orders of two holders are that far apart.
 	OrderPause time.Duration
@@ -131,6 +134,9 @@
 
 // New returns a coordinator without the lease.
 func New(options Options) *Coordinator {
+	if options.Quarantine == nil {
+		options.Quarantine = quarantine.NewTracker(quarantine.Options{})
+	}
 	return &Coordinator{
 		options: options,
 		newest:  make(map[string]int64),
@@ -238,6 +244,13 @@
 	c.input(func(now time.Time, machine *scheduler.Machine) { machine.HandleTable(now, table) })
 }
 
+// ObserveQuarantine tells that what is known against requests and items has changed.
+func (c *Coordinator) ObserveQuarantine() {
+	c.input(func(now time.Time, machine *scheduler.Machine) {
+		machine.HandleSuspicions(now, c.options.Quarantine.Suspicions())
+	})
+}
+
 // ObserveVersion takes the newest weight version of a model.
 func (c *Coordinator) ObserveVersion(model string, version int64) {
 	c.mutex.Lock()
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/directory"
 	"dalehook/internal/scheduler"
 	"dalehook/internal/store"
 )
@@ -84,9 +85,26 @@
 		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
 		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", time.Since(began)),
 		zap.Stringer("reason", reason), zap.Error(err))
+	c.noteEnd(start, began, reason)
 	c.inputOf(machine, func(now time.Time) {
 		c.cancels[start.Attempt]()
 		delete(c.cancels, start.Attempt)
 		machine.HandleAttemptEnd(now, start.Attempt, reason)
 	})
 }
+
+// noteEnd tells the quarantine how a run ended, before the item waits for the next one.
+func (c *Coordinator) noteEnd(start scheduler.Start, began time.Time, reason scheduler.EndReason) {
+	tracker := c.options.Quarantine
+	fingerprint := scheduler.Fingerprint(start.Tenant, start.Host, start.Item)
+	switch reason {
+	case scheduler.EndBroken:
+		tracker.Broke(fingerprint, directory.Server{
+			ID: start.Server.ID, Born: start.Server.Born, Address: start.Server.Address, Service: start.Server.Service,
+		})
+	case scheduler.EndCompleted, scheduler.EndFailed, scheduler.EndImpossible:
+		if tracker.Active() {
+			tracker.Answered(fingerprint, directory.Incarnation{ID: start.Server.ID, Born: start.Server.Born}, began)
+		}
+	}
+}
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -56,6 +56,7 @@
 	for model, version := range c.newest {
 		c.machine.HandleVersion(now, model, version)
 	}
+	c.machine.HandleSuspicions(now, c.options.Quarantine.Suspicions())
 	c.handleServers(now, c.machine)
 	c.options.Logger.Info("term begun", zap.Int64("epoch", c.termEpoch))
 	term, machine, lease := c.term, c.machine, standing.Lease
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,15 +3,31 @@
 package directory
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 )
 
+// Incarnation names one life of a back end. One that starts again may keep its id, and holds and
+// knows nothing of its life before.
+type Incarnation struct {
+	ID string
+	// Born is when it started, in Unix milliseconds by its own clock; 0 where it does not tell.
+	Born int64
+}
+
+// Compare orders incarnations by id, and those of one id by birth.
+func (i Incarnation) Compare(other Incarnation) int {
+	return cmp.Or(strings.Compare(i.ID, other.ID), cmp.Compare(i.Born, other.Born))
+}
+
 // Server is one incarnation of a back end.
 type Server struct {
-	ID      string
+	ID string
+	// Born is when this life began; see Incarnation.
+	Born    int64
 	Service string
 	// Address is IP:PORT.
 	Address  string
@@ -27,6 +43,9 @@
 	Digest uint64
 }
 
+// Incarnation names the server's life.
+func (s *Server) Incarnation() Incarnation { return Incarnation{ID: s.ID, Born: s.Born} }
+
 // Snapshot is the list at one moment. It is not changed once published.
 type Snapshot struct {
 	// all holds the servers of each service, ready those that take new work, both
@@ -88,6 +107,13 @@
 	return now.Sub(d.readAt)
 }
 
+// Find returns the listed server with an id, or nil.
+func (d *Directory) Find(id string) *Server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.servers[id]
+}
+
 // Holds says whether a server's entry is listed with a digest.
 func (d *Directory) Holds(id string, digest uint64) bool {
 	d.mutex.Lock()
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -12,6 +12,7 @@
 
 	"dalehook/internal/coordinator"
 	"dalehook/internal/gateway"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/scheduler"
 )
@@ -39,9 +40,15 @@
 	usageLost         prometheus.Counter
 	serverOrders      *prometheus.CounterVec
 	requestsPastGrace prometheus.Counter
+	serverEnds        *prometheus.CounterVec
+	requestsSuspected prometheus.Counter
+	requestsHeld      prometheus.Counter
 }
 
-var _ coordinator.Observer = (*nodeMetrics)(nil)
+var (
+	_ coordinator.Observer = (*nodeMetrics)(nil)
+	_ quarantine.Observer  = (*nodeMetrics)(nil)
+)
 
 func newNodeMetrics(n *Node, lostLines func() int64) *nodeMetrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
@@ -75,9 +82,17 @@
 		requestsPastGrace: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_requests_past_grace_total", Help: "Requests that were under way at the end of a planned stop's grace period.",
 		}),
+		serverEnds: counter("dalehook_server_ends_total", "Servers that ended while they ran requests of this node, by evidence.", "evidence"),
+		requestsSuspected: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_requests_suspected_total", Help: "Requests of this node under which servers ended.",
+		}),
+		requestsHeld: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_requests_held_total", Help: "Requests that were found to crash servers, and are held.",
+		}),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
-		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace, collectors.NewGoCollector())
+		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
+		m.serverEnds, m.requestsSuspected, m.requestsHeld, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
 	return m
 }
@@ -110,6 +125,7 @@
 	gauge("dalehook_unscored_items", "Items whose text is whole and has no score yet, at the coordinator.", func() float64 {
 		return float64(n.coordinator.State().Unscored)
 	})
+	gauge("dalehook_held_requests", "Requests that are held since they crash servers.", func() float64 { return float64(n.quarantine.Held()) })
 	if lostLines != nil {
 		gauge("dalehook_log_lines_lost", "Log lines that were lost since the start.", func() float64 { return float64(lostLines()) })
 	}
@@ -172,6 +188,15 @@
 	}
 }
 
+// ObserveServerEnd implements quarantine.Observer.
+func (m *nodeMetrics) ObserveServerEnd(evidence string, requests int) {
+	m.serverEnds.WithLabelValues(evidence).Inc()
+	m.requestsSuspected.Add(float64(requests))
+}
+
+// ObserveHeld implements quarantine.Observer.
+func (m *nodeMetrics) ObserveHeld() { m.requestsHeld.Inc() }
+
 func (m *nodeMetrics) observeStore(call string, status int, took time.Duration) {
 	m.storeCalls.WithLabelValues(call, strconv.Itoa(status)).Inc()
 	if call != callThatWaits {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -23,6 +23,7 @@
 	"dalehook/internal/jobread"
 	"dalehook/internal/liveness"
 	"dalehook/internal/nodecall"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scaling"
 	"dalehook/internal/serverlist"
@@ -39,6 +40,8 @@
 	Readiness(node *Node) http.Handler
 	Log() store.Log
 	Backend() gateway.Backend
+	// Probe finds out whether anything takes connections at a server's address.
+	Probe(ctx context.Context, address string) quarantine.Reach
 	Engines() coordinator.Engines
 	// Provider is called only where the settings name one.
 	Provider() Provider
@@ -114,6 +117,7 @@
 	directory    *directory.Directory
 	servers      *serverlist.List
 	gateway      *gateway.Gateway
+	quarantine   *quarantine.Tracker
 	jobs         *joblog.Logs
 	jobReader    *jobReader
 	coordinator  *coordinator.Coordinator
@@ -135,8 +139,9 @@
 	adapter, logger := options.Adapter, options.Logger
 	n := &Node{options: options, logger: logger.Named("node"), left: make(chan struct{}), directory: directory.NewDirectory()}
 	n.metrics = newNodeMetrics(n, options.LostLines)
+	n.quarantine = n.newQuarantine(logger)
 	n.gateway = gateway.NewGateway(gateway.Options{
-		Backend: adapter.Backend(), Directory: n.directory, Zone: options.Settings.Zone,
+		Backend: adapter.Backend(), Directory: n.directory, Zone: options.Settings.Zone, Quarantine: n.quarantine,
 		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest, Began: n.noteBegan,
 	})
 	adapter.ObserveStore(n.metrics.observeStore)
@@ -148,10 +153,10 @@
 		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), Pace: listPace, Wait: listWait,
 		Decode: adapter.Server, Digest: adapter.ServerDigest,
 		Self: n.process(), Leading: func() bool { return n.coordinator.State().Leading },
-		Changed: func() { n.coordinator.ObserveServers() },
+		Changed: n.observeServers,
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
-		Engines: adapter.Engines(), Rewards: &rewardCaller{gateway: n.gateway, logger: logger.Named("reward")}, Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
+		Engines: adapter.Engines(), Quarantine: n.quarantine, Rewards: &rewardCaller{gateway: n.gateway, logger: logger.Named("reward")}, Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
 		OrderPause: time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
 		Fenced:     options.Settings.FencingEnforced,
 		Logger:     logger.Named("coordinator"),
@@ -178,7 +183,7 @@
 	var background conc.WaitGroup
 	calls := rpc.NewServer()
 	if err := errors.Join(liveness.Register(calls, n.process(), n), jobread.Register(calls, n.jobReader), usage.Register(calls, n.options.Adapter.Log()),
-		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers))); err != nil {
+		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers)), quarantine.Register(calls, n.quarantine)); err != nil {
 		return err
 	}
 	background.Go(func() {
@@ -214,6 +219,7 @@
 	log := n.options.Adapter.Log()
 	background.Go(func() { follow.Keyed(ctx, n.operatorFollowing(log)) })
 	background.Go(func() { n.servers.Run(ctx) })
+	background.Go(func() { n.quarantine.Run(ctx) })
 	background.Go(func() { n.jobs.Run(ctx) })
 	background.Go(func() { n.coordinator.Run(ctx) })
 	background.Go(func() {
@@ -375,5 +381,9 @@
 		return follow.Relay{}, err
 	}
 	n.configuredAt.advance(asked.Add(-answer.Age))
-	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
+	return relayOf(answer), nil
+}
+
+func relayOf(answer storeproxy.Answer) follow.Relay {
+	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}
 }
--- a/internal/frontend/outage_test.go
+++ b/internal/frontend/outage_test.go
@@ -122,6 +122,13 @@
 	return l.memory.AppendAt(ctx, at, end, payloads)
 }
 
+func (l nodeLog) PutKeyed(ctx context.Context, topic store.Topic, records []store.Record) error {
+	if err := l.enter(ctx); err != nil {
+		return err
+	}
+	return l.memory.PutKeyed(ctx, topic, records)
+}
+
 func (l nodeLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	if err := l.enter(ctx); err != nil {
 		return store.Batch{}, err
--- /dev/null
+++ b/internal/frontend/quarantine.go
@@ -0,0 +1,44 @@
+package frontend
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/follow"
+	"dalehook/internal/quarantine"
+	"dalehook/internal/store"
+	"dalehook/internal/storeproxy"
+)
+
+// newQuarantine returns what finds the requests that crash servers. Nodes share what they find
+// by the store, or by way of another node where the store turns them away.
+func (n *Node) newQuarantine(logger *zap.Logger) *quarantine.Tracker {
+	adapter := n.options.Adapter
+	return quarantine.NewTracker(quarantine.Options{
+		Node: n.process(), Log: adapter.Log(), Directory: n.directory, Probe: adapter.Probe,
+		Logger:   logger.Named("quarantine"),
+		Relay:    quarantine.Relay{Read: n.readQuarantineRelayed, Put: n.putQuarantineRelayed},
+		Changed:  func() { n.coordinator.ObserveQuarantine() },
+		Tidies:   func() bool { return n.coordinator.State().Leading },
+		Observer: n.metrics,
+	})
+}
+
+func (n *Node) readQuarantineRelayed(ctx context.Context, from int64) (follow.Relay, error) {
+	answer, err := storeproxy.Ask(ctx, &n.peers, storeproxy.Question{Topic: store.TopicQuarantine, From: from})
+	if err != nil {
+		return follow.Relay{}, err
+	}
+	return relayOf(answer), nil
+}
+
+func (n *Node) putQuarantineRelayed(ctx context.Context, records []store.Record) error {
+	return storeproxy.Put(ctx, &n.peers, storeproxy.Addition{Topic: store.TopicQuarantine, Records: records})
+}
+
+// observeServers tells who needs it that the list of servers changed.
+func (n *Node) observeServers() {
+	n.quarantine.ObserveServers()
+	n.coordinator.ObserveServers()
+}
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -38,21 +38,21 @@
 type balancer struct {
 	zone  string
 	mutex sync.Mutex
-	seen  map[string]*serverState
+	seen  map[directory.Incarnation]*serverState
 }
 
 func newBalancer(zone string) *balancer {
-	return &balancer{zone: zone, seen: make(map[string]*serverState)}
+	return &balancer{zone: zone, seen: make(map[directory.Incarnation]*serverState)}
 }
 
 // choose returns the best server that was not tried, and counts an attempt at it.
-func (b *balancer) choose(now time.Time, servers []*directory.Server, tried map[string]bool) *directory.Server {
+func (b *balancer) choose(now time.Time, servers []*directory.Server, tried map[directory.Incarnation]bool) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var best *directory.Server
 	bestCost := 0.0
 	for _, server := range servers {
-		if tried[server.ID] {
+		if tried[server.Incarnation()] {
 			continue
 		}
 		cost := b.cost(now, server)
@@ -61,13 +61,37 @@
 		}
 	}
 	if best != nil {
-		b.state(best.ID).inFlight++
+		b.state(best.Incarnation()).inFlight++
 	}
 	return best
 }
 
+// chooseFirst returns the first server that was not tried and is not avoided, else the first that
+// was not tried, and counts an attempt at it.
+func (b *balancer) chooseFirst(now time.Time, servers []*directory.Server, tried map[directory.Incarnation]bool) *directory.Server {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var chosen *directory.Server
+	for _, server := range servers {
+		if tried[server.Incarnation()] {
+			continue
+		}
+		avoided := now.Before(b.state(server.Incarnation()).pausedUntil)
+		if chosen == nil || !avoided {
+			chosen = server
+		}
+		if !avoided {
+			break
+		}
+	}
+	if chosen != nil {
+		b.state(chosen.Incarnation()).inFlight++
+	}
+	return chosen
+}
+
 func (b *balancer) cost(now time.Time, server *directory.Server) float64 {
-	state := b.seen[server.ID]
+	state := b.seen[server.Incarnation()]
 	if state == nil {
 		state = &serverState{}
 	}
@@ -83,7 +107,7 @@
 	return cost
 }
 
-func (b *balancer) state(id string) *serverState {
+func (b *balancer) state(id directory.Incarnation) *serverState {
 	state := b.seen[id]
 	if state == nil {
 		state = &serverState{}
@@ -93,7 +117,7 @@
 }
 
 // ended counts the end of an attempt; took is 0 when there was no whole answer.
-func (b *balancer) ended(now time.Time, id string, took time.Duration, load *Load, pause time.Duration) {
+func (b *balancer) ended(now time.Time, id directory.Incarnation, took time.Duration, load *Load, pause time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	state := b.state(id)
@@ -115,7 +139,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	gone := maps.Clone(b.seen)
-	listed.All(func(server *directory.Server) { delete(gone, server.ID) })
+	listed.All(func(server *directory.Server) { delete(gone, server.Incarnation()) })
 	for id, state := range gone {
 		if state.inFlight == 0 {
 			delete(b.seen, id)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"dalehook/internal/directory"
 	"dalehook/internal/routetable"
 )
 
@@ -33,7 +34,7 @@
 func (g *Gateway) Call(ctx context.Context, made Call) CallResult {
 	c := &call{
 		gateway: g, request: made.Request, route: made.Route, table: made.Table, service: made.Service,
-		deadline: made.Request.Deadline, tried: make(map[string]bool), unrun: true, repeatable: true,
+		deadline: made.Request.Deadline, tried: make(map[directory.Incarnation]bool), unrun: true, repeatable: true,
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
 )
 
@@ -19,8 +21,10 @@
 	Backend   Backend
 	Directory *directory.Directory
 	// Zone is this node's zone; its servers are preferred.
-	Zone   string
-	Logger *zap.Logger
+	Zone string
+	// Quarantine knows the requests that crash servers; nil for none.
+	Quarantine *quarantine.Tracker
+	Logger     *zap.Logger
 	// Observe is told of each request that was answered.
 	Observe func(Outcome)
 	// Began is told of each request that began to run at a server, of which tenant and when.
@@ -51,6 +55,9 @@
 	if options.Began == nil {
 		options.Began = func(string, time.Time) {}
 	}
+	if options.Quarantine == nil {
+		options.Quarantine = quarantine.NewTracker(quarantine.Options{})
+	}
 	return &Gateway{options: options, balancer: newBalancer(options.Zone)}
 }
 
@@ -81,7 +88,7 @@
 	table    *routetable.Table
 	service  string
 	deadline time.Time
-	tried    map[string]bool
+	tried    map[directory.Incarnation]bool
 	attempts int
 	// servers holds the ids of the servers tried, in order.
 	servers []string
@@ -93,6 +100,11 @@
 	repeatable bool
 	// failures counts the servers that answered that the request failed.
 	failures int
+	// held says that the request was not sent on since servers ended under it.
+	held bool
+
+	fingerprintOnce sync.Once
+	fingerprintMade quarantine.Fingerprint
 }
 
 // Serve answers a request of a route.
@@ -104,7 +116,7 @@
 	}
 	c := &call{
 		gateway: g, request: request, route: route, table: table, service: target.Service,
-		deadline: deadlineOf(route, request), tried: make(map[string]bool), unrun: true, repeatable: route.Repeatable(),
+		deadline: deadlineOf(route, request), tried: make(map[directory.Incarnation]bool), unrun: true, repeatable: route.Repeatable(),
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
@@ -130,12 +142,16 @@
 
 func (c *call) log(status int) {
 	took := time.Since(c.request.Received)
+	fingerprint := zap.Skip()
+	if c.held {
+		fingerprint = zap.String("fingerprint", c.fingerprint().Short())
+	}
 	c.gateway.options.Observe(Outcome{Kind: c.route.Kind, Status: status, Reason: c.reason, Attempts: c.attempts, Took: took})
 	c.gateway.options.Logger.Info("request answered",
 		zap.String("request", c.request.ID), zap.Int("status", status), zap.String("route", c.route.Name),
 		zap.String("service", c.service), zap.Int64("configuration", c.table.Version),
 		zap.Int("attempts", c.attempts), zap.Duration("list_age", c.gateway.options.Directory.Age(time.Now())),
-		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took))
+		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took), fingerprint)
 }
 
 // Refuse answers that a request has not run, and when to come back.
@@ -155,7 +171,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	if status == http.StatusServiceUnavailable {
-		Refuse(w, status, retryAfter)
+		Refuse(w, status, c.comeBackAfter())
 		return status
 	}
 	w.Header().Set("Content-Length", "0")
@@ -163,6 +179,15 @@
 	return status
 }
 
+// comeBackAfter is when a refused caller may come back. A held request is refused until its hold
+// ends, also at the other nodes, which the caller may as well know.
+func (c *call) comeBackAfter() time.Duration {
+	if !c.held {
+		return retryAfter
+	}
+	return max(time.Until(c.gateway.options.Quarantine.HoldEnds(c.fingerprint())), retryAfter).Round(time.Second)
+}
+
 // attempt is the result of one attempt.
 type attempt struct {
 	answer *Answer
@@ -202,7 +227,8 @@
 			return attempt{}, false
 		case <-hedge:
 			hedge = nil
-			if c.launch(ctx, results) {
+			// A request that may crash its server runs at one at a time.
+			if c.suspicion().Ends == 0 && c.launch(ctx, results) {
 				pending++
 			}
 		case got := <-results:
@@ -237,7 +263,7 @@
 
 // launch begins an attempt at another server; it returns false when there is none.
 func (c *call) launch(ctx context.Context, results chan<- attempt) bool {
-	server := c.nextServer()
+	server := c.nextServer(ctx)
 	if server == nil {
 		return false
 	}
@@ -245,7 +271,8 @@
 	return true
 }
 
-func (c *call) nextServer() *directory.Server {
+// nextServer returns the server for the next attempt, or nil where there is to be none.
+func (c *call) nextServer(ctx context.Context) *directory.Server {
 	if c.attempts >= max(c.route.MaxAttempts, 1) || !c.unrun && !c.repeatable {
 		return nil
 	}
@@ -253,8 +280,13 @@
 		c.reason = "deadline"
 		return nil
 	}
-	servers := c.gateway.options.Directory.Snapshot().Ready(c.service)
-	server := c.gateway.balancer.choose(time.Now(), servers, c.tried)
+	known := c.settledSuspicion(ctx)
+	if known.Held {
+		c.held = true
+		c.reason = reasonHeld
+		return nil
+	}
+	server := c.choose(c.gateway.options.Directory.Snapshot().Ready(c.service), known)
 	if server == nil {
 		if c.reason == "" {
 			c.reason = "no server"
@@ -262,7 +294,7 @@
 		return nil
 	}
 	c.attempts++
-	c.tried[server.ID] = true
+	c.tried[server.Incarnation()] = true
 	c.servers = append(c.servers, server.ID)
 	return server
 }
@@ -280,21 +312,22 @@
 		got.read()
 	}
 	c.gateway.observe(began, server, got)
-	if got.failed != nil && got.failed.Sent && ctx.Err() == nil {
-		c.logBroken(server, began, got.failed)
+	var broken error
+	if got.failed != nil && got.failed.Sent && sendCtx.Err() == nil {
+		broken = got.failed
 	}
+	c.noteEnd(server, began, broken, got.finished())
 	if got.ran() {
 		c.gateway.options.Began(c.request.Caller.Tenant, began)
 	}
 	return got
 }
 
-// logBroken tells that a server broke an attempt off, by the fingerprint that repeats of the
-// request share at all nodes.
-func (c *call) logBroken(server *directory.Server, began time.Time, failed *SendError) {
-	c.gateway.options.Logger.Info("attempt broken", zap.String("request", c.request.ID),
-		zap.String("fingerprint", c.request.Fingerprint().Short()), zap.String("server", server.ID),
-		zap.String("service", c.service), zap.Duration("took", time.Since(began)), zap.Error(failed))
+// finished says whether a server ran the request to an end and told it. A run that was cut for
+// its time says nothing of what it would have done.
+func (a *attempt) finished() bool {
+	return a.failed == nil && a.whole && !a.answer.NotExecuted &&
+		a.answer.Status != http.StatusServiceUnavailable && a.answer.Status != http.StatusGatewayTimeout
 }
 
 // ran says whether a server began to run the request, as far as is known.
@@ -335,13 +368,13 @@
 	now := time.Now()
 	switch {
 	case got.failed != nil:
-		g.balancer.ended(now, server.ID, 0, nil, brokenPause)
+		g.balancer.ended(now, server.Incarnation(), 0, nil, brokenPause)
 	case got.answer.NotExecuted:
-		g.balancer.ended(now, server.ID, 0, got.answer.Load, fullPause)
+		g.balancer.ended(now, server.Incarnation(), 0, got.answer.Load, fullPause)
 	case got.answer.Status >= http.StatusInternalServerError:
-		g.balancer.ended(now, server.ID, 0, got.answer.Load, fullPause)
+		g.balancer.ended(now, server.Incarnation(), 0, got.answer.Load, fullPause)
 	default:
-		g.balancer.ended(now, server.ID, now.Sub(began), got.answer.Load, 0)
+		g.balancer.ended(now, server.Incarnation(), now.Sub(began), got.answer.Load, 0)
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,15 +15,20 @@
 func (c *call) stream(ctx context.Context, w http.ResponseWriter) int {
 	relay := &streamRelay{call: c, w: w, lastID: c.request.LastEventID}
 	for {
-		server := c.nextServer()
+		server := c.nextServer(ctx)
 		if server == nil {
 			return relay.giveUp()
 		}
+		began := time.Now()
 		attemptCtx, cancel := context.WithCancel(ctx)
 		answer, failed := c.gateway.options.Backend.Send(attemptCtx, Attempt{
 			Request: c.request, Server: server, Left: leftUntil(c.deadline), LastEventID: relay.lastID,
 		})
+		relay.broken = nil
 		done, status := relay.take(answer, failed)
+		if attemptCtx.Err() == nil {
+			c.noteEnd(server, began, relay.broken, done && relay.ended)
+		}
 		c.gateway.observe(c.request.Received, server, attempt{answer: answer, failed: failed})
 		cancel()
 		if done {
@@ -43,6 +48,10 @@
 	lastID  string
 	started bool
 	status  int
+	// broken is why the last server broke its answer off after the request had been sent; nil
+	// where it did not. Ended says that a server's stream came to its end.
+	broken error
+	ended  bool
 }
 
 // take passes on an answer; done says that the caller has its final answer.
@@ -51,6 +60,9 @@
 	if failed != nil {
 		c.reason = "broken: " + failed.Error()
 		c.unrun = c.unrun && !failed.Sent
+		if failed.Sent {
+			r.broken = failed
+		}
 		return false, 0
 	}
 	defer answer.Body.Close()
@@ -66,6 +78,7 @@
 	r.start(answer)
 	err := r.copy(answer.Body)
 	if errors.Is(err, io.EOF) {
+		r.ended = true
 		return true, r.status
 	}
 	c.reason = "cut: " + err.Error()
@@ -103,7 +116,11 @@
 	events := eventstream.NewReader(body)
 	for {
 		event, err := events.Read()
+		if errors.Is(err, io.EOF) {
+			return err
+		}
 		if err != nil {
+			r.broken = err
 			return err
 		}
 		if _, err := r.w.Write(event.Raw); err != nil {
--- /dev/null
+++ b/internal/gateway/suspicion.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/directory"
+	"dalehook/internal/quarantine"
+)
+
+// reasonHeld is why a request that crashes servers is not sent to any.
+const reasonHeld = "held: servers ended under it"
+
+// fingerprint returns the request's, which is made once, and only where it is needed.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	c.fingerprintOnce.Do(func() { c.fingerprintMade = c.request.Fingerprint() })
+	return c.fingerprintMade
+}
+
+// suspicion returns what is known against the request.
+func (c *call) suspicion() quarantine.Suspicion {
+	tracker := c.gateway.options.Quarantine
+	if !tracker.Active() {
+		return quarantine.Suspicion{}
+	}
+	return tracker.Suspicion(c.fingerprint())
+}
+
+// settledSuspicion is suspicion once it is known whether a server has just ended, where one more
+// would have the request held. It protects one server, for a wait of a fraction of a second.
+func (c *call) settledSuspicion(ctx context.Context) quarantine.Suspicion {
+	known := c.suspicion()
+	if !known.Settling {
+		return known
+	}
+	c.gateway.options.Quarantine.Settle(ctx, c.fingerprint())
+	return c.suspicion()
+}
+
+// choose returns the server for the next attempt, or nil. A request under which servers ended goes to the one
+// that all nodes choose for it, so that tries at several nodes end one server and not several.
+func (c *call) choose(servers []*directory.Server, known quarantine.Suspicion) *directory.Server {
+	if known.Ends == 0 {
+		return c.gateway.balancer.choose(time.Now(), servers, c.tried)
+	}
+	return c.gateway.balancer.chooseFirst(time.Now(), rank(c.fingerprint(), known.Ends, servers), c.tried)
+}
+
+// rank orders servers for a suspected request, in the same way at all nodes. Two requests that
+// one server ended under are ranked apart by chance, and anew after each end: what ends the next
+// server is hardly both of them.
+func rank(fingerprint quarantine.Fingerprint, ends int, servers []*directory.Server) []*directory.Server {
+	ranked := make([]rankedServer, 0, len(servers))
+	for _, server := range servers {
+		ranked = append(ranked, rankedServer{server: server, weight: rankWeight(fingerprint, ends, server.Address)})
+	}
+	slices.SortFunc(ranked, func(a, b rankedServer) int {
+		return cmp.Or(bytes.Compare(a.weight[:], b.weight[:]), cmp.Compare(a.server.ID, b.server.ID))
+	})
+	ordered := make([]*directory.Server, 0, len(ranked))
+	for _, candidate := range ranked {
+		ordered = append(ordered, candidate.server)
+	}
+	return ordered
+}
+
+type rankedServer struct {
+	server *directory.Server
+	weight [sha256.Size]byte
+}
+
+func rankWeight(fingerprint quarantine.Fingerprint, ends int, address string) [sha256.Size]byte {
+	text := binary.BigEndian.AppendUint64(fingerprint[:], uint64(ends))
+	return sha256.Sum256(append(text, address...))
+}
+
+// noteEnd tells the quarantine how an attempt ended. Broken says that the server, and not this
+// node or the caller, broke it off after it had been sent.
+func (c *call) noteEnd(server *directory.Server, began time.Time, broken error, answered bool) {
+	tracker := c.gateway.options.Quarantine
+	switch {
+	case broken != nil:
+		tracker.Broke(c.fingerprint(), *server)
+		c.gateway.options.Logger.Info("attempt broken", zap.String("request", c.request.ID),
+			zap.String("fingerprint", c.fingerprint().Short()), zap.String("server", server.ID), zap.Int64("born", server.Born),
+			zap.String("service", c.service), zap.Duration("took", time.Since(began)), zap.Error(broken))
+	case answered && tracker.Active():
+		tracker.Answered(c.fingerprint(), server.Incarnation(), began)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,231 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"dalehook/internal/directory"
+)
+
+// How many servers may end under a request before it is held. Each costs seconds of a server
+// and whatever else that one was running.
+const (
+	// endsProved is the number of servers whose end is put down to the request alone: less
+	// would be chance where servers also crash by themselves. The users' limit is three more
+	// sends after the third end; a hold at the third leaves room for sends that were under way.
+	endsProved = 3
+	// endsUnclear is the number from which on a request is held that shares its ends with
+	// others, so that nothing tells which of them it was: five leaves one of the users' limit.
+	endsUnclear = 5
+)
+
+const (
+	// forgetAfter is how long after the last end a request is forgotten. A wrong verdict costs
+	// its caller that request for as long; a right one costs three more servers each time that it
+	// is forgotten, at ten minutes one in 200 s.
+	forgetAfter = 10 * time.Minute
+	// mostEnds bounds the ends that are kept, some 200 bytes each. A crash of an engine brings
+	// as many as it has slots.
+	mostEnds = 8192
+)
+
+// End says that a server ended while it ran a request.
+type End struct {
+	Fingerprint Fingerprint
+	Server      directory.Incarnation
+	At          time.Time
+}
+
+// Suspicion is what is known against a request.
+type Suspicion struct {
+	// Ends is the number of servers that ended under the request since it was last answered.
+	Ends int
+	// Settling says that one more end would have the request held, and that it is not yet known
+	// whether a server ended. It is to wait, which takes a fraction of a second.
+	Settling bool
+	// Held requests are not sent to servers.
+	Held bool
+}
+
+// Ledger folds which servers ended under which requests. It does no I/O and is not safe for
+// concurrent use.
+//
+// The end of a server implicates all that it was running, so a request is not held for being there:
+// of the requests under which a server ended, the end is put down to the one that most
+// servers ended under, and to none where several have as many. Any answer clears a request,
+// since one that is held crashes every server that begins to run it.
+type Ledger struct {
+	// ends holds when servers ended, by request; suspects are the same ends by server.
+	ends     map[Fingerprint]map[directory.Incarnation]time.Time
+	suspects map[directory.Incarnation]map[Fingerprint]bool
+	count    int
+}
+
+// NewLedger returns a ledger without an end.
+func NewLedger() *Ledger {
+	return &Ledger{
+		ends:     make(map[Fingerprint]map[directory.Incarnation]time.Time),
+		suspects: make(map[directory.Incarnation]map[Fingerprint]bool),
+	}
+}
+
+// Len returns the number of ends that are kept.
+func (l *Ledger) Len() int { return l.count }
+
+// Add takes the end of a server under a request; it returns false for one that is known.
+func (l *Ledger) Add(end End) bool {
+	if _, known := l.ends[end.Fingerprint][end.Server]; known {
+		return false
+	}
+	if l.count >= mostEnds {
+		l.evict()
+	}
+	if l.ends[end.Fingerprint] == nil {
+		l.ends[end.Fingerprint] = make(map[directory.Incarnation]time.Time)
+	}
+	l.ends[end.Fingerprint][end.Server] = end.At
+	if l.suspects[end.Server] == nil {
+		l.suspects[end.Server] = make(map[Fingerprint]bool)
+	}
+	l.suspects[end.Server][end.Fingerprint] = true
+	l.count++
+	return true
+}
+
+// Remove takes one end back.
+func (l *Ledger) Remove(fingerprint Fingerprint, server directory.Incarnation) bool {
+	if _, known := l.ends[fingerprint][server]; !known {
+		return false
+	}
+	delete(l.ends[fingerprint], server)
+	if len(l.ends[fingerprint]) == 0 {
+		delete(l.ends, fingerprint)
+	}
+	delete(l.suspects[server], fingerprint)
+	if len(l.suspects[server]) == 0 {
+		delete(l.suspects, server)
+	}
+	l.count--
+	return true
+}
+
+// Clear forgets all that is known against a request and returns the servers that had ended
+// under it, ordered.
+func (l *Ledger) Clear(fingerprint Fingerprint) []directory.Incarnation {
+	servers := l.serversOf(fingerprint)
+	for _, server := range servers {
+		l.Remove(fingerprint, server)
+	}
+	return servers
+}
+
+func (l *Ledger) serversOf(fingerprint Fingerprint) []directory.Incarnation {
+	return slices.SortedFunc(maps.Keys(l.ends[fingerprint]), directory.Incarnation.Compare)
+}
+
+// evict drops the request that is suspected the least, and of equals the one longest ago.
+func (l *Ledger) evict() {
+	var least Fingerprint
+	var found bool
+	for fingerprint := range l.ends {
+		if !found || l.compareSuspicion(fingerprint, least) < 0 {
+			least, found = fingerprint, true
+		}
+	}
+	l.Clear(least)
+}
+
+func (l *Ledger) compareSuspicion(a, b Fingerprint) int {
+	return cmp.Or(
+		cmp.Compare(len(l.ends[a]), len(l.ends[b])),
+		l.lastEnd(a).Compare(l.lastEnd(b)),
+		slices.Compare(a[:], b[:]),
+	)
+}
+
+// lastEnd returns when the last server ended under a request.
+func (l *Ledger) lastEnd(fingerprint Fingerprint) time.Time {
+	var last time.Time
+	for _, at := range l.ends[fingerprint] {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// Expire drops the requests under which no server has ended for long, and returns their ends.
+func (l *Ledger) Expire(now time.Time) []End {
+	var expired []End
+	for fingerprint := range maps.Clone(l.ends) {
+		last := l.lastEnd(fingerprint)
+		if now.Sub(last) < forgetAfter {
+			continue
+		}
+		for _, server := range l.Clear(fingerprint) {
+			expired = append(expired, End{Fingerprint: fingerprint, Server: server, At: last})
+		}
+	}
+	return expired
+}
+
+// Suspicion returns what is known against a request.
+func (l *Ledger) Suspicion(fingerprint Fingerprint) Suspicion {
+	ends := len(l.ends[fingerprint])
+	return Suspicion{Ends: ends, Held: ends >= endsUnclear || ends >= endsProved && l.proved(fingerprint) >= endsProved}
+}
+
+// proved returns how many ends are put down to a request.
+func (l *Ledger) proved(fingerprint Fingerprint) int {
+	proved := 0
+	for server := range l.ends[fingerprint] {
+		if l.isCause(fingerprint, server) {
+			proved++
+		}
+	}
+	return proved
+}
+
+// isCause says whether more servers ended under a request than under each other one that a
+// server ended under.
+func (l *Ledger) isCause(fingerprint Fingerprint, server directory.Incarnation) bool {
+	for other := range l.suspects[server] {
+		if other != fingerprint && len(l.ends[other]) >= len(l.ends[fingerprint]) {
+			return false
+		}
+	}
+	return true
+}
+
+// HoldEnds returns when a hold of a request ends by itself.
+func (l *Ledger) HoldEnds(fingerprint Fingerprint) time.Time {
+	return l.lastEnd(fingerprint).Add(forgetAfter)
+}
+
+// Case is a request that servers ended under, for operators.
+type Case struct {
+	Fingerprint Fingerprint
+	Held        bool
+	// Ends are ordered by time.
+	Ends []End
+}
+
+// Cases returns the requests under which at least so many servers ended, the most suspected
+// first.
+func (l *Ledger) Cases(atLeast int) []Case {
+	var cases []Case
+	for _, fingerprint := range slices.SortedFunc(maps.Keys(l.ends), func(a, b Fingerprint) int { return l.compareSuspicion(b, a) }) {
+		if len(l.ends[fingerprint]) < atLeast {
+			continue
+		}
+		known := Case{Fingerprint: fingerprint, Held: l.Suspicion(fingerprint).Held}
+		for _, server := range l.serversOf(fingerprint) {
+			known.Ends = append(known.Ends, End{Fingerprint: fingerprint, Server: server, At: l.ends[fingerprint][server]})
+		}
+		slices.SortStableFunc(known.Ends, func(a, b End) int { return a.At.Compare(b.At) })
+		cases = append(cases, known)
+	}
+	return cases
+}
--- /dev/null
+++ b/internal/quarantine/record.go
@@ -0,0 +1,76 @@
+package quarantine
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"dalehook/internal/directory"
+	"dalehook/internal/store"
+)
+
+// endRecord is the value of an end's record in the store. The record's key names the request
+// and the server, so that nodes that saw the same end write one key, and an end is taken back
+// by removing it.
+type endRecord struct {
+	// At is when the end was seen, in Unix milliseconds.
+	At int64
+	// Node is the process that saw it.
+	Node string
+}
+
+// The separators of a record's key. A fingerprint is hexadecimal, a time of birth decimal.
+const (
+	keyServer = "@"
+	keyBorn   = "#"
+)
+
+func recordKey(fingerprint Fingerprint, server directory.Incarnation) string {
+	return fingerprint.String() + keyServer + server.ID + keyBorn + strconv.FormatInt(server.Born, 10)
+}
+
+func parseKey(key string) (fingerprint Fingerprint, server directory.Incarnation, ok bool) {
+	digits, rest, found := strings.Cut(key, keyServer)
+	at := strings.LastIndex(rest, keyBorn)
+	if !found || at < 0 {
+		return Fingerprint{}, directory.Incarnation{}, false
+	}
+	born, err := strconv.ParseInt(rest[at+len(keyBorn):], 10, 64)
+	fingerprint, valid := ParseFingerprint(digits)
+	return fingerprint, directory.Incarnation{ID: rest[:at], Born: born}, valid && err == nil
+}
+
+// encodeEnd returns the record of an end.
+func encodeEnd(end End, node string) (store.Record, error) {
+	var value bytes.Buffer
+	if err := gob.NewEncoder(&value).Encode(endRecord{At: end.At.UnixMilli(), Node: node}); err != nil {
+		return store.Record{}, fmt.Errorf("encode the end of server %s: %w", end.Server.ID, err)
+	}
+	return store.Record{Key: recordKey(end.Fingerprint, end.Server), Value: value.Bytes()}, nil
+}
+
+// removal returns the record that takes an end back.
+func removal(fingerprint Fingerprint, server directory.Incarnation) store.Record {
+	return store.Record{Key: recordKey(fingerprint, server)}
+}
+
+// decodeEnd reads an end; removed says that the record takes it back.
+func decodeEnd(record store.Record) (end End, removed bool, err error) {
+	fingerprint, server, ok := parseKey(record.Key)
+	if !ok {
+		return End{}, false, fmt.Errorf("key %q names no end of a server", record.Key)
+	}
+	end = End{Fingerprint: fingerprint, Server: server}
+	if len(record.Value) == 0 {
+		return end, true, nil
+	}
+	var decoded endRecord
+	if err := gob.NewDecoder(bytes.NewReader(record.Value)).Decode(&decoded); err != nil {
+		return End{}, false, fmt.Errorf("decode the end of server %s: %w", server.ID, err)
+	}
+	end.At = time.UnixMilli(decoded.At)
+	return end, false, nil
+}
--- /dev/null
+++ b/internal/quarantine/share.go
@@ -0,0 +1,150 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/follow"
+	"dalehook/internal/pause"
+	"dalehook/internal/store"
+)
+
+// Relay reads and writes the topic by way of other nodes.
+type Relay struct {
+	// Read reads from an offset on; below 0 it reads the newest records. It may be nil.
+	Read func(ctx context.Context, from int64) (follow.Relay, error)
+	// Put adds records. It may be nil.
+	Put func(ctx context.Context, records []store.Record) error
+}
+
+// The sharing of what nodes find.
+const (
+	// readPace is the shortest time between two reads of what other nodes found. A crash is to
+	// be known everywhere within two seconds.
+	readPace = 20 * time.Millisecond
+	// readWait is how long the store may hold a read that finds nothing. A connection that has
+	// gone silent is noticed that much later.
+	readWait = time.Second
+	// gatherTime is how long records are gathered for one call.
+	gatherTime = 10 * time.Millisecond
+	// putTimeout bounds a call, relayedPutTimeout one by way of another node.
+	putTimeout        = 500 * time.Millisecond
+	relayedPutTimeout = 800 * time.Millisecond
+	putRetry          = 150 * time.Millisecond
+	// mostUnsent bounds the records that wait for the store; the oldest are dropped.
+	mostUnsent = 4096
+	// mostAtOnce bounds the records of one call, some 150 bytes each.
+	mostAtOnce = 256
+)
+
+// follow learns what other nodes found.
+func (t *Tracker) follow(ctx context.Context) {
+	follow.Keyed(ctx, follow.KeyedOptions{
+		Log: t.options.Log, Topic: store.TopicQuarantine, Pace: readPace, Wait: readWait, Logger: t.options.Logger,
+		Replace: t.replace, Change: t.change, Read: func(int64, bool, time.Time) {}, Relayed: t.options.Relay.Read,
+	})
+}
+
+// replace takes all that is known. What this node found and could not write yet stays.
+func (t *Tracker) replace(records []store.Record) {
+	tidies := t.options.Tidies()
+	t.mutex.Lock()
+	t.ledger = NewLedger()
+	t.applyLocked(records)
+	t.applyLocked(t.unsent)
+	t.forgetLocked(time.Now(), tidies)
+	t.updateLocked()
+	t.mutex.Unlock()
+	t.options.Changed()
+}
+
+func (t *Tracker) change(records []store.Record) {
+	t.mutex.Lock()
+	t.applyLocked(records)
+	t.updateLocked()
+	t.mutex.Unlock()
+	t.options.Changed()
+}
+
+func (t *Tracker) applyLocked(records []store.Record) {
+	for _, record := range records {
+		end, removed, err := decodeEnd(record)
+		switch {
+		case err != nil:
+			t.options.Logger.Error("record void", zap.Int64("offset", record.Offset), zap.Error(err))
+		case removed:
+			t.ledger.Remove(end.Fingerprint, end.Server)
+		default:
+			t.ledger.Add(end)
+		}
+	}
+}
+
+// publish writes what this node finds to the store until the context ends.
+func (t *Tracker) publish(ctx context.Context) {
+	outage := follow.Outage{Logger: t.options.Logger}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.unsentWake:
+		}
+		if !pause.For(ctx, gatherTime) {
+			return
+		}
+		t.publishUnsent(ctx, &outage)
+	}
+}
+
+// publishUnsent writes until nothing is left to write.
+func (t *Tracker) publishUnsent(ctx context.Context, outage *follow.Outage) {
+	for records := t.nextUnsent(); len(records) > 0; records = t.nextUnsent() {
+		err := t.put(ctx, records)
+		outage.Note(err, zap.Stringer("topic", store.TopicQuarantine), zap.Int("records", len(records)))
+		if err == nil {
+			t.sent(len(records))
+			continue
+		}
+		if !pause.For(ctx, putRetry) {
+			return
+		}
+	}
+}
+
+// nextUnsent returns the records of the next call, the oldest first.
+func (t *Tracker) nextUnsent() []store.Record {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if over := len(t.unsent) - mostUnsent; over > 0 {
+		t.options.Logger.Error("ends of servers not shared", zap.Int("records", over))
+		t.unsent = slices.Clone(t.unsent[over:])
+	}
+	return slices.Clone(t.unsent[:min(len(t.unsent), mostAtOnce)])
+}
+
+func (t *Tracker) sent(count int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.unsent = slices.Clone(t.unsent[count:])
+}
+
+// put writes records, which do no harm where they are written twice. A store that turns this
+// node away may take them from another one.
+func (t *Tracker) put(ctx context.Context, records []store.Record) error {
+	call, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	err := t.options.Log.PutKeyed(call, store.TopicQuarantine, records)
+	if err == nil || t.options.Relay.Put == nil {
+		return err
+	}
+	relayed, cancelRelayed := context.WithTimeout(ctx, relayedPutTimeout)
+	defer cancelRelayed()
+	if relayErr := t.options.Relay.Put(relayed, records); relayErr != nil {
+		return errors.Join(err, relayErr)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quarantine/tracker.go
@@ -0,0 +1,590 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"dalehook/internal/directory"
+	"dalehook/internal/pause"
+	"dalehook/internal/store"
+)
+
+// Probe tries to open a connection to a server and closes it. Its result is one of the Reach.
+type Probe func(ctx context.Context, address string) Reach
+
+// Reach is what a probe found.
+type Reach int
+
+// What probes find.
+const (
+	// ReachUnknown: there was no answer, or none that says anything.
+	ReachUnknown Reach = iota
+	// ReachOpen: something takes connections at the address.
+	ReachOpen
+	// ReachRefused: the machine is there, and no process takes connections.
+	ReachRefused
+)
+
+// Options configure a Tracker.
+type Options struct {
+	// Node names this process, for the records that it writes.
+	Node string
+	// Log is where nodes share what they found; nil keeps it at this node.
+	Log       store.Log
+	Directory *directory.Directory
+	Probe     Probe
+	Logger    *zap.Logger
+	// Relay reads and writes by way of other nodes while the store turns this one away.
+	Relay Relay
+	// Changed is told when what is known against requests has changed; it may be nil.
+	Changed func()
+	// Tidies says whether this node removes from the store what is forgotten: one of all nodes
+	// is enough. It may be nil.
+	Tidies func() bool
+	// Observer counts what the tracker finds; it may be nil.
+	Observer Observer
+}
+
+// Observer counts what a tracker finds.
+type Observer interface {
+	// ObserveServerEnd takes the end of a server, by the evidence, and the number of requests
+	// that were under way there from this node.
+	ObserveServerEnd(evidence string, requests int)
+	// ObserveHeld takes a request that is held from now on.
+	ObserveHeld()
+}
+
+// The settling of whether a server has ended.
+const (
+	// firstProbe is when a server is probed after it broke a connection: one that crashes closes
+	// its connections a moment before or after its listener.
+	firstProbe = 30 * time.Millisecond
+	// secondProbe is the time to the second probe. A server that is only short of connections
+	// for a moment refuses one, and hardly two.
+	secondProbe = 120 * time.Millisecond
+	// probeTimeout bounds a probe: a server answers within some milliseconds.
+	probeTimeout = 300 * time.Millisecond
+	// probeLate is by how much a step of these may come too late. A node that stood still
+	// can not tell a crash from a planned end that it slept through.
+	probeLate = 500 * time.Millisecond
+	// settleTimeout bounds the wait of a request for all of that.
+	settleTimeout = firstProbe + secondProbe + 2*probeTimeout
+	// listPatience is how long a server that was not found to have ended may be listed under a new
+	// birth, or replaced at its address: machines are back within some seconds.
+	listPatience = 8 * time.Second
+	// mostUnderWay bounds the requests that are put to the account of one server's end.
+	mostUnderWay = 64
+)
+
+// Tracker finds out which servers ended under which requests, and shares it with the other
+// nodes. It may be used by several goroutines.
+type Tracker struct {
+	options Options
+	// active says that something is known or to be settled, so that requests need fingerprints.
+	active atomic.Bool
+
+	mutex  sync.Mutex
+	ledger *Ledger
+	// breaks are the servers that broke connections and may have ended.
+	breaks map[directory.Incarnation]*brokenServer
+	// ended are servers that have ended, since when: what breaks later there is due to that.
+	ended map[directory.Incarnation]time.Time
+	// unsent are records to be written to the store.
+	unsent []store.Record
+	held   map[Fingerprint]bool
+	// wake is signalled when there is something to settle, unsentWake when there is something
+	// to write.
+	wake, unsentWake chan struct{}
+}
+
+// brokenServer is a server that broke connections.
+type brokenServer struct {
+	server  directory.Incarnation
+	address string
+	service string
+	// brokeAt is when the first connection broke.
+	brokeAt time.Time
+	// requests were under way there.
+	requests map[Fingerprint]bool
+	// probed says that the probes have begun, settled is closed once they are over.
+	probed  bool
+	settled chan struct{}
+}
+
+func (b *brokenServer) settling() bool {
+	select {
+	case <-b.settled:
+		return false
+	default:
+		return true
+	}
+}
+
+// NewTracker returns a tracker that knows nothing. Without a probe it never learns anything.
+func NewTracker(options Options) *Tracker {
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
+	if options.Changed == nil {
+		options.Changed = func() {}
+	}
+	if options.Tidies == nil {
+		options.Tidies = func() bool { return false }
+	}
+	if options.Observer == nil {
+		options.Observer = noObserver{}
+	}
+	return &Tracker{
+		options: options, ledger: NewLedger(),
+		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]time.Time),
+		held: make(map[Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1),
+	}
+}
+
+type noObserver struct{}
+
+func (noObserver) ObserveServerEnd(string, int) {}
+func (noObserver) ObserveHeld()                 {}
+
+// Active says whether anything is known against any request. While it is false, which is nearly
+// always, no fingerprint is needed.
+func (t *Tracker) Active() bool { return t.active.Load() }
+
+// Suspicion returns what is known against a request.
+func (t *Tracker) Suspicion(fingerprint Fingerprint) Suspicion {
+	if !t.Active() {
+		return Suspicion{}
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.suspicionLocked(fingerprint)
+}
+
+func (t *Tracker) suspicionLocked(fingerprint Fingerprint) Suspicion {
+	known := t.ledger.Suspicion(fingerprint)
+	if known.Held {
+		return known
+	}
+	for _, broken := range t.breaks {
+		if broken.requests[fingerprint] && broken.settling() {
+			known.Ends++
+			known.Settling = known.Settling || known.Ends >= endsProved
+		}
+	}
+	return known
+}
+
+// Suspicions returns what is known against all requests that are suspected.
+func (t *Tracker) Suspicions() map[Fingerprint]Suspicion {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	all := make(map[Fingerprint]Suspicion, len(t.ledger.ends))
+	for fingerprint := range t.ledger.ends {
+		all[fingerprint] = t.suspicionLocked(fingerprint)
+	}
+	for _, broken := range t.breaks {
+		for fingerprint := range broken.requests {
+			if known := t.suspicionLocked(fingerprint); known.Ends > 0 {
+				all[fingerprint] = known
+			}
+		}
+	}
+	return all
+}
+
+// HoldEnds returns when the hold of a request ends by itself.
+func (t *Tracker) HoldEnds(fingerprint Fingerprint) time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.ledger.HoldEnds(fingerprint)
+}
+
+// Broke takes that a server broke the connection of a request that had been sent to it.
+func (t *Tracker) Broke(fingerprint Fingerprint, server directory.Server) {
+	if t.options.Probe == nil || t.isLeaving(server) {
+		return
+	}
+	t.mutex.Lock()
+	at := server.Incarnation()
+	if _, over := t.ended[at]; over {
+		t.addLocked(at, map[Fingerprint]bool{fingerprint: true})
+	} else if broken := t.noteBreakLocked(fingerprint, server); replaced(t.options.Directory.Snapshot(), broken) {
+		t.endLocked(broken, evidenceReplaced)
+	}
+	t.updateLocked()
+	t.mutex.Unlock()
+	t.signal()
+	t.options.Changed()
+}
+
+// isLeaving says whether a server is to end by plan: what it breaks off then is nobody's fault.
+func (t *Tracker) isLeaving(server directory.Server) bool {
+	listed := t.options.Directory.Find(server.ID)
+	return listed == nil || listed.Born == server.Born && listed.Draining
+}
+
+func (t *Tracker) noteBreakLocked(fingerprint Fingerprint, server directory.Server) *brokenServer {
+	at := server.Incarnation()
+	broken := t.breaks[at]
+	if broken == nil {
+		broken = &brokenServer{
+			server: at, address: server.Address, service: server.Service, brokeAt: time.Now(),
+			requests: make(map[Fingerprint]bool), settled: make(chan struct{}),
+		}
+		t.breaks[at] = broken
+	}
+	if len(broken.requests) < mostUnderWay {
+		broken.requests[fingerprint] = true
+	}
+	return broken
+}
+
+// Answered takes a whole answer of a server to a request that was sent at began, so that
+// neither did the request crash the server, nor has the server ended before.
+func (t *Tracker) Answered(fingerprint Fingerprint, server directory.Incarnation, began time.Time) {
+	t.mutex.Lock()
+	if broken := t.breaks[server]; broken != nil && began.After(broken.brokeAt) {
+		t.dropLocked(broken)
+	}
+	changed := t.clearLocked(fingerprint)
+	t.updateLocked()
+	t.mutex.Unlock()
+	if changed {
+		t.signal()
+		t.options.Changed()
+	}
+}
+
+// clearLocked forgets all that is known against a request.
+func (t *Tracker) clearLocked(fingerprint Fingerprint) (changed bool) {
+	for _, broken := range t.breaks {
+		if broken.requests[fingerprint] {
+			delete(broken.requests, fingerprint)
+			changed = true
+		}
+	}
+	for _, server := range t.ledger.Clear(fingerprint) {
+		t.unsent = append(t.unsent, removal(fingerprint, server))
+		changed = true
+	}
+	return changed
+}
+
+// Release forgets a request that an operator lets run again; it returns false for one against
+// which nothing is known.
+func (t *Tracker) Release(fingerprint Fingerprint) bool {
+	t.mutex.Lock()
+	changed := t.clearLocked(fingerprint)
+	t.updateLocked()
+	t.mutex.Unlock()
+	if changed {
+		t.options.Logger.Info("request released by an operator", zap.String("fingerprint", fingerprint.Short()))
+		t.signal()
+		t.options.Changed()
+	}
+	return changed
+}
+
+// Cases returns the requests under which servers ended, for operators.
+func (t *Tracker) Cases() []Case {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.ledger.Cases(1)
+}
+
+// Held returns the number of requests that are held.
+func (t *Tracker) Held() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.held)
+}
+
+// Settle waits until it is known of each server that broke a request off whether it has ended.
+func (t *Tracker) Settle(ctx context.Context, fingerprint Fingerprint) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for _, settled := range t.unsettled(fingerprint) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-settled:
+		}
+	}
+}
+
+func (t *Tracker) unsettled(fingerprint Fingerprint) []chan struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var waits []chan struct{}
+	for _, broken := range t.breaks {
+		if broken.requests[fingerprint] && broken.settling() {
+			waits = append(waits, broken.settled)
+		}
+	}
+	return waits
+}
+
+// ObserveServers looks for servers that broke connections and were replaced since.
+func (t *Tracker) ObserveServers() {
+	if !t.Active() {
+		return
+	}
+	t.mutex.Lock()
+	snapshot := t.options.Directory.Snapshot()
+	var ended []*brokenServer
+	for _, broken := range t.breaks {
+		if replaced(snapshot, broken) {
+			ended = append(ended, broken)
+		}
+	}
+	for _, broken := range ended {
+		t.endLocked(broken, evidenceReplaced)
+	}
+	t.updateLocked()
+	t.mutex.Unlock()
+	if len(ended) > 0 {
+		t.signal()
+		t.options.Changed()
+	}
+}
+
+// replaced says whether the list shows a later life of a server, or another one at its address. A
+// server that leaves by plan gives its address away later than it breaks its last connection.
+func replaced(snapshot *directory.Snapshot, broken *brokenServer) bool {
+	found := false
+	snapshot.All(func(server *directory.Server) {
+		switch {
+		case server.ID == broken.server.ID:
+			found = found || server.Born > broken.server.Born
+		case server.Address == broken.address && server.Service == broken.service:
+			found = true
+		}
+	})
+	return found
+}
+
+// What shows that a server has ended.
+const (
+	// evidenceRefused: its machine refuses connections to it, twice.
+	evidenceRefused = "connections refused"
+	// evidenceReplaced: a later life of it is listed, or another server at its address.
+	evidenceReplaced = "replaced in the list"
+)
+
+// endLocked takes that a server has ended under what it was running.
+func (t *Tracker) endLocked(broken *brokenServer, evidence string) {
+	t.dropLocked(broken)
+	t.ended[broken.server] = time.Now()
+	added := t.addLocked(broken.server, broken.requests)
+	t.options.Observer.ObserveServerEnd(evidence, len(broken.requests))
+	t.options.Logger.Info("server ended under requests", zap.String("server", broken.server.ID), zap.Int64("born", broken.server.Born),
+		zap.String("service", broken.service), zap.String("evidence", evidence), zap.Int("requests", len(broken.requests)),
+		zap.Strings("fingerprints", shortest(added)), zap.Duration("after", time.Since(broken.brokeAt)))
+}
+
+// mostLogged bounds the fingerprints in one log line.
+const mostLogged = 8
+
+func shortest(fingerprints []Fingerprint) []string {
+	var texts []string
+	for _, fingerprint := range fingerprints[:min(len(fingerprints), mostLogged)] {
+		texts = append(texts, fingerprint.Short())
+	}
+	return texts
+}
+
+// addLocked puts a server's end to the account of requests, and has it written to the store.
+func (t *Tracker) addLocked(server directory.Incarnation, requests map[Fingerprint]bool) (added []Fingerprint) {
+	for fingerprint := range requests {
+		end := End{Fingerprint: fingerprint, Server: server, At: time.Now()}
+		if !t.ledger.Add(end) {
+			continue
+		}
+		added = append(added, fingerprint)
+		record, err := encodeEnd(end, t.options.Node)
+		if err != nil {
+			t.options.Logger.Error("end of a server not shared", zap.String("server", server.ID), zap.Error(err))
+			continue
+		}
+		t.unsent = append(t.unsent, record)
+	}
+	return added
+}
+
+// dropLocked ends the settling of a server.
+func (t *Tracker) dropLocked(broken *brokenServer) {
+	delete(t.breaks, broken.server)
+	broken.close()
+}
+
+func (b *brokenServer) close() {
+	if b.settling() {
+		close(b.settled)
+	}
+}
+
+// updateLocked notes what has changed by the last inputs.
+func (t *Tracker) updateLocked() {
+	for fingerprint := range t.held {
+		if !t.ledger.Suspicion(fingerprint).Held {
+			delete(t.held, fingerprint)
+			t.options.Logger.Info("request no longer held", zap.String("fingerprint", fingerprint.Short()))
+		}
+	}
+	for _, known := range t.ledger.Cases(endsProved) {
+		if known.Held && !t.held[known.Fingerprint] {
+			t.held[known.Fingerprint] = true
+			t.logHeld(known)
+		}
+	}
+	t.active.Store(t.ledger.Len() > 0 || len(t.breaks) > 0 || len(t.ended) > 0)
+}
+
+func (t *Tracker) logHeld(known Case) {
+	var servers []string
+	var births []int64
+	var ages []time.Duration
+	for _, end := range known.Ends {
+		servers = append(servers, end.Server.ID)
+		births = append(births, end.Server.Born)
+		ages = append(ages, time.Since(end.At))
+	}
+	t.options.Observer.ObserveHeld()
+	t.options.Logger.Warn("request held", zap.String("fingerprint", known.Fingerprint.String()),
+		zap.Strings("servers", servers), zap.Int64s("born", births), zap.Durations("ages", ages))
+}
+
+// signal has the goroutines of Run look at what there is to do.
+func (t *Tracker) signal() {
+	for _, wake := range []chan struct{}{t.wake, t.unsentWake} {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// sweepInterval is the time between two sweeps of what is no longer of use.
+const sweepInterval = time.Second
+
+// Run settles, shares and learns until the context ends.
+func (t *Tracker) Run(ctx context.Context) {
+	var background conc.WaitGroup
+	defer background.Wait()
+	if t.options.Log != nil {
+		background.Go(func() { t.follow(ctx) })
+		background.Go(func() { t.publish(ctx) })
+	}
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		for _, broken := range t.unprobed() {
+			background.Go(func() { t.probe(ctx, broken) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		case <-ticker.C:
+			t.sweep(time.Now())
+		}
+	}
+}
+
+// unprobed returns the servers whose probes are to begin.
+func (t *Tracker) unprobed() []*brokenServer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var waiting []*brokenServer
+	for _, broken := range t.breaks {
+		if !broken.probed {
+			broken.probed = true
+			waiting = append(waiting, broken)
+		}
+	}
+	return waiting
+}
+
+var errProbeLate = errors.New("the node stood still between probes")
+
+// probe finds out whether a server takes connections.
+func (t *Tracker) probe(ctx context.Context, broken *brokenServer) {
+	refused, err := t.refusesTwice(ctx, broken.address)
+	if err != nil {
+		t.options.Logger.Info("server not settled", zap.String("server", broken.server.ID), zap.Error(err))
+	}
+	t.mutex.Lock()
+	if t.breaks[broken.server] == broken && refused {
+		t.endLocked(broken, evidenceRefused)
+	}
+	broken.close()
+	t.updateLocked()
+	t.mutex.Unlock()
+	t.signal()
+	t.options.Changed()
+}
+
+func (t *Tracker) refusesTwice(ctx context.Context, address string) (bool, error) {
+	for _, wait := range []time.Duration{firstProbe, secondProbe} {
+		due := time.Now().Add(wait)
+		if !pause.For(ctx, wait) {
+			return false, ctx.Err()
+		}
+		call, cancel := context.WithTimeout(ctx, probeTimeout)
+		reach := t.options.Probe(call, address)
+		cancel()
+		if time.Since(due) > probeLate {
+			return false, errProbeLate
+		}
+		if reach != ReachRefused {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// endedFor is how long a server's end is remembered for what is still to break there.
+const endedFor = 10 * time.Second
+
+// sweep drops what is no longer of use.
+func (t *Tracker) sweep(now time.Time) {
+	if !t.Active() {
+		return
+	}
+	tidies := t.options.Tidies()
+	t.mutex.Lock()
+	for _, broken := range t.breaks {
+		if now.Sub(broken.brokeAt) > listPatience {
+			t.dropLocked(broken)
+		}
+	}
+	for server, at := range t.ended {
+		if now.Sub(at) > endedFor {
+			delete(t.ended, server)
+		}
+	}
+	forgotten := t.forgetLocked(now, tidies)
+	t.updateLocked()
+	t.mutex.Unlock()
+	if forgotten {
+		t.signal()
+		t.options.Changed()
+	}
+}
+
+// forgetLocked drops the requests under which no server has ended for long.
+func (t *Tracker) forgetLocked(now time.Time, tidies bool) bool {
+	expired := t.ledger.Expire(now)
+	if tidies {
+		for _, end := range expired {
+			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
+		}
+	}
+	return len(expired) > 0
+}
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -51,8 +51,8 @@
 		}
 		chosen := m.chooseOrRestart(now, next, engines, usual[next.service])
 		if chosen == nil {
-			// An engine that may not go on with one item's text may take the next item.
-			full = len(open.route.Targets) <= 1 && !next.isBound()
+			// An engine that may not go on with one item's text, or take a suspect, may take the next item.
+			full = len(open.route.Targets) <= 1 && !next.isBound() && m.suspicion(next).Ends == 0
 			waiting = append(waiting, next)
 			continue
 		}
@@ -134,7 +134,7 @@
 		if !m.mayRun(now, next, candidate) || patient && candidate.isSlow(now, usual) {
 			continue
 		}
-		cost := candidate.cost(now, next)
+		cost := candidate.cost(now, next) + m.suspectCost(next, candidate)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
@@ -154,7 +154,7 @@
 	if version < next.job.minimum {
 		return false
 	}
-	return !m.mixesVersions(next, version)
+	return !m.mixesVersions(next, version) && m.mayRunBeside(next, candidate)
 }
 
 const (
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -142,6 +142,10 @@
 		owner.refused++
 	}
 	owner.waitingSince = now
+	if m.suspicion(owner).Held {
+		owner.job.held = append(owner.job.held, owner)
+		return
+	}
 	owner.requeue()
 }
 
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -43,7 +43,7 @@
 	known := m.engines[server.ID]
 	if known == nil {
 		known = &engine{
-			server:   Server{ID: server.ID, Address: server.Address},
+			server:   Server{ID: server.ID, Born: server.Born, Address: server.Address, Service: server.Service},
 			versions: make(map[string]int64),
 			attempts: make(map[AttemptID]*attempt),
 		}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -45,6 +45,7 @@
 		}
 	}
 	slices.SortStableFunc(opened.queue, longestFirst)
+	m.divideHeld(opened)
 	m.divide()
 	m.schedule(now)
 }
@@ -157,6 +158,6 @@
 				m.finishDead(waiting)
 			}
 		}
-		job.queue = nil
+		job.queue, job.held = nil, nil
 	}
 }
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 )
@@ -42,6 +43,9 @@
 	recovered   map[int]map[string]*batch.Partial
 	recoveredAt time.Time
 
+	// suspicions are what is known against items that engines ended under.
+	suspicions map[quarantine.Fingerprint]quarantine.Suspicion
+
 	mayOrder bool
 	epoch    int64
 	// resigned machines start and order nothing any more; their runs go on.
--- /dev/null
+++ b/internal/scheduler/suspicions.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"net/http"
+	"time"
+
+	"dalehook/internal/batch"
+	"dalehook/internal/quarantine"
+)
+
+// apartFrom is the number of engines that ended under an item from which on it runs beside no other
+// such item. Each engine that crashes implicates all of its items once; what is implicated twice
+// is rare, and is to be told apart.
+const apartFrom = 2
+
+// Fingerprint tells an item from others, but not from the same one in another job.
+func Fingerprint(tenant, host string, source *batch.Item) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(quarantine.Identity{
+		Caller: tenant, Method: http.MethodPost, Host: host, Target: source.Path, Body: source.Body,
+	})
+}
+
+// HandleSuspicions takes what is known against the items that engines ended under.
+func (m *Machine) HandleSuspicions(now time.Time, suspicions map[quarantine.Fingerprint]quarantine.Suspicion) {
+	m.suspicions = suspicions
+	for _, open := range m.sortedJobs() {
+		m.divideHeld(open)
+	}
+	m.schedule(now)
+}
+
+// divideHeld has the items of a job wait that are held no more, and takes those that are held now
+// from the queue.
+func (m *Machine) divideHeld(open *job) {
+	waiting := append(open.held, open.queue...)
+	open.held, open.queue = nil, nil
+	for _, next := range waiting {
+		if m.suspicion(next).Held {
+			open.held = append(open.held, next)
+			continue
+		}
+		open.queue = append(open.queue, next)
+	}
+}
+
+// suspicion returns what is known against an item.
+func (m *Machine) suspicion(known *item) quarantine.Suspicion {
+	if len(m.suspicions) == 0 {
+		return quarantine.Suspicion{}
+	}
+	if known.fingerprint == (quarantine.Fingerprint{}) {
+		known.fingerprint = Fingerprint(known.job.tenant, known.job.host, known.source)
+	}
+	return m.suspicions[known.fingerprint]
+}
+
+// mayRunBeside says whether an item may run at an engine as far as engines ended under it and
+// under what runs there. The same item runs once at a time; two suspects end no engine together.
+func (m *Machine) mayRunBeside(next *item, candidate *engine) bool {
+	known := m.suspicion(next)
+	if known.Ends == 0 {
+		return true
+	}
+	if known.Settling || known.Held || m.runsElsewhere(next) {
+		return false
+	}
+	if known.Ends < apartFrom {
+		return true
+	}
+	for _, running := range candidate.attempts {
+		if m.suspicion(running.item).Ends >= apartFrom {
+			return false
+		}
+	}
+	return true
+}
+
+// runsElsewhere says whether the same item runs for another job.
+func (m *Machine) runsElsewhere(next *item) bool {
+	for _, running := range m.attempts {
+		if running.item != next && m.suspicion(running.item).Ends > 0 && running.item.fingerprint == next.fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectPenalty is added to the cost of an engine for each run there, for an item that engines
+// ended under more than once: little else is to be lost with the next. It is above what paces differ by.
+const suspectPenalty = 1
+
+// suspectCost rates an engine by what would be lost with it.
+func (m *Machine) suspectCost(next *item, candidate *engine) float64 {
+	if m.suspicion(next).Ends < apartFrom {
+		return 0
+	}
+	return suspectPenalty * float64(len(candidate.attempts))
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 )
@@ -49,8 +50,11 @@
 
 // Server is the address of one incarnation of an engine.
 type Server struct {
-	ID      string
+	ID string
+	// Born is when this life of it began, in Unix milliseconds; 0 where it does not tell.
+	Born    int64
 	Address string
+	Service string
 }
 
 // Cancel asks the driver to end an attempt. The driver still reports its end.
@@ -193,6 +197,8 @@
 	kept bool
 	// carried items were in an earlier job; their trainer waits for them.
 	carried bool
+	// fingerprint tells the item from others; zero until it is needed.
+	fingerprint quarantine.Fingerprint
 	// final is the result of a finished item that completed.
 	final *batch.Result
 	// waitingSince is when the item last came to its job's queue.
@@ -225,6 +231,9 @@
 	items    map[string]*item
 	// queue holds the items that wait, the first to start first.
 	queue []*item
+	// held holds the items that crash engines. They wait for nothing but the end of their time,
+	// and keep nothing else waiting.
+	held []*item
 	// groups holds the number of items without a result by group.
 	groups map[string]int
 	// done holds the results in the log, by item.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,11 +34,18 @@
 	TopicServerRelay
 	// TopicUsage holds what nodes count of the requests that ran, and the ends of windows.
 	TopicUsage
+	// TopicQuarantine holds which servers ended under which requests, by key.
+	TopicQuarantine
 )
 
+// Keyed says whether the newest record of each key of a topic is kept for good.
+func (t Topic) Keyed() bool {
+	return t == TopicOperator || t == TopicServers || t == TopicQuarantine
+}
+
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay", "usage"}[t]
+	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay", "usage", "quarantine"}[t]
 }
 
 // Partition is one log of a topic.
@@ -76,6 +83,9 @@
 	// AppendAt is Append on the condition that the partition ends at end. It
 	// returns a *ConditionError when it does not.
 	AppendAt(ctx context.Context, partition Partition, end int64, payloads [][]byte) (int64, error)
+	// PutKeyed adds records to a keyed topic, all or none. A record without a value removes
+	// its key.
+	PutKeyed(ctx context.Context, topic Topic, records []Record) error
 	// Read returns the records from an offset on. It waits up to wait for the
 	// first. It returns a *TrimmedError when the offset is no longer kept.
 	Read(ctx context.Context, partition Partition, from int64, wait time.Duration) (Batch, error)
--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -171,6 +171,24 @@
 	return first, nil
 }
 
+// PutKeyed implements store.Log.
+func (m *Memory) PutKeyed(ctx context.Context, topic store.Topic, records []store.Record) error {
+	fault, err := m.enter(ctx)
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		m.Put(topic, record.Key, slices.Clone(record.Value))
+	}
+	m.mutex.Lock()
+	m.appends++
+	m.mutex.Unlock()
+	if fault == FaultLoseAnswer {
+		return ErrLost
+	}
+	return nil
+}
+
 // Read implements store.Log.
 func (m *Memory) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
 	if _, err := m.enter(ctx); err != nil {
--- a/internal/storeproxy/storeproxy.go
+++ b/internal/storeproxy/storeproxy.go
@@ -1,14 +1,15 @@
-// Package storeproxy lets a node that the store turns away read what operators put there by
-// way of another node. A store may refuse some machines while it serves all others.
+// Package storeproxy lets a node that the store turns away read keyed topics by way of another
+// node, and add to those that are the product's own. A store may refuse some machines while it
+// serves all others.
 package storeproxy
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"net/rpc"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -30,8 +31,10 @@
 	mostPeers = 4
 )
 
-// Question asks for the records of the operator's topic.
+// Question asks for the records of a keyed topic.
 type Question struct {
+	// Topic is that of the operator unless it is told.
+	Topic store.Topic
 	// From is the offset to read on from; below 0 the newest record of each key is asked for.
 	From int64
 }
@@ -88,11 +91,11 @@
 	log   store.Log
 	peers *Peers
 
-	// reads are those under way, by the offset: nodes that ask for the same share one.
+	// reads are those under way, by the question: nodes that ask for the same share one.
 	reads singleflight.Group
 
 	mutex  sync.Mutex
-	latest map[int64]latestRead
+	latest map[Question]latestRead
 }
 
 type latestRead struct {
@@ -110,7 +113,7 @@
 
 // NewProxy returns a proxy to a store. Peers are told to the nodes that it can not help.
 func NewProxy(log store.Log, peers *Peers) *Proxy {
-	return &Proxy{log: log, peers: peers, latest: make(map[int64]latestRead)}
+	return &Proxy{log: log, peers: peers, latest: make(map[Question]latestRead)}
 }
 
 type service struct{ proxy *Proxy }
@@ -120,7 +123,7 @@
 	return eris.Wrap(server.RegisterName(serviceName, &service{proxy: proxy}), "register the reading for other nodes")
 }
 
-// Read reads the operator's topic for another node.
+// Read reads a keyed topic for another node.
 func (s *service) Read(question Question, answer *Answer) error {
 	*answer = s.proxy.Read(question)
 	return nil
@@ -128,31 +131,31 @@
 
 // Read answers a question from the store, or from what was read of it just before.
 func (p *Proxy) Read(question Question) Answer {
-	if answer, fresh := p.fresh(question.From); fresh {
+	if answer, fresh := p.fresh(question); fresh {
 		return answer
 	}
-	shared, _, _ := p.reads.Do(strconv.FormatInt(question.From, 10), func() (any, error) {
+	shared, _, _ := p.reads.Do(fmt.Sprint(question.Topic, question.From), func() (any, error) {
 		askedAt := time.Now()
 		latest := latestRead{answer: p.readNow(question), askedAt: askedAt, at: time.Now()}
-		p.note(question.From, latest)
+		p.note(question, latest)
 		return latest, nil
 	})
 	return shared.(latestRead).aged()
 }
 
-func (p *Proxy) fresh(from int64) (answer Answer, fresh bool) {
+func (p *Proxy) fresh(question Question) (answer Answer, fresh bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	latest := p.latest[from]
+	latest := p.latest[question]
 	return latest.aged(), time.Since(latest.at) < freshFor
 }
 
 // note remembers an answer, and forgets the others that are no longer fresh.
-func (p *Proxy) note(from int64, latest latestRead) {
+func (p *Proxy) note(question Question, latest latestRead) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	maps.DeleteFunc(p.latest, func(_ int64, read latestRead) bool { return latest.at.Sub(read.at) >= freshFor })
-	p.latest[from] = latest
+	maps.DeleteFunc(p.latest, func(_ Question, read latestRead) bool { return latest.at.Sub(read.at) >= freshFor })
+	p.latest[question] = latest
 }
 
 func (p *Proxy) readNow(question Question) Answer {
@@ -171,7 +174,7 @@
 
 func read(ctx context.Context, log store.Log, question Question, answer *Answer) error {
 	if question.From >= 0 {
-		batch, err := log.Read(ctx, store.Partition{Topic: store.TopicOperator}, question.From, 0)
+		batch, err := log.Read(ctx, store.Partition{Topic: question.Topic}, question.From, 0)
 		if err == nil {
 			answer.Records, answer.Next = batch.Records, batch.Next
 			return nil
@@ -181,7 +184,7 @@
 			return err
 		}
 	}
-	records, end, err := log.Newest(ctx, store.TopicOperator)
+	records, end, err := log.Newest(ctx, question.Topic)
 	answer.Records, answer.Next, answer.Whole = records, end, true
 	return err
 }
