--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -38,7 +38,7 @@
 		zap.Duration("took", time.Since(began)), zap.Error(err))
 	c.options.Observer.ObserveLoad(err == nil && version >= order.Version)
 	c.inputOf(machine, func(now time.Time) {
-		machine.HandleLoad(now, order.Server.ID, order.Model, scheduler.Load{Ordered: ordered && err == nil, Version: version})
+		machine.HandleLoad(now, order.Server, order.Model, scheduler.Load{Ordered: ordered && err == nil, Version: version})
 	})
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -88,3 +88,24 @@
 		t.Errorf("age %v", got)
 	}
 }
+
+// Seen: none; read in the code. A server that crashed and started again under its id was taken for
+// the same one, and so was all that was known of its life before.
+// Cause: an entry's time of birth was neither decoded nor compared.
+func TestALaterLifeOfAServerIsAChange(t *testing.T) {
+	d := NewDirectory()
+	put(d, Server{ID: "a", Born: 1000, Service: "s"})
+	before := d.Snapshot()
+	if !put(d, Server{ID: "a", Born: 2000, Service: "s"}) {
+		t.Error("a later life is no change")
+	}
+	if put(d, Server{ID: "a", Born: 2000, Service: "s", Digest: 7}) {
+		t.Error("a heartbeat of the same life is a change")
+	}
+	if got := d.Snapshot().Ready("s")[0].Incarnation(); got != (Incarnation{ID: "a", Born: 2000}) {
+		t.Errorf("listed as %+v", got)
+	}
+	if got := before.Ready("s")[0].Incarnation(); got != (Incarnation{ID: "a", Born: 1000}) {
+		t.Errorf("the snapshot before lists %+v", got)
+	}
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -125,16 +125,16 @@
 	return slices.SortedFunc(maps.Keys(l.ends[fingerprint]), directory.Incarnation.Compare)
 }
 
-// evict drops the request that is suspected the least, and of equals the one longest ago.
+// evictShare is the part of the requests that are dropped at once where there are too many, so
+// that looking at all of them is rare.
+const evictShare = 8
+
+// evict drops the requests that are suspected the least, and of equals those longest ago.
 func (l *Ledger) evict() {
-	var least Fingerprint
-	var found bool
-	for fingerprint := range l.ends {
-		if !found || l.compareSuspicion(fingerprint, least) < 0 {
-			least, found = fingerprint, true
-		}
+	ordered := slices.SortedFunc(maps.Keys(l.ends), l.compareSuspicion)
+	for _, fingerprint := range ordered[:(len(ordered)+evictShare-1)/evictShare] {
+		l.Clear(fingerprint)
 	}
-	l.Clear(least)
 }
 
 func (l *Ledger) compareSuspicion(a, b Fingerprint) int {
--- /dev/null
+++ b/internal/quarantine/tracker_test.go
@@ -0,0 +1,228 @@
+package quarantine
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dalehook/internal/directory"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+)
+
+// desk is a tracker on a virtual clock, before servers of which the test says what probes find.
+type desk struct {
+	*Tracker
+	list   *directory.Directory
+	reach  atomic.Int32
+	probes atomic.Int32
+	// hang is how long a probe takes.
+	hang atomic.Int64
+}
+
+func newDesk(ctx context.Context, log store.Log) *desk {
+	d := &desk{list: directory.NewDirectory()}
+	d.reach.Store(int32(ReachRefused))
+	d.Tracker = NewTracker(Options{
+		Node: "n", Log: log, Directory: d.list,
+		Probe: func(context.Context, string) Reach {
+			d.probes.Add(1)
+			time.Sleep(time.Duration(d.hang.Load()))
+			return Reach(d.reach.Load())
+		},
+	})
+	go d.Run(ctx)
+	return d
+}
+
+// put lists a life of a server and returns its entry.
+func (d *desk) put(number int) directory.Server {
+	server := directory.Server{ID: "i", Born: int64(number), Service: "s", Address: "a:1"}
+	d.list.Apply([]directory.Change{{ID: server.ID, Server: &server}})
+	d.ObserveServers()
+	return server
+}
+
+// inBubble runs a test with a desk on a virtual clock.
+func inBubble(t *testing.T, test func(t *testing.T, d *desk)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		test(t, newDesk(ctx, nil))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+const settled = 400 * time.Millisecond
+
+func TestAServerThatRefusesConnectionsHasEnded(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *desk) {
+		for number := range 3 {
+			server := d.put(number)
+			d.Broke(named("d"), server)
+			if number == 2 && !d.Suspicion(named("d")).Settling {
+				t.Error("the third end is not waited for")
+			}
+			d.Settle(t.Context(), named("d"))
+			if got := d.Suspicion(named("d")); got.Ends != number+1 || got.Held != (number == 2) {
+				t.Errorf("after %d ends: %+v", number+1, got)
+			}
+		}
+	})
+}
+
+func TestABreakIsNoEnd(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(d *desk)
+	}{
+		{"the server takes connections", func(d *desk) { d.reach.Store(int32(ReachOpen)) }},
+		{"the server can not be reached", func(d *desk) { d.reach.Store(int32(ReachUnknown)) }},
+		{"the node stood still meanwhile", func(d *desk) { d.hang.Store(int64(2 * time.Second)) }},
+		{"the server was leaving", func(d *desk) {
+			leaving := directory.Server{ID: "i", Service: "s", Address: "a:1", Draining: true}
+			d.list.Apply([]directory.Change{{ID: "i", Server: &leaving}})
+		}},
+		{"the server was gone from the list", func(d *desk) { d.list.Apply([]directory.Change{{ID: "i"}}) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, d *desk) {
+				server := d.put(0)
+				c.set(d)
+				d.Broke(named("d"), server)
+				time.Sleep(5 * time.Second)
+				if got := d.Suspicion(named("d")); got != (Suspicion{}) {
+					t.Errorf("%+v", got)
+				}
+				time.Sleep(2 * listPatience)
+				if d.Active() {
+					t.Error("something is still kept")
+				}
+			})
+		})
+	}
+}
+
+// A machine that is silent after a crash refuses nothing; the list tells once the server is back.
+func TestAReplacedServerHasEnded(t *testing.T) {
+	replacements := map[string]directory.Server{
+		"a later life of it":            {ID: "i", Born: 9, Service: "s", Address: "a:1"},
+		"another server at its address": {ID: "j", Born: 9, Service: "s", Address: "a:1"},
+	}
+	for name, replacement := range replacements {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, d *desk) {
+				d.reach.Store(int32(ReachUnknown))
+				server := d.put(1)
+				d.Broke(named("d"), server)
+				time.Sleep(3 * time.Second)
+				d.list.Apply([]directory.Change{{ID: replacement.ID, Server: &replacement}})
+				d.ObserveServers()
+				if got := d.Suspicion(named("d")); got.Ends != 1 {
+					t.Errorf("%+v", got)
+				}
+			})
+		})
+	}
+}
+
+// One server may run a harmless request many times a second; whatever ends, an answer to it
+// comes before the end is settled.
+func TestAnAnsweredRequestIsNotSuspected(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *desk) {
+		server := d.put(0)
+		d.Broke(named("a"), server)
+		d.Broke(named("d"), server)
+		d.Answered(named("a"), directory.Incarnation{ID: "other"}, time.Now())
+		time.Sleep(settled)
+		if got := d.Suspicion(named("a")); got != (Suspicion{}) {
+			t.Errorf("the answered one: %+v", got)
+		}
+		if got := d.Suspicion(named("d")); got.Ends != 1 {
+			t.Errorf("the other one: %+v", got)
+		}
+	})
+}
+
+// A server that answers what was sent to it after it broke a connection has not ended.
+func TestAnAnswerShowsThatTheServerLives(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *desk) {
+		server := d.put(0)
+		d.Broke(named("d"), server)
+		time.Sleep(time.Millisecond)
+		d.Answered(named("b"), server.Incarnation(), time.Now())
+		time.Sleep(settled)
+		if got := d.Suspicion(named("d")); got != (Suspicion{}) {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
+// What nodes found is known to all, also to one that starts later, and an answer or a release
+// at one of them clears it everywhere.
+func TestNodesShareWhatTheyFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := storetest.NewMemory()
+		first, second := newDesk(ctx, log), newDesk(ctx, log)
+		for number := range 3 {
+			seenBy := []*desk{first, second, first}[number]
+			server := seenBy.put(number)
+			seenBy.Broke(named("d"), server)
+			seenBy.Broke(named("a"), server)
+			time.Sleep(settled)
+		}
+		second.Answered(named("a"), directory.Incarnation{ID: "other"}, time.Now())
+		time.Sleep(settled)
+		third := newDesk(ctx, log)
+		time.Sleep(settled)
+		for number, d := range []*desk{first, second, third} {
+			if got := d.Suspicion(named("d")); !got.Held || got.Ends != 3 {
+				t.Errorf("node %d: the deadly one %+v", number, got)
+			}
+			if got := d.Suspicion(named("a")); got.Ends != 0 {
+				t.Errorf("node %d: the harmless one %+v", number, got)
+			}
+		}
+		if !third.Release(named("d")) || third.Release(named("d")) {
+			t.Error("a request is released once")
+		}
+		time.Sleep(settled)
+		for number, d := range []*desk{first, second, third} {
+			if d.Suspicion(named("d")).Held {
+				t.Errorf("node %d holds what was released", number)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// What could not be written while the store was away is written once it is back.
+func TestFindingsOutlastAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := storetest.NewMemory()
+		first, second := newDesk(ctx, log), newDesk(ctx, log)
+		time.Sleep(settled)
+		log.SetFault(storetest.FaultRefuse)
+		for number := range 3 {
+			server := first.put(number)
+			first.Broke(named("d"), server)
+			time.Sleep(settled)
+		}
+		if !first.Suspicion(named("d")).Held || second.Suspicion(named("d")).Held {
+			t.Error("while the store is away, the node that found it alone is to know")
+		}
+		log.SetFault(storetest.FaultNone)
+		time.Sleep(3 * time.Second)
+		if !second.Suspicion(named("d")).Held {
+			t.Error("the other node does not know once the store is back")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -87,7 +87,7 @@
 		f.running = append(f.running, start.Attempt)
 	}
 	for _, order := range output.Orders {
-		f.machine.HandleLoad(f.now, order.Server.ID, order.Model, Load{Version: order.Version})
+		f.machine.HandleLoad(f.now, order.Server, order.Model, Load{Version: order.Version})
 	}
 	for _, result := range output.Results {
 		f.machine.HandleListed(f.now, &result)
--- a/internal/scheduler/liveness_test.go
+++ b/internal/scheduler/liveness_test.go
@@ -272,7 +272,7 @@
 			load = Load{Ordered: true, Version: known.version}
 		}
 		known.loading = 0
-		w.machine.HandleLoad(w.now, name, "m", load)
+		w.machine.HandleLoad(w.now, Server{ID: name}, "m", load)
 	}
 	for _, id := range w.sortedAttempts() {
 		w.runAttempt(id, w.attempts[id])
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -372,8 +372,8 @@
 }
 
 // HandleLoad takes what an order came to.
-func (m *Machine) HandleLoad(now time.Time, serverID, model string, load Load) {
-	known := m.engines[serverID]
+func (m *Machine) HandleLoad(now time.Time, server Server, model string, load Load) {
+	known := m.engines[server.ID]
 	if known == nil {
 		return
 	}
--- a/internal/scheduler/loadwindow_test.go
+++ b/internal/scheduler/loadwindow_test.go
@@ -29,7 +29,7 @@
 			most = max(most, len(under))
 			f.now = f.now.Add(time.Duration(float64(time.Second) * max(1, float64(len(under))/float64(carried))))
 			for _, order := range under {
-				f.machine.HandleLoad(f.now, order.Server.ID, "m", Load{Ordered: true, Version: order.Version})
+				f.machine.HandleLoad(f.now, order.Server, "m", Load{Ordered: true, Version: order.Version})
 			}
 			f.fresh()
 		}
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -347,7 +347,7 @@
 	if len(f.orders) != DefaultConcurrentLoads || f.orders[0].Epoch != 7 || f.orders[0].Version != 2 {
 		t.Fatalf("orders %+v", f.orders)
 	}
-	f.machine.HandleLoad(f.now, f.orders[0].Server.ID, "m", Load{Ordered: true, Version: 2})
+	f.machine.HandleLoad(f.now, f.orders[0].Server, "m", Load{Ordered: true, Version: 2})
 	f.take()
 	if len(f.orders) != 3 {
 		t.Errorf("orders %+v", f.orders)
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -147,7 +147,7 @@
 		for id, at := range orderedAt {
 			if f.now.Sub(at) >= time.Second {
 				delete(orderedAt, id)
-				f.machine.HandleLoad(f.now, id, "m", Load{})
+				f.machine.HandleLoad(f.now, Server{ID: id}, "m", Load{})
 				f.take()
 			}
 		}
