--- a/internal/serverlist/relay.go
+++ b/internal/serverlist/relay.go
@@ -31,9 +31,9 @@
 	// Born is 0 in entries of nodes that do not tell it.
 	Born                   int64
 	Service, Address, Zone string
-	Slots                      int
-	Draining                   bool
-	Digest                     uint64
+	Slots                  int
+	Draining               bool
+	Digest                 uint64
 }
 
 func entryOf(server *directory.Server) relayEntry {
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -65,6 +65,8 @@
 	complete bool
 	direct   bool
 	next     int64
+	// voidLoggedAt is when an entry that names no server was last logged; one goroutine uses it.
+	voidLoggedAt time.Time
 	// versions says that the directory has the servers' weight versions.
 	versions bool
 }
@@ -281,9 +283,11 @@
 		if l.options.Directory.Holds(record.Key, l.options.Digest(record.Value)) && !mentioned(changes, record.Key) {
 			continue
 		}
+		change := directory.Change{ID: record.Key}
 		if server, ok := l.decode(record); ok {
-			changes = append(changes, directory.Change{ID: record.Key, Server: &server})
+			change.Server = &server
 		}
+		changes = append(changes, change)
 	}
 	if effective := l.options.Directory.Apply(changes); len(effective) > 0 {
 		l.log(effective)
@@ -301,13 +305,27 @@
 	return false
 }
 
+// voidInterval is the time between two log lines about entries that are no server's: who writes
+// such entries may do so all the time.
+const voidInterval = time.Second
+
+func (l *List) logVoid(key string, err error) {
+	now := time.Now()
+	if now.Sub(l.voidLoggedAt) < voidInterval {
+		return
+	}
+	l.voidLoggedAt = now
+	l.options.Logger.Error("server entry void", zap.String("server", key), zap.Error(err))
+}
+
+// decode reads the entry of a server; ok is false for one that names none to use.
 func (l *List) decode(record store.Record) (directory.Server, bool) {
 	if len(record.Value) == 0 {
 		return directory.Server{}, false
 	}
 	server, err := l.options.Decode(record)
 	if err != nil {
-		l.options.Logger.Error("server entry void", zap.String("server", record.Key), zap.Error(err))
+		l.logVoid(record.Key, err)
 		return directory.Server{}, false
 	}
 	server.Digest = l.options.Digest(record.Value)
