--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,115 @@
+// Package clock tells time that goes on while the machine is suspended.
+//
+// The time package measures by a clock that stands still during a suspension: what was read
+// before looks as fresh afterwards, and a lease as valid. Ages, leases and deadlines are therefore
+// measured by Now. Its times compare with each other only; they are ahead of time.Now by what was
+// slept, so that a deadline becomes that of a context by way of Until.
+package clock
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+// suspended is the time that the machine was seen to be suspended, in nanoseconds.
+var suspended atomic.Int64
+
+// Now returns the time with the suspensions that were noted.
+func Now() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+
+// Since returns the time since a moment that Now told.
+func Since(moment time.Time) time.Duration { return Now().Sub(moment) }
+
+// Until returns the time until a moment that was reckoned from one that Now told.
+func Until(moment time.Time) time.Duration { return moment.Sub(Now()) }
+
+// NoteSuspended adds to the time that the machine was suspended. Tests play suspensions by it.
+func NoteSuspended(length time.Duration) { suspended.Add(int64(length)) }
+
+// The watching for suspensions.
+const (
+	// watchInterval is the time between two looks. What must not act on an old belief at all looks by
+	// itself, with Refresh.
+	watchInterval = 50 * time.Millisecond
+	// shortest is the shortest suspension that is noted: two clocks are not read at once.
+	shortest = 5 * time.Millisecond
+)
+
+// gap is by how much the clock that goes on is ahead of the one that does not.
+func gap() (time.Duration, error) {
+	var running, steady unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
+		return 0, err
+	}
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &running); err != nil {
+		return 0, err
+	}
+	return time.Duration(running.Nano() - steady.Nano()), nil
+}
+
+// detector notes suspensions since it was made.
+type detector struct {
+	mutex sync.Mutex
+	known bool
+	last  time.Duration
+}
+
+// note takes the gap between the clocks and returns how long the machine was suspended since the
+// last one.
+func (d *detector) note(now time.Duration) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.known {
+		d.known, d.last = true, now
+		return 0
+	}
+	slept := now - d.last
+	if slept < shortest {
+		return 0
+	}
+	d.last = now
+	return slept
+}
+
+var ofThisMachine detector
+
+// Refresh notes a suspension that has just ended and returns its length, 0 for none.
+func Refresh() time.Duration {
+	now, err := gap()
+	if err != nil {
+		return 0 // Watch tells that the clocks can not be read
+	}
+	slept := ofThisMachine.note(now)
+	if slept > 0 {
+		NoteSuspended(slept)
+	}
+	return slept
+}
+
+// Watch notes suspensions until the context ends.
+func Watch(ctx context.Context, logger *zap.Logger) {
+	if _, err := gap(); err != nil {
+		logger.Error("suspensions of the machine are not seen", zap.Error(err))
+		return
+	}
+	Refresh()
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		before := suspended.Load()
+		Refresh()
+		if slept := suspended.Load() - before; slept > 0 {
+			logger.Warn("machine was suspended", zap.Duration("lasted", time.Duration(slept)))
+		}
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/routetable"
 )
@@ -93,7 +94,7 @@
 	}
 	table := routetable.NewTable(1, []routetable.Route{*route}, nil, routetable.Limits{})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		gateway.Serve(r.Context(), w, table, route, &Request{ID: "id", Method: "POST", Target: "/p/1", Received: time.Now()})
+		gateway.Serve(r.Context(), w, table, route, &Request{ID: "id", Method: "POST", Target: "/p/1", Received: clock.Now()})
 	}))
 	defer server.Close()
 	response, err := http.Post(server.URL, "", nil)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
@@ -20,6 +21,8 @@
 	probes atomic.Int32
 	// hang is how long a probe takes.
 	hang atomic.Int64
+	// suspension is how long the machine is suspended during a probe.
+	suspension atomic.Int64
 }
 
 func newDesk(ctx context.Context, log store.Log) *desk {
@@ -30,6 +33,7 @@
 		Probe: func(context.Context, string) Reach {
 			d.probes.Add(1)
 			time.Sleep(time.Duration(d.hang.Load()))
+			clock.NoteSuspended(time.Duration(d.suspension.Load()))
 			return Reach(d.reach.Load())
 		},
 	})
@@ -81,6 +85,7 @@
 		{"the server takes connections", func(d *desk) { d.reach.Store(int32(ReachOpen)) }},
 		{"the server can not be reached", func(d *desk) { d.reach.Store(int32(ReachUnknown)) }},
 		{"the node stood still meanwhile", func(d *desk) { d.hang.Store(int64(2 * time.Second)) }},
+		{"the machine was suspended meanwhile", func(d *desk) { d.suspension.Store(int64(2 * time.Second)) }},
 		{"the server was leaving", func(d *desk) {
 			leaving := directory.Server{ID: "i", Service: "s", Address: "a:1", Draining: true}
 			d.list.Apply([]directory.Change{{ID: "i", Server: &leaving}})
