Ages, leases and deadlines go on while the machine is suspended

All that compares times of beliefs reads the clock package: election, coordinator, job log, server list, gateway, quarantine, and what the node knows of keys. A context's end is reckoned by Until, since timers stand still during a suspension.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/election"
 	"dalehook/internal/joblog"
@@ -189,7 +190,7 @@
 	if c.machine == nil {
 		return
 	}
-	apply(time.Now(), c.machine)
+	apply(clock.Now(), c.machine)
 	c.carryOut(c.machine.Take())
 }
 
@@ -199,7 +200,7 @@
 // logState logs what the scheduler sees, at the level debug.
 func (c *Coordinator) logState() {
 	entry := c.options.Logger.Check(zap.DebugLevel, "state")
-	now := time.Now()
+	now := clock.Now()
 	if entry == nil || now.Sub(c.statedAt) < stateInterval {
 		return
 	}
@@ -292,6 +293,6 @@
 	if c.machine != machine {
 		return
 	}
-	apply(time.Now())
+	apply(clock.Now())
 	c.carryOut(machine.Take())
 }
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/election"
 	"dalehook/internal/liveness"
 	"dalehook/internal/pause"
@@ -63,7 +64,7 @@
 
 // startNothingLocked has the term start and order nothing any more; its runs go on.
 func (c *Coordinator) startNothingLocked() {
-	c.machine.Resign(time.Now())
+	c.machine.Resign(clock.Now())
 	c.carryOut(c.machine.Take())
 }
 
@@ -83,7 +84,7 @@
 
 func (c *Coordinator) handOverLocked() {
 	c.writer.dropProgress()
-	c.machine.SaveCheckpoints(time.Now())
+	c.machine.SaveCheckpoints(clock.Now())
 	output := c.machine.Take()
 	// The texts go to the successor all together: what the writer had appended of them by now
 	// would be missing from what is pending there.
--- a/internal/coordinator/load.go
+++ b/internal/coordinator/load.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/pause"
 	"dalehook/internal/scheduler"
 )
@@ -29,13 +30,13 @@
 
 // load carries out an order and waits until the engine has the version.
 func (c *Coordinator) load(term context.Context, machine *scheduler.Machine, order scheduler.Order) {
-	began := time.Now()
+	began := clock.Now()
 	ctx, cancel := context.WithTimeout(term, loadTimeout)
 	defer cancel()
 	version, ordered, err := c.order(ctx, order)
 	c.options.Logger.Info("load ordered", zap.String("server", order.Server.ID), zap.String("model", order.Model),
 		zap.Int64("version", order.Version), zap.Int64("epoch", order.Epoch), zap.Int64("loaded", version),
-		zap.Duration("took", time.Since(began)), zap.Error(err))
+		zap.Duration("took", clock.Since(began)), zap.Error(err))
 	c.options.Observer.ObserveLoad(err == nil && version >= order.Version)
 	c.inputOf(machine, func(now time.Time) {
 		machine.HandleLoad(now, order.Server, order.Model, scheduler.Load{Ordered: ordered && err == nil, Version: version})
@@ -77,9 +78,10 @@
 
 // mayOrder checks the lease once more right before an order leaves.
 func (c *Coordinator) mayOrder(order scheduler.Order) bool {
+	clock.Refresh()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.machine != nil && !c.resigned && c.lease.Epoch == order.Epoch && time.Now().Before(c.lease.Until)
+	return c.machine != nil && !c.resigned && c.lease.Epoch == order.Epoch && clock.Now().Before(c.lease.Until)
 }
 
 func (c *Coordinator) state(ctx context.Context, order scheduler.Order) (EngineState, error) {
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/scheduler"
 	"dalehook/internal/store"
@@ -68,7 +69,7 @@
 }
 
 func (c *Coordinator) run(ctx context.Context, machine *scheduler.Machine, start scheduler.Start) {
-	began := time.Now()
+	began := clock.Now()
 	events := 0
 	reason, err := c.options.Engines.Run(ctx, start, func(event scheduler.Event) {
 		events++
@@ -83,7 +84,7 @@
 		zap.Uint64("attempt", uint64(start.Attempt)), zap.String("server", start.Server.ID), zap.String("after", start.After),
 		zap.Int64("epoch", start.Inputs.Term), zap.Int64("version", start.Inputs.Version),
 		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
-		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", time.Since(began)),
+		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", clock.Since(began)),
 		zap.Stringer("reason", reason), zap.Error(err))
 	c.noteEnd(start, began, reason)
 	c.inputOf(machine, func(now time.Time) {
--- a/internal/coordinator/progress.go
+++ b/internal/coordinator/progress.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/store"
 )
 
@@ -80,7 +81,7 @@
 	if at.Topic != store.TopicProgress {
 		return
 	}
-	before, due := t.note(time.Now(), at, offset)
+	before, due := t.note(clock.Now(), at, offset)
 	if !due {
 		return
 	}
--- a/internal/coordinator/rewards.go
+++ b/internal/coordinator/rewards.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/reward"
 	"dalehook/internal/scheduler"
 )
@@ -32,7 +33,7 @@
 }
 
 func (c *Coordinator) score(ctx context.Context, machine *scheduler.Machine, send reward.Send) {
-	began := time.Now()
+	began := clock.Now()
 	answer := c.options.Rewards.Score(ctx, send)
 	c.inputOf(machine, func(now time.Time) {
 		c.rewardCancels[send.ID]()
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/election"
 	"dalehook/internal/reward"
 	"dalehook/internal/scheduler"
@@ -50,7 +51,7 @@
 	c.term, c.endTerm = context.WithCancel(context.Background())
 	c.writer = newRecordWriter(c.term, c.options.Log, c.options.Logger)
 	c.writer.appended = newTrimmer(c.term, c.options.Log, c.options.Logger).appended
-	now := time.Now()
+	now := clock.Now()
 	c.tickedAt = now
 	c.machine.HandleTable(now, c.table)
 	for model, version := range c.newest {
@@ -66,7 +67,7 @@
 // follow takes over what predecessors left and subscribes to the jobs for the term, partition
 // by partition: one that the store does not take anything for holds no other up.
 func (c *Coordinator) follow(term context.Context, machine *scheduler.Machine, lease election.Lease) {
-	began := time.Now()
+	began := clock.Now()
 	var partitions conc.WaitGroup
 	// The jobs are read meanwhile.
 	for number := range c.options.Jobs.Partitions() {
@@ -95,7 +96,7 @@
 	}
 	partitions.Wait()
 	c.options.Logger.Info("progress recovered", zap.Int64("epoch", lease.Epoch), zap.Int64("items", items.Load()),
-		zap.Bool("handed_over", left.Whole), zap.Duration("took", time.Since(began)))
+		zap.Bool("handed_over", left.Whole), zap.Duration("took", clock.Since(began)))
 }
 
 // handleRecovered gives the scheduler of a term what is saved for the jobs of a partition, by
--- a/internal/election/hold.go
+++ b/internal/election/hold.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"dalehook/internal/clock"
 )
 
 // yieldAfter is the time without an answer of the store after which a holder yields its
@@ -54,7 +56,7 @@
 	if h.yielded == epoch {
 		return true
 	}
-	return h.leading && h.epoch == epoch && time.Since(h.contactAt) >= yieldAfter
+	return h.leading && h.epoch == epoch && clock.Since(h.contactAt) >= yieldAfter
 }
 
 // contacts returns a channel that is closed at the next answer of the store. The mutex is
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/follow"
 	"dalehook/internal/liveness"
 	"dalehook/internal/pause"
@@ -50,7 +51,7 @@
 
 // Run takes part in the election until the context ends.
 func Run(ctx context.Context, options Options) {
-	runner := runner{Options: options, machine: NewMachine(time.Now(), options.Self, options.Address, options.Timing)}
+	runner := runner{Options: options, machine: NewMachine(clock.Now(), options.Self, options.Address, options.Timing)}
 	runner.outage.Logger = options.Logger
 	runner.at = store.Partition{Topic: store.TopicLeases, Number: options.Number}
 	pace := follow.Pace{Most: slowestRead, Retry: retryPause}
@@ -78,6 +79,7 @@
 }
 
 func (r *runner) step(ctx context.Context) error {
+	clock.Refresh()
 	select {
 	case <-r.Leaving:
 		r.machine.Leave()
@@ -85,12 +87,12 @@
 	}
 	caughtUp, err := r.read(ctx)
 	if err != nil {
-		r.machine.HandleReadFailure(time.Now())
+		r.machine.HandleReadFailure(clock.Now())
 		err = errors.Join(err, r.renewUnread(ctx))
 		r.tell()
 		return err
 	}
-	r.Hold.noteContact(time.Now())
+	r.Hold.noteContact(clock.Now())
 	r.machine.GiveUp(r.Hold.yieldedEpoch())
 	if caughtUp {
 		r.ask(ctx)
@@ -109,10 +111,10 @@
 		// Whether the store answers again is to be known at once.
 		wait = 0
 	}
-	if doubtIn := r.machine.DoubtIn(time.Now()); doubtIn > 0 {
+	if doubtIn := r.machine.DoubtIn(clock.Now()); doubtIn > 0 {
 		wait = min(doubtIn, followerWait)
 	}
-	if claimIn := r.machine.ClaimIn(time.Now()); claimIn > 0 {
+	if claimIn := r.machine.ClaimIn(clock.Now()); claimIn > 0 {
 		wait = min(wait, claimIn)
 	}
 	batch, err := r.Log.Read(ctx, r.at, r.machine.End(), wait)
@@ -125,7 +127,7 @@
 	if err != nil {
 		return false, err
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, record := range batch.Records {
 		if err := r.machine.HandleRecord(now, record.Offset, record.Value); err != nil {
 			r.Logger.Error("record void", zap.Error(err))
@@ -136,7 +138,7 @@
 
 // ask asks after a holder that was not heard of.
 func (r *runner) ask(ctx context.Context) {
-	holder, address, doubtful := r.machine.Doubtful(time.Now())
+	holder, address, doubtful := r.machine.Doubtful(clock.Now())
 	if !doubtful || r.Ask == nil {
 		return
 	}
@@ -170,14 +172,14 @@
 // appended only where the partition ends as it was read.
 func (r *runner) renewUnread(ctx context.Context) error {
 	r.machine.GiveUp(r.Hold.yieldedEpoch())
-	if !r.machine.Standing(time.Now()).Leading {
+	if !r.machine.Standing(clock.Now()).Leading {
 		return nil
 	}
 	return r.append(ctx)
 }
 
 func (r *runner) append(ctx context.Context) error {
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	wanted := r.machine.Tick(sentAt)
 	if wanted == nil {
 		return nil
@@ -192,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	r.Hold.noteContact(now)
 	r.machine.HandleAppended(now, sentAt, wanted, offset)
 	return nil
@@ -201,7 +203,7 @@
 // tell reports the lease and logs when it is taken or lost.
 func (r *runner) tell() {
 	r.machine.GiveUp(r.Hold.yieldedEpoch())
-	standing := r.machine.Standing(time.Now())
+	standing := r.machine.Standing(clock.Now())
 	lease := standing.Lease
 	r.Hold.noteStanding(standing)
 	if standing.Held != r.holding {
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
@@ -108,7 +109,7 @@
 	// Many nodes may read at once what is large, so that the time for an answer stays the same.
 	call, cancel := context.WithTimeout(ctx, r.Wait+answerTime)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -129,10 +130,10 @@
 
 // advanceRelayed takes what another node reads. It does not count as a read of the store.
 func (r *keyedReader) advanceRelayed(ctx context.Context) {
-	if time.Since(r.relayedAt) < relayPause {
+	if clock.Since(r.relayedAt) < relayPause {
 		return
 	}
-	r.relayedAt = time.Now()
+	r.relayedAt = clock.Now()
 	relay, err := r.Relayed(ctx, r.next)
 	if err != nil {
 		r.Logger.Debug("no other node reads the store", zap.Stringer("topic", r.Topic), zap.Error(err))
@@ -155,7 +156,7 @@
 func (r *keyedReader) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTime)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	records, end, err := r.Log.Newest(ctx, r.Topic)
 	if err != nil {
 		return err
--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/routetable"
 )
 
@@ -17,7 +18,7 @@
 		n.noteKeyRefused(table, missing(key), where...)
 		return caller, VerdictKeyUnknown
 	}
-	if table.Tenants != nil && !route.Public && n.keysTooOld(time.Now()) {
+	if table.Tenants != nil && !route.Public && n.keysTooOld(clock.Now()) {
 		n.noteKeyRefused(table, keyNotSure, where...)
 		return caller, VerdictRefused
 	}
@@ -36,7 +37,7 @@
 		n.noteKeyRefused(table, missing(key), zap.String("host", host))
 		return "", VerdictKeyUnknown
 	}
-	if tenantName != "" && n.keysTooOld(time.Now()) {
+	if tenantName != "" && n.keysTooOld(clock.Now()) {
 		n.noteKeyRefused(table, keyNotSure, zap.String("host", host))
 		return "", VerdictRefused
 	}
@@ -74,7 +75,7 @@
 func (n *Node) noteKeyRefused(table *routetable.Table, reason keyRefusal, fields ...zap.Field) {
 	n.metrics.keysRefused.WithLabelValues(string(reason)).Inc()
 	n.logger.Info("key refused", append(fields, zap.String("key", string(reason)), zap.Int64("configuration", table.Version),
-		zap.Duration("configuration_age", n.configurationAge(time.Now())))...)
+		zap.Duration("configuration_age", n.configurationAge(clock.Now())))...)
 }
 
 // configurationAge returns the time since the store was asked, by this node or another, for what
--- a/internal/frontend/jobreads.go
+++ b/internal/frontend/jobreads.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/joblog"
 	"dalehook/internal/jobread"
 )
@@ -72,7 +73,7 @@
 var _ jobread.Reader = (*jobReader)(nil)
 
 func newJobReader(jobs *joblog.Logs, observe func(readSource), logger *zap.Logger) *jobReader {
-	return &jobReader{jobs: jobs, observe: observe, logger: logger, changed: make(chan struct{}), seenAt: time.Now()}
+	return &jobReader{jobs: jobs, observe: observe, logger: logger, changed: make(chan struct{}), seenAt: clock.Now()}
 }
 
 // observeCoordinator takes whether this node coordinates, and where another answers that
@@ -86,7 +87,7 @@
 		r.changed = make(chan struct{})
 	}
 	if leading || address != "" && r.failedAt.IsZero() {
-		r.seenAt = time.Now()
+		r.seenAt = clock.Now()
 	}
 }
 
@@ -115,7 +116,7 @@
 func (r *jobReader) answering() string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.leading || time.Since(r.failedAt) < passOnPause {
+	if r.leading || clock.Since(r.failedAt) < passOnPause {
 		return ""
 	}
 	return r.coordinator
@@ -126,7 +127,7 @@
 func (r *jobReader) readsWhole() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.leading || time.Since(r.seenAt) > takeOverTime
+	return r.leading || clock.Since(r.seenAt) > takeOverTime
 }
 
 // ask makes a call to the coordinator at an address, and notes whether it answered.
@@ -146,13 +147,13 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if err == nil {
-		r.failedAt, r.seenAt = time.Time{}, time.Now()
+		r.failedAt, r.seenAt = time.Time{}, clock.Now()
 		return
 	}
 	if r.failedAt.IsZero() {
 		r.logger.Warn("coordinator does not answer reads", zap.String("address", address), zap.String("job", jobID), zap.Error(err))
 	}
-	r.failedAt = time.Now()
+	r.failedAt = clock.Now()
 }
 
 // results returns a job's results from a position on. Where there is none yet, the answer
@@ -189,14 +190,14 @@
 		return jobread.Results{}
 	}
 	question := jobread.ResultsQuestion{Job: job, From: from, MostBytes: passOnBytes}
-	asked := time.Now()
+	asked := clock.Now()
 	page := r.askResults(ctx, address, question)
 	if page.Verdict != jobread.Found || len(page.Results) > 0 || page.Ended || wait <= 0 {
 		return page
 	}
 	question.Wait = wait
 	later := r.askResults(ctx, address, question)
-	if later.Verdict != jobread.Found && time.Since(asked) < joblog.FreshFor {
+	if later.Verdict != jobread.Found && clock.Since(asked) < joblog.FreshFor {
 		return page
 	}
 	return later // that there was nothing before the hold says too little by now
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
 	"dalehook/internal/gateway"
 	"dalehook/internal/quarantine"
@@ -109,11 +110,11 @@
 		return 0
 	})
 	gauge("dalehook_configuration_age_seconds", "Time since the configuration was read.", func() float64 {
-		return n.configurationAge(time.Now()).Seconds()
+		return n.configurationAge(clock.Now()).Seconds()
 	})
 	gauge("dalehook_servers", "Servers in the list.", func() float64 { return float64(n.directory.Snapshot().Count()) })
 	gauge("dalehook_servers_age_seconds", "Time since the list of servers was read.", func() float64 {
-		return n.directory.Age(time.Now()).Seconds()
+		return n.directory.Age(clock.Now()).Seconds()
 	})
 	gauge("dalehook_ready", "1 while the node wants new connections.", func() float64 { return truth(n.Ready()) })
 	gauge("dalehook_coordinator", "1 while the node coordinates the batch jobs.", func() float64 {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
 	"dalehook/internal/directory"
 	"dalehook/internal/drain"
@@ -218,6 +219,7 @@
 func (n *Node) start(ctx context.Context, background *conc.WaitGroup) {
 	log := n.options.Adapter.Log()
 	background.Go(func() { follow.Keyed(ctx, n.operatorFollowing(log)) })
+	background.Go(func() { clock.Watch(ctx, n.logger) })
 	background.Go(func() { n.servers.Run(ctx) })
 	background.Go(func() { n.quarantine.Run(ctx) })
 	background.Go(func() { n.jobs.Run(ctx) })
@@ -327,9 +329,9 @@
 
 // drain serves what is under way at a listener.
 func (n *Node) drain(ctx context.Context, s boundServer) {
-	began := time.Now()
+	began := clock.Now()
 	late := s.server.Drain(ctx)
-	n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", time.Since(began)), zap.Int("late", late))
+	n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", clock.Since(began)), zap.Int("late", late))
 	if late > 0 {
 		n.metrics.requestsPastGrace.Add(float64(late))
 		n.logger.Warn("requests ended by the end of the grace period", zap.String("address", s.address), zap.Int("late", late))
@@ -369,13 +371,13 @@
 
 // noteOperatorRead notes that the store, asked at asked, said what the newest configuration is.
 func (n *Node) noteOperatorRead(_ int64, _ bool, asked time.Time) {
-	n.operatorReadAt.advance(time.Now())
+	n.operatorReadAt.advance(clock.Now())
 	n.configuredAt.advance(asked)
 }
 
 // readRelayed has another node read what the operator put.
 func (n *Node) readRelayed(ctx context.Context, from int64) (follow.Relay, error) {
-	asked := time.Now()
+	asked := clock.Now()
 	answer, err := storeproxy.Ask(ctx, &n.peers, storeproxy.Question{From: from})
 	if err != nil {
 		return follow.Relay{}, err
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/gateway"
 	"dalehook/internal/routetable"
 	"dalehook/internal/store"
@@ -56,7 +57,7 @@
 	if n.leaving.Load() || n.table.Load() == nil || !n.servers.Complete() {
 		return false
 	}
-	return n.operatorReadAt.age(time.Now()) < storeSilence
+	return n.operatorReadAt.age(clock.Now()) < storeSilence
 }
 
 // Serve answers a single request.
--- a/internal/frontend/rewards.go
+++ b/internal/frontend/rewards.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
 	"dalehook/internal/gateway"
 	"dalehook/internal/reward"
@@ -23,7 +23,7 @@
 
 // Score implements coordinator.Rewards.
 func (r *rewardCaller) Score(ctx context.Context, send reward.Send) reward.Answer {
-	began := time.Now()
+	began := clock.Now()
 	result := r.gateway.Call(ctx, gateway.Call{
 		Request: &gateway.Request{
 			ID: send.Call.ID, Method: http.MethodPost, Target: send.Call.Path, Host: send.Call.Host,
@@ -38,6 +38,6 @@
 		zap.Int64("configuration", send.Table.Version), zap.Strings("servers", result.Servers),
 		zap.Int("try", send.Inputs.Try), zap.Int("failures", send.Inputs.Failures+result.Failures),
 		zap.Int("under_way", send.Inputs.UnderWay), zap.Int("room", send.Inputs.Room),
-		zap.Duration("waited", send.Inputs.Waited), zap.Duration("took", time.Since(began)), zap.String("reason", result.Reason))
+		zap.Duration("waited", send.Inputs.Waited), zap.Duration("took", clock.Since(began)), zap.String("reason", result.Reason))
 	return reward.Answer{Score: result.Signature, Failures: result.Failures}
 }
--- a/internal/frontend/usage.go
+++ b/internal/frontend/usage.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/duty"
 	"dalehook/internal/election"
 	"dalehook/internal/usage"
@@ -61,7 +62,7 @@
 	if standing == nil {
 		return duty.Term{}
 	}
-	return duty.Term{Epoch: standing.Lease.Epoch, Acting: n.acts(time.Now(), *standing)}
+	return duty.Term{Epoch: standing.Lease.Epoch, Acting: n.acts(clock.Now(), *standing)}
 }
 
 // acts says whether this node may act on the lease now.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/routetable"
 )
@@ -36,7 +37,7 @@
 		gateway: g, request: made.Request, route: made.Route, table: made.Table, service: made.Service,
 		deadline: made.Request.Deadline, tried: make(map[directory.Incarnation]bool), unrun: true, repeatable: true,
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.deadline))
 	defer cancel()
 	result := CallResult{}
 	got, ok := c.await(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
@@ -118,7 +119,7 @@
 		gateway: g, request: request, route: route, table: table, service: target.Service,
 		deadline: deadlineOf(route, request), tried: make(map[directory.Incarnation]bool), unrun: true, repeatable: route.Repeatable(),
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.deadline))
 	defer cancel()
 	var status int
 	if route.Kind == routetable.KindStream {
@@ -141,7 +142,7 @@
 }
 
 func (c *call) log(status int) {
-	took := time.Since(c.request.Received)
+	took := clock.Since(c.request.Received)
 	fingerprint := zap.Skip()
 	if c.held {
 		fingerprint = zap.String("fingerprint", c.fingerprint().Short())
@@ -150,7 +151,7 @@
 	c.gateway.options.Logger.Info("request answered",
 		zap.String("request", c.request.ID), zap.Int("status", status), zap.String("route", c.route.Name),
 		zap.String("service", c.service), zap.Int64("configuration", c.table.Version),
-		zap.Int("attempts", c.attempts), zap.Duration("list_age", c.gateway.options.Directory.Age(time.Now())),
+		zap.Int("attempts", c.attempts), zap.Duration("list_age", c.gateway.options.Directory.Age(clock.Now())),
 		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took), fingerprint)
 }
 
@@ -167,7 +168,7 @@
 	switch {
 	case c.unrun:
 		status = http.StatusServiceUnavailable
-	case !time.Now().Before(c.deadline):
+	case !clock.Now().Before(c.deadline):
 		status = http.StatusGatewayTimeout
 	}
 	if status == http.StatusServiceUnavailable {
@@ -276,7 +277,7 @@
 	if c.attempts >= max(c.route.MaxAttempts, 1) || !c.unrun && !c.repeatable {
 		return nil
 	}
-	if !time.Now().Before(c.deadline) {
+	if !clock.Now().Before(c.deadline) {
 		c.reason = "deadline"
 		return nil
 	}
@@ -302,7 +303,7 @@
 // attempt sends the request to a server and reads the answer's body up to a limit.
 // An attempt outlives the call by a grace, unless the caller left.
 func (c *call) attempt(ctx context.Context, server *directory.Server, lastEventID string) attempt {
-	began := time.Now()
+	began := clock.Now()
 	sendCtx, cancel := graceful(ctx)
 	got := attempt{cancel: cancel}
 	got.answer, got.failed = c.gateway.options.Backend.Send(sendCtx, Attempt{
@@ -340,7 +341,7 @@
 
 // leftUntil returns the time until a deadline, at least a millisecond.
 func leftUntil(deadline time.Time) time.Duration {
-	return max(time.Until(deadline), time.Millisecond)
+	return max(clock.Until(deadline), time.Millisecond)
 }
 
 // graceful derives a context that ends a grace after its parent was cancelled.
@@ -365,7 +366,7 @@
 }
 
 func (g *Gateway) observe(began time.Time, server *directory.Server, got attempt) {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case got.failed != nil:
 		g.balancer.ended(now, server.Incarnation(), 0, nil, brokenPause)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,8 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/eventstream"
 )
 
@@ -19,7 +19,7 @@
 		if server == nil {
 			return relay.giveUp()
 		}
-		began := time.Now()
+		began := clock.Now()
 		attemptCtx, cancel := context.WithCancel(ctx)
 		answer, failed := c.gateway.options.Backend.Send(attemptCtx, Attempt{
 			Request: c.request, Server: server, Left: leftUntil(c.deadline), LastEventID: relay.lastID,
@@ -71,7 +71,7 @@
 		return false, 0
 	}
 	c.unrun = false
-	c.gateway.options.Began(c.request.Caller.Tenant, time.Now())
+	c.gateway.options.Began(c.request.Caller.Tenant, clock.Now())
 	if answer.Status != http.StatusOK {
 		return r.takeFailure(answer)
 	}
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/quarantine"
 )
@@ -48,9 +49,9 @@
 // that all nodes choose for it, so that tries at several nodes end one server and not several.
 func (c *call) choose(servers []*directory.Server, known quarantine.Suspicion) *directory.Server {
 	if known.Ends == 0 {
-		return c.gateway.balancer.choose(time.Now(), servers, c.tried)
+		return c.gateway.balancer.choose(clock.Now(), servers, c.tried)
 	}
-	return c.gateway.balancer.chooseFirst(time.Now(), rank(c.fingerprint(), known.Ends, servers), c.tried)
+	return c.gateway.balancer.chooseFirst(clock.Now(), rank(c.fingerprint(), known.Ends, servers), c.tried)
 }
 
 // rank orders servers for a suspected request, in the same way at all nodes. Two requests that
@@ -90,7 +91,7 @@
 		tracker.Broke(c.fingerprint(), *server)
 		c.gateway.options.Logger.Info("attempt broken", zap.String("request", c.request.ID),
 			zap.String("fingerprint", c.fingerprint().Short()), zap.String("server", server.ID), zap.Int64("born", server.Born),
-			zap.String("service", c.service), zap.Duration("took", time.Since(began)), zap.Error(broken))
+			zap.String("service", c.service), zap.Duration("took", clock.Since(began)), zap.Error(broken))
 	case answered && tracker.Active():
 		tracker.Answered(c.fingerprint(), server.Incarnation(), began)
 	}
--- a/internal/joblog/catchup.go
+++ b/internal/joblog/catchup.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/store"
 )
 
@@ -97,7 +98,7 @@
 // enough was, and calls look. Enough and look are called with the mutex held, look under the same
 // hold as what it waited for: in between, another caller may have the reading begin anew.
 func (p *partition) catchUp(ctx context.Context, enough func() bool, look func()) error {
-	asked := time.Now()
+	asked := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	looked, err := p.awaitFirstRead(ctx, asked, enough, look)
@@ -168,7 +169,7 @@
 // end reads on from where the reading is, and returns the partition's end. What it brings is
 // taken, so that it need not come over the link a second time before the caller is answered.
 func (p *partition) end(ctx context.Context) (int64, error) {
-	next, asked := p.offset(), time.Now()
+	next, asked := p.offset(), clock.Now()
 	read, err := p.log.Read(ctx, p.at, next, 0)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
--- a/internal/joblog/jobreading.go
+++ b/internal/joblog/jobreading.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
@@ -52,7 +53,7 @@
 func (r *jobReading) view(ctx context.Context, satisfied Condition, visit func(*batch.State)) error {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	var failure error
 	settled := r.waitUntil(ctx, func() bool {
 		state := r.fold.Job(r.jobID)
@@ -87,7 +88,7 @@
 	if !r.satisfies(satisfied) {
 		return false
 	}
-	r.askedFor = time.Now()
+	r.askedFor = clock.Now()
 	visit(r.fold.Job(r.jobID))
 	return true
 }
@@ -95,7 +96,7 @@
 // satisfies says whether a condition holds for what was read. Nothing comes after a job's end.
 // The mutex is held.
 func (r *jobReading) satisfies(satisfied Condition) bool {
-	return r.endedLocked() || satisfied(r.fold.Job(r.jobID), time.Since(r.freshSince) < FreshFor)
+	return r.endedLocked() || satisfied(r.fold.Job(r.jobID), clock.Since(r.freshSince) < FreshFor)
 }
 
 func (r *jobReading) endedLocked() bool {
@@ -107,7 +108,7 @@
 func (r *jobReading) waitFor(ctx context.Context, count int) {
 	r.countWaiting(1)
 	defer r.countWaiting(-1)
-	asked := time.Now()
+	asked := clock.Now()
 	r.waitUntil(ctx, func() bool {
 		state := r.fold.Job(r.jobID)
 		if state != nil && (len(state.Results) > count || state.Ended) {
@@ -174,13 +175,13 @@
 		case r.all.slots <- struct{}{}:
 			defer func() { <-r.all.slots }()
 		case <-ctx.Done():
-			return r.noteFailure(ctx.Err(), time.Now())
+			return r.noteFailure(ctx.Err(), clock.Now())
 		}
 	}
 	// A page that hangs holds a slot up, and with three of them all jobs of the node.
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	read, err := r.readLog(ctx, next, hold)
 	if err == nil && len(read.Records) == 0 && read.Next < read.End {
 		err = errCutOff
@@ -260,7 +261,7 @@
 	if err != nil {
 		return r.askedFor.After(r.failedAt)
 	}
-	return r.freshSince.Before(r.askedFor) && time.Since(r.askedFor) < interest
+	return r.freshSince.Before(r.askedFor) && clock.Since(r.askedFor) < interest
 }
 
 func (r *jobReading) notify() {
@@ -338,7 +339,7 @@
 	}
 	reading := &jobReading{
 		log: p.log, at: p.at, jobID: jobID, from: from, next: from, logger: p.logger, all: j,
-		changed: make(chan struct{}), fold: batch.NewJobFold(jobID), askedFor: time.Now(),
+		changed: make(chan struct{}), fold: batch.NewJobFold(jobID), askedFor: clock.Now(),
 	}
 	// Room is made before: the new reading is not being read yet, and would be the first to go.
 	j.forgetLocked()
@@ -403,7 +404,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !r.active && r.waiting == 0 {
-		idle = time.Since(r.askedFor)
+		idle = clock.Since(r.askedFor)
 	}
 	return idle, r.bytes
 }
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/follow"
 	"dalehook/internal/store"
 )
@@ -106,7 +107,7 @@
 
 func (p *partition) touchLocked() {
 	idle := !p.wanted()
-	p.wantedTill = time.Now().Add(interest)
+	p.wantedTill = clock.Now().Add(interest)
 	if idle {
 		p.notify()
 	}
@@ -114,7 +115,7 @@
 
 // wanted says whether the partition is to be followed. The mutex is held.
 func (p *partition) wanted() bool {
-	return p.subscriber != nil || p.terms > 0 || time.Now().Before(p.wantedTill)
+	return p.subscriber != nil || p.terms > 0 || clock.Now().Before(p.wantedTill)
 }
 
 // knows says whether a job stands in what was read.
@@ -136,7 +137,7 @@
 
 // holds says whether a condition holds for what is known of a job. The mutex is held.
 func (p *partition) holds(jobID string, satisfied Condition) bool {
-	return satisfied(p.fold.Job(jobID), time.Since(p.freshSince) < FreshFor)
+	return satisfied(p.fold.Job(jobID), clock.Since(p.freshSince) < FreshFor)
 }
 
 func (p *partition) countWaiting(change int) {
--- a/internal/joblog/reading.go
+++ b/internal/joblog/reading.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/follow"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
@@ -49,7 +50,7 @@
 func (p *partition) noteFailure(err error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.failed, p.failedAt = err, time.Now()
+	p.failed, p.failedAt = err, clock.Now()
 	p.notify()
 }
 
@@ -64,7 +65,7 @@
 }
 
 func (p *partition) advance(ctx context.Context) error {
-	asked := time.Now()
+	asked := clock.Now()
 	ctx, next, wait := p.beginRead(ctx)
 	read, err := p.log.Read(ctx, p.at, next, wait)
 	if p.endOfRead(next) {
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -56,7 +56,7 @@
 	t.ledger = NewLedger()
 	t.applyLocked(records)
 	t.applyLocked(t.unsent)
-	t.forgetLocked(time.Now(), tidies)
+	t.forgetLocked(tidies)
 	t.updateLocked()
 	t.mutex.Unlock()
 	t.options.Changed()
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
@@ -234,7 +235,7 @@
 	broken := t.breaks[at]
 	if broken == nil {
 		broken = &brokenServer{
-			server: at, address: server.Address, service: server.Service, brokeAt: time.Now(),
+			server: at, address: server.Address, service: server.Service, brokeAt: clock.Now(),
 			requests: make(map[Fingerprint]bool), settled: make(chan struct{}),
 		}
 		t.breaks[at] = broken
@@ -380,12 +381,12 @@
 // endLocked takes that a server has ended under what it was running.
 func (t *Tracker) endLocked(broken *brokenServer, evidence string) {
 	t.dropLocked(broken)
-	t.ended[broken.server] = time.Now()
+	t.ended[broken.server] = clock.Now()
 	added := t.addLocked(broken.server, broken.requests)
 	t.options.Observer.ObserveServerEnd(evidence, len(broken.requests))
 	t.options.Logger.Info("server ended under requests", zap.String("server", broken.server.ID), zap.Int64("born", broken.server.Born),
 		zap.String("service", broken.service), zap.String("evidence", evidence), zap.Int("requests", len(broken.requests)),
-		zap.Strings("fingerprints", shortest(added)), zap.Duration("after", time.Since(broken.brokeAt)))
+		zap.Strings("fingerprints", shortest(added)), zap.Duration("after", clock.Since(broken.brokeAt)))
 }
 
 // mostLogged bounds the fingerprints in one log line.
@@ -399,10 +400,13 @@
 	return texts
 }
 
+// wallTime is the time of day, by which nodes tell each other when a server ended.
+func wallTime() time.Time { return time.Now().Round(0) }
+
 // addLocked puts a server's end to the account of requests, and has it written to the store.
 func (t *Tracker) addLocked(server directory.Incarnation, requests map[Fingerprint]bool) (added []Fingerprint) {
 	for fingerprint := range requests {
-		end := End{Fingerprint: fingerprint, Server: server, At: time.Now()}
+		end := End{Fingerprint: fingerprint, Server: server, At: wallTime()}
 		if !t.ledger.Add(end) {
 			continue
 		}
@@ -453,7 +457,7 @@
 	for _, end := range known.Ends {
 		servers = append(servers, end.Server.ID)
 		births = append(births, end.Server.Born)
-		ages = append(ages, time.Since(end.At))
+		ages = append(ages, wallTime().Sub(end.At))
 	}
 	t.options.Observer.ObserveHeld()
 	t.options.Logger.Warn("request held", zap.String("fingerprint", known.Fingerprint.String()),
@@ -492,7 +496,7 @@
 			return
 		case <-t.wake:
 		case <-ticker.C:
-			t.sweep(time.Now())
+			t.sweep(clock.Now())
 		}
 	}
 }
@@ -532,14 +536,15 @@
 
 func (t *Tracker) refusesTwice(ctx context.Context, address string) (bool, error) {
 	for _, wait := range []time.Duration{firstProbe, secondProbe} {
-		due := time.Now().Add(wait)
+		due := clock.Now().Add(wait)
 		if !pause.For(ctx, wait) {
 			return false, ctx.Err()
 		}
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
 		reach := t.options.Probe(call, address)
 		cancel()
-		if time.Since(due) > probeLate {
+		clock.Refresh()
+		if clock.Since(due) > probeLate {
 			return false, errProbeLate
 		}
 		if reach != ReachRefused {
@@ -569,7 +574,7 @@
 			delete(t.ended, server)
 		}
 	}
-	forgotten := t.forgetLocked(now, tidies)
+	forgotten := t.forgetLocked(tidies)
 	t.updateLocked()
 	t.mutex.Unlock()
 	if forgotten {
@@ -579,8 +584,8 @@
 }
 
 // forgetLocked drops the requests under which no server has ended for long.
-func (t *Tracker) forgetLocked(now time.Time, tidies bool) bool {
-	expired := t.ledger.Expire(now)
+func (t *Tracker) forgetLocked(tidies bool) bool {
+	expired := t.ledger.Expire(wallTime())
 	if tidies {
 		for _, end := range expired {
 			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -141,7 +141,7 @@
 		server := d.put(0)
 		d.Broke(named("a"), server)
 		d.Broke(named("d"), server)
-		d.Answered(named("a"), directory.Incarnation{ID: "other"}, time.Now())
+		d.Answered(named("a"), directory.Incarnation{ID: "other"}, clock.Now())
 		time.Sleep(settled)
 		if got := d.Suspicion(named("a")); got != (Suspicion{}) {
 			t.Errorf("the answered one: %+v", got)
@@ -158,7 +158,7 @@
 		server := d.put(0)
 		d.Broke(named("d"), server)
 		time.Sleep(time.Millisecond)
-		d.Answered(named("b"), server.Incarnation(), time.Now())
+		d.Answered(named("b"), server.Incarnation(), clock.Now())
 		time.Sleep(settled)
 		if got := d.Suspicion(named("d")); got != (Suspicion{}) {
 			t.Errorf("%+v", got)
@@ -180,7 +180,7 @@
 			seenBy.Broke(named("a"), server)
 			time.Sleep(settled)
 		}
-		second.Answered(named("a"), directory.Incarnation{ID: "other"}, time.Now())
+		second.Answered(named("a"), directory.Incarnation{ID: "other"}, clock.Now())
 		time.Sleep(settled)
 		third := newDesk(ctx, log)
 		time.Sleep(settled)
--- a/internal/scaling/driver.go
+++ b/internal/scaling/driver.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/duty"
 	"dalehook/internal/pause"
 )
@@ -72,7 +73,7 @@
 		d.epoch = term.Epoch
 		d.machine = NewMachine(Options{Headroom: d.options.Headroom, Most: d.options.Most, Epoch: term.Epoch})
 	}
-	now := time.Now()
+	now := clock.Now()
 	view := d.options.View()
 	d.machine.HandleServices(view.Services)
 	for _, known := range view.Services {
@@ -98,7 +99,7 @@
 	case err != nil:
 		outcome = OutcomeUnknown
 	}
-	d.machine.HandleOutcome(time.Now(), order, outcome)
+	d.machine.HandleOutcome(clock.Now(), order, outcome)
 	d.options.Observe(outcome.String())
 	d.options.Logger.Info("servers ordered", zap.String("service", order.Service), zap.String("zone", order.Zone),
 		zap.Int("count", order.Count), zap.Int("listed", view.Listed[order.Service][order.Zone]),
--- a/internal/serverlist/publish.go
+++ b/internal/serverlist/publish.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
@@ -30,7 +31,7 @@
 // publish appends what is to be told now on the condition of the relay's end: of
 // several nodes that relay one is heard, and one that was held up adds nothing.
 func (l *List) publish(ctx context.Context) error {
-	record, at := l.nextRecord(time.Now())
+	record, at := l.nextRecord(clock.Now())
 	if record == nil {
 		return nil
 	}
@@ -49,7 +50,7 @@
 		return err
 	}
 	l.mutex.Lock()
-	l.relay.handle(time.Now(), offset, record, false)
+	l.relay.handle(clock.Now(), offset, record, false)
 	l.mutex.Unlock()
 	if record.Full {
 		// Readers begin at the first record kept, which is a full one.
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/follow"
 	"dalehook/internal/pause"
@@ -107,7 +108,7 @@
 // Run keeps the directory up to date until the context ends.
 func (l *List) Run(ctx context.Context) {
 	l.mutex.Lock()
-	l.startedAt = time.Now()
+	l.startedAt = clock.Now()
 	l.mutex.Unlock()
 	var background conc.WaitGroup
 	background.Go(func() { l.runDirect(ctx) })
@@ -172,7 +173,7 @@
 // relay while it is not.
 func (l *List) runDirect(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		switch {
 		case l.wantsDirect(now):
 			l.followHeartbeats(ctx)
@@ -235,7 +236,7 @@
 func (l *List) endWhenRelayed(ctx context.Context, end context.CancelFunc, versions bool) {
 	for pause.For(ctx, l.checkPause()) {
 		leading := l.options.Leading()
-		if l.wantsDirect(time.Now()) && (versions || !leading) {
+		if l.wantsDirect(clock.Now()) && (versions || !leading) {
 			continue
 		}
 		end()
@@ -250,7 +251,7 @@
 	l.next = l.relay.next
 	next, servers := l.next, l.relay.list()
 	l.options.Directory.Replace(servers)
-	l.options.Directory.NoteRead(time.Now())
+	l.options.Directory.NoteRead(clock.Now())
 	l.mutex.Unlock()
 	l.options.Logger.Info("list taken from the relay", zap.Int("servers", len(servers)), zap.Int64("offset", next))
 	l.options.Changed()
@@ -310,7 +311,7 @@
 const voidInterval = time.Second
 
 func (l *List) logVoid(key string, err error) {
-	now := time.Now()
+	now := clock.Now()
 	if now.Sub(l.voidLoggedAt) < voidInterval {
 		return
 	}
@@ -340,7 +341,7 @@
 	l.complete = l.complete || end
 	l.mutex.Unlock()
 	if end {
-		l.options.Directory.NoteRead(time.Now())
+		l.options.Directory.NoteRead(clock.Now())
 	}
 }
 
@@ -414,7 +415,7 @@
 }
 
 func (l *List) handleRelay(read store.Batch, old bool) {
-	now := time.Now()
+	now := clock.Now()
 	l.mutex.Lock()
 	var changes []directory.Change
 	for _, stored := range read.Records {
--- a/internal/storeproxy/storeproxy.go
+++ b/internal/storeproxy/storeproxy.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/singleflight"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/nodecall"
 	"dalehook/internal/store"
 )
@@ -107,7 +108,7 @@
 // aged returns the answer with its age.
 func (r latestRead) aged() Answer {
 	answer := r.answer
-	answer.Age = time.Since(r.askedAt)
+	answer.Age = clock.Since(r.askedAt)
 	return answer
 }
 
@@ -135,8 +136,8 @@
 		return answer
 	}
 	shared, _, _ := p.reads.Do(fmt.Sprint(question.Topic, question.From), func() (any, error) {
-		askedAt := time.Now()
-		latest := latestRead{answer: p.readNow(question), askedAt: askedAt, at: time.Now()}
+		askedAt := clock.Now()
+		latest := latestRead{answer: p.readNow(question), askedAt: askedAt, at: clock.Now()}
 		p.note(question, latest)
 		return latest, nil
 	})
@@ -147,7 +148,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	latest := p.latest[question]
-	return latest.aged(), time.Since(latest.at) < freshFor
+	return latest.aged(), clock.Since(latest.at) < freshFor
 }
 
 // note remembers an answer, and forgets the others that are no longer fresh.
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"time"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/store"
 )
 
@@ -77,10 +78,10 @@
 type Clock struct{ began time.Time }
 
 // NewClock returns a clock that starts from the machine's time of day.
-func NewClock() Clock { return Clock{began: time.Now()} }
+func NewClock() Clock { return Clock{began: clock.Now()} }
 
 // Now returns the time.
-func (c Clock) Now() time.Time { return c.At(time.Now()) }
+func (c Clock) Now() time.Time { return c.At(clock.Now()) }
 
 // At returns the time of a reading of the machine's clock, which bears a steady one.
 func (c Clock) At(reading time.Time) time.Time {
