--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -119,6 +119,7 @@
 	servers      *serverlist.List
 	gateway      *gateway.Gateway
 	quarantine   *quarantine.Tracker
+	startedAt    time.Time
 	jobs         *joblog.Logs
 	jobReader    *jobReader
 	coordinator  *coordinator.Coordinator
@@ -138,7 +139,7 @@
 // NewNode assembles a node.
 func NewNode(options Options) *Node {
 	adapter, logger := options.Adapter, options.Logger
-	n := &Node{options: options, logger: logger.Named("node"), left: make(chan struct{}), directory: directory.NewDirectory()}
+	n := &Node{options: options, logger: logger.Named("node"), left: make(chan struct{}), directory: directory.NewDirectory(), startedAt: clock.Now()}
 	n.metrics = newNodeMetrics(n, options.LostLines)
 	n.quarantine = n.newQuarantine(logger)
 	n.gateway = gateway.NewGateway(gateway.Options{
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -52,11 +52,19 @@
 // for no new connections: others may still reach the store.
 const storeSilence = 2 * time.Second
 
+// quarantineWait is how long a node that starts takes no callers for want of what others know of
+// requests that crash servers: their part of the store may be away alone. It is about what nodes
+// have to tell each other anyway.
+const quarantineWait = 2 * time.Second
+
 // Ready says whether new connections are wanted.
 func (n *Node) Ready() bool {
 	if n.leaving.Load() || n.table.Load() == nil || !n.servers.Complete() {
 		return false
 	}
+	if !n.quarantine.Loaded() && clock.Since(n.startedAt) < quarantineWait {
+		return false
+	}
 	return n.operatorReadAt.age(clock.Now()) < storeSilence
 }
 
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -49,6 +49,9 @@
 	})
 }
 
+// Loaded says whether what other nodes found has been read.
+func (t *Tracker) Loaded() bool { return t.loaded.Load() }
+
 // replace takes all that is known. What this node found and could not write yet stays.
 func (t *Tracker) replace(records []store.Record) {
 	tidies := t.options.Tidies()
@@ -59,6 +62,7 @@
 	t.forgetLocked(tidies)
 	t.updateLocked()
 	t.mutex.Unlock()
+	t.loaded.Store(true)
 	t.options.Changed()
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -87,6 +87,8 @@
 // nodes. It may be used by several goroutines.
 type Tracker struct {
 	options Options
+	// loaded says that what other nodes found has been read.
+	loaded atomic.Bool
 	// active says that something is known or to be settled, so that requests need fingerprints.
 	active atomic.Bool
 
