Operators list, release and explain requests that crash servers

dalehook-node quarantine asks a node for what is known and lets a request run again at all nodes; explain shows for a held request the ends of servers that had it held, from any node's log.

--- a/cmd/dalehook-node/main.go
+++ b/cmd/dalehook-node/main.go
@@ -21,6 +21,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(&runCommand{}, "")
 	commander.Register(&checkCommand{}, "")
+	commander.Register(&quarantineCommand{}, "")
 	if flags.Parse(os.Args[1:]) != nil {
 		os.Exit(int(subcommands.ExitUsageError))
 	}
--- /dev/null
+++ b/cmd/dalehook-node/quarantine.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"dalehook/internal/quarantine"
+)
+
+// quarantineCommand lists the requests that crash servers, and lets one run again.
+type quarantineCommand struct {
+	node    string
+	release string
+}
+
+// quarantineTimeout bounds the call to a node.
+const quarantineTimeout = 5 * time.Second
+
+// Name implements subcommands.Command.
+func (*quarantineCommand) Name() string { return "quarantine" }
+
+// Synopsis implements subcommands.Command.
+func (*quarantineCommand) Synopsis() string {
+	return "list the requests that crash servers, or release one"
+}
+
+// Usage implements subcommands.Command.
+func (*quarantineCommand) Usage() string {
+	return `quarantine -node IP:PORT [-release FINGERPRINT]:
+	Asks the node whose internal address is given for the requests under which servers
+	ended, the servers, and when. With -release it lets one run again, at all nodes.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *quarantineCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.node, "node", "", "internal address of a node, IP:PORT")
+	flags.StringVar(&c.release, "release", "", "fingerprint of the request that is to run again")
+}
+
+// Execute implements subcommands.Command.
+func (c *quarantineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.node == "" {
+		fmt.Fprintln(os.Stderr, "quarantine: name a node")
+		return subcommands.ExitUsageError
+	}
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	defer cancel()
+	run := c.list
+	if c.release != "" {
+		run = c.letRun
+	}
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "quarantine:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *quarantineCommand) list(ctx context.Context) error {
+	cases, err := quarantine.AskCases(ctx, c.node)
+	if err != nil {
+		return err
+	}
+	writer := table.NewWriter()
+	writer.SetOutputMirror(os.Stdout)
+	writer.AppendHeader(table.Row{"fingerprint", "held", "server", "born", "ended"})
+	for _, known := range cases {
+		for _, end := range known.Ends {
+			writer.AppendRow(table.Row{known.Fingerprint, known.Held, end.Server.ID, birth(end.Server.Born), end.At.UTC().Format(time.RFC3339)})
+		}
+	}
+	writer.Render()
+	return nil
+}
+
+// birth shows the time of birth of a server, which may not have told it.
+func birth(born int64) string {
+	if born == 0 {
+		return "not told"
+	}
+	return time.UnixMilli(born).UTC().Format(time.RFC3339)
+}
+
+func (c *quarantineCommand) letRun(ctx context.Context) error {
+	fingerprint, ok := quarantine.ParseFingerprint(c.release)
+	if !ok {
+		return fmt.Errorf("%q is no fingerprint", c.release)
+	}
+	known, err := quarantine.AskRelease(ctx, c.node, fingerprint)
+	if err != nil {
+		return err
+	}
+	if !known {
+		return fmt.Errorf("node %s knows nothing against %s", c.node, fingerprint)
+	}
+	fmt.Println("released")
+	return nil
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -116,8 +116,13 @@
 	slices.SortStableFunc(story.Own, byTime)
 	from := story.Own[0].Time.Add(-margin)
 	to := story.Own[len(story.Own)-1].Time.Add(margin)
+	fingerprints := fingerprintsOf(story.Own)
 	for _, line := range lines {
-		if !line.Time.Before(from) && !line.Time.After(to) && !line.isAbout(id) && line.touches(met, ofJob) {
+		if line.isAbout(id) {
+			continue
+		}
+		lived := !line.Time.Before(from) && !line.Time.After(to)
+		if lived && line.touches(met, ofJob) || line.tellsOf(fingerprints) {
 			story.Around = append(story.Around, line)
 		}
 	}
@@ -125,6 +130,34 @@
 	return story
 }
 
+// fingerprintsOf returns the fingerprints that lines name, shortened as in all of them.
+func fingerprintsOf(lines []Line) []string {
+	var fingerprints []string
+	for _, line := range lines {
+		if fingerprint, ok := line.Fields["fingerprint"].(string); ok {
+			fingerprints = append(fingerprints, fingerprint)
+		}
+	}
+	return fingerprints
+}
+
+// tellsOf says whether a line tells what is known against a request, by its fingerprint. What had
+// it held may have been seen at other nodes, and long before.
+func (l Line) tellsOf(fingerprints []string) bool {
+	if l.Part != "quarantine" {
+		return false
+	}
+	named, _ := l.Fields["fingerprints"].([]any)
+	named = append(named, l.Fields["fingerprint"])
+	for _, name := range named {
+		text, _ := name.(string)
+		if slices.ContainsFunc(fingerprints, func(fingerprint string) bool { return strings.HasPrefix(text, fingerprint) }) {
+			return true
+		}
+	}
+	return false
+}
+
 func byTime(a, b Line) int {
 	return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Source, b.Source))
 }
