Attempts and runs that reached no server are none: no attempt is used up, and no item is suspected

Cause: SendError.Sent was not asked; an item's end told nothing of it. Calls go on to up to eight servers that they do not get to.

--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -117,7 +117,7 @@
 // two had crashed, and refused connections to both used up the two attempts of a call.
 // Cause: an attempt that reached no server counted like one that a server may have run.
 func TestAnAttemptThatReachedNoServerIsNone(t *testing.T) {
-	backend := &script{answers: []answerFunc{broken(false), broken(false), broken(false), signed(200, "ok")}}
+	backend := &script{answers: []answerFunc{broken(false), broken(false), broken(false), signed(200, eventOne)}}
 	list := directory.NewDirectory()
 	for i := range 4 {
 		put := directory.Server{ID: fmt.Sprint("s", i), Service: "svc", Zone: "z", Slots: 4}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,9 @@
 	loserGrace = 300 * time.Millisecond
 	// retryAfter is what refused callers are told.
 	retryAfter = 50 * time.Millisecond
+	// mostUnreached bounds the servers that a call fails to get to before it is given up. The
+	// list still has a crashed server for some seconds, and each costs a refused connection.
+	mostUnreached = 8
 	// bufferLimit is the largest answer that is read whole before it is passed on.
 	bufferLimit = 1 << 20
 )
@@ -90,7 +93,10 @@
 	service  string
 	deadline time.Time
 	tried    map[directory.Incarnation]bool
-	attempts int
+	// attempts counts the servers that may have run the request, or run it now; unreached those
+	// that it did not get to, which are none.
+	attempts  int
+	unreached int
 	// servers holds the ids of the servers tried, in order.
 	servers []string
 	// reason says why the last attempt brought nothing.
@@ -147,11 +153,11 @@
 	if c.held {
 		fingerprint = zap.String("fingerprint", c.fingerprint().Short())
 	}
-	c.gateway.options.Observe(Outcome{Kind: c.route.Kind, Status: status, Reason: c.reason, Attempts: c.attempts, Took: took})
+	c.gateway.options.Observe(Outcome{Kind: c.route.Kind, Status: status, Reason: c.reason, Attempts: len(c.servers), Took: took})
 	c.gateway.options.Logger.Info("request answered",
 		zap.String("request", c.request.ID), zap.Int("status", status), zap.String("route", c.route.Name),
 		zap.String("service", c.service), zap.Int64("configuration", c.table.Version),
-		zap.Int("attempts", c.attempts), zap.Duration("list_age", c.gateway.options.Directory.Age(clock.Now())),
+		zap.Int("attempts", len(c.servers)), zap.Duration("list_age", c.gateway.options.Directory.Age(clock.Now())),
 		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took), fingerprint)
 }
 
@@ -210,7 +216,7 @@
 
 // await makes attempts until one brings the final answer; ok is false when none did.
 func (c *call) await(ctx context.Context) (got attempt, ok bool) {
-	results := make(chan attempt, max(c.route.MaxAttempts, 1))
+	results := make(chan attempt, max(c.route.MaxAttempts, 1)+mostUnreached)
 	pending := 0
 	var hedge <-chan time.Time
 	for {
@@ -274,7 +280,7 @@
 
 // nextServer returns the server for the next attempt, or nil where there is to be none.
 func (c *call) nextServer(ctx context.Context) *directory.Server {
-	if c.attempts >= max(c.route.MaxAttempts, 1) || !c.unrun && !c.repeatable {
+	if c.attempts >= max(c.route.MaxAttempts, 1) || c.unreached >= mostUnreached || !c.unrun && !c.repeatable {
 		return nil
 	}
 	if !clock.Now().Before(c.deadline) {
@@ -383,8 +389,7 @@
 func (c *call) usable(got attempt, pending int) bool {
 	switch {
 	case got.failed != nil:
-		c.reason = "broken: " + got.failed.Error()
-		c.unrun = c.unrun && !got.failed.Sent
+		c.noteFailed(got.failed)
 		return false
 	case got.answer.NotExecuted:
 		c.reason = "refused by the server"
@@ -400,6 +405,16 @@
 	return true
 }
 
+// noteFailed takes that an attempt brought no answer.
+func (c *call) noteFailed(failed *SendError) {
+	c.reason = "broken: " + failed.Error()
+	c.unrun = c.unrun && !failed.Sent
+	if !failed.Sent {
+		c.attempts--
+		c.unreached++
+	}
+}
+
 func (a *attempt) drop() {
 	if a.answer != nil && a.answer.Body != nil {
 		a.answer.Body.Close()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,8 +58,7 @@
 func (r *streamRelay) take(answer *Answer, failed *SendError) (done bool, status int) {
 	c := r.call
 	if failed != nil {
-		c.reason = "broken: " + failed.Error()
-		c.unrun = c.unrun && !failed.Sent
+		c.noteFailed(failed)
 		if failed.Sent {
 			r.broken = failed
 		}
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -132,13 +132,13 @@
 		}
 	case EndNotExecuted:
 		ended.engine.pausedUntil = now.Add(notExecutedPause)
-	case EndBroken:
+	case EndBroken, EndUnreached:
 		ended.engine.pausedUntil = now.Add(m.options.ServerPause)
 		if ended.events == 0 {
 			ended.engine.silentAt = now
 		}
 	}
-	if ended.events == 0 && (reason == EndNotExecuted || reason == EndBroken) {
+	if ended.events == 0 && (reason == EndNotExecuted || reason == EndBroken || reason == EndUnreached) {
 		owner.refused++
 	}
 	owner.waitingSince = now
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -126,11 +126,13 @@
 	EndBroken
 	// EndCancelled: the driver carried out a Cancel.
 	EndCancelled
+	// EndUnreached: there was no connection, and nothing was sent.
+	EndUnreached
 )
 
 // String implements fmt.Stringer.
 func (r EndReason) String() string {
-	return [...]string{"completed", "not executed", "failed", "impossible", "broken", "cancelled"}[r]
+	return [...]string{"completed", "not executed", "failed", "impossible", "broken", "cancelled", "unreached"}[r]
 }
 
 // Event is one event of an item's stream.
