Quarantine: nothing is held for long of which nothing is proved

What shares all its ends with others is now delayed for half a second to a minute, each for another time, so that one of them runs alone and is answered or shown to be the cause. A request that made events is held after five ends instead of three: a long item may meet several crashes.

--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -86,7 +86,7 @@
 		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
 		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", clock.Since(began)),
 		zap.Stringer("reason", reason), zap.Error(err))
-	c.noteEnd(start, began, reason)
+	c.noteEnd(start, began, reason, events > 0)
 	c.inputOf(machine, func(now time.Time) {
 		c.cancels[start.Attempt]()
 		delete(c.cancels, start.Attempt)
@@ -95,14 +95,14 @@
 }
 
 // noteEnd tells the quarantine how a run ended, before the item waits for the next one.
-func (c *Coordinator) noteEnd(start scheduler.Start, began time.Time, reason scheduler.EndReason) {
+func (c *Coordinator) noteEnd(start scheduler.Start, began time.Time, reason scheduler.EndReason, progressed bool) {
 	tracker := c.options.Quarantine
 	fingerprint := scheduler.Fingerprint(start.Tenant, start.Host, start.Item)
 	switch reason {
 	case scheduler.EndBroken:
 		tracker.Broke(fingerprint, directory.Server{
 			ID: start.Server.ID, Born: start.Server.Born, Address: start.Server.Address, Service: start.Server.Service,
-		})
+		}, progressed)
 	case scheduler.EndCompleted, scheduler.EndFailed, scheduler.EndImpossible:
 		if tracker.Active() {
 			tracker.Answered(fingerprint, directory.Incarnation{ID: start.Server.ID, Born: start.Server.Born}, began)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,12 +187,13 @@
 }
 
 // comeBackAfter is when a refused caller may come back. A held request is refused until its hold
-// ends, also at the other nodes, which the caller may as well know.
+// ends, at the other nodes as well: an earlier try costs the caller, and brings nothing.
 func (c *call) comeBackAfter() time.Duration {
 	if !c.held {
 		return retryAfter
 	}
-	return max(time.Until(c.gateway.options.Quarantine.HoldEnds(c.fingerprint())), retryAfter).Round(time.Second)
+	left := time.Until(c.gateway.options.Quarantine.HoldEnds(c.fingerprint()))
+	return max(left.Truncate(time.Millisecond), retryAfter)
 }
 
 // attempt is the result of one attempt.
@@ -323,7 +324,7 @@
 	if got.failed != nil && got.failed.Sent && sendCtx.Err() == nil {
 		broken = got.failed
 	}
-	c.noteEnd(server, began, broken, got.finished())
+	c.noteEnd(server, began, broken, false, got.finished())
 	if got.ran() {
 		c.gateway.options.Began(c.request.Caller.Tenant, began)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,9 +25,10 @@
 			Request: c.request, Server: server, Left: leftUntil(c.deadline), LastEventID: relay.lastID,
 		})
 		relay.broken = nil
+		before := relay.lastID
 		done, status := relay.take(answer, failed)
 		if attemptCtx.Err() == nil {
-			c.noteEnd(server, began, relay.broken, done && relay.ended)
+			c.noteEnd(server, began, relay.broken, relay.lastID != before, done && relay.ended)
 		}
 		c.gateway.observe(c.request.Received, server, attempt{answer: answer, failed: failed})
 		cancel()
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -83,12 +83,12 @@
 }
 
 // noteEnd tells the quarantine how an attempt ended. Broken says that the server, and not this
-// node or the caller, broke it off after it had been sent.
-func (c *call) noteEnd(server *directory.Server, began time.Time, broken error, answered bool) {
+// node or the caller, broke it off after it had been sent, progressed that it had made events.
+func (c *call) noteEnd(server *directory.Server, began time.Time, broken error, progressed, answered bool) {
 	tracker := c.gateway.options.Quarantine
 	switch {
 	case broken != nil:
-		tracker.Broke(c.fingerprint(), *server)
+		tracker.Broke(c.fingerprint(), *server, progressed)
 		c.gateway.options.Logger.Info("attempt broken", zap.String("request", c.request.ID),
 			zap.String("fingerprint", c.fingerprint().Short()), zap.String("server", server.ID), zap.Int64("born", server.Born),
 			zap.String("service", c.service), zap.Duration("took", clock.Since(began)), zap.Error(broken))
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -16,11 +16,23 @@
 	// would be chance where servers also crash by themselves. The users' limit is three more
 	// sends after the third end; a hold at the third leaves room for sends that were under way.
 	endsProved = 3
-	// endsUnclear is the number from which on a request is held that shares its ends with
-	// others, so that nothing tells which of them it was: five leaves one of the users' limit.
+	// endsProgressed is that number for a request that made events before a server ended: it may
+	// be a long one that met several crashes. It leaves one send of the users' limit.
+	endsProgressed = 5
+	// endsUnclear is the number from which on a request is delayed that shares its ends with
+	// others, so that nothing tells which of them it was.
 	endsUnclear = 5
 )
 
+const (
+	// unclearDelay is how long after its last end such a request waits at endsUnclear, on the mean;
+	// twice as long with each further end. Each waits for another time, so that one of them runs
+	// without the others, and is either answered or shown to be the cause.
+	unclearDelay = time.Second
+	// mostDoublings bounds that delay, at about a minute.
+	mostDoublings = 6
+)
+
 const (
 	// forgetAfter is how long after the last end a request is forgotten. A wrong verdict costs
 	// its caller that request for as long; a right one costs three more servers each time that it
@@ -36,6 +48,8 @@
 	Fingerprint Fingerprint
 	Server      directory.Incarnation
 	At          time.Time
+	// Progressed says that the request had made events at the server.
+	Progressed bool
 }
 
 // Suspicion is what is known against a request.
@@ -45,8 +59,9 @@
 	// Settling says that one more end would have the request held, and that it is not yet known
 	// whether a server ended. It is to wait, which takes a fraction of a second.
 	Settling bool
-	// Held requests are not sent to servers.
-	Held bool
+	// Held requests are not sent to servers: for long once Proved, else for a short delay.
+	Held   bool
+	Proved bool
 }
 
 // Ledger folds which servers ended under which requests. It does no I/O and is not safe for
@@ -57,8 +72,8 @@
 // servers ended under, and to none where several have as many. Any answer clears a request,
 // since one that is held crashes every server that begins to run it.
 type Ledger struct {
-	// ends holds when servers ended, by request; suspects are the same ends by server.
-	ends     map[Fingerprint]map[directory.Incarnation]time.Time
+	// ends holds the ends of servers by request; suspects are the same ends by server.
+	ends     map[Fingerprint]map[directory.Incarnation]End
 	suspects map[directory.Incarnation]map[Fingerprint]bool
 	count    int
 }
@@ -66,7 +81,7 @@
 // NewLedger returns a ledger without an end.
 func NewLedger() *Ledger {
 	return &Ledger{
-		ends:     make(map[Fingerprint]map[directory.Incarnation]time.Time),
+		ends:     make(map[Fingerprint]map[directory.Incarnation]End),
 		suspects: make(map[directory.Incarnation]map[Fingerprint]bool),
 	}
 }
@@ -83,9 +98,9 @@
 		l.evict()
 	}
 	if l.ends[end.Fingerprint] == nil {
-		l.ends[end.Fingerprint] = make(map[directory.Incarnation]time.Time)
+		l.ends[end.Fingerprint] = make(map[directory.Incarnation]End)
 	}
-	l.ends[end.Fingerprint][end.Server] = end.At
+	l.ends[end.Fingerprint][end.Server] = end
 	if l.suspects[end.Server] == nil {
 		l.suspects[end.Server] = make(map[Fingerprint]bool)
 	}
@@ -148,9 +163,9 @@
 // lastEnd returns when the last server ended under a request.
 func (l *Ledger) lastEnd(fingerprint Fingerprint) time.Time {
 	var last time.Time
-	for _, at := range l.ends[fingerprint] {
-		if at.After(last) {
-			last = at
+	for _, end := range l.ends[fingerprint] {
+		if end.At.After(last) {
+			last = end.At
 		}
 	}
 	return last
@@ -171,10 +186,40 @@
 	return expired
 }
 
-// Suspicion returns what is known against a request.
-func (l *Ledger) Suspicion(fingerprint Fingerprint) Suspicion {
-	ends := len(l.ends[fingerprint])
-	return Suspicion{Ends: ends, Held: ends >= endsUnclear || ends >= endsProved && l.proved(fingerprint) >= endsProved}
+// Suspicion returns what is known against a request at a time of day.
+func (l *Ledger) Suspicion(now time.Time, fingerprint Fingerprint) Suspicion {
+	known := Suspicion{Ends: len(l.ends[fingerprint])}
+	if known.Ends < endsProved {
+		return known
+	}
+	known.Proved = l.proved(fingerprint) >= l.needed(fingerprint)
+	known.Held = known.Proved || l.isUnclear(fingerprint) && now.Before(l.HoldEnds(fingerprint))
+	return known
+}
+
+// needed returns how many ends have a request held.
+func (l *Ledger) needed(fingerprint Fingerprint) int {
+	for _, end := range l.ends[fingerprint] {
+		if end.Progressed {
+			return endsProgressed
+		}
+	}
+	return endsProved
+}
+
+func (l *Ledger) isUnclear(fingerprint Fingerprint) bool {
+	return len(l.ends[fingerprint]) >= endsUnclear && l.proved(fingerprint) < l.needed(fingerprint)
+}
+
+// HasUnclear says whether any request is delayed now and then, so that what is known against it
+// changes with time alone.
+func (l *Ledger) HasUnclear() bool {
+	for fingerprint := range l.ends {
+		if l.isUnclear(fingerprint) {
+			return true
+		}
+	}
+	return false
 }
 
 // proved returns how many ends are put down to a request.
@@ -201,13 +246,25 @@
 
 // HoldEnds returns when a hold of a request ends by itself.
 func (l *Ledger) HoldEnds(fingerprint Fingerprint) time.Time {
+	if l.isUnclear(fingerprint) {
+		return l.lastEnd(fingerprint).Add(delayOf(fingerprint, len(l.ends[fingerprint])))
+	}
 	return l.lastEnd(fingerprint).Add(forgetAfter)
 }
 
+// delayOf returns the delay of a request with so many unclear ends: half to one and a half of the
+// mean, which is the same at all nodes and another one for each request and number of ends.
+func delayOf(fingerprint Fingerprint, ends int) time.Duration {
+	mean := unclearDelay << min(ends-endsUnclear, mostDoublings)
+	share := float64(fingerprint[ends%len(fingerprint)]) / (1 << 8)
+	return time.Duration((0.5 + share) * float64(mean))
+}
+
 // Case is a request that servers ended under, for operators.
 type Case struct {
 	Fingerprint Fingerprint
-	Held        bool
+	// Held says that the request is held for good, as far as nodes go.
+	Held bool
 	// Ends are ordered by time.
 	Ends []End
 }
@@ -220,9 +277,9 @@
 		if len(l.ends[fingerprint]) < atLeast {
 			continue
 		}
-		known := Case{Fingerprint: fingerprint, Held: l.Suspicion(fingerprint).Held}
+		known := Case{Fingerprint: fingerprint, Held: l.proved(fingerprint) >= l.needed(fingerprint)}
 		for _, server := range l.serversOf(fingerprint) {
-			known.Ends = append(known.Ends, End{Fingerprint: fingerprint, Server: server, At: l.ends[fingerprint][server]})
+			known.Ends = append(known.Ends, l.ends[fingerprint][server])
 		}
 		slices.SortStableFunc(known.Ends, func(a, b End) int { return a.At.Compare(b.At) })
 		cases = append(cases, known)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -20,6 +20,8 @@
 	At int64
 	// Node is the process that saw it.
 	Node string
+	// Progressed says that the request had made events.
+	Progressed bool
 }
 
 // The separators of a record's key. A fingerprint is hexadecimal, a time of birth decimal.
@@ -46,7 +48,7 @@
 // encodeEnd returns the record of an end.
 func encodeEnd(end End, node string) (store.Record, error) {
 	var value bytes.Buffer
-	if err := gob.NewEncoder(&value).Encode(endRecord{At: end.At.UnixMilli(), Node: node}); err != nil {
+	if err := gob.NewEncoder(&value).Encode(endRecord{At: end.At.UnixMilli(), Node: node, Progressed: end.Progressed}); err != nil {
 		return store.Record{}, fmt.Errorf("encode the end of server %s: %w", end.Server.ID, err)
 	}
 	return store.Record{Key: recordKey(end.Fingerprint, end.Server), Value: value.Bytes()}, nil
@@ -71,6 +73,6 @@
 	if err := gob.NewDecoder(bytes.NewReader(record.Value)).Decode(&decoded); err != nil {
 		return End{}, false, fmt.Errorf("decode the end of server %s: %w", server.ID, err)
 	}
-	end.At = time.UnixMilli(decoded.At)
+	end.At, end.Progressed = time.UnixMilli(decoded.At), decoded.Progressed
 	return end, false, nil
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -113,13 +113,18 @@
 	service string
 	// brokeAt is when the first connection broke.
 	brokeAt time.Time
-	// requests were under way there.
+	// requests were under way there; true for those that had made events.
 	requests map[Fingerprint]bool
 	// probed says that the probes have begun, settled is closed once they are over.
 	probed  bool
 	settled chan struct{}
 }
 
+func (b *brokenServer) ran(fingerprint Fingerprint) bool {
+	_, under := b.requests[fingerprint]
+	return under
+}
+
 func (b *brokenServer) settling() bool {
 	select {
 	case <-b.settled:
@@ -170,12 +175,12 @@
 }
 
 func (t *Tracker) suspicionLocked(fingerprint Fingerprint) Suspicion {
-	known := t.ledger.Suspicion(fingerprint)
+	known := t.ledger.Suspicion(wallTime(), fingerprint)
 	if known.Held {
 		return known
 	}
 	for _, broken := range t.breaks {
-		if broken.requests[fingerprint] && broken.settling() {
+		if broken.ran(fingerprint) && broken.settling() {
 			known.Ends++
 			known.Settling = known.Settling || known.Ends >= endsProved
 		}
@@ -209,15 +214,16 @@
 }
 
 // Broke takes that a server broke the connection of a request that had been sent to it.
-func (t *Tracker) Broke(fingerprint Fingerprint, server directory.Server) {
+// Progressed says that the request had made events there.
+func (t *Tracker) Broke(fingerprint Fingerprint, server directory.Server, progressed bool) {
 	if t.options.Probe == nil || t.isLeaving(server) {
 		return
 	}
 	t.mutex.Lock()
 	at := server.Incarnation()
 	if _, over := t.ended[at]; over {
-		t.addLocked(at, map[Fingerprint]bool{fingerprint: true})
-	} else if broken := t.noteBreakLocked(fingerprint, server); replaced(t.options.Directory.Snapshot(), broken) {
+		t.addLocked(at, map[Fingerprint]bool{fingerprint: progressed})
+	} else if broken := t.noteBreakLocked(fingerprint, server, progressed); replaced(t.options.Directory.Snapshot(), broken) {
 		t.endLocked(broken, evidenceReplaced)
 	}
 	t.updateLocked()
@@ -232,7 +238,7 @@
 	return listed == nil || listed.Draining && listed.Incarnation().IsSameLife(server.Incarnation())
 }
 
-func (t *Tracker) noteBreakLocked(fingerprint Fingerprint, server directory.Server) *brokenServer {
+func (t *Tracker) noteBreakLocked(fingerprint Fingerprint, server directory.Server, progressed bool) *brokenServer {
 	at := server.Incarnation()
 	broken := t.breaks[at]
 	if broken == nil {
@@ -243,7 +249,7 @@
 		t.breaks[at] = broken
 	}
 	if len(broken.requests) < mostUnderWay {
-		broken.requests[fingerprint] = true
+		broken.requests[fingerprint] = progressed
 	}
 	return broken
 }
@@ -267,7 +273,7 @@
 // clearLocked forgets all that is known against a request.
 func (t *Tracker) clearLocked(fingerprint Fingerprint) (changed bool) {
 	for _, broken := range t.breaks {
-		if broken.requests[fingerprint] {
+		if broken.ran(fingerprint) {
 			delete(broken.requests, fingerprint)
 			changed = true
 		}
@@ -326,7 +332,7 @@
 	defer t.mutex.Unlock()
 	var waits []chan struct{}
 	for _, broken := range t.breaks {
-		if broken.requests[fingerprint] && broken.settling() {
+		if broken.ran(fingerprint) && broken.settling() {
 			waits = append(waits, broken.settled)
 		}
 	}
@@ -407,8 +413,8 @@
 
 // addLocked puts a server's end to the account of requests, and has it written to the store.
 func (t *Tracker) addLocked(server directory.Incarnation, requests map[Fingerprint]bool) (added []Fingerprint) {
-	for fingerprint := range requests {
-		end := End{Fingerprint: fingerprint, Server: server, At: wallTime()}
+	for fingerprint, progressed := range requests {
+		end := End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: progressed}
 		if !t.ledger.Add(end) {
 			continue
 		}
@@ -438,7 +444,7 @@
 // updateLocked notes what has changed by the last inputs.
 func (t *Tracker) updateLocked() {
 	for fingerprint := range t.held {
-		if !t.ledger.Suspicion(fingerprint).Held {
+		if !t.ledger.Suspicion(wallTime(), fingerprint).Proved {
 			delete(t.held, fingerprint)
 			t.options.Logger.Info("request no longer held", zap.String("fingerprint", fingerprint.Short()))
 		}
@@ -576,10 +582,10 @@
 			delete(t.ended, server)
 		}
 	}
-	forgotten := t.forgetLocked(tidies)
+	changed := t.forgetLocked(tidies) || t.ledger.HasUnclear()
 	t.updateLocked()
 	t.mutex.Unlock()
-	if forgotten {
+	if changed {
 		t.signal()
 		t.options.Changed()
 	}
