--- /dev/null
+++ b/internal/quarantine/settle.go
@@ -0,0 +1,250 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/clock"
+	"dalehook/internal/directory"
+	"dalehook/internal/pause"
+)
+
+// Probe tries to open a connection to a server and closes it. Its result is one of the Reach.
+type Probe func(ctx context.Context, address string) Reach
+
+// Reach is what a probe found.
+type Reach int
+
+// What probes find.
+const (
+	// ReachUnknown: there was no answer, or none that says anything.
+	ReachUnknown Reach = iota
+	// ReachOpen: something takes connections at the address.
+	ReachOpen
+	// ReachRefused: the machine is there, and no process takes connections.
+	ReachRefused
+)
+
+// The settling of whether a server has ended.
+const (
+	// firstProbe is when a server is probed after it broke a connection: one that crashes closes
+	// its connections a moment before or after its listener.
+	firstProbe = 30 * time.Millisecond
+	// secondProbe is the time to the second probe. A server that is only short of connections
+	// for a moment refuses one, and hardly two.
+	secondProbe = 120 * time.Millisecond
+	// probeTimeout bounds a probe: a server answers within some milliseconds.
+	probeTimeout = 300 * time.Millisecond
+	// probeLate is by how much a step of these may come too late. A node that stood still
+	// can not tell a crash from a planned end that it slept through.
+	probeLate = 500 * time.Millisecond
+	// settleTimeout bounds the wait of a request for all of that.
+	settleTimeout = firstProbe + secondProbe + 2*probeTimeout
+	// listPatience is how long a server that was not found to have ended may be listed under a new
+	// birth, or replaced at its address: machines are back within some seconds.
+	listPatience = 8 * time.Second
+	// mostUnderWay bounds the requests that are put to the account of one server's end: more than
+	// a server takes at once, and as many as are written by one call.
+	mostUnderWay = 256
+)
+
+// brokenServer is a server that broke connections.
+type brokenServer struct {
+	server  directory.Incarnation
+	address string
+	service string
+	// brokeAt is when the first connection broke.
+	brokeAt time.Time
+	// requests were under way there; true for those that had made events.
+	requests map[Fingerprint]bool
+	// probed says that the probes have begun, settled is closed once they are over.
+	probed  bool
+	settled chan struct{}
+}
+
+func (b *brokenServer) ran(fingerprint Fingerprint) bool {
+	_, under := b.requests[fingerprint]
+	return under
+}
+
+func (b *brokenServer) settling() bool {
+	select {
+	case <-b.settled:
+		return false
+	default:
+		return true
+	}
+}
+
+// isLeaving says whether a server is to end by plan: what it breaks off then is nobody's fault.
+func (t *Tracker) isLeaving(server directory.Server) bool {
+	listed := t.options.Directory.Find(server.ID)
+	return listed == nil || listed.Draining && listed.Incarnation().IsSameLife(server.Incarnation())
+}
+
+func (t *Tracker) noteBreakLocked(fingerprint Fingerprint, server directory.Server, progressed bool) *brokenServer {
+	at := server.Incarnation()
+	broken := t.breaks[at]
+	if broken == nil {
+		broken = &brokenServer{
+			server: at, address: server.Address, service: server.Service, brokeAt: clock.Now(),
+			requests: make(map[Fingerprint]bool), settled: make(chan struct{}),
+		}
+		t.breaks[at] = broken
+	}
+	if len(broken.requests) < mostUnderWay {
+		broken.requests[fingerprint] = progressed
+	}
+	return broken
+}
+
+// ObserveServers looks for servers that broke connections and were replaced since.
+func (t *Tracker) ObserveServers() {
+	if !t.Active() {
+		return
+	}
+	t.mutex.Lock()
+	snapshot := t.options.Directory.Snapshot()
+	var ended []*brokenServer
+	for _, broken := range t.breaks {
+		if replaced(snapshot, broken) {
+			ended = append(ended, broken)
+		}
+	}
+	for _, broken := range ended {
+		t.endLocked(broken, evidenceReplaced)
+	}
+	t.updateLocked()
+	t.mutex.Unlock()
+	if len(ended) > 0 {
+		t.signal()
+		t.options.Changed()
+	}
+}
+
+// replaced says whether the list shows a later life of a server, or another one at its address. A
+// server that leaves by plan gives its address away later than it breaks its last connection.
+func replaced(snapshot *directory.Snapshot, broken *brokenServer) bool {
+	found := false
+	snapshot.All(func(server *directory.Server) {
+		switch {
+		case server.ID == broken.server.ID:
+			found = found || !broken.server.IsSameLife(server.Incarnation())
+		case server.Address == broken.address && server.Service == broken.service:
+			found = true
+		}
+	})
+	return found
+}
+
+// What shows that a server has ended.
+const (
+	// evidenceRefused: its machine refuses connections to it, twice.
+	evidenceRefused = "connections refused"
+	// evidenceReplaced: a later life of it is listed, or another server at its address.
+	evidenceReplaced = "replaced in the list"
+)
+
+// endLocked takes that a server has ended under what it was running.
+func (t *Tracker) endLocked(broken *brokenServer, evidence string) {
+	t.dropLocked(broken)
+	t.ended[broken.server] = clock.Now()
+	added := t.addLocked(broken.server, broken.requests)
+	t.options.Observer.ObserveServerEnd(evidence, len(broken.requests))
+	t.options.Logger.Info("server ended under requests", zap.String("server", broken.server.ID), zap.Int64("born", broken.server.Born),
+		zap.String("service", broken.service), zap.String("evidence", evidence), zap.Int("requests", len(broken.requests)),
+		zap.Strings("fingerprints", shortest(added)), zap.Duration("after", clock.Since(broken.brokeAt)))
+}
+
+// dropLocked ends the settling of a server.
+func (t *Tracker) dropLocked(broken *brokenServer) {
+	delete(t.breaks, broken.server)
+	broken.close()
+}
+
+func (b *brokenServer) close() {
+	if b.settling() {
+		close(b.settled)
+	}
+}
+
+// Settle waits until it is known of each server that broke a request off whether it has ended.
+func (t *Tracker) Settle(ctx context.Context, fingerprint Fingerprint) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for _, settled := range t.unsettled(fingerprint) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-settled:
+		}
+	}
+}
+
+func (t *Tracker) unsettled(fingerprint Fingerprint) []chan struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var waits []chan struct{}
+	for _, broken := range t.breaks {
+		if broken.ran(fingerprint) && broken.settling() {
+			waits = append(waits, broken.settled)
+		}
+	}
+	return waits
+}
+
+// unprobed returns the servers whose probes are to begin.
+func (t *Tracker) unprobed() []*brokenServer {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var waiting []*brokenServer
+	for _, broken := range t.breaks {
+		if !broken.probed {
+			broken.probed = true
+			waiting = append(waiting, broken)
+		}
+	}
+	return waiting
+}
+
+var errProbeLate = errors.New("the node stood still between probes")
+
+// probe finds out whether a server takes connections.
+func (t *Tracker) probe(ctx context.Context, broken *brokenServer) {
+	refused, err := t.refusesTwice(ctx, broken.address)
+	if err != nil {
+		t.options.Logger.Info("server not settled", zap.String("server", broken.server.ID), zap.Error(err))
+	}
+	t.mutex.Lock()
+	if t.breaks[broken.server] == broken && refused {
+		t.endLocked(broken, evidenceRefused)
+	}
+	broken.close()
+	t.updateLocked()
+	t.mutex.Unlock()
+	t.signal()
+	t.options.Changed()
+}
+
+func (t *Tracker) refusesTwice(ctx context.Context, address string) (bool, error) {
+	for _, wait := range []time.Duration{firstProbe, secondProbe} {
+		due := clock.Now().Add(wait)
+		if !pause.For(ctx, wait) {
+			return false, ctx.Err()
+		}
+		call, cancel := context.WithTimeout(ctx, probeTimeout)
+		reach := t.options.Probe(call, address)
+		cancel()
+		clock.Refresh()
+		if clock.Since(due) > probeLate {
+			return false, errProbeLate
+		}
+		if reach != ReachRefused {
+			return false, nil
+		}
+	}
+	return true, nil
+}
