Scheduler: what is known against an item is looked up once for each choice, not for each engine

With 600 engines and some thousand items the look at all runs for each pair took seconds in the worst case, by reckoning.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -130,11 +130,18 @@
 	var best *engine
 	var bestCost float64
 	patient := now.Sub(next.waitingSince) < slowPatience
+	known := m.suspicion(next)
+	if !m.mayRunNow(next, known) {
+		return nil
+	}
 	for _, candidate := range engines {
 		if !m.mayRun(now, next, candidate) || patient && candidate.isSlow(now, usual) {
 			continue
 		}
-		cost := candidate.cost(now, next) + m.suspectCost(next, candidate)
+		if known.Ends >= apartFrom && m.runsSuspect(candidate) {
+			continue
+		}
+		cost := candidate.cost(now, next) + suspectCost(known, candidate)
 		if best == nil || cost < bestCost {
 			best, bestCost = candidate, cost
 		}
@@ -154,7 +161,7 @@
 	if version < next.job.minimum {
 		return false
 	}
-	return !m.mixesVersions(next, version) && m.mayRunBeside(next, candidate)
+	return !m.mixesVersions(next, version)
 }
 
 const (
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -40,7 +40,7 @@
 		if moves >= moveAtOnce {
 			return
 		}
-		if waiting[running.item.job.model] || !mayMove(now, running) {
+		if waiting[running.item.job.model] || !mayMove(now, running) || m.suspicion(running.item).Ends > 0 {
 			continue
 		}
 		target := m.fasterEngine(now, running, fastest[running.item.service], promised)
--- a/internal/scheduler/suspicions.go
+++ b/internal/scheduler/suspicions.go
@@ -54,31 +54,29 @@
 	return m.suspicions[known.fingerprint]
 }
 
-// mayRunBeside says whether an item may run at an engine as far as engines ended under it and
-// under what runs there. The same item runs once at a time; two suspects end no engine together.
-func (m *Machine) mayRunBeside(next *item, candidate *engine) bool {
-	known := m.suspicion(next)
-	if known.Ends == 0 {
-		return true
-	}
-	if known.Settling || known.Held || m.runsElsewhere(next) {
-		return false
-	}
-	if known.Ends < apartFrom {
-		return true
-	}
-	for _, running := range candidate.attempts {
-		if m.suspicion(running.item).Ends >= apartFrom {
-			return false
-		}
-	}
-	return true
+// mayRunNow says whether an item may run anywhere: the same one runs once at a time, and none
+// whose next end would have it held while an end is not settled.
+func (m *Machine) mayRunNow(next *item, known quarantine.Suspicion) bool {
+	return known.Ends == 0 || !known.Settling && !known.Held && !m.runsElsewhere(next)
 }
 
 // runsElsewhere says whether the same item runs for another job.
 func (m *Machine) runsElsewhere(next *item) bool {
 	for _, running := range m.attempts {
-		if running.item != next && m.suspicion(running.item).Ends > 0 && running.item.fingerprint == next.fingerprint {
+		other := running.item
+		// Paths differ nearly always, and cost nothing to compare.
+		if other != next && other.source.Path == next.source.Path && m.suspicion(other).Ends > 0 && other.fingerprint == next.fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// runsSuspect says whether an engine runs an item that may end it, so that another one would be
+// implicated as well.
+func (m *Machine) runsSuspect(candidate *engine) bool {
+	for _, running := range candidate.attempts {
+		if m.suspicion(running.item).Ends >= apartFrom {
 			return true
 		}
 	}
@@ -90,8 +88,8 @@
 const suspectPenalty = 1
 
 // suspectCost rates an engine by what would be lost with it.
-func (m *Machine) suspectCost(next *item, candidate *engine) float64 {
-	if m.suspicion(next).Ends < apartFrom {
+func suspectCost(known quarantine.Suspicion, candidate *engine) float64 {
+	if known.Ends < apartFrom {
 		return 0
 	}
 	return suspectPenalty * float64(len(candidate.attempts))
