--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -64,6 +64,16 @@
 	Proved bool
 }
 
+// withUnsettled is the suspicion with one more server that may have ended.
+func (s Suspicion) withUnsettled() Suspicion {
+	if s.Held {
+		return s
+	}
+	s.Ends++
+	s.Settling = s.Settling || s.Ends >= endsProved
+	return s
+}
+
 // Ledger folds which servers ended under which requests. It does no I/O and is not safe for
 // concurrent use.
 //
@@ -89,6 +99,9 @@
 // Len returns the number of ends that are kept.
 func (l *Ledger) Len() int { return l.count }
 
+// Knows says whether any server has ended under a request, as far as is kept.
+func (l *Ledger) Knows(fingerprint Fingerprint) bool { return len(l.ends[fingerprint]) > 0 }
+
 // Add takes the end of a server under a request; it returns false for one that is known.
 func (l *Ledger) Add(end End) bool {
 	if _, known := l.ends[end.Fingerprint][end.Server]; known {
@@ -277,12 +290,27 @@
 		if len(l.ends[fingerprint]) < atLeast {
 			continue
 		}
-		known := Case{Fingerprint: fingerprint, Held: l.proved(fingerprint) >= l.needed(fingerprint)}
-		for _, server := range l.serversOf(fingerprint) {
-			known.Ends = append(known.Ends, l.ends[fingerprint][server])
-		}
-		slices.SortStableFunc(known.Ends, func(a, b End) int { return a.At.Compare(b.At) })
-		cases = append(cases, known)
+		cases = append(cases, l.caseOf(fingerprint))
 	}
 	return cases
 }
+
+func (l *Ledger) caseOf(fingerprint Fingerprint) Case {
+	known := Case{Fingerprint: fingerprint, Held: l.proved(fingerprint) >= l.needed(fingerprint)}
+	for _, server := range l.serversOf(fingerprint) {
+		known.Ends = append(known.Ends, l.ends[fingerprint][server])
+	}
+	slices.SortStableFunc(known.Ends, func(a, b End) int { return a.At.Compare(b.At) })
+	return known
+}
+
+// Proved returns the requests that are held for good, as far as nodes go.
+func (l *Ledger) Proved() []Fingerprint {
+	var proved []Fingerprint
+	for fingerprint, ends := range l.ends {
+		if len(ends) >= endsProved && l.proved(fingerprint) >= l.needed(fingerprint) {
+			proved = append(proved, fingerprint)
+		}
+	}
+	return proved
+}
--- a/internal/quarantine/settle.go
+++ b/internal/quarantine/settle.go
@@ -58,8 +58,8 @@
 	service string
 	// brokeAt is when the first connection broke.
 	brokeAt time.Time
-	// requests were under way there; true for those that had made events.
-	requests map[Fingerprint]bool
+	// requests were under way there.
+	requests map[Fingerprint]UnderWay
 	// probed says that the probes have begun, settled is closed once they are over.
 	probed  bool
 	settled chan struct{}
@@ -85,18 +85,18 @@
 	return listed == nil || listed.Draining && listed.Incarnation().IsSameLife(server.Incarnation())
 }
 
-func (t *Tracker) noteBreakLocked(fingerprint Fingerprint, server directory.Server, progressed bool) *brokenServer {
+func (t *Tracker) noteBreakLocked(fingerprint Fingerprint, server directory.Server, underWay UnderWay) *brokenServer {
 	at := server.Incarnation()
 	broken := t.breaks[at]
 	if broken == nil {
 		broken = &brokenServer{
 			server: at, address: server.Address, service: server.Service, brokeAt: clock.Now(),
-			requests: make(map[Fingerprint]bool), settled: make(chan struct{}),
+			requests: make(map[Fingerprint]UnderWay), settled: make(chan struct{}),
 		}
 		t.breaks[at] = broken
 	}
 	if len(broken.requests) < mostUnderWay {
-		broken.requests[fingerprint] = progressed
+		broken.requests[fingerprint] = underWay
 	}
 	return broken
 }
@@ -121,7 +121,6 @@
 	t.mutex.Unlock()
 	if len(ended) > 0 {
 		t.signal()
-		t.options.Changed()
 	}
 }
 
@@ -218,6 +217,11 @@
 	if err != nil {
 		t.options.Logger.Info("server not settled", zap.String("server", broken.server.ID), zap.Error(err))
 	}
+	t.settle(broken, refused)
+}
+
+// settle takes what the probes of a server found.
+func (t *Tracker) settle(broken *brokenServer, refused bool) {
 	t.mutex.Lock()
 	if t.breaks[broken.server] == broken && refused {
 		t.endLocked(broken, evidenceRefused)
@@ -226,7 +230,6 @@
 	t.updateLocked()
 	t.mutex.Unlock()
 	t.signal()
-	t.options.Changed()
 }
 
 func (t *Tracker) refusesTwice(ctx context.Context, address string) (bool, error) {
--- a/internal/quarantine/share.go
+++ b/internal/quarantine/share.go
@@ -57,13 +57,14 @@
 	tidies := t.options.Tidies()
 	t.mutex.Lock()
 	t.ledger = NewLedger()
+	clear(t.unshared)
 	t.applyLocked(records)
 	t.applyLocked(t.unsent)
 	t.forgetLocked(tidies)
 	t.updateLocked()
 	t.mutex.Unlock()
 	t.loaded.Store(true)
-	t.options.Changed()
+	t.signal()
 }
 
 func (t *Tracker) change(records []store.Record) {
@@ -71,7 +72,7 @@
 	t.applyLocked(records)
 	t.updateLocked()
 	t.mutex.Unlock()
-	t.options.Changed()
+	t.signal()
 }
 
 func (t *Tracker) applyLocked(records []store.Record) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
+	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
 
@@ -60,10 +62,12 @@
 	ended map[directory.Incarnation]time.Time
 	// unsent are records to be written to the store.
 	unsent []store.Record
-	held   map[Fingerprint]bool
+	// unshared are the requests whose only end is known to this node alone.
+	unshared map[Fingerprint]bool
+	held     map[Fingerprint]bool
 	// wake is signalled when there is something to settle, unsentWake when there is something
-	// to write.
-	wake, unsentWake chan struct{}
+	// to write, changedWake when what is known has changed.
+	wake, unsentWake, changedWake chan struct{}
 }
 
 // NewTracker returns a tracker that knows nothing. Without a probe it never learns anything.
@@ -83,7 +87,7 @@
 	return &Tracker{
 		options: options, ledger: NewLedger(),
 		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]time.Time),
-		held: make(map[Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1),
+		unshared: make(map[Fingerprint]bool), held: make(map[Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
 	}
 }
 
@@ -108,13 +112,9 @@
 
 func (t *Tracker) suspicionLocked(fingerprint Fingerprint) Suspicion {
 	known := t.ledger.Suspicion(wallTime(), fingerprint)
-	if known.Held {
-		return known
-	}
 	for _, broken := range t.breaks {
 		if broken.ran(fingerprint) && broken.settling() {
-			known.Ends++
-			known.Settling = known.Settling || known.Ends >= endsProved
+			known = known.withUnsettled()
 		}
 	}
 	return known
@@ -124,15 +124,17 @@
 func (t *Tracker) Suspicions() map[Fingerprint]Suspicion {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	now := wallTime()
 	all := make(map[Fingerprint]Suspicion, len(t.ledger.ends))
 	for fingerprint := range t.ledger.ends {
-		all[fingerprint] = t.suspicionLocked(fingerprint)
+		all[fingerprint] = t.ledger.Suspicion(now, fingerprint)
 	}
 	for _, broken := range t.breaks {
+		if !broken.settling() {
+			continue
+		}
 		for fingerprint := range broken.requests {
-			if known := t.suspicionLocked(fingerprint); known.Ends > 0 {
-				all[fingerprint] = known
-			}
+			all[fingerprint] = all[fingerprint].withUnsettled()
 		}
 	}
 	return all
@@ -145,23 +147,35 @@
 	return t.ledger.HoldEnds(fingerprint)
 }
 
+// UnderWay is what is known of a request that is under way at a server.
+type UnderWay struct {
+	// Progressed says that the request has made events there.
+	Progressed bool
+	// HereOnly says that no other node sends the request to servers. Its first end is not shared then:
+	// a crash implicates all that an engine runs, and nearly all of it is cleared by its next run.
+	HereOnly bool
+}
+
 // Broke takes that a server broke the connection of a request that had been sent to it.
-// Progressed says that the request had made events there.
-func (t *Tracker) Broke(fingerprint Fingerprint, server directory.Server, progressed bool) {
+func (t *Tracker) Broke(fingerprint Fingerprint, server directory.Server, underWay UnderWay) {
 	if t.options.Probe == nil || t.isLeaving(server) {
 		return
 	}
 	t.mutex.Lock()
 	at := server.Incarnation()
 	if _, over := t.ended[at]; over {
-		t.addLocked(at, map[Fingerprint]bool{fingerprint: progressed})
-	} else if broken := t.noteBreakLocked(fingerprint, server, progressed); replaced(t.options.Directory.Snapshot(), broken) {
+		t.addLocked(at, map[Fingerprint]UnderWay{fingerprint: underWay})
+	} else if broken := t.noteBreakLocked(fingerprint, server, underWay); replaced(t.options.Directory.Snapshot(), broken) {
 		t.endLocked(broken, evidenceReplaced)
 	}
 	t.updateLocked()
+	waits := t.suspicionLocked(fingerprint).Settling
 	t.mutex.Unlock()
 	t.signal()
-	t.options.Changed()
+	if waits {
+		// Whoever would run the request next is to know before.
+		t.options.Changed()
+	}
 }
 
 // Answered takes a whole answer of a server to a request that was sent at began, so that
@@ -180,7 +194,6 @@
 	t.mutex.Unlock()
 	if changed {
 		t.signal()
-		t.options.Changed()
 	}
 }
 
@@ -193,9 +206,12 @@
 		}
 	}
 	for _, server := range t.ledger.Clear(fingerprint) {
-		t.unsent = append(t.unsent, removal(fingerprint, server))
+		if !t.unshared[fingerprint] {
+			t.unsent = append(t.unsent, removal(fingerprint, server))
+		}
 		changed = true
 	}
+	delete(t.unshared, fingerprint)
 	return changed
 }
 
@@ -209,7 +225,6 @@
 	if changed {
 		t.options.Logger.Info("request released by an operator", zap.String("fingerprint", fingerprint.Short()))
 		t.signal()
-		t.options.Changed()
 	}
 	return changed
 }
@@ -242,22 +257,39 @@
 // wallTime is the time of day, by which nodes tell each other when a server ended.
 func wallTime() time.Time { return time.Now().Round(0) }
 
-// addLocked puts a server's end to the account of requests, and has it written to the store.
-func (t *Tracker) addLocked(server directory.Incarnation, requests map[Fingerprint]bool) (added []Fingerprint) {
-	for fingerprint, progressed := range requests {
-		end := End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: progressed}
+// addLocked puts a server's end to the account of requests, and has it written to the store where
+// other nodes are to know.
+func (t *Tracker) addLocked(server directory.Incarnation, requests map[Fingerprint]UnderWay) (added []Fingerprint) {
+	for fingerprint, underWay := range requests {
+		end := End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: underWay.Progressed}
 		if !t.ledger.Add(end) {
 			continue
 		}
 		added = append(added, fingerprint)
+		known := t.ledger.caseOf(fingerprint).Ends
+		switch {
+		case underWay.HereOnly && len(known) == 1:
+			t.unshared[fingerprint] = true
+		case t.unshared[fingerprint]:
+			delete(t.unshared, fingerprint)
+			t.shareLocked(known...)
+		default:
+			t.shareLocked(end)
+		}
+	}
+	return added
+}
+
+// shareLocked has ends written to the store.
+func (t *Tracker) shareLocked(ends ...End) {
+	for _, end := range ends {
 		record, err := encodeEnd(end, t.options.Node)
 		if err != nil {
-			t.options.Logger.Error("end of a server not shared", zap.String("server", server.ID), zap.Error(err))
+			t.options.Logger.Error("end of a server not shared", zap.String("server", end.Server.ID), zap.Error(err))
 			continue
 		}
 		t.unsent = append(t.unsent, record)
 	}
-	return added
 }
 
 // updateLocked notes what has changed by the last inputs.
@@ -268,10 +300,10 @@
 			t.options.Logger.Info("request no longer held", zap.String("fingerprint", fingerprint.Short()))
 		}
 	}
-	for _, known := range t.ledger.Cases(endsProved) {
-		if known.Held && !t.held[known.Fingerprint] {
-			t.held[known.Fingerprint] = true
-			t.logHeld(known)
+	for _, fingerprint := range t.ledger.Proved() {
+		if !t.held[fingerprint] {
+			t.held[fingerprint] = true
+			t.logHeld(t.ledger.caseOf(fingerprint))
 		}
 	}
 	t.active.Store(t.ledger.Len() > 0 || len(t.breaks) > 0 || len(t.ended) > 0)
@@ -293,7 +325,7 @@
 
 // signal has the goroutines of Run look at what there is to do.
 func (t *Tracker) signal() {
-	for _, wake := range []chan struct{}{t.wake, t.unsentWake} {
+	for _, wake := range []chan struct{}{t.wake, t.unsentWake, t.changedWake} {
 		select {
 		case wake <- struct{}{}:
 		default:
@@ -308,6 +340,7 @@
 func (t *Tracker) Run(ctx context.Context) {
 	var background conc.WaitGroup
 	defer background.Wait()
+	background.Go(func() { t.tell(ctx) })
 	if t.options.Log != nil {
 		background.Go(func() { t.follow(ctx) })
 		background.Go(func() { t.publish(ctx) })
@@ -328,6 +361,25 @@
 	}
 }
 
+// tellInterval is the shortest time between two tellings that something has changed: many servers
+// may crash at once, and whoever is told looks at all that is known.
+const tellInterval = 20 * time.Millisecond
+
+// tell has the options' Changed called after changes.
+func (t *Tracker) tell(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.changedWake:
+			t.options.Changed()
+		}
+		if !pause.For(ctx, tellInterval) {
+			return
+		}
+	}
+}
+
 // endedFor is how long a server's end is remembered for what is still to break there.
 const endedFor = 10 * time.Second
 
@@ -353,13 +405,13 @@
 	t.mutex.Unlock()
 	if changed {
 		t.signal()
-		t.options.Changed()
 	}
 }
 
 // forgetLocked drops the requests under which no server has ended for long.
 func (t *Tracker) forgetLocked(tidies bool) bool {
 	expired := t.ledger.Expire(wallTime())
+	maps.DeleteFunc(t.unshared, func(fingerprint Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
 	if tidies {
 		for _, end := range expired {
 			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -65,7 +65,7 @@
 	inBubble(t, func(t *testing.T, d *desk) {
 		for number := range 3 {
 			server := d.put(number)
-			d.Broke(named("d"), server, false)
+			d.Broke(named("d"), server, UnderWay{})
 			if number == 2 && !d.Suspicion(named("d")).Settling {
 				t.Error("the third end is not waited for")
 			}
@@ -97,7 +97,7 @@
 			inBubble(t, func(t *testing.T, d *desk) {
 				server := d.put(0)
 				c.set(d)
-				d.Broke(named("d"), server, false)
+				d.Broke(named("d"), server, UnderWay{})
 				time.Sleep(5 * time.Second)
 				if got := d.Suspicion(named("d")); got != (Suspicion{}) {
 					t.Errorf("%+v", got)
@@ -122,7 +122,7 @@
 			inBubble(t, func(t *testing.T, d *desk) {
 				d.reach.Store(int32(ReachUnknown))
 				server := d.put(1)
-				d.Broke(named("d"), server, false)
+				d.Broke(named("d"), server, UnderWay{})
 				time.Sleep(3 * time.Second)
 				d.list.Apply([]directory.Change{{ID: replacement.ID, Server: &replacement}})
 				d.ObserveServers()
@@ -139,8 +139,8 @@
 func TestAnAnsweredRequestIsNotSuspected(t *testing.T) {
 	inBubble(t, func(t *testing.T, d *desk) {
 		server := d.put(0)
-		d.Broke(named("a"), server, false)
-		d.Broke(named("d"), server, false)
+		d.Broke(named("a"), server, UnderWay{})
+		d.Broke(named("d"), server, UnderWay{})
 		d.Answered(named("a"), directory.Incarnation{ID: "other"}, clock.Now())
 		time.Sleep(settled)
 		if got := d.Suspicion(named("a")); got != (Suspicion{}) {
@@ -156,7 +156,7 @@
 func TestAnAnswerShowsThatTheServerLives(t *testing.T) {
 	inBubble(t, func(t *testing.T, d *desk) {
 		server := d.put(0)
-		d.Broke(named("d"), server, false)
+		d.Broke(named("d"), server, UnderWay{})
 		time.Sleep(time.Millisecond)
 		d.Answered(named("b"), server.Incarnation(), clock.Now())
 		time.Sleep(settled)
@@ -176,8 +176,8 @@
 		for number := range 3 {
 			seenBy := []*desk{first, second, first}[number]
 			server := seenBy.put(number)
-			seenBy.Broke(named("d"), server, false)
-			seenBy.Broke(named("a"), server, false)
+			seenBy.Broke(named("d"), server, UnderWay{})
+			seenBy.Broke(named("a"), server, UnderWay{})
 			time.Sleep(settled)
 		}
 		second.Answered(named("a"), directory.Incarnation{ID: "other"}, clock.Now())
@@ -206,6 +206,38 @@
 	})
 }
 
+// An engine that crashes implicates all that it runs, which nearly always is answered by the next one.
+// What only one node runs is shared from its second end on.
+func TestTheFirstEndOfWhatRunsHereOnlyIsNotShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := storetest.NewMemory()
+		first, second := newDesk(ctx, log), newDesk(ctx, log)
+		here := UnderWay{Progressed: true, HereOnly: true}
+		server := first.put(1)
+		first.Broke(named("a"), server, here)
+		first.Broke(named("d"), server, here)
+		time.Sleep(settled)
+		first.Answered(named("a"), directory.Incarnation{ID: "other"}, clock.Now())
+		time.Sleep(settled)
+		if appends := log.Appends(); appends != 0 {
+			t.Errorf("%d calls for what one node knows", appends)
+		}
+		first.Broke(named("d"), first.put(2), here)
+		time.Sleep(settled)
+		if got := second.Suspicion(named("d")); got.Ends != 2 {
+			t.Errorf("the other node knows %+v", got)
+		}
+		first.Answered(named("d"), directory.Incarnation{ID: "other"}, clock.Now())
+		time.Sleep(settled)
+		if got := second.Suspicion(named("d")); got.Ends != 0 {
+			t.Errorf("after an answer the other node knows %+v", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // What could not be written while the store was away is written once it is back.
 func TestFindingsOutlastAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -216,7 +248,7 @@
 		log.SetFault(storetest.FaultRefuse)
 		for number := range 3 {
 			server := first.put(number)
-			first.Broke(named("d"), server, false)
+			first.Broke(named("d"), server, UnderWay{})
 			time.Sleep(settled)
 		}
 		if !first.Suspicion(named("d")).Held || second.Suspicion(named("d")).Held {
