--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -11,10 +11,10 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/clock"
+	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
 	"dalehook/internal/election"
 	"dalehook/internal/joblog"
-	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scheduler"
@@ -80,7 +80,7 @@
 type Options struct {
 	Engines Engines
 	// Quarantine knows the items that crash engines; nil for none.
-	Quarantine *quarantine.Tracker
+	Quarantine *crashwatch.Tracker
 	Rewards    Rewards
 	Log        store.Log
 	Jobs       *joblog.Logs
@@ -136,7 +136,7 @@
 // New returns a coordinator without the lease.
 func New(options Options) *Coordinator {
 	if options.Quarantine == nil {
-		options.Quarantine = quarantine.NewTracker(quarantine.Options{})
+		options.Quarantine = crashwatch.NewTracker(crashwatch.Options{})
 	}
 	return &Coordinator{
 		options: options,
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -8,8 +8,8 @@
 
 	"dalehook/internal/batch"
 	"dalehook/internal/clock"
+	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
-	"dalehook/internal/quarantine"
 	"dalehook/internal/scheduler"
 	"dalehook/internal/store"
 )
@@ -103,7 +103,7 @@
 	case scheduler.EndBroken:
 		tracker.Broke(fingerprint, directory.Server{
 			ID: start.Server.ID, Born: start.Server.Born, Address: start.Server.Address, Service: start.Server.Service,
-		}, quarantine.UnderWay{Progressed: progressed, HereOnly: true})
+		}, crashwatch.UnderWay{Progressed: progressed, HereOnly: true})
 	case scheduler.EndCompleted, scheduler.EndFailed, scheduler.EndImpossible:
 		if tracker.Active() {
 			tracker.Answered(fingerprint, directory.Incarnation{ID: start.Server.ID, Born: start.Server.Born}, began)
--- a/internal/quarantine/bench_test.go
+++ b/internal/crashwatch/bench_test.go
@@ -1,4 +1,4 @@
-package quarantine
+package crashwatch
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
+	"dalehook/internal/quarantine"
 )
 
 // BenchmarkManyServersCrash is what a node does when 100 engines with 16 runs each end at once, and
@@ -21,7 +22,7 @@
 			Directory: list, Probe: func(context.Context, string) Reach { return ReachRefused },
 			Changed: func() { tracker.Suspicions() },
 		})
-		each := func(visit func(server directory.Server, fingerprint Fingerprint)) {
+		each := func(visit func(server directory.Server, fingerprint quarantine.Fingerprint)) {
 			for number := range servers {
 				server := directory.Server{ID: fmt.Sprint("i", number), Born: 1, Service: "s", Address: fmt.Sprint("a", number)}
 				for run := range runs {
@@ -33,13 +34,13 @@
 			put := directory.Server{ID: fmt.Sprint("i", number), Born: 1, Service: "s", Address: fmt.Sprint("a", number)}
 			list.Apply([]directory.Change{{ID: put.ID, Server: &put}})
 		}
-		each(func(server directory.Server, fingerprint Fingerprint) {
+		each(func(server directory.Server, fingerprint quarantine.Fingerprint) {
 			tracker.Broke(fingerprint, server, UnderWay{Progressed: true, HereOnly: true})
 		})
 		for _, broken := range tracker.unprobed() {
 			tracker.settle(broken, true)
 		}
-		each(func(_ directory.Server, fingerprint Fingerprint) {
+		each(func(_ directory.Server, fingerprint quarantine.Fingerprint) {
 			tracker.Answered(fingerprint, directory.Incarnation{ID: "other"}, clock.Now())
 		})
 	}
--- a/internal/quarantine/record.go
+++ b/internal/crashwatch/record.go
@@ -1,4 +1,4 @@
-package quarantine
+package crashwatch
 
 import (
 	"bytes"
@@ -9,6 +9,7 @@
 	"time"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/store"
 )
 
@@ -30,23 +31,23 @@
 	keyBorn   = "#"
 )
 
-func recordKey(fingerprint Fingerprint, server directory.Incarnation) string {
+func recordKey(fingerprint quarantine.Fingerprint, server directory.Incarnation) string {
 	return fingerprint.String() + keyServer + server.ID + keyBorn + strconv.FormatInt(server.Born, 10)
 }
 
-func parseKey(key string) (fingerprint Fingerprint, server directory.Incarnation, ok bool) {
+func parseKey(key string) (fingerprint quarantine.Fingerprint, server directory.Incarnation, ok bool) {
 	digits, rest, found := strings.Cut(key, keyServer)
 	at := strings.LastIndex(rest, keyBorn)
 	if !found || at < 0 {
-		return Fingerprint{}, directory.Incarnation{}, false
+		return quarantine.Fingerprint{}, directory.Incarnation{}, false
 	}
 	born, err := strconv.ParseInt(rest[at+len(keyBorn):], 10, 64)
-	fingerprint, valid := ParseFingerprint(digits)
+	fingerprint, valid := quarantine.ParseFingerprint(digits)
 	return fingerprint, directory.Incarnation{ID: rest[:at], Born: born}, valid && err == nil
 }
 
 // encodeEnd returns the record of an end.
-func encodeEnd(end End, node string) (store.Record, error) {
+func encodeEnd(end quarantine.End, node string) (store.Record, error) {
 	var value bytes.Buffer
 	if err := gob.NewEncoder(&value).Encode(endRecord{At: end.At.UnixMilli(), Node: node, Progressed: end.Progressed}); err != nil {
 		return store.Record{}, fmt.Errorf("encode the end of server %s: %w", end.Server.ID, err)
@@ -55,23 +56,23 @@
 }
 
 // removal returns the record that takes an end back.
-func removal(fingerprint Fingerprint, server directory.Incarnation) store.Record {
+func removal(fingerprint quarantine.Fingerprint, server directory.Incarnation) store.Record {
 	return store.Record{Key: recordKey(fingerprint, server)}
 }
 
 // decodeEnd reads an end; removed says that the record takes it back.
-func decodeEnd(record store.Record) (end End, removed bool, err error) {
+func decodeEnd(record store.Record) (end quarantine.End, removed bool, err error) {
 	fingerprint, server, ok := parseKey(record.Key)
 	if !ok {
-		return End{}, false, fmt.Errorf("key %q names no end of a server", record.Key)
+		return quarantine.End{}, false, fmt.Errorf("key %q names no end of a server", record.Key)
 	}
-	end = End{Fingerprint: fingerprint, Server: server}
+	end = quarantine.End{Fingerprint: fingerprint, Server: server}
 	if len(record.Value) == 0 {
 		return end, true, nil
 	}
 	var decoded endRecord
 	if err := gob.NewDecoder(bytes.NewReader(record.Value)).Decode(&decoded); err != nil {
-		return End{}, false, fmt.Errorf("decode the end of server %s: %w", server.ID, err)
+		return quarantine.End{}, false, fmt.Errorf("decode the end of server %s: %w", server.ID, err)
 	}
 	end.At, end.Progressed = time.UnixMilli(decoded.At), decoded.Progressed
 	return end, false, nil
--- a/internal/quarantine/service.go
+++ b/internal/crashwatch/service.go
@@ -1,4 +1,4 @@
-package quarantine
+package crashwatch
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"dalehook/internal/nodecall"
+	"dalehook/internal/quarantine"
 )
 
 // The calls of the service, which operators' commands make.
@@ -20,10 +21,10 @@
 type Nothing struct{}
 
 // CaseList is the answer to a question for the requests that servers ended under.
-type CaseList struct{ Cases []Case }
+type CaseList struct{ Cases []quarantine.Case }
 
 // ReleaseRequest names the request that is to run again.
-type ReleaseRequest struct{ Fingerprint Fingerprint }
+type ReleaseRequest struct{ Fingerprint quarantine.Fingerprint }
 
 // Released says whether anything was known against it.
 type Released struct{ Known bool }
@@ -48,14 +49,14 @@
 }
 
 // AskCases lists what the node at an address, IP:PORT, knows.
-func AskCases(ctx context.Context, address string) ([]Case, error) {
+func AskCases(ctx context.Context, address string) ([]quarantine.Case, error) {
 	var list CaseList
 	err := nodecall.Call(ctx, address, methodCases, Nothing{}, &list)
 	return list.Cases, err
 }
 
 // AskRelease has the node at an address let a request run again, at all nodes.
-func AskRelease(ctx context.Context, address string, fingerprint Fingerprint) (known bool, err error) {
+func AskRelease(ctx context.Context, address string, fingerprint quarantine.Fingerprint) (known bool, err error) {
 	var released Released
 	err = nodecall.Call(ctx, address, methodRelease, ReleaseRequest{Fingerprint: fingerprint}, &released)
 	return released.Known, err
--- a/internal/quarantine/settle.go
+++ b/internal/crashwatch/settle.go
@@ -1,4 +1,4 @@
-package quarantine
+package crashwatch
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/pause"
+	"dalehook/internal/quarantine"
 )
 
 // Probe tries to open a connection to a server and closes it. Its result is one of the Reach.
@@ -59,13 +60,13 @@
 	// brokeAt is when the first connection broke.
 	brokeAt time.Time
 	// requests were under way there.
-	requests map[Fingerprint]UnderWay
+	requests map[quarantine.Fingerprint]UnderWay
 	// probed says that the probes have begun, settled is closed once they are over.
 	probed  bool
 	settled chan struct{}
 }
 
-func (b *brokenServer) ran(fingerprint Fingerprint) bool {
+func (b *brokenServer) ran(fingerprint quarantine.Fingerprint) bool {
 	_, under := b.requests[fingerprint]
 	return under
 }
@@ -85,13 +86,13 @@
 	return listed == nil || listed.Draining && listed.Incarnation().IsSameLife(server.Incarnation())
 }
 
-func (t *Tracker) noteBreakLocked(fingerprint Fingerprint, server directory.Server, underWay UnderWay) *brokenServer {
+func (t *Tracker) noteBreakLocked(fingerprint quarantine.Fingerprint, server directory.Server, underWay UnderWay) *brokenServer {
 	at := server.Incarnation()
 	broken := t.breaks[at]
 	if broken == nil {
 		broken = &brokenServer{
 			server: at, address: server.Address, service: server.Service, brokeAt: clock.Now(),
-			requests: make(map[Fingerprint]UnderWay), settled: make(chan struct{}),
+			requests: make(map[quarantine.Fingerprint]UnderWay), settled: make(chan struct{}),
 		}
 		t.breaks[at] = broken
 	}
@@ -171,7 +172,7 @@
 }
 
 // Settle waits until it is known of each server that broke a request off whether it has ended.
-func (t *Tracker) Settle(ctx context.Context, fingerprint Fingerprint) {
+func (t *Tracker) Settle(ctx context.Context, fingerprint quarantine.Fingerprint) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for _, settled := range t.unsettled(fingerprint) {
@@ -183,7 +184,7 @@
 	}
 }
 
-func (t *Tracker) unsettled(fingerprint Fingerprint) []chan struct{} {
+func (t *Tracker) unsettled(fingerprint quarantine.Fingerprint) []chan struct{} {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var waits []chan struct{}
--- a/internal/quarantine/share.go
+++ b/internal/crashwatch/share.go
@@ -1,4 +1,4 @@
-package quarantine
+package crashwatch
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 
 	"dalehook/internal/follow"
 	"dalehook/internal/pause"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/store"
 )
 
@@ -56,7 +57,7 @@
 func (t *Tracker) replace(records []store.Record) {
 	tidies := t.options.Tidies()
 	t.mutex.Lock()
-	t.ledger = NewLedger()
+	t.ledger = quarantine.NewLedger()
 	clear(t.unshared)
 	t.applyLocked(records)
 	t.applyLocked(t.unsent)
--- a/internal/quarantine/tracker.go
+++ b/internal/crashwatch/tracker.go
@@ -1,4 +1,7 @@
-package quarantine
+// Package crashwatch finds out which servers ended under which requests: whether a server that
+// broke connections off has ended, by probes and by the list of servers. It shares that with the other
+// nodes by a topic of the store, and folds it into a quarantine.Ledger.
+package crashwatch
 
 import (
 	"context"
@@ -13,6 +16,7 @@
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/pause"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/store"
 )
 
@@ -55,7 +59,7 @@
 	active atomic.Bool
 
 	mutex  sync.Mutex
-	ledger *Ledger
+	ledger *quarantine.Ledger
 	// breaks are the servers that broke connections and may have ended.
 	breaks map[directory.Incarnation]*brokenServer
 	// ended are servers that have ended, since when: what breaks later there is due to that.
@@ -63,8 +67,8 @@
 	// unsent are records to be written to the store.
 	unsent []store.Record
 	// unshared are the requests whose only end is known to this node alone.
-	unshared map[Fingerprint]bool
-	held     map[Fingerprint]bool
+	unshared map[quarantine.Fingerprint]bool
+	held     map[quarantine.Fingerprint]bool
 	// wake is signalled when there is something to settle, unsentWake when there is something
 	// to write, changedWake when what is known has changed.
 	wake, unsentWake, changedWake chan struct{}
@@ -85,9 +89,9 @@
 		options.Observer = noObserver{}
 	}
 	return &Tracker{
-		options: options, ledger: NewLedger(),
+		options: options, ledger: quarantine.NewLedger(),
 		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]time.Time),
-		unshared: make(map[Fingerprint]bool), held: make(map[Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
+		unshared: make(map[quarantine.Fingerprint]bool), held: make(map[quarantine.Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
 	}
 }
 
@@ -101,47 +105,43 @@
 func (t *Tracker) Active() bool { return t.active.Load() }
 
 // Suspicion returns what is known against a request.
-func (t *Tracker) Suspicion(fingerprint Fingerprint) Suspicion {
+func (t *Tracker) Suspicion(fingerprint quarantine.Fingerprint) quarantine.Suspicion {
 	if !t.Active() {
-		return Suspicion{}
+		return quarantine.Suspicion{}
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.suspicionLocked(fingerprint)
 }
 
-func (t *Tracker) suspicionLocked(fingerprint Fingerprint) Suspicion {
+func (t *Tracker) suspicionLocked(fingerprint quarantine.Fingerprint) quarantine.Suspicion {
 	known := t.ledger.Suspicion(wallTime(), fingerprint)
 	for _, broken := range t.breaks {
 		if broken.ran(fingerprint) && broken.settling() {
-			known = known.withUnsettled()
+			known = known.WithUnsettled()
 		}
 	}
 	return known
 }
 
 // Suspicions returns what is known against all requests that are suspected.
-func (t *Tracker) Suspicions() map[Fingerprint]Suspicion {
+func (t *Tracker) Suspicions() map[quarantine.Fingerprint]quarantine.Suspicion {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	now := wallTime()
-	all := make(map[Fingerprint]Suspicion, len(t.ledger.ends))
-	for fingerprint := range t.ledger.ends {
-		all[fingerprint] = t.ledger.Suspicion(now, fingerprint)
-	}
+	all := t.ledger.Suspicions(wallTime())
 	for _, broken := range t.breaks {
 		if !broken.settling() {
 			continue
 		}
 		for fingerprint := range broken.requests {
-			all[fingerprint] = all[fingerprint].withUnsettled()
+			all[fingerprint] = all[fingerprint].WithUnsettled()
 		}
 	}
 	return all
 }
 
 // HoldEnds returns when the hold of a request ends by itself.
-func (t *Tracker) HoldEnds(fingerprint Fingerprint) time.Time {
+func (t *Tracker) HoldEnds(fingerprint quarantine.Fingerprint) time.Time {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.ledger.HoldEnds(fingerprint)
@@ -157,14 +157,14 @@
 }
 
 // Broke takes that a server broke the connection of a request that had been sent to it.
-func (t *Tracker) Broke(fingerprint Fingerprint, server directory.Server, underWay UnderWay) {
+func (t *Tracker) Broke(fingerprint quarantine.Fingerprint, server directory.Server, underWay UnderWay) {
 	if t.options.Probe == nil || t.isLeaving(server) {
 		return
 	}
 	t.mutex.Lock()
 	at := server.Incarnation()
 	if _, over := t.ended[at]; over {
-		t.addLocked(at, map[Fingerprint]UnderWay{fingerprint: underWay})
+		t.addLocked(at, map[quarantine.Fingerprint]UnderWay{fingerprint: underWay})
 	} else if broken := t.noteBreakLocked(fingerprint, server, underWay); replaced(t.options.Directory.Snapshot(), broken) {
 		t.endLocked(broken, evidenceReplaced)
 	}
@@ -180,7 +180,7 @@
 
 // Answered takes a whole answer of a server to a request that was sent at began, so that
 // neither did the request crash the server, nor has the server ended before.
-func (t *Tracker) Answered(fingerprint Fingerprint, server directory.Incarnation, began time.Time) {
+func (t *Tracker) Answered(fingerprint quarantine.Fingerprint, server directory.Incarnation, began time.Time) {
 	t.mutex.Lock()
 	broken := t.breaks[server]
 	lives := broken != nil && began.After(broken.brokeAt)
@@ -198,7 +198,7 @@
 }
 
 // clearLocked forgets all that is known against a request.
-func (t *Tracker) clearLocked(fingerprint Fingerprint) (changed bool) {
+func (t *Tracker) clearLocked(fingerprint quarantine.Fingerprint) (changed bool) {
 	for _, broken := range t.breaks {
 		if broken.ran(fingerprint) {
 			delete(broken.requests, fingerprint)
@@ -217,7 +217,7 @@
 
 // Release forgets a request that an operator lets run again; it returns false for one against
 // which nothing is known.
-func (t *Tracker) Release(fingerprint Fingerprint) bool {
+func (t *Tracker) Release(fingerprint quarantine.Fingerprint) bool {
 	t.mutex.Lock()
 	changed := t.clearLocked(fingerprint)
 	t.updateLocked()
@@ -230,7 +230,7 @@
 }
 
 // Cases returns the requests under which servers ended, for operators.
-func (t *Tracker) Cases() []Case {
+func (t *Tracker) Cases() []quarantine.Case {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.ledger.Cases(1)
@@ -246,7 +246,7 @@
 // mostLogged bounds the fingerprints in one log line.
 const mostLogged = 8
 
-func shortest(fingerprints []Fingerprint) []string {
+func shortest(fingerprints []quarantine.Fingerprint) []string {
 	var texts []string
 	for _, fingerprint := range fingerprints[:min(len(fingerprints), mostLogged)] {
 		texts = append(texts, fingerprint.Short())
@@ -259,14 +259,14 @@
 
 // addLocked puts a server's end to the account of requests, and has it written to the store where
 // other nodes are to know.
-func (t *Tracker) addLocked(server directory.Incarnation, requests map[Fingerprint]UnderWay) (added []Fingerprint) {
+func (t *Tracker) addLocked(server directory.Incarnation, requests map[quarantine.Fingerprint]UnderWay) (added []quarantine.Fingerprint) {
 	for fingerprint, underWay := range requests {
-		end := End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: underWay.Progressed}
+		end := quarantine.End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: underWay.Progressed}
 		if !t.ledger.Add(end) {
 			continue
 		}
 		added = append(added, fingerprint)
-		known := t.ledger.caseOf(fingerprint).Ends
+		known := t.ledger.Case(fingerprint).Ends
 		switch {
 		case underWay.HereOnly && len(known) == 1:
 			t.unshared[fingerprint] = true
@@ -281,7 +281,7 @@
 }
 
 // shareLocked has ends written to the store.
-func (t *Tracker) shareLocked(ends ...End) {
+func (t *Tracker) shareLocked(ends ...quarantine.End) {
 	for _, end := range ends {
 		record, err := encodeEnd(end, t.options.Node)
 		if err != nil {
@@ -303,13 +303,13 @@
 	for _, fingerprint := range t.ledger.Proved() {
 		if !t.held[fingerprint] {
 			t.held[fingerprint] = true
-			t.logHeld(t.ledger.caseOf(fingerprint))
+			t.logHeld(t.ledger.Case(fingerprint))
 		}
 	}
 	t.active.Store(t.ledger.Len() > 0 || len(t.breaks) > 0 || len(t.ended) > 0)
 }
 
-func (t *Tracker) logHeld(known Case) {
+func (t *Tracker) logHeld(known quarantine.Case) {
 	var servers []string
 	var births []int64
 	var ages []time.Duration
@@ -411,7 +411,7 @@
 // forgetLocked drops the requests under which no server has ended for long.
 func (t *Tracker) forgetLocked(tidies bool) bool {
 	expired := t.ledger.Expire(wallTime())
-	maps.DeleteFunc(t.unshared, func(fingerprint Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
+	maps.DeleteFunc(t.unshared, func(fingerprint quarantine.Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
 	if tidies {
 		for _, end := range expired {
 			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
--- a/internal/quarantine/tracker_test.go
+++ b/internal/crashwatch/tracker_test.go
@@ -1,4 +1,4 @@
-package quarantine
+package crashwatch
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
@@ -99,7 +100,7 @@
 				c.set(d)
 				d.Broke(named("d"), server, UnderWay{})
 				time.Sleep(5 * time.Second)
-				if got := d.Suspicion(named("d")); got != (Suspicion{}) {
+				if got := d.Suspicion(named("d")); got != (quarantine.Suspicion{}) {
 					t.Errorf("%+v", got)
 				}
 				time.Sleep(2 * listPatience)
@@ -143,7 +144,7 @@
 		d.Broke(named("d"), server, UnderWay{})
 		d.Answered(named("a"), directory.Incarnation{ID: "other"}, clock.Now())
 		time.Sleep(settled)
-		if got := d.Suspicion(named("a")); got != (Suspicion{}) {
+		if got := d.Suspicion(named("a")); got != (quarantine.Suspicion{}) {
 			t.Errorf("the answered one: %+v", got)
 		}
 		if got := d.Suspicion(named("d")); got.Ends != 1 {
@@ -160,7 +161,7 @@
 		time.Sleep(time.Millisecond)
 		d.Answered(named("b"), server.Incarnation(), clock.Now())
 		time.Sleep(settled)
-		if got := d.Suspicion(named("d")); got != (Suspicion{}) {
+		if got := d.Suspicion(named("d")); got != (quarantine.Suspicion{}) {
 			t.Errorf("%+v", got)
 		}
 	})
@@ -263,3 +264,7 @@
 		synctest.Wait()
 	})
 }
+
+func named(name string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(quarantine.Identity{Target: name})
+}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -12,8 +12,8 @@
 
 	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
+	"dalehook/internal/crashwatch"
 	"dalehook/internal/gateway"
-	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/scheduler"
 )
@@ -48,7 +48,7 @@
 
 var (
 	_ coordinator.Observer = (*nodeMetrics)(nil)
-	_ quarantine.Observer  = (*nodeMetrics)(nil)
+	_ crashwatch.Observer  = (*nodeMetrics)(nil)
 )
 
 func newNodeMetrics(n *Node, lostLines func() int64) *nodeMetrics {
@@ -189,13 +189,13 @@
 	}
 }
 
-// ObserveServerEnd implements quarantine.Observer.
+// ObserveServerEnd implements crashwatch.Observer.
 func (m *nodeMetrics) ObserveServerEnd(evidence string, requests int) {
 	m.serverEnds.WithLabelValues(evidence).Inc()
 	m.requestsSuspected.Add(float64(requests))
 }
 
-// ObserveHeld implements quarantine.Observer.
+// ObserveHeld implements crashwatch.Observer.
 func (m *nodeMetrics) ObserveHeld() { m.requestsHeld.Inc() }
 
 func (m *nodeMetrics) observeStore(call string, status int, took time.Duration) {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -15,6 +15,7 @@
 
 	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
+	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
 	"dalehook/internal/drain"
 	"dalehook/internal/election"
@@ -24,7 +25,6 @@
 	"dalehook/internal/jobread"
 	"dalehook/internal/liveness"
 	"dalehook/internal/nodecall"
-	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scaling"
 	"dalehook/internal/serverlist"
@@ -42,7 +42,7 @@
 	Log() store.Log
 	Backend() gateway.Backend
 	// Probe finds out whether anything takes connections at a server's address.
-	Probe(ctx context.Context, address string) quarantine.Reach
+	Probe(ctx context.Context, address string) crashwatch.Reach
 	Engines() coordinator.Engines
 	// Provider is called only where the settings name one.
 	Provider() Provider
@@ -118,7 +118,7 @@
 	directory    *directory.Directory
 	servers      *serverlist.List
 	gateway      *gateway.Gateway
-	quarantine   *quarantine.Tracker
+	quarantine   *crashwatch.Tracker
 	startedAt    time.Time
 	jobs         *joblog.Logs
 	jobReader    *jobReader
@@ -185,7 +185,7 @@
 	var background conc.WaitGroup
 	calls := rpc.NewServer()
 	if err := errors.Join(liveness.Register(calls, n.process(), n), jobread.Register(calls, n.jobReader), usage.Register(calls, n.options.Adapter.Log()),
-		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers)), quarantine.Register(calls, n.quarantine)); err != nil {
+		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers)), crashwatch.Register(calls, n.quarantine)); err != nil {
 		return err
 	}
 	background.Go(func() {
--- a/internal/frontend/quarantine.go
+++ b/internal/frontend/quarantine.go
@@ -5,20 +5,20 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/crashwatch"
 	"dalehook/internal/follow"
-	"dalehook/internal/quarantine"
 	"dalehook/internal/store"
 	"dalehook/internal/storeproxy"
 )
 
 // newQuarantine returns what finds the requests that crash servers. Nodes share what they find
 // by the store, or by way of another node where the store turns them away.
-func (n *Node) newQuarantine(logger *zap.Logger) *quarantine.Tracker {
+func (n *Node) newQuarantine(logger *zap.Logger) *crashwatch.Tracker {
 	adapter := n.options.Adapter
-	return quarantine.NewTracker(quarantine.Options{
+	return crashwatch.NewTracker(crashwatch.Options{
 		Node: n.process(), Log: adapter.Log(), Directory: n.directory, Probe: adapter.Probe,
 		Logger:   logger.Named("quarantine"),
-		Relay:    quarantine.Relay{Read: n.readQuarantineRelayed, Put: n.putQuarantineRelayed},
+		Relay:    crashwatch.Relay{Read: n.readQuarantineRelayed, Put: n.putQuarantineRelayed},
 		Changed:  func() { n.coordinator.ObserveQuarantine() },
 		Tidies:   func() bool { return n.coordinator.State().Leading },
 		Observer: n.metrics,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/clock"
+	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
@@ -24,7 +25,7 @@
 	// Zone is this node's zone; its servers are preferred.
 	Zone string
 	// Quarantine knows the requests that crash servers; nil for none.
-	Quarantine *quarantine.Tracker
+	Quarantine *crashwatch.Tracker
 	Logger     *zap.Logger
 	// Observe is told of each request that was answered.
 	Observe func(Outcome)
@@ -57,7 +58,7 @@
 		options.Began = func(string, time.Time) {}
 	}
 	if options.Quarantine == nil {
-		options.Quarantine = quarantine.NewTracker(quarantine.Options{})
+		options.Quarantine = crashwatch.NewTracker(crashwatch.Options{})
 	}
 	return &Gateway{options: options, balancer: newBalancer(options.Zone)}
 }
--- a/internal/gateway/suspicion_test.go
+++ b/internal/gateway/suspicion_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/clock"
+	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
@@ -40,13 +41,13 @@
 	return nil, &SendError{Cause: errors.New("EOF"), Sent: true}
 }
 
-func (p *deadlyPool) probe(_ context.Context, address string) quarantine.Reach {
+func (p *deadlyPool) probe(_ context.Context, address string) crashwatch.Reach {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.ended[address] {
-		return quarantine.ReachRefused
+		return crashwatch.ReachRefused
 	}
-	return quarantine.ReachOpen
+	return crashwatch.ReachOpen
 }
 
 // gatewayOf returns a gateway before eight servers, each with a quarantine of its own.
@@ -56,7 +57,7 @@
 		put := directory.Server{ID: fmt.Sprint("s", i), Service: "svc", Address: fmt.Sprint("a", i), Slots: 4}
 		list.Apply([]directory.Change{{ID: put.ID, Server: &put}})
 	}
-	tracker := quarantine.NewTracker(quarantine.Options{Directory: list, Probe: pool.probe})
+	tracker := crashwatch.NewTracker(crashwatch.Options{Directory: list, Probe: pool.probe})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { tracker.Run(ctx) })
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -3,9 +3,7 @@
 //
 // A request is known by its Fingerprint, however often and to whichever node its caller
 // sends it. The Ledger is a pure state machine: it folds which servers ended under which
-// requests, and says of each request whether it may run. The Tracker drives it: it finds
-// out whether a server whose connection broke has ended, and shares what it found with the
-// other nodes by a topic of the store.
+// requests, and says of each request whether it may run. Package crashwatch drives it.
 package quarantine
 
 import (
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -64,8 +64,8 @@
 	Proved bool
 }
 
-// withUnsettled is the suspicion with one more server that may have ended.
-func (s Suspicion) withUnsettled() Suspicion {
+// WithUnsettled returns the suspicion with one more server that may have ended.
+func (s Suspicion) WithUnsettled() Suspicion {
 	if s.Held {
 		return s
 	}
@@ -210,6 +210,15 @@
 	return known
 }
 
+// Suspicions returns what is known against all requests.
+func (l *Ledger) Suspicions(now time.Time) map[Fingerprint]Suspicion {
+	all := make(map[Fingerprint]Suspicion, len(l.ends))
+	for fingerprint := range l.ends {
+		all[fingerprint] = l.Suspicion(now, fingerprint)
+	}
+	return all
+}
+
 // needed returns how many ends have a request held.
 func (l *Ledger) needed(fingerprint Fingerprint) int {
 	for _, end := range l.ends[fingerprint] {
@@ -290,12 +299,13 @@
 		if len(l.ends[fingerprint]) < atLeast {
 			continue
 		}
-		cases = append(cases, l.caseOf(fingerprint))
+		cases = append(cases, l.Case(fingerprint))
 	}
 	return cases
 }
 
-func (l *Ledger) caseOf(fingerprint Fingerprint) Case {
+// Case returns what is known against a request.
+func (l *Ledger) Case(fingerprint Fingerprint) Case {
 	known := Case{Fingerprint: fingerprint, Held: l.proved(fingerprint) >= l.needed(fingerprint)}
 	for _, server := range l.serversOf(fingerprint) {
 		known.Ends = append(known.Ends, l.ends[fingerprint][server])
