--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -33,9 +33,9 @@
 
 // The watching for suspensions.
 const (
-	// watchInterval is the time between two looks. What must not act on an old belief at all looks by
-	// itself, with Refresh.
-	watchInterval = 50 * time.Millisecond
+	// watchInterval is the time between two looks, each of which wakes a resting node. What must not
+	// act on an old belief looks by itself, with Refresh.
+	watchInterval = 500 * time.Millisecond
 	// shortest is the shortest suspension that is noted: two clocks are not read at once.
 	shortest = 5 * time.Millisecond
 )
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -164,6 +164,9 @@
 // tick lets the scheduler's time-outs take effect. Time in which the process stood still counts
 // for no run, since the events that came meanwhile wait to be read. The mutex is held.
 func (c *Coordinator) tick(now time.Time, machine *scheduler.Machine) {
+	if clock.Refresh() > 0 {
+		now = clock.Now()
+	}
 	if late := now.Sub(c.tickedAt) - tickInterval; late > lateTick {
 		c.options.Logger.Info("stood still", zap.Duration("lasted", late))
 		machine.HandleStoodStill(now, late)
