Scheduler: samples that look alike run together after one crash

Read cold: items of one prompt may share path and body, and so a fingerprint. After any engine's crash they ran one at a time until one was answered, which held back what nothing is proved of. Now from two ends on. The test fails without the change; the one that asked for it at one end asks for it at two.

--- a/internal/scheduler/suspicions.go
+++ b/internal/scheduler/suspicions.go
@@ -9,8 +9,8 @@
 )
 
 // apartFrom is the number of engines that ended under an item from which on it runs beside no other
-// such item. Each engine that crashes implicates all of its items once; what is implicated twice
-// is rare, and is to be told apart.
+// such item, and once at a time. Each engine that crashes implicates all of its items once, also
+// samples of one prompt that look alike; what is implicated twice is rare, and is to be told apart.
 const apartFrom = 2
 
 // Fingerprint tells an item from others, but not from the same one in another job.
@@ -57,10 +57,10 @@
 // mayRunNow says whether an item may run anywhere: the same one runs once at a time, and none
 // whose next end would have it held while an end is not settled.
 func (m *Machine) mayRunNow(next *item, known quarantine.Suspicion) bool {
-	return known.Ends == 0 || !known.Settling && !known.Held && !m.runsElsewhere(next)
+	return known.Ends < apartFrom || !known.Settling && !known.Held && !m.runsElsewhere(next)
 }
 
-// runsElsewhere says whether the same item runs for another job.
+// runsElsewhere says whether the same item runs already: for another job, or as another sample.
 func (m *Machine) runsElsewhere(next *item) bool {
 	for _, running := range m.attempts {
 		other := running.item
