Clock and quarantine: a stall is no suspension, each one is logged, and what gives way leaves the store

A suspension is logged whoever noticed it. Clear and Expire return ends alike; Cases needs no bound.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,17 +50,34 @@
 	return time.Duration(at.Nano()), err
 }
 
-// gap is by how much the clock that goes on is ahead of the one that does not.
+// gapTries bounds the reads of the clocks for one look: a busy machine may hold the process
+// still between two of them.
+const gapTries = 5
+
+var errStoodStill = errors.New("the process stood still between the reads of the clocks")
+
+// gap is by how much the clock that goes on is ahead of the one that does not, to within shortest.
+// The reads of the one are taken right before and after that of the other, so that a stall
+// between them is not taken for a suspension.
 func gap(read readClock) (time.Duration, error) {
-	steady, err := read(unix.CLOCK_MONOTONIC)
-	if err != nil {
-		return 0, err
-	}
-	running, err := read(unix.CLOCK_BOOTTIME)
-	if err != nil {
-		return 0, err
+	for range gapTries {
+		before, err := read(unix.CLOCK_MONOTONIC)
+		if err != nil {
+			return 0, err
+		}
+		running, err := read(unix.CLOCK_BOOTTIME)
+		if err != nil {
+			return 0, err
+		}
+		after, err := read(unix.CLOCK_MONOTONIC)
+		if err != nil {
+			return 0, err
+		}
+		if after-before < shortest {
+			return running - before, nil
+		}
 	}
-	return running - steady, nil
+	return 0, errStoodStill
 }
 
 // detector notes suspensions since it was made.
@@ -92,7 +110,7 @@
 func Refresh() time.Duration {
 	now, err := gap(readSystem)
 	if err != nil {
-		return 0 // Watch tells that the clocks can not be read
+		return 0 // the next look tells; that the clocks can not be read at all is told by Watch
 	}
 	slept := ofThisMachine.note(now)
 	if slept > 0 {
@@ -103,11 +121,12 @@
 
 // Watch notes suspensions until the context ends.
 func Watch(ctx context.Context, logger *zap.Logger) {
-	if _, err := gap(readSystem); err != nil {
+	if _, err := gap(readSystem); err != nil && !errors.Is(err, errStoodStill) {
 		logger.Error("suspensions of the machine are not seen", zap.Error(err))
 		return
 	}
 	Refresh()
+	logged := suspended.Load()
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
@@ -116,10 +135,11 @@
 			return
 		case <-ticker.C:
 		}
-		before := suspended.Load()
 		Refresh()
-		if slept := suspended.Load() - before; slept > 0 {
-			logger.Warn("machine was suspended", zap.Duration("lasted", time.Duration(slept)))
+		// Others look as well, and may have noted it before.
+		if noted := suspended.Load(); noted > logged {
+			logger.Warn("machine was suspended", zap.Duration("lasted", time.Duration(noted-logged)))
+			logged = noted
 		}
 	}
 }
--- a/internal/crashwatch/settle.go
+++ b/internal/crashwatch/settle.go
@@ -156,7 +156,7 @@
 	t.options.Observer.ObserveServerEnd(evidence, len(broken.requests))
 	t.options.Logger.Info("server ended under requests", zap.String("server", broken.server.ID), zap.Int64("born", broken.server.Born),
 		zap.String("service", broken.service), zap.String("evidence", evidence), zap.Int("requests", len(broken.requests)),
-		zap.Strings("fingerprints", shortest(added)), zap.Duration("after", clock.Since(broken.brokeAt)))
+		zap.Strings("fingerprints", shortForms(added)), zap.Duration("after", clock.Since(broken.brokeAt)))
 }
 
 // dropLocked ends the settling of a server.
--- a/internal/crashwatch/share.go
+++ b/internal/crashwatch/share.go
@@ -86,6 +86,8 @@
 			t.ledger.Remove(end.Fingerprint, end.Server)
 		default:
 			t.ledger.Add(end)
+			// The node that found what takes the place removes it from the store.
+			t.ledger.TakeEvicted()
 		}
 	}
 }
--- a/internal/crashwatch/tracker.go
+++ b/internal/crashwatch/tracker.go
@@ -205,14 +205,9 @@
 			changed = true
 		}
 	}
-	for _, server := range t.ledger.Clear(fingerprint) {
-		if !t.unshared[fingerprint] {
-			t.unsent = append(t.unsent, removal(fingerprint, server))
-		}
-		changed = true
-	}
-	delete(t.unshared, fingerprint)
-	return changed
+	cleared := t.ledger.Clear(fingerprint)
+	t.unshareLocked(cleared)
+	return changed || len(cleared) > 0
 }
 
 // Release forgets a request that an operator lets run again; it returns false for one against
@@ -233,7 +228,7 @@
 func (t *Tracker) Cases() []quarantine.Case {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.ledger.Cases(1)
+	return t.ledger.Cases()
 }
 
 // Held returns the number of requests that are held.
@@ -246,7 +241,7 @@
 // mostLogged bounds the fingerprints in one log line.
 const mostLogged = 8
 
-func shortest(fingerprints []quarantine.Fingerprint) []string {
+func shortForms(fingerprints []quarantine.Fingerprint) []string {
 	var texts []string
 	for _, fingerprint := range fingerprints[:min(len(fingerprints), mostLogged)] {
 		texts = append(texts, fingerprint.Short())
@@ -262,17 +257,18 @@
 func (t *Tracker) addLocked(server directory.Incarnation, requests map[quarantine.Fingerprint]UnderWay) (added []quarantine.Fingerprint) {
 	for fingerprint, underWay := range requests {
 		end := quarantine.End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: underWay.Progressed}
+		first := !t.ledger.Knows(fingerprint)
 		if !t.ledger.Add(end) {
 			continue
 		}
+		t.unshareLocked(t.ledger.TakeEvicted())
 		added = append(added, fingerprint)
-		known := t.ledger.Case(fingerprint).Ends
 		switch {
-		case underWay.HereOnly && len(known) == 1:
+		case underWay.HereOnly && first:
 			t.unshared[fingerprint] = true
 		case t.unshared[fingerprint]:
 			delete(t.unshared, fingerprint)
-			t.shareLocked(known...)
+			t.shareLocked(t.ledger.Case(fingerprint).Ends...)
 		default:
 			t.shareLocked(end)
 		}
@@ -280,6 +276,18 @@
 	return added
 }
 
+// unshareLocked has ends removed from the store, but for those that were never written there.
+func (t *Tracker) unshareLocked(ends []quarantine.End) {
+	for _, end := range ends {
+		if !t.unshared[end.Fingerprint] {
+			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
+		}
+	}
+	for _, end := range ends {
+		delete(t.unshared, end.Fingerprint)
+	}
+}
+
 // shareLocked has ends written to the store.
 func (t *Tracker) shareLocked(ends ...quarantine.End) {
 	for _, end := range ends {
@@ -411,11 +419,9 @@
 // forgetLocked drops the requests under which no server has ended for long.
 func (t *Tracker) forgetLocked(tidies bool) bool {
 	expired := t.ledger.Expire(wallTime())
-	maps.DeleteFunc(t.unshared, func(fingerprint quarantine.Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
 	if tidies {
-		for _, end := range expired {
-			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
-		}
+		t.unshareLocked(expired)
 	}
+	maps.DeleteFunc(t.unshared, func(fingerprint quarantine.Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
 	return len(expired) > 0
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -86,6 +86,8 @@
 	ends     map[Fingerprint]map[directory.Incarnation]End
 	suspects map[directory.Incarnation]map[Fingerprint]bool
 	count    int
+	// evicted are the ends that gave way to newer ones and were not taken yet.
+	evicted []End
 }
 
 // NewLedger returns a ledger without an end.
@@ -139,14 +141,14 @@
 	return true
 }
 
-// Clear forgets all that is known against a request and returns the servers that had ended
-// under it, ordered.
-func (l *Ledger) Clear(fingerprint Fingerprint) []directory.Incarnation {
-	servers := l.serversOf(fingerprint)
-	for _, server := range servers {
+// Clear forgets all that is known against a request and returns it, ordered by server.
+func (l *Ledger) Clear(fingerprint Fingerprint) []End {
+	var cleared []End
+	for _, server := range l.serversOf(fingerprint) {
+		cleared = append(cleared, l.ends[fingerprint][server])
 		l.Remove(fingerprint, server)
 	}
-	return servers
+	return cleared
 }
 
 func (l *Ledger) serversOf(fingerprint Fingerprint) []directory.Incarnation {
@@ -161,10 +163,17 @@
 func (l *Ledger) evict() {
 	ordered := slices.SortedFunc(maps.Keys(l.ends), l.compareSuspicion)
 	for _, fingerprint := range ordered[:(len(ordered)+evictShare-1)/evictShare] {
-		l.Clear(fingerprint)
+		l.evicted = append(l.evicted, l.Clear(fingerprint)...)
 	}
 }
 
+// TakeEvicted returns the ends that gave way to newer ones since it was last called.
+func (l *Ledger) TakeEvicted() []End {
+	taken := l.evicted
+	l.evicted = nil
+	return taken
+}
+
 func (l *Ledger) compareSuspicion(a, b Fingerprint) int {
 	return cmp.Or(
 		cmp.Compare(len(l.ends[a]), len(l.ends[b])),
@@ -188,12 +197,8 @@
 func (l *Ledger) Expire(now time.Time) []End {
 	var expired []End
 	for fingerprint := range maps.Clone(l.ends) {
-		last := l.lastEnd(fingerprint)
-		if now.Sub(last) < forgetAfter {
-			continue
-		}
-		for _, server := range l.Clear(fingerprint) {
-			expired = append(expired, End{Fingerprint: fingerprint, Server: server, At: last})
+		if now.Sub(l.lastEnd(fingerprint)) >= forgetAfter {
+			expired = append(expired, l.Clear(fingerprint)...)
 		}
 	}
 	return expired
@@ -291,14 +296,10 @@
 	Ends []End
 }
 
-// Cases returns the requests under which at least so many servers ended, the most suspected
-// first.
-func (l *Ledger) Cases(atLeast int) []Case {
+// Cases returns the requests under which servers ended, the most suspected first.
+func (l *Ledger) Cases() []Case {
 	var cases []Case
 	for _, fingerprint := range slices.SortedFunc(maps.Keys(l.ends), func(a, b Fingerprint) int { return l.compareSuspicion(b, a) }) {
-		if len(l.ends[fingerprint]) < atLeast {
-			continue
-		}
 		cases = append(cases, l.Case(fingerprint))
 	}
 	return cases
