--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
@@ -54,7 +55,7 @@
 // still between two of them.
 const gapTries = 5
 
-var errStoodStill = errors.New("the process stood still between the reads of the clocks")
+var errStoodStill = eris.New("the process stood still between the reads of the clocks")
 
 // gap is by how much the clock that goes on is ahead of the one that does not, to within shortest.
 // The reads of the one are taken right before and after that of the other, so that a stall
--- a/internal/crashwatch/record.go
+++ b/internal/crashwatch/record.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"encoding/gob"
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"dalehook/internal/directory"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/store"
@@ -50,7 +51,7 @@
 func encodeEnd(end quarantine.End, node string) (store.Record, error) {
 	var value bytes.Buffer
 	if err := gob.NewEncoder(&value).Encode(endRecord{At: end.At.UnixMilli(), Node: node, Progressed: end.Progressed}); err != nil {
-		return store.Record{}, fmt.Errorf("encode the end of server %s: %w", end.Server.ID, err)
+		return store.Record{}, eris.Wrapf(err, "encode the end of server %s", end.Server.ID)
 	}
 	return store.Record{Key: recordKey(end.Fingerprint, end.Server), Value: value.Bytes()}, nil
 }
@@ -64,7 +65,7 @@
 func decodeEnd(record store.Record) (end quarantine.End, removed bool, err error) {
 	fingerprint, server, ok := parseKey(record.Key)
 	if !ok {
-		return quarantine.End{}, false, fmt.Errorf("key %q names no end of a server", record.Key)
+		return quarantine.End{}, false, eris.Errorf("key %q names no end of a server", record.Key)
 	}
 	end = quarantine.End{Fingerprint: fingerprint, Server: server}
 	if len(record.Value) == 0 {
@@ -72,7 +73,7 @@
 	}
 	var decoded endRecord
 	if err := gob.NewDecoder(bytes.NewReader(record.Value)).Decode(&decoded); err != nil {
-		return quarantine.End{}, false, fmt.Errorf("decode the end of server %s: %w", server.ID, err)
+		return quarantine.End{}, false, eris.Wrapf(err, "decode the end of server %s", server.ID)
 	}
 	end.At, end.Progressed = time.UnixMilli(decoded.At), decoded.Progressed
 	return end, false, nil
--- a/internal/crashwatch/settle.go
+++ b/internal/crashwatch/settle.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"dalehook/internal/clock"
@@ -210,7 +210,7 @@
 	return waiting
 }
 
-var errProbeLate = errors.New("the node stood still between probes")
+var errProbeLate = eris.New("the node stood still between probes")
 
 // probe finds out whether a server takes connections.
 func (t *Tracker) probe(ctx context.Context, broken *brokenServer) {
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +12,7 @@
 	"dalehook/internal/clock"
 	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
+	"dalehook/internal/placement"
 	"dalehook/internal/quarantine"
 )
 
@@ -55,32 +54,16 @@
 	return c.gateway.balancer.chooseFirst(clock.Now(), rank(c.fingerprint(), known.Ends, servers), c.tried)
 }
 
-// rank orders servers for a suspected request, in the same way at all nodes. Two requests that
-// one server ended under are ranked apart by chance, and anew after each end: what ends the next
-// server is hardly both of them.
+// rank orders servers for a suspected request by rendezvous hashing, in the same way at all nodes. Two
+// requests that one server ended under are ranked apart by chance, and anew after each end: what
+// ends the next server is hardly both of them.
 func rank(fingerprint quarantine.Fingerprint, ends int, servers []*directory.Server) []*directory.Server {
-	ranked := make([]rankedServer, 0, len(servers))
-	for _, server := range servers {
-		ranked = append(ranked, rankedServer{server: server, weight: rankWeight(fingerprint, ends, server.Address)})
-	}
-	slices.SortFunc(ranked, func(a, b rankedServer) int {
-		return cmp.Or(bytes.Compare(a.weight[:], b.weight[:]), cmp.Compare(a.server.ID, b.server.ID))
+	key := fingerprint.String() + strconv.Itoa(ends)
+	ranked := slices.Clone(servers)
+	slices.SortFunc(ranked, func(a, b *directory.Server) int {
+		return cmp.Or(cmp.Compare(placement.Score(b.Address, key), placement.Score(a.Address, key)), cmp.Compare(a.ID, b.ID))
 	})
-	ordered := make([]*directory.Server, 0, len(ranked))
-	for _, candidate := range ranked {
-		ordered = append(ordered, candidate.server)
-	}
-	return ordered
-}
-
-type rankedServer struct {
-	server *directory.Server
-	weight [sha256.Size]byte
-}
-
-func rankWeight(fingerprint quarantine.Fingerprint, ends int, address string) [sha256.Size]byte {
-	text := binary.BigEndian.AppendUint64(fingerprint[:], uint64(ends))
-	return sha256.Sum256(append(text, address...))
+	return ranked
 }
 
 // noteEnd tells the quarantine how an attempt ended. Broken says that the server, and not this
--- a/internal/storeproxy/put.go
+++ b/internal/storeproxy/put.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"dalehook/internal/nodecall"
 	"dalehook/internal/store"
@@ -14,40 +15,25 @@
 	Records []store.Record
 }
 
-// Added tells whether they were. Failed says that this node could not add them either.
-type Added struct{ Failed bool }
-
 const methodPut = serviceName + ".Put"
 
 // Put adds records for another node.
-func (s *service) Put(addition Addition, added *Added) error {
+func (s *service) Put(addition Addition, outcome *Outcome) error {
 	if addition.Topic != store.TopicQuarantine {
-		return fmt.Errorf("topic %s is not added to for other nodes", addition.Topic)
+		return eris.Errorf("topic %s is not added to for other nodes", addition.Topic)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	added.Failed = s.proxy.log.PutKeyed(ctx, addition.Topic, addition.Records) != nil
+	if err := s.proxy.log.PutKeyed(ctx, addition.Topic, addition.Records); err != nil {
+		*outcome = s.proxy.failed()
+	}
 	return nil
 }
 
 // Put has other nodes add records, one after the other until one can.
 func Put(ctx context.Context, peers *Peers, addition Addition) error {
-	failure := errNobody
-	for _, address := range peers.Known() {
-		added, err := putOne(ctx, address, addition)
-		switch {
-		case err != nil:
-			failure = err
-		case !added.Failed:
-			return nil
-		}
-	}
-	return failure
-}
-
-func putOne(ctx context.Context, address string, addition Addition) (added Added, err error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	err = nodecall.Call(ctx, address, methodPut, addition, &added)
-	return added, err
+	return peers.each(ctx, func(ctx context.Context, address string) (outcome Outcome, err error) {
+		err = nodecall.Call(ctx, address, methodPut, addition, &outcome)
+		return outcome, err
+	})
 }
--- a/internal/storeproxy/storeproxy.go
+++ b/internal/storeproxy/storeproxy.go
@@ -50,8 +50,15 @@
 	// Age is how long before this answer the store was asked. A node that does not tell is
 	// taken to have asked it just then.
 	Age time.Duration
-	// Failed says that this node could not read the store either; Peer is where a node
-	// answers that could when it was last heard of, empty for none.
+	// Failed and Peer are an Outcome.
+	Failed bool
+	Peer   string
+}
+
+// Outcome says whether a node could do what it was asked for.
+type Outcome struct {
+	// Failed says that the store turned this node away as well; Peer is where a node answers
+	// that could when it was last heard of, empty for none.
 	Failed bool
 	Peer   string
 }
@@ -166,11 +173,17 @@
 	if err := read(ctx, p.log, question, &answer); err == nil {
 		return answer
 	}
-	failed := Answer{Failed: true}
+	outcome := p.failed()
+	return Answer{Failed: outcome.Failed, Peer: outcome.Peer}
+}
+
+// failed says that the store turned this node away, and where another one answers.
+func (p *Proxy) failed() Outcome {
+	outcome := Outcome{Failed: true}
 	if known := p.peers.Known(); len(known) > 0 {
-		failed.Peer = known[0]
+		outcome.Peer = known[0]
 	}
-	return failed
+	return outcome
 }
 
 func read(ctx context.Context, log store.Log, question Question, answer *Answer) error {
@@ -201,10 +214,21 @@
 }
 
 // AskBy is Ask by a way of calling nodes.
-func AskBy(ctx context.Context, call Call, peers *Peers, question Question) (Answer, error) {
+func AskBy(ctx context.Context, call Call, peers *Peers, question Question) (answer Answer, err error) {
+	err = peers.each(ctx, func(ctx context.Context, address string) (Outcome, error) {
+		given, err := call(ctx, address, question)
+		answer = given
+		return Outcome{Failed: given.Failed, Peer: given.Peer}, err
+	})
+	return answer, err
+}
+
+// each has nodes do something, one after the other until one can. A node that can not may name
+// one that could; that one is next.
+func (p *Peers) each(ctx context.Context, do func(ctx context.Context, address string) (Outcome, error)) error {
 	asked := make(map[string]bool)
 	failure := errNobody
-	addresses := peers.Known()
+	addresses := p.Known()
 	for len(addresses) > 0 {
 		address := addresses[0]
 		addresses = addresses[1:]
@@ -212,24 +236,20 @@
 			continue
 		}
 		asked[address] = true
-		answer, err := askOne(ctx, call, address, question)
+		call, cancel := context.WithTimeout(ctx, askTimeout)
+		outcome, err := do(call, address)
+		cancel()
 		switch {
 		case err != nil:
 			failure = err
-		case answer.Failed && answer.Peer != "":
-			addresses = append([]string{answer.Peer}, addresses...)
-		case !answer.Failed:
-			peers.Note(address)
-			return answer, nil
+		case outcome.Failed && outcome.Peer != "":
+			addresses = append([]string{outcome.Peer}, addresses...)
+		case !outcome.Failed:
+			p.Note(address)
+			return nil
 		}
 	}
-	return Answer{}, failure
-}
-
-func askOne(ctx context.Context, call Call, address string, question Question) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return call(ctx, address, question)
+	return failure
 }
 
 // CallNode is the Call of nodes on the network.
