Quarantine: a proof stands until an answer clears it, and unclear requests are tried one after the other

A verdict that has stood for a second is confirmed, at all nodes and in the store; ends that a confirmed request ran at are put down to it. From five ends on, an end of a server that ran nothing else suspected is enough. An unclear request runs once at a time at each node, and each node waits for another time.

--- a/internal/crashwatch/record.go
+++ b/internal/crashwatch/record.go
@@ -61,6 +61,15 @@
 	return store.Record{Key: recordKey(fingerprint, server)}
 }
 
+// A verdict is the record of an end that names no server: it says that the request's proof stands
+// until it is cleared.
+func isVerdict(end quarantine.End) bool { return end.Server == directory.Incarnation{} }
+
+// verdictRemoval returns the record that takes a verdict back.
+func verdictRemoval(fingerprint quarantine.Fingerprint) store.Record {
+	return removal(fingerprint, directory.Incarnation{})
+}
+
 // decodeEnd reads an end; removed says that the record takes it back.
 func decodeEnd(record store.Record) (end quarantine.End, removed bool, err error) {
 	fingerprint, server, ok := parseKey(record.Key)
--- a/internal/crashwatch/share.go
+++ b/internal/crashwatch/share.go
@@ -57,7 +57,7 @@
 func (t *Tracker) replace(records []store.Record) {
 	tidies := t.options.Tidies()
 	t.mutex.Lock()
-	t.ledger = quarantine.NewLedger()
+	t.ledger = quarantine.NewLedger(t.options.Node)
 	clear(t.unshared)
 	t.applyLocked(records)
 	t.applyLocked(t.unsent)
@@ -82,6 +82,10 @@
 		switch {
 		case err != nil:
 			t.options.Logger.Error("record void", zap.Int64("offset", record.Offset), zap.Error(err))
+		case isVerdict(end) && removed:
+			t.ledger.Unconfirm(end.Fingerprint)
+		case isVerdict(end):
+			t.ledger.Confirm(end.Fingerprint)
 		case removed:
 			t.ledger.Remove(end.Fingerprint, end.Server)
 		default:
--- a/internal/crashwatch/tracker.go
+++ b/internal/crashwatch/tracker.go
@@ -68,7 +68,10 @@
 	unsent []store.Record
 	// unshared are the requests whose only end is known to this node alone.
 	unshared map[quarantine.Fingerprint]bool
-	held     map[quarantine.Fingerprint]bool
+	// held are the requests that are proved to end servers, since when.
+	held map[quarantine.Fingerprint]time.Time
+	// alone are the unclear requests of which this node runs one.
+	alone map[quarantine.Fingerprint]bool
 	// wake is signalled when there is something to settle, unsentWake when there is something
 	// to write, changedWake when what is known has changed.
 	wake, unsentWake, changedWake chan struct{}
@@ -89,9 +92,9 @@
 		options.Observer = noObserver{}
 	}
 	return &Tracker{
-		options: options, ledger: quarantine.NewLedger(),
+		options: options, ledger: quarantine.NewLedger(options.Node),
 		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]time.Time),
-		unshared: make(map[quarantine.Fingerprint]bool), held: make(map[quarantine.Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
+		unshared: make(map[quarantine.Fingerprint]bool), held: make(map[quarantine.Fingerprint]time.Time), alone: make(map[quarantine.Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
 	}
 }
 
@@ -116,6 +119,7 @@
 
 func (t *Tracker) suspicionLocked(fingerprint quarantine.Fingerprint) quarantine.Suspicion {
 	known := t.ledger.Suspicion(wallTime(), fingerprint)
+	known.Held = known.Held || known.Unclear && t.alone[fingerprint]
 	for _, broken := range t.breaks {
 		if broken.ran(fingerprint) && broken.settling() {
 			known = known.WithUnsettled()
@@ -140,6 +144,25 @@
 	return all
 }
 
+// TryAlone says whether this node may run an unclear request now: one at a time. Whoever is told so
+// calls EndTry afterwards.
+func (t *Tracker) TryAlone(fingerprint quarantine.Fingerprint) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.alone[fingerprint] {
+		return false
+	}
+	t.alone[fingerprint] = true
+	return true
+}
+
+// EndTry lets the next run of an unclear request begin.
+func (t *Tracker) EndTry(fingerprint quarantine.Fingerprint) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.alone, fingerprint)
+}
+
 // HoldEnds returns when the hold of a request ends by itself.
 func (t *Tracker) HoldEnds(fingerprint quarantine.Fingerprint) time.Time {
 	t.mutex.Lock()
@@ -205,8 +228,12 @@
 			changed = true
 		}
 	}
+	confirmed := t.ledger.IsConfirmed(fingerprint)
 	cleared := t.ledger.Clear(fingerprint)
 	t.unshareLocked(cleared)
+	if confirmed {
+		t.unsent = append(t.unsent, verdictRemoval(fingerprint))
+	}
 	return changed || len(cleared) > 0
 }
 
@@ -309,8 +336,8 @@
 		}
 	}
 	for _, fingerprint := range t.ledger.Proved() {
-		if !t.held[fingerprint] {
-			t.held[fingerprint] = true
+		if t.held[fingerprint].IsZero() {
+			t.held[fingerprint] = clock.Now()
 			t.logHeld(t.ledger.Case(fingerprint))
 		}
 	}
@@ -408,6 +435,7 @@
 			delete(t.ended, server)
 		}
 	}
+	t.confirmLocked(now, tidies)
 	changed := t.forgetLocked(tidies) || t.ledger.HasUnclear()
 	t.updateLocked()
 	t.mutex.Unlock()
@@ -416,11 +444,28 @@
 	}
 }
 
+// confirmAfter is how long a proof has to stand before later ends of other requests no longer count
+// against it: all nodes have told by then what they were running at the last end.
+const confirmAfter = time.Second
+
+// confirmLocked confirms the proofs that have stood for a while. One node writes that to the store, for
+// nodes that start later.
+func (t *Tracker) confirmLocked(now time.Time, tidies bool) {
+	for fingerprint, since := range t.held {
+		if now.Sub(since) >= confirmAfter && t.ledger.Confirm(fingerprint) && tidies {
+			t.shareLocked(quarantine.End{Fingerprint: fingerprint, At: wallTime()})
+		}
+	}
+}
+
 // forgetLocked drops the requests under which no server has ended for long.
 func (t *Tracker) forgetLocked(tidies bool) bool {
 	expired := t.ledger.Expire(wallTime())
 	if tidies {
 		t.unshareLocked(expired)
+		for _, end := range expired {
+			t.unsent = append(t.unsent, verdictRemoval(end.Fingerprint))
+		}
 	}
 	maps.DeleteFunc(t.unshared, func(fingerprint quarantine.Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
 	return len(expired) > 0
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,6 +38,7 @@
 		broken = got.failed
 	}
 	c.noteEnd(server, began, broken, false, got.finished())
+	c.endTry()
 	if got.ran() {
 		c.gateway.options.Began(c.request.Caller.Tenant, began)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,8 @@
 	// mostUnreached bounds the servers that a call fails to get to before it is given up. The
 	// list still has a crashed server for some seconds, and each costs a refused connection.
 	mostUnreached = 8
+	// heldRetryAfter is what the caller of a held request is told at the least.
+	heldRetryAfter = time.Second
 	// bufferLimit is the largest answer that is read whole before it is passed on.
 	bufferLimit = 1 << 20
 )
@@ -108,6 +110,8 @@
 	repeatable bool
 	// failures counts the servers that answered that the request failed.
 	failures int
+	// alone says that this node runs no other try of the request, which is unclear.
+	alone bool
 	// held says that the request was not sent on since servers ended under it.
 	held bool
 
@@ -194,7 +198,7 @@
 		return retryAfter
 	}
 	left := time.Until(c.gateway.options.Quarantine.HoldEnds(c.fingerprint()))
-	return max(left.Truncate(time.Millisecond), retryAfter)
+	return max(left.Truncate(time.Millisecond), heldRetryAfter)
 }
 
 // single serves a request whose answer is one body.
@@ -280,13 +284,14 @@
 		return nil
 	}
 	known := c.settledSuspicion(ctx)
-	if known.Held {
+	if known.Held || known.Unclear && !c.tryAlone() {
 		c.held = true
 		c.reason = reasonHeld
 		return nil
 	}
 	server := c.choose(c.gateway.options.Directory.Snapshot().Ready(c.service), known)
 	if server == nil {
+		c.endTry()
 		if c.reason == "" {
 			c.reason = "no server"
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,6 +30,7 @@
 		if attemptCtx.Err() == nil {
 			c.noteEnd(server, began, relay.broken, relay.lastID != before, done && relay.ended)
 		}
+		c.endTry()
 		c.gateway.observe(c.request.Received, server, attempt{answer: answer, failed: failed})
 		cancel()
 		if done {
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -45,6 +45,20 @@
 	return c.suspicion()
 }
 
+// tryAlone says whether an unclear request may run now, and notes that it does.
+func (c *call) tryAlone() bool {
+	c.alone = c.gateway.options.Quarantine.TryAlone(c.fingerprint())
+	return c.alone
+}
+
+// endTry ends the run of an unclear request.
+func (c *call) endTry() {
+	if c.alone {
+		c.alone = false
+		c.gateway.options.Quarantine.EndTry(c.fingerprint())
+	}
+}
+
 // choose returns the server for the next attempt, or nil. A request under which servers ended goes to the one
 // that all nodes choose for it, so that tries at several nodes end one server and not several.
 func (c *call) choose(servers []*directory.Server, known quarantine.Suspicion) *directory.Server {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/placement"
 )
 
 // How many servers may end under a request before it is held. Each costs seconds of a server
@@ -20,14 +22,16 @@
 	// be a long one that met several crashes. It leaves one send of the users' limit.
 	endsProgressed = 5
 	// endsUnclear is the number from which on a request is delayed that shares its ends with
-	// others, so that nothing tells which of them it was.
+	// others, so that nothing tells which of them it was. It runs apart from the others then, and
+	// one end of a server that ran nothing else suspected is enough.
 	endsUnclear = 5
 )
 
 const (
 	// unclearDelay is how long after its last end such a request waits at endsUnclear, on the mean;
 	// twice as long with each further end. Each waits for another time, so that one of them runs
-	// without the others, and is either answered or shown to be the cause.
+	// without the others, and is either answered or shown to be the cause; each node waits for
+	// another time beside that, so that one of them tries first.
 	unclearDelay = time.Second
 	// mostDoublings bounds that delay, at about a minute.
 	mostDoublings = 6
@@ -62,6 +66,8 @@
 	// Held requests are not sent to servers: for long once Proved, else for a short delay.
 	Held   bool
 	Proved bool
+	// Unclear requests share their ends with others; each node runs one at a time.
+	Unclear bool
 }
 
 // WithUnsettled returns the suspicion with one more server that may have ended.
@@ -86,13 +92,19 @@
 	ends     map[Fingerprint]map[directory.Incarnation]End
 	suspects map[directory.Incarnation]map[Fingerprint]bool
 	count    int
+	// confirmed are the requests whose proof has stood for a while. It stands until an answer clears
+	// it: later ends of others say nothing of the ends before.
+	confirmed map[Fingerprint]bool
+	// node is the node that keeps the ledger.
+	node string
 	// evicted are the ends that gave way to newer ones and were not taken yet.
 	evicted []End
 }
 
-// NewLedger returns a ledger without an end.
-func NewLedger() *Ledger {
+// NewLedger returns the ledger of a node, without an end.
+func NewLedger(node string) *Ledger {
 	return &Ledger{
+		node: node, confirmed: make(map[Fingerprint]bool),
 		ends:     make(map[Fingerprint]map[directory.Incarnation]End),
 		suspects: make(map[directory.Incarnation]map[Fingerprint]bool),
 	}
@@ -132,6 +144,7 @@
 	delete(l.ends[fingerprint], server)
 	if len(l.ends[fingerprint]) == 0 {
 		delete(l.ends, fingerprint)
+		delete(l.confirmed, fingerprint)
 	}
 	delete(l.suspects[server], fingerprint)
 	if len(l.suspects[server]) == 0 {
@@ -196,6 +209,7 @@
 // Expire drops the requests under which no server has ended for long, and returns their ends.
 func (l *Ledger) Expire(now time.Time) []End {
 	var expired []End
+	maps.DeleteFunc(l.confirmed, func(fingerprint Fingerprint, _ bool) bool { return !l.Knows(fingerprint) })
 	for fingerprint := range maps.Clone(l.ends) {
 		if now.Sub(l.lastEnd(fingerprint)) >= forgetAfter {
 			expired = append(expired, l.Clear(fingerprint)...)
@@ -210,11 +224,51 @@
 	if known.Ends < endsProved {
 		return known
 	}
-	known.Proved = l.proved(fingerprint) >= l.needed(fingerprint)
-	known.Held = known.Proved || l.isUnclear(fingerprint) && now.Before(l.HoldEnds(fingerprint))
+	known.Proved = l.isProved(fingerprint)
+	known.Unclear = !known.Proved && known.Ends >= endsUnclear
+	known.Held = known.Proved || known.Unclear && now.Before(l.HoldEnds(fingerprint))
 	return known
 }
 
+// isProved says whether the ends of servers are put down to a request.
+func (l *Ledger) isProved(fingerprint Fingerprint) bool {
+	ends := len(l.ends[fingerprint])
+	switch {
+	case ends < endsProved:
+		return false
+	case l.confirmed[fingerprint]:
+		return true
+	case ends >= endsUnclear && l.hasOwnEnd(fingerprint):
+		return true
+	}
+	return l.proved(fingerprint) >= l.needed(fingerprint)
+}
+
+// hasOwnEnd says whether a server ended that ran nothing else suspected.
+func (l *Ledger) hasOwnEnd(fingerprint Fingerprint) bool {
+	for server := range l.ends[fingerprint] {
+		if len(l.suspects[server]) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Confirm has a proof stand until the request is cleared; it returns false for one that does.
+func (l *Ledger) Confirm(fingerprint Fingerprint) bool {
+	if l.confirmed[fingerprint] {
+		return false
+	}
+	l.confirmed[fingerprint] = true
+	return true
+}
+
+// IsConfirmed says whether a request's proof stands until it is cleared.
+func (l *Ledger) IsConfirmed(fingerprint Fingerprint) bool { return l.confirmed[fingerprint] }
+
+// Unconfirm takes a confirmation back.
+func (l *Ledger) Unconfirm(fingerprint Fingerprint) { delete(l.confirmed, fingerprint) }
+
 // Suspicions returns what is known against all requests.
 func (l *Ledger) Suspicions(now time.Time) map[Fingerprint]Suspicion {
 	all := make(map[Fingerprint]Suspicion, len(l.ends))
@@ -235,7 +289,7 @@
 }
 
 func (l *Ledger) isUnclear(fingerprint Fingerprint) bool {
-	return len(l.ends[fingerprint]) >= endsUnclear && l.proved(fingerprint) < l.needed(fingerprint)
+	return len(l.ends[fingerprint]) >= endsUnclear && !l.isProved(fingerprint)
 }
 
 // HasUnclear says whether any request is delayed now and then, so that what is known against it
@@ -261,10 +315,13 @@
 }
 
 // isCause says whether more servers ended under a request than under each other one that a
-// server ended under.
+// server ended under, none of which is known to end servers.
 func (l *Ledger) isCause(fingerprint Fingerprint, server directory.Incarnation) bool {
 	for other := range l.suspects[server] {
-		if other != fingerprint && len(l.ends[other]) >= len(l.ends[fingerprint]) {
+		if other == fingerprint {
+			continue
+		}
+		if l.confirmed[other] || len(l.ends[other]) >= len(l.ends[fingerprint]) {
 			return false
 		}
 	}
@@ -274,17 +331,23 @@
 // HoldEnds returns when a hold of a request ends by itself.
 func (l *Ledger) HoldEnds(fingerprint Fingerprint) time.Time {
 	if l.isUnclear(fingerprint) {
-		return l.lastEnd(fingerprint).Add(delayOf(fingerprint, len(l.ends[fingerprint])))
+		return l.lastEnd(fingerprint).Add(l.delayOf(fingerprint))
 	}
 	return l.lastEnd(fingerprint).Add(forgetAfter)
 }
 
-// delayOf returns the delay of a request with so many unclear ends: half to one and a half of the
-// mean, which is the same at all nodes and another one for each request and number of ends.
-func delayOf(fingerprint Fingerprint, ends int) time.Duration {
+// delayOf returns the delay of an unclear request: half to one and a half of the mean by the request and
+// its number of ends, and up to a mean more by the node.
+func (l *Ledger) delayOf(fingerprint Fingerprint) time.Duration {
+	ends := len(l.ends[fingerprint])
 	mean := unclearDelay << min(ends-endsUnclear, mostDoublings)
-	share := float64(fingerprint[ends%len(fingerprint)]) / (1 << 8)
-	return time.Duration((0.5 + share) * float64(mean))
+	key := fingerprint.String() + strconv.Itoa(ends)
+	return time.Duration((0.5 + shareOf(key, "") + shareOf(key, l.node)) * float64(mean))
+}
+
+// shareOf returns a number from 0 up to 1 that differs for each key and holder.
+func shareOf(key, holder string) float64 {
+	return float64(placement.Score(holder, key)>>11) / (1 << 53)
 }
 
 // Case is a request that servers ended under, for operators.
@@ -307,7 +370,7 @@
 
 // Case returns what is known against a request.
 func (l *Ledger) Case(fingerprint Fingerprint) Case {
-	known := Case{Fingerprint: fingerprint, Held: l.proved(fingerprint) >= l.needed(fingerprint)}
+	known := Case{Fingerprint: fingerprint, Held: l.isProved(fingerprint)}
 	for _, server := range l.serversOf(fingerprint) {
 		known.Ends = append(known.Ends, l.ends[fingerprint][server])
 	}
@@ -319,7 +382,7 @@
 func (l *Ledger) Proved() []Fingerprint {
 	var proved []Fingerprint
 	for fingerprint, ends := range l.ends {
-		if len(ends) >= endsProved && l.proved(fingerprint) >= l.needed(fingerprint) {
+		if len(ends) >= endsProved && l.isProved(fingerprint) {
 			proved = append(proved, fingerprint)
 		}
 	}
