--- a/internal/crashwatch/tracker_test.go
+++ b/internal/crashwatch/tracker_test.go
@@ -61,6 +61,17 @@
 	})
 }
 
+// amongNodes runs a test with nodes that share a store, on a virtual clock.
+func amongNodes(t *testing.T, test func(t *testing.T, log *storetest.Memory, newNode func() *desk)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := storetest.NewMemory()
+		test(t, log, func() *desk { return newDesk(ctx, log) })
+		cancel()
+		synctest.Wait()
+	})
+}
+
 const settled = 400 * time.Millisecond
 
 func TestAServerThatRefusesConnectionsHasEnded(t *testing.T) {
@@ -171,10 +182,8 @@
 // What nodes found is known to all, also to one that starts later, and an answer or a release
 // at one of them clears it everywhere.
 func TestNodesShareWhatTheyFound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		log := storetest.NewMemory()
-		first, second := newDesk(ctx, log), newDesk(ctx, log)
+	amongNodes(t, func(t *testing.T, log *storetest.Memory, newNode func() *desk) {
+		first, second := newNode(), newNode()
 		for number := range 3 {
 			seenBy := []*desk{first, second, first}[number]
 			server := seenBy.put(number)
@@ -184,7 +193,7 @@
 		}
 		second.Answered(named("a"), directory.Incarnation{ID: "other"}, clock.Now())
 		time.Sleep(settled)
-		third := newDesk(ctx, log)
+		third := newNode()
 		time.Sleep(settled)
 		for number, d := range []*desk{first, second, third} {
 			if got := d.Suspicion(named("d")); !got.Held || got.Ends != 3 {
@@ -203,18 +212,14 @@
 				t.Errorf("node %d holds what was released", number)
 			}
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // An engine that crashes implicates all that it runs, which nearly always is answered by the next one.
 // What only one node runs is shared from its second end on.
 func TestTheFirstEndOfWhatRunsHereOnlyIsNotShared(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		log := storetest.NewMemory()
-		first, second := newDesk(ctx, log), newDesk(ctx, log)
+	amongNodes(t, func(t *testing.T, log *storetest.Memory, newNode func() *desk) {
+		first, second := newNode(), newNode()
 		here := UnderWay{Progressed: true, HereOnly: true}
 		server := first.put(1)
 		first.Broke(named("a"), server, here)
@@ -235,18 +240,14 @@
 		if got := second.Suspicion(named("d")); got.Ends != 0 {
 			t.Errorf("after an answer the other node knows %+v", got)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // A node that starts holds what the others came to know one by one, though the ends alone no longer
 // show it.
 func TestANodeThatStartsTakesOverConfirmedProofs(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		log := storetest.NewMemory()
-		first := newDesk(ctx, log)
+	amongNodes(t, func(t *testing.T, log *storetest.Memory, newNode func() *desk) {
+		first := newNode()
 		for number := range 4 {
 			server := first.put(number)
 			first.Broke(named("d"), server, UnderWay{})
@@ -258,7 +259,7 @@
 		time.Sleep(3 * time.Second)
 		first.Broke(named("e"), first.put(4), UnderWay{})
 		time.Sleep(settled)
-		second := newDesk(ctx, log)
+		second := newNode()
 		time.Sleep(settled)
 		for number, d := range []*desk{first, second} {
 			if !d.Suspicion(named("d")).Proved {
@@ -267,20 +268,16 @@
 		}
 		second.Release(named("d"))
 		time.Sleep(settled)
-		if kept, _, _ := log.Newest(ctx, store.TopicQuarantine); len(kept) != 4 {
+		if kept, _, _ := log.Newest(t.Context(), store.TopicQuarantine); len(kept) != 4 {
 			t.Errorf("%d records after a release, with four ends of the other", len(kept))
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // What could not be written while the store was away is written once it is back.
 func TestFindingsOutlastAnOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		log := storetest.NewMemory()
-		first, second := newDesk(ctx, log), newDesk(ctx, log)
+	amongNodes(t, func(t *testing.T, log *storetest.Memory, newNode func() *desk) {
+		first, second := newNode(), newNode()
 		time.Sleep(settled)
 		log.SetFault(storetest.FaultRefuse)
 		for number := range 3 {
@@ -296,8 +293,6 @@
 		if !second.Suspicion(named("d")).Held {
 			t.Error("the other node does not know once the store is back")
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -309,10 +304,8 @@
 // where each node that starts reads them.
 // Cause: only ends that had become too old were removed there.
 func TestWhatGivesWayIsRemovedFromTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		log := storetest.NewMemory()
-		d := newDesk(ctx, log)
+	amongNodes(t, func(t *testing.T, log *storetest.Memory, newNode func() *desk) {
+		d := newNode()
 		for number := range 36 {
 			server := d.put(number)
 			for request := range mostUnderWay {
@@ -321,11 +314,9 @@
 			time.Sleep(settled)
 		}
 		time.Sleep(10 * time.Second)
-		kept, _, err := log.Newest(ctx, store.TopicQuarantine)
+		kept, _, err := log.Newest(t.Context(), store.TopicQuarantine)
 		if err != nil || len(kept) != d.ledger.Len() {
 			t.Errorf("%d records in the store, %d ends in memory, %v", len(kept), d.ledger.Len(), err)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
