Crashwatch: what breaks after a life's end counts for a later life that is not listed yet

Cause: a server that is back under its id is listed anew only where the list is read. A break there was put to the account of the life that had ended, or of none, so that a request which the store's outage hid from a node was sent on once more (TestALaterLifeThatIsNotListedEndsAnew, red since it was written). Ruled out: waiting for the list, which a node without the store does not get. Change: a request that began after the end of the listed life met a later one, named by the end of the life before; the list is no evidence of that one's end.

--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -103,7 +103,7 @@
 	case scheduler.EndBroken:
 		tracker.Broke(fingerprint, directory.Server{
 			ID: start.Server.ID, Born: start.Server.Born, Address: start.Server.Address, Service: start.Server.Service,
-		}, crashwatch.UnderWay{Progressed: progressed, HereOnly: true})
+		}, crashwatch.UnderWay{Began: began, Progressed: progressed, HereOnly: true})
 	case scheduler.EndCompleted, scheduler.EndFailed, scheduler.EndImpossible:
 		if tracker.Active() {
 			tracker.Answered(fingerprint, directory.Incarnation{ID: start.Server.ID, Born: start.Server.Born}, began)
--- a/internal/crashwatch/settle.go
+++ b/internal/crashwatch/settle.go
@@ -54,7 +54,9 @@
 
 // brokenServer is a server that broke connections.
 type brokenServer struct {
-	server  directory.Incarnation
+	server directory.Incarnation
+	// unlisted says that the list does not show this life yet, but one before.
+	unlisted bool
 	address string
 	service string
 	// brokeAt is when the first connection broke.
@@ -80,18 +82,37 @@
 	}
 }
 
+// lifeEnd is when a life of a server was found to have ended, by package clock and by the time of
+// day.
+type lifeEnd struct{ at, wall time.Time }
+
+// lifeLocked returns the life of a server that a request met which began at a time. A server
+// that is back under its id is listed anew only seconds later: what began after the end of the life
+// that is listed met a later one. That one is named by the end of the life before, which is
+// within some seconds of its birth and unlike the names of the others.
+func (t *Tracker) lifeLocked(listed directory.Incarnation, began time.Time) directory.Incarnation {
+	life := listed
+	for {
+		end, over := t.ended[life]
+		if !over || !began.After(end.at) {
+			return life
+		}
+		life.Born = end.wall.UnixMilli()
+	}
+}
+
 // isLeaving says whether a server is to end by plan: what it breaks off then is nobody's fault.
 func (t *Tracker) isLeaving(server directory.Server) bool {
 	listed := t.options.Directory.Find(server.ID)
 	return listed == nil || listed.Draining && listed.Incarnation().IsSameLife(server.Incarnation())
 }
 
-func (t *Tracker) noteBreakLocked(fingerprint quarantine.Fingerprint, server directory.Server, underWay UnderWay) *brokenServer {
-	at := server.Incarnation()
+// noteBreakLocked takes a break at a life of a server, which may be a later one than is listed.
+func (t *Tracker) noteBreakLocked(fingerprint quarantine.Fingerprint, server directory.Server, at directory.Incarnation, underWay UnderWay) *brokenServer {
 	broken := t.breaks[at]
 	if broken == nil {
 		broken = &brokenServer{
-			server: at, address: server.Address, service: server.Service, brokeAt: clock.Now(),
+			server: at, unlisted: at != server.Incarnation(), address: server.Address, service: server.Service, brokeAt: clock.Now(),
 			requests: make(map[quarantine.Fingerprint]UnderWay), settled: make(chan struct{}),
 		}
 		t.breaks[at] = broken
@@ -127,7 +148,11 @@
 
 // replaced says whether the list shows a later life of a server, or another one at its address. A
 // server that leaves by plan gives its address away later than it breaks its last connection.
+// Of a life that is not listed the list tells nothing: what it shows next may be that life.
 func replaced(snapshot *directory.Snapshot, broken *brokenServer) bool {
+	if broken.unlisted {
+		return false
+	}
 	found := false
 	snapshot.All(func(server *directory.Server) {
 		switch {
@@ -151,7 +176,7 @@
 // endLocked takes that a server has ended under what it was running.
 func (t *Tracker) endLocked(broken *brokenServer, evidence string) {
 	t.dropLocked(broken)
-	t.ended[broken.server] = clock.Now()
+	t.ended[broken.server] = lifeEnd{at: clock.Now(), wall: wallTime()}
 	added := t.addLocked(broken.server, broken.requests)
 	t.options.Observer.ObserveServerEnd(evidence, len(broken.requests))
 	t.options.Logger.Info("server ended under requests", zap.String("server", broken.server.ID), zap.Int64("born", broken.server.Born),
--- a/internal/crashwatch/tracker.go
+++ b/internal/crashwatch/tracker.go
@@ -62,8 +62,8 @@
 	ledger *quarantine.Ledger
 	// breaks are the servers that broke connections and may have ended.
 	breaks map[directory.Incarnation]*brokenServer
-	// ended are servers that have ended, since when: what breaks later there is due to that.
-	ended map[directory.Incarnation]time.Time
+	// ended are the lives of servers that have ended: what broke there is due to that.
+	ended map[directory.Incarnation]lifeEnd
 	// unsent are records to be written to the store.
 	unsent []store.Record
 	// unshared are the requests whose only end is known to this node alone.
@@ -93,7 +93,7 @@
 	}
 	return &Tracker{
 		options: options, ledger: quarantine.NewLedger(options.Node),
-		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]time.Time),
+		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]lifeEnd),
 		unshared: make(map[quarantine.Fingerprint]bool), held: make(map[quarantine.Fingerprint]time.Time), alone: make(map[quarantine.Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
 	}
 }
@@ -187,10 +187,10 @@
 		return
 	}
 	t.mutex.Lock()
-	at := server.Incarnation()
+	at := t.lifeLocked(server.Incarnation(), underWay.Began)
 	if _, over := t.ended[at]; over {
 		t.addLocked(at, map[quarantine.Fingerprint]UnderWay{fingerprint: underWay})
-	} else if broken := t.noteBreakLocked(fingerprint, server, underWay); replaced(t.options.Directory.Snapshot(), broken) {
+	} else if broken := t.noteBreakLocked(fingerprint, server, at, underWay); replaced(t.options.Directory.Snapshot(), broken) {
 		t.endLocked(broken, evidenceReplaced)
 	}
 	t.updateLocked()
@@ -207,7 +207,7 @@
 // neither did the request crash the server, nor has the server ended before.
 func (t *Tracker) Answered(fingerprint quarantine.Fingerprint, server directory.Incarnation, began time.Time) {
 	t.mutex.Lock()
-	broken := t.breaks[server]
+	broken := t.breaks[t.lifeLocked(server, began)]
 	lives := broken != nil && began.After(broken.brokeAt)
 	if lives {
 		t.dropLocked(broken)
@@ -432,8 +432,8 @@
 			t.dropLocked(broken)
 		}
 	}
-	for server, at := range t.ended {
-		if now.Sub(at) > endedFor {
+	for server, end := range t.ended {
+		if now.Sub(end.at) > endedFor {
 			delete(t.ended, server)
 		}
 	}
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -86,7 +86,7 @@
 	tracker := c.gateway.options.Quarantine
 	switch {
 	case broken != nil:
-		tracker.Broke(c.fingerprint(), *server, crashwatch.UnderWay{Progressed: progressed})
+		tracker.Broke(c.fingerprint(), *server, crashwatch.UnderWay{Began: began, Progressed: progressed})
 		c.gateway.options.Logger.Info("attempt broken", zap.String("request", c.request.ID),
 			zap.String("fingerprint", c.fingerprint().Short()), zap.String("server", server.ID), zap.Int64("born", server.Born),
 			zap.String("service", c.service), zap.Duration("took", clock.Since(began)), zap.Error(broken))
