--- a/internal/crashwatch/settle.go
+++ b/internal/crashwatch/settle.go
@@ -57,8 +57,8 @@
 	server directory.Incarnation
 	// unlisted says that the list does not show this life yet, but one before.
 	unlisted bool
-	address string
-	service string
+	address  string
+	service  string
 	// brokeAt is when the first connection broke.
 	brokeAt time.Time
 	// requests were under way there.
