Servers that warm up are sent what they bear; a zone that is evacuated takes no work

Change: internal/slowstart, a window of the last second by server: the scheduler and the gateway send a server that warms up its rate, and one that is taken to be warm one filling of its slots more, since it tells that it turned slow only with its next heartbeat. The gateway sends to those last. Records that evacuate a zone have the directory list its servers as taking no work.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -39,6 +39,9 @@
 	Zone     string
 	Slots    int
 	Draining bool
+	// WarmAt is until when the server is slow since it started, by package clock; it is past or
+	// zero for one that is warm.
+	WarmAt time.Time
 	// Spot servers may be taken away with little notice.
 	Spot bool
 	// Versions holds the loaded weight version of each model.
@@ -53,8 +56,8 @@
 
 // Snapshot is the list at one moment. It is not changed once published.
 type Snapshot struct {
-	// all holds the servers of each service, ready those that take new work, both
-	// ordered by id.
+	// all holds the servers of each service, ready those that take new work: neither do they
+	// leave, nor is their zone evacuated. Both are ordered by id.
 	all   map[string][]*Server
 	ready map[string][]*Server
 	count int
@@ -89,8 +92,10 @@
 type Directory struct {
 	mutex   sync.Mutex
 	servers map[string]*Server
-	current *Snapshot
-	readAt  time.Time
+	// evacuated are the zones whose servers take no new work.
+	evacuated map[string]bool
+	current   *Snapshot
+	readAt    time.Time
 }
 
 // NewDirectory returns an empty directory.
@@ -156,7 +161,7 @@
 			continue
 		}
 		if before != nil {
-			if change.Server != nil && equal(before, change.Server) {
+			if change.Server != nil && equal(before, change.Server) && !TurnedSlow(before, change.Server) {
 				d.servers[change.ID] = change.Server
 				continue
 			}
@@ -176,6 +181,18 @@
 	return effective
 }
 
+// SetEvacuated has the servers of zones take no new work until it is called anew without them.
+func (d *Directory) SetEvacuated(zones map[string]bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.evacuated = zones
+	services := make(map[string]bool)
+	for _, known := range d.servers {
+		services[known.Service] = true
+	}
+	d.publish(services)
+}
+
 // Snapshot returns the list as it stands.
 func (d *Directory) Snapshot() *Snapshot {
 	d.mutex.Lock()
@@ -200,7 +217,7 @@
 		servers := snapshot.all[service]
 		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 		for _, server := range servers {
-			if !server.Draining {
+			if !server.Draining && !d.evacuated[server.Zone] {
 				snapshot.ready[service] = append(snapshot.ready[service], server)
 			}
 		}
@@ -208,6 +225,13 @@
 	d.current = snapshot
 }
 
+// warmAtSlack is by how much the end of a server's warm-up may be told differently by two of its
+// heartbeats: they come late by some milliseconds.
+const warmAtSlack = 300 * time.Millisecond
+
+// TurnedSlow says whether a server warms up for longer than was known.
+func TurnedSlow(before, after *Server) bool { return after.WarmAt.Sub(before.WarmAt) > warmAtSlack }
+
 // SameIgnoringVersions says whether two entries differ in nothing but the loaded
 // weights.
 func SameIgnoringVersions(a, b *Server) bool {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -51,6 +51,8 @@
 	Table(record store.Record) (*routetable.Table, error)
 	// Version decodes the record that names a model's newest weight version.
 	Version(record store.Record) (model string, version int64, ok bool)
+	// Evacuation decodes the record that has a zone evacuated, or takes that back.
+	Evacuation(record store.Record) (zone string, evacuated, ok bool)
 	// Server decodes the record of a server.
 	Server(record store.Record) (directory.Server, error)
 	// ServerDigest tells the entries of a server apart without what every heartbeat
@@ -116,13 +118,15 @@
 	leaving      atomic.Bool
 	left         chan struct{}
 	directory    *directory.Directory
-	servers      *serverlist.List
-	gateway      *gateway.Gateway
-	quarantine   *crashwatch.Tracker
-	startedAt    time.Time
-	jobs         *joblog.Logs
-	jobReader    *jobReader
-	coordinator  *coordinator.Coordinator
+	// zones are those that the operator has evacuated.
+	zones       evacuatedZones
+	servers     *serverlist.List
+	gateway     *gateway.Gateway
+	quarantine  *crashwatch.Tracker
+	startedAt   time.Time
+	jobs        *joblog.Logs
+	jobReader   *jobReader
+	coordinator *coordinator.Coordinator
 	// hold is what is known of the lease while this process holds it.
 	hold election.Hold
 	// peers are the nodes that coordinated last, or asked this one whether it does.
@@ -142,6 +146,7 @@
 	n := &Node{options: options, logger: logger.Named("node"), left: make(chan struct{}), directory: directory.NewDirectory(), startedAt: clock.Now()}
 	n.metrics = newNodeMetrics(n, options.LostLines)
 	n.quarantine = n.newQuarantine(logger)
+	n.zones = evacuatedZones{directory: n.directory, changed: n.observeServers, logger: n.logger}
 	n.gateway = gateway.NewGateway(gateway.Options{
 		Backend: adapter.Backend(), Directory: n.directory, Zone: options.Settings.Zone, Quarantine: n.quarantine,
 		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest, Began: n.noteBegan,
@@ -246,7 +251,7 @@
 func (n *Node) operatorFollowing(log store.Log) follow.KeyedOptions {
 	return follow.KeyedOptions{
 		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: n.operatorHold(), Logger: n.options.Logger.Named("operator"),
-		Replace: n.handleOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
+		Replace: n.replaceOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
 	}
 }
 
@@ -339,8 +344,19 @@
 	}
 }
 
+// replaceOperator takes the newest record of each key: what is not among them was taken back.
+func (n *Node) replaceOperator(records []store.Record) {
+	n.zones.clear()
+	n.handleOperator(records)
+}
+
 func (n *Node) handleOperator(records []store.Record) {
+	defer n.zones.apply()
 	for _, record := range records {
+		if zone, evacuated, ok := n.options.Adapter.Evacuation(record); ok {
+			n.zones.set(zone, evacuated)
+			continue
+		}
 		if model, version, ok := n.options.Adapter.Version(record); ok {
 			n.logger.Info("version named", zap.String("model", model), zap.Int64("version", version))
 			n.coordinator.ObserveVersion(model, version)
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/slowstart"
 )
 
 // Timing of the choice of servers.
@@ -23,6 +24,9 @@
 	otherZoneFactor = 1.3
 	// pausedFactor makes avoided servers the last choice.
 	pausedFactor = 1000
+	// warmingFactor makes servers that have just started the choice where no warm one is free: they
+	// bear a rate that all nodes share without knowing of each other.
+	warmingFactor = 100
 )
 
 // serverState is what this node has seen of a server.
@@ -31,6 +35,18 @@
 	latency     time.Duration
 	reported    Load
 	pausedUntil time.Time
+	// sends are those of this node within the last second.
+	sends slowstart.Window
+}
+
+// candidates are the servers that a request may go to.
+type candidates struct {
+	// servers are in the order of their ids, or of preference.
+	servers []*directory.Server
+	// tried are left out.
+	tried map[directory.Incarnation]bool
+	// warmUpRate is what each bears a second while it warms up; 0 for any rate.
+	warmUpRate float64
 }
 
 // balancer chooses servers by load and by what was seen of them. It may be used
@@ -46,13 +62,13 @@
 }
 
 // choose returns the best server that was not tried, and counts an attempt at it.
-func (b *balancer) choose(now time.Time, servers []*directory.Server, tried map[directory.Incarnation]bool) *directory.Server {
+func (b *balancer) choose(now time.Time, from candidates) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var best *directory.Server
 	bestCost := 0.0
-	for _, server := range servers {
-		if tried[server.Incarnation()] {
+	for _, server := range from.servers {
+		if from.tried[server.Incarnation()] || b.isSaturated(now, server, from.warmUpRate) {
 			continue
 		}
 		cost := b.cost(now, server)
@@ -60,20 +76,35 @@
 			best, bestCost = server, cost
 		}
 	}
-	if best != nil {
-		b.state(best.Incarnation()).inFlight++
-	}
+	b.noteSend(now, best)
 	return best
 }
 
+// noteSend counts an attempt at a server; nil for none.
+func (b *balancer) noteSend(now time.Time, server *directory.Server) {
+	if server == nil {
+		return
+	}
+	state := b.state(server.Incarnation())
+	state.inFlight++
+	state.sends.Sent(now)
+}
+
+// isSaturated says whether this node has sent a server as much within the last second as it may be
+// sent while it warms up.
+func (b *balancer) isSaturated(now time.Time, server *directory.Server, warmUpRate float64) bool {
+	state := b.seen[server.Incarnation()]
+	return state != nil && state.sends.Full(now, slowstart.Most(warmUpRate, server.Slots, now.Before(server.WarmAt)))
+}
+
 // chooseFirst returns the first server that was not tried and is not avoided, else the first that
 // was not tried, and counts an attempt at it.
-func (b *balancer) chooseFirst(now time.Time, servers []*directory.Server, tried map[directory.Incarnation]bool) *directory.Server {
+func (b *balancer) chooseFirst(now time.Time, from candidates) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var chosen *directory.Server
-	for _, server := range servers {
-		if tried[server.Incarnation()] {
+	for _, server := range from.servers {
+		if from.tried[server.Incarnation()] || b.isSaturated(now, server, from.warmUpRate) {
 			continue
 		}
 		avoided := now.Before(b.state(server.Incarnation()).pausedUntil)
@@ -84,9 +115,7 @@
 			break
 		}
 	}
-	if chosen != nil {
-		b.state(chosen.Incarnation()).inFlight++
-	}
+	b.noteSend(now, chosen)
 	return chosen
 }
 
@@ -104,6 +133,9 @@
 	if now.Before(state.pausedUntil) {
 		cost *= pausedFactor
 	}
+	if now.Before(server.WarmAt) {
+		cost *= warmingFactor
+	}
 	return cost
 }
 
--- /dev/null
+++ b/internal/gateway/warmup_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dalehook/internal/directory"
+)
+
+// Servers that have just started are sent requests only where no warm one is left, and no more in
+// any second than they bear.
+func TestServersThatWarmUpComeLast(t *testing.T) {
+	const rate = 5.0
+	now := time.Unix(1000, 0)
+	warming := &directory.Server{ID: "a", Service: "s", Zone: "z", Slots: 4, WarmAt: now.Add(3 * time.Second)}
+	warm := &directory.Server{ID: "b", Service: "s", Zone: "elsewhere", Slots: 4}
+	b := newBalancer("z")
+	for range 9 {
+		if got := b.choose(now, candidates{servers: []*directory.Server{warming, warm}, warmUpRate: rate}); got != warm {
+			t.Fatalf("a warm server is there, and %v was chosen", got)
+		}
+	}
+	sent := 0
+	for i := range 100 {
+		at := now.Add(time.Duration(i) * 9 * time.Millisecond)
+		if b.choose(at, candidates{servers: []*directory.Server{warming}, warmUpRate: rate}) != nil {
+			sent++
+		}
+	}
+	if sent != int(rate) {
+		t.Errorf("%d requests within 0.9 s, where %v are borne in a second", sent, rate)
+	}
+	if b.chooseFirst(now, candidates{servers: []*directory.Server{warming}, warmUpRate: rate}) != nil {
+		t.Error("a suspected request was sent beyond the rate")
+	}
+}
+
+// All servers of a service warm up at once after a release: what they bear together is sent.
+func TestAServiceThatWarmsUpBearsTheRateOfItsServers(t *testing.T) {
+	const rate = 5.0
+	now := time.Unix(1000, 0)
+	var servers []*directory.Server
+	for i := range 4 {
+		servers = append(servers, &directory.Server{ID: fmt.Sprint(i), Service: "s", Zone: "z", Slots: 4, WarmAt: now.Add(3 * time.Second)})
+	}
+	b := newBalancer("z")
+	sent := 0
+	for i := range 200 {
+		if b.choose(now.Add(time.Duration(i)*4*time.Millisecond), candidates{servers: servers, warmUpRate: rate}) != nil {
+			sent++
+		}
+	}
+	if sent != 4*int(rate) {
+		t.Errorf("%d requests within 0.8 s, where %v are borne in a second", sent, 4*rate)
+	}
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -110,6 +110,9 @@
 	Models []string
 	// Slots is the number of requests an engine runs at once; 0 for other services.
 	Slots int
+	// WarmUpRate is how many requests a second a server bears while it warms up; 0 means that it
+	// is not bounded.
+	WarmUpRate float64
 	// Scaling is nil where the number of servers can not be chosen.
 	Scaling *Scaling
 }
@@ -189,3 +192,12 @@
 	}
 	return strings.ToLower(host)
 }
+
+// WarmUpRate returns how many requests a second a server of a service bears while it warms up; 0
+// where that is not bounded, or no configuration is known.
+func (t *Table) WarmUpRate(service string) float64 {
+	if t == nil {
+		return 0
+	}
+	return t.Services[service].WarmUpRate
+}
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -154,7 +154,7 @@
 	if !candidate.listed || candidate.service != next.service || candidate.loading || candidate.draining {
 		return false
 	}
-	if len(candidate.attempts) >= candidate.slots || now.Before(candidate.pausedUntil) {
+	if len(candidate.attempts) >= candidate.slots || now.Before(candidate.pausedUntil) || candidate.isSaturated(now) {
 		return false
 	}
 	version := candidate.versions[next.job.model]
@@ -210,6 +210,7 @@
 	next.checkpointAt = time.Time{}
 	m.attempts[begun.id] = begun
 	chosen.attempts[begun.id] = begun
+	chosen.starts.Sent(now)
 	expected := int64(0)
 	if next.job.route.SingleVersion {
 		expected = chosen.versions[next.job.model]
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/slowstart"
 )
 
 // HandleServers takes the list of ready servers.
@@ -58,12 +59,21 @@
 	known.server.Born = server.Born
 	known.service = server.Service
 	known.slots = server.Slots
+	known.warmAt = server.WarmAt
+	known.warmUpRate = m.table.WarmUpRate(server.Service)
 	for model, version := range server.Versions {
 		// The list lags behind what orders and answers have told.
 		known.versions[model] = max(known.versions[model], version)
 	}
 }
 
+// isSaturated says whether an engine was started as many items within the last second as it may
+// be: one that has just started bears few, and falls over where all its slots are filled at once
+// again and again.
+func (e *engine) isSaturated(now time.Time) bool {
+	return e.starts.Full(now, slowstart.Most(e.warmUpRate, e.slots, now.Before(e.warmAt)))
+}
+
 // bury forgets an engine that has started again: its runs and loads ended with the life before.
 func (m *Machine) bury(known *engine) {
 	for _, id := range slices.Sorted(maps.Keys(known.attempts)) {
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -122,6 +122,9 @@
 	for _, job := range m.jobs {
 		m.route(job)
 	}
+	for _, known := range m.engines {
+		known.warmUpRate = m.table.WarmUpRate(known.service)
+	}
 	m.schedule(now)
 }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -11,6 +11,7 @@
 	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
+	"dalehook/internal/slowstart"
 )
 
 // AttemptID names one run of an item at one server.
@@ -267,11 +268,16 @@
 }
 
 type engine struct {
-	server   Server
-	service  string
-	slots    int
-	versions map[string]int64
-	listed   bool
+	server  Server
+	service string
+	slots   int
+	// warmUpRate is how many items a second the engine bears while it warms up, until warmAt; 0
+	// for any. starts are those of the last second.
+	warmUpRate float64
+	warmAt     time.Time
+	starts     slowstart.Window
+	versions   map[string]int64
+	listed     bool
 	// model is the model whose new versions this engine loads.
 	model    string
 	attempts map[AttemptID]*attempt
--- a/internal/serverlist/relay.go
+++ b/internal/serverlist/relay.go
@@ -33,21 +33,29 @@
 	Service, Address, Zone string
 	Slots                  int
 	Draining               bool
-	Digest                 uint64
+	// Warming is how much longer the server is slow since it started, when the record was made.
+	Warming time.Duration
+	Digest  uint64
 }
 
-func entryOf(server *directory.Server) relayEntry {
+func entryOf(now time.Time, server *directory.Server) relayEntry {
 	return relayEntry{
-		ID: server.ID, Born: server.Born, Service: server.Service, Address: server.Address, Zone: server.Zone,
+		Warming: max(server.WarmAt.Sub(now), 0),
+		ID:      server.ID, Born: server.Born, Service: server.Service, Address: server.Address, Zone: server.Zone,
 		Slots: server.Slots, Draining: server.Draining, Digest: server.Digest,
 	}
 }
 
-func (e relayEntry) server() *directory.Server {
-	return &directory.Server{
+// server returns the entry of a record that is read at now.
+func (e relayEntry) server(now time.Time) *directory.Server {
+	server := &directory.Server{
 		ID: e.ID, Born: e.Born, Service: e.Service, Address: e.Address, Zone: e.Zone,
 		Slots: e.Slots, Draining: e.Draining, Digest: e.Digest,
 	}
+	if e.Warming > 0 {
+		server.WarmAt = now.Add(e.Warming)
+	}
+	return server
 }
 
 // encodeRelay encodes a record and compresses it: full records have thousands of
@@ -128,17 +136,17 @@
 	if record.Full {
 		r.fullAt = now
 	}
-	return r.apply(record)
+	return r.apply(now, record)
 }
 
-func (r *relay) apply(record *relayRecord) []directory.Change {
+func (r *relay) apply(now time.Time, record *relayRecord) []directory.Change {
 	var changes []directory.Change
 	before := r.servers
 	if record.Full {
 		r.servers = make(map[string]*directory.Server, len(record.Put))
 	}
 	for _, entry := range record.Put {
-		server := entry.server()
+		server := entry.server(now)
 		r.servers[entry.ID] = server
 		changes = append(changes, directory.Change{ID: entry.ID, Server: server})
 	}
@@ -167,8 +175,8 @@
 	snapshot.All(func(server *directory.Server) {
 		current[server.ID] = true
 		before := r.servers[server.ID]
-		if record.Full || before == nil || !directory.SameIgnoringVersions(before, server) {
-			record.Put = append(record.Put, entryOf(server))
+		if record.Full || before == nil || !directory.SameIgnoringVersions(before, server) || directory.TurnedSlow(before, server) {
+			record.Put = append(record.Put, entryOf(now, server))
 		}
 	})
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
