--- a/internal/crashwatch/share.go
+++ b/internal/crashwatch/share.go
@@ -45,7 +45,7 @@
 // follow learns what other nodes found.
 func (t *Tracker) follow(ctx context.Context) {
 	follow.Keyed(ctx, follow.KeyedOptions{
-		Log: t.options.Log, Topic: store.TopicQuarantine, Pace: readPace, Wait: readWait, Logger: t.options.Logger,
+		Log: t.options.Log, Topic: store.TopicQuarantine, Pace: readPace, Wait: readWait, Large: true, Logger: t.options.Logger,
 		Replace: t.replace, Change: t.change, Read: func(int64, bool, time.Time) {}, Relayed: t.options.Relay.Read,
 	})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -66,6 +67,13 @@
 // Ready returns the servers of a service that take new work, ordered by id.
 func (s *Snapshot) Ready(service string) []*Server { return s.ready[service] }
 
+// Services calls visit for every service with its servers in the order of their ids.
+func (s *Snapshot) Services(visit func(service string, servers []*Server)) {
+	for _, service := range slices.Sorted(maps.Keys(s.all)) {
+		visit(service, s.all[service])
+	}
+}
+
 // All calls visit for every server, those of a service in the order of their ids.
 func (s *Snapshot) All(visit func(*Server)) {
 	for _, servers := range s.all {
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -18,8 +18,8 @@
 	// answerTime bounds a read beyond its wait. A store that stays silent longer is
 	// asked again on another connection.
 	answerTime = 700 * time.Millisecond
-	// loadTime bounds the reading of the newest records, which may be many pages.
-	loadTime = 5 * time.Second
+	// pageTime bounds the reading of a page of the newest records, of 1 MB at the most.
+	pageTime = 5 * time.Second
 	// slowestRead is the longest pause between two reads, which bounds the age of
 	// what is known while the store throttles reads.
 	slowestRead = 1200 * time.Millisecond
@@ -37,7 +37,10 @@
 	// Pace is the shortest time between two reads.
 	Pace time.Duration
 	// Wait is how long the store may hold a read that finds nothing.
-	Wait   time.Duration
+	Wait time.Duration
+	// Large says that many nodes may read at once what is large, so that a read which is not held has
+	// as much time for its answer as one that is.
+	Large  bool
 	Logger *zap.Logger
 	// Replace takes the newest record of every key.
 	Replace func([]store.Record)
@@ -80,7 +83,11 @@
 			reader.advanceRelayed(ctx)
 		}
 		reader.outage.Note(err, zap.Stringer("topic", options.Topic), zap.Int64("offset", reader.next))
-		pause.For(ctx, pace.Next(err))
+		wait := pace.Next(err)
+		if err == nil && reader.behind {
+			wait = 0 // what piled up during an outage is read at once
+		}
+		pause.For(ctx, wait)
 	}
 }
 
@@ -91,10 +98,32 @@
 	// seen is the highest end that the store has told.
 	seen   int64
 	outage Outage
+	// behind says that the last read did not come to the end.
+	behind bool
 	// failing says that the last read failed.
 	failing bool
 	// relayedAt is when another node was last asked to read.
 	relayedAt time.Time
+	// loading is what was read of the newest records before a page was not answered.
+	loading loading
+}
+
+// loading is a reading of the newest records, page by page. One that is broken off goes on where it
+// was: many nodes that begin anew together hold up the store that was slow to answer them.
+type loading struct {
+	records []store.Record
+	// end is that of the first page, asked when that page was asked for.
+	end   int64
+	asked time.Time
+	pages int
+}
+
+// after returns the key after which the next page begins.
+func (l *loading) after() string {
+	if len(l.records) == 0 {
+		return ""
+	}
+	return l.records[len(l.records)-1].Key
 }
 
 func (r *keyedReader) advance(ctx context.Context) error {
@@ -106,8 +135,11 @@
 		// Whether the store answers again is to be known at once.
 		wait = 0
 	}
-	// Many nodes may read at once what is large, so that the time for an answer stays the same.
-	call, cancel := context.WithTimeout(ctx, r.Wait+answerTime)
+	bound := r.Wait + answerTime
+	if !r.Large {
+		bound = wait + answerTime
+	}
+	call, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	asked := clock.Now()
 	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, wait)
@@ -124,6 +156,7 @@
 	}
 	r.next = batch.Next
 	r.seen = max(r.seen, batch.Next)
+	r.behind = r.next < batch.End && len(batch.Records) > 0
 	r.Read(r.next, r.next >= batch.End, asked)
 	return nil
 }
@@ -154,19 +187,41 @@
 var errStaleList = errors.New("list is older than what was read")
 
 func (r *keyedReader) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTime)
+	for {
+		more, err := r.loadPage(ctx)
+		if err != nil {
+			return err
+		}
+		if !more {
+			break
+		}
+	}
+	read := r.loading
+	r.loading = loading{}
+	if read.end < r.seen {
+		return errStaleList
+	}
+	r.Replace(read.records)
+	r.next = read.end
+	r.seen = read.end
+	r.Read(r.next, true, read.asked)
+	return nil
+}
+
+// loadPage reads the next page of the newest records.
+func (r *keyedReader) loadPage(ctx context.Context) (more bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTime)
 	defer cancel()
 	asked := clock.Now()
-	records, end, err := r.Log.Newest(ctx, r.Topic)
+	page, err := store.ReadNewestPage(ctx, r.Log, r.Topic, r.loading.after())
 	if err != nil {
-		return err
+		return false, err
 	}
-	if end < r.seen {
-		return errStaleList
+	if r.loading.pages == 0 {
+		// Later pages may be newer; what changed since the first is read again.
+		r.loading.end, r.loading.asked = page.End, asked
 	}
-	r.Replace(records)
-	r.next = end
-	r.seen = end
-	r.Read(r.next, true, asked)
-	return nil
+	r.loading.pages++
+	r.loading.records = append(r.loading.records, page.Records...)
+	return page.More && len(page.Records) > 0, nil
 }
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -160,7 +160,7 @@
 		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), Pace: listPace, Wait: listWait,
 		Decode: adapter.Server, Digest: adapter.ServerDigest,
 		Self: n.process(), Leading: func() bool { return n.coordinator.State().Leading },
-		Changed: n.observeServers,
+		Changed: n.observeServers, Shared: n.sharedServices, LeaveBound: time.Duration(options.Settings.LeaveBoundMs) * time.Millisecond,
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
 		Engines: adapter.Engines(), Quarantine: n.quarantine, Rewards: &rewardCaller{gateway: n.gateway, logger: logger.Named("reward")}, Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
@@ -250,11 +250,21 @@
 // operatorFollowing says how this node follows what operators and trainers put.
 func (n *Node) operatorFollowing(log store.Log) follow.KeyedOptions {
 	return follow.KeyedOptions{
-		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: n.operatorHold(), Logger: n.options.Logger.Named("operator"),
+		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: n.operatorHold(), Large: true, Logger: n.options.Logger.Named("operator"),
 		Replace: n.replaceOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
 	}
 }
 
+// sharedServices returns which services all nodes send requests to: those of routes for single
+// requests. Batch jobs run by the coordinator alone. It returns nil while no configuration is known.
+func (n *Node) sharedServices() func(service string) bool {
+	table := n.table.Load()
+	if table == nil {
+		return nil
+	}
+	return table.ServesSingle
+}
+
 // process names this process unlike any other.
 func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
 
--- a/internal/frontend/outage_test.go
+++ b/internal/frontend/outage_test.go
@@ -218,7 +218,7 @@
 		go func() {
 			defer running.Done()
 			follow.Keyed(ctx, follow.KeyedOptions{
-				Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Logger: zap.NewNop(),
+				Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Large: true, Logger: zap.NewNop(),
 				Replace: node.learn, Change: node.learn, Read: func(int64, bool, time.Time) {}, Relayed: f.relayed(node),
 			})
 		}()
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -67,6 +67,9 @@
 	} `json:"scaling"`
 	// OrderPauseMs is the least time between the orders of two holders of the lease.
 	OrderPauseMs int `json:"order_pause_ms"`
+	// LeaveBoundMs is the time within which a server that leaves is to get no more requests; 0
+	// means 2000.
+	LeaveBoundMs int `json:"leave_bound_ms"`
 	// FencingEnforced says that engines refuse orders with an old fencing token.
 	FencingEnforced bool `json:"fencing_enforced"`
 	// GraceSeconds is the time from the signal to stop to the kill.
@@ -146,6 +149,7 @@
 	require(s.Scaling.Headroom >= 0, "scaling.headroom must not be below 0")
 	require(s.Scaling.MostServers >= 0, "scaling.most_servers must not be below 0")
 	require(s.OrderPauseMs >= 0, "order_pause_ms must not be below 0")
+	require(s.LeaveBoundMs >= 0, "leave_bound_ms must not be below 0")
 	require(s.GraceSeconds > 0, "grace_seconds must be above 0")
 	require(s.MemoryMb >= 0, "memory_mb must not be below 0")
 	require(s.ProcessorShare >= 0, "processor_share must not be below 0")
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -145,6 +145,8 @@
 	Tenants *tenant.Set
 
 	byHost map[string][]*Route
+	// single are the services that routes lead single requests to.
+	single map[string]bool
 }
 
 // NewTable builds a table with its index by host.
@@ -155,6 +157,7 @@
 		Services: make(map[string]Service, len(services)),
 		Limits:   limits,
 		byHost:   make(map[string][]*Route),
+		single:   make(map[string]bool),
 	}
 	for _, service := range services {
 		table.Services[service.Name] = service
@@ -162,6 +165,12 @@
 	for i := range routes {
 		host := canonicalHost(routes[i].Host)
 		table.byHost[host] = append(table.byHost[host], &routes[i])
+		if routes[i].Kind == KindBatch {
+			continue
+		}
+		for _, target := range routes[i].Targets {
+			table.single[target.Service] = true
+		}
 	}
 	return table
 }
@@ -201,3 +210,6 @@
 	}
 	return t.Services[service].WarmUpRate
 }
+
+// ServesSingle says whether a route leads single requests, and not only batch jobs, to a service.
+func (t *Table) ServesSingle(service string) bool { return t.single[service] }
--- a/internal/serverlist/fleet_test.go
+++ b/internal/serverlist/fleet_test.go
@@ -103,7 +103,8 @@
 	node.list = New(Options{
 		Log: f.shared.Node(number), Directory: node.kept, Logger: zap.NewNop(), Decode: decodeFleet, Digest: digestFleet,
 		Self: fmt.Sprint("node-", number), Leading: func() bool { return f.leader.Load() == int64(number) }, Changed: func() {},
-		Pace: 200 * time.Millisecond, Wait: 500 * time.Millisecond,
+		Shared: func() func(string) bool { return func(service string) bool { return service == "portal" } },
+		Pace:   200 * time.Millisecond, Wait: 500 * time.Millisecond,
 	})
 	ctx, cancel := context.WithCancel(f.ctx)
 	node.end = cancel
--- a/internal/serverlist/relay.go
+++ b/internal/serverlist/relay.go
@@ -1,10 +1,6 @@
 package serverlist
 
 import (
-	"bytes"
-	"compress/flate"
-	"encoding/gob"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -12,149 +8,120 @@
 	"dalehook/internal/directory"
 )
 
-// relayRecord is what a node that reads the heartbeats tells the others of the list:
-// entries without their weight versions, which only the coordinator needs. A record
-// that is not full says what changed since the record before it in the log.
-type relayRecord struct {
-	// Author names the process that wrote the record.
-	Author string
-	// Full says that Put holds all servers, else it holds those that changed.
-	Full    bool
-	Put     []relayEntry
-	Removed []string
-	// Next is the offset in the topic of servers up to which the author had read.
-	Next int64
-}
-
-type relayEntry struct {
-	ID string
-	// Born is 0 in entries of nodes that do not tell it.
-	Born                   int64
-	Service, Address, Zone string
-	Slots                  int
-	Draining               bool
-	// Warming is how much longer the server is slow since it started, when the record was made.
-	Warming time.Duration
-	Digest  uint64
-}
-
-func entryOf(now time.Time, server *directory.Server) relayEntry {
-	return relayEntry{
-		Warming: max(server.WarmAt.Sub(now), 0),
-		ID:      server.ID, Born: server.Born, Service: server.Service, Address: server.Address, Zone: server.Zone,
-		Slots: server.Slots, Draining: server.Draining, Digest: server.Digest,
-	}
-}
-
-// server returns the entry of a record that is read at now.
-func (e relayEntry) server(now time.Time) *directory.Server {
-	server := &directory.Server{
-		ID: e.ID, Born: e.Born, Service: e.Service, Address: e.Address, Zone: e.Zone,
-		Slots: e.Slots, Draining: e.Draining, Digest: e.Digest,
-	}
-	if e.Warming > 0 {
-		server.WarmAt = now.Add(e.Warming)
-	}
-	return server
-}
-
-// encodeRelay encodes a record and compresses it: full records have thousands of
-// entries alike, and all nodes that start at once read one.
-func encodeRelay(record *relayRecord) ([]byte, error) {
-	var buffer bytes.Buffer
-	compressor, err := flate.NewWriter(&buffer, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("compress a relay of the list: %w", err)
-	}
-	if err := gob.NewEncoder(compressor).Encode(record); err != nil {
-		return nil, fmt.Errorf("encode a relay of the list: %w", err)
-	}
-	if err := compressor.Close(); err != nil {
-		return nil, fmt.Errorf("compress a relay of the list: %w", err)
-	}
-	return buffer.Bytes(), nil
-}
-
-func decodeRelay(payload []byte) (*relayRecord, error) {
-	record := &relayRecord{}
-	if err := gob.NewDecoder(flate.NewReader(bytes.NewReader(payload))).Decode(record); err != nil {
-		return nil, fmt.Errorf("decode a relay of the list: %w", err)
-	}
-	return record, nil
-}
-
 // The timing of relays.
 const (
-	// relayInterval is the longest time between two records.
-	relayInterval = 400 * time.Millisecond
-	// fullInterval is the time between two records with all servers.
-	fullInterval = 10 * time.Second
-	// relayStale is the age of the last record beyond which nodes begin to read the
-	// heartbeats themselves, within relaySpread, a few of them early and most of them
-	// late: the first relays for the rest. A server that leaves must get no more
-	// requests after two seconds.
-	relayStale  = time.Second
-	relaySpread = 900 * time.Millisecond
-	// relayHaste makes few nodes early: a share x of all begins within x to this power
-	// of the spread. Of 300 nodes one begins within 0.43 of it, and ten within 0.6.
-	relayHaste = 0.15
+	// snapshotInterval is the time between two snapshots, which a node that starts waits for at the
+	// most where the store has forgotten the last one.
+	snapshotInterval = 2 * time.Second
 )
 
 // relay folds the records of the relay and makes new ones. It does no I/O.
+//
+// What changes is told in one partition, which all nodes follow. Snapshots stand in another one, and
+// are read by nodes that start alone: what the others read grows with the changes, not with the list.
 type relay struct {
 	self string
-	// servers is nil until a full record came.
+	// interval is the longest time between two records of changes, pause the shortest: each wakes all
+	// nodes.
+	interval, pause time.Duration
+	// servers is nil until a snapshot came, or a record that holds all servers.
 	servers map[string]*directory.Server
-	// end is the offset after the last record, next that up to which its author had
+	// total is the number of servers of all services, of which those that all nodes send requests to
+	// are relayed.
+	total int
+	// end is the offset after the last record of changes, next that up to which its author had
 	// read the heartbeats.
 	end, next int64
-	// toldAt is when the last record came, toldByOthersAt the last one of another
-	// process, fullAt the last full one.
-	toldAt, toldByOthersAt, fullAt time.Time
+	// least is the offset from which on a snapshot's changes must begin: what was known before is
+	// younger than one of earlier changes.
+	least int64
+	// parts are records of changes that further ones belong to.
+	parts []*relayRecord
+	// toldAt is when the last changes came, toldByOthersAt the last ones of another process.
+	toldAt, toldByOthersAt time.Time
+	// snapshotAt is when this process last made a snapshot.
+	snapshotAt time.Time
+	// comparedWith and comparedAt are the list and the end at which there was nothing to tell.
+	comparedWith *directory.Snapshot
+	comparedAt   int64
+}
+
+func newRelay(self string, interval, pause time.Duration) relay {
+	return relay{self: self, interval: interval, pause: pause}
 }
 
-func newRelay(self string) relay { return relay{self: self} }
+// begin has a node that knows no list follow the changes from an offset on.
+func (r *relay) begin(end int64) { r.end = max(r.end, end) }
+
+// restart forgets what was told, after the store has dropped changes that were not read.
+func (r *relay) restart() { r.servers, r.parts, r.least = nil, nil, r.end }
 
-// handle takes the record at an offset and returns the changes that it makes. Records
-// before the first full one are void. Old says that the record may have stood in the
-// log for long, so that it says nothing of its author's being there.
+// base takes a whole snapshot; it returns false for one that is older than what was known. Old is as
+// for handle.
+func (r *relay) base(now time.Time, parts []*relayRecord, old bool) bool {
+	if parts[0].Since < r.least {
+		return false
+	}
+	r.servers = make(map[string]*directory.Server)
+	for _, part := range parts {
+		for _, entry := range part.Put {
+			r.servers[entry.ID] = entry.server(now)
+		}
+	}
+	first := parts[0]
+	r.parts = nil
+	r.end, r.next, r.total = first.Since, first.Next, first.Total
+	if !old && first.Author != r.self {
+		r.toldByOthersAt = now
+	}
+	return true
+}
+
+// handle takes the record of changes at an offset and returns what it changes, together with the
+// records before that it belongs to. Changes to a list that is not known are void. Old says that the
+// record may have stood in the log for long, so that it says nothing of its author's being there.
 func (r *relay) handle(now time.Time, offset int64, record *relayRecord, old bool) []directory.Change {
 	if offset < r.end {
 		return nil
 	}
 	r.end = offset + 1
-	if !record.Full && r.servers == nil {
+	r.parts = append(r.parts, record)
+	if record.More {
 		return nil
 	}
-	r.next = record.Next
+	parts := r.parts
+	r.parts = nil
+	if r.servers == nil && !parts[0].All {
+		return nil
+	}
+	r.next, r.total = record.Next, record.Total
 	if !old {
 		r.toldAt = now
 	}
 	if !old && record.Author != r.self {
 		r.toldByOthersAt = now
 	}
-	if record.Full {
-		r.fullAt = now
-	}
-	return r.apply(now, record)
+	return r.apply(now, parts)
 }
 
-func (r *relay) apply(now time.Time, record *relayRecord) []directory.Change {
+func (r *relay) apply(now time.Time, parts []*relayRecord) []directory.Change {
 	var changes []directory.Change
 	before := r.servers
-	if record.Full {
-		r.servers = make(map[string]*directory.Server, len(record.Put))
-	}
-	for _, entry := range record.Put {
-		server := entry.server(now)
-		r.servers[entry.ID] = server
-		changes = append(changes, directory.Change{ID: entry.ID, Server: server})
-	}
-	for _, id := range record.Removed {
-		delete(r.servers, id)
-		changes = append(changes, directory.Change{ID: id})
+	if parts[0].All {
+		r.servers = make(map[string]*directory.Server)
+	}
+	for _, part := range parts {
+		for _, entry := range part.Put {
+			server := entry.server(now)
+			r.servers[entry.ID] = server
+			changes = append(changes, directory.Change{ID: entry.ID, Server: server})
+		}
+		for _, id := range part.Removed {
+			delete(r.servers, id)
+			changes = append(changes, directory.Change{ID: id})
+		}
 	}
-	if record.Full {
+	if parts[0].All {
 		for _, id := range slices.Sorted(maps.Keys(before)) {
 			if r.servers[id] == nil {
 				changes = append(changes, directory.Change{ID: id})
@@ -164,33 +131,112 @@
 	return changes
 }
 
-// tell returns the record to append at the relay's end, or nil. The list was read up
-// to an offset.
-func (r *relay) tell(now time.Time, snapshot *directory.Snapshot, read int64) *relayRecord {
-	if read < r.next {
+// source is the list that a node relays.
+type source struct {
+	snapshot *directory.Snapshot
+	// shared says whether all nodes send requests to the servers of a service.
+	shared func(service string) bool
+	// read is the offset up to which the heartbeats were read.
+	read int64
+	// whole says that the list holds all servers, and not only what came since the relay told last.
+	whole bool
+}
+
+// tell returns the records of changes to append at the relay's end, or none.
+func (r *relay) tell(now time.Time, from source) []*relayRecord {
+	if from.read < r.next {
 		return nil // others know more
 	}
-	record := &relayRecord{Author: r.self, Next: read, Full: r.servers == nil || now.Sub(r.fullAt) >= fullInterval}
-	current := make(map[string]bool, snapshot.Count())
-	snapshot.All(func(server *directory.Server) {
-		current[server.ID] = true
-		before := r.servers[server.ID]
-		if record.Full || before == nil || !directory.SameIgnoringVersions(before, server) || directory.TurnedSlow(before, server) {
-			record.Put = append(record.Put, entryOf(now, server))
+	if r.servers != nil && now.Sub(r.toldAt) < r.pause {
+		return nil
+	}
+	due := now.Sub(r.toldAt) >= r.interval
+	if !due && r.servers != nil && from.snapshot == r.comparedWith && r.end == r.comparedAt {
+		return nil
+	}
+	put, removed := r.compare(now, from)
+	next := from.read
+	if len(put) > entriesOfRecord*recordsOfCall {
+		// Whoever goes on from what is told now is to read what is told later.
+		put, next = put[:entriesOfRecord*recordsOfCall], r.next
+	}
+	if !due && r.servers != nil && len(put) == 0 && len(removed) == 0 {
+		r.comparedWith, r.comparedAt = from.snapshot, r.end
+		return nil
+	}
+	head := relayRecord{Author: r.self, Next: next, Total: r.totalOf(from), All: r.servers == nil, Removed: removed}
+	return inParts(head, put)
+}
+
+// totalOf returns the number of servers of all services.
+func (r *relay) totalOf(from source) int {
+	if from.whole {
+		return from.snapshot.Count()
+	}
+	return max(from.snapshot.Count(), r.total)
+}
+
+// compare returns what the relay does not tell of a list yet.
+func (r *relay) compare(now time.Time, from source) (put []relayEntry, removed []string) {
+	current := make(map[string]bool)
+	from.snapshot.Services(func(service string, servers []*directory.Server) {
+		if !from.shared(service) {
+			return
+		}
+		for _, server := range servers {
+			current[server.ID] = true
+			before := r.servers[server.ID]
+			if before == nil || !directory.SameIgnoringVersions(before, server) || directory.TurnedSlow(before, server) {
+				put = append(put, entryOf(now, server))
+			}
 		}
 	})
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
-		if !record.Full && !current[id] {
-			record.Removed = append(record.Removed, id)
+		if !current[id] {
+			removed = append(removed, id)
 		}
 	}
-	if !record.Full && len(record.Put) == 0 && len(record.Removed) == 0 && now.Sub(r.toldAt) < relayInterval {
+	return put, removed
+}
+
+// snapshot returns the records of a snapshot of what was told, or none where the last one is young
+// enough.
+func (r *relay) snapshot(now time.Time) []*relayRecord {
+	if r.servers == nil || now.Sub(r.snapshotAt) < snapshotInterval {
 		return nil
 	}
-	return record
+	r.snapshotAt = now
+	entries := make([]relayEntry, 0, len(r.servers))
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
+		entries = append(entries, entryOf(now, r.servers[id]))
+	}
+	return inParts(relayRecord{Author: r.self, Next: r.next, Total: r.total, All: true, Since: r.end}, entries)
+}
+
+// newestSnapshot returns the records of the newest snapshot that is whole, or none. Records of two
+// authors may stand between each other's.
+func newestSnapshot(records []*relayRecord) []*relayRecord {
+	var newest []*relayRecord
+	under := make(map[string][]*relayRecord)
+	for _, record := range records {
+		parts := under[record.Author]
+		if len(parts) > 0 && parts[0].Since != record.Since {
+			parts = nil
+		}
+		parts = append(parts, record)
+		if record.More {
+			under[record.Author] = parts
+			continue
+		}
+		delete(under, record.Author)
+		if parts[0].First && (newest == nil || record.Since >= newest[0].Since) {
+			newest = parts
+		}
+	}
+	return newest
 }
 
-// list returns all servers, ordered by id.
+// list returns all servers that are relayed, ordered by id.
 func (r *relay) list() []directory.Server {
 	servers := make([]directory.Server, 0, len(r.servers))
 	for _, id := range slices.Sorted(maps.Keys(r.servers)) {
--- a/internal/serverlist/relay_test.go
+++ b/internal/serverlist/relay_test.go
@@ -1,6 +1,7 @@
 package serverlist
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,16 +10,20 @@
 	"dalehook/internal/directory"
 )
 
+const relayInterval = 500 * time.Millisecond
+
 func entry(id string, draining bool) directory.Server {
 	return directory.Server{ID: id, Service: "s", Address: id + ":1", Slots: 4, Draining: draining}
 }
 
 // wire is a log of relay records, and the nodes that fold it.
 type wire struct {
-	t    *testing.T
-	now  time.Time
-	log  []*relayRecord
-	list *directory.Directory
+	t   *testing.T
+	now time.Time
+	log []*relayRecord
+	// shared says which services are relayed; nil for all.
+	shared func(service string) bool
+	list   *directory.Directory
 }
 
 func newWire(t *testing.T, servers ...directory.Server) *wire {
@@ -43,15 +48,23 @@
 	}
 }
 
-// tell appends what a node tells, if its end is the log's.
+func (w *wire) source(read int64) source {
+	shared := w.shared
+	if shared == nil {
+		shared = func(string) bool { return true }
+	}
+	return source{snapshot: w.list.Snapshot(), shared: shared, read: read, whole: true}
+}
+
+// tell appends what a node tells, if its end is the log's, and returns the first record.
 func (w *wire) tell(node *relay, read int64) *relayRecord {
-	record := node.tell(w.now, w.list.Snapshot(), read)
-	if record == nil || node.end != int64(len(w.log)) {
+	records := node.tell(w.now, w.source(read))
+	if len(records) == 0 || node.end != int64(len(w.log)) {
 		return nil
 	}
-	w.log = append(w.log, record)
+	w.log = append(w.log, records...)
 	w.read(node)
-	return record
+	return records[0]
 }
 
 func ready(node *relay) []string {
@@ -66,7 +79,7 @@
 
 func TestAReaderKnowsWhatWasTold(t *testing.T) {
 	w := newWire(t, entry("a", false), entry("b", false))
-	author, reader := newRelay("x"), newRelay("y")
+	author, reader := newRelay("x", relayInterval, 0), newRelay("y", relayInterval, 0)
 	w.tell(&author, 10)
 	w.read(&reader)
 	if diff := cmp.Diff([]string{"a", "b"}, ready(&reader)); diff != "" {
@@ -74,7 +87,7 @@
 	}
 	draining, added := entry("a", true), entry("c", false)
 	w.list.Apply([]directory.Change{{ID: "a", Server: &draining}, {ID: "b"}, {ID: "c", Server: &added}})
-	if record := w.tell(&author, 20); record == nil || record.Full {
+	if record := w.tell(&author, 20); record == nil || record.All {
 		t.Fatalf("told %+v", record)
 	}
 	w.read(&reader)
@@ -88,7 +101,7 @@
 
 func TestTheRelaySpeaksWhileNothingChanges(t *testing.T) {
 	w := newWire(t, entry("a", false))
-	author := newRelay("x")
+	author := newRelay("x", relayInterval, 0)
 	w.tell(&author, 1)
 	loaded := entry("a", false)
 	loaded.Versions = map[string]int64{"m": 2}
@@ -98,19 +111,22 @@
 		t.Errorf("new weights are relayed: %+v", record)
 	}
 	w.now = w.now.Add(relayInterval)
-	if record := w.tell(&author, 3); record == nil || record.Full || len(record.Put) != 0 {
+	if record := w.tell(&author, 3); record == nil || record.All || len(record.Put) != 0 {
 		t.Errorf("after an interval: %+v", record)
 	}
-	w.now = w.now.Add(fullInterval)
-	if record := w.tell(&author, 4); record == nil || !record.Full || len(record.Put) != 1 {
-		t.Errorf("after the interval of full records: %+v", record)
+	w.now = w.now.Add(snapshotInterval)
+	if records := author.snapshot(w.now); len(records) != 1 || !records[0].All || len(records[0].Put) != 1 {
+		t.Errorf("after the interval of snapshots: %+v", records)
+	}
+	if records := author.snapshot(w.now.Add(snapshotInterval / 2)); len(records) != 0 {
+		t.Errorf("half an interval later: %+v", records)
 	}
 }
 
 // Authors that alternate tell one list: each says what changed since the other.
 func TestAuthorsFollowOnEachOther(t *testing.T) {
 	w := newWire(t, entry("a", false), entry("b", false))
-	first, second, reader := newRelay("x"), newRelay("y"), newRelay("z")
+	first, second, reader := newRelay("x", relayInterval, 0), newRelay("y", relayInterval, 0), newRelay("z", relayInterval, 0)
 	w.tell(&first, 1)
 	w.list.Apply([]directory.Change{{ID: "a"}})
 	if record := w.tell(&second, 2); record != nil {
@@ -126,32 +142,136 @@
 	if diff := cmp.Diff([]string{"b", "c"}, ready(&reader)); diff != "" {
 		t.Error(diff)
 	}
-	if record := first.tell(w.now.Add(relayInterval), w.list.Snapshot(), 2); record != nil {
-		t.Errorf("a node that read less than was told tells %+v", record)
+	if records := first.tell(w.now.Add(relayInterval), w.source(2)); len(records) > 0 {
+		t.Errorf("a node that read less than was told tells %+v", records)
 	}
 }
 
 func TestOldRecordsDoNotMakeTheRelayFresh(t *testing.T) {
-	reader := newRelay("y")
+	reader := newRelay("y", relayInterval, 0)
 	now := time.Unix(1000, 0)
-	reader.handle(now, 0, &relayRecord{Author: "x", Full: true, Put: []relayEntry{{ID: "a", Service: "s"}}}, true)
+	reader.handle(now, 0, &relayRecord{Author: "x", First: true, All: true, Put: []relayEntry{{ID: "a", Service: "s"}}}, true)
 	if !reader.toldByOthersAt.IsZero() || len(reader.servers) != 1 {
 		t.Errorf("told at %v, %d servers", reader.toldByOthersAt, len(reader.servers))
 	}
-	reader.handle(now, 1, &relayRecord{Author: "y"}, false)
+	reader.handle(now, 1, &relayRecord{Author: "y", First: true}, false)
 	if !reader.toldByOthersAt.IsZero() {
 		t.Error("the own record counts as another's")
 	}
-	reader.handle(now, 2, &relayRecord{Author: "x"}, false)
+	reader.handle(now, 2, &relayRecord{Author: "x", First: true}, false)
 	if !reader.toldByOthersAt.Equal(now) {
 		t.Errorf("told at %v", reader.toldByOthersAt)
 	}
 }
 
 func TestChangesBeforeTheFirstFullRecordAreVoid(t *testing.T) {
-	reader := newRelay("y")
-	reader.handle(time.Unix(1000, 0), 7, &relayRecord{Author: "x", Put: []relayEntry{{ID: "b", Service: "s"}}}, false)
+	reader := newRelay("y", relayInterval, 0)
+	reader.handle(time.Unix(1000, 0), 7, &relayRecord{Author: "x", First: true, Put: []relayEntry{{ID: "b", Service: "s"}}}, false)
 	if reader.servers != nil || reader.end != 8 {
 		t.Errorf("servers %v, end %d", reader.servers, reader.end)
 	}
 }
+
+// manyServers returns servers of a service that all nodes use and of one that the coordinator does.
+func manyServers(count int) []directory.Server {
+	servers := make([]directory.Server, 0, count)
+	for number := range count {
+		server := entry(fmt.Sprintf("i-%08x", number*2654435761%(1<<32)), false)
+		if number%2 == 1 {
+			server.Service = "engines"
+		}
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+// Seen: at 8,000 servers a list of all had no room in one record of the store.
+// A node that starts knows from the snapshot and the changes since what one knows that was there all
+// the time, whatever the number of servers; and of the services that all nodes use alone.
+func TestANodeThatStartsKnowsWhatTheOthersKnow(t *testing.T) {
+	const recordBytes, callBytes = 256 << 10, 2 << 20
+	for _, count := range []int{2, 6000, 20_000, 60_000} {
+		w := newWire(t, manyServers(count)...)
+		w.shared = func(service string) bool { return service == "s" }
+		author, reader := newRelay("x", relayInterval, 0), newRelay("y", relayInterval, 0)
+		w.tell(&author, 10)
+		w.read(&reader)
+		snapshot := author.snapshot(w.now)
+		gone := w.list.Snapshot().Ready("s")[0].ID
+		w.list.Apply([]directory.Change{{ID: gone}})
+		w.now = w.now.Add(relayInterval)
+		w.tell(&author, 20)
+		w.read(&reader)
+		starting := newRelay("z", relayInterval, 0)
+		if !starting.base(w.now, newestSnapshot(snapshot), true) {
+			t.Fatal("the snapshot was not taken")
+		}
+		w.read(&starting)
+		if diff := cmp.Diff(ready(&reader), ready(&starting)); diff != "" || len(reader.servers) != count/2-1 {
+			t.Errorf("%d servers, of which %d are known: %s", count, len(reader.servers), diff)
+		}
+		if starting.next != 20 || starting.total != count-1 {
+			t.Errorf("read up to %d, %d servers in all", starting.next, starting.total)
+		}
+		total := 0
+		for _, record := range snapshot {
+			payload, err := encodeRelay(record)
+			if err != nil {
+				t.Fatal(err)
+			}
+			total += len(payload)
+			if len(payload) > recordBytes/2 {
+				t.Errorf("%d servers: a record of %d bytes", count, len(payload))
+			}
+		}
+		if total/len(snapshot)*recordsOfCall > callBytes {
+			t.Errorf("%d servers: a call of %d bytes", count, total/len(snapshot)*recordsOfCall)
+		}
+	}
+}
+
+// What was told by one author stands between what another told; a snapshot whose end is missing is none.
+func TestOnlyWholeSnapshotsAreTaken(t *testing.T) {
+	record := func(author string, since int64, first, more bool) *relayRecord {
+		return &relayRecord{Author: author, Since: since, First: first, More: more, All: true}
+	}
+	cases := []struct {
+		name    string
+		records []*relayRecord
+		since   int64
+	}{
+		{"none", nil, -1},
+		{"one", []*relayRecord{record("x", 3, true, false)}, 3},
+		{"its end is missing", []*relayRecord{record("x", 3, true, true)}, -1},
+		{"its beginning was dropped", []*relayRecord{record("x", 3, false, false)}, -1},
+		{"the newest", []*relayRecord{record("x", 3, true, false), record("y", 5, true, false)}, 5},
+		{"two authors", []*relayRecord{record("x", 3, true, true), record("y", 2, true, true), record("x", 3, false, false), record("y", 2, false, false)}, 3},
+		{"broken off and begun anew", []*relayRecord{record("x", 3, true, true), record("x", 4, true, true), record("x", 4, false, false)}, 4},
+	}
+	for _, c := range cases {
+		since := int64(-1)
+		if parts := newestSnapshot(c.records); parts != nil {
+			since = parts[0].Since
+		}
+		if since != c.since {
+			t.Errorf("%s: taken since %d, want %d", c.name, since, c.since)
+		}
+	}
+}
+
+// More changes than one call takes are told in several; who goes on from what is told reads the rest.
+func TestChangesThatAreCutAreNotCountedAsRead(t *testing.T) {
+	const most = entriesOfRecord * recordsOfCall
+	w := newWire(t, manyServers(3*most)...)
+	author := newRelay("x", relayInterval, 0)
+	w.tell(&author, 10)
+	if len(author.servers) != most || author.next != 0 {
+		t.Fatalf("%d servers told, read up to %d", len(author.servers), author.next)
+	}
+	for range 2 {
+		w.tell(&author, 10)
+	}
+	if len(author.servers) != 3*most || author.next != 10 {
+		t.Errorf("%d servers told, read up to %d", len(author.servers), author.next)
+	}
+}
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"sync"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
@@ -40,8 +40,14 @@
 	Leading func() bool
 	// Changed is told whenever the directory has changed.
 	Changed func()
+	// Shared returns which services all nodes send requests to; the servers of others are known to
+	// those that read the heartbeats alone. It returns nil while that is not known.
+	Shared func() func(service string) bool
 	// LargeFleet is the number of servers from which on the list is relayed.
 	LargeFleet int
+	// LeaveBound is the time within which a server that leaves is to get no more requests;
+	// DefaultLeaveBound for 0. Its parts bound how long the relay may be silent.
+	LeaveBound time.Duration
 	// Pace is the shortest time between two reads of the heartbeats, Wait how long a
 	// read waits for news.
 	Pace, Wait time.Duration
@@ -58,7 +64,17 @@
 	// relayRead is set once the relay was read to its end, at relayReadAt.
 	relayRead   bool
 	relayReadAt time.Time
-	startedAt   time.Time
+	// contactSince is since when all reads of the relay were answered, the last one at contactAt; zero
+	// while they are not.
+	contactSince, contactAt time.Time
+	startedAt               time.Time
+	// sized is set once it is known whether the whole list fits a page of the store; crowded says
+	// that it does not.
+	sized, crowded bool
+	// snapshots are what was read of them.
+	snapshots snapshotReader
+	// snapshotsSince holds where the changes of the last snapshots begin; the publisher uses it.
+	snapshotsSince []int64
 	// based is set once the directory holds the whole list as it stood at some time,
 	// complete once it was brought up to date. Direct is set while this node reads the
 	// heartbeats itself; next is the offset up to which the directory has them.
@@ -77,7 +93,13 @@
 	if options.LargeFleet == 0 {
 		options.LargeFleet = DefaultLargeFleet
 	}
-	return &List{options: options, relay: newRelay(options.Self)}
+	if options.LeaveBound == 0 {
+		options.LeaveBound = DefaultLeaveBound
+	}
+	if options.Shared == nil {
+		options.Shared = func() func(string) bool { return func(string) bool { return true } }
+	}
+	return &List{options: options, relay: newRelay(options.Self, share(options.LeaveBound, tellShare), share(options.LeaveBound, pauseShare))}
 }
 
 // The timing of a list.
@@ -86,17 +108,68 @@
 	// smallInterval that in a small fleet, where it is read in one way only.
 	checkInterval = 100 * time.Millisecond
 	smallInterval = time.Second
-	// relayWait is how long the store may hold a read of the relay that finds nothing.
-	relayWait    = 500 * time.Millisecond
-	relayTimeout = 1200 * time.Millisecond
+	// bootPatience is how long a node of a large fleet without a relay waits for one before it reads
+	// all heartbeats: a first coordinator takes 3 s, and 1,000 nodes that read 10,000 entries each
+	// take 6 s of the store's link.
+	bootPatience = 6 * time.Second
+	// bootSpread is the time in which such nodes begin, few of them early.
+	bootSpread = 6 * time.Second
+	// relayHaste makes few nodes early: a share x of all begins within x to this power
+	// of a spread. Of 1,000 nodes one begins within 0.35 of it, and ten within 0.5.
+	relayHaste = 0.15
+	// relayAnswer bounds a read of the relay beyond the time for which the store may hold it.
+	relayAnswer  = 700 * time.Millisecond
 	relayRetry   = 150 * time.Millisecond
 	relaySlowest = 600 * time.Millisecond
+	// overdueWait is how long the store may hold a read of a relay whose next record is overdue:
+	// that nothing came is to be known soon.
+	overdueWait = 200 * time.Millisecond
+	// sizeTimeout bounds the reading of a page of the list, and sizeRetry the pause after one that
+	// was not answered.
+	sizeTimeout = 2 * time.Second
+	sizeRetry   = 400 * time.Millisecond
 	// startPatience is how long a node that starts waits for the relay to speak, where
 	// there is one, before it reads heartbeats, some nodes longer than others.
 	startPatience = 300 * time.Millisecond
 )
 
-var relayPartition = store.Partition{Topic: store.TopicServerRelay}
+// DefaultLeaveBound is the time within which a server that leaves is to get no more requests.
+const DefaultLeaveBound = 2 * time.Second
+
+// The shares of the bound.
+const (
+	// tellShare is the longest time between two records of the relay, pauseShare the shortest.
+	tellShare, pauseShare = 0.25, 0.1
+	// staleShare is the age of the last record beyond which nodes begin to read the heartbeats
+	// themselves, within spreadShare, a few of them early and most of them late: the first
+	// relays for the rest.
+	staleShare, spreadShare = 0.45, 0.4
+)
+
+// The partitions of the relay.
+var (
+	changesPartition  = store.Partition{Topic: store.TopicServerRelay, Number: 0}
+	snapshotPartition = store.Partition{Topic: store.TopicServerRelay, Number: 1}
+)
+
+// stale is the age of the relay's last record beyond which it counts as silent.
+func (l *List) stale() time.Duration { return share(l.options.LeaveBound, staleShare) }
+
+func share(of time.Duration, part float64) time.Duration { return time.Duration(part * float64(of)) }
+
+// silentLocked returns for how long nobody else has told anything, as far as this node read. A relay that
+// can not be read is not silent: all nodes would read the heartbeats when the store comes back, and
+// keep it down by that.
+func (l *List) silentLocked() time.Duration {
+	if l.contactSince.IsZero() {
+		return 0
+	}
+	since := l.contactSince
+	if l.relay.toldByOthersAt.After(since) {
+		since = l.relay.toldByOthersAt
+	}
+	return l.contactAt.Sub(since)
+}
 
 // Complete says whether the whole list has been known.
 func (l *List) Complete() bool {
@@ -123,7 +196,7 @@
 	count := l.options.Directory.Snapshot().Count()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return max(count, len(l.relay.servers)) >= l.options.LargeFleet
+	return l.crowded || max(count, l.relay.total) >= l.options.LargeFleet
 }
 
 // checkPause returns the time until the next look at how the list is read.
@@ -143,22 +216,59 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	switch {
-	case !l.relayRead:
-		return l.direct || now.Sub(l.startedAt) > startPatience
-	case l.relay.servers == nil || l.complete && !large:
+	case l.complete && !large:
 		return true
-	case !l.complete && !l.direct:
-		return now.Sub(l.relayReadAt) > startPatience+l.spread() && now.Sub(l.relay.toldByOthersAt) > relayStale
+	case l.relay.servers == nil && !l.crowded:
+		return l.sized
 	case l.direct:
-		return now.Sub(l.relay.toldByOthersAt) > relayStale
+		return l.silentLocked() > l.stale()
+	case l.complete:
+		return l.silentLocked() > l.stale()+l.relaySpread()
+	case l.relay.servers == nil:
+		return now.Sub(l.startedAt) > bootPatience+l.spread(bootSpread)
 	}
-	return now.Sub(l.relay.toldByOthersAt) > relayStale+l.spread()
+	return l.relayRead && now.Sub(l.relayReadAt) > startPatience+l.relaySpread() && l.silentLocked() > l.stale()
 }
 
-// spread is this node's share of the time in which nodes begin to read heartbeats.
-func (l *List) spread() time.Duration {
+// spread is this node's share of a time in which nodes begin to read heartbeats.
+func (l *List) spread(all time.Duration) time.Duration {
 	share := float64(xxhash.Sum64String(l.options.Self)>>11) / (1 << 53)
-	return time.Duration(float64(relaySpread) * math.Pow(share, relayHaste))
+	return time.Duration(float64(all) * math.Pow(share, relayHaste))
+}
+
+func (l *List) relaySpread() time.Duration {
+	return l.spread(share(l.options.LeaveBound, spreadShare))
+}
+
+// wantsSize says whether this node is to learn whether the fleet is small: it knows no list, and no
+// relay that has one.
+func (l *List) wantsSize(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.sized || l.based || l.relay.servers != nil {
+		return false
+	}
+	return l.relayRead || now.Sub(l.startedAt) > startPatience
+}
+
+// learnSize reads the first page of the list. In a small fleet that is all of it; in a large one the
+// rest is not read: that each of 1,000 nodes reads 10,000 entries is more than a store carries.
+func (l *List) learnSize(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sizeTimeout)
+	defer cancel()
+	page, err := store.ReadNewestPage(ctx, l.options.Log, store.TopicServers, "")
+	if err != nil {
+		l.options.Logger.Warn("size of the fleet not learned", zap.Error(err))
+		pause.For(ctx, l.spread(sizeRetry))
+		return
+	}
+	if !page.More {
+		l.replace(page.Records)
+		l.noteRead(page.End, true, clock.Now())
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.sized, l.crowded = true, page.More
 }
 
 // adoptable says whether the directory is to be taken from the relay: it does not follow
@@ -166,7 +276,7 @@
 func (l *List) adoptable(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return (l.direct || !l.complete) && l.relay.servers != nil && now.Sub(l.relay.toldByOthersAt) < relayStale
+	return (l.direct || !l.complete) && l.relay.servers != nil && !l.relay.toldByOthersAt.IsZero() && now.Sub(l.relay.toldByOthersAt) < l.stale()
 }
 
 // runDirect reads the heartbeats while this node is to, and has the directory follow the
@@ -175,6 +285,10 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		switch {
+		case l.options.Leading():
+			l.followHeartbeats(ctx)
+		case l.wantsSize(now):
+			l.learnSize(ctx)
 		case l.wantsDirect(now):
 			l.followHeartbeats(ctx)
 		case l.adoptable(now):
@@ -291,7 +405,7 @@
 		changes = append(changes, change)
 	}
 	if effective := l.options.Directory.Apply(changes); len(effective) > 0 {
-		l.log(effective)
+		l.log(zap.InfoLevel, effective)
 		l.options.Changed()
 	}
 }
@@ -349,7 +463,10 @@
 const linesOfChange = 8
 
 // log tells what changed, but for weight versions, which the coordinator tells.
-func (l *List) log(changes []directory.Change) {
+func (l *List) log(level zapcore.Level, changes []directory.Change) {
+	if !l.options.Logger.Core().Enabled(level) {
+		return
+	}
 	lines := 0
 	for _, change := range changes {
 		if change.Server != nil && change.Before != nil && directory.SameIgnoringVersions(change.Before, change.Server) {
@@ -357,88 +474,14 @@
 		}
 		lines++
 		if lines > linesOfChange {
-			l.options.Logger.Info("more servers changed", zap.Int("servers", len(changes)))
+			l.options.Logger.Log(level, "more servers changed", zap.Int("servers", len(changes)))
 			return
 		}
 		if change.Server == nil {
-			l.options.Logger.Info("server gone", zap.String("server", change.ID))
+			l.options.Logger.Log(level, "server gone", zap.String("server", change.ID))
 			continue
 		}
-		l.options.Logger.Info("server changed", zap.String("server", change.ID), zap.String("service", change.Server.Service),
+		l.options.Logger.Log(level, "server changed", zap.String("server", change.ID), zap.String("service", change.Server.Service),
 			zap.String("address", change.Server.Address), zap.Bool("draining", change.Server.Draining))
 	}
 }
-
-// runRelay follows the relay of a large fleet. It is read once in a small one too,
-// since a node that starts does not know the fleet's size.
-func (l *List) runRelay(ctx context.Context) {
-	pace := follow.Pace{Most: relaySlowest, Retry: relayRetry}
-	outage := follow.Outage{Logger: l.options.Logger}
-	for ctx.Err() == nil {
-		if l.knowsRelay() && !l.large() {
-			pause.For(ctx, smallInterval)
-			continue
-		}
-		err := l.advanceRelay(ctx)
-		outage.Note(err, zap.Stringer("partition", relayPartition))
-		pause.For(ctx, pace.Next(err))
-	}
-}
-
-func (l *List) knowsRelay() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.relayRead
-}
-
-// advanceRelay reads on. The first reads wait for nothing: what they bring may be old.
-func (l *List) advanceRelay(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	l.mutex.Lock()
-	from, first := l.relay.end, !l.relayRead
-	l.mutex.Unlock()
-	wait := relayWait
-	if first {
-		wait = 0
-	}
-	read, err := l.options.Log.Read(ctx, relayPartition, from, wait)
-	var trimmed *store.TrimmedError
-	if errors.As(err, &trimmed) {
-		read, err = l.options.Log.Read(ctx, relayPartition, trimmed.First, 0)
-	}
-	if err != nil {
-		return err
-	}
-	l.handleRelay(read, first)
-	return nil
-}
-
-func (l *List) handleRelay(read store.Batch, old bool) {
-	now := clock.Now()
-	l.mutex.Lock()
-	var changes []directory.Change
-	for _, stored := range read.Records {
-		record, err := decodeRelay(stored.Value)
-		if err != nil {
-			l.options.Logger.Error("relay void", zap.Int64("offset", stored.Offset), zap.Error(err))
-			continue
-		}
-		changes = append(changes, l.relay.handle(now, stored.Offset, record, old)...)
-	}
-	l.relay.end = max(l.relay.end, read.Next)
-	if !l.relayRead && read.Next >= read.End {
-		l.relayRead, l.relayReadAt = true, now
-	}
-	var effective []directory.Change
-	if l.complete && !l.direct && len(read.Records) > 0 {
-		l.next = l.relay.next
-		l.options.Directory.NoteRead(now)
-		effective = l.options.Directory.Apply(changes)
-	}
-	l.mutex.Unlock()
-	if len(effective) > 0 {
-		l.log(effective)
-		l.options.Changed()
-	}
-}
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -299,8 +299,8 @@
 		Self: "late", Leading: func() bool { return false }, Changed: func() {}, LargeFleet: 1,
 	})
 	list.relayRead, list.based, list.complete, list.direct = true, true, true, true
-	list.relay.handle(time.Now(), 0, &relayRecord{Author: "other", Full: true, Put: []relayEntry{{ID: "i-001", Service: "s"}}}, false)
-	ctx, cancel := context.WithTimeout(context.Background(), relayStale/2)
+	list.relay.handle(time.Now(), 0, &relayRecord{Author: "other", First: true, All: true, Total: 1, Put: []relayEntry{{ID: "i-001", Service: "s"}}}, false)
+	ctx, cancel := context.WithTimeout(context.Background(), list.stale()/2)
 	defer cancel()
 	list.runDirect(ctx)
 	if list.direct || kept.Snapshot().Count() != 1 {
