Scheduler: a working set of engines by the steps of the models

Change: the engines of two steps at once and half more are used, 200 at the least; those that are used stay so, others come by the newest weights, which a successor knows.

--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -12,10 +12,19 @@
 
 // HandleServers takes the list of ready servers.
 func (m *Machine) HandleServers(now time.Time, servers []*directory.Server) {
+	m.sets.list(servers)
+	m.useEngines()
+	m.rewards.HandleSlots(m.slotsByService())
+	m.schedule(now)
+}
+
+// useEngines takes the engines of the working sets into use, and drops those that are gone.
+func (m *Machine) useEngines() {
 	for _, known := range m.engines {
 		known.listed = false
 	}
-	for _, server := range servers {
+	used := func(id string) bool { return m.engines[id] != nil }
+	for _, server := range m.sets.choose(used, m.modelsOf) {
 		m.learn(server)
 	}
 	for id, known := range m.engines {
@@ -25,16 +34,14 @@
 		}
 	}
 	m.divide()
-	m.rewards.HandleSlots(m.slotsByService())
-	m.schedule(now)
 }
 
 // slotsByService returns the slots of the servers that are listed.
 func (m *Machine) slotsByService() map[string]int {
 	slots := make(map[string]int)
-	for _, known := range m.engines {
-		if known.listed {
-			slots[known.service] += known.slots
+	for service, servers := range m.sets.listed {
+		for _, server := range servers {
+			slots[service] += server.Slots
 		}
 	}
 	return slots
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -46,7 +46,8 @@
 	}
 	slices.SortStableFunc(opened.queue, longestFirst)
 	m.divideHeld(opened)
-	m.divide()
+	m.sets.observeStep(accepted.Model, len(accepted.Items))
+	m.useEngines()
 	m.schedule(now)
 }
 
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"dalehook/internal/directory"
 )
 
 // retryLoad is the time between two orders to one engine when the first did not
@@ -27,7 +30,7 @@
 }
 
 func (m *Machine) divideService(service string, engines []*engine) {
-	models := m.modelsOf(service, engines)
+	models := m.modelsOf(service, m.sets.listed[service])
 	if len(models) == 0 {
 		return
 	}
@@ -132,15 +135,13 @@
 }
 
 // modelsOf returns the models of a service, ordered.
-func (m *Machine) modelsOf(service string, engines []*engine) []string {
+func (m *Machine) modelsOf(service string, servers []*directory.Server) []string {
 	var models []string
 	if m.table != nil {
 		models = slices.Clone(m.table.Services[service].Models)
 	}
 	if len(models) == 0 {
-		for model := range engines[0].versions {
-			models = append(models, model)
-		}
+		models = slices.Collect(maps.Keys(servers[0].Versions))
 	}
 	slices.Sort(models)
 	return models
@@ -289,15 +290,8 @@
 // is known of the way to the weights, which grows with the fleet.
 const firstWindowShare = 6
 
-func (m *Machine) listedEngines(service string) int {
-	count := 0
-	for _, known := range m.engines {
-		if known.listed && known.service == service {
-			count++
-		}
-	}
-	return count
-}
+// listedEngines returns how many engines of a service there are, used or not.
+func (m *Machine) listedEngines(service string) int { return len(m.sets.listed[service]) }
 
 // loadWindow returns the bound of a service's loads at once.
 func (m *Machine) loadWindow(service string) *loadWindow {
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -16,6 +16,8 @@
 	options Options
 	table   *routetable.Table
 	jobs    map[string]*job
+	// sets choose the engines that are used; engines holds these.
+	sets    workingSets
 	engines map[string]*engine
 	// ordered holds the engines by id; nil when it is to be made anew.
 	ordered  []*engine
@@ -64,6 +66,7 @@
 	return &Machine{
 		options:   options,
 		jobs:      make(map[string]*job),
+		sets:      newWorkingSets(),
 		engines:   make(map[string]*engine),
 		attempts:  make(map[AttemptID]*attempt),
 		newest:    make(map[string]int64),
