Gateway: a node of a large service sends to eight servers that it prefers, nodes prefer apart

A node that explores hundreds never meets a warm connection. Change: services of 16 servers and more: the eight that come first by rendezvous hashing, its own zone's before others; beyond them where these are avoided. Smaller services as before.

--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -148,7 +148,7 @@
 	n.quarantine = n.newQuarantine(logger)
 	n.zones = evacuatedZones{directory: n.directory, changed: n.observeServers, logger: n.logger}
 	n.gateway = gateway.NewGateway(gateway.Options{
-		Backend: adapter.Backend(), Directory: n.directory, Zone: options.Settings.Zone, Quarantine: n.quarantine,
+		Backend: adapter.Backend(), Directory: n.directory, Node: options.Settings.Node, Zone: options.Settings.Zone, Quarantine: n.quarantine,
 		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest, Began: n.noteBegan,
 	})
 	adapter.ObserveStore(n.metrics.observeStore)
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -41,6 +41,7 @@
 
 // candidates are the servers that a request may go to.
 type candidates struct {
+	service string
 	// servers are in the order of their ids, or of preference.
 	servers []*directory.Server
 	// tried are left out.
@@ -52,22 +53,35 @@
 // balancer chooses servers by load and by what was seen of them. It may be used
 // by several goroutines.
 type balancer struct {
-	zone  string
-	mutex sync.Mutex
-	seen  map[directory.Incarnation]*serverState
+	zone    string
+	mutex   sync.Mutex
+	subsets subsets
+	seen    map[directory.Incarnation]*serverState
 }
 
-func newBalancer(zone string) *balancer {
-	return &balancer{zone: zone, seen: make(map[directory.Incarnation]*serverState)}
+// newBalancer returns the balancer of a node in a zone.
+func newBalancer(node, zone string) *balancer {
+	return &balancer{zone: zone, subsets: subsets{node: node, zone: zone}, seen: make(map[directory.Incarnation]*serverState)}
 }
 
 // choose returns the best server that was not tried, and counts an attempt at it.
 func (b *balancer) choose(now time.Time, from candidates) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	first, all := b.subsets.of(from.service, from.servers)
+	best := b.cheapest(now, from, first)
+	if best == nil || now.Before(b.state(best.Incarnation()).pausedUntil) || now.Before(best.WarmAt) {
+		best = b.cheapest(now, from, all)
+	}
+	b.noteSend(now, best)
+	return best
+}
+
+// cheapest returns the best of some of the candidates that was not tried; the first of equals.
+func (b *balancer) cheapest(now time.Time, from candidates, servers []*directory.Server) *directory.Server {
 	var best *directory.Server
 	bestCost := 0.0
-	for _, server := range from.servers {
+	for _, server := range servers {
 		if from.tried[server.Incarnation()] || b.isSaturated(now, server, from.warmUpRate) {
 			continue
 		}
@@ -76,7 +90,6 @@
 			best, bestCost = server, cost
 		}
 	}
-	b.noteSend(now, best)
 	return best
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,8 @@
 type Options struct {
 	Backend   Backend
 	Directory *directory.Directory
+	// Node names this node; nodes of different names send to different servers of a large service.
+	Node string
 	// Zone is this node's zone; its servers are preferred.
 	Zone string
 	// Quarantine knows the requests that crash servers; nil for none.
@@ -60,7 +62,7 @@
 	if options.Quarantine == nil {
 		options.Quarantine = crashwatch.NewTracker(crashwatch.Options{})
 	}
-	return &Gateway{options: options, balancer: newBalancer(options.Zone)}
+	return &Gateway{options: options, balancer: newBalancer(options.Node, options.Zone)}
 }
 
 // Forget drops what was seen of servers that are no longer listed.
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -62,7 +62,7 @@
 // choose returns the server for the next attempt, or nil. A request under which servers ended goes to the one
 // that all nodes choose for it, so that tries at several nodes end one server and not several.
 func (c *call) choose(servers []*directory.Server, known quarantine.Suspicion) *directory.Server {
-	from := candidates{servers: servers, tried: c.tried, warmUpRate: c.table.WarmUpRate(c.service)}
+	from := candidates{service: c.service, servers: servers, tried: c.tried, warmUpRate: c.table.WarmUpRate(c.service)}
 	if known.Ends == 0 {
 		return c.gateway.balancer.choose(clock.Now(), from)
 	}
--- a/internal/gateway/warmup_test.go
+++ b/internal/gateway/warmup_test.go
@@ -15,7 +15,7 @@
 	now := time.Unix(1000, 0)
 	warming := &directory.Server{ID: "a", Service: "s", Zone: "z", Slots: 4, WarmAt: now.Add(3 * time.Second)}
 	warm := &directory.Server{ID: "b", Service: "s", Zone: "elsewhere", Slots: 4}
-	b := newBalancer("z")
+	b := newBalancer("n", "z")
 	for range 9 {
 		if got := b.choose(now, candidates{servers: []*directory.Server{warming, warm}, warmUpRate: rate}); got != warm {
 			t.Fatalf("a warm server is there, and %v was chosen", got)
@@ -44,7 +44,7 @@
 	for i := range 4 {
 		servers = append(servers, &directory.Server{ID: fmt.Sprint(i), Service: "s", Zone: "z", Slots: 4, WarmAt: now.Add(3 * time.Second)})
 	}
-	b := newBalancer("z")
+	b := newBalancer("n", "z")
 	sent := 0
 	for i := range 200 {
 		if b.choose(now.Add(time.Duration(i)*4*time.Millisecond), candidates{servers: servers, warmUpRate: rate}) != nil {
