The list: a node that is unsure of the fleet's size reads little at once, and leaves a crowd

Change: while no relay is known, a node that does not coordinate reads 64 KB of heartbeats at once, and none once 500 servers have come: it waits for the relay then, and is not ready.

--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -38,6 +38,8 @@
 	Pace time.Duration
 	// Wait is how long the store may hold a read that finds nothing.
 	Wait time.Duration
+	// MostBytes bounds what is asked for by one read; 0 leaves that to the store.
+	MostBytes int
 	// Large says that many nodes may read at once what is large, so that a read which is not held has
 	// as much time for its answer as one that is.
 	Large  bool
@@ -142,7 +144,7 @@
 	call, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	asked := clock.Now()
-	batch, err := r.Log.Read(call, store.Partition{Topic: r.Topic}, r.next, wait)
+	batch, err := r.read(call, wait)
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
 		r.next = -1
@@ -161,6 +163,14 @@
 	return nil
 }
 
+func (r *keyedReader) read(ctx context.Context, wait time.Duration) (store.Batch, error) {
+	at := store.Partition{Topic: r.Topic}
+	if r.MostBytes > 0 {
+		return store.ReadPage(ctx, r.Log, at, r.next, wait, r.MostBytes)
+	}
+	return r.Log.Read(ctx, at, r.next, wait)
+}
+
 // advanceRelayed takes what another node reads. It does not count as a read of the store.
 func (r *keyedReader) advanceRelayed(ctx context.Context) {
 	if clock.Since(r.relayedAt) < relayPause {
--- a/internal/joblog/jobreading.go
+++ b/internal/joblog/jobreading.go
@@ -197,7 +197,7 @@
 	if hold > 0 {
 		return r.log.Read(ctx, r.at, next, hold)
 	}
-	return store.ReadPage(ctx, r.log, r.at, next, pageBytes)
+	return store.ReadPage(ctx, r.log, r.at, next, 0, pageBytes)
 }
 
 // nextRead returns where the next read begins, and how long it may be held: not at all, but for
--- a/internal/serverlist/fleet_test.go
+++ b/internal/serverlist/fleet_test.go
@@ -69,8 +69,12 @@
 	end  context.CancelFunc
 }
 
-// playFleet runs a test with a fleet that starts all at once.
-func playFleet(t *testing.T, play func(t *testing.T, f *virtualFleet)) {
+// playFleet runs a test with a fleet that starts all at once, the servers with the nodes.
+func playFleet(t *testing.T, play func(t *testing.T, f *virtualFleet)) { playFleetOf(t, false, play) }
+
+// playFleetOf does so with servers that are listed before, or that write their first entries within
+// the time of a heartbeat after the nodes' start.
+func playFleetOf(t *testing.T, listed bool, play func(t *testing.T, f *virtualFleet)) {
 	for _, size := range fleetSizes {
 		t.Run(size.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -79,7 +83,9 @@
 				f.leader.Store(-1)
 				for number := range f.states {
 					f.states[number] = "ready"
-					f.put(number)
+					if listed {
+						f.put(number)
+					}
 				}
 				f.running.Go(f.beat)
 				for number := range size.nodes {
@@ -239,11 +245,15 @@
 // Cause: each read all heartbeats to find out that it should not; reads that ran out of time were
 // asked again from their start, by all.
 func TestAFleetKnowsItsServersSoonAfterItsStart(t *testing.T) {
-	playFleet(t, func(t *testing.T, f *virtualFleet) {
-		f.awaitStart()
-		f.tell("start of all", store.TopicServers, storetest.Traffic{})
-		f.tell("start of all", store.TopicServerRelay, storetest.Traffic{})
-	})
+	for name, listed := range map[string]bool{"before servers that are listed": true, "with its servers": false} {
+		t.Run(name, func(t *testing.T) {
+			playFleetOf(t, listed, func(t *testing.T, f *virtualFleet) {
+				f.awaitStart()
+				f.tell("start of all", store.TopicServers, storetest.Traffic{})
+				f.tell("start of all", store.TopicServerRelay, storetest.Traffic{})
+			})
+		})
+	}
 }
 
 // At rest the heartbeats are read by the coordinator alone, and what a node costs the store does not
--- a/internal/serverlist/follow.go
+++ b/internal/serverlist/follow.go
@@ -128,7 +128,7 @@
 // findEnd learns where the changes end, where no snapshot is there: this node may be the one that
 // relays.
 func (l *List) findEnd(ctx context.Context) error {
-	read, err := store.ReadPage(ctx, l.options.Log, changesPartition, 0, 1)
+	read, err := store.ReadPage(ctx, l.options.Log, changesPartition, 0, 0, 1)
 	end := read.End
 	var trimmed *store.TrimmedError
 	if errors.As(err, &trimmed) {
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -128,6 +128,12 @@
 	// was not answered.
 	sizeTimeout = 2 * time.Second
 	sizeRetry   = 400 * time.Millisecond
+	// unsureBytes bounds what a node reads at once that may not be the one to read: of 1,000 nodes
+	// 64 MB, an eighth of a second of a store's link, and enough for the heartbeats of 1,000 servers.
+	unsureBytes = 64 << 10
+	// crowdedFrom is the number of servers from which on a node waits for the relay of a fleet that
+	// has none yet: as many as fit a page of the list.
+	crowdedFrom = 500
 	// startPatience is how long a node that starts waits for the relay to speak, where
 	// there is one, before it reads heartbeats, some nodes longer than others.
 	startPatience = 300 * time.Millisecond
@@ -264,7 +270,7 @@
 	}
 	if !page.More {
 		l.replace(page.Records)
-		l.noteRead(page.End, true, clock.Now())
+		l.noteRead(page.End, true)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -318,17 +324,49 @@
 	defer cancel()
 	leading := l.options.Leading()
 	from, known, versions := l.beginDirect(leading)
+	mostBytes := 0
+	if l.isUnsure(leading) {
+		mostBytes = unsureBytes
+	}
 	l.options.Logger.Info("list read from heartbeats", zap.Bool("leading", leading), zap.Bool("known", known), zap.Int64("offset", from))
 	var watch conc.WaitGroup
 	watch.Go(func() { l.endWhenRelayed(ctx, cancel, versions) })
 	follow.Keyed(ctx, follow.KeyedOptions{
 		Log: l.options.Log, Topic: store.TopicServers, Pace: l.options.Pace, Wait: l.options.Wait, Logger: l.options.Logger,
-		Replace: l.replace, Change: l.change, Read: l.noteRead, From: from, FromKnown: known,
+		Replace: l.replace, Change: l.change, From: from, FromKnown: known, MostBytes: mostBytes,
+		Read: func(next int64, end bool, _ time.Time) {
+			l.noteRead(next, end)
+			if l.isUnsure(leading) && l.leaveCrowd() {
+				cancel()
+			}
+		},
 	})
 	cancel()
 	watch.Wait()
 }
 
+// isUnsure says whether this node reads the heartbeats without knowing whether it is to: the servers
+// may be about to start, as it is.
+func (l *List) isUnsure(leading bool) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !leading && l.relay.servers == nil
+}
+
+// leaveCrowd ends the reading of heartbeats where more servers have come than fit a page, and returns
+// whether it did: the list is taken from the relay then.
+func (l *List) leaveCrowd() bool {
+	count := l.options.Directory.Snapshot().Count()
+	if count < crowdedFrom {
+		return false
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.crowded, l.direct, l.based, l.complete = true, false, false, false
+	l.options.Logger.Info("list too long to be read by each node", zap.Int("servers", count))
+	return true
+}
+
 // beginDirect returns the offset from which the heartbeats are to be read, where what
 // was before is known: from earlier reads, or from what the relay told last. A node
 // that coordinates begins with the newest entries, which have weight versions; versions
@@ -449,7 +487,7 @@
 
 // noteRead notes a read of the heartbeats; a list that was not read to the end is as
 // old as before.
-func (l *List) noteRead(next int64, end bool, _ time.Time) {
+func (l *List) noteRead(next int64, end bool) {
 	l.mutex.Lock()
 	l.next = next
 	l.complete = l.complete || end
--- a/internal/store/read.go
+++ b/internal/store/read.go
@@ -3,21 +3,22 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // PageReader is a Log that can be asked for fewer bytes than it hands out by itself.
 type PageReader interface {
-	// ReadPage is Read without a wait, of records of at most so many bytes, or of one.
-	ReadPage(ctx context.Context, partition Partition, from int64, mostBytes int) (Batch, error)
+	// ReadPage is Read of records of at most so many bytes, or of one.
+	ReadPage(ctx context.Context, partition Partition, from int64, wait time.Duration, mostBytes int) (Batch, error)
 }
 
 // ReadPage reads a page of at most so many bytes, or what the log hands out by itself if it can
 // not be asked for less.
-func ReadPage(ctx context.Context, log Log, partition Partition, from int64, mostBytes int) (Batch, error) {
+func ReadPage(ctx context.Context, log Log, partition Partition, from int64, wait time.Duration, mostBytes int) (Batch, error) {
 	if pages, ok := log.(PageReader); ok {
-		return pages.ReadPage(ctx, partition, from, mostBytes)
+		return pages.ReadPage(ctx, partition, from, wait, mostBytes)
 	}
-	return log.Read(ctx, partition, from, 0)
+	return log.Read(ctx, partition, from, wait)
 }
 
 // ReadOn reads a partition from an offset, or from the first one that is kept, to its end, or
--- a/internal/store/storetest/link.go
+++ b/internal/store/storetest/link.go
@@ -40,8 +40,8 @@
 }
 
 // ReadPage implements store.PageReader.
-func (l *Link) ReadPage(ctx context.Context, at store.Partition, from int64, mostBytes int) (store.Batch, error) {
-	return l.carry(ctx, at, from, 0, mostBytes)
+func (l *Link) ReadPage(ctx context.Context, at store.Partition, from int64, wait time.Duration, mostBytes int) (store.Batch, error) {
+	return l.carry(ctx, at, from, wait, mostBytes)
 }
 
 func (l *Link) carry(ctx context.Context, at store.Partition, from int64, wait time.Duration, mostBytes int) (store.Batch, error) {
--- a/internal/store/storetest/shared.go
+++ b/internal/store/storetest/shared.go
@@ -85,6 +85,7 @@
 var (
 	_ store.Log         = (*SharedNode)(nil)
 	_ store.NewestPager = (*SharedNode)(nil)
+	_ store.PageReader  = (*SharedNode)(nil)
 )
 
 // enter counts a call, and refuses it where there are too many.
@@ -198,6 +199,11 @@
 
 // Read implements store.Log.
 func (n *SharedNode) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	return n.ReadPage(ctx, at, from, wait, readBytes)
+}
+
+// ReadPage implements store.PageReader.
+func (n *SharedNode) ReadPage(ctx context.Context, at store.Partition, from int64, wait time.Duration, mostBytes int) (store.Batch, error) {
 	if err := n.enter(ctx, at.Topic, false); err != nil {
 		return store.Batch{}, err
 	}
@@ -205,7 +211,7 @@
 	if err != nil {
 		return read, err
 	}
-	read, _ = cutRead(read, readBytes)
+	read, _ = cutRead(read, mostBytes)
 	return read, n.carry(ctx, at.Topic, sizeOf(read.Records))
 }
 
