--- a/internal/serverlist/follow.go
+++ b/internal/serverlist/follow.go
@@ -109,7 +109,8 @@
 	rebased := false
 	if newest := newestSnapshot(l.snapshots.records); newest != nil {
 		l.snapshots.records = nil
-		if l.relay.base(now, newest, !l.relayRead) && l.complete && !l.direct {
+		// This node may have begun to relay while the read was held.
+		if l.relay.servers == nil && l.relay.base(now, newest, !l.relayRead) && l.complete && !l.direct {
 			rebased = true
 			l.options.Directory.Replace(l.relay.list())
 		}
@@ -202,7 +203,6 @@
 	}
 	l.mutex.Unlock()
 	if len(effective) > 0 {
-		// The node that relays logs each change; thousands of lines alike tell no more.
 		l.log(zap.DebugLevel, effective)
 		l.options.Changed()
 	}
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -443,7 +443,12 @@
 		changes = append(changes, change)
 	}
 	if effective := l.options.Directory.Apply(changes); len(effective) > 0 {
-		l.log(zap.InfoLevel, effective)
+		level := zap.InfoLevel
+		if l.large() && !l.options.Leading() {
+			// The coordinator logs each change; a thousand nodes that read the same tell no more.
+			level = zap.DebugLevel
+		}
+		l.log(level, effective)
 		l.options.Changed()
 	}
 }
