--- a/internal/frontend/outage_test.go
+++ b/internal/frontend/outage_test.go
@@ -198,9 +198,9 @@
 	nodes []*fleetNode
 }
 
-func startFleet(ctx context.Context, running *sync.WaitGroup) *fleetOfNodes {
+func startFleet(ctx context.Context, running *sync.WaitGroup, nodes int) *fleetOfNodes {
 	f := &fleetOfNodes{store: &fleetStore{memory: storetest.NewMemory()}}
-	for number := range fleetNodes {
+	for number := range nodes {
 		log := nodeLog{fleetStore: f.store, node: number}
 		node := &fleetNode{}
 		node.proxy = storeproxy.NewProxy(log, &node.peers)
@@ -303,10 +303,13 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playOutage(t, c.kind, c.struck, c.lasts, sizeSmall, backWithin) })
+			synctest.Test(t, func(t *testing.T) { playOutage(t, fleetNodes, c.kind, c.struck, c.lasts, sizeSmall, backWithin) })
+		})
+		t.Run(c.name+", whole fleet", func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playOutage(t, wholeFleetNodes, c.kind, c.struck, c.lasts, sizeSmall, backWithin) })
 		})
 		t.Run(c.name+", large configuration", func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playOutage(t, c.kind, c.struck, c.lasts, sizeLarge, applyWithin) })
+			synctest.Test(t, func(t *testing.T) { playOutage(t, fleetNodes, c.kind, c.struck, c.lasts, sizeLarge, applyWithin) })
 		})
 	}
 }
@@ -321,16 +324,16 @@
 	for _, kind := range []outage{outageRefuses, outageSilent, outageResets, outageSlow} {
 		for _, withCoordinator := range []bool{false, true} {
 			t.Run(fmt.Sprintf("kind %d, the coordinator too %v", kind, withCoordinator), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { playWithdrawals(t, kind, withCoordinator) })
+				synctest.Test(t, func(t *testing.T) { playWithdrawals(t, wholeFleetNodes, kind, withCoordinator) })
 			})
 		}
 	}
 }
 
-func playWithdrawals(t *testing.T, kind outage, withCoordinator bool) {
+func playWithdrawals(t *testing.T, nodes int, kind outage, withCoordinator bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	f := startFleet(ctx, &running)
+	f := startFleet(ctx, &running, nodes)
 	defer running.Wait()
 	defer cancel()
 	f.put(sizeBefore)
@@ -358,6 +361,15 @@
 	}
 }
 
+// Seen: 580 to 872 of 1,000 nodes did not know a configuration of 1,400 routes 4 s after an outage.
+// Cause: each node reads all of it from the store, 430 MB at the 80 MB a second that the store reads for all
+// nodes together: 740 nodes know it in time.
+func TestALargeConfigurationReachesAWholeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		playOutage(t, wholeFleetNodes, outageRefuses, func(int) bool { return true }, time.Second, sizeLarge, applyWithin)
+	})
+}
+
 // The sizes of configurations, in bytes: one before the outage, and of 60 and some 1,400
 // routes during it.
 const (
@@ -366,10 +378,10 @@
 	sizeLarge  = 430_000
 )
 
-func playOutage(t *testing.T, kind outage, struck func(int) bool, lasts time.Duration, size int, knownWithin time.Duration) {
+func playOutage(t *testing.T, nodes int, kind outage, struck func(int) bool, lasts time.Duration, size int, knownWithin time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	f := startFleet(ctx, &running)
+	f := startFleet(ctx, &running, nodes)
 	defer running.Wait()
 	defer cancel()
 	f.put(sizeBefore)
--- a/internal/serverlist/fleet_test.go
+++ b/internal/serverlist/fleet_test.go
@@ -25,7 +25,7 @@
 
 // What the platform's store carries for all nodes together.
 var fleetLimits = storetest.Limits{
-	BytesPerSecond: 500_000_000, ReadsPerSecond: 16_000, WritesPerSecond: 4000, Answer: 4 * time.Millisecond,
+	BytesPerSecond: 80_000_000, ReadsPerSecond: 16_000, WritesPerSecond: 4000, Answer: 4 * time.Millisecond,
 	RecordBytes: 256 << 10, CallBytes: 2 << 20,
 }
 
