--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -116,6 +116,9 @@
 	gauge("dalehook_servers_age_seconds", "Time since the list of servers was read.", func() float64 {
 		return n.directory.Age(clock.Now()).Seconds()
 	})
+	gauge("dalehook_servers_way", "How the list of servers comes: 0 none is known, 1 heartbeats, 2 the relay.", func() float64 {
+		return float64(n.servers.Way())
+	})
 	gauge("dalehook_ready", "1 while the node wants new connections.", func() float64 { return truth(n.Ready()) })
 	gauge("dalehook_coordinator", "1 while the node coordinates the batch jobs.", func() float64 {
 		return truth(n.coordinator.State().Leading)
--- a/internal/serverlist/publish.go
+++ b/internal/serverlist/publish.go
@@ -65,7 +65,7 @@
 	return nil
 }
 
-// relays says whether this node is to relay the list now. The mutex is held.
+// relaysLocked says whether this node is to relay the list now.
 func (l *List) relaysLocked() bool { return l.direct && l.complete && l.relayRead }
 
 // nextChanges returns the records to append now and the end to append them at.
