--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -116,6 +116,9 @@
 	gauge("dalehook_servers_age_seconds", "Time since the list of servers was read.", func() float64 {
 		return n.directory.Age(clock.Now()).Seconds()
 	})
+	gauge("dalehook_servers_warming", "Servers in the list that are slow since they started.", func() float64 {
+		return float64(n.warmingServers(clock.Now()))
+	})
 	gauge("dalehook_servers_way", "How the list of servers comes: 0 none is known, 1 heartbeats, 2 the relay.", func() float64 {
 		return float64(n.servers.Way())
 	})
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -265,6 +265,17 @@
 	return table.ServesSingle
 }
 
+// warmingServers returns how many of the listed servers are slow since they started.
+func (n *Node) warmingServers(now time.Time) int {
+	count := 0
+	n.directory.Snapshot().All(func(server *directory.Server) {
+		if now.Before(server.WarmAt) {
+			count++
+		}
+	})
+	return count
+}
+
 // process names this process unlike any other.
 func (n *Node) process() string { return n.options.Settings.Node + "/" + n.options.Incarnation }
 
--- a/internal/serverlist/direct.go
+++ b/internal/serverlist/direct.go
@@ -275,6 +275,7 @@
 			continue
 		}
 		l.options.Logger.Log(level, "server changed", zap.String("server", change.ID), zap.String("service", change.Server.Service),
-			zap.String("address", change.Server.Address), zap.Bool("draining", change.Server.Draining))
+			zap.String("address", change.Server.Address), zap.Bool("draining", change.Server.Draining),
+			zap.Duration("warming", max(clock.Until(change.Server.WarmAt), 0)))
 	}
 }
