Routes: services that are no engines are known to all nodes before a route is moved to them

Cause (by reading): the relay told services that a route of single requests names; a route that is moved to another service would have had no servers at the nodes until the coordinator had told them, some 0.5 s.

--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -211,5 +211,8 @@
 	return t.Services[service].WarmUpRate
 }
 
-// ServesSingle says whether a route leads single requests, and not only batch jobs, to a service.
-func (t *Table) ServesSingle(service string) bool { return t.single[service] }
+// ServesSingle says whether single requests, and not only batch jobs, may be led to a service: a route
+// does so, or the next version may, as the service is no pool of engines.
+func (t *Table) ServesSingle(service string) bool {
+	return t.single[service] || len(t.Services[service].Models) == 0
+}
