--- a/internal/store/storetest/shared.go
+++ b/internal/store/storetest/shared.go
@@ -1,6 +1,7 @@
 package storetest
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -22,12 +23,14 @@
 	Answer time.Duration
 	// RecordBytes and CallBytes bound what is appended.
 	RecordBytes, CallBytes int
+	// PageRecords bounds a page of the newest records; 0 means 500.
+	PageRecords int
 }
 
 const (
 	// mostBacklog is the time for which answers may wait for the link; calls are refused beyond.
 	mostBacklog = 2 * time.Second
-	// newestPageRecords bounds a page of the newest records.
+	// newestPageRecords bounds a page of the newest records unless the limits say so.
 	newestPageRecords = 500
 	// readHead and recordHead are what an answer has beside the values of its records.
 	readHead, recordHead = 200, 24
@@ -248,7 +251,8 @@
 	if found {
 		from++
 	}
-	page := store.NewestPage{Records: records[from:min(from+newestPageRecords, len(records))], End: end, More: from+newestPageRecords < len(records)}
+	most := cmp.Or(n.shared.limits.PageRecords, newestPageRecords)
+	page := store.NewestPage{Records: records[from:min(from+most, len(records))], End: end, More: from+most < len(records)}
 	return page, n.carry(ctx, topic, sizeOf(page.Records))
 }
 
