The list: a small fleet goes by no relay, and is not taken for large by the size of a page

Cause: a page that is not all of the list was taken for a large fleet's, whatever it held; and a node that started in a small fleet whose relay had spoken before waited for it, though nobody reads it there.

--- a/internal/serverlist/direct.go
+++ b/internal/serverlist/direct.go
@@ -15,24 +15,44 @@
 	"dalehook/internal/store"
 )
 
-// learnSize reads the first page of the list. In a small fleet that is all of it; in a large one the
-// rest is not read: that each of 1,000 nodes reads 10,000 entries is more than a store carries.
+// learnSize reads the list as far as a page may reach. In a small fleet that is all of it; in a large one
+// the rest is not read: that each of 1,000 nodes reads 10,000 entries is more than a store carries.
 func (l *List) learnSize(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, sizeTimeout)
-	defer cancel()
-	page, err := store.ReadNewestPage(ctx, l.options.Log, store.TopicServers, "")
+	records, end, more, err := l.readBeginning(ctx)
 	if err != nil {
 		l.options.Logger.Warn("size of the fleet not learned", zap.Error(err))
 		pause.For(ctx, l.spread(sizeRetry))
 		return
 	}
-	if !page.More {
-		l.replace(page.Records)
-		l.noteRead(page.End, true)
+	if !more {
+		l.replace(records)
+		l.noteRead(end, true)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.sized, l.crowded = true, page.More
+	l.sized, l.crowded = true, more
+}
+
+// readBeginning reads the newest entries of the first servers, of crowdedFrom at the least; more says
+// that others follow.
+func (l *List) readBeginning(ctx context.Context) (records []store.Record, end int64, more bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, sizeTimeout)
+	defer cancel()
+	for after := ""; ; {
+		page, err := store.ReadNewestPage(ctx, l.options.Log, store.TopicServers, after)
+		if err != nil {
+			return nil, 0, false, err
+		}
+		if len(records) == 0 {
+			// What changes after the first page is read from its end.
+			end = page.End
+		}
+		records = append(records, page.Records...)
+		if !page.More || len(page.Records) == 0 || len(records) >= crowdedFrom {
+			return records, end, page.More && len(page.Records) > 0, nil
+		}
+		after = records[len(records)-1].Key
+	}
 }
 
 // runDirect reads the heartbeats while this node is to, and has the directory follow the
@@ -100,7 +120,7 @@
 func (l *List) isUnsure(leading bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !leading && l.relay.servers == nil
+	return !leading && !l.relayedLocked()
 }
 
 // leaveCrowd ends the reading of heartbeats where more servers have come than fit a page, and returns
@@ -125,7 +145,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.direct = true
-	if !l.based && l.relay.servers != nil {
+	if !l.based && l.relayedLocked() {
 		l.based, l.next = true, l.relay.next
 		l.options.Directory.Replace(l.relay.list())
 	}
--- a/internal/serverlist/way.go
+++ b/internal/serverlist/way.go
@@ -61,6 +61,12 @@
 	return l.crowded || max(count, l.relay.total) >= l.options.LargeFleet
 }
 
+// relayedLocked says whether a relay tells the list of a large fleet. That of a small one, which was large
+// before, is followed by nobody.
+func (l *List) relayedLocked() bool {
+	return l.relay.servers != nil && (l.crowded || l.relay.total >= l.options.LargeFleet)
+}
+
 // checkPause returns the time until the next look at how the list is read.
 func (l *List) checkPause() time.Duration {
 	if l.large() {
@@ -80,7 +86,7 @@
 	switch {
 	case l.complete && !large:
 		return true
-	case l.relay.servers == nil && !l.crowded:
+	case !l.relayedLocked() && !l.crowded:
 		// No relay is there, and the list fitted a page: it may grow.
 		return l.sized
 	case l.direct:
@@ -88,7 +94,7 @@
 	case l.complete:
 		// The relay is followed. Few nodes are early to take its place.
 		return l.silentLocked() > l.stale()+l.relaySpread()
-	case l.relay.servers == nil:
+	case !l.relayedLocked():
 		return now.Sub(l.startedAt) > bootPatience+l.spread(bootSpread)
 	}
 	// A snapshot was read, and nobody has told what changed since.
@@ -110,7 +116,7 @@
 func (l *List) wantsSize(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.sized || l.based || l.relay.servers != nil {
+	if l.sized || l.based || l.relayedLocked() {
 		return false
 	}
 	return l.relayRead || now.Sub(l.startedAt) > startPatience
@@ -121,5 +127,5 @@
 func (l *List) adoptable(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return (l.direct || !l.complete) && l.relay.servers != nil && !l.relay.toldByOthersAt.IsZero() && now.Sub(l.relay.toldByOthersAt) < l.stale()
+	return (l.direct || !l.complete) && l.relayedLocked() && !l.relay.toldByOthersAt.IsZero() && now.Sub(l.relay.toldByOthersAt) < l.stale()
 }
