--- a/internal/scheduler/workingset.go
+++ b/internal/scheduler/workingset.go
@@ -80,20 +80,33 @@
 	if len(servers) <= wanted {
 		return servers
 	}
-	var chosen, resting []*directory.Server
+	var chosen []*directory.Server
+	var resting []restingEngine
 	for _, server := range servers {
 		if used(server.ID) {
 			chosen = append(chosen, server)
 			continue
 		}
-		resting = append(resting, server)
+		resting = append(resting, restingEngine{server: server})
 	}
 	missing := wanted - len(chosen)
 	if missing <= 0 {
 		return chosen
 	}
-	slices.SortStableFunc(resting, func(a, b *directory.Server) int { return cmp.Compare(newness(b), newness(a)) })
-	return append(chosen, resting[:min(missing, len(resting))]...)
+	for i := range resting {
+		resting[i].newness = newness(resting[i].server)
+	}
+	slices.SortStableFunc(resting, func(a, b restingEngine) int { return cmp.Compare(b.newness, a.newness) })
+	for _, next := range resting[:min(missing, len(resting))] {
+		chosen = append(chosen, next.server)
+	}
+	return chosen
+}
+
+// restingEngine is an engine that is not used, and how new its weights are.
+type restingEngine struct {
+	server  *directory.Server
+	newness int64
 }
 
 // newness rates how much an engine has loaded.
--- a/internal/scheduler/workingset_test.go
+++ b/internal/scheduler/workingset_test.go
@@ -184,3 +184,26 @@
 		t.Errorf("%d of %d engines are used", used, leastEngines)
 	}
 }
+
+// BenchmarkAnEngineIsReplaced chooses the engines anew after one of 552 that were used is gone, of 10,000
+// that are listed.
+func BenchmarkAnEngineIsReplaced(b *testing.B) {
+	const listed, wanted = 10_000, 552
+	servers := make([]*directory.Server, 0, listed)
+	for number := range listed {
+		versions := make(map[string]int64)
+		for model := range fleetSteps {
+			versions[model] = int64(1 + number%7)
+		}
+		servers = append(servers, &directory.Server{ID: fmt.Sprintf("i-%06d", number), Service: "pool", Slots: fleetSlots, Versions: versions})
+	}
+	used := make(map[string]bool)
+	for _, server := range servers[:wanted-1] {
+		used[server.ID] = true
+	}
+	for b.Loop() {
+		if chosen := chooseOf(servers, wanted, func(id string) bool { return used[id] }); len(chosen) != wanted {
+			b.Fatal(len(chosen))
+		}
+	}
+}
