Gateway: rendezvous hashing of servers stands once

Subsets and suspected requests ranked servers each by code of their own. The test's servers have addresses now, as real ones do: they are ranked by these.

--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -57,31 +57,36 @@
 }
 
 func (s *subsets) rank(listed []*directory.Server) []*directory.Server {
-	type candidate struct {
+	ranked := rendezvous(s.node, listed)
+	// Servers that are equally near stay in their order.
+	slices.SortStableFunc(ranked, func(a, b *directory.Server) int { return cmp.Compare(s.distance(a), s.distance(b)) })
+	return ranked
+}
+
+// distance is 0 for servers of the node's own zone, and 1 for others.
+func (s *subsets) distance(server *directory.Server) int {
+	if server.Zone == s.zone {
+		return 0
+	}
+	return 1
+}
+
+// rendezvous orders servers by rendezvous hashing for a key, in the same way wherever it is done.
+func rendezvous(key string, servers []*directory.Server) []*directory.Server {
+	type scored struct {
 		server *directory.Server
-		near   bool
 		score  uint64
 	}
-	candidates := make([]candidate, 0, len(listed))
-	for _, server := range listed {
-		candidates = append(candidates, candidate{server, server.Zone == s.zone, placement.Score(server.ID, s.node)})
+	all := make([]scored, 0, len(servers))
+	for _, server := range servers {
+		all = append(all, scored{server, placement.Score(server.Address, key)})
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		if a.near != b.near {
-			return cmp.Compare(boolean(b.near), boolean(a.near))
-		}
-		return cmp.Compare(b.score, a.score)
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.server.ID, b.server.ID))
 	})
-	ranked := make([]*directory.Server, 0, len(listed))
-	for _, candidate := range candidates {
-		ranked = append(ranked, candidate.server)
+	ranked := make([]*directory.Server, 0, len(servers))
+	for _, one := range all {
+		ranked = append(ranked, one.server)
 	}
 	return ranked
 }
-
-func boolean(holds bool) int {
-	if holds {
-		return 1
-	}
-	return 0
-}
--- a/internal/gateway/subset_test.go
+++ b/internal/gateway/subset_test.go
@@ -22,7 +22,7 @@
 	var list []*directory.Server
 	for number := range fleetServers {
 		if !gone(number) {
-			list = append(list, &directory.Server{ID: fmt.Sprintf("i-%04d", number), Service: "s", Zone: zoneOf(number), Slots: 6})
+			list = append(list, &directory.Server{ID: fmt.Sprintf("i-%04d", number), Address: fmt.Sprintf("10.0.0.%d:80", number), Service: "s", Zone: zoneOf(number), Slots: 6})
 		}
 	}
 	return list
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
@@ -12,7 +10,6 @@
 	"dalehook/internal/clock"
 	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
-	"dalehook/internal/placement"
 	"dalehook/internal/quarantine"
 )
 
@@ -74,12 +71,7 @@
 // requests that one server ended under are ranked apart by chance, and anew after each end: what
 // ends the next server is hardly both of them.
 func rank(fingerprint quarantine.Fingerprint, ends int, servers []*directory.Server) []*directory.Server {
-	key := fingerprint.String() + strconv.Itoa(ends)
-	ranked := slices.Clone(servers)
-	slices.SortFunc(ranked, func(a, b *directory.Server) int {
-		return cmp.Or(cmp.Compare(placement.Score(b.Address, key), placement.Score(a.Address, key)), cmp.Compare(a.ID, b.ID))
-	})
-	return ranked
+	return rendezvous(fingerprint.String()+strconv.Itoa(ends), servers)
 }
 
 // noteEnd tells the quarantine how an attempt ended. Broken says that the server, and not this
