--- a/internal/serverlist/follow.go
+++ b/internal/serverlist/follow.go
@@ -105,7 +105,9 @@
 	now := clock.Now()
 	l.mutex.Lock()
 	l.snapshots.end = read.Next
-	l.snapshots.records = append(l.snapshots.records, records...)
+	for _, read := range records {
+		l.snapshots.records = append(l.snapshots.records, read.record)
+	}
 	rebased := false
 	if newest := newestSnapshot(l.snapshots.records); newest != nil {
 		l.snapshots.records = nil
@@ -166,30 +168,32 @@
 	return nil
 }
 
-func (l *List) decodeRecords(stored []store.Record) []*relayRecord {
-	records := make([]*relayRecord, 0, len(stored))
+// readRecord is a record of the relay with its offset.
+type readRecord struct {
+	offset int64
+	record *relayRecord
+}
+
+func (l *List) decodeRecords(stored []store.Record) []readRecord {
+	records := make([]readRecord, 0, len(stored))
 	for _, one := range stored {
 		record, err := decodeRelay(one.Value)
 		if err != nil {
 			l.options.Logger.Error("relay void", zap.Int64("offset", one.Offset), zap.Error(err))
 			continue
 		}
-		records = append(records, record)
+		records = append(records, readRecord{offset: one.Offset, record: record})
 	}
 	return records
 }
 
 func (l *List) handleChanges(read store.Batch) {
+	records := l.decodeRecords(read.Records)
 	now := clock.Now()
 	l.mutex.Lock()
 	var changes []directory.Change
-	for _, stored := range read.Records {
-		record, err := decodeRelay(stored.Value)
-		if err != nil {
-			l.options.Logger.Error("relay void", zap.Int64("offset", stored.Offset), zap.Error(err))
-			continue
-		}
-		changes = append(changes, l.relay.handle(now, stored.Offset, record, !l.relayRead)...)
+	for _, read := range records {
+		changes = append(changes, l.relay.handle(now, read.offset, read.record, !l.relayRead)...)
 	}
 	l.relay.end = max(l.relay.end, read.Next)
 	if !l.relayRead && read.Next >= read.End {
