--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -255,8 +255,9 @@
 	}
 }
 
-// sharedServices returns which services all nodes send requests to. Batch jobs run by the
-// coordinator alone, and with them pools of engines that no route for single requests names. It returns nil while no configuration is known.
+// sharedServices returns which services all nodes send requests to: not the pools of engines that no
+// route for single requests names, since batch jobs are run by the coordinator alone. It returns nil
+// while no configuration is known.
 func (n *Node) sharedServices() func(service string) bool {
 	table := n.table.Load()
 	if table == nil {
