--- a/internal/serverlist/record.go
+++ b/internal/serverlist/record.go
@@ -64,7 +64,7 @@
 }
 
 const (
-	// entriesOfRecord bounds the entries of a record, at some 35 KB where a store may take no more
+	// entriesOfRecord bounds the entries of a record, at some 30 KB where a store may take no more
 	// than 256 KB, whatever the number of servers.
 	entriesOfRecord = 1000
 	// recordsOfCall bounds the records that are appended at once, since a store may take no more than
