Scheduler: the test of a successor's engines fails without their choice by weights

It passed with the choice off, since the first engines by id were the used ones either way. Engines that come first by id are listed only before the take-over now; with the choice off it fails.

--- a/internal/scheduler/workingset_test.go
+++ b/internal/scheduler/workingset_test.go
@@ -136,12 +136,17 @@
 	}
 }
 
-// The holder of the next lease uses the engines that have the newest weights.
+// The holder of the next lease uses the engines that have the newest weights, also where others that come first by
+// their ids were listed since.
 func TestASuccessorUsesTheSameEngines(t *testing.T) {
 	f := newFleetOfEngines(t, 10_000)
+	all := f.listed
+	f.listed = all[len(all)/2:]
+	f.begin()
 	for range 4 {
 		f.play()
 	}
+	f.listed = all
 	before := len(f.machine.engines)
 	loads := f.loads
 	f.begin()
