Sight: a node logs its build at the start, and who said that a job is absent

Whether a 404 for an accepted job was the coordinator's word or this node's own reading, and of which build the coordinator was, could not be told from the logs. internal/build gives the revision that the program was built from.

--- a/internal/frontend/jobreads.go
+++ b/internal/frontend/jobreads.go
@@ -159,16 +159,21 @@
 // results returns a job's results from a position on. Where there is none yet, the answer
 // may be held for wait.
 func (r *jobReader) results(ctx context.Context, job batch.Name, from int, wait time.Duration) (total int, results []batch.Result, verdict Verdict) {
+	source := sourceKnown
 	page := r.knownResults(job, from)
 	if page.Verdict == jobread.Found {
-		r.observe(sourceKnown)
 		page = r.awaitLocally(ctx, job, from, wait, page)
 	} else if page = r.passResultsOn(ctx, job, from, wait); page.Verdict != jobread.NotFollowed {
-		r.observe(sourceCoordinator)
+		source = sourceCoordinator
 	} else {
-		r.observe(sourceStore)
+		source = sourceStore
 		page = r.awaitLocally(ctx, job, from, wait, r.storedResults(ctx, job, from))
 	}
+	r.observe(source)
+	if page.Verdict == jobread.Absent {
+		// A caller whose job was accepted asks who said that it is not there.
+		r.logger.Info("job absent", zap.String("job", job.ID), zap.Stringer("source", source), zap.String("coordinator", r.answering()))
+	}
 	return page.Total, page.Results, verdictOf(page.Verdict)
 }
 
@@ -306,15 +311,16 @@
 
 // itemBody returns the body of an item that has no result yet.
 func (r *jobReader) itemBody(ctx context.Context, job batch.Name, itemID string) ([]byte, Verdict) {
-	body := jobread.Body{}
-	if r.jobs.ViewKnown(job.ID, joblog.HasItem(itemID), func(state *batch.State) { body = bodyOf(state, job, itemID) }) {
-		r.observe(sourceKnown)
-	} else if body = r.passBodyOn(ctx, job, itemID); body.Verdict != jobread.NotFollowed {
-		r.observe(sourceCoordinator)
-	} else {
-		r.observe(sourceStore)
-		body = r.storedBody(ctx, job, itemID)
+	body, source := jobread.Body{}, sourceKnown
+	if known := r.jobs.ViewKnown(job.ID, joblog.HasItem(itemID), func(state *batch.State) { body = bodyOf(state, job, itemID) }); !known {
+		if body = r.passBodyOn(ctx, job, itemID); body.Verdict != jobread.NotFollowed {
+			source = sourceCoordinator
+		} else {
+			source = sourceStore
+			body = r.storedBody(ctx, job, itemID)
+		}
 	}
+	r.observe(source)
 	return body.Bytes, verdictOf(body.Verdict)
 }
 
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"dalehook/internal/build"
 	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
 	"dalehook/internal/crashwatch"
@@ -203,7 +204,7 @@
 	for _, s := range servers {
 		background.Go(func() { failed <- s.serve() })
 	}
-	n.logger.Info("started", zap.String("zone", n.options.Settings.Zone),
+	n.logger.Info("started", zap.String("build", build.Revision()), zap.String("zone", n.options.Settings.Zone),
 		zap.String("requests", n.options.Settings.Listen.Requests))
 	select {
 	case <-ctx.Done():
