Reads of jobs name the job as each build understands it, and absent counts only for the job that was asked for

What callers saw: while nodes of two builds worked side by side, reads of accepted jobs were answered 404, at nodes of either build, until the last node was replaced. Cause: the question that a node passes on to the coordinator had its field JobID renamed and its type changed (Job: tenant and id). gob drops fields that the reader lacks and leaves its own zero; the other build looked for a job without a name and answered absent, and the asker took that for the word that there is none. A meaning was changed under an old name, and a negative answer was believed without knowing what it was an answer to. Mend: a question bears both forms. The id alone is left out for a tenant's job, which a build without tenants would give to everybody. An answer names the job that was looked for; absent without that name sends the reader to the store. A question that does not tell on whose behalf it is gets the jobs of nobody, and never the word absent. Why it holds: whatever an older coordinator makes of a question, found can only be the job with that id and no tenant, and absent is not believed from it; whatever an older node asks, it is never told absent, and its own reading of the store decides.

--- a/internal/frontend/jobreads.go
+++ b/internal/frontend/jobreads.go
@@ -55,7 +55,9 @@
 type jobReader struct {
 	jobs    *joblog.Logs
 	observe func(readSource)
-	logger  *zap.Logger
+	// observeMisread is told of each answer of a coordinator that did not understand the question.
+	observeMisread func()
+	logger         *zap.Logger
 
 	mutex sync.Mutex
 	// coordinator is where the coordinator answers; empty when nothing certain is known.
@@ -68,12 +70,14 @@
 	failedAt time.Time
 	// seenAt is when a coordinator was last known and answered, if it was asked.
 	seenAt time.Time
+	// misreadBy is the coordinator that last did not understand a question.
+	misreadBy string
 }
 
 var _ jobread.Reader = (*jobReader)(nil)
 
-func newJobReader(jobs *joblog.Logs, observe func(readSource), logger *zap.Logger) *jobReader {
-	return &jobReader{jobs: jobs, observe: observe, logger: logger, changed: make(chan struct{}), seenAt: clock.Now()}
+func newJobReader(jobs *joblog.Logs, observe func(readSource), observeMisread func(), logger *zap.Logger) *jobReader {
+	return &jobReader{jobs: jobs, observe: observe, observeMisread: observeMisread, logger: logger, changed: make(chan struct{}), seenAt: clock.Now()}
 }
 
 // observeCoordinator takes whether this node coordinates, and where another answers that
@@ -213,12 +217,29 @@
 		page, err = jobread.AskResults(ctx, address, question)
 		return err
 	})
-	if !answered {
+	if !answered || !r.understood(address, question.Job, page.Job, page.Verdict) {
 		return jobread.Results{}
 	}
 	return page
 }
 
+// understood says whether the coordinator at an address answered what it was asked. Where it did not, the
+// store is read.
+func (r *jobReader) understood(address string, asked, answered batch.Name, verdict jobread.Verdict) bool {
+	if jobread.Understood(asked, answered, verdict) {
+		return true
+	}
+	r.observeMisread()
+	r.mutex.Lock()
+	first := r.misreadBy != address
+	r.misreadBy = address
+	r.mutex.Unlock()
+	if first {
+		r.logger.Warn("coordinator does not understand reads", zap.String("address", address), zap.String("job", asked.ID))
+	}
+	return false
+}
+
 // awaitLocally holds a page without results until this node's own reading brings one.
 func (r *jobReader) awaitLocally(ctx context.Context, job batch.Name, from int, wait time.Duration, page jobread.Results) jobread.Results {
 	if page.Verdict != jobread.Found || len(page.Results) > 0 || page.Ended || wait <= 0 {
@@ -334,7 +355,7 @@
 		body, err = jobread.AskBody(ctx, address, jobread.BodyQuestion{Job: job, ItemID: itemID})
 		return err
 	})
-	if !answered {
+	if !answered || !r.understood(address, job, body.Job, body.Verdict) {
 		return jobread.Body{}
 	}
 	return body
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -29,6 +29,7 @@
 	attempts          prometheus.Counter
 	jobCalls          *prometheus.CounterVec
 	jobReads          *prometheus.CounterVec
+	jobReadsMisread   prometheus.Counter
 	itemAttempts      *prometheus.CounterVec
 	results           *prometheus.CounterVec
 	loads             *prometheus.CounterVec
@@ -65,10 +66,13 @@
 		attempts:       prometheus.NewCounter(prometheus.CounterOpts{Name: "dalehook_request_attempts_total", Help: "Attempts of single requests at servers."}),
 		jobCalls:       counter("dalehook_job_calls_total", "Calls about batch jobs by call and verdict.", "call", "verdict"),
 		jobReads:       counter("dalehook_job_reads_total", "Reads of batch jobs by where the answer was found.", "source"),
-		itemAttempts:   counter("dalehook_item_attempts_total", "Runs of items by the way they ended.", "end"),
-		results:        counter("dalehook_results_total", "Results written by outcome.", "outcome"),
-		loads:          counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
-		rewardCalls:    counter("dalehook_reward_calls_total", "Sends of reward calls by what came of them.", "verdict"),
+		jobReadsMisread: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_job_reads_misread_total", Help: "Reads of batch jobs that the coordinator, of another build, did not understand.",
+		}),
+		itemAttempts: counter("dalehook_item_attempts_total", "Runs of items by the way they ended.", "end"),
+		results:      counter("dalehook_results_total", "Results written by outcome.", "outcome"),
+		loads:        counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
+		rewardCalls:  counter("dalehook_reward_calls_total", "Sends of reward calls by what came of them.", "verdict"),
 		rewardSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "dalehook_reward_seconds", Help: "Time from an item's whole text to its score.", Buckets: latencyBuckets,
 		}),
@@ -91,7 +95,7 @@
 			Name: "dalehook_requests_held_total", Help: "Requests that were found to crash servers, and are held.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.itemAttempts, m.results, m.loads,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, collectors.NewGoCollector())
 	m.registerGauges(n, lostLines)
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -156,7 +156,7 @@
 	n.jobs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
-	n.jobReader = newJobReader(n.jobs, n.metrics.observeJobRead, logger.Named("jobs"))
+	n.jobReader = newJobReader(n.jobs, n.metrics.observeJobRead, n.metrics.jobReadsMisread.Inc, logger.Named("jobs"))
 	n.servers = serverlist.New(serverlist.Options{
 		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), Pace: listPace, Wait: listWait,
 		Decode: adapter.Server, Digest: adapter.ServerDigest,
--- a/internal/jobread/jobread.go
+++ b/internal/jobread/jobread.go
@@ -2,6 +2,10 @@
 // follows the partitions of all open jobs, so a read there costs no more than what it returns.
 // Anywhere else the partition would be read from where the job begins, with other jobs'
 // records.
+//
+// The two nodes may be of different builds. A question names the job in each way that a build
+// understands, and an answer says which job was looked for: that a job is absent counts only where
+// it was this one.
 package jobread
 
 import (
@@ -18,6 +22,8 @@
 // ResultsQuestion asks for results of a job.
 type ResultsQuestion struct {
 	Job batch.Name
+	// JobID is as LegacyID returns it; AskResults sets it.
+	JobID string
 	// From is the position of the first result wanted.
 	From int
 	// Wait is how long the answer may be held until there is a result.
@@ -50,6 +56,8 @@
 // Results are a job's results from a position on.
 type Results struct {
 	Verdict Verdict
+	// Job is the job that the node looked for; empty in answers of nodes that do not tell.
+	Job batch.Name
 	// Total is the number of the job's items.
 	Total   int
 	Ended   bool
@@ -58,7 +66,9 @@
 
 // BodyQuestion asks for the body of an item.
 type BodyQuestion struct {
-	Job    batch.Name
+	Job batch.Name
+	// JobID is as LegacyID returns it; AskBody sets it.
+	JobID  string
 	ItemID string
 }
 
@@ -66,7 +76,25 @@
 // job that was ended, is absent.
 type Body struct {
 	Verdict Verdict
-	Bytes   []byte
+	// Job is the job that the node looked for; empty in answers of nodes that do not tell.
+	Job   batch.Name
+	Bytes []byte
+}
+
+// LegacyID returns the name of a job for nodes that know no tenants and look for jobs by their ids
+// alone. It is empty for the jobs of a tenant, which such a node would give to everybody.
+func LegacyID(job batch.Name) string {
+	if job.Tenant != "" {
+		return ""
+	}
+	return job.ID
+}
+
+// Understood says whether an answer with a verdict is one to a question about a job, where answered is
+// the job that the answer names. A node of a build that reads the question otherwise finds no job, and
+// that must not be taken for the word that there is none.
+func Understood(asked, answered batch.Name, verdict Verdict) bool {
+	return verdict != Absent || asked == answered
 }
 
 // Reader answers from what a node has read of the store.
@@ -84,6 +112,24 @@
 
 type service struct{ reader Reader }
 
+// asked returns the job that a question is about, and whether it names the job as this build does. Nodes
+// that know no tenants name it by its id alone.
+func asked(job batch.Name, legacyID string) (name batch.Name, whole bool) {
+	if job.ID != "" {
+		return job, true
+	}
+	return batch.Name{ID: legacyID}, false
+}
+
+// verdictFor returns the verdict for a node that asked for a job. One that did not say on whose behalf
+// it asks believes every answer; what it may have to do with a tenant's job, the store tells it.
+func verdictFor(verdict Verdict, whole bool) Verdict {
+	if verdict == Absent && !whole {
+		return NotFollowed
+	}
+	return verdict
+}
+
 // Register has a server answer from a reader.
 func Register(server *rpc.Server, reader Reader) error {
 	return eris.Wrap(server.RegisterName(serviceName, &service{reader: reader}), "register the calls about jobs")
@@ -91,25 +137,34 @@
 
 // Results answers a read of results.
 func (s *service) Results(question ResultsQuestion, answer *Results) error {
+	var whole bool
+	question.Job, whole = asked(question.Job, question.JobID)
 	*answer = s.reader.FollowedResults(question)
+	answer.Job, answer.Verdict = question.Job, verdictFor(answer.Verdict, whole)
 	return nil
 }
 
 // Body answers a read of an item's body.
 func (s *service) Body(question BodyQuestion, answer *Body) error {
+	var whole bool
+	question.Job, whole = asked(question.Job, question.JobID)
 	*answer = s.reader.FollowedBody(question)
+	answer.Job, answer.Verdict = question.Job, verdictFor(answer.Verdict, whole)
 	return nil
 }
 
-// AskResults asks the node at an address for results.
+// AskResults asks the node at an address for results. The answer counts only if it is Understood.
 func AskResults(ctx context.Context, address string, question ResultsQuestion) (Results, error) {
+	question.JobID = LegacyID(question.Job)
 	var answer Results
 	err := nodecall.Call(ctx, address, methodResults, question, &answer)
 	return answer, err
 }
 
-// AskBody asks the node at an address for the body of an item.
+// AskBody asks the node at an address for the body of an item. The answer counts only if it is
+// Understood.
 func AskBody(ctx context.Context, address string, question BodyQuestion) (Body, error) {
+	question.JobID = LegacyID(question.Job)
 	var answer Body
 	err := nodecall.Call(ctx, address, methodBody, question, &answer)
 	return answer, err
