The list is relayed in a topic of its own format; a running fleet whose list nobody relays is noticed

What callers saw: nothing yet; found by listing what builds leave for each other. In a fleet of 500 servers or more a node of this build beside a coordinator of a build before would never be ready. Cause: both told the list in one partition, in formats that gob reads as each other's: a record with all servers (Full) was taken for changes, and servers that it left out stayed; this build's records say nothing of services that not all nodes use, which the other takes for their removal. Mend: a topic of its own, named after its format; the old one is written by none of this build. A node that finds a coordinator which held the lease before it started, and hears no relay of its own kind for 0.3 to 1.1 s, reads the heartbeats and relays for its build; without that it would wait as in a start of all (6 to 12 s), and leave a list of 500 servers or more to the coordinator for good.

--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -126,6 +126,8 @@
 	caughtUp bool
 	// heard says that a claim or renewal of the holder came since then.
 	heard bool
+	// heldBefore says that the holder's claim stood before this process read the log to its end.
+	heldBefore bool
 	// startedAt is when this process started.
 	startedAt time.Time
 	// releasedAt is when a release was read; zero while the lease has a holder.
@@ -169,13 +171,16 @@
 	// Coordinator is where the holder answers, while that is another process which is
 	// not thought to have ended; else it is empty.
 	Coordinator string
+	// Established says that the holder is another process, which held the lease before this one
+	// began, and has renewed it since: the fleet was running already.
+	Established bool
 }
 
 // Standing returns this node's place.
 func (m *Machine) Standing(now time.Time) Standing {
 	lease, held := m.Held(now)
 	leading := m.holder == m.self && lease.Epoch == m.epoch && !lease.ClaimedAt.IsZero() && m.gaveUp != m.epoch
-	return Standing{Lease: lease, Held: held, Leading: leading, Coordinator: m.coordinator()}
+	return Standing{Lease: lease, Held: held, Leading: leading, Coordinator: m.coordinator(), Established: m.established()}
 }
 
 // coordinator returns where another process answers that holds the lease, as far as is known.
@@ -186,6 +191,8 @@
 	return m.holderAddress
 }
 
+func (m *Machine) established() bool { return m.heldBefore && m.heard && m.coordinator() != "" }
+
 // Held returns the lease while this node may rely on it.
 func (m *Machine) Held(now time.Time) (Lease, bool) {
 	held := m.holder == m.self && m.held.Epoch == m.epoch && m.gaveUp != m.epoch && now.Before(m.held.Until)
@@ -213,6 +220,7 @@
 		m.holder = read.Holder
 		m.holderAddress = read.Address
 		m.heard = m.caughtUp
+		m.heldBefore = !m.caughtUp
 		m.epoch = offset + 1
 		m.seenAt = now
 	case kindRenew:
--- a/internal/election/machine_test.go
+++ b/internal/election/machine_test.go
@@ -359,3 +359,32 @@
 		}
 	})
 }
+
+// A holder is established at processes that found it holding the lease and have heard of it since; not at
+// those that it came after, nor where it may be gone.
+func TestAnEstablishedHolder(t *testing.T) {
+	w := newWorld(2)
+	first, early := w.machines[0], w.machines[1]
+	early.Doubtful(w.now) // it has read the empty log to its end
+	w.step(first)
+	late := NewMachine(w.now, "node-2", "address-2", testTiming)
+	for _, m := range []*Machine{early, late} {
+		w.read(m)
+		m.Doubtful(w.now)
+		if m.Standing(w.now).Established {
+			t.Errorf("%s has not heard of the holder since it read the log", m.self)
+		}
+	}
+	w.now = w.now.Add(testTiming.Renewal)
+	w.step(first)
+	w.read(early)
+	w.read(late)
+	if early.Standing(w.now).Established || !late.Standing(w.now).Established || first.Standing(w.now).Established {
+		t.Errorf("established at the early one %v, the late one %v, the holder %v",
+			early.Standing(w.now).Established, late.Standing(w.now).Established, first.Standing(w.now).Established)
+	}
+	late.HandleVerdict(first.self, liveness.Refused)
+	if late.Standing(w.now).Established {
+		t.Error("a holder that has ended is established")
+	}
+}
--- a/internal/frontend/leading.go
+++ b/internal/frontend/leading.go
@@ -49,6 +49,12 @@
 	n.coordinator.ObserveLease(standing)
 }
 
+// coordinatorEstablished says whether another node has coordinated since before this process started.
+func (n *Node) coordinatorEstablished() bool {
+	standing := n.standing.Load()
+	return standing != nil && standing.Established
+}
+
 // Yield implements liveness.Holder.
 func (n *Node) Yield(epoch int64) bool {
 	if !n.hold.Yield(epoch) {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -161,7 +161,7 @@
 		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), Pace: listPace, Wait: listWait,
 		Decode: adapter.Server, Digest: adapter.ServerDigest,
 		Self: n.process(), Leading: func() bool { return n.coordinator.State().Leading },
-		Changed: n.observeServers, Shared: n.sharedServices, LeaveBound: time.Duration(options.Settings.LeaveBoundMs) * time.Millisecond,
+		Established: n.coordinatorEstablished, Changed: n.observeServers, Shared: n.sharedServices, LeaveBound: time.Duration(options.Settings.LeaveBoundMs) * time.Millisecond,
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
 		Engines: adapter.Engines(), Quarantine: n.quarantine, Rewards: &rewardCaller{gateway: n.gateway, logger: logger.Named("reward")}, Log: adapter.Log(), Jobs: n.jobs, Directory: n.directory,
--- a/internal/serverlist/builds_test.go
+++ b/internal/serverlist/builds_test.go
@@ -101,6 +101,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				f := &virtualFleet{t: t, size: mixedFleet, shared: storetest.NewShared(fleetLimits), ctx: ctx, states: make([]string, mixedFleet.servers)}
 				f.leader.Store(int64(leader))
+				f.established = leader < 0
 				for number := range f.states {
 					f.states[number] = "ready"
 					f.put(number)
--- a/internal/serverlist/direct.go
+++ b/internal/serverlist/direct.go
@@ -120,7 +120,7 @@
 func (l *List) isUnsure(leading bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !leading && !l.relayedLocked()
+	return !leading && !l.relayedLocked() && !l.unrelayedLocked(clock.Now())
 }
 
 // leaveCrowd ends the reading of heartbeats where more servers have come than fit a page, and returns
--- a/internal/serverlist/fleet_test.go
+++ b/internal/serverlist/fleet_test.go
@@ -57,6 +57,8 @@
 	running sync.WaitGroup
 	leader  atomic.Int64
 	nodes   []*fleetNode
+	// established says that a node which is none of these coordinates since before they started.
+	established bool
 
 	mutex sync.Mutex
 	// states holds what each server says of itself; empty for one that is gone.
@@ -109,8 +111,9 @@
 	node.list = New(Options{
 		Log: f.shared.Node(number), Directory: node.kept, Logger: zap.NewNop(), Decode: decodeFleet, Digest: digestFleet,
 		Self: fmt.Sprint("node-", number), Leading: func() bool { return f.leader.Load() == int64(number) }, Changed: func() {},
-		Shared: func() func(string) bool { return func(service string) bool { return service == "portal" } },
-		Pace:   200 * time.Millisecond, Wait: 500 * time.Millisecond,
+		Established: func() bool { return f.established },
+		Shared:      func() func(string) bool { return func(service string) bool { return service == "portal" } },
+		Pace:        200 * time.Millisecond, Wait: 500 * time.Millisecond,
 	})
 	ctx, cancel := context.WithCancel(f.ctx)
 	node.end = cancel
@@ -250,7 +253,7 @@
 			playFleetOf(t, listed, func(t *testing.T, f *virtualFleet) {
 				f.awaitStart()
 				f.tell("start of all", store.TopicServers, storetest.Traffic{})
-				f.tell("start of all", store.TopicServerRelay, storetest.Traffic{})
+				f.tell("start of all", store.TopicServerList, storetest.Traffic{})
 			})
 		})
 	}
@@ -263,10 +266,10 @@
 	playFleet(t, func(t *testing.T, f *virtualFleet) {
 		f.awaitStart()
 		time.Sleep(readyWithin)
-		servers, relayed := f.shared.Traffic(store.TopicServers), f.shared.Traffic(store.TopicServerRelay)
+		servers, relayed := f.shared.Traffic(store.TopicServers), f.shared.Traffic(store.TopicServerList)
 		time.Sleep(watched)
 		read := f.tell("10 s at rest", store.TopicServers, servers)
-		told := f.tell("10 s at rest", store.TopicServerRelay, relayed)
+		told := f.tell("10 s at rest", store.TopicServerList, relayed)
 		written := f.size.servers * int(watched/heartbeat+1) * (len(padding) + 100)
 		if read.Bytes > 2*written {
 			t.Errorf("%d bytes of heartbeats were read where %d were written", read.Bytes, written)
@@ -287,7 +290,7 @@
 	playFleet(t, func(t *testing.T, f *virtualFleet) {
 		f.awaitStart()
 		time.Sleep(5 * time.Second)
-		relayed := f.shared.Traffic(store.TopicServerRelay)
+		relayed := f.shared.Traffic(store.TopicServerList)
 		for number := range f.size.servers {
 			if number%25 == 0 {
 				f.set(number, "draining")
@@ -300,7 +303,7 @@
 			}
 		}
 		f.within("they are gone", leaveWithin)
-		f.tell("4% replaced", store.TopicServerRelay, relayed)
+		f.tell("4% replaced", store.TopicServerList, relayed)
 	})
 }
 
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -40,6 +40,9 @@
 	Self string
 	// Leading says whether this node coordinates; it needs weight versions then.
 	Leading func() bool
+	// Established says whether another node has coordinated since before this one started, so that
+	// whoever relays the list in this node's way would have done so by now. Nil stands for false.
+	Established func() bool
 	// Changed is told whenever the directory has changed.
 	Changed func()
 	// Shared returns which services all nodes send requests to; the servers of others are known to
@@ -98,6 +101,9 @@
 	if options.LeaveBound == 0 {
 		options.LeaveBound = DefaultLeaveBound
 	}
+	if options.Established == nil {
+		options.Established = func() bool { return false }
+	}
 	if options.Shared == nil {
 		options.Shared = func() func(string) bool { return func(string) bool { return true } }
 	}
@@ -158,10 +164,11 @@
 	staleShare, spreadShare = 0.45, 0.4
 )
 
-// The partitions of the relay.
+// The partitions of the relay. Nodes of builds whose records differ relay in partitions of their own: to each
+// other, records of either would say of servers that are gone that they are there, or the other way round.
 var (
-	changesPartition  = store.Partition{Topic: store.TopicServerRelay, Number: 0}
-	snapshotPartition = store.Partition{Topic: store.TopicServerRelay, Number: 1}
+	changesPartition  = store.Partition{Topic: store.TopicServerList, Number: 0}
+	snapshotPartition = store.Partition{Topic: store.TopicServerList, Number: 1}
 )
 
 // Complete says whether the whole list has been known.
--- a/internal/serverlist/serverlist_test.go
+++ b/internal/serverlist/serverlist_test.go
@@ -36,7 +36,7 @@
 	if at.Topic == store.TopicServers {
 		l.reads.Add(1)
 	}
-	if at.Topic == store.TopicServerRelay && l.relayDown.Load() {
+	if at.Topic == store.TopicServerList && l.relayDown.Load() {
 		return store.Batch{}, store.ErrRefused
 	}
 	return l.Memory.Read(ctx, at, from, wait)
--- a/internal/serverlist/way.go
+++ b/internal/serverlist/way.go
@@ -95,12 +95,19 @@
 		// The relay is followed. Few nodes are early to take its place.
 		return l.silentLocked() > l.stale()+l.relaySpread()
 	case !l.relayedLocked():
-		return now.Sub(l.startedAt) > bootPatience+l.spread(bootSpread)
+		return l.unrelayedLocked(now) || now.Sub(l.startedAt) > bootPatience+l.spread(bootSpread)
 	}
 	// A snapshot was read, and nobody has told what changed since.
 	return l.relayRead && now.Sub(l.relayReadAt) > startPatience+l.relaySpread() && l.silentLocked() > l.stale()
 }
 
+// unrelayedLocked says whether this node is to read the heartbeats of a fleet that is running and whose list
+// nobody relays in this node's way: the coordinator may be of another build. The first to do so relays for
+// the others of its build. The nodes of a fleet that has just begun wait for its first coordinator instead.
+func (l *List) unrelayedLocked(now time.Time) bool {
+	return l.options.Established() && l.relayRead && now.Sub(l.relayReadAt) > startPatience+l.relaySpread()
+}
+
 // spread is this node's share of a time in which nodes begin to read heartbeats.
 func (l *List) spread(all time.Duration) time.Duration {
 	share := float64(xxhash.Sum64String(l.options.Self)>>11) / (1 << 53)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,7 +12,8 @@
 // Topic names a group of partitions.
 type Topic int
 
-// The topics of the product.
+// The topics of the product. Nodes send each other their numbers, and nodes of other builds read what they
+// hold: a new topic comes last, none is removed, and records of another meaning take a new one.
 const (
 	// TopicOperator holds the newest configuration and the newest weight version
 	// of each model, by key. The operator and the trainers write it.
@@ -29,13 +30,16 @@
 	TopicProgress
 	// TopicLeases holds the claims and renewals of leases.
 	TopicLeases
-	// TopicServerRelay holds what the coordinator of a large fleet tells the other
-	// nodes of the list of servers. Only the newest seconds of it are kept.
+	// TopicServerRelay held the list of servers in formats of earlier builds, whose nodes may still
+	// write there; nothing else is ever to be written to it.
 	TopicServerRelay
 	// TopicUsage holds what nodes count of the requests that ran, and the ends of windows.
 	TopicUsage
 	// TopicQuarantine holds which servers ended under which requests, by key.
 	TopicQuarantine
+	// TopicServerList holds what the coordinator of a large fleet tells the other nodes of the list
+	// of servers. Only the newest seconds of it are kept.
+	TopicServerList
 )
 
 // Keyed says whether the newest record of each key of a topic is kept for good.
@@ -45,7 +49,7 @@
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay", "usage", "quarantine"}[t]
+	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay", "usage", "quarantine", "server list"}[t]
 }
 
 // Partition is one log of a topic.
