Runs of a coordinator that leaves end 0.3 s after a successor's claim that may not ask for them

What callers saw: nothing yet; while a build is rolled back to, each item that ran at a coordinator that is stopped would run at two engines for up to 1.5 s. Cause: the runs go on until the successor asks, which that build does only after a yield. Mend: a claim tells that its holder asks (Asks; builds before do not tell). Beside a successor that does not tell, runs end 0.3 s after its claim was read, and what they made is kept for it should it ask after all.

--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -24,6 +24,9 @@
 	// them over. One that claims at once does so within half a second; without one, the runs
 	// must have ended before the lease could have been claimed in other ways.
 	resignedFor = 1500 * time.Millisecond
+	// unaskedFor is how long they go on beside a successor that may not ask for them, since it is of a
+	// build that begins their items anew: an item may not run at two engines for longer than 400 ms.
+	unaskedFor = 300 * time.Millisecond
 )
 
 // handedOver is what a term that was given up left.
@@ -62,6 +65,16 @@
 	time.AfterFunc(resignedFor, func() { c.HandOver(epoch) })
 }
 
+// noteSuccessorLocked takes that another process has claimed the lease that this one gave up.
+func (c *Coordinator) noteSuccessorLocked(asks bool) {
+	if asks || c.succeeded {
+		return
+	}
+	c.succeeded = true
+	epoch := c.termEpoch
+	time.AfterFunc(unaskedFor, func() { c.HandOver(epoch) })
+}
+
 // startNothingLocked has the term start and order nothing any more; its runs go on.
 func (c *Coordinator) startNothingLocked() {
 	c.machine.Resign(clock.Now())
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -31,6 +31,8 @@
 		case standing.Leading:
 			// Nobody else has claimed what this process gave up.
 			c.handOverLocked()
+		case standing.Coordinator != "":
+			c.noteSuccessorLocked(standing.CoordinatorAsks)
 		}
 	}
 	c.lease = standing.Lease
@@ -108,7 +110,7 @@
 
 func (c *Coordinator) endTermLocked() {
 	c.machine = nil
-	c.resigned = false
+	c.resigned, c.succeeded = false, false
 	c.endTerm()
 	c.options.Logger.Info("term ended", zap.Int64("epoch", c.termEpoch))
 }
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -27,6 +27,9 @@
 	Holder string
 	// Address is where the holder answers whether it runs; claims bear it.
 	Address string `json:",omitempty"`
+	// Asks says, in a claim, that the holder asks its predecessor for what it leaves, also where that
+	// released the lease. Builds that do not tell may not do so.
+	Asks bool `json:",omitempty"`
 	// Epoch is one more than the offset of the holder's claim; claims have none.
 	Epoch int64 `json:",omitempty"`
 }
@@ -108,8 +111,10 @@
 	renewedAt    time.Time
 	held         Lease
 	leaving      bool
-	// holderAddress is where the holder answers.
+	// holderAddress is where the holder answers; holderAsks says that it asks its predecessor for what
+	// that leaves.
 	holderAddress string
+	holderAsks    bool
 	// ended says that the holder's process seems to have ended, certain that a
 	// later process of its node answered.
 	ended, certain       bool
@@ -171,6 +176,8 @@
 	// Coordinator is where the holder answers, while that is another process which is
 	// not thought to have ended; else it is empty.
 	Coordinator string
+	// CoordinatorAsks says that this process asks its predecessor for what it leaves.
+	CoordinatorAsks bool
 	// Established says that the holder is another process, which held the lease before this one
 	// began, and has renewed it since: the fleet was running already.
 	Established bool
@@ -180,7 +187,7 @@
 func (m *Machine) Standing(now time.Time) Standing {
 	lease, held := m.Held(now)
 	leading := m.holder == m.self && lease.Epoch == m.epoch && !lease.ClaimedAt.IsZero() && m.gaveUp != m.epoch
-	return Standing{Lease: lease, Held: held, Leading: leading, Coordinator: m.coordinator(), Established: m.established()}
+	return Standing{Lease: lease, Held: held, Leading: leading, Coordinator: m.coordinator(), CoordinatorAsks: m.holderAsks, Established: m.established()}
 }
 
 // coordinator returns where another process answers that holds the lease, as far as is known.
@@ -218,7 +225,7 @@
 		m.releasedAt, m.freeAt = time.Time{}, time.Time{}
 		m.predecessor, m.predecessorAddress = m.holder, m.holderAddress
 		m.holder = read.Holder
-		m.holderAddress = read.Address
+		m.holderAddress, m.holderAsks = read.Address, read.Asks
 		m.heard = m.caughtUp
 		m.heldBefore = !m.caughtUp
 		m.epoch = offset + 1
@@ -263,7 +270,7 @@
 	if m.leaving || m.freeAt.IsZero() || m.ClaimIn(now) > 0 {
 		return nil
 	}
-	return m.append(entry{Kind: kindClaim, Holder: m.self, Address: m.address}, false)
+	return m.append(entry{Kind: kindClaim, Holder: m.self, Address: m.address, Asks: true}, false)
 }
 
 // noteFree notes since when the lease may be claimed.
