Topics other than the operator's are read through other nodes by a call of their own

Cause: a field that changes the question was added to it, and an earlier build drops it. Mend: the call has a new name where the topic is not the operator's; a build that does not have it says so, and the next node is asked. Nodes of builds that ask any topic by the old name are answered as before. Why it holds: no build has the new name without knowing the topic.

--- a/internal/storeproxy/storeproxy.go
+++ b/internal/storeproxy/storeproxy.go
@@ -91,7 +91,11 @@
 // The calls of the service.
 const (
 	serviceName = "Store"
-	methodRead  = serviceName + ".Read"
+	// methodRead reads any topic at nodes of this build. Earlier ones do not know that a question may name
+	// one, and answer with the operator's records.
+	methodRead = serviceName + ".Read"
+	// methodReadTopic is the same under a name that they do not have, so that they say so.
+	methodReadTopic = serviceName + ".ReadTopic"
 )
 
 // Proxy reads the store for other nodes. It may be used by several goroutines.
@@ -137,6 +141,9 @@
 	return nil
 }
 
+// ReadTopic is Read.
+func (s *service) ReadTopic(question Question, answer *Answer) error { return s.Read(question, answer) }
+
 // Read answers a question from the store, or from what was read of it just before.
 func (p *Proxy) Read(question Question) Answer {
 	if answer, fresh := p.fresh(question); fresh {
@@ -254,6 +261,10 @@
 
 // CallNode is the Call of nodes on the network.
 func CallNode(ctx context.Context, address string, question Question) (answer Answer, err error) {
-	err = nodecall.Call(ctx, address, methodRead, question, &answer)
+	method := methodRead
+	if question.Topic != store.TopicOperator {
+		method = methodReadTopic
+	}
+	err = nodecall.Call(ctx, address, method, question, &answer)
 	return answer, err
 }
