Wire: what nodes say to each other and leave in the store is checked against earlier builds

A part may not change its kind or go; one that was added tells what its absence means; either build decodes the other's message with each part where its path says. A change of shape without new files fails.

--- /dev/null
+++ b/internal/election/wire_test.go
@@ -0,0 +1,13 @@
+package election
+
+import (
+	"testing"
+
+	"dalehook/internal/wiretest"
+)
+
+func TestWire(t *testing.T) {
+	wiretest.Check(t, []wiretest.Message{{Name: "entry", Codec: wiretest.JSON, Value: entry{}, Added: map[string]string{
+		"Asks": "false from builds that may not ask their predecessors for what they leave; those give their runs up early",
+	}}})
+}
--- /dev/null
+++ b/internal/usage/wire_test.go
@@ -0,0 +1,14 @@
+package usage
+
+import (
+	"testing"
+
+	"dalehook/internal/wiretest"
+)
+
+func TestWire(t *testing.T) {
+	wiretest.Check(t, []wiretest.Message{
+		{Name: "append-question", Codec: wiretest.Gob, Value: AppendQuestion{}},
+		{Name: "record", Codec: wiretest.JSON, Value: record{}},
+	})
+}
