Numbers that a later build may send have a text; records of its topics are not appended

Topics, verdicts and outcomes travel as numbers. A number that this build does not have ended the process where it was logged, and records that were handed over for a topic that it does not have would have gone to the jobs, since the client of the store names every topic that it does not know so. Nothing of this was seen: no build has such numbers yet. The numbers of today, and the names of calls, are kept by tests.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -3,7 +3,11 @@
 // partition come to the same state.
 package batch
 
-import "dalehook/internal/reward"
+import (
+	"fmt"
+
+	"dalehook/internal/reward"
+)
 
 // Item is one request of a batch job.
 type Item struct {
@@ -59,8 +63,15 @@
 	OutcomeDead
 )
 
-// String implements fmt.Stringer.
-func (o Outcome) String() string { return [...]string{"completed", "dead"}[o] }
+var outcomeNames = [...]string{"completed", "dead"}
+
+// String implements fmt.Stringer. Results of later builds may have outcomes that this one does not have.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("outcome %d", int(o))
+	}
+	return outcomeNames[o]
+}
 
 // Result is the final state of an item.
 type Result struct {
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -153,6 +153,9 @@
 	for _, pending := range left.Pending {
 		switch {
 		case pending.Partition.Number != number:
+		case !pending.Partition.Topic.Known():
+			// Of a later build. The client of the store has no name for it.
+			c.options.Logger.Warn("records of an unknown topic left", zap.Stringer("partition", pending.Partition))
 		case left.Whole && pending.Partition.Topic == store.TopicProgress:
 			progress = append(progress, pending)
 		default:
--- a/internal/jobread/jobread.go
+++ b/internal/jobread/jobread.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/rpc"
 	"time"
 
@@ -48,9 +49,14 @@
 	Found
 )
 
-// String implements fmt.Stringer.
+var verdictNames = [...]string{"not followed", "behind", "absent", "found"}
+
+// String implements fmt.Stringer. Nodes of later builds may give verdicts that this one does not have.
 func (v Verdict) String() string {
-	return [...]string{"not followed", "behind", "absent", "found"}[v]
+	if v < 0 || int(v) >= len(verdictNames) {
+		return fmt.Sprintf("verdict %d", int(v))
+	}
+	return verdictNames[v]
 }
 
 // Results are a job's results from a position on.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -47,9 +47,17 @@
 	return t == TopicOperator || t == TopicServers || t == TopicQuarantine
 }
 
+var topicNames = [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay", "usage", "quarantine", "server list"}
+
+// Known says whether this build has a topic: nodes of later builds may name others.
+func (t Topic) Known() bool { return t >= 0 && int(t) < len(topicNames) }
+
 // String implements fmt.Stringer.
 func (t Topic) String() string {
-	return [...]string{"operator", "servers", "jobs", "job index", "progress", "leases", "server relay", "usage", "quarantine", "server list"}[t]
+	if !t.Known() {
+		return fmt.Sprintf("topic %d", int(t))
+	}
+	return topicNames[t]
 }
 
 // Partition is one log of a topic.
