--- a/internal/crashwatch/tracker_test.go
+++ b/internal/crashwatch/tracker_test.go
@@ -159,6 +159,52 @@
 }
 
 // A machine that is silent after a crash refuses nothing; the list tells once the server is back.
+// Seen: a request that a node without the store had found was sent on by another node once, in half of the
+// runs of TestANodeThatTheStoreTurnsAwayKnowsWhatOthersFound under the race detector. The node takes its
+// requests to servers that are back after the end of a life that it lists, and that another node found; their
+// next ends were put to that life, which had ended under another request, and so counted for neither.
+// Cause: only ends that the node itself had found told it of later lives. Proved by the logs of such a run,
+// where the ends of both requests name the same births, and by this test.
+func TestALaterLifeAfterAnEndThatAnotherNodeFound(t *testing.T) {
+	cases := []struct {
+		name string
+		// later is how long after the first end the next request began.
+		later time.Duration
+		// anew says that it met a later life. The times of day of two nodes may differ: what began right
+		// after the end may have met the life that ended.
+		anew bool
+	}{
+		{"right then", 0, false},
+		{"once the server may be back", 3 * time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			amongNodes(t, func(t *testing.T, log *storetest.Memory, newNode func() *desk) {
+				finder, other := newNode(), newNode()
+				server := finder.put(1)
+				other.put(1)
+				finder.Broke(named("first"), server, UnderWay{Began: clock.Now()})
+				time.Sleep(settled)
+				time.Sleep(c.later)
+				other.Broke(named("second"), server, UnderWay{Began: clock.Now()})
+				time.Sleep(settled)
+				for number, d := range []*desk{finder, other} {
+					ends := make(map[quarantine.Fingerprint]directory.Incarnation)
+					for _, known := range d.Cases() {
+						ends[known.Fingerprint] = known.Ends[0].Server
+					}
+					if len(ends) != 2 || ends[named("first")] != server.Incarnation() {
+						t.Errorf("node %d: the end of the life that is listed: %+v", number, ends)
+					}
+					if anew := ends[named("second")] != server.Incarnation(); anew != c.anew {
+						t.Errorf("node %d: the next end was put to a later life: %v", number, anew)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestAReplacedServerHasEnded(t *testing.T) {
 	replacements := map[string]directory.Server{
 		"a later life of it":            {ID: "i", Born: 9, Service: "s", Address: "a:1"},
