Ends that another node found tell a node without the store of later lives, too

What callers saw: a request that crashes servers, found by a node that the store turns away, was sent on to one more server by another node. Cause: such a node lists a server that is back under its id by the life before. Whether a request met that life or a later one was told from the ends that the node had found itself; an end that another node found, and under another request, was not looked at. So both requests' ends had the same name, and counted for neither. Ruled out: records that are lost or late (all were there within 0.5 s of each end). Mend: an end that was told counts as well, for requests that began 0.5 s later than it by the time of day, since those of two nodes may differ. Why it holds: no server is back sooner than that, and the later life is named by the end that is told, so that all nodes give it one name.

--- a/internal/crashwatch/settle.go
+++ b/internal/crashwatch/settle.go
@@ -86,19 +86,36 @@
 // day.
 type lifeEnd struct{ at, wall time.Time }
 
+// toldMargin is by how much later than an end that another node found a request must have begun to have met a
+// later life: the times of day of two nodes may differ by less, and no server is back sooner.
+const toldMargin = 500 * time.Millisecond
+
 // lifeLocked returns the life of a server that a request met which began at a time. A server
-// that is back under its id is listed anew only seconds later: what began after the end of the life
-// that is listed met a later one. That one is named by the end of the life before, which is
-// within some seconds of its birth and unlike the names of the others.
+// that is back under its id is listed anew only seconds later, and not at all at a node without the store: what
+// began after the end of the life that is listed met a later one. That one is named by the end of the
+// life before, which is within some seconds of its birth and unlike the names of the others.
 func (t *Tracker) lifeLocked(listed directory.Incarnation, began time.Time) directory.Incarnation {
 	life := listed
 	for {
-		end, over := t.ended[life]
-		if !over || !began.After(end.at) {
+		ended, over := t.endBeforeLocked(life, began)
+		if !over || ended.UnixMilli() == life.Born {
 			return life
 		}
-		life.Born = end.wall.UnixMilli()
+		life.Born = ended.UnixMilli()
+	}
+}
+
+// endBeforeLocked returns the time of day at which a life ended, where a request that began at a time met
+// a later one.
+func (t *Tracker) endBeforeLocked(life directory.Incarnation, began time.Time) (ended time.Time, over bool) {
+	if found, known := t.ended[life]; known {
+		return found.wall, began.After(found.at)
+	}
+	if told, known := t.ledger.EndOf(life); known {
+		beganAt := wallTime().Add(-clock.Since(began))
+		return told, beganAt.After(told.Add(toldMargin))
 	}
+	return time.Time{}, false
 }
 
 // isLeaving says whether a server is to end by plan: what it breaks off then is nobody's fault.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -206,6 +206,17 @@
 	return last
 }
 
+// EndOf returns when a server ended under any of the requests, the last time that a node told; known is false
+// where none has.
+func (l *Ledger) EndOf(server directory.Incarnation) (at time.Time, known bool) {
+	for fingerprint := range l.suspects[server] {
+		if end := l.ends[fingerprint][server]; end.At.After(at) {
+			at = end.At
+		}
+	}
+	return at, len(l.suspects[server]) > 0
+}
+
 // Expire drops the requests under which no server has ended for long, and returns their ends.
 func (l *Ledger) Expire(now time.Time) []End {
 	var expired []End
