Status: which build each node runs, and how fresh what it knows is

dalehook-node status asks the nodes that are named and shows the odd ones first: silent, not ready, of a build or a configuration that few have; dalehook_build_info tells the same to a monitor. Without it nobody could see during an upgrade which nodes were of which build.

--- a/cmd/dalehook-node/main.go
+++ b/cmd/dalehook-node/main.go
@@ -22,6 +22,7 @@
 	commander.Register(&runCommand{}, "")
 	commander.Register(&checkCommand{}, "")
 	commander.Register(&quarantineCommand{}, "")
+	commander.Register(&statusCommand{}, "")
 	if flags.Parse(os.Args[1:]) != nil {
 		os.Exit(int(subcommands.ExitUsageError))
 	}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"dalehook/internal/build"
 	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
 	"dalehook/internal/crashwatch"
@@ -107,6 +108,9 @@
 	gauge := func(name, help string, read func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 	}
+	running := prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "dalehook_build_info", Help: "1 for the build that this node runs."}, []string{"build"})
+	running.WithLabelValues(build.Revision()).Set(1)
+	m.registry.MustRegister(running)
 	gauge("dalehook_configuration_version", "Version of the configuration in force, 0 for none.", func() float64 {
 		if table := n.table.Load(); table != nil {
 			return float64(table.Version)
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -26,6 +26,7 @@
 	"dalehook/internal/jobread"
 	"dalehook/internal/liveness"
 	"dalehook/internal/nodecall"
+	"dalehook/internal/nodestatus"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scaling"
 	"dalehook/internal/serverlist"
@@ -191,7 +192,7 @@
 	var background conc.WaitGroup
 	calls := rpc.NewServer()
 	if err := errors.Join(liveness.Register(calls, n.process(), n), jobread.Register(calls, n.jobReader), usage.Register(calls, n.options.Adapter.Log()),
-		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers)), crashwatch.Register(calls, n.quarantine)); err != nil {
+		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers)), crashwatch.Register(calls, n.quarantine), nodestatus.Register(calls, n)); err != nil {
 		return err
 	}
 	background.Go(func() {
--- /dev/null
+++ b/internal/frontend/status.go
@@ -0,0 +1,22 @@
+package frontend
+
+import (
+	"dalehook/internal/build"
+	"dalehook/internal/clock"
+	"dalehook/internal/nodestatus"
+)
+
+var _ nodestatus.Teller = (*Node)(nil)
+
+// Status implements nodestatus.Teller.
+func (n *Node) Status() nodestatus.Status {
+	now := clock.Now()
+	status := nodestatus.Status{
+		Node: n.options.Settings.Node, Build: build.Revision(), Ready: n.Ready(), Leading: n.coordinator.State().Leading,
+		ConfigurationAge: n.configurationAge(now), Servers: n.directory.Snapshot().Count(), ListAge: n.directory.Age(now),
+	}
+	if table := n.table.Load(); table != nil {
+		status.Configuration = table.Version
+	}
+	return status
+}
