--- a/internal/crashwatch/share.go
+++ b/internal/crashwatch/share.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/directory"
 	"dalehook/internal/follow"
 	"dalehook/internal/pause"
 	"dalehook/internal/quarantine"
@@ -160,3 +161,51 @@
 	}
 	return nil
 }
+
+// addLocked puts a server's end to the account of requests, and has it written to the store where
+// other nodes are to know.
+func (t *Tracker) addLocked(server directory.Incarnation, requests map[quarantine.Fingerprint]UnderWay) (added []quarantine.Fingerprint) {
+	for fingerprint, underWay := range requests {
+		end := quarantine.End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: underWay.Progressed}
+		first := !t.ledger.Knows(fingerprint)
+		if !t.ledger.Add(end) {
+			continue
+		}
+		t.unshareLocked(t.ledger.TakeEvicted())
+		added = append(added, fingerprint)
+		switch {
+		case underWay.HereOnly && first:
+			t.unshared[fingerprint] = true
+		case t.unshared[fingerprint]:
+			delete(t.unshared, fingerprint)
+			t.shareLocked(t.ledger.Case(fingerprint).Ends...)
+		default:
+			t.shareLocked(end)
+		}
+	}
+	return added
+}
+
+// unshareLocked has ends removed from the store, but for those that were never written there.
+func (t *Tracker) unshareLocked(ends []quarantine.End) {
+	for _, end := range ends {
+		if !t.unshared[end.Fingerprint] {
+			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
+		}
+	}
+	for _, end := range ends {
+		delete(t.unshared, end.Fingerprint)
+	}
+}
+
+// shareLocked has ends written to the store.
+func (t *Tracker) shareLocked(ends ...quarantine.End) {
+	for _, end := range ends {
+		record, err := encodeEnd(end, t.options.Node)
+		if err != nil {
+			t.options.Logger.Error("end of a server not shared", zap.String("server", end.Server.ID), zap.Error(err))
+			continue
+		}
+		t.unsent = append(t.unsent, record)
+	}
+}
--- a/internal/crashwatch/tracker.go
+++ b/internal/crashwatch/tracker.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -281,54 +280,6 @@
 // wallTime is the time of day, by which nodes tell each other when a server ended.
 func wallTime() time.Time { return time.Now().Round(0) }
 
-// addLocked puts a server's end to the account of requests, and has it written to the store where
-// other nodes are to know.
-func (t *Tracker) addLocked(server directory.Incarnation, requests map[quarantine.Fingerprint]UnderWay) (added []quarantine.Fingerprint) {
-	for fingerprint, underWay := range requests {
-		end := quarantine.End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: underWay.Progressed}
-		first := !t.ledger.Knows(fingerprint)
-		if !t.ledger.Add(end) {
-			continue
-		}
-		t.unshareLocked(t.ledger.TakeEvicted())
-		added = append(added, fingerprint)
-		switch {
-		case underWay.HereOnly && first:
-			t.unshared[fingerprint] = true
-		case t.unshared[fingerprint]:
-			delete(t.unshared, fingerprint)
-			t.shareLocked(t.ledger.Case(fingerprint).Ends...)
-		default:
-			t.shareLocked(end)
-		}
-	}
-	return added
-}
-
-// unshareLocked has ends removed from the store, but for those that were never written there.
-func (t *Tracker) unshareLocked(ends []quarantine.End) {
-	for _, end := range ends {
-		if !t.unshared[end.Fingerprint] {
-			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
-		}
-	}
-	for _, end := range ends {
-		delete(t.unshared, end.Fingerprint)
-	}
-}
-
-// shareLocked has ends written to the store.
-func (t *Tracker) shareLocked(ends ...quarantine.End) {
-	for _, end := range ends {
-		record, err := encodeEnd(end, t.options.Node)
-		if err != nil {
-			t.options.Logger.Error("end of a server not shared", zap.String("server", end.Server.ID), zap.Error(err))
-			continue
-		}
-		t.unsent = append(t.unsent, record)
-	}
-}
-
 // updateLocked notes what has changed by the last inputs.
 func (t *Tracker) updateLocked() {
 	for fingerprint := range t.held {
@@ -419,56 +370,3 @@
 
 // endedFor is how long a server's end is remembered for what is still to break there.
 const endedFor = 10 * time.Second
-
-// sweep drops what is no longer of use.
-func (t *Tracker) sweep(now time.Time) {
-	if !t.Active() {
-		return
-	}
-	tidies := t.options.Tidies()
-	t.mutex.Lock()
-	for _, broken := range t.breaks {
-		if now.Sub(broken.brokeAt) > listPatience {
-			t.dropLocked(broken)
-		}
-	}
-	for server, end := range t.ended {
-		if now.Sub(end.at) > endedFor {
-			delete(t.ended, server)
-		}
-	}
-	t.confirmLocked(now, tidies)
-	changed := t.forgetLocked(tidies) || t.ledger.HasUnclear()
-	t.updateLocked()
-	t.mutex.Unlock()
-	if changed {
-		t.signal()
-	}
-}
-
-// confirmAfter is how long a proof has to stand before later ends of other requests no longer count
-// against it: all nodes have told by then what they were running at the last end.
-const confirmAfter = time.Second
-
-// confirmLocked confirms the proofs that have stood for a while. One node writes that to the store, for
-// nodes that start later.
-func (t *Tracker) confirmLocked(now time.Time, tidies bool) {
-	for fingerprint, since := range t.held {
-		if now.Sub(since) >= confirmAfter && t.ledger.Confirm(fingerprint) && tidies {
-			t.shareLocked(quarantine.End{Fingerprint: fingerprint, At: wallTime()})
-		}
-	}
-}
-
-// forgetLocked drops the requests under which no server has ended for long.
-func (t *Tracker) forgetLocked(tidies bool) bool {
-	expired := t.ledger.Expire(wallTime())
-	if tidies {
-		t.unshareLocked(expired)
-		for _, end := range expired {
-			t.unsent = append(t.unsent, verdictRemoval(end.Fingerprint))
-		}
-	}
-	maps.DeleteFunc(t.unshared, func(fingerprint quarantine.Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
-	return len(expired) > 0
-}
--- a/internal/frontend/jobreads_builds_test.go
+++ b/internal/frontend/jobreads_builds_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/rpc"
 	"testing"
 	"time"
 
 	"dalehook/internal/batch"
 	"dalehook/internal/jobread"
 	"dalehook/internal/nodecall"
+	"dalehook/internal/nodecall/nodecalltest"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
@@ -53,16 +53,6 @@
 	return nil
 }
 
-func serveEarlier(t *testing.T, coordinator *earlierCoordinator) string {
-	t.Helper()
-	listener, server := listen(t), rpc.NewServer()
-	if err := server.RegisterName("Jobs", coordinator); err != nil {
-		t.Fatal(err)
-	}
-	go nodecall.Serve(listener, server)
-	return listener.Addr().String()
-}
-
 // appendJobOf accepts a job of a tenant with two items, the first of which has a result.
 func appendJobOf(t *testing.T, memory *storetest.Memory, name batch.Name) {
 	t.Helper()
@@ -91,7 +81,7 @@
 		t.Run("this build asks a coordinator of the earlier one, tenant "+name.Tenant, func(t *testing.T) {
 			for what, coordinator := range map[string]*earlierCoordinator{"that follows the job": {job: name.ID}, "that does not know it": {job: "other"}} {
 				node := newReaderNode(t, memory)
-				node.observeCoordinator(false, serveEarlier(t, coordinator))
+				node.observeCoordinator(false, nodecalltest.Serve(t, nodecalltest.Named("Jobs", coordinator)))
 				if _, results, verdict := node.results(ctx, name, 0, 0); verdict != VerdictDone || len(results) != 1 {
 					t.Errorf("%s: %v, %d results", what, verdict, len(results))
 				}
--- a/internal/frontend/jobreads_test.go
+++ b/internal/frontend/jobreads_test.go
@@ -13,7 +13,7 @@
 	"dalehook/internal/batch"
 	"dalehook/internal/joblog"
 	"dalehook/internal/jobread"
-	"dalehook/internal/nodecall"
+	"dalehook/internal/nodecall/nodecalltest"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
@@ -92,12 +92,8 @@
 
 // serve has a node answer reads at the address returned.
 func serve(t testing.TB, reader jobread.Reader) string {
-	listener, server := listen(t), rpc.NewServer()
-	if err := jobread.Register(server, reader); err != nil {
-		t.Fatal(err)
-	}
-	go nodecall.Serve(listener, server)
-	return listener.Addr().String()
+	t.Helper()
+	return nodecalltest.Serve(t, func(server *rpc.Server) error { return jobread.Register(server, reader) })
 }
 
 type subscriber struct{}
--- a/internal/jobread/jobread_test.go
+++ b/internal/jobread/jobread_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/rpc"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"dalehook/internal/batch"
-	"dalehook/internal/nodecall"
+	"dalehook/internal/nodecall/nodecalltest"
 )
 
 // reader answers with what it was asked for.
@@ -28,17 +27,7 @@
 
 // What a node answers arrives whole at the node that asks, with the job that it looked for.
 func TestAnswersArriveWhole(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	server := rpc.NewServer()
-	if err := Register(server, reader{}); err != nil {
-		t.Fatal(err)
-	}
-	go nodecall.Serve(listener, server)
-	address := listener.Addr().String()
+	address := nodecalltest.Serve(t, func(server *rpc.Server) error { return Register(server, reader{}) })
 	asked := ResultsQuestion{Job: batch.Name{ID: "job"}, From: 7}
 	results, err := AskResults(context.Background(), address, asked)
 	want := reader{}.FollowedResults(asked)
--- a/internal/nodestatus/nodestatus_test.go
+++ b/internal/nodestatus/nodestatus_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/rpc"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
-	"dalehook/internal/nodecall"
+	"dalehook/internal/nodecall/nodecalltest"
 	"dalehook/internal/wiretest"
 )
 
@@ -20,19 +19,10 @@
 // serve has a node answer; without a teller it is of a build that does not have the call.
 func serve(t *testing.T, teller Teller) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	if teller == nil {
+		return nodecalltest.Serve(t)
 	}
-	t.Cleanup(func() { listener.Close() })
-	server := rpc.NewServer()
-	if teller != nil {
-		if err := Register(server, teller); err != nil {
-			t.Fatal(err)
-		}
-	}
-	go func() { _ = nodecall.Serve(listener, server) }()
-	return listener.Addr().String()
+	return nodecalltest.Serve(t, func(server *rpc.Server) error { return Register(server, teller) })
 }
 
 // The odd nodes come first: what is silent, not ready, of a build or a configuration that few have.
--- a/internal/storeproxy/builds_test.go
+++ b/internal/storeproxy/builds_test.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"net"
-	"net/rpc"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"dalehook/internal/nodecall"
+	"dalehook/internal/nodecall/nodecalltest"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
@@ -34,17 +33,7 @@
 // earlierNode is node for such a build.
 func earlierNode(t *testing.T, log store.Log) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	server := rpc.NewServer()
-	if err := server.RegisterName("Store", &earlierService{log: log}); err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = nodecall.Serve(listener, server) }()
-	return listener.Addr().String()
+	return nodecalltest.Serve(t, nodecalltest.Named("Store", &earlierService{log: log}))
 }
 
 func TestANodeOfAnEarlierBuildIsNotTakenAtItsWordForAnotherTopic(t *testing.T) {
--- a/internal/storeproxy/storeproxy_test.go
+++ b/internal/storeproxy/storeproxy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
@@ -12,7 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"dalehook/internal/nodecall"
+	"dalehook/internal/nodecall/nodecalltest"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
 )
@@ -20,17 +19,7 @@
 // node answers for a store; it returns where.
 func node(t *testing.T, log store.Log, peers *Peers) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	server := rpc.NewServer()
-	if err := Register(server, NewProxy(log, peers)); err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = nodecall.Serve(listener, server) }()
-	return listener.Addr().String()
+	return nodecalltest.Serve(t, func(server *rpc.Server) error { return Register(server, NewProxy(log, peers)) })
 }
 
 func operatorLog() *storetest.Memory {
