--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -121,8 +121,8 @@
 	termEpoch int64
 	// resigned says that the term goes on only until its successor takes over.
 	resigned bool
-	// succeeded says that the successor may not ask for the runs, which are about to end.
-	succeeded bool
+	// unasked says that the successor may not ask for the runs, so that they are about to end.
+	unasked bool
 	// handed is what the last term that was given up left.
 	handed  handedOver
 	cancels map[scheduler.AttemptID]context.CancelFunc
--- a/internal/coordinator/handover.go
+++ b/internal/coordinator/handover.go
@@ -67,10 +67,10 @@
 
 // noteSuccessorLocked takes that another process has claimed the lease that this one gave up.
 func (c *Coordinator) noteSuccessorLocked(asks bool) {
-	if asks || c.succeeded {
+	if asks || c.unasked {
 		return
 	}
-	c.succeeded = true
+	c.unasked = true
 	epoch := c.termEpoch
 	time.AfterFunc(unaskedFor, func() { c.HandOver(epoch) })
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -110,7 +110,7 @@
 
 func (c *Coordinator) endTermLocked() {
 	c.machine = nil
-	c.resigned, c.succeeded = false, false
+	c.resigned, c.unasked = false, false
 	c.endTerm()
 	c.options.Logger.Info("term ended", zap.Int64("epoch", c.termEpoch))
 }
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -176,7 +176,7 @@
 	// Coordinator is where the holder answers, while that is another process which is
 	// not thought to have ended; else it is empty.
 	Coordinator string
-	// CoordinatorAsks says that this process asks its predecessor for what it leaves.
+	// CoordinatorAsks says that the coordinator asks its predecessor for what that leaves.
 	CoordinatorAsks bool
 	// Established says that the holder is another process, which held the lease before this one
 	// began, and has renewed it since: the fleet was running already.
--- a/internal/jobread/jobread.go
+++ b/internal/jobread/jobread.go
@@ -127,8 +127,8 @@
 	return batch.Name{ID: legacyID}, false
 }
 
-// verdictFor returns the verdict for a node that asked for a job. One that did not say on whose behalf
-// it asks believes every answer; what it may have to do with a tenant's job, the store tells it.
+// verdictFor returns the verdict for a node that asked for a job, by its whole name or not. One that gives the id
+// alone may mean a job of a tenant, and believes that a job is absent: it is to read the store instead.
 func verdictFor(verdict Verdict, whole bool) Verdict {
 	if verdict == Absent && !whole {
 		return NotFollowed
--- a/internal/nodestatus/fleet.go
+++ b/internal/nodestatus/fleet.go
@@ -44,7 +44,7 @@
 	line.Status, line.Err = Ask(ctx, address)
 	var unknown rpc.ServerError
 	if errors.As(line.Err, &unknown) {
-		// The node runs, and does not have the call.
+		// The node runs, and does not have the call: nothing says that it is not ready.
 		line.Build, line.Ready, line.Err = NoBuild, true, nil
 	}
 	return line
