Quarantine: no node compares another machine's time of day with its own

Cause: the record of an end holds the time of day of whoever saw it. Readers compared that with the time of day at which a request had begun here (margin 0.5 s), named later lives by it, and took its difference for the age by which holds end.

Change: a record tells the age of the end when it was sent; readers reckon back from their reading by their own steady clock, and keep the earliest time that they know. The end was no later than that, so what began after it met a later life; what began before counts at the life that ended, so that no crash counts twice. A later life is named by the one before it. Operators see the asked node's time of day.

--- a/internal/crashwatch/record.go
+++ b/internal/crashwatch/record.go
@@ -18,14 +18,31 @@
 // and the server, so that nodes that saw the same end write one key, and an end is taken back
 // by removing it.
 type endRecord struct {
-	// At is when the end was seen, in Unix milliseconds.
+	// At is the time of day at which the end was seen, in Unix milliseconds, by the clock of the machine that saw
+	// it. Nodes of earlier builds compare it with their own; this one tells it for them alone.
 	At int64
+	// Age is how long before the record was sent the end had been seen, in milliseconds. Builds that do
+	// not tell it stand for 0: whoever reads a record knows that the end came before.
+	Age int64
 	// Node is the process that saw it.
 	Node string
 	// Progressed says that the request had made events.
 	Progressed bool
 }
 
+// finding is what a node tells the others: that a server ended under a request, or that this no longer counts.
+type finding struct {
+	end       quarantine.End
+	takenBack bool
+}
+
+// sender is the node that writes a record, with its clocks at that time.
+type sender struct {
+	node string
+	// now is by package clock.
+	now, timeOfDay time.Time
+}
+
 // The separators of a record's key. A fingerprint is hexadecimal, a time of birth decimal.
 const (
 	keyServer = "@"
@@ -47,43 +64,50 @@
 	return fingerprint, directory.Incarnation{ID: rest[:at], Born: born}, valid && err == nil
 }
 
-// encodeEnd returns the record of an end.
-func encodeEnd(end quarantine.End, node string) (store.Record, error) {
-	var value bytes.Buffer
-	if err := gob.NewEncoder(&value).Encode(endRecord{At: end.At.UnixMilli(), Node: node, Progressed: end.Progressed}); err != nil {
+// encodeFinding returns the record of a finding.
+func encodeFinding(found finding, by sender) (store.Record, error) {
+	end := found.end
+	record := store.Record{Key: recordKey(end.Fingerprint, end.Server)}
+	if found.takenBack {
+		return record, nil
+	}
+	age := by.now.Sub(end.At)
+	value := endRecord{At: by.timeOfDay.Add(-age).UnixMilli(), Age: age.Milliseconds(), Node: by.node, Progressed: end.Progressed}
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(value); err != nil {
 		return store.Record{}, eris.Wrapf(err, "encode the end of server %s", end.Server.ID)
 	}
-	return store.Record{Key: recordKey(end.Fingerprint, end.Server), Value: value.Bytes()}, nil
-}
-
-// removal returns the record that takes an end back.
-func removal(fingerprint quarantine.Fingerprint, server directory.Incarnation) store.Record {
-	return store.Record{Key: recordKey(fingerprint, server)}
+	record.Value = encoded.Bytes()
+	return record, nil
 }
 
 // A verdict is the record of an end that names no server: it says that the request's proof stands
 // until it is cleared.
 func isVerdict(end quarantine.End) bool { return end.Server == directory.Incarnation{} }
 
-// verdictRemoval returns the record that takes a verdict back.
-func verdictRemoval(fingerprint quarantine.Fingerprint) store.Record {
-	return removal(fingerprint, directory.Incarnation{})
+// verdictOn returns the verdict on a request.
+func verdictOn(fingerprint quarantine.Fingerprint) quarantine.End {
+	return quarantine.End{Fingerprint: fingerprint}
 }
 
-// decodeEnd reads an end; removed says that the record takes it back.
-func decodeEnd(record store.Record) (end quarantine.End, removed bool, err error) {
+// oldestTold bounds the age of an end that is read: by then it is long forgotten.
+const oldestTold = time.Hour
+
+// decodeFinding reads a record at a time by package clock.
+func decodeFinding(now time.Time, record store.Record) (finding, error) {
 	fingerprint, server, ok := parseKey(record.Key)
 	if !ok {
-		return quarantine.End{}, false, eris.Errorf("key %q names no end of a server", record.Key)
+		return finding{}, eris.Errorf("key %q names no end of a server", record.Key)
 	}
-	end = quarantine.End{Fingerprint: fingerprint, Server: server}
+	end := quarantine.End{Fingerprint: fingerprint, Server: server}
 	if len(record.Value) == 0 {
-		return end, true, nil
+		return finding{end: end, takenBack: true}, nil
 	}
 	var decoded endRecord
 	if err := gob.NewDecoder(bytes.NewReader(record.Value)).Decode(&decoded); err != nil {
-		return quarantine.End{}, false, eris.Wrapf(err, "decode the end of server %s", server.ID)
+		return finding{}, eris.Wrapf(err, "decode the end of server %s", server.ID)
 	}
-	end.At, end.Progressed = time.UnixMilli(decoded.At), decoded.Progressed
-	return end, false, nil
+	age := min(max(decoded.Age, 0), oldestTold.Milliseconds())
+	end.At, end.Progressed = now.Add(-time.Duration(age)*time.Millisecond), decoded.Progressed
+	return finding{end: end}, nil
 }
--- a/internal/crashwatch/settle.go
+++ b/internal/crashwatch/settle.go
@@ -82,40 +82,38 @@
 	}
 }
 
-// lifeEnd is when a life of a server was found to have ended, by package clock and by the time of
-// day.
-type lifeEnd struct{ at, wall time.Time }
-
 // toldMargin is by how much later than an end that another node found a request must have begun to have met a
-// later life: the times of day of two nodes may differ by less, and no server is back sooner.
+// later life. What is sent right after the end may still go out on a connection of the life that ended, and no
+// server is back sooner.
 const toldMargin = 500 * time.Millisecond
 
+// laterLife names the life of a server after one that ended, which the list does not show yet. All nodes give it the
+// same name, so that a crash which several of them see counts once. It is none that a server tells: births are
+// seconds apart.
+func laterLife(ended directory.Incarnation) directory.Incarnation {
+	return directory.Incarnation{ID: ended.ID, Born: ended.Born + 1}
+}
+
 // lifeLocked returns the life of a server that a request met which began at a time. A server
 // that is back under its id is listed anew only seconds later, and not at all at a node without the store: what
-// began after the end of the life that is listed met a later one. That one is named by the end of the
-// life before, which is within some seconds of its birth and unlike the names of the others.
+// began after the end of the life that is listed met a later one.
 func (t *Tracker) lifeLocked(listed directory.Incarnation, began time.Time) directory.Incarnation {
 	life := listed
-	for {
-		ended, over := t.endBeforeLocked(life, began)
-		if !over || ended.UnixMilli() == life.Born {
-			return life
-		}
-		life.Born = ended.UnixMilli()
+	for t.endedBeforeLocked(life, began) {
+		life = laterLife(life)
 	}
+	return life
 }
 
-// endBeforeLocked returns the time of day at which a life ended, where a request that began at a time met
-// a later one.
-func (t *Tracker) endBeforeLocked(life directory.Incarnation, began time.Time) (ended time.Time, over bool) {
-	if found, known := t.ended[life]; known {
-		return found.wall, began.After(found.at)
-	}
-	if told, known := t.ledger.EndOf(life); known {
-		beganAt := wallTime().Add(-clock.Since(began))
-		return told, beganAt.After(told.Add(toldMargin))
+// endedBeforeLocked says whether a life is known to have ended before a request began. Both times are by this node's
+// clock, and that of the end is no earlier than the end itself: what began before a node heard of the end is taken
+// to have met the life that ended, so that no crash counts twice.
+func (t *Tracker) endedBeforeLocked(life directory.Incarnation, began time.Time) bool {
+	if foundAt, found := t.ended[life]; found {
+		return began.After(foundAt)
 	}
-	return time.Time{}, false
+	endedAt, told := t.ledger.EndOf(life)
+	return told && began.After(endedAt.Add(toldMargin))
 }
 
 // isLeaving says whether a server is to end by plan: what it breaks off then is nobody's fault.
@@ -193,7 +191,7 @@
 // endLocked takes that a server has ended under what it was running.
 func (t *Tracker) endLocked(broken *brokenServer, evidence string) {
 	t.dropLocked(broken)
-	t.ended[broken.server] = lifeEnd{at: clock.Now(), wall: wallTime()}
+	t.ended[broken.server] = clock.Now()
 	added := t.addLocked(broken.server, broken.requests)
 	t.options.Observer.ObserveServerEnd(evidence, len(broken.requests))
 	t.options.Logger.Info("server ended under requests", zap.String("server", broken.server.ID), zap.Int64("born", broken.server.Born),
--- a/internal/crashwatch/share.go
+++ b/internal/crashwatch/share.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 	"dalehook/internal/follow"
 	"dalehook/internal/pause"
@@ -57,12 +58,17 @@
 // replace takes all that is known. What this node found and could not write yet stays.
 func (t *Tracker) replace(records []store.Record) {
 	tidies := t.options.Tidies()
+	now := clock.Now()
 	t.mutex.Lock()
+	before := t.ledger
 	t.ledger = quarantine.NewLedger(t.options.Node)
 	clear(t.unshared)
-	t.applyLocked(records)
-	t.applyLocked(t.unsent)
-	t.forgetLocked(tidies)
+	t.readLocked(now, records)
+	for _, unsent := range t.unsent {
+		t.applyLocked(unsent)
+	}
+	t.ledger.TakeTimes(before)
+	t.forgetLocked(now, tidies)
 	t.updateLocked()
 	t.mutex.Unlock()
 	t.loaded.Store(true)
@@ -70,30 +76,39 @@
 }
 
 func (t *Tracker) change(records []store.Record) {
+	now := clock.Now()
 	t.mutex.Lock()
-	t.applyLocked(records)
+	t.readLocked(now, records)
 	t.updateLocked()
 	t.mutex.Unlock()
 	t.signal()
 }
 
-func (t *Tracker) applyLocked(records []store.Record) {
+// readLocked takes records that were read at a time.
+func (t *Tracker) readLocked(now time.Time, records []store.Record) {
 	for _, record := range records {
-		end, removed, err := decodeEnd(record)
-		switch {
-		case err != nil:
+		read, err := decodeFinding(now, record)
+		if err != nil {
 			t.options.Logger.Error("record void", zap.Int64("offset", record.Offset), zap.Error(err))
-		case isVerdict(end) && removed:
-			t.ledger.Unconfirm(end.Fingerprint)
-		case isVerdict(end):
-			t.ledger.Confirm(end.Fingerprint)
-		case removed:
-			t.ledger.Remove(end.Fingerprint, end.Server)
-		default:
-			t.ledger.Add(end)
-			// The node that found what takes the place removes it from the store.
-			t.ledger.TakeEvicted()
+			continue
 		}
+		t.applyLocked(read)
+	}
+}
+
+func (t *Tracker) applyLocked(found finding) {
+	end := found.end
+	switch {
+	case isVerdict(end) && found.takenBack:
+		t.ledger.Unconfirm(end.Fingerprint)
+	case isVerdict(end):
+		t.ledger.Confirm(end.Fingerprint)
+	case found.takenBack:
+		t.ledger.Remove(end.Fingerprint, end.Server)
+	default:
+		t.ledger.Add(end)
+		// The node that found what takes the place removes it from the store.
+		t.ledger.TakeEvicted()
 	}
 }
 
@@ -115,11 +130,11 @@
 
 // publishUnsent writes until nothing is left to write.
 func (t *Tracker) publishUnsent(ctx context.Context, outage *follow.Outage) {
-	for records := t.nextUnsent(); len(records) > 0; records = t.nextUnsent() {
-		err := t.put(ctx, records)
-		outage.Note(err, zap.Stringer("topic", store.TopicQuarantine), zap.Int("records", len(records)))
+	for findings := t.nextUnsent(); len(findings) > 0; findings = t.nextUnsent() {
+		err := t.put(ctx, t.encode(findings))
+		outage.Note(err, zap.Stringer("topic", store.TopicQuarantine), zap.Int("records", len(findings)))
 		if err == nil {
-			t.sent(len(records))
+			t.sent(len(findings))
 			continue
 		}
 		if !pause.For(ctx, putRetry) {
@@ -128,8 +143,23 @@
 	}
 }
 
-// nextUnsent returns the records of the next call, the oldest first.
-func (t *Tracker) nextUnsent() []store.Record {
+// encode returns the records of findings, with the ages that these have now.
+func (t *Tracker) encode(findings []finding) []store.Record {
+	now, timeOfDay := clock.Now(), t.options.TimeOfDay()
+	records := make([]store.Record, 0, len(findings))
+	for _, found := range findings {
+		record, err := encodeFinding(found, sender{node: t.options.Node, now: now, timeOfDay: timeOfDay})
+		if err != nil {
+			t.options.Logger.Error("end of a server not shared", zap.String("server", found.end.Server.ID), zap.Error(err))
+			continue
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
+// nextUnsent returns what the next call is to write, the oldest first.
+func (t *Tracker) nextUnsent() []finding {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if over := len(t.unsent) - mostUnsent; over > 0 {
@@ -166,7 +196,7 @@
 // other nodes are to know.
 func (t *Tracker) addLocked(server directory.Incarnation, requests map[quarantine.Fingerprint]UnderWay) (added []quarantine.Fingerprint) {
 	for fingerprint, underWay := range requests {
-		end := quarantine.End{Fingerprint: fingerprint, Server: server, At: wallTime(), Progressed: underWay.Progressed}
+		end := quarantine.End{Fingerprint: fingerprint, Server: server, At: clock.Now(), Progressed: underWay.Progressed}
 		first := !t.ledger.Knows(fingerprint)
 		if !t.ledger.Add(end) {
 			continue
@@ -190,7 +220,7 @@
 func (t *Tracker) unshareLocked(ends []quarantine.End) {
 	for _, end := range ends {
 		if !t.unshared[end.Fingerprint] {
-			t.unsent = append(t.unsent, removal(end.Fingerprint, end.Server))
+			t.takeBackLocked(end)
 		}
 	}
 	for _, end := range ends {
@@ -201,11 +231,11 @@
 // shareLocked has ends written to the store.
 func (t *Tracker) shareLocked(ends ...quarantine.End) {
 	for _, end := range ends {
-		record, err := encodeEnd(end, t.options.Node)
-		if err != nil {
-			t.options.Logger.Error("end of a server not shared", zap.String("server", end.Server.ID), zap.Error(err))
-			continue
-		}
-		t.unsent = append(t.unsent, record)
+		t.unsent = append(t.unsent, finding{end: end})
 	}
 }
+
+// takeBackLocked has an end taken back in the store.
+func (t *Tracker) takeBackLocked(end quarantine.End) {
+	t.unsent = append(t.unsent, finding{end: end, takenBack: true})
+}
--- a/internal/crashwatch/sweep.go
+++ b/internal/crashwatch/sweep.go
@@ -19,13 +19,13 @@
 			t.dropLocked(broken)
 		}
 	}
-	for server, end := range t.ended {
-		if now.Sub(end.at) > endedFor {
+	for server, foundAt := range t.ended {
+		if now.Sub(foundAt) > endedFor {
 			delete(t.ended, server)
 		}
 	}
 	t.confirmLocked(now, tidies)
-	changed := t.forgetLocked(tidies) || t.ledger.HasUnclear()
+	changed := t.forgetLocked(now, tidies) || t.ledger.HasUnclear()
 	t.updateLocked()
 	t.mutex.Unlock()
 	if changed {
@@ -42,18 +42,18 @@
 func (t *Tracker) confirmLocked(now time.Time, tidies bool) {
 	for fingerprint, since := range t.held {
 		if now.Sub(since) >= confirmAfter && t.ledger.Confirm(fingerprint) && tidies {
-			t.shareLocked(quarantine.End{Fingerprint: fingerprint, At: wallTime()})
+			t.shareLocked(quarantine.End{Fingerprint: fingerprint, At: now})
 		}
 	}
 }
 
 // forgetLocked drops the requests under which no server has ended for long.
-func (t *Tracker) forgetLocked(tidies bool) bool {
-	expired := t.ledger.Expire(wallTime())
+func (t *Tracker) forgetLocked(now time.Time, tidies bool) bool {
+	expired := t.ledger.Expire(now)
 	if tidies {
 		t.unshareLocked(expired)
 		for _, end := range expired {
-			t.unsent = append(t.unsent, verdictRemoval(end.Fingerprint))
+			t.takeBackLocked(verdictOn(end.Fingerprint))
 		}
 	}
 	maps.DeleteFunc(t.unshared, func(fingerprint quarantine.Fingerprint, _ bool) bool { return !t.ledger.Knows(fingerprint) })
--- a/internal/crashwatch/tracker.go
+++ b/internal/crashwatch/tracker.go
@@ -37,6 +37,8 @@
 	Tidies func() bool
 	// Observer counts what the tracker finds; it may be nil.
 	Observer Observer
+	// TimeOfDay tells the machine's time of day; nil stands for that of package clock.
+	TimeOfDay func() time.Time
 }
 
 // Observer counts what a tracker finds.
@@ -62,9 +64,9 @@
 	// breaks are the servers that broke connections and may have ended.
 	breaks map[directory.Incarnation]*brokenServer
 	// ended are the lives of servers that have ended: what broke there is due to that.
-	ended map[directory.Incarnation]lifeEnd
-	// unsent are records to be written to the store.
-	unsent []store.Record
+	ended map[directory.Incarnation]time.Time
+	// unsent is what is to be written to the store.
+	unsent []finding
 	// unshared are the requests whose only end is known to this node alone.
 	unshared map[quarantine.Fingerprint]bool
 	// held are the requests that are proved to end servers, since when.
@@ -90,9 +92,12 @@
 	if options.Observer == nil {
 		options.Observer = noObserver{}
 	}
+	if options.TimeOfDay == nil {
+		options.TimeOfDay = clock.TimeOfDay
+	}
 	return &Tracker{
 		options: options, ledger: quarantine.NewLedger(options.Node),
-		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]lifeEnd),
+		breaks: make(map[directory.Incarnation]*brokenServer), ended: make(map[directory.Incarnation]time.Time),
 		unshared: make(map[quarantine.Fingerprint]bool), held: make(map[quarantine.Fingerprint]time.Time), alone: make(map[quarantine.Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
 	}
 }
@@ -117,7 +122,7 @@
 }
 
 func (t *Tracker) suspicionLocked(fingerprint quarantine.Fingerprint) quarantine.Suspicion {
-	known := t.ledger.Suspicion(wallTime(), fingerprint)
+	known := t.ledger.Suspicion(clock.Now(), fingerprint)
 	known.Held = known.Held || known.Unclear && t.alone[fingerprint]
 	for _, broken := range t.breaks {
 		if broken.ran(fingerprint) && broken.settling() {
@@ -131,7 +136,7 @@
 func (t *Tracker) Suspicions() map[quarantine.Fingerprint]quarantine.Suspicion {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	all := t.ledger.Suspicions(wallTime())
+	all := t.ledger.Suspicions(clock.Now())
 	for _, broken := range t.breaks {
 		if !broken.settling() {
 			continue
@@ -162,7 +167,7 @@
 	delete(t.alone, fingerprint)
 }
 
-// HoldEnds returns when the hold of a request ends by itself.
+// HoldEnds returns when the hold of a request ends by itself, by package clock.
 func (t *Tracker) HoldEnds(fingerprint quarantine.Fingerprint) time.Time {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -233,7 +238,7 @@
 	cleared := t.ledger.Clear(fingerprint)
 	t.unshareLocked(cleared)
 	if confirmed {
-		t.unsent = append(t.unsent, verdictRemoval(fingerprint))
+		t.takeBackLocked(verdictOn(fingerprint))
 	}
 	return changed || len(cleared) > 0
 }
@@ -252,11 +257,19 @@
 	return changed
 }
 
-// Cases returns the requests under which servers ended, for operators.
+// Cases returns the requests under which servers ended, for operators: the times are this machine's time of day.
 func (t *Tracker) Cases() []quarantine.Case {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.ledger.Cases()
+	cases := t.ledger.Cases()
+	timeOfDay := t.options.TimeOfDay()
+	for _, known := range cases {
+		for number := range known.Ends {
+			end := &known.Ends[number]
+			end.At = timeOfDay.Add(-clock.Since(end.At))
+		}
+	}
+	return cases
 }
 
 // Held returns the number of requests that are held.
@@ -277,13 +290,10 @@
 	return texts
 }
 
-// wallTime is the time of day, by which nodes tell each other when a server ended.
-func wallTime() time.Time { return time.Now().Round(0) }
-
 // updateLocked notes what has changed by the last inputs.
 func (t *Tracker) updateLocked() {
 	for fingerprint := range t.held {
-		if !t.ledger.Suspicion(wallTime(), fingerprint).Proved {
+		if !t.ledger.Suspicion(clock.Now(), fingerprint).Proved {
 			delete(t.held, fingerprint)
 			t.options.Logger.Info("request no longer held", zap.String("fingerprint", fingerprint.Short()))
 		}
@@ -304,7 +314,7 @@
 	for _, end := range known.Ends {
 		servers = append(servers, end.Server.ID)
 		births = append(births, end.Server.Born)
-		ages = append(ages, wallTime().Sub(end.At))
+		ages = append(ages, clock.Since(end.At))
 	}
 	t.options.Observer.ObserveHeld()
 	t.options.Logger.Warn("request held", zap.String("fingerprint", known.Fingerprint.String()),
--- a/internal/crashwatch/tracker_test.go
+++ b/internal/crashwatch/tracker_test.go
@@ -25,6 +25,8 @@
 	hang atomic.Int64
 	// suspension is how long the machine is suspended during a probe.
 	suspension atomic.Int64
+	// ahead is by how much the machine's time of day is ahead of the true one.
+	ahead atomic.Int64
 }
 
 func newDesk(ctx context.Context, log store.Log) *desk {
@@ -32,6 +34,7 @@
 	d.reach.Store(int32(ReachRefused))
 	d.Tracker = NewTracker(Options{
 		Node: "n", Log: log, Directory: d.list, Tidies: func() bool { return true },
+		TimeOfDay: func() time.Time { return clock.TimeOfDay().Add(time.Duration(d.ahead.Load())) },
 		Probe: func(context.Context, string) Reach {
 			d.probes.Add(1)
 			time.Sleep(time.Duration(d.hang.Load()))
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -79,7 +79,9 @@
 	LostLines func() int64
 	// Incarnation tells this process from earlier ones of the same node.
 	Incarnation string
-	Logger      *zap.Logger
+	// TimeOfDay tells the machine's time of day; nil stands for that of package clock.
+	TimeOfDay func() time.Time
+	Logger    *zap.Logger
 }
 
 // The timing of a node.
--- a/internal/frontend/quarantine.go
+++ b/internal/frontend/quarantine.go
@@ -21,7 +21,7 @@
 		Relay:    crashwatch.Relay{Read: n.readQuarantineRelayed, Put: n.putQuarantineRelayed},
 		Changed:  func() { n.coordinator.ObserveQuarantine() },
 		Tidies:   func() bool { return n.coordinator.State().Leading },
-		Observer: n.metrics,
+		Observer: n.metrics, TimeOfDay: n.options.TimeOfDay,
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,7 +199,7 @@
 	if !c.held {
 		return retryAfter
 	}
-	left := time.Until(c.gateway.options.Quarantine.HoldEnds(c.fingerprint()))
+	left := clock.Until(c.gateway.options.Quarantine.HoldEnds(c.fingerprint()))
 	return max(left.Truncate(time.Millisecond), heldRetryAfter)
 }
 
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -51,7 +51,8 @@
 type End struct {
 	Fingerprint Fingerprint
 	Server      directory.Incarnation
-	At          time.Time
+	// At is when the server had ended at the latest, by the clock of the node that keeps the end.
+	At time.Time
 	// Progressed says that the request had made events at the server.
 	Progressed bool
 }
@@ -116,9 +117,14 @@
 // Knows says whether any server has ended under a request, as far as is kept.
 func (l *Ledger) Knows(fingerprint Fingerprint) bool { return len(l.ends[fingerprint]) > 0 }
 
-// Add takes the end of a server under a request; it returns false for one that is known.
+// Add takes the end of a server under a request; it returns false for one that is known, of which it keeps the
+// earlier time: neither is before the server ended.
 func (l *Ledger) Add(end End) bool {
-	if _, known := l.ends[end.Fingerprint][end.Server]; known {
+	if known, found := l.ends[end.Fingerprint][end.Server]; found {
+		if end.At.Before(known.At) {
+			known.At = end.At
+			l.ends[end.Fingerprint][end.Server] = known
+		}
 		return false
 	}
 	if l.count >= mostEnds {
@@ -206,15 +212,26 @@
 	return last
 }
 
-// EndOf returns when a server ended under any of the requests, the last time that a node told; known is false
-// where none has.
+// EndOf returns when a server that ended under any of the requests had ended at the latest; known is false where it
+// did under none.
 func (l *Ledger) EndOf(server directory.Incarnation) (at time.Time, known bool) {
 	for fingerprint := range l.suspects[server] {
-		if end := l.ends[fingerprint][server]; end.At.After(at) {
-			at = end.At
+		if end := l.ends[fingerprint][server]; !known || end.At.Before(at) {
+			at, known = end.At, true
+		}
+	}
+	return at, known
+}
+
+// TakeTimes keeps the times that another ledger of the same node has of the ends of this one, where they are earlier.
+func (l *Ledger) TakeTimes(of *Ledger) {
+	for fingerprint, ends := range l.ends {
+		for server := range ends {
+			if known, found := of.ends[fingerprint][server]; found {
+				l.Add(known)
+			}
 		}
 	}
-	return at, len(l.suspects[server]) > 0
 }
 
 // Expire drops the requests under which no server has ended for long, and returns their ends.
@@ -229,7 +246,7 @@
 	return expired
 }
 
-// Suspicion returns what is known against a request at a time of day.
+// Suspicion returns what is known against a request at a time.
 func (l *Ledger) Suspicion(now time.Time, fingerprint Fingerprint) Suspicion {
 	known := Suspicion{Ends: len(l.ends[fingerprint])}
 	if known.Ends < endsProved {
