--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -26,7 +26,7 @@
 
 // TimeOfDay returns the machine's time of day. It differs between machines and may step: it is for people and
 // for what the outside names by a date, and no rule compares it with another machine's.
-func TimeOfDay() time.Time { return time.Now().Round(0) }
+func TimeOfDay() time.Time { return timeOfDay() }
 
 // Since returns the time since a moment that Now told.
 func Since(moment time.Time) time.Duration { return Now().Sub(moment) }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -75,15 +75,15 @@
 
 // Clock tells the time of day as it was at its start plus what a steady clock counted since:
 // steps of the machine's time of day do not move it.
-type Clock struct{ began time.Time }
+type Clock struct{ began, timeOfDay time.Time }
 
 // NewClock returns a clock that starts from the machine's time of day.
-func NewClock() Clock { return Clock{began: clock.Now()} }
+func NewClock() Clock { return Clock{began: clock.Now(), timeOfDay: clock.TimeOfDay()} }
 
 // Now returns the time.
 func (c Clock) Now() time.Time { return c.At(clock.Now()) }
 
 // At returns the time of a reading of the machine's clock, which bears a steady one.
 func (c Clock) At(reading time.Time) time.Time {
-	return c.began.Round(0).Add(reading.Sub(c.began))
+	return c.timeOfDay.Add(reading.Sub(c.began))
 }
