Fan-out: in a large fleet the coordinator tells how far the operator's topic goes, and a large configuration goes from node to node

Cause: each node reads all of it from one store that reads 80 MB a second for all. Evidence: put while all is well 826 of 1,000 and 1,826 of 2,000 lack it after 4 s, whatever it holds (zeros, routes with names of their own, random bytes); with the coordinator lost 825. Ruled out: the outage, the election.

Change: the holder of the lease tells with claims and renewals how far it has read (at once where that is further than it told); the others do not ask the store. Small records are read when told, those of 32 KB and more are given by the coordinator to eight nodes, by each of these to eight, and so on. Silence of the coordinator counts only while the store answers, and nodes that read alone do so one after the other, so that none of it meets the store's return at once. Ages count from the question, over the hop: what was told came after the read before.

The harness wires its whole fleet as the product does, and charges reads of the newest records; check, bound and size are untouched.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	@test ! -s KNOWN-RED.txt || { echo "Passed over (KNOWN-RED.txt):"; cat KNOWN-RED.txt; }
 	./.ci/check-sequential $(SEQUENTIAL)
 	$(GO) test -count=1 -timeout 15m $(SKIP) $(SEQUENTIAL)
-	$(GO) test -count=1 -timeout 15m -run '^Test(AFleetIsBack|NodesThatTheStore|ALargeConfiguration)' $(SKIP) ./internal/frontend
+	$(GO) test -count=1 -timeout 15m -run '^Test(AFleetIsBack|NodesThatTheStore|ALargeConfiguration|AWholeFleetStarts)' $(SKIP) ./internal/frontend
 	$(GO) test -count=1 -timeout 15m -run '^TestAFleet' $(SKIP) ./internal/serverlist
 
 race:
--- a/internal/election/machine.go
+++ b/internal/election/machine.go
@@ -32,6 +32,27 @@
 	Asks bool `json:",omitempty"`
 	// Epoch is one more than the offset of the holder's claim; claims have none.
 	Epoch int64 `json:",omitempty"`
+	// News is what the holder tells all nodes; nil where it tells nothing, as do builds without it.
+	News *News `json:",omitempty"`
+}
+
+// News is what a holder tells all nodes, in its claims and renewals, of a topic that it reads for them.
+type News struct {
+	// Next is the offset after what it has read.
+	Next int64
+	// Large is the offset after the last record that is too large for all nodes to read from the store; 0 for none.
+	Large int64 `json:",omitempty"`
+	// AgeMs is how long before the record was made it had asked the store, in milliseconds.
+	AgeMs int64 `json:",omitempty"`
+}
+
+func (n *News) age() time.Duration { return time.Duration(n.AgeMs) * time.Millisecond }
+
+// Heard is news as another node heard it.
+type Heard struct {
+	News
+	// At is when the store was asked, at the latest, and HeardAt when this node read the news, by its clock.
+	At, HeardAt time.Time
 }
 
 // Timing holds the durations of a lease.
@@ -142,6 +163,14 @@
 	// predecessor held the lease before the last claim, and answered at
 	// predecessorAddress.
 	predecessor, predecessorAddress string
+	// news is what this process tells while it holds the lease, told the Next of what it told last.
+	news *News
+	told int64
+	// heardNews is the last that the holder told; nil for none.
+	heardNews *Heard
+	// endAsked is when the log was asked for that was read to its end last, at readAt: what is read later was
+	// appended after that. See Standing for readSince.
+	endAsked, readAt, readSince time.Time
 }
 
 // NewMachine returns the machine of a node called self, a name that no other
@@ -157,6 +186,7 @@
 	Payload []byte
 	// Renews says that the append extends a lease that is held.
 	Renews bool
+	news   *News
 }
 
 // End returns the offset from which to read on.
@@ -181,13 +211,19 @@
 	// Established says that the holder is another process, which held the lease before this one
 	// began, and has renewed it since: the fleet was running already.
 	Established bool
+	// News is what the coordinator told last; nil where it tells nothing.
+	News *Heard
+	// ReadAt is when the log was last read to its end, ReadSince since when all reads were answered; that is zero
+	// while they are not.
+	ReadAt, ReadSince time.Time
 }
 
 // Standing returns this node's place.
 func (m *Machine) Standing(now time.Time) Standing {
 	lease, held := m.Held(now)
 	leading := m.holder == m.self && lease.Epoch == m.epoch && !lease.ClaimedAt.IsZero() && m.gaveUp != m.epoch
-	return Standing{Lease: lease, Held: held, Leading: leading, Coordinator: m.coordinator(), CoordinatorAsks: m.holderAsks, Established: m.established()}
+	return Standing{Lease: lease, Held: held, Leading: leading, Coordinator: m.coordinator(), CoordinatorAsks: m.holderAsks, Established: m.established(), News: m.heardNews,
+		ReadAt: m.readAt, ReadSince: m.readSince}
 }
 
 // coordinator returns where another process answers that holds the lease, as far as is known.
@@ -230,9 +266,11 @@
 		m.heldBefore = !m.caughtUp
 		m.epoch = offset + 1
 		m.seenAt = now
+		m.hear(now, read.News)
 	case kindRenew:
 		if read.Holder == m.holder && read.Epoch == m.epoch {
 			m.seenAt = now
+			m.hear(now, read.News)
 			m.heard = m.caughtUp
 			m.clearDoubt()
 		}
@@ -245,6 +283,27 @@
 	return nil
 }
 
+// hear takes what the holder told.
+func (m *Machine) hear(now time.Time, news *News) {
+	if news == nil {
+		m.heardNews = nil
+		return
+	}
+	m.heardNews = &Heard{News: *news, At: m.endAsked.Add(-news.age()), HeardAt: now}
+}
+
+// HandleReadToEnd notes that the log was read to its end, as it stood when the store was asked or later.
+func (m *Machine) HandleReadToEnd(now, asked time.Time) {
+	m.endAsked, m.readAt = asked, now
+	if m.readSince.IsZero() {
+		m.readSince = now
+	}
+}
+
+// SetNews has this process tell news while it holds the lease: at once where they go further than what it
+// told last, else with the next renewal.
+func (m *Machine) SetNews(news *News) { m.news = news }
+
 // clearDoubt forgets what asking after the holder told.
 func (m *Machine) clearDoubt() {
 	m.ended, m.certain, m.yields = false, false, false
@@ -252,7 +311,7 @@
 }
 
 // HandleReadFailure notes that the store could not be read.
-func (m *Machine) HandleReadFailure(now time.Time) { m.readFailedAt = now }
+func (m *Machine) HandleReadFailure(now time.Time) { m.readFailedAt, m.readSince = now, time.Time{} }
 
 // HandleTrimmed continues at the first record that is kept.
 func (m *Machine) HandleTrimmed(first int64) { m.end = max(m.end, first) }
@@ -270,7 +329,7 @@
 	if m.leaving || m.freeAt.IsZero() || m.ClaimIn(now) > 0 {
 		return nil
 	}
-	return m.append(entry{Kind: kindClaim, Holder: m.self, Address: m.address, Asks: true}, false)
+	return m.append(entry{Kind: kindClaim, Holder: m.self, Address: m.address, Asks: true, News: m.news}, false)
 }
 
 // noteFree notes since when the lease may be claimed.
@@ -288,12 +347,15 @@
 	if m.leaving || m.gaveUp == m.epoch {
 		return m.append(entry{Kind: kindRelease, Holder: m.self, Epoch: m.epoch}, false)
 	}
-	if now.Sub(m.renewedAt) < m.timing.Renewal {
+	if now.Sub(m.renewedAt) < m.timing.Renewal && !m.hasNews() {
 		return nil
 	}
-	return m.append(entry{Kind: kindRenew, Holder: m.self, Epoch: m.epoch}, true)
+	return m.append(entry{Kind: kindRenew, Holder: m.self, Epoch: m.epoch, News: m.news}, true)
 }
 
+// hasNews says whether this process knows more than it told.
+func (m *Machine) hasNews() bool { return m.news != nil && m.news.Next > m.told }
+
 // Doubtful returns the holder to ask after: another process that was not heard of
 // for longer than it takes to renew, or not at all since this process started. The
 // log was read to its end.
@@ -396,7 +458,7 @@
 	if err != nil {
 		panic(err) // an entry holds only text and numbers
 	}
-	return &Append{End: m.end, Payload: payload, Renews: renews}
+	return &Append{End: m.end, Payload: payload, Renews: renews, news: e.News}
 }
 
 // HandleAppended notes that an append which was sent at sentAt stands at offset.
@@ -410,6 +472,9 @@
 	if m.held.Epoch != m.epoch || m.held.ClaimedAt.IsZero() {
 		m.held = Lease{Epoch: m.epoch, ClaimedAt: now, Succeeded: m.succeeded, Contested: m.contested, Yielded: m.yielded}
 	}
+	if appended.news != nil {
+		m.told = appended.news.Next
+	}
 	m.renewedAt = sentAt
 	m.held.Until = sentAt.Add(m.timing.TTL - m.timing.Margin)
 }
--- a/internal/election/run.go
+++ b/internal/election/run.go
@@ -43,6 +43,8 @@
 	// Hold is told of this process's own lease; it may be nil.
 	Hold   *Hold
 	Logger *zap.Logger
+	// News returns what this node tells the others while it holds the lease, nil for nothing; it may be nil.
+	News func() *News
 	// Observe is told after each step how this node stands.
 	Observe func(Standing)
 	// Leaving is closed when the node is to release the lease for good.
@@ -117,6 +119,7 @@
 	if claimIn := r.machine.ClaimIn(clock.Now()); claimIn > 0 {
 		wait = min(wait, claimIn)
 	}
+	asked := clock.Now()
 	batch, err := r.Log.Read(ctx, r.at, r.machine.End(), wait)
 	r.failing = err != nil
 	var trimmed *store.TrimmedError
@@ -133,7 +136,11 @@
 			r.Logger.Error("record void", zap.Error(err))
 		}
 	}
-	return r.machine.End() >= batch.End, nil
+	caughtUp = r.machine.End() >= batch.End
+	if caughtUp {
+		r.machine.HandleReadToEnd(now, asked)
+	}
+	return caughtUp, nil
 }
 
 // ask asks after a holder that was not heard of.
@@ -180,6 +187,9 @@
 
 func (r *runner) append(ctx context.Context) error {
 	sentAt := clock.Now()
+	if r.News != nil {
+		r.machine.SetNews(r.News())
+	}
 	wanted := r.machine.Tick(sentAt)
 	if wanted == nil {
 		return nil
--- /dev/null
+++ b/internal/fanout/builds_test.go
@@ -0,0 +1,30 @@
+package fanout
+
+import (
+	"context"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"dalehook/internal/clock"
+	"dalehook/internal/nodecall/nodecalltest"
+	"dalehook/internal/store"
+)
+
+// A node of a build that gives nothing to others is no node that has nothing: the asker is told of an error, and
+// reads the store.
+func TestANodeOfAnEarlierBuildGivesNothing(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	question := Question{From: -1, Next: 2, Asker: "x"}
+	if answer, err := Fetch(ctx, CallNode, nodecalltest.Serve(t), question); err == nil {
+		t.Errorf("%+v", answer)
+	}
+	source := NewSource()
+	source.Take([]store.Record{record(1, "a", "1")}, true, 2)
+	source.NoteAsked(clock.Now())
+	address := nodecalltest.Serve(t, func(server *rpc.Server) error { return Register(server, source) })
+	if answer, err := Fetch(ctx, CallNode, address, question); err != nil || !answer.Whole || answer.Next != 2 || len(answer.Records) != 1 {
+		t.Errorf("%+v, %v", answer, err)
+	}
+}
--- /dev/null
+++ b/internal/fanout/guide_test.go
@@ -0,0 +1,109 @@
+package fanout
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"dalehook/internal/clock"
+	"dalehook/internal/follow"
+)
+
+// Where a node reads next, and how long it has nothing to read.
+func TestWhereANodeReads(t *testing.T) {
+	now := clock.Now()
+	ago := func(age time.Duration) time.Time { return now.Add(-age) }
+	news := func(next, large int64, heard time.Duration) *News {
+		return &News{Next: next, Large: large, HeardAt: ago(heard), At: ago(heard + time.Second), From: "a"}
+	}
+	old := news(5, 0, 100*time.Millisecond)
+	old.Age = oldestTold + 1
+	inContact := func(n *News) Report { return Report{News: n, ReadAt: now, ReadSince: ago(time.Hour)} }
+	cases := []struct {
+		name   string
+		report Report
+		from   int64
+		share  float64
+		way    follow.Way
+		waits  bool
+	}{
+		{"nobody tells", Report{ReadAt: now, ReadSince: ago(time.Hour)}, 5, 0, follow.WayStore, false},
+		{"this node tells", Report{Tells: true}, 5, 0, follow.WayStoreBriefly, false},
+		{"all is known", inContact(news(5, 2, 0)), 5, 0, 0, true},
+		{"more is known than the coordinator tells", inContact(news(5, 2, 0)), 7, 0, 0, true},
+		{"something small is new", inContact(news(6, 2, 0)), 5, 0, follow.WayStoreNow, false},
+		{"something large is new", inContact(news(6, 6, 0)), 5, 0, follow.WayFetch, false},
+		{"nothing is known", inContact(news(6, 0, 0)), -1, 0, follow.WayFetch, false},
+		{"the coordinator has just fallen silent", inContact(news(5, 2, silentFor-1)), 5, 0, 0, true},
+		{"it is silent for long, a node that is early", inContact(news(5, 2, silentFor)), 5, 0, follow.WayStore, false},
+		{"it is silent for long, a node that is late", inContact(news(5, 2, silentFor)), 5, 0.9, 0, true},
+		{"it is silent for longer, a node that is late", inContact(news(5, 2, silentFor+silentSpread)), 5, 0.9, follow.WayStore, false},
+		{"the coordinator itself does not know what is new", inContact(old), 5, 0, follow.WayStore, false},
+		{"the store answers again, and the coordinator could not tell", Report{News: news(5, 2, time.Minute), ReadAt: now, ReadSince: ago(time.Second)}, 5, 0, 0, true},
+		{"the store has just fallen silent", Report{News: news(5, 2, time.Second), ReadAt: ago(time.Second)}, 5, 0, follow.WayOthers, false},
+		{"it is silent for long, a node that is early", Report{News: news(5, 2, time.Second), ReadAt: ago(lostFor)}, 5, 0, follow.WayStoreTry, false},
+		{"it is silent for long, a node that is late", Report{News: news(5, 2, time.Second), ReadAt: ago(lostFor)}, 5, 0.9, follow.WayOthers, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewGuide(GuideOptions{Share: c.share})
+			g.Observe(c.report)
+			way, wait, _ := g.decide(now, c.from)
+			if c.waits != (wait > 0) || !c.waits && way != c.way {
+				t.Errorf("way %d after %v", way, wait)
+			}
+		})
+	}
+}
+
+// A change that no node gives is read from the store in the end, by nodes one after the other.
+func TestAChangeThatNobodyGivesIsReadFromTheStore(t *testing.T) {
+	g := NewGuide(GuideOptions{Share: 0.5})
+	now := clock.Now()
+	g.Observe(Report{News: &News{Next: 6, Large: 6, HeardAt: now, At: now}, ReadAt: now, ReadSince: now})
+	for range fetchTries {
+		if way, _, _ := g.decide(clock.Now(), 5); way != follow.WayFetch {
+			t.Errorf("way %d", way)
+		}
+		g.Note(follow.WayFetch, errors.New("nobody"))
+	}
+	way, wait, _ := g.decide(clock.Now(), 5)
+	if way != follow.WayStoreNow || wait <= 0 || wait > fallbackSpread/2 {
+		t.Errorf("way %d after %v", way, wait)
+	}
+}
+
+// A node that the store does not tell of the coordinator goes on alone where the store answers it, and leaves
+// it alone for a while where it does not.
+func TestANodeThatTriesAlone(t *testing.T) {
+	lost := Report{News: &News{Next: 5, HeardAt: clock.Now()}, ReadAt: clock.Now().Add(-lostFor)}
+	g := NewGuide(GuideOptions{})
+	g.Observe(lost)
+	g.Note(follow.WayStoreTry, errors.New("refused"))
+	if way, _, _ := g.decide(clock.Now(), 5); way != follow.WayOthers {
+		t.Errorf("after a failure: way %d", way)
+	}
+	if way, _, _ := g.decide(clock.Now().Add(aloneRetry), 5); way != follow.WayStoreTry {
+		t.Errorf("long after a failure: way %d", way)
+	}
+	g.Note(follow.WayStoreTry, nil)
+	if way, _, _ := g.decide(clock.Now(), 5); way != follow.WayStore {
+		t.Errorf("after an answer: way %d", way)
+	}
+}
+
+// A node's knowledge is as young as the coordinator's, as it was told, and only where it knows as much.
+func TestANodeThatKnowsLessIsNotUpToDate(t *testing.T) {
+	var upTo []time.Time
+	g := NewGuide(GuideOptions{UpToDate: func(at time.Time) { upTo = append(upTo, at) }})
+	now := clock.Now()
+	g.Observe(Report{News: &News{Next: 6, HeardAt: now, At: now.Add(-time.Second)}, ReadAt: now, ReadSince: now})
+	g.decide(now, 5)
+	if len(upTo) > 0 {
+		t.Error("up to date without the change")
+	}
+	g.decide(now, 6)
+	if len(upTo) != 1 || !upTo[0].Equal(now.Add(-time.Second)) {
+		t.Errorf("up to date as of %v", upTo)
+	}
+}
--- a/internal/follow/keyed.go
+++ b/internal/follow/keyed.go
@@ -48,6 +48,9 @@
 	Replace func([]store.Record)
 	// Change takes the records that came since, in order.
 	Change func([]store.Record)
+	// Took is told of all that was taken, by whatever way: the records, whether they replace what was known, and
+	// the offset that follows. It may be nil.
+	Took func(records []store.Record, whole bool, next int64)
 	// Read is told of each answered read, also where nothing had changed: the offset
 	// that follows what was read, whether that was the end, and when the read was asked. The
 	// answer tells what stood there then; it may have been held, and be late.
@@ -55,6 +58,10 @@
 	// Relayed reads the topic from an offset by way of another node, for when the store turns
 	// this one away; below 0 it reads the newest records. It may be nil.
 	Relayed func(ctx context.Context, from int64) (Relay, error)
+	// Guide says where to read next; nil stands for the store, always.
+	Guide Guide
+	// Fetch has a change from other nodes that were given it already. It is not nil where there is a guide.
+	Fetch func(ctx context.Context, from int64) (Relay, error)
 	// From is the offset to begin at, all before it being known; without FromKnown
 	// the newest records are read first.
 	From      int64
@@ -73,13 +80,28 @@
 // Keyed follows a keyed topic until the context ends. It starts from the newest
 // records, and again whenever the store has dropped what it had not read.
 func Keyed(ctx context.Context, options KeyedOptions) {
+	if options.Guide == nil {
+		options.Guide = storeAlone{}
+	}
+	if options.Took == nil {
+		options.Took = func([]store.Record, bool, int64) {}
+	}
 	reader := keyedReader{KeyedOptions: options, next: -1, outage: Outage{Logger: options.Logger}}
 	if options.FromKnown {
 		reader.next, reader.seen = options.From, options.From
 	}
 	pace := Pace{Base: options.Pace, Most: slowestRead, Retry: retryPause}
 	for ctx.Err() == nil {
-		err := reader.advance(ctx)
+		way := options.Guide.Await(ctx, reader.next)
+		if way == WayFetch {
+			options.Guide.Note(way, reader.fetch(ctx))
+			continue
+		}
+		err := errStoreLeft
+		if way != WayOthers {
+			err = reader.advance(ctx, way)
+			options.Guide.Note(way, err)
+		}
 		reader.failing = err != nil
 		if err != nil && options.Relayed != nil {
 			reader.advanceRelayed(ctx)
@@ -128,17 +150,17 @@
 	return l.records[len(l.records)-1].Key
 }
 
-func (r *keyedReader) advance(ctx context.Context) error {
+func (r *keyedReader) advance(ctx context.Context, way Way) error {
 	if r.next < 0 {
 		return r.load(ctx)
 	}
-	wait := r.Wait
+	wait := way.wait(r.Wait)
 	if r.failing {
 		// Whether the store answers again is to be known at once.
 		wait = 0
 	}
 	bound := r.Wait + answerTime
-	if !r.Large {
+	if !r.Large || way == WayStoreTry {
 		bound = wait + answerTime
 	}
 	call, cancel := context.WithTimeout(ctx, bound)
@@ -157,6 +179,7 @@
 		r.Change(batch.Records)
 	}
 	r.next = batch.Next
+	r.Took(batch.Records, false, r.next)
 	r.seen = max(r.seen, batch.Next)
 	r.behind = r.next < batch.End && len(batch.Records) > 0
 	r.Read(r.next, r.next >= batch.End, asked)
@@ -182,8 +205,13 @@
 		r.Logger.Debug("no other node reads the store", zap.Stringer("topic", r.Topic), zap.Error(err))
 		return
 	}
+	r.take(relay)
+}
+
+// take takes what another node knows, unless that is less than what is known here.
+func (r *keyedReader) take(relay Relay) {
 	if relay.Next < r.seen {
-		return // that node's store is behind what is known here
+		return
 	}
 	switch {
 	case relay.Whole:
@@ -192,6 +220,18 @@
 		r.Change(relay.Records)
 	}
 	r.next, r.seen = relay.Next, relay.Next
+	r.Took(relay.Records, relay.Whole, r.next)
+}
+
+// fetch has a change from another node that was given it.
+func (r *keyedReader) fetch(ctx context.Context) error {
+	relay, err := r.Fetch(ctx, r.next)
+	if err != nil {
+		r.Logger.Info("change not given", zap.Stringer("topic", r.Topic), zap.Int64("offset", r.next), zap.Error(err))
+		return err
+	}
+	r.take(relay)
+	return nil
 }
 
 var errStaleList = errors.New("list is older than what was read")
@@ -214,6 +254,7 @@
 	r.Replace(read.records)
 	r.next = read.end
 	r.seen = read.end
+	r.Took(read.records, true, r.next)
 	r.Read(r.next, true, read.asked)
 	return nil
 }
--- a/internal/frontend/leading.go
+++ b/internal/frontend/leading.go
@@ -47,6 +47,7 @@
 	n.standing.Store(&standing)
 	n.peers.Note(standing.Coordinator)
 	n.coordinator.ObserveLease(standing)
+	n.guideOperator(standing)
 }
 
 // coordinatorEstablished says whether another node has coordinated since before this process started.
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -20,6 +20,7 @@
 	"dalehook/internal/directory"
 	"dalehook/internal/drain"
 	"dalehook/internal/election"
+	"dalehook/internal/fanout"
 	"dalehook/internal/follow"
 	"dalehook/internal/gateway"
 	"dalehook/internal/joblog"
@@ -116,6 +117,11 @@
 	metrics *nodeMetrics
 	// operatorReadAt is when the store last answered what the newest configuration is.
 	operatorReadAt moment
+	// operatorGuide says where this node reads what operators put, operatorSource holds it for other nodes.
+	operatorGuide  *fanout.Guide
+	operatorSource *fanout.Source
+	// storeAnsweredAt is when the store last carried out any call of this node.
+	storeAnsweredAt moment
 	// configuredAt is when the store was asked, by this node or another, for what was
 	// answered last of the newest configuration.
 	configuredAt moment
@@ -148,6 +154,7 @@
 func NewNode(options Options) *Node {
 	adapter, logger := options.Adapter, options.Logger
 	n := &Node{options: options, logger: logger.Named("node"), left: make(chan struct{}), directory: directory.NewDirectory(), startedAt: clock.Now()}
+	n.operatorGuide, n.operatorSource = n.newOperatorGuide(), fanout.NewSource()
 	n.metrics = newNodeMetrics(n, options.LostLines)
 	n.quarantine = n.newQuarantine(logger)
 	n.zones = evacuatedZones{directory: n.directory, changed: n.observeServers, logger: n.logger}
@@ -155,7 +162,7 @@
 		Backend: adapter.Backend(), Directory: n.directory, Node: options.Settings.Node, Zone: options.Settings.Zone, Quarantine: n.quarantine,
 		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest, Began: n.noteBegan,
 	})
-	adapter.ObserveStore(n.metrics.observeStore)
+	adapter.ObserveStore(n.observeStore)
 	n.jobs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
@@ -194,7 +201,8 @@
 	var background conc.WaitGroup
 	calls := rpc.NewServer()
 	if err := errors.Join(liveness.Register(calls, n.process(), n), jobread.Register(calls, n.jobReader), usage.Register(calls, n.options.Adapter.Log()),
-		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers)), crashwatch.Register(calls, n.quarantine), nodestatus.Register(calls, n)); err != nil {
+		storeproxy.Register(calls, storeproxy.NewProxy(n.options.Adapter.Log(), &n.peers)), crashwatch.Register(calls, n.quarantine), nodestatus.Register(calls, n),
+		fanout.Register(calls, n.operatorSource)); err != nil {
 		return err
 	}
 	background.Go(func() {
@@ -238,7 +246,7 @@
 		election.Run(ctx, election.Options{
 			Log: log, Self: n.process(), Address: n.options.Settings.Listen.Internal, Timing: leaseTiming(n.options.Settings), Ask: n.askHolder,
 			Hold:   &n.hold,
-			Logger: n.options.Logger.Named("election"), Observe: n.observeLease, Leaving: n.left,
+			Logger: n.options.Logger.Named("election"), Observe: n.observeLease, Leaving: n.left, News: n.operatorNews,
 		})
 	})
 	background.Go(func() { n.sweep(ctx) })
@@ -251,14 +259,6 @@
 	}
 }
 
-// operatorFollowing says how this node follows what operators and trainers put.
-func (n *Node) operatorFollowing(log store.Log) follow.KeyedOptions {
-	return follow.KeyedOptions{
-		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: n.operatorHold(), Large: true, Logger: n.options.Logger.Named("operator"),
-		Replace: n.replaceOperator, Change: n.handleOperator, Read: n.noteOperatorRead, Relayed: n.readRelayed,
-	}
-}
-
 // sharedServices returns which services all nodes send requests to: not the pools of engines that no
 // route for single requests names, since batch jobs are run by the coordinator alone. It returns nil
 // while no configuration is known.
@@ -411,24 +411,3 @@
 	n.coordinator.ObserveTable(table)
 	n.coordinator.ObserveServers()
 }
-
-// noteOperatorRead notes that the store, asked at asked, said what the newest configuration is.
-func (n *Node) noteOperatorRead(_ int64, _ bool, asked time.Time) {
-	n.operatorReadAt.advance(clock.Now())
-	n.configuredAt.advance(asked)
-}
-
-// readRelayed has another node read what the operator put.
-func (n *Node) readRelayed(ctx context.Context, from int64) (follow.Relay, error) {
-	asked := clock.Now()
-	answer, err := storeproxy.Ask(ctx, &n.peers, storeproxy.Question{From: from})
-	if err != nil {
-		return follow.Relay{}, err
-	}
-	n.configuredAt.advance(asked.Add(-answer.Age))
-	return relayOf(answer), nil
-}
-
-func relayOf(answer storeproxy.Answer) follow.Relay {
-	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}
-}
--- a/internal/frontend/outage_test.go
+++ b/internal/frontend/outage_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/election"
+	"dalehook/internal/fanout"
 	"dalehook/internal/follow"
 	"dalehook/internal/liveness"
 	"dalehook/internal/pause"
@@ -137,11 +138,7 @@
 	if err != nil {
 		return read, err
 	}
-	size := 0
-	for _, record := range read.Records {
-		size += len(record.Value)
-	}
-	if !pause.For(ctx, l.send(size)) {
+	if !pause.For(ctx, l.send(sizeOf(read.Records))) {
 		return store.Batch{}, ctx.Err()
 	}
 	return read, nil
@@ -151,7 +148,22 @@
 	if err := l.enter(ctx); err != nil {
 		return nil, 0, err
 	}
-	return l.memory.Newest(ctx, topic)
+	records, end, err := l.memory.Newest(ctx, topic)
+	if err != nil {
+		return nil, 0, err
+	}
+	if !pause.For(ctx, l.send(sizeOf(records))) {
+		return nil, 0, ctx.Err()
+	}
+	return records, end, nil
+}
+
+func sizeOf(records []store.Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Value)
+	}
+	return size
 }
 
 func (l nodeLog) Trim(ctx context.Context, at store.Partition, before int64) error {
@@ -166,23 +178,71 @@
 	hold  election.Hold
 	peers storeproxy.Peers
 	proxy *storeproxy.Proxy
+	// stop ends the node, stopped says that it was.
+	stop    context.CancelFunc
+	stopped bool
+
 	mutex sync.Mutex
 	held  bool
 	known int
+	// value is what was learned last, at an offset; wentBack says that something earlier was learned after it.
+	value    []byte
+	offset   int64
+	wentBack bool
+
+	// guide and source are nil in a fleet whose coordinator tells the others nothing.
+	guide  *fanout.Guide
+	source *fanout.Source
+	// link is the node's way to other nodes.
+	link nodeLink
+}
+
+// linkBytesPerSecond is what a node sends to all others.
+const linkBytesPerSecond = 75e6
+
+// nodeLink sends one answer after another.
+type nodeLink struct {
+	mutex  sync.Mutex
+	freeAt time.Time
+}
+
+// send returns how long an answer of a size takes, with those before it.
+func (l *nodeLink) send(size int) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(size) / linkBytesPerSecond * float64(time.Second)))
+	return l.freeAt.Sub(now)
 }
 
 func (n *fleetNode) observe(standing election.Standing) {
 	n.peers.Note(standing.Coordinator)
+	if n.guide != nil {
+		n.guide.Observe(reportOf(standing, true))
+	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.held = standing.Held
 }
 
+// news is Node.operatorNews in a large fleet.
+func (n *fleetNode) news() *election.News {
+	if n.source == nil {
+		return nil
+	}
+	return newsOf(n.source)
+}
+
 func (n *fleetNode) learn(records []store.Record) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	for _, record := range records {
 		n.known = max(n.known, len(record.Value))
+		n.wentBack = n.wentBack || record.Offset < n.offset
+		n.value, n.offset = record.Value, record.Offset
 	}
 }
 
@@ -194,38 +254,97 @@
 
 // fleetOfNodes runs hundreds of nodes before one store.
 type fleetOfNodes struct {
-	store *fleetStore
-	nodes []*fleetNode
+	store   *fleetStore
+	nodes   []*fleetNode
+	ctx     context.Context
+	running *sync.WaitGroup
+	// large says that the coordinator tells the others what is put.
+	large bool
 }
 
 func startFleet(ctx context.Context, running *sync.WaitGroup, nodes int) *fleetOfNodes {
-	f := &fleetOfNodes{store: &fleetStore{memory: storetest.NewMemory()}}
+	return startFleetWith(ctx, running, nodes, nil)
+}
+
+// startFleetWith starts a fleet before a store that holds a configuration already, nil for none.
+func startFleetWith(ctx context.Context, running *sync.WaitGroup, nodes int, configuration []byte) *fleetOfNodes {
+	f := &fleetOfNodes{store: &fleetStore{memory: storetest.NewMemory()}, ctx: ctx, running: running, large: nodes >= wholeFleetNodes}
+	if configuration != nil {
+		f.store.memory.Put(store.TopicOperator, "config", configuration)
+	}
 	for number := range nodes {
-		log := nodeLog{fleetStore: f.store, node: number}
-		node := &fleetNode{}
-		node.proxy = storeproxy.NewProxy(log, &node.peers)
-		f.nodes = append(f.nodes, node)
-		name := fmt.Sprint(number)
-		settings := &Settings{Node: name}
-		running.Add(2)
-		go func() {
-			defer running.Done()
-			election.Run(ctx, election.Options{
-				Log: log, Self: name, Address: name, Timing: leaseTiming(settings), Hold: &node.hold, Logger: zap.NewNop(),
-				Observe: node.observe, Leaving: make(chan struct{}), Ask: f.askFrom(name),
-			})
-		}()
-		go func() {
-			defer running.Done()
-			follow.Keyed(ctx, follow.KeyedOptions{
-				Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Large: true, Logger: zap.NewNop(),
-				Replace: node.learn, Change: node.learn, Read: func(int64, bool, time.Time) {}, Relayed: f.relayed(node),
-			})
-		}()
+		f.startNode(float64(number) / float64(nodes))
 	}
 	return f
 }
 
+// startNode adds a node to the fleet, whose place among all is a share.
+func (f *fleetOfNodes) startNode(share float64) *fleetNode {
+	ctx, stop := context.WithCancel(f.ctx)
+	number := len(f.nodes)
+	log := nodeLog{fleetStore: f.store, node: number}
+	node := &fleetNode{stop: stop}
+	node.proxy = storeproxy.NewProxy(log, &node.peers)
+	f.nodes = append(f.nodes, node)
+	name := fmt.Sprint(number)
+	settings := &Settings{Node: name}
+	following := follow.KeyedOptions{
+		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Large: true, Logger: zap.NewNop(),
+		Replace: node.learn, Change: node.learn, Read: func(int64, bool, time.Time) {}, Relayed: f.relayed(node),
+	}
+	if f.large {
+		f.fanOut(node, name, share, &following)
+	}
+	f.running.Add(2)
+	go func() {
+		defer f.running.Done()
+		election.Run(ctx, election.Options{
+			Log: log, Self: name, Address: name, Timing: leaseTiming(settings), Hold: &node.hold, Logger: zap.NewNop(),
+			Observe: node.observe, Leaving: make(chan struct{}), Ask: f.askFrom(name), News: node.news,
+		})
+	}()
+	go func() {
+		defer f.running.Done()
+		follow.Keyed(ctx, following)
+	}()
+	return node
+}
+
+// fanOut has a node follow the topic as those of a large fleet do.
+func (f *fleetOfNodes) fanOut(node *fleetNode, name string, share float64, following *follow.KeyedOptions) {
+	node.source = fanout.NewSource()
+	node.guide = fanout.NewGuide(fanout.GuideOptions{Share: share, UpToDate: node.source.NoteAsked})
+	following.Guide, following.Took = node.guide, node.source.Take
+	following.Read = func(_ int64, _ bool, asked time.Time) { node.source.NoteAsked(asked) }
+	following.Fetch = func(ctx context.Context, from int64) (follow.Relay, error) {
+		asked, news := time.Now(), node.guide.News()
+		answer, err := fanout.Fetch(ctx, f.take, news.From, fanout.Question{From: from, Next: news.Next, Asker: name})
+		if err != nil {
+			return follow.Relay{}, err
+		}
+		node.source.NoteAsked(asked.Add(-answer.Age))
+		return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
+	}
+}
+
+var errNoAddress = fmt.Errorf("no address")
+
+// take asks a node for a change, which comes over that node's link.
+func (f *fleetOfNodes) take(ctx context.Context, address string, question fanout.Question) (fanout.Answer, error) {
+	if address == "" {
+		return fanout.Answer{}, errNoAddress
+	}
+	giver := f.at(address)
+	if giver.isStopped() {
+		return fanout.Answer{}, errNoAddress
+	}
+	answer := giver.source.Give(ctx, question)
+	if !pause.For(ctx, giver.link.send(sizeOf(answer.Records))) {
+		return fanout.Answer{}, ctx.Err()
+	}
+	return answer, nil
+}
+
 func (f *fleetOfNodes) at(address string) *fleetNode {
 	var number int
 	fmt.Sscan(address, &number)
@@ -236,6 +355,9 @@
 func (f *fleetOfNodes) askFrom(name string) func(context.Context, string, string, int64) liveness.Verdict {
 	return func(_ context.Context, address, _ string, epoch int64) liveness.Verdict {
 		holder := f.at(address)
+		if holder.isStopped() {
+			return liveness.Unknown
+		}
 		holder.peers.Note(name)
 		if epoch > 0 && holder.hold.Yield(epoch) {
 			return liveness.Yielded
@@ -255,6 +377,12 @@
 	}
 }
 
+func (n *fleetNode) isStopped() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.stopped
+}
+
 // holders returns how many nodes hold the lease.
 func (f *fleetOfNodes) holders() int {
 	count := 0
--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -65,7 +65,26 @@
 	if !n.quarantine.Loaded() && clock.Since(n.startedAt) < quarantineWait {
 		return false
 	}
-	return n.operatorReadAt.age(clock.Now()) < storeSilence
+	return n.storeSilentFor() < storeSilence
+}
+
+// storeSilentFor returns the time since the store answered this node: what the newest configuration is, or, where the
+// coordinator tells that and this node does not ask, anything.
+func (n *Node) storeSilentFor() time.Duration {
+	now := clock.Now()
+	asked := n.operatorReadAt.age(now)
+	if !n.operatorGuide.Told() {
+		return asked
+	}
+	return min(asked, n.storeAnsweredAt.age(now))
+}
+
+// observeStore takes the end of a call to the store.
+func (n *Node) observeStore(call string, status int, took time.Duration) {
+	n.metrics.observeStore(call, status, took)
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		n.storeAnsweredAt.advance(clock.Now())
+	}
 }
 
 // Serve answers a single request.
--- a/internal/serverlist/direct.go
+++ b/internal/serverlist/direct.go
@@ -214,7 +214,7 @@
 	}
 	if effective := l.options.Directory.Apply(changes); len(effective) > 0 {
 		level := zap.InfoLevel
-		if l.large() && !l.options.Leading() {
+		if l.Large() && !l.options.Leading() {
 			// The coordinator logs each change; a thousand nodes that read the same tell no more.
 			level = zap.DebugLevel
 		}
--- a/internal/serverlist/follow.go
+++ b/internal/serverlist/follow.go
@@ -28,7 +28,7 @@
 	pace := follow.Pace{Most: relaySlowest, Retry: relayRetry}
 	outage := follow.Outage{Logger: l.options.Logger}
 	for ctx.Err() == nil {
-		if l.knowsRelay() && !l.large() {
+		if l.knowsRelay() && !l.Large() {
 			pause.For(ctx, smallInterval)
 			continue
 		}
--- a/internal/serverlist/publish.go
+++ b/internal/serverlist/publish.go
@@ -71,7 +71,7 @@
 // nextChanges returns the records to append now and the end to append them at.
 func (l *List) nextChanges(now time.Time) ([]*relayRecord, int64) {
 	shared := l.options.Shared()
-	if shared == nil || !l.large() || l.options.Directory.Age(now) > readAgeLimit {
+	if shared == nil || !l.Large() || l.options.Directory.Age(now) > readAgeLimit {
 		return nil, 0
 	}
 	l.mutex.Lock()
--- a/internal/serverlist/way.go
+++ b/internal/serverlist/way.go
@@ -52,9 +52,9 @@
 	return WayRelay
 }
 
-// large says whether the fleet is one whose list is relayed, by what this node has
+// Large says whether the fleet is one whose list is relayed, by what this node has
 // or by what the relay told it.
-func (l *List) large() bool {
+func (l *List) Large() bool {
 	count := l.options.Directory.Snapshot().Count()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -69,7 +69,7 @@
 
 // checkPause returns the time until the next look at how the list is read.
 func (l *List) checkPause() time.Duration {
-	if l.large() {
+	if l.Large() {
 		return checkInterval
 	}
 	return smallInterval
@@ -80,7 +80,7 @@
 	if l.options.Leading() {
 		return true
 	}
-	large := l.large()
+	large := l.Large()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	switch {
