Coordinator: an item whose result the store refuses for good is listed as dead

Cause: records that the store refuses for good, as a call beyond its size, were logged and dropped. The result is read back from the records that are given up, and the item listed without text; one that the store refuses as well is logged, as before.

--- a/internal/batch/codec.go
+++ b/internal/batch/codec.go
@@ -31,6 +31,23 @@
 // EncodeResult returns the records that list a result.
 func EncodeResult(result *Result) ([][]byte, error) { return encode(message{Result: result}) }
 
+var errNoResult = errors.New("the records hold no result")
+
+// DecodeResult returns the result that the records of EncodeResult list.
+func DecodeResult(records [][]byte) (*Result, error) {
+	var joined assembler
+	for _, record := range records {
+		decoded, err := joined.add(record)
+		if err != nil {
+			return nil, err
+		}
+		if decoded != nil && decoded.Result != nil {
+			return decoded.Result, nil
+		}
+	}
+	return nil, errNoResult
+}
+
 // EncodeEnd returns the records that end a job.
 func EncodeEnd(end *End) ([][]byte, error) { return encode(message{End: end}) }
 
--- a/internal/coordinator/writer.go
+++ b/internal/coordinator/writer.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/batch"
 	"dalehook/internal/liveness"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
@@ -114,8 +115,7 @@
 // is given up, so that those behind it are appended.
 func (w *recordWriter) appendApart(at store.Partition, groups [][][]byte) bool {
 	if len(groups) == 1 {
-		w.logger.Error("records lost", zap.Stringer("partition", at), zap.Int("records", len(groups[0])),
-			zap.Int("bytes", sizeOf(groups[0])))
+		w.giveUp(at, groups[0])
 		return true
 	}
 	for _, group := range groups {
@@ -126,6 +126,27 @@
 	return true
 }
 
+// giveUp takes a group that the store refuses for good. An item whose result it is gets listed as dead, so that
+// nobody waits for its text.
+func (w *recordWriter) giveUp(at store.Partition, group [][]byte) {
+	w.logger.Error("records lost", zap.Stringer("partition", at), zap.Int("records", len(group)), zap.Int("bytes", sizeOf(group)))
+	if at.Topic != store.TopicJobs {
+		return
+	}
+	result, err := batch.DecodeResult(group)
+	if err != nil || result.Outcome == batch.OutcomeDead {
+		w.logger.Error("no result to list in their place", zap.Stringer("partition", at), zap.Error(err))
+		return
+	}
+	dead, err := batch.EncodeResult(&batch.Result{JobID: result.JobID, ItemID: result.ItemID, Outcome: batch.OutcomeDead})
+	if err != nil {
+		w.logger.Error("result lost", zap.String("item", result.ItemID), zap.Error(err))
+		return
+	}
+	w.logger.Info("item listed as dead, its result was refused", zap.String("job", result.JobID), zap.String("item", result.ItemID))
+	w.add(at, dead)
+}
+
 // next takes the groups of the next append.
 func (w *recordWriter) next(queue *recordQueue) [][][]byte {
 	w.mutex.Lock()
