Fan-out: nothing is told where old keys are refused; nodes leave a silent coordinator after 4.5 s at the most

With fail_closed a node refuses keys once its configuration is older than the users' bound. What is told is up to 2.1 s old at rest, and older while the coordinator is replaced: such fleets read as before.

--- a/internal/fanout/guide.go
+++ b/internal/fanout/guide.go
@@ -14,7 +14,7 @@
 	// silentFor is how long the coordinator, which tells each 0.6 s, may tell nothing while the store answers; then
 	// nodes begin to read by themselves within silentSpread. A successor mostly tells before.
 	silentFor    = 2500 * time.Millisecond
-	silentSpread = 3 * time.Second
+	silentSpread = 2 * time.Second
 	// oldestTold is the age of the coordinator's own knowledge beyond which nodes do the same.
 	oldestTold = 1500 * time.Millisecond
 	// lostFor is how long the store may not answer whether the coordinator tells anything before a node tries to read
--- a/internal/frontend/keyage_test.go
+++ b/internal/frontend/keyage_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/fanout"
 	"dalehook/internal/follow"
 	"dalehook/internal/store"
 	"dalehook/internal/store/storetest"
@@ -43,6 +44,7 @@
 	node = &Node{options: Options{Settings: &Settings{}, Logger: zap.NewNop()}}
 	node.options.Settings.Access.FailClosed = true
 	node.options.Settings.Access.RevocationMs = int(revocation.Milliseconds())
+	node.operatorGuide, node.operatorSource = node.newOperatorGuide(), fanout.NewSource()
 	var mutex sync.Mutex
 	newest := int64(-1)
 	learn := func(records []store.Record) {
--- a/internal/frontend/operatorfollow.go
+++ b/internal/frontend/operatorfollow.go
@@ -32,9 +32,9 @@
 }
 
 // operatorNews is what this node tells the others while it coordinates: nothing in a small fleet, whose nodes know
-// sooner what they read themselves.
+// sooner what they read themselves, nor where old keys are refused, which would be while the coordinator is replaced.
 func (n *Node) operatorNews() *election.News {
-	if !n.servers.Large() {
+	if !n.servers.Large() || n.options.Settings.Access.FailClosed {
 		return nil
 	}
 	return newsOf(n.operatorSource)
--- /dev/null
+++ b/internal/frontend/operatorfollow_test.go
@@ -0,0 +1,49 @@
+package frontend
+
+import (
+	"testing"
+
+	"dalehook/internal/clock"
+	"dalehook/internal/directory"
+	"dalehook/internal/fanout"
+	"dalehook/internal/serverlist"
+	"dalehook/internal/store"
+)
+
+// A coordinator tells the others how far the operator's topic goes in a large fleet alone, and not where nodes refuse
+// keys that they are not sure of.
+func TestWhenACoordinatorTells(t *testing.T) {
+	cases := []struct {
+		name              string
+		servers           int
+		failClosed, knows bool
+		tells             bool
+	}{
+		{"a large fleet", serverlist.DefaultLargeFleet, false, true, true},
+		{"a small fleet", serverlist.DefaultLargeFleet - 1, false, true, false},
+		{"a large fleet that refuses old keys", serverlist.DefaultLargeFleet, true, true, false},
+		{"a coordinator that has not read it", serverlist.DefaultLargeFleet, false, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			list := directory.NewDirectory()
+			for number := range c.servers {
+				server := directory.Server{ID: string(rune('a' + number)), Service: "s"}
+				list.Apply([]directory.Change{{ID: server.ID, Server: &server}})
+			}
+			n := &Node{options: Options{Settings: &Settings{}}, servers: serverlist.New(serverlist.Options{Directory: list}), operatorSource: fanout.NewSource()}
+			n.options.Settings.Access.FailClosed = c.failClosed
+			if c.knows {
+				n.operatorSource.Take([]store.Record{{Offset: 6, Key: "config", Value: make([]byte, fanout.LargeBytes)}}, true, 7)
+				n.operatorSource.NoteAsked(clock.Now())
+			}
+			news := n.operatorNews()
+			if (news != nil) != c.tells {
+				t.Fatalf("%+v", news)
+			}
+			if news != nil && (news.Next != 7 || news.Large != 7 || news.AgeMs < 1) {
+				t.Errorf("%+v", news)
+			}
+		})
+	}
+}
