Fan-out: a coordinator that has just taken over is given the time to read before nodes read alone

News that are old as they are told count as silence now: they neither renew the time for which a node counts on the coordinator nor end it.

--- a/internal/fanout/guide.go
+++ b/internal/fanout/guide.go
@@ -15,7 +15,8 @@
 	// nodes begin to read by themselves within silentSpread. A successor mostly tells before.
 	silentFor    = 2500 * time.Millisecond
 	silentSpread = 2 * time.Second
-	// oldestTold is the age of the coordinator's own knowledge beyond which nodes do the same.
+	// oldestTold is the age of the coordinator's own knowledge beyond which what it tells counts as silence: it may not
+	// be able to read, or have just taken over.
 	oldestTold = 1500 * time.Millisecond
 	// lostFor is how long the store may not answer whether the coordinator tells anything before a node tries to read
 	// the topic alone, within lostSpread: few of them are to do so just as the store comes back, since their reads
@@ -70,6 +71,8 @@
 
 	mutex  sync.Mutex
 	report Report
+	// youngAt is when this node last heard news that were young as they were told; zero for never.
+	youngAt time.Time
 	// alone says that the store answers this node's own reads though it does not tell whether the coordinator
 	// tells anything, failedAt when it last did not; zero for not tried.
 	alone    bool
@@ -96,6 +99,9 @@
 	defer g.mutex.Unlock()
 	before := g.report
 	g.report = report
+	if news := report.News; news != nil && (news.Age <= oldestTold || g.youngAt.IsZero()) {
+		g.youngAt = news.HeardAt
+	}
 	if before.Tells == report.Tells && sameNews(before.News, report.News) && before.ReadSince.IsZero() == report.ReadSince.IsZero() {
 		return
 	}
@@ -178,15 +184,11 @@
 
 // aloneAt returns when this node is to read by itself unless the coordinator tells something before.
 func (g *Guide) aloneAt() time.Time {
-	news := g.report.News
-	heardAt := news.HeardAt
-	if news.Age > oldestTold {
-		return heardAt.Add(g.shareOf(silentSpread))
-	}
-	if g.report.ReadSince.After(heardAt) {
-		heardAt = g.report.ReadSince // before, nobody could tell
+	silentSince := g.youngAt
+	if g.report.ReadSince.After(silentSince) {
+		silentSince = g.report.ReadSince // before, nobody could tell
 	}
-	return heardAt.Add(silentFor + g.shareOf(silentSpread))
+	return silentSince.Add(silentFor + g.shareOf(silentSpread))
 }
 
 // decideLost is decide where the store does not answer whether the coordinator tells anything.
