Stops: a submission that is under way when a stop has no more time is answered

Cause: the append waits 0.7 s for the store whatever becomes of its request, and a stop that has no more time waits 0.2 s for answers. The append ends with the cause that a drain gives; a caller that leaves ends none.

--- a/internal/frontend/product.go
+++ b/internal/frontend/product.go
@@ -10,6 +10,7 @@
 
 	"dalehook/internal/batch"
 	"dalehook/internal/clock"
+	"dalehook/internal/drain"
 	"dalehook/internal/gateway"
 	"dalehook/internal/routetable"
 	"dalehook/internal/store"
@@ -121,9 +122,7 @@
 func (n *Node) append(ctx context.Context, jobID string, records [][]byte) Verdict {
 	verdict := VerdictRefused
 	for range appendTries {
-		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), appendTimeout)
-		err := n.jobs.Append(call, jobID, records)
-		cancel()
+		err := n.appendOnce(ctx, jobID, records)
 		if err == nil {
 			return VerdictDone
 		}
@@ -138,6 +137,20 @@
 	return verdict
 }
 
+// appendOnce appends for a caller, also for one that has left. Where this node has no more time it ends, so that the
+// caller is answered.
+func (n *Node) appendOnce(ctx context.Context, jobID string, records [][]byte) error {
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), appendTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), drain.ErrTimeUp) {
+			cancel()
+		}
+	})
+	defer stop()
+	return n.jobs.Append(call, jobID, records)
+}
+
 // Results returns the results of a batch job from a position on.
 func (n *Node) Results(ctx context.Context, job batch.Name, from int, wait time.Duration) (total int, results []batch.Result, verdict Verdict) {
 	return n.jobReader.results(ctx, job, from, wait)
