--- a/internal/fanout/guide.go
+++ b/internal/fanout/guide.go
@@ -77,10 +77,11 @@
 	// tells anything, failedAt when it last did not; zero for not tried.
 	alone    bool
 	failedAt time.Time
-	// fetches counts the tries to have the change up to fetching from others, lastFetch when the last one failed.
-	fetching  int64
-	fetches   int
-	lastFetch time.Time
+	// fetches counts the tries to have what is large up to the offset fetching from others, which began, or failed
+	// last, at fetchAt.
+	fetching int64
+	fetches  int
+	fetchAt  time.Time
 	// changed is closed when news come.
 	changed chan struct{}
 }
@@ -179,6 +180,9 @@
 	if from >= news.Large {
 		return follow.WayStoreNow, 0
 	}
+	if news.From == "" {
+		return 0, max(untilAlone, shortestWait) // it is thought to have ended: its successor tells
+	}
 	return g.decideLarge(now)
 }
 
@@ -207,13 +211,13 @@
 
 // decideLarge is decide where a large change is to be had.
 func (g *Guide) decideLarge(now time.Time) (follow.Way, time.Duration) {
-	if g.fetching != g.report.News.Next {
-		g.fetching, g.fetches, g.lastFetch = g.report.News.Next, 0, now
+	if g.fetching != g.report.News.Large {
+		g.fetching, g.fetches, g.fetchAt = g.report.News.Large, 0, now
 	}
 	if g.fetches < fetchTries {
-		return follow.WayFetch, g.lastFetch.Add(g.shareOf(askSpread)).Sub(now)
+		return follow.WayFetch, g.fetchAt.Add(g.shareOf(askSpread)).Sub(now)
 	}
-	return follow.WayStoreNow, g.lastFetch.Add(g.shareOf(fallbackSpread)).Sub(now)
+	return follow.WayStoreNow, g.fetchAt.Add(g.shareOf(fallbackSpread)).Sub(now)
 }
 
 func (g *Guide) shareOf(spread time.Duration) time.Duration {
@@ -228,10 +232,10 @@
 	switch {
 	case way == follow.WayFetch && err != nil:
 		g.fetches++
-		g.lastFetch = now
+		g.fetchAt = now
 	case way == follow.WayFetch:
 	case err == nil:
-		g.alone, g.failedAt = true, time.Time{}
+		g.alone, g.failedAt = g.report.ReadSince.IsZero(), time.Time{}
 	default:
 		g.alone, g.failedAt = false, now
 	}
--- a/internal/fanout/guide_test.go
+++ b/internal/fanout/guide_test.go
@@ -31,6 +31,7 @@
 		{"more is known than the coordinator tells", inContact(news(5, 2, 0)), 7, 0, 0, true},
 		{"something small is new", inContact(news(6, 2, 0)), 5, 0, follow.WayStoreNow, false},
 		{"something large is new", inContact(news(6, 6, 0)), 5, 0, follow.WayFetch, false},
+		{"something large is new, and the coordinator is thought to have ended", inContact(&News{Next: 6, Large: 6, HeardAt: now}), 5, 0, 0, true},
 		{"nothing is known", inContact(news(6, 0, 0)), -1, 0, follow.WayFetch, false},
 		{"the coordinator has just fallen silent", inContact(news(5, 2, silentFor-1)), 5, 0, 0, true},
 		{"it is silent for long, a node that is early", inContact(news(5, 2, silentFor)), 5, 0, follow.WayStore, false},
@@ -82,8 +83,9 @@
 func TestAChangeThatNobodyGivesIsReadFromTheStore(t *testing.T) {
 	g := NewGuide(GuideOptions{Share: 0.5})
 	now := clock.Now()
-	g.Observe(Report{News: &News{Next: 6, Large: 6, HeardAt: now, At: now}, ReadAt: now, ReadSince: now})
-	for range fetchTries {
+	for try := range fetchTries {
+		// What is small and comes meanwhile begins nothing anew.
+		g.Observe(Report{News: &News{Next: 6 + int64(try), Large: 6, HeardAt: now, At: now, From: "a"}, ReadAt: now, ReadSince: now})
 		if way, _, _ := g.decide(clock.Now(), 5); way != follow.WayFetch {
 			t.Errorf("way %d", way)
 		}
--- /dev/null
+++ b/internal/frontend/fleet_test.go
@@ -0,0 +1,400 @@
+package frontend
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/election"
+	"dalehook/internal/fanout"
+	"dalehook/internal/follow"
+	"dalehook/internal/liveness"
+	"dalehook/internal/pause"
+	"dalehook/internal/store"
+	"dalehook/internal/store/storetest"
+	"dalehook/internal/storeproxy"
+)
+
+// outage is how a store treats the nodes that it turns away.
+type outage int
+
+const (
+	outageRefuses outage = iota
+	outageSilent
+	outageResets
+	outageSlow
+)
+
+var errReset = fmt.Errorf("connection reset")
+
+// slowAnswer is how long a slow store takes for an answer.
+const slowAnswer = 240 * time.Millisecond
+
+// fleetStore is a store that hundreds of nodes share: its reads go one after another at a
+// limited rate, and it has outages for a share of the nodes.
+type fleetStore struct {
+	memory *storetest.Memory
+
+	mutex  sync.Mutex
+	kind   outage
+	struck func(node int) bool
+	// freeAt is when the reads that were begun have gone out.
+	freeAt time.Time
+}
+
+// bytesPerSecond is what the platform's stores read for all nodes.
+const bytesPerSecond = 80e6
+
+func (s *fleetStore) strike(kind outage, struck func(node int) bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.kind, s.struck = kind, struck
+}
+
+func (s *fleetStore) strikes(node int) (outage, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.kind, s.struck != nil && s.struck(node)
+}
+
+// send returns how long an answer of a size waits for those before it.
+func (s *fleetStore) send(size int) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	if s.freeAt.Before(now) {
+		s.freeAt = now
+	}
+	s.freeAt = s.freeAt.Add(time.Duration(float64(size) / bytesPerSecond * float64(time.Second)))
+	return s.freeAt.Sub(now)
+}
+
+// nodeLog is the store as one node reaches it.
+type nodeLog struct {
+	*fleetStore
+	node int
+}
+
+var _ store.Log = nodeLog{}
+
+func (l nodeLog) enter(ctx context.Context) error {
+	kind, struck := l.strikes(l.node)
+	if !struck {
+		return ctx.Err()
+	}
+	switch kind {
+	case outageRefuses:
+		return store.ErrRefused
+	case outageResets:
+		return errReset
+	case outageSlow:
+		time.Sleep(slowAnswer)
+		return ctx.Err()
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (l nodeLog) Append(ctx context.Context, at store.Partition, payloads [][]byte) (int64, error) {
+	if err := l.enter(ctx); err != nil {
+		return 0, err
+	}
+	return l.memory.Append(ctx, at, payloads)
+}
+
+func (l nodeLog) AppendAt(ctx context.Context, at store.Partition, end int64, payloads [][]byte) (int64, error) {
+	if err := l.enter(ctx); err != nil {
+		return 0, err
+	}
+	return l.memory.AppendAt(ctx, at, end, payloads)
+}
+
+func (l nodeLog) PutKeyed(ctx context.Context, topic store.Topic, records []store.Record) error {
+	if err := l.enter(ctx); err != nil {
+		return err
+	}
+	return l.memory.PutKeyed(ctx, topic, records)
+}
+
+func (l nodeLog) Read(ctx context.Context, at store.Partition, from int64, wait time.Duration) (store.Batch, error) {
+	if err := l.enter(ctx); err != nil {
+		return store.Batch{}, err
+	}
+	read, err := l.memory.Read(ctx, at, from, wait)
+	if err != nil {
+		return read, err
+	}
+	if !pause.For(ctx, l.send(sizeOf(read.Records))) {
+		return store.Batch{}, ctx.Err()
+	}
+	return read, nil
+}
+
+func (l nodeLog) Newest(ctx context.Context, topic store.Topic) ([]store.Record, int64, error) {
+	if err := l.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	records, end, err := l.memory.Newest(ctx, topic)
+	if err != nil {
+		return nil, 0, err
+	}
+	if !pause.For(ctx, l.send(sizeOf(records))) {
+		return nil, 0, ctx.Err()
+	}
+	return records, end, nil
+}
+
+func sizeOf(records []store.Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Value)
+	}
+	return size
+}
+
+func (l nodeLog) Trim(ctx context.Context, at store.Partition, before int64) error {
+	if err := l.enter(ctx); err != nil {
+		return err
+	}
+	return l.memory.Trim(ctx, at, before)
+}
+
+// fleetNode is a node's part in the election, and what it knows of the operator's topic.
+type fleetNode struct {
+	hold  election.Hold
+	peers storeproxy.Peers
+	proxy *storeproxy.Proxy
+	// stop ends the node, stopped says that it was.
+	stop    context.CancelFunc
+	stopped bool
+
+	mutex sync.Mutex
+	held  bool
+	known int
+	// value is what was learned last, at an offset; wentBack says that something earlier was learned after it.
+	value    []byte
+	offset   int64
+	wentBack bool
+
+	// guide and source are nil in a fleet whose coordinator tells the others nothing.
+	guide  *fanout.Guide
+	source *fanout.Source
+	// link is the node's way to other nodes.
+	link nodeLink
+}
+
+// linkBytesPerSecond is what a node sends to all others.
+const linkBytesPerSecond = 75e6
+
+// nodeLink sends one answer after another.
+type nodeLink struct {
+	mutex  sync.Mutex
+	freeAt time.Time
+}
+
+// send returns how long an answer of a size takes, with those before it.
+func (l *nodeLink) send(size int) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(size) / linkBytesPerSecond * float64(time.Second)))
+	return l.freeAt.Sub(now)
+}
+
+func (n *fleetNode) observe(standing election.Standing) {
+	n.peers.Note(standing.Coordinator)
+	if n.guide != nil {
+		n.guide.Observe(reportOf(standing, true))
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.held = standing.Held
+}
+
+// news is Node.operatorNews in a large fleet.
+func (n *fleetNode) news() *election.News {
+	if n.source == nil {
+		return nil
+	}
+	return newsOf(n.source)
+}
+
+func (n *fleetNode) learn(records []store.Record) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, record := range records {
+		n.known = max(n.known, len(record.Value))
+		n.wentBack = n.wentBack || record.Offset < n.offset
+		n.value, n.offset = record.Value, record.Offset
+	}
+}
+
+func (n *fleetNode) state() (held bool, known int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.held, n.known
+}
+
+// fleetOfNodes runs hundreds of nodes before one store.
+type fleetOfNodes struct {
+	store   *fleetStore
+	nodes   []*fleetNode
+	ctx     context.Context
+	running *sync.WaitGroup
+	// large says that the coordinator tells the others what is put.
+	large bool
+}
+
+func startFleet(ctx context.Context, running *sync.WaitGroup, nodes int) *fleetOfNodes {
+	return startFleetWith(ctx, running, nodes, nil)
+}
+
+// startFleetWith starts a fleet before a store that holds a configuration already, nil for none.
+func startFleetWith(ctx context.Context, running *sync.WaitGroup, nodes int, configuration []byte) *fleetOfNodes {
+	f := &fleetOfNodes{store: &fleetStore{memory: storetest.NewMemory()}, ctx: ctx, running: running, large: nodes >= wholeFleetNodes}
+	if configuration != nil {
+		f.store.memory.Put(store.TopicOperator, "config", configuration)
+	}
+	for number := range nodes {
+		f.startNode(float64(number) / float64(nodes))
+	}
+	return f
+}
+
+// startNode adds a node to the fleet, whose place among all is a share.
+func (f *fleetOfNodes) startNode(share float64) *fleetNode {
+	ctx, stop := context.WithCancel(f.ctx)
+	number := len(f.nodes)
+	log := nodeLog{fleetStore: f.store, node: number}
+	node := &fleetNode{stop: stop}
+	node.proxy = storeproxy.NewProxy(log, &node.peers)
+	f.nodes = append(f.nodes, node)
+	name := fmt.Sprint(number)
+	settings := &Settings{Node: name}
+	following := follow.KeyedOptions{
+		Log: log, Topic: store.TopicOperator, Pace: operatorPace, Wait: operatorWait, Large: true, Logger: zap.NewNop(),
+		Replace: node.learn, Change: node.learn, Read: func(int64, bool, time.Time) {}, Relayed: f.relayed(node),
+	}
+	if f.large {
+		f.fanOut(node, name, share, &following)
+	}
+	f.running.Add(2)
+	go func() {
+		defer f.running.Done()
+		election.Run(ctx, election.Options{
+			Log: log, Self: name, Address: name, Timing: leaseTiming(settings), Hold: &node.hold, Logger: zap.NewNop(),
+			Observe: node.observe, Leaving: make(chan struct{}), Ask: f.askFrom(name), News: node.news,
+		})
+	}()
+	go func() {
+		defer f.running.Done()
+		follow.Keyed(ctx, following)
+	}()
+	return node
+}
+
+// fanOut has a node follow the topic as those of a large fleet do.
+func (f *fleetOfNodes) fanOut(node *fleetNode, name string, share float64, following *follow.KeyedOptions) {
+	node.source = fanout.NewSource()
+	node.guide = fanout.NewGuide(fanout.GuideOptions{Share: share, UpToDate: node.source.NoteAsked})
+	following.Guide, following.Took = node.guide, node.source.Take
+	following.Read = func(_ int64, _ bool, asked time.Time) { node.source.NoteAsked(asked) }
+	following.Fetch = func(ctx context.Context, from int64) (follow.Relay, error) {
+		asked, news := time.Now(), node.guide.News()
+		answer, err := fanout.Fetch(ctx, f.take, news.From, fanout.Question{From: from, Next: news.Large, Asker: name})
+		if err != nil {
+			return follow.Relay{}, err
+		}
+		node.source.NoteAsked(asked.Add(-answer.Age))
+		return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
+	}
+}
+
+var errNoAddress = fmt.Errorf("no address")
+
+// take asks a node for a change, which comes over that node's link.
+func (f *fleetOfNodes) take(ctx context.Context, address string, question fanout.Question) (fanout.Answer, error) {
+	if address == "" {
+		return fanout.Answer{}, errNoAddress
+	}
+	giver := f.at(address)
+	if giver.isStopped() {
+		return fanout.Answer{}, errNoAddress
+	}
+	answer := giver.source.Give(ctx, question)
+	if !pause.For(ctx, giver.link.send(sizeOf(answer.Records))) {
+		return fanout.Answer{}, ctx.Err()
+	}
+	return answer, nil
+}
+
+func (f *fleetOfNodes) at(address string) *fleetNode {
+	var number int
+	fmt.Sscan(address, &number)
+	return f.nodes[number]
+}
+
+// askFrom returns how a node asks at the node of a holder, which always answers.
+func (f *fleetOfNodes) askFrom(name string) func(context.Context, string, string, int64) liveness.Verdict {
+	return func(_ context.Context, address, _ string, epoch int64) liveness.Verdict {
+		holder := f.at(address)
+		if holder.isStopped() {
+			return liveness.Unknown
+		}
+		holder.peers.Note(name)
+		if epoch > 0 && holder.hold.Yield(epoch) {
+			return liveness.Yielded
+		}
+		return liveness.Alive
+	}
+}
+
+// relayed returns how a node has others read for it.
+func (f *fleetOfNodes) relayed(node *fleetNode) func(context.Context, int64) (follow.Relay, error) {
+	call := func(ctx context.Context, address string, question storeproxy.Question) (storeproxy.Answer, error) {
+		return f.at(address).proxy.Read(question), ctx.Err()
+	}
+	return func(ctx context.Context, from int64) (follow.Relay, error) {
+		answer, err := storeproxy.AskBy(ctx, call, &node.peers, storeproxy.Question{From: from})
+		return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, err
+	}
+}
+
+func (n *fleetNode) isStopped() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.stopped
+}
+
+// holders returns how many nodes hold the lease.
+func (f *fleetOfNodes) holders() int {
+	count := 0
+	for _, node := range f.nodes {
+		if held, _ := node.state(); held {
+			count++
+		}
+	}
+	return count
+}
+
+// put puts a configuration of a size, which tells it from the others.
+func (f *fleetOfNodes) put(size int) {
+	f.store.memory.Put(store.TopicOperator, "config", make([]byte, size))
+}
+
+// unaware returns how many nodes do not know the configuration of a size.
+func (f *fleetOfNodes) unaware(size int) int {
+	count := 0
+	for _, node := range f.nodes {
+		if _, known := node.state(); known < size {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/frontend/operatorfollow.go
+++ b/internal/frontend/operatorfollow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"dalehook/internal/clock"
 	"dalehook/internal/election"
@@ -81,10 +82,12 @@
 func (n *Node) fetchOperator(ctx context.Context, from int64) (follow.Relay, error) {
 	asked := clock.Now()
 	news := n.operatorGuide.News()
-	answer, err := fanout.Fetch(ctx, fanout.CallNode, news.From, fanout.Question{From: from, Next: news.Next, Asker: n.options.Settings.Listen.Internal})
+	answer, err := fanout.Fetch(ctx, fanout.CallNode, news.From, fanout.Question{From: from, Next: news.Large, Asker: n.options.Settings.Listen.Internal})
 	if err != nil {
 		return follow.Relay{}, err
 	}
+	n.logger.Info("change had from other nodes", zap.Int64("offset", from), zap.Int64("next", answer.Next),
+		zap.Int("records", len(answer.Records)), zap.Duration("took", clock.Since(asked)))
 	n.noteOperatorAge(asked.Add(-answer.Age))
 	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
 }
