Fan-out: nodes that the store turns away have a large configuration from other nodes, and each node is sent the same way

Change: in a fleet whose coordinator tells, such nodes wait at other nodes for what is new (Poll), on the way by which changes are fetched, and leave that once the store answers. Nodes that answer, none of which knows what is new, are not asked to read the store instead: the store is away for all then. An asker is sent by rendezvous hashing now, so always the same way, and a node that does not answer is reported to who named it.

--- a/internal/fanout/fetch.go
+++ b/internal/fanout/fetch.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// mostSteps bounds the nodes that are asked one after the other: five steps of fanOut reach 32,000 nodes.
-	mostSteps = 6
+	// mostSteps bounds the calls that are made one after the other: five steps of fanOut reach 32,000 nodes.
+	mostSteps = 8
 	// askTimeout bounds a call, above giveWait: the answer has to come over a link that sends it to others as well.
 	askTimeout = giveWait + 400*time.Millisecond
 )
@@ -49,18 +49,53 @@
 
 // Fetch asks a node for a change, and those to which it is sent, until one gives it.
 func Fetch(ctx context.Context, call Call, address string, question Question) (Answer, error) {
+	answer, err := askInTurn(ctx, call, address, question)
+	if err == nil && answer.Next < question.Next {
+		err = eris.Wrapf(errNotGiven, "ask node %s", address)
+	}
+	return answer, err
+}
+
+// ErrOld is returned where nodes answer, and none knows the topic as it was a moment ago: the store may be away for all.
+var ErrOld = eris.New("no node knows what is new")
+
+// Poll asks nodes for what came after an offset, one after the other until one knows the topic as it was a moment ago,
+// be it that nothing came. It is for nodes that the store turns away: the coordinator gives a change to few of them.
+func Poll(ctx context.Context, call Call, addresses []string, from int64, asker string) (Answer, error) {
+	failure := errNotGiven
+	for _, address := range addresses {
+		answer, err := askInTurn(ctx, call, address, Question{From: from, Next: from + 1, Asker: asker})
+		switch {
+		case err != nil && !eris.Is(failure, ErrOld):
+			failure = err
+		case err != nil:
+		case answer.Next > from:
+			return answer, nil
+		case answer.Next == from && answer.Age < oldestTold:
+			return answer, nil
+		default:
+			failure = ErrOld
+		}
+	}
+	return Answer{}, eris.Wrapf(failure, "poll %d nodes", len(addresses))
+}
+
+// askInTurn asks a node, and those to which it is sent. One that sent it to a node which does not answer is
+// asked again.
+func askInTurn(ctx context.Context, call Call, address string, question Question) (Answer, error) {
+	sender := ""
 	for range mostSteps {
 		answer, err := ask(ctx, call, address, question)
-		if err != nil {
-			return Answer{}, err
-		}
-		if answer.Elsewhere == "" || answer.Elsewhere == question.Asker {
-			if answer.Next < question.Next {
-				return Answer{}, eris.Wrapf(errNotGiven, "ask node %s", address)
-			}
-			return answer, nil
+		switch {
+		case err != nil && sender != "" && ctx.Err() == nil:
+			question.Gone = address
+			address, sender = sender, ""
+			continue
+		case err != nil || answer.Elsewhere == "" || answer.Elsewhere == question.Asker:
+			return answer, err
 		}
-		address = answer.Elsewhere
+		question.Gone = ""
+		address, sender = answer.Elsewhere, address
 	}
 	return Answer{}, eris.Wrapf(errNotGiven, "ask %d nodes", mostSteps)
 }
--- a/internal/fanout/guide.go
+++ b/internal/fanout/guide.go
@@ -114,6 +114,28 @@
 	return a == b || a != nil && b != nil && *a == *b
 }
 
+// UntilContact returns a context that ends once the store answers again where the coordinator tells: what a node asks
+// others for while it does not is left then.
+func (g *Guide) UntilContact(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			g.mutex.Lock()
+			inContact, changed := !g.report.ReadSince.IsZero(), g.changed
+			g.mutex.Unlock()
+			if inContact {
+				cancel()
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // Told says whether this node is told how far the topic goes, and so does not ask the store for it.
 func (g *Guide) Told() bool {
 	g.mutex.Lock()
--- a/internal/fanout/source.go
+++ b/internal/fanout/source.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dalehook/internal/clock"
+	"dalehook/internal/placement"
 	"dalehook/internal/store"
 )
 
@@ -31,6 +32,8 @@
 	Next int64
 	// Asker is where the asker answers the same question.
 	Asker string
+	// Gone is where a node did not answer to which the asker was sent; empty for none.
+	Gone string
 }
 
 // Answer holds what a node knows, or names another node to ask.
@@ -38,7 +41,7 @@
 	Records []store.Record
 	// Whole says that the records are the newest of each key, not what came after From.
 	Whole bool
-	// Next is the offset after what the node knows; 0 where it does not give it.
+	// Next is the offset after what the node knows, which may be less than was asked for; below 0 it knows nothing.
 	Next int64
 	// Age is how long before this answer the store had been asked.
 	Age time.Duration
@@ -59,10 +62,9 @@
 	large int64
 	// grown is closed when next grows.
 	grown chan struct{}
-	// given are the nodes that were given what goes up to givenNext, turn the one that the next asker is sent to.
+	// given are the nodes that are given what goes up to givenNext.
 	given     []string
 	givenNext int64
-	turn      int
 }
 
 // NewSource returns a source that knows nothing.
@@ -132,19 +134,21 @@
 		}
 		select {
 		case <-ctx.Done():
-			return Answer{}
+			return answer
 		case <-grown:
 		}
 	}
 }
 
-// assign returns the node to which an asker is sent, empty where this one gives it the change.
+// assign returns the node to which an asker is sent, empty where this one gives it the change. An asker is sent the same
+// way each time, so that no two nodes wait for each other.
 func (s *Source) assign(question Question) (elsewhere string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if question.Next > s.givenNext {
-		s.given, s.givenNext, s.turn = nil, question.Next, 0
+		s.given, s.givenNext = nil, question.Next
 	}
+	s.given = slices.DeleteFunc(s.given, func(node string) bool { return node == question.Gone })
 	if slices.Contains(s.given, question.Asker) {
 		return ""
 	}
@@ -152,16 +156,20 @@
 		s.given = append(s.given, question.Asker)
 		return ""
 	}
-	s.turn++
-	return s.given[s.turn%len(s.given)]
+	return slices.MaxFunc(s.given, func(a, b string) int {
+		return cmp.Compare(placement.Score(a, question.Asker), placement.Score(b, question.Asker))
+	})
 }
 
 // answer returns what is known, or a channel that is closed once more is.
 func (s *Source) answer(question Question) (Answer, <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.records == nil || s.next < question.Next {
-		return Answer{}, s.grown
+	if s.records == nil {
+		return Answer{Next: -1}, s.grown
+	}
+	if s.next < question.Next {
+		return Answer{Next: s.next, Age: clock.Since(s.askedAt)}, s.grown
 	}
 	answer := Answer{Next: s.next, Age: clock.Since(s.askedAt), Whole: question.From < s.base}
 	for _, record := range s.records {
--- a/internal/fanout/source_test.go
+++ b/internal/fanout/source_test.go
@@ -69,7 +69,7 @@
 		if answer := s.Give(t.Context(), Question{From: 1, Next: 2, Asker: "x"}); answer.Next != 2 || len(answer.Records) != 1 {
 			t.Errorf("%+v", answer)
 		}
-		if answer := s.Give(t.Context(), Question{From: 2, Next: 9, Asker: "x"}); answer.Next != 0 || answer.Elsewhere != "" {
+		if answer := s.Give(t.Context(), Question{From: 2, Next: 9, Asker: "x"}); answer.Next != 2 || len(answer.Records) != 0 || answer.Elsewhere != "" {
 			t.Errorf("%+v", answer)
 		}
 	})
@@ -151,11 +151,41 @@
 	}
 }
 
-// A node that is gone, or that does not know the service, ends a fetch with an error; the next one is sent elsewhere.
+// A node that the store turns away learns of what others know, and that nothing came only from one that would know.
+func TestPolling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{calls: make([]int, 3), gone: map[int]bool{0: true}}
+		for range 3 {
+			f.sources = append(f.sources, NewSource())
+		}
+		old, young := f.sources[1], f.sources[2]
+		old.Take([]store.Record{record(1, "a", "1")}, true, 2)
+		old.NoteAsked(clock.Now())
+		time.Sleep(time.Minute)
+		young.Take([]store.Record{record(1, "a", "1")}, true, 2)
+		young.NoteAsked(clock.Now())
+		addresses := []string{"0", "1", "2"}
+		if answer, err := Poll(t.Context(), f.call, addresses, 2, "x"); err != nil || answer.Next != 2 || answer.Age > oldestTold {
+			t.Errorf("nothing came: %+v, %v", answer, err)
+		}
+		if answer, err := Poll(t.Context(), f.call, addresses[:2], 2, "x"); !errors.Is(err, ErrOld) {
+			t.Errorf("nobody who would know: %+v", answer)
+		}
+		young.Take([]store.Record{record(2, "a", "2")}, false, 3)
+		if answer, err := Poll(t.Context(), f.call, addresses, 2, "x"); err != nil || answer.Next != 3 || len(answer.Records) != 1 {
+			t.Errorf("something came: %+v, %v", answer, err)
+		}
+		if answer, err := Poll(t.Context(), f.call, addresses, -1, "x"); err != nil || !answer.Whole {
+			t.Errorf("to one that knows nothing: %+v, %v", answer, err)
+		}
+	})
+}
+
+// A node that is gone holds nobody up: who was sent to it is given the change by the node that sent it there.
 func TestANodeThatIsGoneDoesNotHoldAChangeUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{calls: make([]int, 12), gone: map[int]bool{1: true}}
-		for range 12 {
+		f := &fleet{calls: make([]int, 100), gone: map[int]bool{1: true, 2: true, 3: true}}
+		for range 100 {
 			f.sources = append(f.sources, NewSource())
 		}
 		f.sources[0].Take([]store.Record{record(1, "a", "large")}, true, 2)
@@ -163,14 +193,51 @@
 			answer := f.sources[0].Give(t.Context(), Question{From: -1, Next: 2, Asker: strconv.Itoa(number)})
 			f.sources[number].Take(answer.Records, answer.Whole, answer.Next)
 		}
-		failed := 0
-		for range fanOut {
-			if _, err := Fetch(t.Context(), f.call, "0", Question{From: -1, Next: 2, Asker: "11"}); err != nil {
-				failed++
+		for number := fanOut + 1; number < 100; number++ {
+			answer, err := Fetch(t.Context(), f.call, "0", Question{From: -1, Next: 2, Asker: strconv.Itoa(number)})
+			if err != nil || len(answer.Records) != 1 {
+				t.Errorf("node %d: %+v, %v", number, answer, err)
 			}
+			f.sources[number].Take(answer.Records, answer.Whole, answer.Next)
 		}
-		if failed != 1 {
-			t.Errorf("%d of %d fetches failed", failed, fanOut)
+	})
+}
+
+// Nodes that ask again and again for what is not there yet all have it soon after it is.
+func TestAChangeReachesNodesThatPolledForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 400
+		f := &fleet{calls: make([]int, nodes), gone: make(map[int]bool)}
+		for range nodes {
+			s := NewSource()
+			s.Take(nil, true, 1)
+			f.sources = append(f.sources, s)
+		}
+		var polling sync.WaitGroup
+		for number := 1; number < nodes; number++ {
+			polling.Go(func() {
+				for round := 0; f.sources[number].knows() < 2; round++ {
+					time.Sleep(time.Duration(number*7+round*13) % 400 * time.Millisecond)
+					f.sources[0].NoteAsked(clock.Now())
+					answer, err := Poll(t.Context(), f.call, []string{"0"}, 1, strconv.Itoa(number))
+					if err == nil {
+						f.sources[number].Take(answer.Records, answer.Whole, answer.Next)
+					}
+				}
+			})
+		}
+		time.Sleep(10 * time.Second)
+		put := time.Now()
+		f.sources[0].Take([]store.Record{record(1, "a", "large")}, false, 2)
+		polling.Wait()
+		if took := time.Since(put); took > 2*time.Second {
+			t.Errorf("known to all after %v", took)
 		}
 	})
 }
+
+func (s *Source) knows() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.next
+}
--- a/internal/frontend/fleet_test.go
+++ b/internal/frontend/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -305,6 +306,23 @@
 	node.guide = fanout.NewGuide(fanout.GuideOptions{Share: share, UpToDate: node.source.NoteAsked})
 	following.Guide, following.Took = node.guide, node.source.Take
 	following.Read = func(_ int64, _ bool, asked time.Time) { node.source.NoteAsked(asked) }
+	readFor := following.Relayed
+	following.Relayed = func(ctx context.Context, from int64) (follow.Relay, error) {
+		if node.guide.Told() {
+			asked := time.Now()
+			poll, cancel := node.guide.UntilContact(ctx)
+			defer cancel()
+			answer, err := fanout.Poll(poll, f.take, node.peers.Known(), from, name)
+			if err == nil {
+				node.source.NoteAsked(asked.Add(-answer.Age))
+				return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
+			}
+			if errors.Is(err, fanout.ErrOld) || poll.Err() != nil {
+				return follow.Relay{}, err
+			}
+		}
+		return readFor(ctx, from)
+	}
 	following.Fetch = func(ctx context.Context, from int64) (follow.Relay, error) {
 		asked, news := time.Now(), node.guide.News()
 		answer, err := fanout.Fetch(ctx, f.take, news.From, fanout.Question{From: from, Next: news.Large, Asker: name})
@@ -358,7 +376,15 @@
 // relayed returns how a node has others read for it.
 func (f *fleetOfNodes) relayed(node *fleetNode) func(context.Context, int64) (follow.Relay, error) {
 	call := func(ctx context.Context, address string, question storeproxy.Question) (storeproxy.Answer, error) {
-		return f.at(address).proxy.Read(question), ctx.Err()
+		reader := f.at(address)
+		if reader.isStopped() {
+			return storeproxy.Answer{}, errNoAddress
+		}
+		answer := reader.proxy.Read(question)
+		if !pause.For(ctx, reader.link.send(sizeOf(answer.Records))) {
+			return storeproxy.Answer{}, ctx.Err()
+		}
+		return answer, nil
 	}
 	return func(ctx context.Context, from int64) (follow.Relay, error) {
 		answer, err := storeproxy.AskBy(ctx, call, &node.peers, storeproxy.Question{From: from})
--- a/internal/frontend/largeconfig_test.go
+++ b/internal/frontend/largeconfig_test.go
@@ -21,7 +21,7 @@
 	name := func() string { return fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64()) }
 	var routes strings.Builder
 	for routes.Len() < sizeLarge {
-		fmt.Fprintf(&routes, `{"name":"route-%s","host":"%s.example","pathPrefix":"/%s/","kind":"safe","timeoutMs":%d,"targetLatencyMs":%d,"service":"%s","maxAttempts":2}`,
+		fmt.Fprintf(&routes, `{"name":"route-%s","host":"%s.example","prefix":"/%s/","timeout":%d,"target":%d,"service":"%s"}`,
 			name(), name(), name(), random.IntN(9000), random.IntN(900), name())
 	}
 	noise := make([]byte, sizeLarge)
@@ -152,3 +152,29 @@
 		f.expect(value, toAll+time.Second)
 	})
 }
+
+// Nodes that the store turns away know a large configuration in time as well, whether the coordinator is among them
+// or not.
+func TestALargeConfigurationReachesNodesThatTheStoreTurnsAway(t *testing.T) {
+	value := largeConfigurations()["noise"]
+	for _, kind := range []outage{outageRefuses, outageSilent} {
+		for _, withCoordinator := range []bool{false, true} {
+			t.Run(fmt.Sprintf("kind %d, the coordinator too %v", kind, withCoordinator), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := startLargeFleet(t, wholeFleetNodes, []byte("first"))
+					defer f.end()
+					time.Sleep(8 * time.Second)
+					coordinator := f.coordinator()
+					f.store.strike(kind, func(node int) bool {
+						if f.nodes[node] == coordinator {
+							return withCoordinator
+						}
+						return node%3 == 0
+					})
+					f.putValue(value)
+					f.expect(value, applyWithin)
+				})
+			})
+		}
+	}
+}
--- a/internal/frontend/operatorfollow.go
+++ b/internal/frontend/operatorfollow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,9 +93,25 @@
 	return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
 }
 
-// readRelayed has another node read what the operator put.
+// readRelayed has what operators put from other nodes while the store turns this one away. In a large fleet the
+// coordinator gives it to a few of them; else a node reads the store for this one, which for hundreds at once would
+// take all of its link.
 func (n *Node) readRelayed(ctx context.Context, from int64) (follow.Relay, error) {
 	asked := clock.Now()
+	if n.operatorGuide.Told() {
+		poll, cancel := n.operatorGuide.UntilContact(ctx)
+		defer cancel()
+		answer, err := fanout.Poll(poll, fanout.CallNode, n.peers.Known(), from, n.options.Settings.Listen.Internal)
+		if err == nil {
+			n.noteOperatorAge(asked.Add(-answer.Age))
+			return follow.Relay{Records: answer.Records, Whole: answer.Whole, Next: answer.Next}, nil
+		}
+		if errors.Is(err, fanout.ErrOld) || poll.Err() != nil {
+			return follow.Relay{}, err
+		}
+		n.logger.Debug("no node gives what operators put", zap.Error(err))
+		asked = clock.Now()
+	}
 	answer, err := storeproxy.Ask(ctx, &n.peers, storeproxy.Question{From: from})
 	if err != nil {
 		return follow.Relay{}, err
