--- a/internal/election/news.go
+++ b/internal/election/news.go
@@ -21,9 +21,10 @@
 	At, HeardAt time.Time
 }
 
-// hear takes what the holder told.
+// hear takes what the holder told. What stood in the log before this process read it to its end may have been told by
+// a holder that is gone.
 func (m *Machine) hear(now time.Time, news *News) {
-	if news == nil {
+	if news == nil || !m.caughtUp {
 		m.heardNews = nil
 		return
 	}
--- a/internal/election/news_test.go
+++ b/internal/election/news_test.go
@@ -16,6 +16,8 @@
 func TestNewsAreAsOldAsTheyAre(t *testing.T) {
 	w := newWorld(2)
 	holder, other := w.machines[0], w.machines[1]
+	w.readAll(other, w.now)
+	other.Doubtful(w.now)
 	holder.SetNews(&News{Next: 3, AgeMs: 200})
 	w.step(holder)
 	w.readAll(other, w.now)
@@ -44,6 +46,26 @@
 	}
 }
 
+// What a holder told before a process began is not heard: the holder may be gone, and all nodes of a fleet that
+// starts anew would ask it for what it told of.
+func TestNewsOfBeforeAreNotHeard(t *testing.T) {
+	w := newWorld(2)
+	holder, late := w.machines[0], w.machines[1]
+	holder.SetNews(&News{Next: 3})
+	w.step(holder)
+	w.readAll(late, w.now)
+	late.Doubtful(w.now)
+	if heard := late.Standing(w.now).News; heard != nil {
+		t.Errorf("heard %+v", heard)
+	}
+	holder.SetNews(&News{Next: 4})
+	w.step(holder)
+	w.readAll(late, w.now)
+	if heard := late.Standing(w.now).News; heard == nil || heard.Next != 4 {
+		t.Errorf("what is told now: %+v", heard)
+	}
+}
+
 // A holder that tells nothing, as those of earlier builds, is not taken to have told what another did.
 func TestAHolderThatTellsNothing(t *testing.T) {
 	w := newWorld(3)
