--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,8 @@
 	Node string
 	// Zone is this node's zone; its servers are preferred.
 	Zone string
+	// Overload configures the protection of loaded services.
+	Overload OverloadOptions
 	// CrashTracker identifies requests that crash servers; nil disables it.
 	CrashTracker *crashwatch.Tracker
 	Logger       *zap.Logger
@@ -44,6 +46,11 @@
 	Reason   string
 	Attempts int
 	Duration time.Duration
+	// Service is the service that the request was for.
+	Service string
+	// Hedges counts the second copies that were sent, DeniedHedges those that a budget or an overload
+	// denied; Retries and DeniedRetries are the same for attempts after a rejection.
+	Hedges, DeniedHedges, Retries, DeniedRetries int
 }
 
 // Gateway serves single requests. It is safe for concurrent use.
