Settings: overload and scheduling, all faults at once, the settings in force

The check stopped at the first unknown key and did not say which settings apply where the file names none.

Change: overload.off, .hedge_share, .retry_share, .tenant_weights go to gateway.Options.Overload, scheduling.tenant_weights to coordinator.Options.TenantWeights. Shares lie in 0 to 1, weights above 0 and up to 100. `dalehook-node check` prints the settings in force as JSON on standard output, and that they are valid on standard error.

--- a/cmd/dalehook-node/check.go
+++ b/cmd/dalehook-node/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/google/subcommands"
@@ -11,7 +12,7 @@
 	"dalehook/internal/frontend"
 )
 
-// checkCommand validates a settings file.
+// checkCommand validates a settings file and prints the settings in force.
 type checkCommand struct{ settings settingsFlag }
 
 // Name implements subcommands.Command.
@@ -22,7 +23,10 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return "check [-settings FILE]:\n\tSays what is wrong with a settings file.\n"
+	return `check [-settings FILE]:
+	Says all that is wrong with a settings file. If nothing is, prints the settings in
+	force as JSON: all keys, with defaults for those that the file doesn't set.
+`
 }
 
 // SetFlags implements subcommands.Command.
@@ -30,10 +34,23 @@
 
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := frontend.LoadSettings(c.settings.path); err != nil {
+	if err := writeEffectiveSettings(os.Stdout, c.settings.path); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	fmt.Println("settings are valid")
+	fmt.Fprintln(os.Stderr, "settings are valid")
 	return subcommands.ExitSuccess
 }
+
+func writeEffectiveSettings(w io.Writer, path string) error {
+	settings, err := frontend.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	text, err := settings.Effective()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%s\n", text)
+	return err
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -95,6 +95,8 @@
 	// OrderPause is the time after a takeover in which no order is sent, so that
 	// the orders of two lease holders are at least that far apart.
 	OrderPause time.Duration
+	// TenantWeights holds the weights of tenants whose share of the engines is not 1.
+	TenantWeights map[string]float64
 	// Fenced is true if engines reject orders with an old epoch. OrderPause then
 	// applies only if the predecessor may still be active.
 	Fenced   bool
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -165,7 +165,8 @@
 	n.zones = evacuatedZones{directory: n.directory, onChange: n.notifyServersChanged, logger: n.logger}
 	n.gateway = gateway.NewGateway(gateway.Options{
 		Backend: adapter.Backend(), Directory: n.directory, Node: options.Settings.Node, Zone: options.Settings.Zone, CrashTracker: n.crashTracker,
-		Logger: logger.Named("gateway"), Observe: n.metrics.observeRequest, OnMayHaveStarted: n.countStarted,
+		Overload: options.Settings.overloadOptions(),
+		Logger:   logger.Named("gateway"), Observe: n.metrics.observeRequest, OnMayHaveStarted: n.countStarted,
 	})
 	adapter.ObserveStore(n.observeStore)
 	n.jobLogs = joblog.NewLogs(joblog.Options{
@@ -180,10 +181,11 @@
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
 		Engines: adapter.Engines(), CrashTracker: n.crashTracker, Rewards: &rewardCaller{gateway: n.gateway, logger: logger.Named("reward")}, Log: adapter.Log(), JobLogs: n.jobLogs, Directory: n.directory,
-		OrderPause: time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
-		Fenced:     options.Settings.FencingEnforced,
-		Logger:     logger.Named("coordinator"),
-		Observer:   n.metrics,
+		OrderPause:    time.Duration(options.Settings.OrderPauseMs) * time.Millisecond,
+		TenantWeights: options.Settings.Scheduling.TenantWeights,
+		Fenced:        options.Settings.FencingEnforced,
+		Logger:        logger.Named("coordinator"),
+		Observer:      n.metrics,
 	})
 	n.usageSender, n.usageReporter = n.newUsage(logger)
 	n.scaling = n.newScaling(logger)
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -4,12 +4,20 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"reflect"
 	"slices"
+	"strings"
+
+	"go.uber.org/zap/zapcore"
+
+	"dalehook/internal/gateway"
 )
 
 // Settings are a node's settings, as read from its settings file.
@@ -67,6 +75,25 @@
 		// configuration limits them.
 		MostServers int `json:"most_servers"`
 	} `json:"scaling"`
+	// Overload controls how single requests are treated while a service has more of them than it can
+	// serve.
+	Overload struct {
+		// Off disables refusals, limits and budgets under overload.
+		Off bool `json:"off"`
+		// HedgeShare is the number of hedges (second copies of slow requests) for each admitted request
+		// of a loaded service, from 0 to 1; RetryShare is the same for retries after a rejection.
+		HedgeShare float64 `json:"hedge_share"`
+		RetryShare float64 `json:"retry_share"`
+		// TenantWeights holds the weights by which tenants share an overloaded service; others have
+		// weight 1.
+		TenantWeights map[string]float64 `json:"tenant_weights"`
+	} `json:"overload"`
+	// Scheduling controls how batch jobs share the engines.
+	Scheduling struct {
+		// TenantWeights holds the weights by which tenants with waiting items share the engines; others
+		// have weight 1.
+		TenantWeights map[string]float64 `json:"tenant_weights"`
+	} `json:"scheduling"`
 	// OrderPauseMs is the minimum time between the orders of two successive holders of the lease.
 	OrderPauseMs int `json:"order_pause_ms"`
 	// LeaveBoundMs is the time within which a draining server must get no more requests; 0 means
@@ -93,24 +120,76 @@
 	return ParseSettings(text)
 }
 
+// Defaults of settings whose zero value has a meaning of its own.
+const (
+	defaultGraceSeconds = 8
+	defaultLogLevel     = "info"
+	// defaultHedgeShare and defaultRetryShare bound the load that the copies of requests add to a
+	// service that is loaded already.
+	defaultHedgeShare = 0.1
+	defaultRetryShare = 0.1
+)
+
+// defaultSettings returns the settings of an empty file.
+func defaultSettings() *Settings {
+	settings := &Settings{GraceSeconds: defaultGraceSeconds, LogLevel: defaultLogLevel}
+	settings.Overload.HedgeShare, settings.Overload.RetryShare = defaultHedgeShare, defaultRetryShare
+	return settings
+}
+
 // ParseSettings decodes and validates settings. Unknown keys are refused, since they are most
-// likely misspelt.
+// likely misspelt. The error names everything that is wrong, except that only the first value of a
+// wrong type is named.
 func ParseSettings(text []byte) (*Settings, error) {
-	settings := &Settings{GraceSeconds: 8, LogLevel: "info"}
+	settings := defaultSettings()
 	decoder := json.NewDecoder(bytes.NewReader(text))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(settings); err != nil {
+	err := decoder.Decode(settings)
+	var typeError *json.UnmarshalTypeError
+	if err != nil && !errors.As(err, &typeError) {
 		return nil, fmt.Errorf("decode settings: %w", err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return nil, errors.New("decode settings: text follows the object")
 	}
-	if err := settings.validate(); err != nil {
-		return nil, fmt.Errorf("invalid settings: %w", err)
+	problems := unknownKeys(text)
+	if typeError != nil {
+		problems = append(problems, settingError{cmp.Or(typeError.Field, "the file"), "must be " + jsonKind(typeError.Type) + ", not " + typeError.Value})
+	}
+	for _, problem := range settings.validate() {
+		// A value that could not be decoded has its default here, which says nothing about the file.
+		if typeError == nil || !isWithin(problem.key, typeError.Field) {
+			problems = append(problems, problem)
+		}
+	}
+	if len(problems) > 0 {
+		return nil, fmt.Errorf("invalid settings: %w", errors.Join(problems...))
 	}
 	return settings, nil
 }
 
+// jsonKind returns the kind of JSON value that is decoded to a type.
+func jsonKind(decoded reflect.Type) string {
+	switch decoded.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Slice:
+		return "an array"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "an integer"
+	}
+	return "a number"
+}
+
+// isWithin reports whether a key is the given one or lies in its section. The empty key stands for the
+// whole file.
+func isWithin(key, section string) bool {
+	return section == "" || key == section || strings.HasPrefix(key, section+keySeparator)
+}
+
 // dutyUsage is the duty to report usage.
 const dutyUsage = "usage"
 
@@ -127,33 +206,64 @@
 	return s.Provider.Address != "" && slices.Contains(s.Provider.Duties, dutyUsage)
 }
 
-func (s *Settings) validate() error {
-	var errs []error
-	require := func(holds bool, message string) {
+// overloadOptions returns the options of the gateway.
+func (s *Settings) overloadOptions() gateway.OverloadOptions {
+	return gateway.OverloadOptions{
+		Off: s.Overload.Off, HedgeShare: s.Overload.HedgeShare, RetryShare: s.Overload.RetryShare, TenantWeights: s.Overload.TenantWeights,
+	}
+}
+
+// settingError says what is wrong with the value of a key.
+type settingError struct{ key, message string }
+
+func (e settingError) Error() string { return e.key + " " + e.message }
+
+// maxTenantWeight is the largest weight of a tenant. A larger one would leave tenants of weight 1
+// hardly any share.
+const maxTenantWeight = 100
+
+func (s *Settings) validate() []settingError {
+	var problems []settingError
+	require := func(holds bool, key, message string) {
 		if !holds {
-			errs = append(errs, errors.New(message))
+			problems = append(problems, settingError{key, message})
+		}
+	}
+	requireShare := func(value float64, key string) {
+		require(value >= 0 && value <= 1, key, "must be between 0 and 1")
+	}
+	requireWeights := func(weights map[string]float64, key string) {
+		for _, tenant := range slices.Sorted(maps.Keys(weights)) {
+			require(weights[tenant] > 0 && weights[tenant] <= maxTenantWeight, key,
+				fmt.Sprintf("must hold positive weights up to %d, not %v for %q", maxTenantWeight, weights[tenant], tenant))
 		}
 	}
-	require(s.Node != "", "node is missing")
-	require(s.Listen.Requests != "", "listen.requests is missing")
-	require(s.Listen.Readiness != "", "listen.readiness is missing")
-	require(s.Listen.Internal != "", "listen.internal is missing")
-	require(s.Store.Address != "", "store.address is missing")
-	require(s.Store.Partitions > 0, "store.partitions must be positive")
-	require(s.Access.RevocationMs >= 0, "access.revocation_ms must not be negative")
-	require(!s.Access.FailClosed || s.Access.RevocationMs > 0, "access.revocation_ms must be positive if access.fail_closed is set")
-	require(s.Usage.WindowSeconds >= 0, "usage.window_seconds must not be negative")
-	require(s.Usage.LatenessSeconds >= 0, "usage.lateness_seconds must not be negative")
+	require(s.Node != "", "node", "is missing")
+	require(s.Listen.Requests != "", "listen.requests", "is missing")
+	require(s.Listen.Readiness != "", "listen.readiness", "is missing")
+	require(s.Listen.Internal != "", "listen.internal", "is missing")
+	require(s.Store.Address != "", "store.address", "is missing")
+	require(s.Store.Partitions > 0, "store.partitions", "must be positive")
+	require(s.Access.RevocationMs >= 0, "access.revocation_ms", "must not be negative")
+	require(!s.Access.FailClosed || s.Access.RevocationMs > 0, "access.revocation_ms", "must be positive if access.fail_closed is set")
+	require(s.Usage.WindowSeconds >= 0, "usage.window_seconds", "must not be negative")
+	require(s.Usage.LatenessSeconds >= 0, "usage.lateness_seconds", "must not be negative")
 	if s.usageEnabled() {
-		require(s.Usage.WindowSeconds > 0, "usage.window_seconds must be positive if provider.duties contains usage")
-		require(s.Usage.LatenessSeconds > 0, "usage.lateness_seconds must be positive if provider.duties contains usage")
+		require(s.Usage.WindowSeconds > 0, "usage.window_seconds", "must be positive if provider.duties contains usage")
+		require(s.Usage.LatenessSeconds > 0, "usage.lateness_seconds", "must be positive if provider.duties contains usage")
 	}
-	require(s.Scaling.Headroom >= 0, "scaling.headroom must not be negative")
-	require(s.Scaling.MostServers >= 0, "scaling.most_servers must not be negative")
-	require(s.OrderPauseMs >= 0, "order_pause_ms must not be negative")
-	require(s.LeaveBoundMs >= 0, "leave_bound_ms must not be negative")
-	require(s.GraceSeconds > 0, "grace_seconds must be positive")
-	require(s.MemoryMB >= 0, "memory_mb must not be negative")
-	require(s.ProcessorShare >= 0, "processor_share must not be negative")
-	return errors.Join(errs...)
+	require(s.Scaling.Headroom >= 0, "scaling.headroom", "must not be negative")
+	require(s.Scaling.MostServers >= 0, "scaling.most_servers", "must not be negative")
+	requireShare(s.Overload.HedgeShare, "overload.hedge_share")
+	requireShare(s.Overload.RetryShare, "overload.retry_share")
+	requireWeights(s.Overload.TenantWeights, "overload.tenant_weights")
+	requireWeights(s.Scheduling.TenantWeights, "scheduling.tenant_weights")
+	require(s.OrderPauseMs >= 0, "order_pause_ms", "must not be negative")
+	require(s.LeaveBoundMs >= 0, "leave_bound_ms", "must not be negative")
+	require(s.GraceSeconds > 0, "grace_seconds", "must be positive")
+	require(s.MemoryMB >= 0, "memory_mb", "must not be negative")
+	require(s.ProcessorShare >= 0, "processor_share", "must not be negative")
+	_, err := zapcore.ParseLevel(s.LogLevel)
+	require(err == nil, "log_level", "must be debug, info, warn or error")
+	return problems
 }
