--- a/cmd/dalehook-node/status.go
+++ b/cmd/dalehook-node/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -15,7 +16,8 @@
 	"dalehook/internal/nodestatus"
 )
 
-// statusCommand shows the build of each node and the age of its configuration and server list.
+// statusCommand shows the build of each node, the age of its configuration and server list, and what
+// it refuses under overload.
 type statusCommand struct{ all bool }
 
 // screenLines is the number of nodes shown without -all.
@@ -33,6 +35,8 @@
 	Asks the nodes whose internal addresses are given. The odd ones come first: those that do
 	not answer, are not ready, or run a build or a configuration that few have. Nodes of
 	builds that do not tell are shown as "earlier". Exits with 1 where a node does not answer.
+	The last column is the highest share of a service's requests that the node refuses under
+	overload, with the service; it is empty where the node does not tell.
 `
 }
 
@@ -52,7 +56,7 @@
 	if !c.all {
 		shown = results[:min(len(results), screenLines)]
 	}
-	if err := writeStatus(results, shown); err != nil {
+	if err := writeStatus(os.Stdout, results, shown); err != nil {
 		fmt.Fprintln(os.Stderr, "status:", err)
 		return subcommands.ExitFailure
 	}
@@ -62,9 +66,9 @@
 	return subcommands.ExitSuccess
 }
 
-func writeStatus(results, shown []nodestatus.NodeResult) error {
-	writer := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(writer, "address\tnode\tbuild\tready\tcoordinates\tconfiguration\tconfiguration age\tservers\tlist age")
+func writeStatus(w io.Writer, results, shown []nodestatus.NodeResult) error {
+	writer := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(writer, "address\tnode\tbuild\tready\tcoordinates\tconfiguration\tconfiguration age\tservers\tlist age\trefused")
 	builds := make(map[string]int)
 	for _, result := range results {
 		if result.Err == nil {
@@ -78,10 +82,10 @@
 		return err
 	}
 	for _, build := range slices.Sorted(maps.Keys(builds)) {
-		fmt.Printf("%d nodes of build %s\n", builds[build], build)
+		fmt.Fprintf(w, "%d nodes of build %s\n", builds[build], build)
 	}
 	if hidden := len(results) - len(shown); hidden > 0 {
-		fmt.Printf("%d nodes not shown\n", hidden)
+		fmt.Fprintf(w, "%d nodes not shown\n", hidden)
 	}
 	return nil
 }
@@ -93,7 +97,15 @@
 	case result.Build == nodestatus.EarlierBuild:
 		fmt.Fprintf(writer, "%s\t\t%s\n", result.Address, result.Build)
 	default:
-		fmt.Fprintf(writer, "%s\t%s\t%s\t%t\t%t\t%d\t%v\t%d\t%v\n", result.Address, result.Node, result.Build, result.Ready, result.Leading, result.Configuration,
-			result.ConfigurationAge.Round(time.Millisecond), result.Servers, result.ListAge.Round(time.Millisecond))
+		fmt.Fprintf(writer, "%s\t%s\t%s\t%t\t%t\t%d\t%v\t%d\t%v\t%s\n", result.Address, result.Node, result.Build, result.Ready, result.Leading, result.Configuration,
+			result.ConfigurationAge.Round(time.Millisecond), result.Servers, result.ListAge.Round(time.Millisecond), formatRefused(result.Status))
 	}
 }
+
+// formatRefused formats the highest refused share with its service.
+func formatRefused(status nodestatus.Status) string {
+	if status.RefusedService == "" {
+		return ""
+	}
+	return fmt.Sprintf("%.1f%% of %s", 100*status.RefusedShare, status.RefusedService)
+}
--- a/internal/frontend/status.go
+++ b/internal/frontend/status.go
@@ -18,5 +18,8 @@
 	if table := n.table.Load(); table != nil {
 		status.Configuration = table.Version
 	}
+	if highest, ok := highestRefusedShare(n.gateway.Overload(now)); ok {
+		status.RefusedService, status.RefusedShare = highest.Service, highest.RefusedShare
+	}
 	return status
 }
--- a/internal/nodestatus/fleet.go
+++ b/internal/nodestatus/fleet.go
@@ -30,7 +30,8 @@
 }
 
 // QueryFleet queries all nodes. It returns first those that didn't answer, then those that aren't
-// ready, then those with the rarest builds and configurations.
+// ready, then those with the rarest builds and configurations, then those that refuse the largest
+// share of a service's requests.
 func QueryFleet(ctx context.Context, addresses []string) []NodeResult {
 	mapper := iter.Mapper[string, NodeResult]{MaxGoroutines: maxConcurrentQueries}
 	results := mapper.Map(addresses, func(address *string) NodeResult { return queryNode(ctx, *address) })
@@ -63,6 +64,7 @@
 			compareBool(a.Ready, b.Ready),
 			cmp.Compare(builds[a.Build], builds[b.Build]),
 			cmp.Compare(configurations[a.Configuration], configurations[b.Configuration]),
+			cmp.Compare(b.RefusedShare, a.RefusedShare),
 			cmp.Compare(a.Build, b.Build),
 			cmp.Compare(a.Address, b.Address),
 		)
--- a/internal/nodestatus/nodestatus.go
+++ b/internal/nodestatus/nodestatus.go
@@ -28,6 +28,11 @@
 	// Servers is the number of servers in the list; ListAge is the time since the list was read.
 	Servers int
 	ListAge time.Duration
+	// RefusedService is the service of which the node refuses the largest share of requests under
+	// overload, and RefusedShare that share, from 0 to 1. RefusedService is empty if the node has sent
+	// no single requests or runs an earlier build.
+	RefusedService string
+	RefusedShare   float64
 }
 
 // Source provides the status of a node.
--- a/internal/nodestatus/nodestatus_test.go
+++ b/internal/nodestatus/nodestatus_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"dalehook/internal/nodecall"
 	"dalehook/internal/nodecall/nodecalltest"
 	"dalehook/internal/wiretest"
 )
@@ -61,5 +62,66 @@
 }
 
 func TestWire(t *testing.T) {
-	wiretest.Check(t, []wiretest.Message{{Name: "status", Codec: wiretest.Gob, Value: Status{}}})
+	refused := "zero from builds that refuse nothing under overload; the node is shown without a refused share"
+	wiretest.Check(t, []wiretest.Message{{Name: "status", Codec: wiretest.Gob, Value: Status{}, Added: map[string]string{
+		"RefusedService": refused, "RefusedShare": refused,
+	}}})
+}
+
+// Among nodes that are alike otherwise, those that refuse the most come first, since only some nodes
+// fit on a screen.
+func TestNodesThatRefuseRequestsComeFirst(t *testing.T) {
+	node := func(address string, share float64) NodeResult {
+		return NodeResult{Address: address, Status: Status{Build: "b", Ready: true, RefusedService: "s", RefusedShare: share}}
+	}
+	results := []NodeResult{node("a", 0), node("b", 0.2), node("c", 0), node("d", 0.7)}
+	sortResults(results)
+	var order []string
+	for _, result := range results {
+		order = append(order, result.Address)
+	}
+	if diff := cmp.Diff([]string{"d", "b", "a", "c"}, order); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// EarlierStatus is the status of builds without a refused share. It is exported for package rpc.
+type EarlierStatus struct {
+	Node, Build      string
+	Ready, Leading   bool
+	Configuration    int64
+	ConfigurationAge time.Duration
+	Servers          int
+	ListAge          time.Duration
+}
+
+type earlierService struct{ status EarlierStatus }
+
+func (s *earlierService) Status(_ Empty, status *EarlierStatus) error {
+	*status = s.status
+	return nil
+}
+
+// While builds are replaced, this build's command queries earlier nodes, and the other way round.
+func TestStatusBetweenBuilds(t *testing.T) {
+	earlier := EarlierStatus{Node: "n", Build: "b", Ready: true, Configuration: 3, Servers: 4, ListAge: time.Minute}
+	address := nodecalltest.Serve(t, func(server *rpc.Server) error {
+		return server.RegisterName(serviceName, &earlierService{status: earlier})
+	})
+	status, err := Query(context.Background(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	current := Status{Node: "n", Build: "b", Ready: true, Configuration: 3, Servers: 4, ListAge: time.Minute}
+	if diff := cmp.Diff(current, status); diff != "" {
+		t.Errorf("from an earlier build: %s", diff)
+	}
+	current.RefusedService, current.RefusedShare = "s", 0.5
+	var answered EarlierStatus
+	if err := nodecall.Call(context.Background(), serve(t, fixedStatus(current)), methodStatus, Empty{}, &answered); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(earlier, answered); diff != "" {
+		t.Errorf("to an earlier build: %s", diff)
+	}
 }
