Explain: why a request was refused

`dalehook explain` showed the line of a refusal and left it to the reader to find the load that led to it.

Change: for answers 503 with the reasons overloaded, too late and retry budget, or with a logged retry_after, the history says why, the refused share, the offered, accepted and refused requests, utilization and evidence of the service's line at that node nearest in time (2 s at most, twice the time between two such lines), and when the caller was told to come back.

Result: tests of internal/explain and internal/command pass; earlier golden files are untouched.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -28,7 +28,8 @@
 	return `explain ID [FILE ...]:
 	Reads log files of nodes, or the standard input, and tells the life of the
 	request, item or batch job ID in order: what decided each step, how old that
-	was, and what happened meanwhile to the nodes and servers that it met.
+	was, and what happened meanwhile to the nodes and servers that it met. For a
+	refused request: why, by what inputs, and when the caller was told to come back.
 `
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -97,10 +97,12 @@
 	// Entries are about the ID itself; Related entries may have affected it. Both
 	// are in chronological order.
 	Entries, Related []Entry
+	// Refusals are the refusals among the entries, in chronological order.
+	Refusals []Refusal
 }
 
-// Explain returns the entries about an ID, and those about the nodes, servers and
-// store involved in it during its lifetime.
+// Explain returns the entries about an ID, those about the nodes, servers and store
+// involved in it during its lifetime, and what is known of its refusals.
 func Explain(id string, entries []Entry) History {
 	history := History{ID: id}
 	participants := make(map[string]bool)
@@ -129,6 +131,7 @@
 		}
 	}
 	slices.SortStableFunc(history.Related, compareByTime)
+	history.Refusals = refusalsOf(history.Entries, entries)
 	return history
 }
 
@@ -215,6 +218,9 @@
 	if err := writeEntries(w, h.ID, h.Entries); err != nil {
 		return err
 	}
+	if err := writeRefusals(w, h.Refusals); err != nil {
+		return err
+	}
 	return writeGroups(w, "meanwhile", collapseRepeated(h.Related))
 }
 
