Explain: refusals whose line names no refused share

Cause: the gateway logs refused_share only if it is above 0, and utilization -1 where servers state none. A refusal as too late then showed no state of its service, and an unknown utilization as a figure.

Change: the state of the service follows each refusal that protects a loaded service; utilization is a figure from 0 on.

--- a/internal/explain/refusal.go
+++ b/internal/explain/refusal.go
@@ -48,11 +48,16 @@
 	if e.Message != messageRequestAnswered || e.intField("status") != http.StatusServiceUnavailable {
 		return false
 	}
+	return e.isUnderOverload() || e.intField("retry_after") > 0
+}
+
+// isUnderOverload reports whether the entry's reason is one of those that protect a loaded service.
+func (e Entry) isUnderOverload() bool {
 	switch e.stringField("reason") {
 	case reasonOverloaded, reasonTooLate, reasonRetryBudget:
 		return true
 	}
-	return e.intField("retry_after") > 0
+	return false
 }
 
 func nearestOverload(answer Entry, entries []Entry) *Entry {
@@ -88,11 +93,10 @@
 // back, one sentence a line.
 func (r Refusal) sentences() []string {
 	sentences := []string{r.cause()}
-	_, logged := r.Answer.Fields["refused_share"]
-	if logged {
+	if _, logged := r.Answer.Fields["refused_share"]; logged {
 		sentences = append(sentences, fmt.Sprintf("The node refused %s of the requests to %s.", formatShare(r.Answer), r.Answer.stringField("service")))
 	}
-	if logged || r.Overload != nil {
+	if r.Answer.isUnderOverload() || r.Overload != nil {
 		sentences = append(sentences, r.overloadState())
 	}
 	return append(sentences, r.retryTime())
@@ -133,7 +137,7 @@
 	}
 	line := *r.Overload
 	utilization := "not stated by the servers"
-	if value := line.floatField("utilization"); value > 0 {
+	if value, logged := line.Fields["utilization"].(float64); logged && value >= 0 {
 		utilization = fmt.Sprintf("%.2f", value)
 	}
 	return fmt.Sprintf("Each second: %.1f offered, %.1f accepted, %.1f refused (%s). Utilization: %s. Evidence: %s, %d ms old. (Line of %s.)",
