--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"testing"
 
@@ -41,3 +42,29 @@
 		t.Errorf("%q, %v", text.String(), err)
 	}
 }
+
+// The table leads from a late step to the item that it waited for, and that item's history to what its
+// runs were decided by (docs/OPERATIONS.md, case 11).
+func TestLateStep(t *testing.T) {
+	file, err := os.Open("testdata/late_step.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	entries, err := Read("late_step.log", file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	timings := Steps(entries)
+	if err := WriteSteps(&text, timings); err != nil {
+		t.Fatal(err)
+	}
+	if len(timings) != 1 {
+		t.Fatalf("%d steps", len(timings))
+	}
+	if err := Explain(timings[0].Last.Item, entries).Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "late_step", text.Bytes())
+}
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -102,7 +102,7 @@
 	}
 	verdict := n.appendRecords(ctx, job.ID, records)
 	n.metrics.observeJobCall("submit", verdict)
-	n.logger.Info("batch job submitted", zap.String("job", job.ID), zap.String("model", job.Model), zap.Int("step", job.Step),
+	n.logger.Info("batch job submitted", zap.String("job", job.ID), zap.String("tenant", job.Tenant), zap.String("model", job.Model), zap.Int("step", job.Step),
 		zap.Int("items", len(job.Items)), zap.Int("wanted_groups", job.WantedGroups), zap.Int64("minimum", job.MinVersion), zap.Stringer("verdict", verdict))
 	return verdict
 }
@@ -115,7 +115,7 @@
 	}
 	verdict := n.appendRecords(ctx, job.ID, records)
 	n.metrics.observeJobCall("end", verdict)
-	n.logger.Info("batch job ended", zap.String("job", job.ID), zap.Stringer("verdict", verdict))
+	n.logger.Info("batch job ended", zap.String("job", job.ID), zap.String("tenant", job.Tenant), zap.Stringer("verdict", verdict))
 	return verdict
 }
 
