--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -28,9 +28,6 @@
 	requests          *prometheus.CounterVec
 	requestSeconds    *prometheus.HistogramVec
 	attempts          prometheus.Counter
-	requestsRefused   *prometheus.CounterVec
-	hedges            *prometheus.CounterVec
-	retries           *prometheus.CounterVec
 	jobCalls          *prometheus.CounterVec
 	jobReads          *prometheus.CounterVec
 	jobReadsMisread   prometheus.Counter
@@ -49,6 +46,7 @@
 	serverEnds        *prometheus.CounterVec
 	requestsSuspected prometheus.Counter
 	requestsHeld      prometheus.Counter
+	overload          *overloadMetrics
 }
 
 var (
@@ -68,12 +66,8 @@
 		requests:       counter("dalehook_requests_total", "Single requests by kind of route, answer and reason.", "kind", "status", "reason"),
 		requestSeconds: histogram("dalehook_request_seconds", "Time from a request read to its answer, by kind of route.", "kind"),
 		attempts:       prometheus.NewCounter(prometheus.CounterOpts{Name: "dalehook_request_attempts_total", Help: "Attempts of single requests at servers."}),
-		requestsRefused: counter("dalehook_requests_refused_total",
-			"Single requests refused under overload, since they would be too late, or since the retry budget was spent, by reason.", "reason"),
-		hedges:   counter("dalehook_hedges_total", "Second copies of slow requests, sent or denied by the budget or an overload.", "outcome"),
-		retries:  counter("dalehook_retries_total", "Attempts after a rejection, sent or denied by the budget.", "outcome"),
-		jobCalls: counter("dalehook_job_calls_total", "Calls about batch jobs by call and verdict.", "call", "verdict"),
-		jobReads: counter("dalehook_job_reads_total", "Reads of batch jobs by where the answer was found.", "source"),
+		jobCalls:       counter("dalehook_job_calls_total", "Calls about batch jobs by call and verdict.", "call", "verdict"),
+		jobReads:       counter("dalehook_job_reads_total", "Reads of batch jobs by where the answer was found.", "source"),
 		jobReadsMisread: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_job_reads_misread_total", Help: "Reads of batch jobs that the coordinator, of another build, did not understand.",
 		}),
@@ -103,10 +97,10 @@
 			Name: "dalehook_requests_held_total", Help: "Requests that were found to crash servers, and are held.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.requestsRefused, m.hedges, m.retries, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.results, m.loads,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, collectors.NewGoCollector())
-	m.initializeOverload()
+	m.overload = newOverloadMetrics(m.registry)
 	m.registerGauges(n, droppedLines)
 	return m
 }
@@ -171,7 +165,7 @@
 	m.requests.WithLabelValues(kind, strconv.Itoa(outcome.Status), reasonClass(outcome.Reason)).Inc()
 	m.requestSeconds.WithLabelValues(kind).Observe(outcome.Duration.Seconds())
 	m.attempts.Add(float64(outcome.Attempts))
-	m.observeOverload(outcome)
+	m.overload.observe(outcome)
 }
 
 // reasonClass returns the part of a reason before the first colon, to limit the number of label
--- a/internal/frontend/overload.go
+++ b/internal/frontend/overload.go
@@ -20,22 +20,32 @@
 	outcomeDenied = "denied"
 )
 
-// initializeOverload creates the counters for all label values, so that the first refusal shows in
-// their rates.
-func (m *nodeMetrics) initializeOverload() {
-	for _, reason := range refusalReasons {
-		m.requestsRefused.WithLabelValues(reason)
+// overloadMetrics counts what protects loaded services, and its cost.
+type overloadMetrics struct {
+	refused, hedges, retries *prometheus.CounterVec
+}
+
+// newOverloadMetrics registers the counters with all their label values, so that the first refusal
+// shows in their rates.
+func newOverloadMetrics(registry *prometheus.Registry) *overloadMetrics {
+	counter := func(name, help, label string, values ...string) *prometheus.CounterVec {
+		counters := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+		for _, value := range values {
+			counters.WithLabelValues(value)
+		}
+		registry.MustRegister(counters)
+		return counters
 	}
-	for _, outcome := range []string{outcomeSent, outcomeDenied} {
-		m.hedges.WithLabelValues(outcome)
-		m.retries.WithLabelValues(outcome)
+	return &overloadMetrics{
+		refused: counter("dalehook_requests_refused_total", "Single requests refused to protect a loaded service, by reason.", "reason", refusalReasons...),
+		hedges:  counter("dalehook_hedges_total", "Second copies of slow requests, sent or denied.", "outcome", outcomeSent, outcomeDenied),
+		retries: counter("dalehook_retries_total", "Attempts after a rejection, sent or denied.", "outcome", outcomeSent, outcomeDenied),
 	}
 }
 
-// observeOverload counts refusals, hedges and retries.
-func (m *nodeMetrics) observeOverload(outcome gateway.Outcome) {
+func (m *overloadMetrics) observe(outcome gateway.Outcome) {
 	if reason := reasonClass(outcome.Reason); outcome.Status == http.StatusServiceUnavailable && slices.Contains(refusalReasons, reason) {
-		m.requestsRefused.WithLabelValues(reason).Inc()
+		m.refused.WithLabelValues(reason).Inc()
 	}
 	m.hedges.WithLabelValues(outcomeSent).Add(float64(outcome.Hedges))
 	m.hedges.WithLabelValues(outcomeDenied).Add(float64(outcome.DeniedHedges))
--- a/internal/frontend/overload_test.go
+++ b/internal/frontend/overload_test.go
@@ -35,7 +35,7 @@
 	m := newNodeMetrics(&Node{}, nil)
 	expect := func(want ...string) {
 		t.Helper()
-		if diff := cmp.Diff(want, scrape(m.requestsRefused, m.hedges, m.retries)); diff != "" {
+		if diff := cmp.Diff(want, scrape(m.overload.refused, m.overload.hedges, m.overload.retries)); diff != "" {
 			t.Error(diff)
 		}
 	}
