--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -46,6 +46,7 @@
 	serverEnds        *prometheus.CounterVec
 	requestsSuspected prometheus.Counter
 	requestsHeld      prometheus.Counter
+	overload          *overloadMetrics
 }
 
 var (
@@ -99,6 +100,7 @@
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, collectors.NewGoCollector())
+	m.overload = newOverloadMetrics(m.registry)
 	m.registerGauges(n, droppedLines)
 	return m
 }
@@ -141,6 +143,7 @@
 		return float64(n.coordinator.State().Unscored)
 	})
 	gauge("dalehook_held_requests", "Requests that are held since they crash servers.", func() float64 { return float64(n.crashTracker.Held()) })
+	m.registry.MustRegister(newRefusedShares(n))
 	if droppedLines != nil {
 		gauge("dalehook_log_lines_lost", "Log lines that were lost since the start.", func() float64 { return float64(droppedLines()) })
 	}
@@ -162,6 +165,7 @@
 	m.requests.WithLabelValues(kind, strconv.Itoa(outcome.Status), reasonClass(outcome.Reason)).Inc()
 	m.requestSeconds.WithLabelValues(kind).Observe(outcome.Duration.Seconds())
 	m.attempts.Add(float64(outcome.Attempts))
+	m.overload.observe(outcome)
 }
 
 // reasonClass returns the part of a reason before the first colon, to limit the number of label
