Server list: the size of the fleet is read on after a failure, and the relay meanwhile

A node read the first pages of the list within 2 s for all of them and began anew otherwise; with pages of one record it reached 70 to 140 of 240 each time, and the repeated reads of all nodes kept the processors busy.

Changed: a page that was read is not read again after a failure (at most 500 pages, and the entries of 500 servers and one page are held); the relay is read until the size is known, and the reading of the size ends when the relay is there.

--- a/internal/serverlist/direct.go
+++ b/internal/serverlist/direct.go
@@ -17,43 +17,77 @@
 
 // determineSize reads the list as far as a page may reach. In a small fleet that is the whole list; in a
 // large one the rest is not read, since 1,000 nodes reading 10,000 entries each exceed the capacity of a
-// store.
+// store. It ends early if this node takes the list from elsewhere.
 func (l *List) determineSize(ctx context.Context) {
-	records, end, more, err := l.readFirstPages(ctx)
-	if err != nil {
-		l.options.Logger.Warn("size of the fleet not learned", zap.Error(err))
-		pause.For(ctx, l.jitter(sizeRetryDelay))
-		return
+	read := sizeRead{log: l.options.Log}
+	for ctx.Err() == nil && !l.options.Leading() && l.needsSize(clock.Now()) {
+		done, err := read.nextPage(ctx)
+		if err != nil {
+			l.options.Logger.Warn("size of the fleet not learned", zap.Int("servers", len(read.records)), zap.Error(err))
+			pause.For(ctx, checkInterval+l.jitter(sizeRetryDelay))
+			continue
+		}
+		if done {
+			l.recordSize(read)
+			return
+		}
 	}
-	if !more {
-		l.replaceServers(records)
-		l.recordHeartbeatRead(end, true)
+}
+
+// recordSize takes the list if it was read whole. The list counts as complete only if it was read quickly and
+// there is still no relay: otherwise the changes since the first page are read first, or the relay's list is
+// taken, whose later changes do not apply to an older list.
+func (l *List) recordSize(read sizeRead) {
+	if !read.more {
+		l.replaceServers(read.records)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.sizeKnown, l.exceedsPage = true, more
+	l.sizeKnown, l.exceedsPage = true, read.more
+	if read.more {
+		return
+	}
+	l.nextOffset = read.end
+	if now := clock.Now(); !l.hasRelayLocked() && now.Sub(read.startedAt) <= sizeReadTimeout {
+		l.complete = true
+		l.options.Directory.MarkRead(now)
+	}
+}
+
+// sizeRead reads the newest entries of at least the first directReadLimit servers page by page. A page that was
+// read is not read again after a failure: under load no attempt might reach the end within its time, and the
+// repeated reads would add to that load. Each page has at least one further server, so that at most
+// directReadLimit pages are read, and the entries of that many servers and one page are held.
+type sizeRead struct {
+	log     store.Log
+	records []store.Record
+	// startedAt is the time of the request for the first page, end the topic's end according to that page:
+	// later changes are read from there.
+	startedAt time.Time
+	end       int64
+	// more is set if further servers follow.
+	more bool
 }
 
-// readFirstPages reads the newest entries of at least the first directReadLimit servers; more is set if
-// others follow.
-func (l *List) readFirstPages(ctx context.Context) (records []store.Record, end int64, more bool, err error) {
+// nextPage reads the next page; done is set if no further one is needed.
+func (r *sizeRead) nextPage(ctx context.Context) (done bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, sizeReadTimeout)
 	defer cancel()
-	for after := ""; ; {
-		page, err := store.ReadNewestPage(ctx, l.options.Log, store.TopicServers, after)
-		if err != nil {
-			return nil, 0, false, err
-		}
-		if len(records) == 0 {
-			// Changes after the first page are read from its end.
-			end = page.End
-		}
-		records = append(records, page.Records...)
-		if !page.More || len(page.Records) == 0 || len(records) >= directReadLimit {
-			return records, end, page.More && len(page.Records) > 0, nil
-		}
-		after = records[len(records)-1].Key
+	after := ""
+	if len(r.records) > 0 {
+		after = r.records[len(r.records)-1].Key
+	}
+	requestedAt := clock.Now()
+	page, err := store.ReadNewestPage(ctx, r.log, store.TopicServers, after)
+	if err != nil {
+		return false, err
+	}
+	if len(r.records) == 0 {
+		r.startedAt, r.end = requestedAt, page.End
 	}
+	r.records = append(r.records, page.Records...)
+	r.more = page.More && len(page.Records) > 0
+	return !r.more || len(r.records) >= directReadLimit, nil
 }
 
 // runHeartbeats reads the heartbeats while this node is to, and makes the directory follow the relay
--- a/internal/serverlist/follow.go
+++ b/internal/serverlist/follow.go
@@ -22,13 +22,13 @@
 	records []*relayRecord
 }
 
-// runRelayReader follows the relay of a large fleet. In a small fleet it is read once, too, since a node that
-// starts does not know the size of the fleet.
+// runRelayReader follows the relay of a large fleet. In a small fleet it is read, too, until the size is known. One
+// read is not enough: the first snapshot may follow it.
 func (l *List) runRelayReader(ctx context.Context) {
 	pace := follow.Pacer{Max: maxRelayReadDelay, Retry: relayRetryDelay}
 	outage := follow.Outage{Logger: l.options.Logger}
 	for ctx.Err() == nil {
-		if l.relayIsCaughtUp() && !l.LargeFleet() {
+		if !l.LargeFleet() && !l.needsRelay() {
 			pause.For(ctx, smallFleetCheckInterval)
 			continue
 		}
@@ -39,10 +39,11 @@
 	}
 }
 
-func (l *List) relayIsCaughtUp() bool {
+// needsRelay reports whether the relay is to be read even though the fleet is not known to be large.
+func (l *List) needsRelay() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.relayCaughtUp
+	return !l.relayCaughtUp || !l.knowsSizeLocked()
 }
 
 // readRelay reads changes if the list is known, else a snapshot. The first reads do not wait for new
--- a/internal/serverlist/mode.go
+++ b/internal/serverlist/mode.go
@@ -129,12 +129,15 @@
 func (l *List) needsSize(now time.Time) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.sizeKnown || l.hasFullList || l.hasRelayLocked() {
+	if l.knowsSizeLocked() {
 		return false
 	}
 	return l.relayCaughtUp || now.Sub(l.startedAt) > relayRecordTimeout
 }
 
+// knowsSizeLocked reports whether the size of the fleet is known, from its list or from a relay.
+func (l *List) knowsSizeLocked() bool { return l.sizeKnown || l.hasFullList || l.hasRelayLocked() }
+
 // canAdoptRelay reports whether the directory is to be taken from the relay: it does not follow the relay
 // yet, and no heartbeats arrive any more, which may be older.
 func (l *List) canAdoptRelay(now time.Time) bool {
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -135,8 +135,8 @@
 	// overdueReadWait is how long the store may hold a read of a relay whose next record is overdue, so that a
 	// silent relay is detected quickly.
 	overdueReadWait = 200 * time.Millisecond
-	// sizeReadTimeout bounds the reads of the first pages of the list, and sizeRetryDelay is the delay after a
-	// failure.
+	// sizeReadTimeout bounds the read of one of the first pages of the list, and sizeRetryDelay is the delay
+	// after a failure.
 	sizeReadTimeout = 2 * time.Second
 	sizeRetryDelay  = 400 * time.Millisecond
 	// tentativeReadBytes bounds each read of a node that may turn out not to be the one to read the heartbeats:
