Overload: the limiter and the retry budget move to internal/overload

Cause: the gateway needs a limit for each server and budgets for hedges and retries, and internal/admission has both.

Change: internal/overload holds Limiter and Budget with their tests; internal/admission uses them from there. A budget states its initial and largest savings, which were constants. A bounded limiter starts at the number of slots, is not probed, and is back there within a second after it last fell. The unbounded one behaves as before.

Result: the tests of internal/admission, internal/overload and internal/request pass; the two moved tests check the same values.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # The packages whose code and tests start no goroutine, which .ci/check-sequential checks.
 # The simulator's tests play independent seeds side by side; each seed is sequential.
 SEQUENTIAL := $(addprefix ./internal/,admission batch core directory explain follower idempotency lease lengths \
-	membership operator placement planner pool quarantine quota record request reward rollout routetable routing scheduler \
+	membership operator overload placement planner pool quarantine quota record request reward rollout routetable routing scheduler \
 	settings sim/... weights)
 CONCURRENT = $(filter-out $(shell $(GO) list $(SEQUENTIAL)),$(shell $(GO) list ./...))
 
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -10,6 +10,7 @@
 
 	"dalehook/internal/cluster"
 	"dalehook/internal/machine"
+	"dalehook/internal/overload"
 	"dalehook/internal/record"
 )
 
@@ -19,6 +20,8 @@
 	defaultMaxTotalQueueLength = 4096
 	defaultRetryShare          = 0.1
 	defaultRetryFloor          = 2.0
+	// maximumSavedRetries bounds the retries that a quiet time saves up.
+	maximumSavedRetries = 20.0
 
 	minimumRetryAfter = time.Second
 	maximumRetryAfter = 30 * time.Second
@@ -70,13 +73,13 @@
 	// known holds the classes in the order in which they became known.
 	known    []*class
 	flows    map[flowKey]*flow
-	limiters map[cluster.BackendID]*Limiter
+	limiters map[cluster.BackendID]*overload.Limiter
 	// order holds the flows, the one that is shed last first; it is what is
 	// ranged over.
 	order   []*flow
 	queued  int
 	refused []Refusal
-	retries *RetryBudget
+	retries *overload.Budget
 }
 
 // New returns a controller without limits.
@@ -97,8 +100,10 @@
 		options:  options,
 		classes:  make(map[string]*class),
 		flows:    make(map[flowKey]*flow),
-		limiters: make(map[cluster.BackendID]*Limiter),
-		retries:  NewRetryBudget(options.RetryShare, options.RetryFloor),
+		limiters: make(map[cluster.BackendID]*overload.Limiter),
+		retries: overload.NewBudget(overload.BudgetOptions{
+			Share: options.RetryShare, Floor: options.RetryFloor, Initial: options.RetryFloor, Capacity: maximumSavedRetries,
+		}),
 	}
 }
 
@@ -283,7 +288,7 @@
 func (c *Controller) Ended(item Item, took time.Duration) {
 	c.flows[item.key()].ended(took)
 	if took > 0 {
-		c.retries.Succeeded()
+		c.retries.Earn()
 	}
 }
 
@@ -291,10 +296,10 @@
 func (c *Controller) AllowRetry(now time.Time) bool { return c.retries.Take(now) }
 
 // Limiter returns the limiter of a back end.
-func (c *Controller) Limiter(backend cluster.BackendID) *Limiter {
+func (c *Controller) Limiter(backend cluster.BackendID) *overload.Limiter {
 	limiter := c.limiters[backend]
 	if limiter == nil {
-		limiter = NewLimiter()
+		limiter = overload.NewLimiter()
 		c.limiters[backend] = limiter
 	}
 	return limiter
@@ -303,7 +308,7 @@
 // Forget drops idle limiters of back ends that keep doesn't name.
 func (c *Controller) Forget(keep func(cluster.BackendID) bool) {
 	for id, limiter := range c.limiters {
-		if limiter.inFlight == 0 && !keep(id) {
+		if limiter.InFlight() == 0 && !keep(id) {
 			delete(c.limiters, id)
 		}
 	}
--- a/internal/admission/limiter.go
+++ b/internal/overload/limiter.go
@@ -1,4 +1,4 @@
-package admission
+package overload
 
 import (
 	"math"
@@ -35,16 +35,25 @@
 	probeEvery = 10 * time.Second
 	probeTime  = 600 * time.Millisecond
 	probeShare = 0.3
+
+	// A bounded limit that has not fallen for recoveryHold rises to its bound within the rest of
+	// recoveryTime. A window that ended more than recoveryTime ago is discarded.
+	recoveryTime = time.Second
+	recoveryHold = recoveryTime / 2
 )
 
 // Limiter bounds the requests that this node has open at one back end. The
 // limit follows the gradient of latency (Netflix concurrency-limits, Gradient2)
-// and falls by a factor on failures (AIMD).
+// and falls by a factor on failures (AIMD). It is not safe for concurrent use.
 type Limiter struct {
 	limit    float64
 	inFlight int
-	// reached is when the limit last held a request back.
-	reached time.Time
+	// bound is the largest limit. A bounded limit starts there, returns to it without answers, and
+	// is not probed.
+	bound   float64
+	bounded bool
+	// reached is when the limit last held a request back, fellAt when it last fell.
+	reached, fellAt time.Time
 
 	windowEnds  time.Time
 	answers     int
@@ -55,22 +64,48 @@
 	nextReplace int
 }
 
-// NewLimiter returns a limiter with the initial limit.
-func NewLimiter() *Limiter { return &Limiter{limit: initialLimit} }
+// NewLimiter returns a limiter that finds the limit of a back end of unknown size.
+func NewLimiter() *Limiter { return &Limiter{limit: initialLimit, bound: maximumLimit} }
+
+// NewBoundedLimiter returns a limiter for a back end that runs the given number of requests at once.
+// Its limit is that number, less while answers are slow or requests are rejected.
+func NewBoundedLimiter(slots int) *Limiter {
+	return &Limiter{limit: float64(slots), bound: float64(slots), bounded: true}
+}
+
+// SetBound sets the largest limit, which a bounded limit returns to.
+func (l *Limiter) SetBound(slots int) {
+	if l.limit == l.bound {
+		l.limit = float64(slots)
+	}
+	l.bound = float64(slots)
+	l.limit = min(l.limit, l.bound)
+}
 
 // HasRoom reports whether one more request may be opened. Only a limit that was
 // reached lately is cut for the probe: below it there is no queue to drain.
 func (l *Limiter) HasRoom(now time.Time) bool {
+	l.recover(now)
 	if l.inFlight >= l.Limit() {
 		l.reached = now
 		return false
 	}
-	if !probing(now) || now.Sub(l.reached) > probeEvery {
+	if l.bounded || !probing(now) || now.Sub(l.reached) > probeEvery {
 		return true
 	}
 	return l.inFlight < int(max(minimumLimit, l.limit*probeShare))
 }
 
+// recover raises a bounded limit that has not fallen lately. Without it, the limit of a node with few
+// requests would wait for answers that are seconds apart.
+func (l *Limiter) recover(now time.Time) {
+	if !l.bounded || l.limit >= l.bound {
+		return
+	}
+	risen := float64(now.Sub(l.fellAt)-recoveryHold) / float64(recoveryTime-recoveryHold)
+	l.limit = max(l.limit, min(1, risen)*l.bound)
+}
+
 // probing reports whether the baseline is being measured.
 func probing(now time.Time) bool {
 	return now.UnixMilli()%probeEvery.Milliseconds() < probeTime.Milliseconds()
@@ -112,11 +147,17 @@
 		l.windowEnds = now.Add(windowTime)
 		return
 	}
+	if l.bounded && now.Sub(l.windowEnds) > recoveryTime {
+		l.startWindow(now)
+		return
+	}
 	if now.Before(l.windowEnds) || l.answers < windowAnswers && !l.failed {
 		return
 	}
+	l.recover(now)
+	previous := l.limit
 	switch {
-	case probing(now) && l.answers > 0:
+	case !l.bounded && probing(now) && l.answers > 0:
 		l.noteBaseline(l.total / time.Duration(l.answers))
 	case l.failed:
 		l.limit = max(minimumLimit, l.limit*failureDecrease)
@@ -126,6 +167,13 @@
 	default:
 		l.noteBaseline(l.total / time.Duration(l.answers))
 	}
+	if l.limit < previous {
+		l.fellAt = now
+	}
+	l.startWindow(now)
+}
+
+func (l *Limiter) startWindow(now time.Time) {
 	l.windowEnds = now.Add(windowTime)
 	l.answers, l.total, l.failed, l.mostOpen = 0, 0, false, l.inFlight
 }
@@ -140,7 +188,7 @@
 	gradient = min(1, max(0.5, gradient))
 	wanted := l.limit*gradient + math.Sqrt(l.limit)
 	l.limit += smoothing * (wanted - l.limit)
-	l.limit = min(maximumLimit, max(minimumLimit, l.limit))
+	l.limit = min(l.bound, max(minimumLimit, l.limit))
 }
 
 // noteBaseline keeps the mean latencies of the last windows.
