Overload at a node: throttle, budgets, limits and server choice in the gateway

Change: internal/overload holds the throttle of a service (adaptive throttling on rejections and stated queues), the division of what it admits among priorities, tenants and requests with less time left, the budgets for hedges and retries, and what a node knows of a server's load. internal/gateway refuses before the first attempt, denies hedges and retries by the budgets, passes over servers at this node's limit, and rates servers by their service time, at least the age of the oldest attempt in flight. Requests of routes without a latency target are neither refused nor bounded. The load that a stream's server states counts from the header on, not from the end of the stream.

Three calls in subset_test.go take the end of an attempt as a struct, since it now says when the server was chosen; the checks are the same.

Result: the tests of internal/gateway, internal/overload and internal/admission pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"dalehook/internal/clock"
-	"dalehook/internal/directory"
 )
 
 // attemptResult is the outcome of one attempt.
@@ -22,8 +21,9 @@
 
 // attempt sends the request to a server and buffers the response body up to maxBufferedBytes. The
 // attempt may outlive the call by cancelGrace.
-func (c *call) attempt(ctx context.Context, server *directory.Server, lastEventID string) attemptResult {
-	start := clock.Now()
+func (c *call) attempt(ctx context.Context, started startedAttempt, lastEventID string) attemptResult {
+	server, start := started.server, clock.Now()
+	started.sentAt = start
 	sendCtx, cancel := withCancelGrace(ctx)
 	result := attemptResult{cancel: cancel}
 	result.response, result.sendErr = c.gateway.options.Backend.Send(sendCtx, Attempt{
@@ -32,7 +32,7 @@
 	if result.sendErr == nil {
 		result.readBody()
 	}
-	c.gateway.recordAttempt(start, server, result)
+	c.recordAttempt(started, result)
 	var breakErr error
 	if result.sendErr != nil && result.sendErr.Sent && sendCtx.Err() == nil {
 		breakErr = result.sendErr
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"cmp"
 	"maps"
 	"sync"
 	"time"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/overload"
 	"dalehook/internal/slowstart"
 )
 
@@ -18,9 +18,6 @@
 	// overloadBackoff is how long a server is avoided after it rejected an attempt or answered with
 	// a 5xx status. A longer one shifts more load to the other servers.
 	overloadBackoff = 30 * time.Millisecond
-	// latencySmoothing is the weight of the newest sample in the moving average of latencies. A larger
-	// one notices slow servers sooner, but avoids a server after a single slow response.
-	latencySmoothing = 0.15
 	// initialLatency is assumed for a server that has no latency sample yet.
 	initialLatency = 25 * time.Millisecond
 	// crossZoneFactor raises the cost of servers in other zones: these are used once the servers of this
@@ -28,6 +25,8 @@
 	crossZoneFactor = 1.3
 	// backoffFactor makes servers in backoff the last choice.
 	backoffFactor = 1000
+	// atLimitFactor makes servers at this node's limit the last choice among those that respond.
+	atLimitFactor = 10
 	// warmingFactor keeps requests off warming servers while a warm one is available: all nodes
 	// share the rate that a warming server sustains, without coordination.
 	warmingFactor = 100
@@ -35,9 +34,7 @@
 
 // serverState holds this node's observations of a server.
 type serverState struct {
-	inFlight     int
-	latency      time.Duration
-	reportedLoad Load
+	load         *overload.Server
 	backoffUntil time.Time
 	// recentSends are the requests that this node sent within the last second.
 	recentSends slowstart.Window
@@ -53,11 +50,32 @@
 	// warmUpRate is the requests per second that each server sustains while it warms up; 0 means
 	// unlimited.
 	warmUpRate float64
+	// stream says that the request is for a stream, whose age in flight says nothing of the server.
+	stream bool
+}
+
+// attemptEnd is the end of an attempt at a server.
+type attemptEnd struct {
+	// chosenAt is when the server was chosen.
+	chosenAt time.Time
+	// answered says that the server answered, latency after what time.
+	answered bool
+	latency  time.Duration
+	// load is what the server stated at loadAt; nil if it stated none.
+	load   *Load
+	loadAt time.Time
+	// backoff is how long the server is avoided.
+	backoff time.Duration
+	// rejected says that the server rejected the request, stream that it was for a stream.
+	rejected, stream bool
 }
 
 // balancer selects servers by load and observed latency. It is safe for concurrent use.
 type balancer struct {
-	zone    string
+	zone string
+	// unlimited disables the limits on concurrent requests.
+	unlimited bool
+
 	mutex   sync.Mutex
 	subsets subsets
 	states  map[directory.Incarnation]*serverState
@@ -70,16 +88,16 @@
 
 // choose returns the cheapest untried server and records a send to it; nil if there is none.
 // Servers outside the subset are considered if the subset has no warm server that is out of
-// backoff.
+// backoff and below its limit.
 func (b *balancer) choose(now time.Time, from candidates) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	preferred, all := b.subsets.preferred(from.service, from.servers)
 	best := b.cheapest(now, from, preferred)
-	if best == nil || now.Before(b.state(best.Incarnation()).backoffUntil) || now.Before(best.WarmAt) {
+	if best == nil || now.Before(b.state(best).backoffUntil) || now.Before(best.WarmAt) || b.isAtLimit(now, b.state(best)) {
 		best = b.cheapest(now, from, all)
 	}
-	b.recordSend(now, best)
+	b.recordSend(now, from, best)
 	return best
 }
 
@@ -100,12 +118,16 @@
 }
 
 // recordSend counts an attempt at a server, which may be nil.
-func (b *balancer) recordSend(now time.Time, server *directory.Server) {
+func (b *balancer) recordSend(now time.Time, from candidates, server *directory.Server) {
 	if server == nil {
 		return
 	}
-	state := b.state(server.Incarnation())
-	state.inFlight++
+	state := b.state(server)
+	state.load.Limiter.SetBound(server.Slots)
+	state.load.Limiter.Acquire()
+	if !from.stream {
+		state.load.Start(now)
+	}
 	state.recentSends.Record(now)
 }
 
@@ -126,7 +148,7 @@
 		if from.tried[server.Incarnation()] || b.isRateLimited(now, server, from.warmUpRate) {
 			continue
 		}
-		avoided := now.Before(b.state(server.Incarnation()).backoffUntil)
+		avoided := now.Before(b.state(server).backoffUntil)
 		if chosen == nil || !avoided {
 			chosen = server
 		}
@@ -134,55 +156,107 @@
 			break
 		}
 	}
-	b.recordSend(now, chosen)
+	b.recordSend(now, from, chosen)
 	return chosen
 }
 
 func (b *balancer) cost(now time.Time, server *directory.Server) float64 {
+	slots := float64(max(server.Slots, 1))
+	serviceTime, inFlight, stated := initialLatency, 0, overload.Load{}
 	state := b.states[server.Incarnation()]
-	if state == nil {
-		state = &serverState{}
+	if state != nil {
+		serviceTime = state.load.ServiceTime(now, initialLatency)
+		inFlight = state.load.Limiter.InFlight()
+		stated = state.load.LastLoad()
 	}
-	slots := float64(max(server.Slots, 1))
-	load := float64(max(state.inFlight, state.reportedLoad.Running+state.reportedLoad.Waiting) + 1)
-	cost := (1 + load/slots) * cmp.Or(state.latency, initialLatency).Seconds()
+	load := float64(max(inFlight, stated.Running+stated.Waiting) + 1)
+	cost := (1 + load/slots) * serviceTime.Seconds()
 	if server.Zone != b.zone {
 		cost *= crossZoneFactor
 	}
-	if now.Before(state.backoffUntil) {
+	if state != nil && now.Before(state.backoffUntil) {
 		cost *= backoffFactor
 	}
+	if state != nil && b.isAtLimit(now, state) {
+		cost *= atLimitFactor
+	}
 	if now.Before(server.WarmAt) {
 		cost *= warmingFactor
 	}
 	return cost
 }
 
-func (b *balancer) state(id directory.Incarnation) *serverState {
+// isAtLimit reports whether this node has as many requests at a server as its limit allows.
+func (b *balancer) isAtLimit(now time.Time, state *serverState) bool {
+	return !b.unlimited && !state.load.Limiter.HasRoom(now)
+}
+
+func (b *balancer) state(server *directory.Server) *serverState {
+	id := server.Incarnation()
 	state := b.states[id]
 	if state == nil {
-		state = &serverState{}
+		state = &serverState{load: overload.NewServer(server.Slots)}
 		b.states[id] = state
 	}
 	return state
 }
 
-// recordResult records the end of an attempt; latency is 0 if there was no complete response.
-func (b *balancer) recordResult(now time.Time, id directory.Incarnation, latency time.Duration, load *Load, backoff time.Duration) {
+// recordLoad records the load that a server stated. It returns the time for which the next request
+// there is predicted to wait for a slot; 0 if unknown.
+func (b *balancer) recordLoad(now time.Time, server *directory.Server, load Load) time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	state := b.state(server)
+	state.load.ObserveLoad(now, overload.Load(load))
+	return state.load.PredictedWait(overload.Load(load))
+}
+
+// recordResult records the end of an attempt. It returns the latency that the next request at the
+// server is predicted to have; 0 if unknown.
+func (b *balancer) recordResult(now time.Time, server *directory.Server, end attemptEnd) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	state := b.state(id)
-	state.inFlight--
-	if load != nil {
-		state.reportedLoad = *load
+	state := b.state(server)
+	state.load.End(end.chosenAt)
+	switch {
+	case end.rejected:
+		state.load.Limiter.Failed(now)
+	case end.answered && !end.stream:
+		state.load.Limiter.Answered(now, end.latency)
+	default:
+		state.load.Limiter.Dropped()
+	}
+	var load overload.Load
+	if end.load != nil {
+		load = overload.Load(*end.load)
+		state.load.ObserveLoad(end.loadAt, load)
 	}
-	if latency > 0 {
-		previous := cmp.Or(state.latency, latency)
-		state.latency = previous + time.Duration(latencySmoothing*float64(latency-previous))
+	if end.answered {
+		state.load.ObserveLatency(now, end.latency, load)
 	}
-	if backoff > 0 {
-		state.backoffUntil = now.Add(backoff)
+	if end.backoff > 0 {
+		state.backoffUntil = now.Add(end.backoff)
+	}
+	return state.load.PredictedLatency(load)
+}
+
+// hasFreeSlot reports whether one of the untried servers is known to have a free slot, and whether
+// there is an untried server.
+func (b *balancer) hasFreeSlot(now time.Time, servers []*directory.Server, tried map[directory.Incarnation]bool) (free, untried bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, server := range servers {
+		id := server.Incarnation()
+		if tried[id] {
+			continue
+		}
+		untried = true
+		state := b.states[id]
+		if state != nil && !now.Before(state.backoffUntil) && state.load.HasFreeSlot(now) {
+			return true, true
+		}
 	}
+	return false, untried
 }
 
 // prune drops the state of servers that are no longer listed.
@@ -192,7 +266,7 @@
 	gone := maps.Clone(b.states)
 	listed.All(func(server *directory.Server) { delete(gone, server.Incarnation()) })
 	for id, state := range gone {
-		if state.inFlight == 0 {
+		if state.load.Limiter.InFlight() == 0 {
 			delete(b.states, id)
 		}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,6 +40,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.deadline))
 	defer cancel()
+	c.admitInternal()
 	result := InternalResult{}
 	final, ok := c.awaitResponse(ctx)
 	if ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 type Gateway struct {
 	options  Options
 	balancer *balancer
+	services *guardedServices
 }
 
 // NewGateway returns a gateway.
@@ -70,11 +71,17 @@
 	if options.CrashTracker == nil {
 		options.CrashTracker = crashwatch.NewTracker(crashwatch.Options{})
 	}
-	return &Gateway{options: options, balancer: newBalancer(options.Node, options.Zone)}
+	servers := newBalancer(options.Node, options.Zone)
+	servers.unlimited = options.Overload.Off
+	return &Gateway{options: options, balancer: servers, services: newGuardedServices(options.Overload)}
 }
 
-// Prune drops the state of servers that are no longer listed.
-func (g *Gateway) Prune() { g.balancer.prune(g.options.Directory.Snapshot()) }
+// Prune drops the state of servers and services that are no longer listed.
+func (g *Gateway) Prune() {
+	listed := g.options.Directory.Snapshot()
+	g.balancer.prune(listed)
+	g.services.prune(listed)
+}
 
 // Timing and limits of attempts.
 const (
@@ -125,6 +132,16 @@
 	inTrial bool
 	// held says that the request was refused because servers ended under it.
 	held bool
+	// rejected says that the last attempt ended with a rejection.
+	rejected bool
+	// refusedShare is the share of the service's requests that were refused when this one came.
+	refusedShare float64
+	// overloadRetryAfter is the Retry-After of a request that was refused under overload; 0 for
+	// others. retryAfterSent is the one that the caller was told.
+	overloadRetryAfter, retryAfterSent time.Duration
+	// hedges and retries count the second copies and the attempts after a rejection that were sent,
+	// the others those that were denied.
+	hedges, deniedHedges, retries, deniedRetries int
 
 	fingerprintOnce  sync.Once
 	fingerprintValue quarantine.Fingerprint
@@ -169,12 +186,22 @@
 	if c.held {
 		fingerprint = zap.String("fingerprint", c.fingerprint().Short())
 	}
-	c.gateway.options.Observe(Outcome{Kind: c.route.Kind, Status: status, Reason: c.reason, Attempts: len(c.servers), Duration: took})
+	c.gateway.options.Observe(Outcome{
+		Kind: c.route.Kind, Status: status, Reason: c.reason, Attempts: len(c.servers), Duration: took, Service: c.service,
+		Hedges: c.hedges, DeniedHedges: c.deniedHedges, Retries: c.retries, DeniedRetries: c.deniedRetries,
+	})
+	refusedShare, retryAfter := zap.Skip(), zap.Skip()
+	if c.refusedShare > 0 {
+		refusedShare = zap.Float64("refused_share", c.refusedShare)
+	}
+	if c.retryAfterSent > 0 {
+		retryAfter = zap.Int64("retry_after", c.retryAfterSent.Milliseconds())
+	}
 	c.gateway.options.Logger.Info("request answered",
 		zap.String("request", c.request.ID), zap.Int("status", status), zap.String("route", c.route.Name),
 		zap.String("service", c.service), zap.Int64("configuration", c.table.Version),
 		zap.Int("attempts", len(c.servers)), zap.Duration("list_age", c.gateway.options.Directory.Age(clock.Now())),
-		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took), fingerprint)
+		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took), refusedShare, retryAfter, fingerprint)
 }
 
 // Refuse responds that a request was not executed, and when to retry.
@@ -194,7 +221,8 @@
 		status = http.StatusGatewayTimeout
 	}
 	if status == http.StatusServiceUnavailable {
-		Refuse(w, status, c.retryAfter())
+		c.retryAfterSent = c.retryAfter()
+		Refuse(w, status, c.retryAfterSent)
 		return status
 	}
 	w.Header().Set("Content-Length", "0")
@@ -205,7 +233,13 @@
 // retryAfter returns when a refused caller should retry. A held request is refused by every node
 // until its hold ends, so retrying earlier is useless.
 func (c *call) retryAfter() time.Duration {
-	if !c.held {
+	switch {
+	case c.held:
+	case c.overloadRetryAfter > 0:
+		return c.overloadRetryAfter
+	case c.rejected && c.isGuarded():
+		return c.retryAfterRejection()
+	default:
 		return defaultRetryAfter
 	}
 	remaining := clock.Until(c.gateway.options.CrashTracker.HoldExpiry(c.fingerprint()))
@@ -214,6 +248,9 @@
 
 // serveSingle serves a request whose response is a single body.
 func (c *call) serveSingle(ctx context.Context, w http.ResponseWriter) int {
+	if !c.admit() {
+		return c.writeFailure(w)
+	}
 	got, ok := c.awaitResponse(ctx)
 	if !ok {
 		return c.writeFailure(w)
@@ -228,7 +265,7 @@
 	var hedge <-chan time.Time
 	for {
 		if pending == 0 {
-			if !c.startAttempt(ctx, results) {
+			if !c.startNext(ctx, results) {
 				return attemptResult{}, false
 			}
 			pending++
@@ -242,7 +279,7 @@
 		case <-hedge:
 			hedge = nil
 			// A suspected request is not hedged, so that it crashes one server at a time.
-			if c.suspicion().Ends == 0 && c.startAttempt(ctx, results) {
+			if c.suspicion().Ends == 0 && c.startHedge(ctx, results) {
 				pending++
 			}
 		case result := <-results:
@@ -275,66 +312,93 @@
 	return time.After(time.Duration(hedgeFraction * float64(c.route.LatencyTarget)))
 }
 
+// startNext starts the first attempt, or the next one after all others have ended; it returns false
+// if there must be none.
+func (c *call) startNext(ctx context.Context, results chan<- attemptResult) bool {
+	isRetry := c.rejected
+	if isRetry && !c.allowRetry() || !c.startAttempt(ctx, results) {
+		return false
+	}
+	if isRetry {
+		c.retries++
+	}
+	return true
+}
+
+// startHedge starts a second copy of a slow request; it returns false if there must be none.
+func (c *call) startHedge(ctx context.Context, results chan<- attemptResult) bool {
+	if !c.hasAttemptsLeft() || len(c.tried) >= len(c.readyServers()) || !c.allowHedge() || !c.startAttempt(ctx, results) {
+		return false
+	}
+	c.hedges++
+	return true
+}
+
 // startAttempt starts an attempt at another server; it returns false if there is none.
 func (c *call) startAttempt(ctx context.Context, results chan<- attemptResult) bool {
-	server := c.nextServer(ctx)
-	if server == nil {
+	started, ok := c.nextServer(ctx)
+	if !ok {
 		return false
 	}
-	go func() { results <- c.attempt(ctx, server, "") }()
+	go func() { results <- c.attempt(ctx, started, "") }()
 	return true
 }
 
-// nextServer returns the server for the next attempt, or nil if there must be no other attempt.
-func (c *call) nextServer(ctx context.Context) *directory.Server {
-	if c.attempts >= max(c.route.MaxAttempts, 1) || c.unreachable >= maxUnreachable || !c.notExecuted && !c.repeatable {
-		return nil
+// startedAttempt is an attempt at a server.
+type startedAttempt struct {
+	server *directory.Server
+	// chosenAt is when the server was chosen, sentAt when the request was sent.
+	chosenAt, sentAt time.Time
+}
+
+// hasAttemptsLeft reports whether the request may be sent to a server, given the attempts so far.
+func (c *call) hasAttemptsLeft() bool {
+	return c.attempts < max(c.route.MaxAttempts, 1) && c.unreachable < maxUnreachable && (c.notExecuted || c.repeatable)
+}
+
+// nextServer chooses the server for the next attempt; ok is false if there must be no other attempt.
+func (c *call) nextServer(ctx context.Context) (started startedAttempt, ok bool) {
+	if !c.hasAttemptsLeft() {
+		return startedAttempt{}, false
 	}
 	if !clock.Now().Before(c.deadline) {
 		c.reason = "deadline"
-		return nil
+		return startedAttempt{}, false
 	}
 	suspicion := c.suspicionAfterProbes(ctx)
 	if suspicion.Held || suspicion.Ambiguous && !c.beginTrial() {
 		c.held = true
 		c.reason = reasonHeld
-		return nil
+		return startedAttempt{}, false
 	}
-	server := c.chooseServer(c.gateway.options.Directory.Snapshot().Ready(c.service), suspicion)
+	chosenAt := clock.Now()
+	server := c.chooseServer(chosenAt, c.readyServers(), suspicion)
 	if server == nil {
 		c.endTrial()
 		if c.reason == "" {
 			c.reason = "no server"
 		}
-		return nil
+		return startedAttempt{}, false
 	}
 	c.attempts++
 	c.tried[server.Incarnation()] = true
 	c.servers = append(c.servers, server.ID)
-	return server
+	return startedAttempt{server: server, chosenAt: chosenAt}, true
 }
 
-func (g *Gateway) recordAttempt(start time.Time, server *directory.Server, result attemptResult) {
-	now := clock.Now()
-	switch {
-	case result.sendErr != nil:
-		g.balancer.recordResult(now, server.Incarnation(), 0, nil, failureBackoff)
-	case result.response.NotExecuted:
-		g.balancer.recordResult(now, server.Incarnation(), 0, result.response.Load, overloadBackoff)
-	case result.response.Status >= http.StatusInternalServerError:
-		g.balancer.recordResult(now, server.Incarnation(), 0, result.response.Load, overloadBackoff)
-	default:
-		g.balancer.recordResult(now, server.Incarnation(), now.Sub(start), result.response.Load, 0)
-	}
+// readyServers returns the listed servers of the request's service that accept work.
+func (c *call) readyServers() []*directory.Server {
+	return c.gateway.options.Directory.Snapshot().Ready(c.service)
 }
 
 // isFinal reports whether the result is final; pending is the number of attempts still running.
 func (c *call) isFinal(result attemptResult, pending int) bool {
+	c.rejected = result.sendErr == nil && result.response.NotExecuted
 	switch {
 	case result.sendErr != nil:
 		c.recordSendError(result.sendErr)
 		return false
-	case result.response.NotExecuted:
+	case c.rejected:
 		c.reason = "refused by the server"
 		return false
 	case result.response.Status >= http.StatusInternalServerError && c.repeatable:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,16 +14,29 @@
 // continued at another server within the same response.
 func (c *call) serveStream(ctx context.Context, w http.ResponseWriter) int {
 	relay := &streamForwarder{call: c, w: w, lastEventID: c.request.LastEventID}
+	if !c.admit() {
+		return relay.fail()
+	}
 	for {
-		server := c.nextServer(ctx)
-		if server == nil {
+		// A stream that has begun is continued even if there is no budget for retries.
+		isRetry := c.rejected
+		if isRetry && !relay.headerSent && !c.allowRetry() {
+			return relay.fail()
+		}
+		started, ok := c.nextServer(ctx)
+		if !ok {
 			return relay.fail()
 		}
-		start := clock.Now()
+		if isRetry {
+			c.retries++
+		}
+		server, start := started.server, clock.Now()
 		attemptCtx, cancel := context.WithCancel(ctx)
 		response, sendErr := c.gateway.options.Backend.Send(attemptCtx, Attempt{
 			Request: c.request, Server: server, Timeout: remainingUntil(c.deadline), LastEventID: relay.lastEventID,
 		})
+		answeredAt := clock.Now()
+		c.recordStreamStart(answeredAt, server, response)
 		relay.breakErr = nil
 		previousID := relay.lastEventID
 		done, status := relay.forward(response, sendErr)
@@ -31,7 +44,7 @@
 			c.reportToTracker(server, start, relay.breakErr, relay.lastEventID != previousID, done && relay.complete)
 		}
 		c.endTrial()
-		c.gateway.recordAttempt(c.request.Received, server, attemptResult{response: response, sendErr: sendErr})
+		c.recordStreamEnd(started, answeredAt, attemptResult{response: response, sendErr: sendErr})
 		cancel()
 		if done {
 			return status
@@ -59,6 +72,7 @@
 // forward passes a response on; done says that the caller has the final response.
 func (r *streamForwarder) forward(response *Response, sendErr *SendError) (done bool, status int) {
 	c := r.call
+	c.rejected = sendErr == nil && response.NotExecuted
 	if sendErr != nil {
 		c.recordSendError(sendErr)
 		if sendErr.Sent {
@@ -67,7 +81,7 @@
 		return false, 0
 	}
 	defer response.Body.Close()
-	if response.NotExecuted {
+	if c.rejected {
 		c.reason = "refused by the server"
 		return false, 0
 	}
--- a/internal/gateway/subset_test.go
+++ b/internal/gateway/subset_test.go
@@ -45,7 +45,7 @@
 				t.Fatalf("a node of zone %s sent to zone %s", zoneOf(node), server.Zone)
 			}
 			sent[server.ID]++
-			b.recordResult(now, server.Incarnation(), 25*time.Millisecond, nil, 0)
+			b.recordResult(now, server, attemptEnd{chosenAt: now, answered: true, latency: 25 * time.Millisecond})
 		}
 	}
 	mean := float64(rounds*fleetNodes) / fleetServers
@@ -66,7 +66,7 @@
 			now = now.Add(100 * time.Millisecond)
 			server := b.choose(now, candidates{service: "s", servers: list})
 			ids[server.ID] = true
-			b.recordResult(now.Add(40*time.Millisecond), server.Incarnation(), 40*time.Millisecond, nil, 0)
+			b.recordResult(now.Add(40*time.Millisecond), server, attemptEnd{chosenAt: now, answered: true, latency: 40 * time.Millisecond})
 		}
 		return ids
 	}
@@ -102,7 +102,7 @@
 	for range subsetSize {
 		server := b.choose(now, candidates{service: "s", servers: list})
 		failed[server.ID] = true
-		b.recordResult(now, server.Incarnation(), 0, nil, failureBackoff)
+		b.recordResult(now, server, attemptEnd{chosenAt: now, backoff: failureBackoff})
 	}
 	if next := b.choose(now, candidates{service: "s", servers: list}); failed[next.ID] || len(failed) != subsetSize {
 		t.Errorf("chose server %s; %d servers are in backoff", next.ID, len(failed))
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -11,6 +11,7 @@
 	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
 	"dalehook/internal/quarantine"
+	"dalehook/internal/routetable"
 )
 
 // reasonHeld is the reason of requests that are refused because they crash servers.
@@ -58,13 +59,13 @@
 
 // chooseServer returns the server for the next attempt, or nil. All nodes choose the same server
 // for a suspected request, so that attempts at several nodes crash one server rather than several.
-func (c *call) chooseServer(servers []*directory.Server, suspicion quarantine.Suspicion) *directory.Server {
-	from := candidates{service: c.service, servers: servers, tried: c.tried, warmUpRate: c.table.WarmUpRate(c.service)}
+func (c *call) chooseServer(now time.Time, servers []*directory.Server, suspicion quarantine.Suspicion) *directory.Server {
+	from := candidates{service: c.service, servers: servers, tried: c.tried, warmUpRate: c.table.WarmUpRate(c.service), stream: c.route.Kind == routetable.KindStream}
 	if suspicion.Ends == 0 {
-		return c.gateway.balancer.choose(clock.Now(), from)
+		return c.gateway.balancer.choose(now, from)
 	}
 	from.servers = rankForSuspect(c.fingerprint(), suspicion.Ends, servers)
-	return c.gateway.balancer.chooseInOrder(clock.Now(), from)
+	return c.gateway.balancer.chooseInOrder(now, from)
 }
 
 // rankForSuspect orders servers for a suspected request by rendezvous hashing, equally at all
--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -67,19 +67,28 @@
 // NewLimiter returns a limiter that finds the limit of a back end of unknown size.
 func NewLimiter() *Limiter { return &Limiter{limit: initialLimit, bound: maximumLimit} }
 
-// NewBoundedLimiter returns a limiter for a back end that runs the given number of requests at once.
-// Its limit is that number, less while answers are slow or requests are rejected.
+// NewBoundedLimiter returns a limiter for a back end that runs the given number of requests at once; 0
+// if that is unknown. Its limit is that number, less while answers are slow or requests are rejected.
 func NewBoundedLimiter(slots int) *Limiter {
-	return &Limiter{limit: float64(slots), bound: float64(slots), bounded: true}
+	bound := boundOf(slots)
+	return &Limiter{limit: bound, bound: bound, bounded: true}
 }
 
-// SetBound sets the largest limit, which a bounded limit returns to.
+func boundOf(slots int) float64 {
+	if slots <= 0 {
+		return maximumLimit
+	}
+	return float64(slots)
+}
+
+// SetBound sets the number of requests that the back end runs at once.
 func (l *Limiter) SetBound(slots int) {
-	if l.limit == l.bound {
-		l.limit = float64(slots)
+	bound := boundOf(slots)
+	if l.limit >= l.bound {
+		l.limit = bound
 	}
-	l.bound = float64(slots)
-	l.limit = min(l.limit, l.bound)
+	l.limit = min(l.limit, bound)
+	l.bound = bound
 }
 
 // HasRoom reports whether one more request may be opened. Only a limit that was
--- /dev/null
+++ b/internal/overload/recent.go
@@ -0,0 +1,54 @@
+package overload
+
+import "time"
+
+// recentPeriod is the length of one period of a recentMinimum.
+const recentPeriod = time.Second
+
+// recentMinimum is the smallest duration of the current period and the one before it.
+type recentMinimum struct {
+	current, previous period
+	ends              time.Time
+}
+
+// period holds the number of values in a period, and the smallest.
+type period struct {
+	count    int
+	smallest time.Duration
+}
+
+// observe records a value.
+func (r *recentMinimum) observe(now time.Time, value time.Duration) {
+	r.advance(now)
+	if r.current.count == 0 || value < r.current.smallest {
+		r.current.smallest = value
+	}
+	r.current.count++
+}
+
+// value returns the minimum and the number of values.
+func (r *recentMinimum) value(now time.Time) (smallest time.Duration, count int) {
+	r.advance(now)
+	count = r.current.count + r.previous.count
+	switch {
+	case r.current.count == 0:
+		return r.previous.smallest, count
+	case r.previous.count == 0:
+		return r.current.smallest, count
+	default:
+		return min(r.current.smallest, r.previous.smallest), count
+	}
+}
+
+// advance ends periods that are over.
+func (r *recentMinimum) advance(now time.Time) {
+	if now.Before(r.ends) {
+		return
+	}
+	r.previous = r.current
+	if now.Sub(r.ends) >= recentPeriod {
+		r.previous = period{}
+	}
+	r.current = period{}
+	r.ends = now.Add(recentPeriod)
+}
--- /dev/null
+++ b/internal/overload/server.go
@@ -0,0 +1,128 @@
+package overload
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of a Server.
+const (
+	// latencySmoothing is the weight of the newest sample in the average of service times while
+	// samples are frequent. A larger one notices slow servers sooner, but avoids a server after a
+	// single slow response.
+	latencySmoothing = 0.15
+	// latencyTimeConstant is that with which an average is forgotten while samples are rare.
+	latencyTimeConstant = time.Second
+	// loadLifetime is how long a stated load counts.
+	loadLifetime = 500 * time.Millisecond
+)
+
+// Load is the load that a server states.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Utilization returns the requests for each slot; -1 if the server stated no slots.
+func (l Load) Utilization() float64 {
+	if l.Slots <= 0 {
+		return -1
+	}
+	return float64(l.Running+l.Waiting) / float64(l.Slots)
+}
+
+// queueFactor is the latency of a request relative to its service time.
+func (l Load) queueFactor() float64 { return 1 + float64(l.Waiting)/float64(max(l.Slots, 1)) }
+
+// Server is what one node knows about the load of one server. It is not safe for concurrent use.
+type Server struct {
+	// Limiter bounds the node's concurrent requests at the server.
+	Limiter *Limiter
+	// serviceTime is the average time that a request takes without a queue; 0 if unknown. The last
+	// sample is of sampledAt.
+	serviceTime time.Duration
+	sampledAt   time.Time
+	// load is what the server stated last, at loadAt.
+	load   Load
+	loadAt time.Time
+	// starts holds the start times of attempts in flight, oldest first.
+	starts []time.Time
+}
+
+// NewServer returns the state of a server of which nothing is known.
+func NewServer(slots int) *Server { return &Server{Limiter: NewBoundedLimiter(slots)} }
+
+// Start records the start of an attempt whose age tells whether the server is slow.
+func (s *Server) Start(at time.Time) {
+	position := len(s.starts)
+	for position > 0 && at.Before(s.starts[position-1]) {
+		position--
+	}
+	s.starts = slices.Insert(s.starts, position, at)
+}
+
+// End records the end of the attempt that started at the given time, if it was recorded.
+func (s *Server) End(start time.Time) {
+	if i := slices.IndexFunc(s.starts, start.Equal); i >= 0 {
+		s.starts = slices.Delete(s.starts, i, i+1)
+	}
+}
+
+// ObserveLoad records a stated load, unless there is a later one.
+func (s *Server) ObserveLoad(at time.Time, load Load) {
+	if at.Before(s.loadAt) {
+		return
+	}
+	s.load, s.loadAt = load, at
+}
+
+// ObserveLatency records the latency of a response and the load that it stated; the zero Load if it
+// stated none. The newest of samples that are rare counts in full.
+func (s *Server) ObserveLatency(now time.Time, latency time.Duration, load Load) {
+	sample := time.Duration(float64(latency) / load.queueFactor())
+	previous := cmp.Or(s.serviceTime, sample)
+	weight := latencySmoothing
+	if !s.sampledAt.IsZero() {
+		weight = max(weight, 1-math.Exp(-float64(now.Sub(s.sampledAt))/float64(latencyTimeConstant)))
+	}
+	s.serviceTime = previous + time.Duration(weight*float64(sample-previous))
+	s.sampledAt = now
+}
+
+// LastLoad returns the load that the server stated last, however long ago.
+func (s *Server) LastLoad() Load { return s.load }
+
+// ServiceTime returns the average service time, or the given one if it is unknown, but at least the
+// age of the oldest attempt in flight: a server that hangs is avoided before it answers.
+func (s *Server) ServiceTime(now time.Time, unknown time.Duration) time.Duration {
+	serviceTime := cmp.Or(s.serviceTime, unknown)
+	if len(s.starts) > 0 {
+		serviceTime = max(serviceTime, now.Sub(s.starts[0]))
+	}
+	return serviceTime
+}
+
+// PredictedLatency returns the latency that the next request at a server with the given load has; 0
+// if there is no queue or the service time is unknown.
+func (s *Server) PredictedLatency(load Load) time.Duration {
+	if load.Waiting <= 0 {
+		return 0
+	}
+	return time.Duration(float64(s.serviceTime) * load.queueFactor())
+}
+
+// PredictedWait returns the time for which the next request at a server with the given load waits
+// for a slot.
+func (s *Server) PredictedWait(load Load) time.Duration {
+	return max(s.PredictedLatency(load)-s.serviceTime, 0)
+}
+
+// HasFreeSlot reports whether the server is known to have a free slot: it stated one recently, and
+// this node's own requests do not take it.
+func (s *Server) HasFreeSlot(now time.Time) bool {
+	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadLifetime {
+		return false
+	}
+	return s.load.Running+s.load.Waiting+s.Limiter.InFlight() < s.load.Slots
+}
--- /dev/null
+++ b/internal/overload/service.go
@@ -0,0 +1,105 @@
+package overload
+
+import "time"
+
+// Parameters of a Service.
+const (
+	// defaultBudgetShare is the number of hedges, and of retries after a rejection, that one admitted
+	// request pays for.
+	defaultBudgetShare = 0.1
+	// budgetFloor is the number of hedges, and of retries, a second that need no admitted request.
+	budgetFloor = 0.2
+	// initialBudget lets the first request of a node be sent to two more servers.
+	initialBudget = 2
+	// budgetCapacity bounds what a node saves up for the start of an overload.
+	budgetCapacity = 10
+	// lightUtilization is the mean utilization up to which hedges and retries draw on no budget.
+	lightUtilization = 0.5
+	// minAnswers is the number of recent answers from which on their minimum is taken for the time
+	// that a request needs.
+	minAnswers = 5
+)
+
+// ServiceOptions configure a Service.
+type ServiceOptions struct {
+	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
+	// request of a loaded service; 0 means the default, 0.1.
+	HedgeShare, RetryShare float64
+	// TenantWeights holds the weights of tenants whose share is not 1.
+	TenantWeights map[string]float64
+}
+
+// Service is what one node knows about one service: its throttle, its budgets and its fastest recent
+// answer. It is not safe for concurrent use.
+type Service struct {
+	Throttle        *Throttle
+	hedges, retries *Budget
+	answers         recentMinimum
+}
+
+// NewService returns a service of which nothing is known.
+func NewService(options ServiceOptions) *Service {
+	return &Service{
+		Throttle: NewThrottle(ThrottleOptions{TenantWeights: options.TenantWeights}),
+		hedges:   newServiceBudget(options.HedgeShare),
+		retries:  newServiceBudget(options.RetryShare),
+	}
+}
+
+func newServiceBudget(share float64) *Budget {
+	if share == 0 {
+		share = defaultBudgetShare
+	}
+	return NewBudget(BudgetOptions{Share: share, Floor: budgetFloor, Initial: initialBudget, Capacity: budgetCapacity})
+}
+
+// Admit decides about a request; draw is uniform in [0, 1). An admitted request pays for hedges and
+// retries.
+func (s *Service) Admit(now time.Time, request Request, draw float64) Decision {
+	decision := s.Throttle.Admit(now, request, draw)
+	if decision.Admitted {
+		s.Earn()
+	}
+	return decision
+}
+
+// Earn pays in for a request that is admitted without a decision.
+func (s *Service) Earn() {
+	s.hedges.Earn()
+	s.retries.Earn()
+}
+
+// IsTooLate reports whether a request whose caller waits for the remaining time is certainly
+// answered too late.
+func (s *Service) IsTooLate(now time.Time, remaining time.Duration) bool {
+	fastest, count := s.answers.value(now)
+	return count >= minAnswers && remaining < fastest
+}
+
+// ObserveAnswer records the latency of a complete response.
+func (s *Service) ObserveAnswer(now time.Time, latency time.Duration) {
+	s.answers.observe(now, latency)
+}
+
+// AllowHedge reports whether a second copy of a slow request may be sent, and takes it out of the
+// budget unless the service is lightly used. Under overload there is none: a copy would take the
+// place of another request.
+func (s *Service) AllowHedge(now time.Time) bool {
+	return s.isLightlyUsed(now) || !s.Throttle.Loaded(now) && s.hedges.Take(now)
+}
+
+// AllowRetry reports whether a rejected request may be sent to another server, and takes it out of
+// the budget unless the service is lightly used or another server is known to have a free slot.
+func (s *Service) AllowRetry(now time.Time, hasFreeSlot bool) bool {
+	return hasFreeSlot || s.isLightlyUsed(now) || s.retries.Take(now)
+}
+
+// isLightlyUsed reports whether hedges and retries need no budget. A server that hangs beside four
+// idle ones makes a fifth of all requests need one.
+func (s *Service) isLightlyUsed(now time.Time) bool {
+	if s.Throttle.Loaded(now) {
+		return false
+	}
+	utilization, known := s.Throttle.Utilization(now)
+	return !known || utilization < lightUtilization
+}
