--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -201,13 +201,14 @@
 	return state
 }
 
-// recordLoad records the load that a server stated. It returns the time for which the next request
+// recordLoad records the load that a server stated in a response, which may be a rejection. It returns the time for which the next request
 // there is predicted to wait for a slot; 0 if unknown.
-func (b *balancer) recordLoad(now time.Time, server *directory.Server, load Load) time.Duration {
+func (b *balancer) recordLoad(now time.Time, server *directory.Server, load Load, rejected bool) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	state := b.state(server)
 	state.load.ObserveLoad(now, overload.Load(load))
+	state.load.ObserveResponse(rejected)
 	return state.load.PredictedWait(overload.Load(load))
 }
 
@@ -231,6 +232,9 @@
 		load = overload.Load(*end.load)
 		state.load.ObserveLoad(end.loadAt, load)
 	}
+	if !end.stream && (end.answered || end.rejected) {
+		state.load.ObserveResponse(end.rejected)
+	}
 	if end.answered {
 		state.load.ObserveLatency(now, end.latency, load)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -327,7 +328,7 @@
 
 // startHedge starts a second copy of a slow request; it returns false if there must be none.
 func (c *call) startHedge(ctx context.Context, results chan<- attemptResult) bool {
-	if !c.hasAttemptsLeft() || len(c.tried) >= len(c.readyServers()) || !c.allowHedge() || !c.startAttempt(ctx, results) {
+	if !c.hasAttemptsLeft() || !c.hasUntriedServer() || !c.allowHedge() || !c.startAttempt(ctx, results) {
 		return false
 	}
 	c.hedges++
@@ -386,6 +387,11 @@
 	return startedAttempt{server: server, chosenAt: chosenAt}, true
 }
 
+// hasUntriedServer reports whether there is a server that the request was not sent to.
+func (c *call) hasUntriedServer() bool {
+	return slices.ContainsFunc(c.readyServers(), func(server *directory.Server) bool { return !c.tried[server.Incarnation()] })
+}
+
 // readyServers returns the listed servers of the request's service that accept work.
 func (c *call) readyServers() []*directory.Server {
 	return c.gateway.options.Directory.Snapshot().Ready(c.service)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -295,7 +295,7 @@
 	}
 	wait := time.Duration(0)
 	if response.Load != nil {
-		wait = c.gateway.balancer.recordLoad(now, server, *response.Load)
+		wait = c.gateway.balancer.recordLoad(now, server, *response.Load, response.NotExecuted)
 	}
 	c.observe(now, response, wait, 0)
 }
--- a/internal/overload/server.go
+++ b/internal/overload/server.go
@@ -46,6 +46,9 @@
 	// load is what the server stated last, at loadAt.
 	load   Load
 	loadAt time.Time
+	// rejecting says that the server rejected the last request that it responded to. Servers may
+	// reject all requests and state free slots.
+	rejecting bool
 	// starts holds the start times of attempts in flight, oldest first.
 	starts []time.Time
 }
@@ -77,6 +80,9 @@
 	s.load, s.loadAt = load, at
 }
 
+// ObserveResponse records whether a response was a rejection.
+func (s *Server) ObserveResponse(rejected bool) { s.rejecting = rejected }
+
 // ObserveLatency records the latency of a response and the load that it stated; the zero Load if it
 // stated none. The newest of samples that are rare counts in full.
 func (s *Server) ObserveLatency(now time.Time, latency time.Duration, load Load) {
@@ -118,10 +124,10 @@
 	return max(s.PredictedLatency(load)-s.serviceTime, 0)
 }
 
-// HasFreeSlot reports whether the server is known to have a free slot: it stated one recently, and
-// this node's own requests do not take it.
+// HasFreeSlot reports whether the server is known to have a free slot: it stated one recently, did not
+// reject the last request, and this node's own requests do not take the slot.
 func (s *Server) HasFreeSlot(now time.Time) bool {
-	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadLifetime {
+	if s.rejecting || s.loadAt.IsZero() || now.Sub(s.loadAt) > loadLifetime {
 		return false
 	}
 	return s.load.Running+s.load.Waiting+s.Limiter.InFlight() < s.load.Slots
--- a/internal/overload/throttle.go
+++ b/internal/overload/throttle.go
@@ -26,11 +26,10 @@
 	// unknown.
 	minUtilizationSamples = 0.1
 
-	// minRetryAfter is the smallest Retry-After of a refused request, unless its caller waits less
-	// than maxRetryAfterShare would allow.
+	// minRetryAfter is the smallest Retry-After of a refused request.
 	minRetryAfter = 50 * time.Millisecond
-	// maxRetryAfterShare is the largest part of the caller's remaining time that Retry-After takes
-	// with its jitter, which doubles it at most.
+	// maxRetryAfterShare is the largest part of the caller's remaining time that a Retry-After above
+	// the smallest takes with its jitter, which doubles it at most.
 	maxRetryAfterShare = 1.0 / 3
 	// minAccepted bounds the measured service rate from below in Retry-After.
 	minAccepted = 0.5
@@ -179,7 +178,7 @@
 	t.decay(now)
 	wait := time.Duration(t.refused / max(t.accepted, minAccepted) * float64(timeConstant))
 	longest := time.Duration(float64(remaining) * maxRetryAfterShare / 2)
-	wait = max(min(max(wait, minRetryAfter), longest), 0)
+	wait = max(min(wait, longest), minRetryAfter)
 	return time.Duration(float64(wait) * (1 + draw)).Truncate(time.Millisecond)
 }
 
