Overload: tests of the decisions and of the gateway, and two faults that they showed

Cause: priorities, tenants, budgets, limits and refusals were tested by the model only in sum.

Change: tests of the throttle's evidence, Retry-After, the division among priorities, tenants and requests with less time left, the budgets, the service time, free slots and the bounded limit in internal/overload; in internal/gateway, with fakes, of a hanging server among idle ones, hedges under overload, refused requests that are not sent, recovery, refusals without a reason, and the retry budget. They showed two faults. A request that came after a pause was decayed with the older ones, so that a tenant could be dropped while its request was decided. A limit at its minimum rose while requests were still rejected.

--- /dev/null
+++ b/internal/gateway/overload_test.go
@@ -0,0 +1,308 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dalehook/internal/clock"
+	"dalehook/internal/directory"
+	"dalehook/internal/overload"
+	"dalehook/internal/routetable"
+)
+
+// overloadFixture is a gateway in front of five servers.
+type overloadFixture struct {
+	gateway *Gateway
+	list    *directory.Directory
+	route   *routetable.Route
+	backend *scriptedBackend
+
+	mutex    sync.Mutex
+	outcomes []Outcome
+}
+
+func newOverloadFixture(kind routetable.Kind, options OverloadOptions, response responseFunc) *overloadFixture {
+	f := &overloadFixture{
+		list:    directory.NewDirectory(),
+		backend: &scriptedBackend{responses: []responseFunc{response}},
+		route: &routetable.Route{
+			Name: "r", Kind: kind, MaxAttempts: 3, LatencyTarget: 100 * time.Millisecond,
+			Targets: []routetable.Target{{Service: "svc", Weight: 1}},
+		},
+	}
+	for i := range 5 {
+		put := directory.Server{ID: fmt.Sprint("s", i), Service: "svc", Slots: 6}
+		f.list.Apply([]directory.Change{{ID: put.ID, Server: &put}})
+	}
+	f.gateway = NewGateway(Options{
+		Backend: f.backend, Directory: f.list, Logger: zap.NewNop(), Overload: options,
+		Observe: func(outcome Outcome) {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.outcomes = append(f.outcomes, outcome)
+		},
+	})
+	return f
+}
+
+// send sends a request and returns its response and outcome.
+func (f *overloadFixture) send(remaining time.Duration) (*httptest.ResponseRecorder, Outcome) {
+	table := routetable.NewTable(1, []routetable.Route{*f.route}, nil, routetable.Limits{})
+	recorder := httptest.NewRecorder()
+	now := clock.Now()
+	f.gateway.Serve(context.Background(), recorder, table, f.route, &Request{
+		ID: "id", Method: http.MethodPost, Target: "/p", Received: now, Deadline: now.Add(remaining),
+	})
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return recorder, f.outcomes[len(f.outcomes)-1]
+}
+
+// overloaded adds evidence of overload for which the throttle refuses the given share of requests.
+func (f *overloadFixture) overloaded(share float64) {
+	const attempts = 1000
+	service := f.gateway.services.get("svc")
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	now := clock.Now()
+	for i := range attempts {
+		service.state.Throttle.Observe(now, overload.Sample{
+			Rejected: float64(i) >= (1-share)*attempts, Target: f.route.LatencyTarget, Utilization: -1,
+		})
+	}
+}
+
+// respondWithLoad responds after a time, and states a load.
+func respondWithLoad(after time.Duration, load Load) responseFunc {
+	return func(context.Context, Attempt) (*Response, *SendError) {
+		time.Sleep(after)
+		return &Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), Length: 2, Load: &load}, nil
+	}
+}
+
+// Guards against a budget that denies hedges while there is no load: a server of five that hangs
+// makes up to a fifth of all requests need one.
+func TestHangingServerAmongIdleOnesCostsNoRequests(t *testing.T) {
+	for name, answer := range map[string]responseFunc{
+		"load stated": respondWithLoad(time.Millisecond, Load{Running: 1, Slots: 6}), "load not stated": respondWith(200, "ok"),
+	} {
+		f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, func(ctx context.Context, attempt Attempt) (*Response, *SendError) {
+			if attempt.Server.ID == "s0" {
+				return hang(ctx, attempt)
+			}
+			return answer(ctx, attempt)
+		})
+		const requests = 300
+		var running sync.WaitGroup
+		for i := range requests {
+			running.Go(func() {
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				f.send(5 * time.Second)
+			})
+		}
+		running.Wait()
+		failed, hedges, denied := 0, 0, 0
+		for _, outcome := range f.outcomes {
+			hedges += outcome.Hedges
+			denied += outcome.DeniedHedges
+			if outcome.Status != http.StatusOK {
+				failed++
+			}
+		}
+		if len(f.outcomes) != requests || failed > requests/100 || hedges == 0 || denied > 0 {
+			t.Errorf("%s: %d of %d requests failed, %d hedges, %d denied", name, failed, len(f.outcomes), hedges, denied)
+		}
+	}
+}
+
+// Guards against hedges that add load to servers which have too much.
+func TestNoHedgeUnderOverload(t *testing.T) {
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(80*time.Millisecond, Load{Running: 6, Slots: 6}))
+	for range 5 {
+		f.overloaded(0.05)
+		if recorder, outcome := f.send(10 * time.Second); recorder.Code != http.StatusOK || outcome.Hedges != 0 || outcome.DeniedHedges != 1 {
+			t.Errorf("status %d, outcome %+v", recorder.Code, outcome)
+		}
+	}
+	if count := f.backend.attemptCount(); count != 5 {
+		t.Errorf("%d attempts for 5 requests", count)
+	}
+}
+
+// Guards against refusals whose request was sent nonetheless, that state no time to come back, or that
+// go on after the overload.
+func TestRefusedRequestIsNotSent(t *testing.T) {
+	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindUnsafe, routetable.KindStream} {
+		f := newOverloadFixture(kind, OverloadOptions{}, respondWith(200, eventOne))
+		f.overloaded(1)
+		const requests = 100
+		sent := 0
+		for range requests {
+			before := f.backend.attemptCount()
+			recorder, outcome := f.send(3 * time.Second)
+			if recorder.Code == http.StatusOK {
+				sent++
+				continue
+			}
+			after, err := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
+			if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != reasonOverloaded || outcome.Service != "svc" ||
+				err != nil || after < 0.05 || after > 1 {
+				t.Fatalf("%v: status %d, Retry-After %q, outcome %+v", kind, recorder.Code, recorder.Header().Get("Retry-After"), outcome)
+			}
+			if outcome.Attempts != 0 || f.backend.attemptCount() != before {
+				t.Fatalf("%v: a refused request was sent", kind)
+			}
+		}
+		if sent > requests/5 {
+			t.Errorf("%v: %d of %d requests were sent", kind, sent, requests)
+		}
+		states := f.gateway.Overload(clock.Now())
+		if len(states) != 1 || states[0].Service != "svc" || states[0].RefusedShare < 0.5 || states[0].EvidenceAge < 0 || states[0].Offered == 0 {
+			t.Errorf("%v: state %+v", kind, states)
+		}
+		afterRecovery(t, f, kind)
+	}
+}
+
+// afterRecovery checks that nothing is refused a second after the last evidence.
+func afterRecovery(t *testing.T, f *overloadFixture, kind routetable.Kind) {
+	t.Helper()
+	clock.AddSuspension(time.Second)
+	defer clock.AddSuspension(-time.Second)
+	for range 50 {
+		if recorder, outcome := f.send(3 * time.Second); recorder.Code != http.StatusOK {
+			t.Fatalf("%v: status %d a second after the last evidence, %+v", kind, recorder.Code, outcome)
+		}
+	}
+}
+
+// Guards against refusals where there is no reason for them: a server has a free slot, the request is
+// internal, the route has no latency target, or the protection is off.
+func TestNotRefusedUnderOverload(t *testing.T) {
+	free := respondWithLoad(0, Load{Running: 1, Slots: 6})
+	cases := []struct {
+		name    string
+		options OverloadOptions
+		change  func(f *overloadFixture)
+	}{
+		{"free slot", OverloadOptions{}, func(f *overloadFixture) {
+			server := f.list.Snapshot().Ready("svc")[2]
+			f.gateway.balancer.recordLoad(clock.Now(), server, Load{Running: 1, Slots: 6}, false)
+		}},
+		{"no latency target", OverloadOptions{}, func(f *overloadFixture) { f.route.LatencyTarget = 0 }},
+		{"off", OverloadOptions{Off: true}, func(*overloadFixture) {}},
+	}
+	for _, c := range cases {
+		f := newOverloadFixture(routetable.KindSafe, c.options, free)
+		f.overloaded(1)
+		for range 50 {
+			c.change(f)
+			if recorder, outcome := f.send(3 * time.Second); recorder.Code != http.StatusOK {
+				t.Fatalf("%s: status %d, %+v", c.name, recorder.Code, outcome)
+			}
+		}
+	}
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondSigned(200, "ok"))
+	f.overloaded(1)
+	for range 50 {
+		result := f.gateway.SendInternal(context.Background(), InternalRequest{
+			Request: &Request{ID: "id", Received: clock.Now(), Deadline: clock.Now().Add(3 * time.Second)}, Route: f.route, Service: "svc",
+		})
+		if result.Signature == "" {
+			t.Fatalf("internal request: %+v", result)
+		}
+	}
+}
+
+// Guards against retries that multiply the load of servers which reject requests, and against a
+// refusal after a rejection that has no time to come back.
+func TestRetriesAfterRejectionsAreBounded(t *testing.T) {
+	for _, kind := range []routetable.Kind{routetable.KindUnsafe, routetable.KindStream} {
+		f := newOverloadFixture(kind, OverloadOptions{RetryShare: 0.5}, respondNotExecuted)
+		f.overloaded(0.05)
+		retries, denied := 0, 0
+		const requests = 60
+		for range requests {
+			recorder, outcome := f.send(3 * time.Second)
+			retries += outcome.Retries
+			denied += outcome.DeniedRetries
+			if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
+				t.Fatalf("%v: status %d, Retry-After %q", kind, recorder.Code, recorder.Header().Get("Retry-After"))
+			}
+			if outcome.DeniedRetries > 0 && outcome.Reason != reasonRetryBudget {
+				t.Fatalf("%v: %+v", kind, outcome)
+			}
+		}
+		if retries < 5 || retries > requests/2+3 || denied == 0 || f.backend.attemptCount() > requests+retries {
+			t.Errorf("%v: %d retries, %d denied, %d attempts for %d requests", kind, retries, denied, f.backend.attemptCount(), requests)
+		}
+	}
+}
+
+// Guards against requests that are sent although they can't be answered in time.
+func TestRequestThatIsTooLateIsRefused(t *testing.T) {
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
+	for range 5 {
+		f.send(10 * time.Second)
+	}
+	recorder, outcome := f.send(20 * time.Millisecond)
+	if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != reasonTooLate || outcome.Attempts != 0 {
+		t.Errorf("status %d, outcome %+v", recorder.Code, outcome)
+	}
+	if got := recorder.Header().Get("Retry-After"); got != "0.05" {
+		t.Errorf("Retry-After %q", got)
+	}
+}
+
+// Guards against requests that wait for, or are sent to, a server at this node's limit while another
+// is below its own, and against a limit that makes a request wait.
+func TestServerAtItsLimitIsPassedOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	full := &directory.Server{ID: "a", Service: "s", Slots: 2}
+	slow := &directory.Server{ID: "b", Service: "s", Slots: 2}
+	servers := []*directory.Server{full, slow}
+	for _, unlimited := range []bool{false, true} {
+		b := newBalancer("n", "")
+		b.unlimited = unlimited
+		b.recordSend(now, candidates{}, slow)
+		b.recordResult(now, slow, attemptEnd{chosenAt: now, answered: true, latency: 5 * initialLatency})
+		for range 2 {
+			b.recordSend(now, candidates{}, full)
+		}
+		if got := b.choose(now, candidates{servers: servers}); (got == slow) == unlimited {
+			t.Errorf("unlimited %v: chose %s", unlimited, got.ID)
+		}
+		for range 10 {
+			if b.choose(now, candidates{servers: servers}) == nil {
+				t.Fatal("no server was chosen")
+			}
+		}
+	}
+}
+
+// Guards against state of services that are no longer listed.
+func TestStateOfUnlistedServicesIsDropped(t *testing.T) {
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWith(200, "ok"))
+	f.send(time.Second)
+	f.gateway.Prune()
+	if states := f.gateway.Overload(clock.Now()); len(states) != 1 || states[0].EvidenceAge >= 0 {
+		t.Errorf("while listed: %+v", states)
+	}
+	for i := range 5 {
+		f.list.Apply([]directory.Change{{ID: fmt.Sprint("s", i)}})
+	}
+	f.gateway.Prune()
+	if states := f.gateway.Overload(clock.Now()); len(states) != 0 {
+		t.Errorf("afterwards: %+v", states)
+	}
+}
--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -52,7 +52,8 @@
 	// is not probed.
 	bound   float64
 	bounded bool
-	// reached is when the limit last held a request back, fellAt when it last fell.
+	// reached is when the limit last held a request back, fellAt when it last fell or could not fall
+	// any further.
 	reached, fellAt time.Time
 
 	windowEnds  time.Time
@@ -176,7 +177,7 @@
 	default:
 		l.noteBaseline(l.total / time.Duration(l.answers))
 	}
-	if l.limit < previous {
+	if l.failed || l.limit < previous || l.limit == minimumLimit {
 		l.fellAt = now
 	}
 	l.startWindow(now)
--- a/internal/overload/limiter_test.go
+++ b/internal/overload/limiter_test.go
@@ -25,3 +25,56 @@
 		t.Error("a limit that was reached is not cut for the probe's time")
 	}
 }
+
+// Guards against a limit that stays low after the load, exceeds the slots, or lets nothing through.
+func TestBoundedLimitIsBackWithinASecond(t *testing.T) {
+	const slots = 24
+	limiter := NewBoundedLimiter(slots)
+	now := start
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		limiter.Acquire()
+		limiter.Failed(now)
+	}
+	if limiter.Limit() != 1 || !limiter.HasRoom(now) {
+		t.Errorf("limit %d while all requests are rejected", limiter.Limit())
+	}
+	if limiter.HasRoom(now.Add(recoveryHold - windowTime)); limiter.Limit() != 1 {
+		t.Errorf("limit %d right after the last rejections", limiter.Limit())
+	}
+	if limiter.HasRoom(now.Add(recoveryTime)); limiter.Limit() != slots {
+		t.Errorf("limit %d a second after the last rejection", limiter.Limit())
+	}
+	limiter.Acquire()
+	limiter.Answered(now.Add(time.Minute), time.Millisecond)
+	limiter.Acquire()
+	limiter.Answered(now.Add(2*time.Minute), time.Millisecond)
+	if limiter.Limit() != slots {
+		t.Errorf("limit %d: the rejections counted a minute later", limiter.Limit())
+	}
+	if limiter.SetBound(6); limiter.Limit() != 6 {
+		t.Errorf("limit %d at a server with 6 slots", limiter.Limit())
+	}
+}
+
+// Guards against a limit that ignores a queue at a server that rejects nothing.
+func TestBoundedLimitFollowsLatency(t *testing.T) {
+	const slots = 24
+	limiter := NewBoundedLimiter(slots)
+	play := func(from time.Time, latency time.Duration) {
+		for i := range 100 {
+			for range slots {
+				limiter.Acquire()
+			}
+			for range slots {
+				limiter.Answered(from.Add(time.Duration(i)*50*time.Millisecond), latency)
+			}
+		}
+	}
+	if play(start, 25*time.Millisecond); limiter.Limit() != slots {
+		t.Errorf("limit %d without a queue", limiter.Limit())
+	}
+	if play(start.Add(10*time.Second), 200*time.Millisecond); limiter.Limit() > slots/2 {
+		t.Errorf("limit %d at eight times the latency", limiter.Limit())
+	}
+}
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -29,7 +29,8 @@
 	// levels are ordered by priority, the most urgent first.
 	levels []*level
 	// longest holds, for each route, the negated longest remaining time of recent requests.
-	longest   map[string]*recentMinimum
+	longest map[string]*recentMinimum
+	// dividedAt is when the counts were last decayed and the admitted share was divided.
 	dividedAt time.Time
 }
 
@@ -45,8 +46,8 @@
 type tenantShare struct {
 	name   string
 	weight float64
-	// short counts the requests with less time left than usual, others the rest. Both are decayed to
-	// the last division.
+	// short counts the requests with less time left than usual, others the rest. Both are decayed
+	// once in divideInterval.
 	short, others float64
 	// shortChance and othersChance are the shares of them that are admitted.
 	shortChance, othersChance float64
@@ -68,14 +69,18 @@
 // share of all requests is.
 func (s *shares) chance(now time.Time, request Request, admitted float64) float64 {
 	short := s.isShortOfTime(now, request)
+	due := now.Sub(s.dividedAt) >= divideInterval
+	if due {
+		s.forget(now)
+	}
 	own, isNew := s.tenant(request)
 	if short {
 		own.short++
 	} else {
 		own.others++
 	}
-	if isNew || now.Sub(s.dividedAt) >= divideInterval {
-		s.divide(now, admitted)
+	if due || isNew {
+		s.divide(admitted)
 	}
 	if short {
 		return own.shortChance
@@ -115,10 +120,12 @@
 	return own, true
 }
 
-// divide forgets old requests and divides the admitted share of the recent ones.
-func (s *shares) divide(now time.Time, admitted float64) {
-	total := s.forget(decayFactor(s.dividedAt, now))
-	s.dividedAt = now
+// divide divides the admitted share of the recent requests.
+func (s *shares) divide(admitted float64) {
+	total := 0.0
+	for _, l := range s.levels {
+		total += l.demand()
+	}
 	remaining := admitted * total
 	for _, l := range s.levels {
 		demand := l.demand()
@@ -130,10 +137,10 @@
 	}
 }
 
-// forget decays all counts and drops tenants without recent requests; it returns the sum of the
-// counts.
-func (s *shares) forget(factor float64) float64 {
-	total := 0.0
+// forget decays all counts and drops tenants without recent requests.
+func (s *shares) forget(now time.Time) {
+	factor := decayFactor(s.dividedAt, now)
+	s.dividedAt = now
 	for _, l := range s.levels {
 		l.tenants = slices.DeleteFunc(l.tenants, func(t *tenantShare) bool {
 			t.short *= factor
@@ -144,10 +151,8 @@
 			delete(l.byTenant, t.name)
 			return true
 		})
-		total += l.demand()
 	}
 	s.levels = slices.DeleteFunc(s.levels, func(l *level) bool { return len(l.tenants) == 0 })
-	return total
 }
 
 func (l *level) demand() float64 {
--- /dev/null
+++ b/internal/overload/throttle_test.go
@@ -0,0 +1,170 @@
+package overload
+
+import (
+	"testing"
+	"time"
+)
+
+var rejection = Sample{Rejected: true, Target: modelTarget, Utilization: -1}
+
+// Guards against refusals for reasons that are no overload, and against evidence that is overlooked.
+func TestEvidence(t *testing.T) {
+	cases := []struct {
+		name   string
+		sample Sample
+		weight float64
+		loaded bool
+	}{
+		{"rejection", rejection, 0, true},
+		{"no queue", Sample{Target: modelTarget, Utilization: 0.9}, 1, false},
+		{"short queue", Sample{Predicted: 75 * time.Millisecond, Target: modelTarget, Utilization: 2}, 1, false},
+		{"longer queue", Sample{Predicted: 105 * time.Millisecond, Target: modelTarget, Utilization: 3}, 0.5, true},
+		{"queue that makes requests late", Sample{Predicted: 140 * time.Millisecond, Target: modelTarget, Utilization: 5}, 0, true},
+		{"rejection without a latency target", Sample{Rejected: true, Utilization: 5}, 0, false},
+	}
+	for _, c := range cases {
+		throttle := NewThrottle(ThrottleOptions{})
+		throttle.Observe(start, c.sample)
+		if _, accepted, _ := throttle.Rates(start); accepted < c.weight/0.4-0.001 || accepted > c.weight/0.4+0.001 {
+			t.Errorf("%s: %v accepted a second", c.name, accepted)
+		}
+		if throttle.Loaded(start.Add(999*time.Millisecond)) != c.loaded || throttle.Loaded(start.Add(time.Second)) {
+			t.Errorf("%s: loaded %v", c.name, throttle.Loaded(start.Add(999*time.Millisecond)))
+		}
+		if utilization, known := throttle.Utilization(start); known != (c.sample.Utilization >= 0) || known && utilization != c.sample.Utilization {
+			t.Errorf("%s: utilization %v, known %v", c.name, utilization, known)
+		}
+	}
+}
+
+// Guards against a utilization that counts long after it was stated.
+func TestUtilizationIsForgotten(t *testing.T) {
+	throttle := NewThrottle(ThrottleOptions{})
+	throttle.Observe(start, Sample{Utilization: 3})
+	if utilization, known := throttle.Utilization(start.Add(500 * time.Millisecond)); !known || utilization < 2.99 {
+		t.Errorf("after half a second: %v, known %v", utilization, known)
+	}
+	if utilization, known := throttle.Utilization(start.Add(time.Second)); known {
+		t.Errorf("after a second: %v", utilization)
+	}
+}
+
+// overloadedThrottle returns a throttle that refuses nearly everything.
+func overloadedThrottle() *Throttle {
+	throttle := NewThrottle(ThrottleOptions{})
+	for range 100 {
+		throttle.Observe(start, rejection)
+	}
+	return throttle
+}
+
+// Guards against refusals while a server has a free slot, and against a throttle that refuses
+// everything for more than a second while there is evidence.
+func TestAdmittedInSpiteOfOverload(t *testing.T) {
+	const refusedDraw = 0.999
+	throttle := overloadedThrottle()
+	if decision := throttle.Admit(start, Request{HasFreeSlot: true}, refusedDraw); !decision.Admitted {
+		t.Error("refused although a server has a free slot")
+	}
+	admitted := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
+		throttle.Observe(start.Add(at), rejection)
+		if throttle.Admit(start.Add(at), Request{Remaining: time.Second}, refusedDraw).Admitted {
+			admitted++
+		}
+	}
+	if admitted != 9 {
+		t.Errorf("%d requests admitted in 10 s, want one a second", admitted)
+	}
+}
+
+// Guards against callers that come back at once, all at the same time, or after their deadline.
+func TestRetryAfter(t *testing.T) {
+	cases := []struct {
+		name               string
+		refused, accepted  float64
+		remaining          time.Duration
+		shortest, jittered time.Duration
+	}{
+		{"little refused", 1, 20, time.Second, 50 * time.Millisecond, 75 * time.Millisecond},
+		{"five times the service rate refused in 400 ms", 10, 20, 10 * time.Second, 200 * time.Millisecond, 300 * time.Millisecond},
+		{"at most a third of the remaining time with jitter", 1000, 1, 900 * time.Millisecond, 150 * time.Millisecond, 225 * time.Millisecond},
+		{"at least 50 ms", 1000, 1, 60 * time.Millisecond, 50 * time.Millisecond, 75 * time.Millisecond},
+		{"nothing accepted", 1, 0, time.Minute, 800 * time.Millisecond, 1200 * time.Millisecond},
+	}
+	for _, c := range cases {
+		throttle := NewThrottle(ThrottleOptions{})
+		throttle.refused, throttle.accepted, throttle.updatedAt = c.refused, c.accepted, start
+		if got := throttle.RetryAfter(start, c.remaining, 0); got != c.shortest {
+			t.Errorf("%s: %v, want %v", c.name, got, c.shortest)
+		}
+		if got := throttle.RetryAfter(start, c.remaining, 0.5); got != c.jittered {
+			t.Errorf("%s, jittered: %v, want %v", c.name, got, c.jittered)
+		}
+	}
+}
+
+// Guards against counts that grow when two goroutines report their moments out of order.
+func TestEarlierMomentIsHarmless(t *testing.T) {
+	throttle := NewThrottle(ThrottleOptions{})
+	throttle.Observe(start.Add(time.Second), rejection)
+	throttle.Observe(start, rejection)
+	if offered, _, _ := throttle.Rates(start); offered > 2/0.4 {
+		t.Errorf("%v attempts a second", offered)
+	}
+}
+
+// Guards against a request that is refused for an old or a single slow answer.
+func TestTooLateIsJudgedByRecentAnswers(t *testing.T) {
+	service := NewService(ServiceOptions{})
+	for i := range minAnswers {
+		if service.IsTooLate(start, time.Millisecond) {
+			t.Errorf("too late after %d answers", i)
+		}
+		service.ObserveAnswer(start, time.Duration(40+i)*time.Millisecond)
+	}
+	if !service.IsTooLate(start.Add(time.Second), 39*time.Millisecond) || service.IsTooLate(start.Add(time.Second), 40*time.Millisecond) {
+		t.Error("not judged by the fastest answer of 40 ms")
+	}
+	if service.IsTooLate(start.Add(2*recentPeriod), time.Millisecond) {
+		t.Error("judged by an answer that is two seconds old")
+	}
+}
+
+// Guards against hedges and retries that need a budget without load, and that need none under it.
+func TestBudgetsOfAService(t *testing.T) {
+	spend := func(service *Service, allow func() bool) int {
+		for range 100 {
+			service.Earn()
+		}
+		spent := 0
+		for spent < 50 && allow() {
+			spent++
+		}
+		return spent
+	}
+	cases := []struct {
+		name         string
+		sample       Sample
+		hedges, free int
+		retries      int
+	}{
+		{"unknown", Sample{Utilization: -1}, 50, 50, 50},
+		{"lightly used", Sample{Utilization: 0.4}, 50, 50, 50},
+		{"half used", Sample{Utilization: 0.5}, 10, 50, 10},
+		{"overloaded", rejection, 0, 50, 10},
+	}
+	for _, c := range cases {
+		service := NewService(ServiceOptions{})
+		service.Throttle.Observe(start, c.sample)
+		if got := spend(service, func() bool { return service.AllowHedge(start) }); got != c.hedges {
+			t.Errorf("%s: %d hedges, want %d", c.name, got, c.hedges)
+		}
+		if got := spend(service, func() bool { return service.AllowRetry(start, true) }); got != c.free {
+			t.Errorf("%s, another server free: %d retries, want %d", c.name, got, c.free)
+		}
+		if got := spend(service, func() bool { return service.AllowRetry(start, false) }); got != c.retries {
+			t.Errorf("%s: %d retries, want %d", c.name, got, c.retries)
+		}
+	}
+}
