Overload: tests of the refused share and of the free slot that fail without them

Cause: with a multiple of 2 instead of 1.1, and without the exception for a free slot, the tests of internal/overload passed.

Change: the share is tested by value, and the free slot after a request that was admitted as a probe.

Result: both changes now fail the tests; the tests of internal/overload pass.

--- a/internal/overload/throttle_test.go
+++ b/internal/overload/throttle_test.go
@@ -37,6 +37,34 @@
 	}
 }
 
+// Guards against a share that probes for more or less than a tenth above the accepted requests, or
+// that refuses some of a load that is accepted.
+func TestRefusedShare(t *testing.T) {
+	cases := []struct {
+		accepted, rejected, refused int
+		want                        float64
+	}{{0, 1, 0, 0.5}, {10, 1, 0, 0}, {10, 9, 0, 0.4}, {10, 9, 30, 0.76}}
+	for _, c := range cases {
+		throttle := NewThrottle(ThrottleOptions{})
+		for range c.accepted {
+			throttle.Observe(start, Sample{Target: modelTarget, Utilization: -1})
+		}
+		if share := throttle.RefusedShare(start); share != 0 {
+			t.Errorf("share %v without evidence", share)
+		}
+		for range c.rejected {
+			throttle.Observe(start, rejection)
+		}
+		throttle.admittedAt = start
+		for range c.refused {
+			throttle.Admit(start, Request{}, 0.9999)
+		}
+		if share := throttle.RefusedShare(start); share < c.want-0.001 || share > c.want+0.001 {
+			t.Errorf("%d accepted, %d rejected, %d refused: share %v, want %v", c.accepted, c.rejected, c.refused, share, c.want)
+		}
+	}
+}
+
 // Guards against a utilization that counts long after it was stated.
 func TestUtilizationIsForgotten(t *testing.T) {
 	throttle := NewThrottle(ThrottleOptions{})
@@ -63,6 +91,10 @@
 func TestAdmittedInSpiteOfOverload(t *testing.T) {
 	const refusedDraw = 0.999
 	throttle := overloadedThrottle()
+	throttle.Admit(start, Request{}, 0)
+	if decision := throttle.Admit(start, Request{}, refusedDraw); decision.Admitted {
+		t.Fatal("the throttle refuses nothing")
+	}
 	if decision := throttle.Admit(start, Request{HasFreeSlot: true}, refusedDraw); !decision.Admitted {
 		t.Error("refused although a server has a free slot")
 	}
