Overload: the limiter's method has another name than the built-in function

Cause: a method named recover reads like the built-in function.

Result: no change of behavior; the tests of internal/overload and internal/admission pass.

--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -95,7 +95,7 @@
 // HasRoom reports whether one more request may be opened. Only a limit that was
 // reached lately is cut for the probe: below it there is no queue to drain.
 func (l *Limiter) HasRoom(now time.Time) bool {
-	l.recover(now)
+	l.rise(now)
 	if l.inFlight >= l.Limit() {
 		l.reached = now
 		return false
@@ -106,9 +106,9 @@
 	return l.inFlight < int(max(minimumLimit, l.limit*probeShare))
 }
 
-// recover raises a bounded limit that has not fallen lately. Without it, the limit of a node with few
+// rise raises a bounded limit that has not fallen lately. Without it, the limit of a node with few
 // requests would wait for answers that are seconds apart.
-func (l *Limiter) recover(now time.Time) {
+func (l *Limiter) rise(now time.Time) {
 	if !l.bounded || l.limit >= l.bound {
 		return
 	}
@@ -164,7 +164,7 @@
 	if now.Before(l.windowEnds) || l.answers < windowAnswers && !l.failed {
 		return
 	}
-	l.recover(now)
+	l.rise(now)
 	previous := l.limit
 	switch {
 	case !l.bounded && probing(now) && l.answers > 0:
