Overload: tenants with few requests count as one, a share of 0 means no budget

Cause: the division among tenants counted decayed requests. A setting of 0 was read as the default share, and the log's evidence had another word than the page for operators.

Change: a tenant's demand is at least one request. gateway.NoBudget stands for the setting 0. The evidence is "rejected" as documented.

Result: the new test fails without the change.

--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -209,10 +209,19 @@
 // overloadOptions returns the options of the gateway.
 func (s *Settings) overloadOptions() gateway.OverloadOptions {
 	return gateway.OverloadOptions{
-		Off: s.Overload.Off, HedgeShare: s.Overload.HedgeShare, RetryShare: s.Overload.RetryShare, TenantWeights: s.Overload.TenantWeights,
+		Off: s.Overload.Off, HedgeShare: budgetShare(s.Overload.HedgeShare), RetryShare: budgetShare(s.Overload.RetryShare), TenantWeights: s.Overload.TenantWeights,
 	}
 }
 
+// budgetShare converts a share of the settings, where 0 means none, to one of gateway.OverloadOptions,
+// where 0 means the default.
+func budgetShare(share float64) float64 {
+	if share == 0 {
+		return gateway.NoBudget
+	}
+	return share
+}
+
 // settingError says what is wrong with the value of a key.
 type settingError struct{ key, message string }
 
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -20,12 +20,16 @@
 	// Off disables limits, budgets and refusals under overload.
 	Off bool
 	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
-	// request of a loaded service; 0 means the default, 0.1.
+	// request of a loaded service; 0 means the default, 0.1, and NoBudget none.
 	HedgeShare, RetryShare float64
 	// TenantWeights holds the weights of tenants whose share under overload is not 1.
 	TenantWeights map[string]float64
 }
 
+// NoBudget is the share of a service without hedges, or without retries after a rejection, while it is
+// loaded.
+const NoBudget = overload.NoBudget
+
 // ServiceOverload is the state of one service at this node, for operators.
 type ServiceOverload struct {
 	Service string
--- a/internal/overload/budget_test.go
+++ b/internal/overload/budget_test.go
@@ -26,3 +26,15 @@
 		t.Error("the floor allowed nothing")
 	}
 }
+
+// Guards against a share of none that is taken for the default.
+func TestServiceWithoutBudget(t *testing.T) {
+	service := NewService(ServiceOptions{HedgeShare: NoBudget, RetryShare: NoBudget})
+	service.Throttle.Observe(start, Sample{Rejected: true, Target: time.Second, Utilization: -1})
+	for range 100 {
+		service.Earn()
+	}
+	if service.AllowRetry(start, false) {
+		t.Error("a retry is allowed without a budget")
+	}
+}
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -23,7 +23,7 @@
 // ServiceOptions configure a Service.
 type ServiceOptions struct {
 	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
-	// request of a loaded service; 0 means the default, 0.1.
+	// request of a loaded service; 0 means the default, 0.1, and NoBudget none.
 	HedgeShare, RetryShare float64
 	// TenantWeights holds the weights of tenants whose share is not 1.
 	TenantWeights map[string]float64
@@ -46,7 +46,13 @@
 	}
 }
 
+// NoBudget is the share of a budget that is always empty.
+const NoBudget = -1
+
 func newServiceBudget(share float64) *Budget {
+	if share == NoBudget {
+		return NewBudget(BudgetOptions{})
+	}
 	if share == 0 {
 		share = defaultBudgetShare
 	}
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -145,7 +145,7 @@
 		l.tenants = slices.DeleteFunc(l.tenants, func(t *tenantShare) bool {
 			t.short *= factor
 			t.others *= factor
-			if t.demand() >= minRecentRequests {
+			if t.recent() >= minRecentRequests {
 				return false
 			}
 			delete(l.byTenant, t.name)
@@ -181,14 +181,25 @@
 	}
 }
 
-func (t *tenantShare) demand() float64 { return t.short + t.others }
+// recent returns the decayed number of requests.
+func (t *tenantShare) recent() float64 { return t.short + t.others }
+
+// demand returns the number of requests that the division counts, at least 1. Counted as decayed, the
+// earlier requests of tenants with few would be smaller than the newest one, which would be taken for
+// the largest demand and refused more often than the share to refuse.
+func (t *tenantShare) demand() float64 { return max(t.recent(), 1) }
 
 // divide gives requests with less time left than usual up to shortOfTimeShare of a quota first, and
 // what the others do not need.
 func (t *tenantShare) divide(quota float64) {
-	short := min(t.short, max(shortOfTimeShare*quota, quota-t.others))
-	t.shortChance = ratio(short, t.short)
-	t.othersChance = ratio(quota-short, t.others)
+	scale := 1.0
+	if recent := t.recent(); recent > 0 {
+		scale = t.demand() / recent
+	}
+	short, others := scale*t.short, scale*t.others
+	ownShort := min(short, max(shortOfTimeShare*quota, quota-others))
+	t.shortChance = ratio(ownShort, short)
+	t.othersChance = ratio(quota-ownShort, others)
 }
 
 // ratio returns the admitted share of a count; of a count of 0 all are admitted.
--- a/internal/overload/shares_test.go
+++ b/internal/overload/shares_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// Guards against refusing more than the share to refuse where each of many tenants has few requests.
+func TestTenantsWithFewRequestsAreAdmittedByTheShare(t *testing.T) {
+	var demands []demand
+	for i := range 40 {
+		demands = append(demands, demand{Request{Tenant: string(rune('a' + i)), Route: "r", Remaining: time.Second}, 1})
+	}
+	const accepted = 0.8
+	sum := 0.0
+	for _, admitted := range admittedShares(nil, accepted, demands...) {
+		sum += admitted
+	}
+	if mean := sum / float64(len(demands)); mean < accepted-0.05 || mean > accepted+0.05 {
+		t.Errorf("admitted %.3f of the requests, want %.1f", mean, accepted)
+	}
+}
+
 // Guards against state that grows with the tenants that were ever seen.
 func TestTenantsAreForgotten(t *testing.T) {
 	s := newShares(nil)
--- a/internal/overload/throttle.go
+++ b/internal/overload/throttle.go
@@ -75,7 +75,7 @@
 // Kinds of evidence.
 const (
 	EvidenceNone      Evidence = "none"
-	EvidenceRejection Evidence = "rejection"
+	EvidenceRejection Evidence = "rejected"
 	EvidenceQueue     Evidence = "queue"
 )
 
