--- a/internal/frontend/settings_test.go
+++ b/internal/frontend/settings_test.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := gateway.OverloadOptions{Off: true, HedgeShare: 0, RetryShare: 1, TenantWeights: map[string]float64{"a": 0.5, "b": 100}}
+	want := gateway.OverloadOptions{Off: true, HedgeShare: gateway.NoBudget, RetryShare: 1, TenantWeights: map[string]float64{"a": 0.5, "b": 100}}
 	if diff := cmp.Diff(want, settings.overloadOptions()); diff != "" {
 		t.Error(diff)
 	}
