Jobs: the time at which a node accepted them

Cause: a successor of the coordinator can't tell when a job is due (docs/overload.md, part C).

Change: batch.Job gets AcceptedAt, set by Submit, 0 and ignored in earlier builds.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -51,6 +51,9 @@
 	// WantedGroups is the number of complete groups that the trainer waits for.
 	WantedGroups int
 	Items        []Item
+	// AcceptedAt is the time of day at which a node accepted the job, by the clock of its machine, in
+	// Unix milliseconds. It is 0 in jobs that earlier builds accepted.
+	AcceptedAt int64 `json:",omitempty"`
 }
 
 // Outcome says how an item ended.
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -95,6 +95,7 @@
 
 // Submit accepts a batch job. It has succeeded when the store holds the whole job.
 func (n *Node) Submit(ctx context.Context, job *batch.Job) Verdict {
+	job.AcceptedAt = clock.TimeOfDay().UnixMilli()
 	records, err := batch.EncodeJob(job)
 	if err != nil {
 		n.logger.Error("batch job not encoded", zap.String("job", job.ID), zap.Error(err))
