Scheduler: waiting items start by slack, and groups beyond the wanted number last

A long item of a later job waits until the earlier job is started whole, spare groups included.

Change: urgency.go orders the items of jobs with a result deadline and wanted groups across all jobs: overdue jobs in order of acceptance, then needed items by slack, then items of spare groups. Tenants whose items have about equal slack share by running items and weight. Other jobs keep arrival order.

--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -85,7 +85,8 @@
 		zap.Uint64("attempt", uint64(start.Attempt)), zap.String("server", start.Server.ID), zap.String("after", start.After),
 		zap.Int64("epoch", start.Inputs.Epoch), zap.Int64("version", start.Inputs.Version),
 		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
-		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", clock.Since(began)),
+		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("slack", start.Inputs.Slack),
+		zap.Bool("needed", start.Inputs.Needed), zap.Float64("predicted_events", start.Inputs.PredictedEvents), zap.Duration("took", clock.Since(began)),
 		zap.Stringer("reason", reason), zap.Error(err))
 	c.recordRunEnd(start, began, reason, events > 0)
 	c.withTermScheduler(machine, func(now time.Time) {
--- a/internal/coordinator/term_subscriber.go
+++ b/internal/coordinator/term_subscriber.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/clock"
 	"dalehook/internal/joblog"
 	"dalehook/internal/scheduler"
 	"dalehook/internal/store"
@@ -28,7 +29,7 @@
 			f.coordinator.options.Logger.Info("job taken up", zap.String("job", change.Accepted.Job.ID),
 				zap.Int("partition", partition), zap.Int("results", len(change.Accepted.Results)),
 				zap.Int64("epoch", f.coordinator.termEpoch))
-			f.machine.HandleJob(now, partition, change.Accepted.Job, change.Accepted.Results)
+			f.machine.HandleJob(now, partition, onSchedulerClock(now, change.Accepted.Job), change.Accepted.Results)
 		case change.Result != nil:
 			f.machine.HandleResult(now, change.Result)
 		case change.Ended != nil:
@@ -37,6 +38,17 @@
 	})
 }
 
+// onSchedulerClock returns a job whose time of acceptance is on the clock of the scheduler. That one
+// is ahead of the time of day by the suspensions of this machine.
+func onSchedulerClock(now time.Time, accepted *batch.Job) *batch.Job {
+	if accepted.AcceptedAt == 0 {
+		return accepted
+	}
+	translated := *accepted
+	translated.AcceptedAt += now.UnixMilli() - clock.TimeOfDay().UnixMilli()
+	return &translated
+}
+
 // HandleOpenFrom implements joblog.Subscriber.
 func (f *termSubscriber) HandleOpenFrom(partition int, openFrom int64) {
 	f.coordinator.withTermScheduler(f.machine, func(time.Time) {
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // schedule starts waiting items, sends reward calls and orders weight loads.
 func (m *Machine) schedule(now time.Time) {
@@ -12,52 +15,70 @@
 	m.orderLoads(now)
 }
 
-// startWaiting starts waiting items, job by job in order of arrival.
+// startWaiting starts waiting items in their order across all jobs, while engines have free slots.
 func (m *Machine) startWaiting(now time.Time) {
 	if m.stopped {
 		return
 	}
-	engines := m.sortedEngines()
-	var medians map[string]float64
+	var waiting, urgent []*job
 	for _, job := range m.sortedJobs() {
-		if len(job.queue) == 0 {
-			continue
+		if job.hasUrgency() {
+			urgent = append(urgent, job)
 		}
-		if medians == nil {
-			medians = medianGaps(engines)
+		if len(job.queue) > 0 && job.route != nil && m.isFresh(now, job.partition) {
+			waiting = append(waiting, job)
 		}
-		m.startItems(now, job, engines, medians)
+	}
+	if len(waiting) == 0 && !slices.ContainsFunc(urgent, func(job *job) bool { return job.isRankStale(now) }) {
+		return
+	}
+	engines := m.sortedEngines()
+	medians := medianGaps(engines)
+	m.rankStale(now, urgent, medians)
+	cursors := make([]*cursor, 0, len(waiting))
+	for _, job := range waiting {
+		if job.hasUrgency() {
+			m.orderQueue(job, medians)
+		}
+		cursors = append(cursors, newCursor(job))
+	}
+	for next := m.nextCursor(now, cursors); next != nil; next = m.nextCursor(now, cursors) {
+		m.startNext(now, next, engines, medians[next.head().service])
+	}
+	for _, position := range cursors {
+		position.close()
 	}
 }
 
-// startItems starts a job's waiting items while engines have free slots. medians holds the median
-// gap between events of each service.
-func (m *Machine) startItems(now time.Time, owner *job, engines []*engine, medians map[string]float64) {
-	if owner.route == nil || !m.isFresh(now, owner.partition) {
+// startNext starts the next item of a job if an engine suits it; otherwise the item stays in the queue.
+// medianGap is the median gap between events of the item's service, or 0 if unknown.
+func (m *Machine) startNext(now time.Time, position *cursor, engines []*engine, medianGap float64) {
+	next, owner := position.head(), position.job
+	chosen := m.chooseOrRestart(now, next, engines, medianGap)
+	if chosen != nil {
+		m.startAttempt(now, next, chosen)
+		position.advance(false)
 		return
 	}
-	waiting := owner.queue[:0]
-	full := false
-	for _, next := range owner.queue {
-		if next.finished {
-			continue
-		}
-		if full {
-			waiting = append(waiting, next)
-			continue
-		}
-		chosen := m.chooseOrRestart(now, next, engines, medians[next.service])
-		if chosen == nil {
-			// Version pinning and isolation restrict this item only: later items may
-			// still find an engine.
-			full = len(owner.route.Targets) <= 1 && !next.isPinnedToVersion() && m.suspicion(next).Ends == 0
-			waiting = append(waiting, next)
-			continue
+	position.advance(true)
+	if len(owner.route.Targets) > 1 || next.isPinnedToVersion() || m.suspicion(next).Ends > 0 {
+		// Version pinning and isolation restrict this item only: later items may still find an engine.
+		return
+	}
+	position.passedOver++
+	position.full = !owner.hasUrgency() || position.passedOver >= maxPassedOver || !hasFreeSlot(next, engines)
+}
+
+// hasFreeSlot reports whether an engine has a free slot and a version for an item, whether or not it
+// suits the item now.
+func hasFreeSlot(next *item, engines []*engine) bool {
+	for _, candidate := range engines {
+		if candidate.listed && candidate.service == next.service && !candidate.loading && !candidate.draining &&
+			len(candidate.attempts) < candidate.slots && candidate.versions[next.job.model] >= next.job.minimum {
+			return true
 		}
-		m.startAttempt(now, next, chosen)
 	}
-	clear(owner.queue[len(waiting):])
-	owner.queue = waiting
+	return false
 }
 
 // isFresh reports whether a partition was read recently enough to start items of its jobs. It
@@ -73,6 +94,7 @@
 	next.unsaved = unsaved{from: next.lastID}
 	next.checkpointAt = time.Time{}
 	m.attempts[started.id] = started
+	m.countRunning(next.job.tenant, 1)
 	chosen.attempts[started.id] = started
 	chosen.recentStarts.Record(now)
 	expected := int64(0)
@@ -95,6 +117,10 @@
 			Attempts: len(chosen.attempts) - 1,
 			Gap:      time.Duration(chosen.gap * float64(time.Second)),
 			ReadAge:  now.Sub(m.lastRead[next.job.partition]),
+
+			Slack:           next.slack(now),
+			Needed:          next.isNeeded(),
+			PredictedEvents: m.predictedEvents(next),
 		},
 	})
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -95,6 +95,7 @@
 	delete(m.attempts, id)
 	delete(ended.engine.attempts, id)
 	owner := ended.item
+	m.countRunning(owner.job.tenant, -1)
 	if reason != EndCompleted || ended.cancelled {
 		m.save(now, ended)
 	}
@@ -156,9 +157,10 @@
 const maxRefusalsInFront = 3
 
 // requeue queues an item again: before items that have not started yet, or last after several
-// consecutive refusals. An item that no engine ever accepts would otherwise get every slot that
+// consecutive refusals. Jobs that are ordered by slack are ordered again before the next start. An item that no engine ever accepts would otherwise get every slot that
 // becomes free.
 func (i *item) requeue() {
+	i.startBy, i.job.queueDirty = time.Time{}, true
 	if i.refusals > maxRefusalsInFront {
 		i.job.queue = append(i.job.queue, i)
 		return
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -24,6 +24,8 @@
 		partition:         partition,
 		arrival:           m.arrivals,
 		receivedAt:        now,
+		acceptedAt:        now,
+		wantedGroups:      accepted.WantedGroups,
 		items:             make(map[string]*item, len(accepted.Items)),
 		unfinishedByGroup: make(map[string]int),
 		sources:           make(map[string]*batch.Item, len(accepted.Items)),
@@ -32,11 +34,23 @@
 	for i := range accepted.Items {
 		opened.addItem(&accepted.Items[i])
 	}
+	if accepted.AcceptedAt != 0 {
+		// Adding the age keeps the monotonic reading of now, so that later steps of the machine's clock
+		// do not move the due time.
+		opened.acceptedAt = now.Add(time.UnixMilli(accepted.AcceptedAt).Sub(now))
+	}
+	opened.formGroups(accepted.Items)
 	m.jobs[opened.id] = opened
+	recorded := make([]*item, len(results))
 	for i := range results {
-		opened.recordResult(&results[i])
+		recorded[i] = opened.recordResult(&results[i])
 	}
 	m.route(opened)
+	for i := range results {
+		if recorded[i] != nil {
+			m.observeLength(opened, recorded[i], &results[i])
+		}
+	}
 	m.observeStepTokens(accepted)
 	for i := range accepted.Items {
 		if waiting := opened.items[accepted.Items[i].ID]; waiting != nil {
@@ -45,6 +59,9 @@
 	}
 	slices.SortStableFunc(opened.queue, longestFirst)
 	m.separateHeld(opened)
+	for _, waiting := range opened.items {
+		waiting.group.resubmitted = waiting.group.resubmitted || waiting.resubmitted
+	}
 	m.workingSets.observeStep(accepted.Model, len(accepted.Items))
 	m.updateWorkingSet()
 	m.schedule(now)
@@ -59,6 +76,24 @@
 	j.unfinishedByGroup[source.Group]++
 }
 
+// formGroups forms the groups of a job's items.
+func (j *job) formGroups(items []batch.Item) {
+	byName := make(map[string]*group)
+	for i := range items {
+		member := j.items[items[i].ID]
+		if member.group != nil {
+			continue // a second item with the same ID
+		}
+		name := member.source.Group
+		if byName[name] == nil {
+			byName[name] = &group{}
+			j.groups = append(j.groups, byName[name])
+		}
+		member.group = byName[name]
+		member.group.items = append(member.group.items, member)
+	}
+}
+
 // recordResult processes a result read from the log. It returns the item, or nil if it had a
 // result already.
 func (j *job) recordResult(result *batch.Result) *item {
@@ -97,8 +132,8 @@
 	return cmp.Compare(b.source.Expected, a.source.Expected)
 }
 
-// route sets a job's route and the service of each item. The first route that matches sets the
-// time when the job's items expire.
+// route sets a job's route, when the job is due, and the service of each item. The first route that
+// matches sets the time when the job's items expire.
 func (m *Machine) route(job *job) {
 	if m.table == nil {
 		return
@@ -111,6 +146,8 @@
 		// The job may have been read before the configuration with its route.
 		job.expiresAt = job.receivedAt.Add(job.route.ItemLifetime)
 	}
+	job.setDue()
+	job.rankedAt = time.Time{}
 	for id, waiting := range job.items {
 		target, _ := job.route.PickByHash(id)
 		waiting.service = target.Service
@@ -127,6 +164,7 @@
 	if recorded == nil {
 		return
 	}
+	m.observeLength(owner, recorded, result)
 	recorded.finished = true
 	m.cancel(recorded.attempt)
 	m.withdrawReward(recorded)
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/lengths"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
@@ -44,6 +45,11 @@
 	recovered   map[int]map[string]*batch.Partial
 	recoveredAt time.Time
 
+	// lengths predicts the lengths of items by route.
+	lengths *lengths.Estimator
+	// runningByTenant counts the running attempts of each tenant.
+	runningByTenant map[string]int
+
 	// suspicions holds the items that engines crashed under.
 	suspicions map[quarantine.Fingerprint]quarantine.Suspicion
 
@@ -63,19 +69,21 @@
 	options.SaveInterval = cmp.Or(options.SaveInterval, DefaultSaveInterval)
 	options.EnginePause = cmp.Or(options.EnginePause, DefaultEnginePause)
 	return &Machine{
-		options:        options,
-		jobs:           make(map[string]*job),
-		workingSets:    newWorkingSets(),
-		engines:        make(map[string]*engine),
-		attempts:       make(map[AttemptID]*attempt),
-		newestVersions: make(map[string]int64),
-		lastRead:       make(map[int]time.Time),
-		retained:       make(map[string]*retainedItem),
-		tokensPerStep:  make(map[string]float64),
-		loadWindows:    make(map[string]*loadWindow),
-		activeLoads:    make(map[string]int),
-		rewards:        reward.NewQueue(),
-		recovered:      make(map[int]map[string]*batch.Partial),
+		options:         options,
+		jobs:            make(map[string]*job),
+		workingSets:     newWorkingSets(),
+		engines:         make(map[string]*engine),
+		attempts:        make(map[AttemptID]*attempt),
+		newestVersions:  make(map[string]int64),
+		lastRead:        make(map[int]time.Time),
+		retained:        make(map[string]*retainedItem),
+		tokensPerStep:   make(map[string]float64),
+		loadWindows:     make(map[string]*loadWindow),
+		activeLoads:     make(map[string]int),
+		rewards:         reward.NewQueue(),
+		recovered:       make(map[int]map[string]*batch.Partial),
+		lengths:         lengths.NewEstimator(),
+		runningByTenant: make(map[string]int),
 	}
 }
 
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"dalehook/internal/batch"
@@ -38,7 +39,9 @@
 	if partial == nil {
 		return false
 	}
-	waiting.text, waiting.lastID, waiting.versions = partial.Text, partial.LastID, partial.Versions
+	// A partial holds several events in one string. Split, they count as events in predictions.
+	waiting.text = strings.Split(joinLines(partial.Text), "\n")
+	waiting.lastID, waiting.versions = partial.LastID, partial.Versions
 	return partial.Complete
 }
 
--- a/internal/scheduler/retention.go
+++ b/internal/scheduler/retention.go
@@ -24,6 +24,8 @@
 	// result is set when the item's text is complete. It has no score if the job ended before the
 	// reward call was answered or made.
 	result *batch.Result
+	// observed is set if the length of the result was observed.
+	observed bool
 	// reward is the call that returned the score of the result.
 	reward    *reward.Call
 	runUntil  time.Time
@@ -60,7 +62,7 @@
 			entry.item = unfinished
 			entry.runUntil = now.Add(retainedRunTimeout)
 		case ended.results[id].Outcome == batch.OutcomeCompleted:
-			entry.result = ended.results[id]
+			entry.result, entry.observed = ended.results[id], true
 		default:
 			continue
 		}
@@ -108,6 +110,7 @@
 // the same reward call.
 func (m *Machine) reuseResult(now time.Time, waiting *item, entry *retainedItem) {
 	waiting.text, waiting.versions = []string{entry.result.Text}, entry.result.Versions
+	waiting.reused = entry.observed
 	if entry.result.Score != "" && entry.reward.Equal(waiting.source.Reward) {
 		m.recordCompleted(waiting, entry.result.Score)
 		return
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // EngineSummary is the state of an engine.
 type EngineSummary struct {
@@ -25,6 +28,14 @@
 	Running    int
 	Unfinished int
 	Total      int
+	// Due is when the results are due, in Unix milliseconds, and Slack the lowest slack of a waiting
+	// item, in milliseconds. Both are 0 if the job is not ordered by slack.
+	Due   int64
+	Slack int64
+	// NeededGroups is the number of groups that the trainer waits for and that are not whole.
+	NeededGroups int
+	// RunningShare is the job's share of all running items.
+	RunningShare float64
 }
 
 // Summary returns the state of all engines and jobs, for logs.
@@ -43,10 +54,38 @@
 				running++
 			}
 		}
-		jobs = append(jobs, JobSummary{
+		summary := JobSummary{
 			ID: job.id, Model: job.model, Minimum: job.minimum, Newest: m.newestVersions[job.model],
 			Waiting: len(job.queue), Running: running, Unfinished: len(job.items), Total: len(job.sources),
-		})
+			RunningShare: float64(running) / float64(max(len(m.attempts), 1)),
+		}
+		if job.hasUrgency() {
+			summary.Due, summary.Slack = job.dueAt.UnixMilli(), job.lowestSlack(now).Milliseconds()
+			summary.NeededGroups = job.neededGroupsLeft()
+		}
+		jobs = append(jobs, summary)
 	}
 	return engines, jobs
 }
+
+// lowestSlack returns the lowest slack of the job's waiting items, or 0 if none waits.
+func (j *job) lowestSlack(now time.Time) time.Duration {
+	lowest := time.Duration(0)
+	for at, waiting := range j.queue {
+		if slack := waiting.slack(now); at == 0 || slack < lowest {
+			lowest = slack
+		}
+	}
+	return lowest
+}
+
+// neededGroupsLeft returns the number of groups that the trainer waits for and that are not whole.
+func (j *job) neededGroupsLeft() int {
+	left := 0
+	for _, subject := range j.groups {
+		if subject.needed && slices.ContainsFunc(subject.items, func(member *item) bool { return j.items[member.source.ID] == member }) {
+			left++
+		}
+	}
+	return left
+}
--- a/internal/scheduler/suspicions.go
+++ b/internal/scheduler/suspicions.go
@@ -32,6 +32,7 @@
 
 // separateHeld moves held items of a job out of the queue, and released ones back into it.
 func (m *Machine) separateHeld(owner *job) {
+	owner.queueDirty = true
 	waiting := append(owner.held, owner.queue...)
 	owner.held, owner.queue = nil, nil
 	for _, next := range waiting {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -51,6 +51,13 @@
 	Gap time.Duration
 	// ReadAge is the time since the job's partition was last read.
 	ReadAge time.Duration
+	// Slack is the time by which the item could start later and still end when its job is due, or 0 if
+	// the job is not ordered by slack. Negative values mean that it will be late.
+	Slack time.Duration
+	// Needed is set if the trainer waits for the item's group.
+	Needed bool
+	// PredictedEvents is the number of events that the item is predicted to need still.
+	PredictedEvents float64
 }
 
 // Server is the address of one incarnation of an engine.
@@ -170,6 +177,9 @@
 	EnginePause time.Duration
 	// SaveInterval is the time between two saves of progress.
 	SaveInterval time.Duration
+	// TenantWeights are the shares of tenants that compete for engines, relative to each other; 1 for
+	// tenants without an entry.
+	TenantWeights map[string]float64
 }
 
 // Defaults of Options.
@@ -225,6 +235,13 @@
 	waitingSince time.Time
 	// movedAt is when the item was last moved to a faster engine.
 	movedAt time.Time
+	// group is the item's group; nil for retained items without an open job.
+	group *group
+	// startBy is the latest time at which a waiting item may start to end when its job is due; zero if
+	// it must be computed.
+	startBy time.Time
+	// reused items have the result of an earlier job, whose length was observed there.
+	reused bool
 }
 
 // unsaved holds the events of an item's run since its last saved progress.
@@ -246,12 +263,25 @@
 	route     *routetable.Route
 	// receivedAt is when the job was read.
 	receivedAt time.Time
+	// acceptedAt is when a node accepted the job, and dueAt when its results are due. acceptedAt is
+	// checked when the job first has a route.
+	acceptedAt        time.Time
+	acceptedAtChecked bool
+	dueAt             time.Time
+	// wantedGroups is the number of whole groups that the trainer waits for.
+	wantedGroups int
+	// groups holds the groups in the order of their first items. rankedAt is when they were last
+	// ranked.
+	groups   []*group
+	rankedAt time.Time
 	// expiresAt is when the job's items expire; zero until the job has had a route.
 	expiresAt time.Time
 	arrival   int
 	items     map[string]*item
-	// queue holds the waiting items in the order in which they start.
-	queue []*item
+	// queue holds the waiting items in the order in which they start. queueDirty is set if it must be
+	// ordered by slack again.
+	queue      []*item
+	queueDirty bool
 	// held holds items that are held because they crash engines. They stay here until they are
 	// released or expire, and do not block others.
 	held []*item
--- /dev/null
+++ b/internal/scheduler/urgency.go
@@ -0,0 +1,378 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"dalehook/internal/batch"
+)
+
+// The order of waiting items addresses batch jobs that ask for more than the engines can run. Jobs of
+// routes with a result deadline and with a number of wanted groups are ordered by slack; all others keep
+// the order of arrival.
+
+const (
+	// rankInterval is the time after which the groups of a job are ranked again, and the slack of its
+	// items is computed again.
+	rankInterval = 100 * time.Millisecond
+	// maxRankedItems bounds the items whose jobs are ranked again in one step because rankInterval has
+	// passed. The other jobs follow in later steps.
+	maxRankedItems = 1000
+	// startedGroupMargin is how many times longer than another a needed group with started items must be
+	// to lose its place to the other. It keeps groups from trading places with each changed prediction.
+	startedGroupMargin = 1.5
+	// tenantWindow is the difference in slack within which the share of the tenants decides.
+	tenantWindow = 500 * time.Millisecond
+	// maxPassedOver bounds the items of a job that are passed over in one step because no engine with a
+	// free slot suits them. Other items may suit one.
+	maxPassedOver = 16
+)
+
+// group is the state of the items of a job that share a prompt.
+type group struct {
+	// items are the items of the group that had no result in the log when the group was last ranked.
+	items []*item
+	// resubmitted groups were in an earlier job, and their trainer is waiting for them.
+	resubmitted bool
+	started     bool
+	// dead groups have an item that was given up.
+	dead bool
+	// needed groups are among those that the trainer waits for.
+	needed bool
+	// longest is the highest predicted number of seconds that an item of the group still runs.
+	longest float64
+}
+
+// hasUrgency reports whether the items of the job are ordered by slack. Items of other jobs keep the
+// order of arrival.
+func (j *job) hasUrgency() bool {
+	return j.route != nil && j.route.ResultDeadline > 0 && j.wantedGroups > 0
+}
+
+// setDue sets when the job is due. acceptedAt is replaced by the time of reading if it can't be right:
+// the clocks of machines may differ or jump.
+func (j *job) setDue() {
+	if !j.acceptedAtChecked {
+		j.acceptedAtChecked = true
+		if j.acceptedAt.After(j.receivedAt) || j.receivedAt.Sub(j.acceptedAt) > j.route.ItemLifetime {
+			j.acceptedAt = j.receivedAt
+		}
+	}
+	j.dueAt = j.acceptedAt.Add(j.route.ResultDeadline)
+}
+
+// isOverdue reports whether the job's items have waited for the result deadline. They then precede the
+// items of all later jobs, so that none starves.
+func (j *job) isOverdue(now time.Time) bool { return !now.Before(j.dueAt) }
+
+// precedes reports whether a job was accepted before another. It is the same for a successor, which
+// reads the partitions in another order, as far as both jobs have the time at which they were accepted.
+func (j *job) precedes(other *job) bool {
+	if j.hasUrgency() && other.hasUrgency() {
+		return cmp.Or(j.acceptedAt.Compare(other.acceptedAt), cmp.Compare(j.id, other.id)) < 0
+	}
+	return j.arrival < other.arrival
+}
+
+// isNeeded reports whether an item's trainer waits for its group.
+func (i *item) isNeeded() bool { return i.group == nil || i.group.needed || !i.job.hasUrgency() }
+
+// predictedEvents returns the number of events that an item is predicted to need still.
+func (m *Machine) predictedEvents(subject *item) float64 {
+	route := ""
+	if subject.job.route != nil {
+		route = subject.job.route.Name
+	}
+	return m.lengths.Remaining(route, subject.source.Expected, len(subject.text))
+}
+
+// predictedSeconds returns the time for which an item is predicted to run on an engine of median speed.
+// medians holds the median gap between events of each service.
+func (m *Machine) predictedSeconds(subject *item, medians map[string]float64) float64 {
+	return m.predictedEvents(subject) * max(medians[subject.service], minimumGap)
+}
+
+// observeLength takes the length of a completed item from its result in the log.
+func (m *Machine) observeLength(owner *job, recorded *item, result *batch.Result) {
+	if owner.route == nil || recorded.reused || result.Outcome != batch.OutcomeCompleted || result.Text == "" {
+		return
+	}
+	m.lengths.Observe(owner.route.Name, recorded.source.Expected, strings.Count(result.Text, "\n")+1)
+}
+
+// rank ranks the groups of a job and orders its waiting items.
+func (m *Machine) rank(now time.Time, owner *job, medians map[string]float64) {
+	owner.rankedAt = now
+	owner.queueDirty = true
+	needed := owner.wantedGroups
+	var ranked []*group
+	for _, subject := range owner.groups {
+		m.measure(subject, medians)
+		subject.needed = subject.needed && !subject.resubmitted
+		if subject.resubmitted {
+			subject.needed = true
+			needed--
+			continue
+		}
+		ranked = append(ranked, subject)
+	}
+	slices.SortStableFunc(ranked, func(a, b *group) int { return cmp.Compare(a.rankKey(), b.rankKey()) })
+	for at, subject := range ranked {
+		subject.needed = at < needed
+	}
+	for _, waiting := range owner.queue {
+		waiting.startBy = time.Time{}
+	}
+}
+
+// measure predicts how long the items of a group still run.
+func (m *Machine) measure(subject *group, medians map[string]float64) {
+	subject.longest = 0
+	unfinished := subject.items[:0]
+	for _, member := range subject.items {
+		if member.job.items[member.source.ID] != member {
+			subject.started = true
+			subject.dead = subject.dead || member.job.results[member.source.ID].Outcome == batch.OutcomeDead
+			continue
+		}
+		unfinished = append(unfinished, member)
+		subject.started = subject.started || member.attempt != nil || member.finished || len(member.text) > 0
+		if !member.finished && !member.textComplete {
+			subject.longest = max(subject.longest, m.predictedSeconds(member, medians))
+		}
+	}
+	clear(subject.items[len(unfinished):])
+	subject.items = unfinished
+}
+
+// rankKey orders the groups of a job that were not resubmitted.
+func (g *group) rankKey() float64 {
+	switch {
+	case g.dead:
+		return math.Inf(1) // the group can't become whole
+	case g.needed && g.started:
+		return g.longest / startedGroupMargin
+	}
+	return g.longest
+}
+
+// isRankStale reports whether the groups of a job were not ranked recently.
+func (j *job) isRankStale(now time.Time) bool { return now.Sub(j.rankedAt) >= rankInterval }
+
+// rankStale ranks the jobs that were not ranked recently: new ones at once, and others as far as
+// maxRankedItems allows, those ranked longest ago first.
+func (m *Machine) rankStale(now time.Time, jobs []*job, medians map[string]float64) {
+	var stale []*job
+	for _, candidate := range jobs {
+		if candidate.rankedAt.IsZero() {
+			m.rank(now, candidate, medians)
+		} else if candidate.isRankStale(now) {
+			stale = append(stale, candidate)
+		}
+	}
+	slices.SortStableFunc(stale, func(a, b *job) int { return a.rankedAt.Compare(b.rankedAt) })
+	ranked := 0
+	for _, candidate := range stale {
+		if ranked >= maxRankedItems {
+			return
+		}
+		ranked += len(candidate.items)
+		m.rank(now, candidate, medians)
+	}
+}
+
+// orderQueue orders the waiting items of a job after a change: those of needed groups first, then by
+// the latest time at which they may start.
+func (m *Machine) orderQueue(owner *job, medians map[string]float64) {
+	if !owner.queueDirty {
+		return
+	}
+	owner.queueDirty = false
+	for _, waiting := range owner.queue {
+		if !waiting.startBy.IsZero() {
+			continue
+		}
+		// A head start of more than the deadline would let items of jobs that are not accepted yet
+		// precede this one.
+		run := min(m.predictedSeconds(waiting, medians), owner.route.ResultDeadline.Seconds())
+		waiting.startBy = owner.dueAt.Add(-time.Duration(run * float64(time.Second)))
+	}
+	slices.SortStableFunc(owner.queue, func(a, b *item) int {
+		return cmp.Or(cmp.Compare(a.class(), b.class()), a.startBy.Compare(b.startBy))
+	})
+}
+
+// class is the first criterion in the order of waiting items; lower starts first.
+type class int
+
+const (
+	// classOverdue items are those of overdue jobs.
+	classOverdue class = iota
+	classNeeded
+	// classSpare items belong to groups beyond the wanted number.
+	classSpare
+	// classRefused items were refused by several engines in succession.
+	classRefused
+)
+
+// class returns the class of an item within its job.
+func (i *item) class() class {
+	switch {
+	case i.refusals > maxRefusalsInFront:
+		return classRefused
+	case i.isNeeded():
+		return classNeeded
+	}
+	return classSpare
+}
+
+// cursor is the position in the queue of a job from which its next item starts.
+type cursor struct {
+	job *job
+	// next is the index of the next item; items before it that stay in the queue are in kept.
+	next int
+	kept []*item
+	// passedOver counts the items that no engine with a free slot suits.
+	passedOver int
+	// full is set when no engine has a free slot for the job.
+	full bool
+}
+
+// head returns the next waiting item, or nil.
+func (c *cursor) head() *item {
+	for !c.full && c.next < len(c.job.queue) {
+		if next := c.job.queue[c.next]; !next.finished {
+			return next
+		}
+		c.next++
+	}
+	return nil
+}
+
+// advance moves the cursor to the next item. The current one stays in the queue if kept is set.
+func (c *cursor) advance(kept bool) {
+	if kept {
+		c.kept = append(c.kept, c.job.queue[c.next])
+	}
+	c.next++
+}
+
+// close removes the items that have started or finished from the queue.
+func (c *cursor) close() {
+	queue := c.job.queue
+	kept := append(c.kept, queue[c.next:]...)
+	clear(queue[len(kept):])
+	c.job.queue = kept
+}
+
+// newCursor returns a cursor at the first waiting item. The items kept share the queue's array.
+func newCursor(owner *job) *cursor { return &cursor{job: owner, kept: owner.queue[:0]} }
+
+// classAt returns the class of the cursor's next item among those of all jobs.
+func (c *cursor) classAt(now time.Time, head *item) class {
+	if c.job.isOverdue(now) {
+		return classOverdue
+	}
+	return head.class()
+}
+
+// nextCursor returns the cursor whose next item starts first, or nil if no items wait. cursors are in
+// order of arrival.
+func (m *Machine) nextCursor(now time.Time, cursors []*cursor) *cursor {
+	var arrived, urgent *cursor
+	for _, candidate := range cursors {
+		switch head := candidate.head(); {
+		case head == nil:
+		case !candidate.job.hasUrgency():
+			if arrived == nil {
+				arrived = candidate
+			}
+		case urgent == nil || m.goesFirst(now, candidate, urgent):
+			urgent = candidate
+		}
+	}
+	if urgent == nil || arrived != nil && arrived.job.arrival < urgent.job.arrival {
+		return arrived
+	}
+	return m.shareAmongTenants(now, cursors, urgent)
+}
+
+// goesFirst reports whether the next item of one job starts before that of another.
+func (m *Machine) goesFirst(now time.Time, a, b *cursor) bool {
+	headA, headB := a.head(), b.head()
+	classA, classB := a.classAt(now, headA), b.classAt(now, headB)
+	if classA != classB {
+		return classA < classB
+	}
+	if order := headA.startBy.Compare(headB.startBy); order != 0 && classA != classOverdue {
+		return order < 0
+	}
+	return a.job.precedes(b.job)
+}
+
+// shareAmongTenants returns the cursor, among those whose next item has about the slack of the first
+// one, of the tenant with the fewest running items for its weight. Overdue items keep their order.
+func (m *Machine) shareAmongTenants(now time.Time, cursors []*cursor, first *cursor) *cursor {
+	head := first.head()
+	headClass := first.classAt(now, head)
+	if headClass == classOverdue {
+		return first
+	}
+	chosen := first
+	for _, candidate := range cursors {
+		next := candidate.head()
+		if next == nil || !candidate.job.hasUrgency() || candidate.job.tenant == chosen.job.tenant ||
+			candidate.classAt(now, next) != headClass || next.startBy.Sub(head.startBy) >= tenantWindow {
+			continue
+		}
+		less := cmp.Compare(m.tenantLoad(candidate.job.tenant), m.tenantLoad(chosen.job.tenant))
+		if less < 0 || less == 0 && chosen != first && m.goesFirst(now, candidate, chosen) {
+			chosen = candidate
+		}
+	}
+	return m.firstOfTenant(now, cursors, chosen.job.tenant, headClass)
+}
+
+// firstOfTenant returns the cursor of a tenant whose next item starts first in a class.
+func (m *Machine) firstOfTenant(now time.Time, cursors []*cursor, tenant string, in class) *cursor {
+	var first *cursor
+	for _, candidate := range cursors {
+		next := candidate.head()
+		if next == nil || !candidate.job.hasUrgency() || candidate.job.tenant != tenant || candidate.classAt(now, next) != in {
+			continue
+		}
+		if first == nil || m.goesFirst(now, candidate, first) {
+			first = candidate
+		}
+	}
+	return first
+}
+
+// tenantLoad returns the running items of a tenant divided by its weight.
+func (m *Machine) tenantLoad(tenant string) float64 {
+	weight, known := m.options.TenantWeights[tenant]
+	if !known || weight <= 0 {
+		weight = 1
+	}
+	return float64(m.runningByTenant[tenant]) / weight
+}
+
+// countRunning adds to the running attempts of a tenant.
+func (m *Machine) countRunning(tenant string, change int) {
+	m.runningByTenant[tenant] += change
+	if m.runningByTenant[tenant] == 0 {
+		delete(m.runningByTenant, tenant)
+	}
+}
+
+// slack returns the time by which a waiting item could start later and still end when its job is due; 0
+// if the job is not ordered by slack.
+func (i *item) slack(now time.Time) time.Duration {
+	if !i.job.hasUrgency() || i.startBy.IsZero() {
+		return 0
+	}
+	return i.startBy.Sub(now)
+}
