Scheduler: long items of spare groups keep their head start

Change: an item with more than twice the median estimate of its job keeps its place by slack, also in a spare group.

--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -26,6 +26,7 @@
 		receivedAt:        now,
 		acceptedAt:        now,
 		wantedGroups:      accepted.WantedGroups,
+		medianEstimate:    medianEstimate(accepted.Items),
 		items:             make(map[string]*item, len(accepted.Items)),
 		unfinishedByGroup: make(map[string]int),
 		sources:           make(map[string]*batch.Item, len(accepted.Items)),
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -270,6 +270,8 @@
 	dueAt             time.Time
 	// wantedGroups is the number of whole groups that the trainer waits for.
 	wantedGroups int
+	// medianEstimate is the median of the caller's estimates of the items, in tokens, or 0.
+	medianEstimate int
 	// groups holds the groups in the order of their first items. rankedAt is when they were last
 	// ranked.
 	groups   []*group
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -24,6 +24,9 @@
 	// startedGroupMargin is how many times longer than another a needed group with started items must be
 	// to lose its place to the other. It keeps groups from trading places with each changed prediction.
 	startedGroupMargin = 1.5
+	// longEstimateFactor is how many times the median estimate of its job an item's estimate must be for
+	// the item to count as long.
+	longEstimateFactor = 2
 	// tenantWindow is the difference in slack within which the share of the tenants decides.
 	tenantWindow = 500 * time.Millisecond
 	// maxPassedOver bounds the items of a job that are passed over in one step because no engine with a
@@ -80,6 +83,26 @@
 // isNeeded reports whether an item's trainer waits for its group.
 func (i *item) isNeeded() bool { return i.group == nil || i.group.needed || !i.job.hasUrgency() }
 
+// isLong reports whether the caller expects the item to be much longer than others of its job.
+func (i *item) isLong() bool {
+	return float64(i.source.Expected) > longEstimateFactor*float64(i.job.medianEstimate)
+}
+
+// medianEstimate returns the median of the callers' estimates of the items, or 0 if there are none.
+func medianEstimate(items []batch.Item) int {
+	var estimates []int
+	for i := range items {
+		if items[i].Expected > 0 {
+			estimates = append(estimates, items[i].Expected)
+		}
+	}
+	if len(estimates) == 0 {
+		return 0
+	}
+	slices.Sort(estimates)
+	return estimates[len(estimates)/2]
+}
+
 // predictedEvents returns the number of events that an item is predicted to need still.
 func (m *Machine) predictedEvents(subject *item) float64 {
 	route := ""
@@ -212,7 +235,7 @@
 	// classOverdue items are those of overdue jobs.
 	classOverdue class = iota
 	classNeeded
-	// classSpare items belong to groups beyond the wanted number.
+	// classSpare items belong to groups beyond the wanted number and are not long.
 	classSpare
 	// classRefused items were refused by several engines in succession.
 	classRefused
@@ -223,7 +246,9 @@
 	switch {
 	case i.refusals > maxRefusalsInFront:
 		return classRefused
-	case i.isNeeded():
+	case i.isNeeded(), i.isLong():
+		// A spare group that does not become whole comes again in the next job, where it is needed. Its
+		// long items would decide when that job ends if they had no head start.
 		return classNeeded
 	}
 	return classSpare
