Scheduler: one step with waiting items looks only at engines that take items; tests of the order

Change: a step collects the engines that take items once, stops when their slots are used, and keeps the head and class of each job. A result of a waiting item removes it from the queue at once. Job summaries compute the slack of items that were queued since the last start.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -35,46 +35,87 @@
 	engines := m.sortedEngines()
 	medians := medianGaps(engines)
 	m.rankStale(now, urgent, medians)
+	m.startInOrder(now, waiting, enginesThatTakeItems(now, engines), medians)
+}
+
+// startInOrder starts the waiting items of jobs at the engines, until these are full or suit no more
+// items. medians holds the median gap between events of each service.
+func (m *Machine) startInOrder(now time.Time, waiting []*job, engines []*engine, medians map[string]float64) {
+	slots := freeSlots(engines)
+	if slots == 0 {
+		return
+	}
 	cursors := make([]*cursor, 0, len(waiting))
 	for _, job := range waiting {
 		if job.hasUrgency() {
 			m.orderQueue(job, medians)
 		}
-		cursors = append(cursors, newCursor(job))
+		cursors = append(cursors, newCursor(now, job))
 	}
-	for next := m.nextCursor(now, cursors); next != nil; next = m.nextCursor(now, cursors) {
-		m.startNext(now, next, engines, medians[next.head().service])
+	for slots > 0 {
+		next := m.nextCursor(cursors)
+		if next == nil {
+			break
+		}
+		if m.startNext(now, next, engines, medians[next.head.service]) {
+			slots--
+		}
 	}
 	for _, position := range cursors {
 		position.close()
 	}
 }
 
+// enginesThatTakeItems returns the engines that take items now. In a step that starts items no engine
+// is added to them.
+func enginesThatTakeItems(now time.Time, engines []*engine) []*engine {
+	var taking []*engine
+	for _, candidate := range engines {
+		if candidate.listed && !candidate.loading && !candidate.draining && !now.Before(candidate.pausedUntil) &&
+			len(candidate.attempts) < candidate.slots && !candidate.atWarmUpLimit(now) {
+			taking = append(taking, candidate)
+		}
+	}
+	return taking
+}
+
+func freeSlots(engines []*engine) int {
+	free := 0
+	for _, candidate := range engines {
+		free += candidate.slots - len(candidate.attempts)
+	}
+	return free
+}
+
 // startNext starts the next item of a job if an engine suits it; otherwise the item stays in the queue.
+// It reports whether the item started. engines are those that took items at the start of the step.
 // medianGap is the median gap between events of the item's service, or 0 if unknown.
-func (m *Machine) startNext(now time.Time, position *cursor, engines []*engine, medianGap float64) {
-	next, owner := position.head(), position.job
+func (m *Machine) startNext(now time.Time, position *cursor, engines []*engine, medianGap float64) bool {
+	next, owner := position.head, position.job
 	chosen := m.chooseOrRestart(now, next, engines, medianGap)
 	if chosen != nil {
 		m.startAttempt(now, next, chosen)
-		position.advance(false)
-		return
+		position.advance(now, false)
+		return true
 	}
-	position.advance(true)
+	position.advance(now, true)
 	if len(owner.route.Targets) > 1 || next.isPinnedToVersion() || m.suspicion(next).Ends > 0 {
 		// Version pinning and isolation restrict this item only: later items may still find an engine.
-		return
+		return false
 	}
 	position.passedOver++
-	position.full = !owner.hasUrgency() || position.passedOver >= maxPassedOver || !hasFreeSlot(next, engines)
+	if !owner.hasUrgency() || position.passedOver >= maxPassedOver || !hasFreeSlot(next, engines) {
+		position.head = nil
+	}
+	return false
 }
 
-// hasFreeSlot reports whether an engine has a free slot and a version for an item, whether or not it
-// suits the item now.
+// hasFreeSlot reports whether one of the engines still has a free slot, and a version for an item,
+// whether or not it suits the item now.
 func hasFreeSlot(next *item, engines []*engine) bool {
 	for _, candidate := range engines {
-		if candidate.listed && candidate.service == next.service && !candidate.loading && !candidate.draining &&
-			len(candidate.attempts) < candidate.slots && candidate.versions[next.job.model] >= next.job.minimum {
+		if candidate.service == next.service && len(candidate.attempts) < candidate.slots &&
+			candidate.versions[next.job.model] >= next.job.minimum {
 			return true
 		}
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -167,6 +167,7 @@
 	}
 	m.observeLength(owner, recorded, result)
 	recorded.finished = true
+	owner.queue = slices.DeleteFunc(owner.queue, func(waiting *item) bool { return waiting.finished })
 	m.cancel(recorded.attempt)
 	m.withdrawReward(recorded)
 	m.startWaiting(now)
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -29,7 +29,7 @@
 	Unfinished int
 	Total      int
 	// Due is when the results are due, in Unix milliseconds, and Slack the lowest slack of a waiting
-	// item, in milliseconds. Both are 0 if the job is not ordered by slack.
+	// item of a needed group, in milliseconds. Both are 0 if the job is not ordered by slack.
 	Due   int64
 	Slack int64
 	// NeededGroups is the number of groups that the trainer waits for and that are not whole.
@@ -47,6 +47,7 @@
 			Paused: now.Before(eng.pausedUntil), Gap: int(eng.gap * 1000),
 		})
 	}
+	medians := medianGaps(m.sortedEngines())
 	for _, job := range m.sortedJobs() {
 		running := 0
 		for _, waiting := range job.items {
@@ -60,7 +61,7 @@
 			RunningShare: float64(running) / float64(max(len(m.attempts), 1)),
 		}
 		if job.hasUrgency() {
-			summary.Due, summary.Slack = job.dueAt.UnixMilli(), job.lowestSlack(now).Milliseconds()
+			summary.Due, summary.Slack = job.dueAt.UnixMilli(), m.lowestSlack(now, job, medians).Milliseconds()
 			summary.NeededGroups = job.neededGroupsLeft()
 		}
 		jobs = append(jobs, summary)
@@ -68,12 +69,13 @@
 	return engines, jobs
 }
 
-// lowestSlack returns the lowest slack of the job's waiting items, or 0 if none waits.
-func (j *job) lowestSlack(now time.Time) time.Duration {
-	lowest := time.Duration(0)
-	for at, waiting := range j.queue {
-		if slack := waiting.slack(now); at == 0 || slack < lowest {
-			lowest = slack
+// lowestSlack returns the lowest slack of the job's waiting items that the trainer needs, or 0 if none
+// waits.
+func (m *Machine) lowestSlack(now time.Time, owner *job, medians map[string]float64) time.Duration {
+	lowest, found := time.Duration(0), false
+	for _, waiting := range owner.queue {
+		if slack := m.latestStart(waiting, medians).Sub(now); waiting.isNeeded() && (!found || slack < lowest) {
+			lowest, found = slack, true
 		}
 	}
 	return lowest
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -215,19 +215,23 @@
 	}
 	owner.queueDirty = false
 	for _, waiting := range owner.queue {
-		if !waiting.startBy.IsZero() {
-			continue
+		if waiting.startBy.IsZero() {
+			waiting.startBy = m.latestStart(waiting, medians)
 		}
-		// A head start of more than the deadline would let items of jobs that are not accepted yet
-		// precede this one.
-		run := min(m.predictedSeconds(waiting, medians), owner.route.ResultDeadline.Seconds())
-		waiting.startBy = owner.dueAt.Add(-time.Duration(run * float64(time.Second)))
 	}
 	slices.SortStableFunc(owner.queue, func(a, b *item) int {
 		return cmp.Or(cmp.Compare(a.class(), b.class()), a.startBy.Compare(b.startBy))
 	})
 }
 
+// latestStart returns the latest time at which an item of a job with a due time may start.
+func (m *Machine) latestStart(waiting *item, medians map[string]float64) time.Time {
+	// A head start of more than the deadline would let items of jobs that are not accepted yet precede
+	// this one.
+	run := min(m.predictedSeconds(waiting, medians), waiting.job.route.ResultDeadline.Seconds())
+	return waiting.job.dueAt.Add(-time.Duration(run * float64(time.Second)))
+}
+
 // class is the first criterion in the order of waiting items; lower starts first.
 type class int
 
@@ -257,32 +261,49 @@
 // cursor is the position in the queue of a job from which its next item starts.
 type cursor struct {
 	job *job
-	// next is the index of the next item; items before it that stay in the queue are in kept.
-	next int
+	// head is the next item, at index next, and class its class among the items of all jobs. head is
+	// nil if no item is left or no engine has a free slot for the job.
+	head  *item
+	class class
+	next  int
+	// kept holds the items before next that stay in the queue. It shares the queue's array.
 	kept []*item
 	// passedOver counts the items that no engine with a free slot suits.
 	passedOver int
-	// full is set when no engine has a free slot for the job.
-	full bool
 }
 
-// head returns the next waiting item, or nil.
-func (c *cursor) head() *item {
-	for !c.full && c.next < len(c.job.queue) {
-		if next := c.job.queue[c.next]; !next.finished {
-			return next
-		}
-		c.next++
-	}
-	return nil
+// newCursor returns a cursor at the first waiting item of a job.
+func newCursor(now time.Time, owner *job) *cursor {
+	position := &cursor{job: owner, kept: owner.queue[:0]}
+	position.settle(now)
+	return position
 }
 
 // advance moves the cursor to the next item. The current one stays in the queue if kept is set.
-func (c *cursor) advance(kept bool) {
+func (c *cursor) advance(now time.Time, kept bool) {
 	if kept {
 		c.kept = append(c.kept, c.job.queue[c.next])
 	}
 	c.next++
+	c.settle(now)
+}
+
+// settle sets the head from the index of the next item, and skips finished items.
+func (c *cursor) settle(now time.Time) {
+	c.head = nil
+	for c.next < len(c.job.queue) && c.job.queue[c.next].finished {
+		c.next++
+	}
+	if c.next == len(c.job.queue) {
+		return
+	}
+	c.head = c.job.queue[c.next]
+	if c.job.hasUrgency() {
+		c.class = c.head.class()
+		if c.job.isOverdue(now) {
+			c.class = classOverdue
+		}
+	}
 }
 
 // close removes the items that have started or finished from the queue.
@@ -293,87 +314,60 @@
 	c.job.queue = kept
 }
 
-// newCursor returns a cursor at the first waiting item. The items kept share the queue's array.
-func newCursor(owner *job) *cursor { return &cursor{job: owner, kept: owner.queue[:0]} }
-
-// classAt returns the class of the cursor's next item among those of all jobs.
-func (c *cursor) classAt(now time.Time, head *item) class {
-	if c.job.isOverdue(now) {
-		return classOverdue
-	}
-	return head.class()
-}
-
 // nextCursor returns the cursor whose next item starts first, or nil if no items wait. cursors are in
 // order of arrival.
-func (m *Machine) nextCursor(now time.Time, cursors []*cursor) *cursor {
+func (m *Machine) nextCursor(cursors []*cursor) *cursor {
 	var arrived, urgent *cursor
 	for _, candidate := range cursors {
-		switch head := candidate.head(); {
-		case head == nil:
+		switch {
+		case candidate.head == nil:
 		case !candidate.job.hasUrgency():
 			if arrived == nil {
 				arrived = candidate
 			}
-		case urgent == nil || m.goesFirst(now, candidate, urgent):
+		case urgent == nil || candidate.goesBefore(urgent):
 			urgent = candidate
 		}
 	}
 	if urgent == nil || arrived != nil && arrived.job.arrival < urgent.job.arrival {
 		return arrived
 	}
-	return m.shareAmongTenants(now, cursors, urgent)
+	return m.shareAmongTenants(cursors, urgent)
 }
 
-// goesFirst reports whether the next item of one job starts before that of another.
-func (m *Machine) goesFirst(now time.Time, a, b *cursor) bool {
-	headA, headB := a.head(), b.head()
-	classA, classB := a.classAt(now, headA), b.classAt(now, headB)
-	if classA != classB {
-		return classA < classB
+// goesBefore reports whether the next item of a job starts before that of another.
+func (c *cursor) goesBefore(other *cursor) bool {
+	if c.class != other.class {
+		return c.class < other.class
 	}
-	if order := headA.startBy.Compare(headB.startBy); order != 0 && classA != classOverdue {
+	if order := c.head.startBy.Compare(other.head.startBy); order != 0 && c.class != classOverdue {
 		return order < 0
 	}
-	return a.job.precedes(b.job)
+	return c.job.precedes(other.job)
 }
 
-// shareAmongTenants returns the cursor, among those whose next item has about the slack of the first
-// one, of the tenant with the fewest running items for its weight. Overdue items keep their order.
-func (m *Machine) shareAmongTenants(now time.Time, cursors []*cursor, first *cursor) *cursor {
-	head := first.head()
-	headClass := first.classAt(now, head)
-	if headClass == classOverdue {
+// shareAmongTenants returns the cursor that starts first of the tenant with the fewest running items for
+// its weight, among the tenants whose next item has about the slack of the first one. Overdue items keep
+// their order.
+func (m *Machine) shareAmongTenants(cursors []*cursor, first *cursor) *cursor {
+	if first.class == classOverdue {
 		return first
 	}
 	chosen := first
 	for _, candidate := range cursors {
-		next := candidate.head()
-		if next == nil || !candidate.job.hasUrgency() || candidate.job.tenant == chosen.job.tenant ||
-			candidate.classAt(now, next) != headClass || next.startBy.Sub(head.startBy) >= tenantWindow {
+		if candidate.head == nil || !candidate.job.hasUrgency() || candidate.class != first.class ||
+			candidate.head.startBy.Sub(first.head.startBy) >= tenantWindow {
 			continue
 		}
-		less := cmp.Compare(m.tenantLoad(candidate.job.tenant), m.tenantLoad(chosen.job.tenant))
-		if less < 0 || less == 0 && chosen != first && m.goesFirst(now, candidate, chosen) {
-			chosen = candidate
+		less := 0
+		if candidate.job.tenant != chosen.job.tenant {
+			less = cmp.Compare(m.tenantLoad(candidate.job.tenant), m.tenantLoad(chosen.job.tenant))
 		}
-	}
-	return m.firstOfTenant(now, cursors, chosen.job.tenant, headClass)
-}
-
-// firstOfTenant returns the cursor of a tenant whose next item starts first in a class.
-func (m *Machine) firstOfTenant(now time.Time, cursors []*cursor, tenant string, in class) *cursor {
-	var first *cursor
-	for _, candidate := range cursors {
-		next := candidate.head()
-		if next == nil || !candidate.job.hasUrgency() || candidate.job.tenant != tenant || candidate.classAt(now, next) != in {
-			continue
-		}
-		if first == nil || m.goesFirst(now, candidate, first) {
-			first = candidate
+		if less < 0 || less == 0 && candidate.goesBefore(chosen) {
+			chosen = candidate
 		}
 	}
-	return first
+	return chosen
 }
 
 // tenantLoad returns the running items of a tenant divided by its weight.
@@ -394,7 +388,7 @@
 }
 
 // slack returns the time by which a waiting item could start later and still end when its job is due; 0
-// if the job is not ordered by slack.
+// if the job is not ordered by slack, or has not been ordered since the item was queued.
 func (i *item) slack(now time.Time) time.Duration {
 	if !i.job.hasUrgency() || i.startBy.IsZero() {
 		return 0
