--- a/internal/rollout/lengths.go
+++ b/internal/rollout/lengths.go
@@ -5,59 +5,33 @@
 	"slices"
 	"time"
 
+	textlengths "dalehook/internal/lengths"
 	"dalehook/internal/record"
 )
 
 // lengths estimates how many tokens a sample will have, from the finished
 // samples of its prompt group, of its step and of earlier steps.
 type lengths struct {
-	groups map[string]meanLength
-	all    meanLength
+	groups map[string]textlengths.Mean
+	all    textlengths.Mean
 	// mean and limit are the trainer's stated demand, zero for none.
 	mean  int
 	limit int
 }
 
-// meanLength is a running mean in tokens.
-type meanLength struct {
-	samples int
-	tokens  int
-}
-
-// maxLearnedSamples bounds the weight of what was learned, so that a trainer
-// whose samples grow is followed.
-const maxLearnedSamples = 256
-
 // maxLengthGroups bounds the prompt groups that one closing record names.
 const maxLengthGroups = 64
 
-func (l meanLength) add(tokens int) meanLength {
-	l.samples++
-	l.tokens += tokens
-	if l.samples > maxLearnedSamples {
-		l.tokens -= l.tokens / l.samples
-		l.samples--
-	}
-	return l
-}
-
-func (l meanLength) value() int {
-	if l.samples == 0 {
-		return 0
-	}
-	return max(l.tokens/l.samples, 1)
-}
-
 // add learns from a finished sample.
 func (l *lengths) add(group string, tokens int) {
-	l.all = l.all.add(tokens)
+	l.all = l.all.Add(tokens)
 	if group == "" {
 		return
 	}
 	if l.groups == nil {
-		l.groups = map[string]meanLength{}
+		l.groups = map[string]textlengths.Mean{}
 	}
-	l.groups[group] = l.groups[group].add(tokens)
+	l.groups[group] = l.groups[group].Add(tokens)
 }
 
 // remaining estimates the tokens that a sample still needs when it has some. A
@@ -76,10 +50,10 @@
 // expected estimates the length of a sample: by its group, else by the share of
 // the allowed length that samples took so far.
 func (l *lengths) expected(sample record.Sample) int {
-	if mean := l.groups[sample.Group].value(); sample.Group != "" && mean > 0 {
+	if mean := l.groups[sample.Group].Value(); sample.Group != "" && mean > 0 {
 		return mean
 	}
-	mean := l.all.value()
+	mean := l.all.Value()
 	if mean == 0 {
 		mean = l.mean
 	}
@@ -96,17 +70,17 @@
 // summary returns what later owners are told of a step: the mean of all samples,
 // and the groups with the longest ones, which are to start first.
 func (l *lengths) summary() []record.GroupLength {
-	if l.all.samples == 0 {
+	if l.all.Samples == 0 {
 		return nil
 	}
 	groups := make([]record.GroupLength, 0, len(l.groups))
 	for _, group := range sortedKeys(l.groups) {
 		mean := l.groups[group]
-		groups = append(groups, record.GroupLength{Group: group, Samples: mean.samples, Tokens: mean.value()})
+		groups = append(groups, record.GroupLength{Group: group, Samples: mean.Samples, Tokens: mean.Value()})
 	}
 	slices.SortStableFunc(groups, func(a, b record.GroupLength) int { return cmp.Compare(b.Tokens, a.Tokens) })
 	groups = groups[:min(len(groups), maxLengthGroups)]
-	return append([]record.GroupLength{{Samples: l.all.samples, Tokens: l.all.value()}}, groups...)
+	return append([]record.GroupLength{{Samples: l.all.Samples, Tokens: l.all.Value()}}, groups...)
 }
 
 // trainerKey names a trainer of an event.
@@ -148,9 +122,9 @@
 		delete(l.trainers, l.order[0])
 		l.order = slices.Delete(l.order, 0, 1)
 	}
-	known := lengths{groups: map[string]meanLength{}}
+	known := lengths{groups: map[string]textlengths.Mean{}}
 	for _, entry := range summary {
-		mean := meanLength{samples: entry.Samples, tokens: entry.Samples * entry.Tokens}
+		mean := textlengths.Mean{Samples: entry.Samples, Total: entry.Samples * entry.Tokens}
 		if entry.Group == "" {
 			known.all = mean
 			continue
@@ -163,7 +137,7 @@
 // forTrainer returns a copy of what is known of a trainer, with its demand.
 func (l *learned) forTrainer(key trainerKey, demand record.RolloutDemand) lengths {
 	known := l.trainers[key]
-	start := lengths{groups: map[string]meanLength{}, all: known.all, mean: demand.MeanTokens, limit: demand.MaxTokens}
+	start := lengths{groups: map[string]textlengths.Mean{}, all: known.all, mean: demand.MeanTokens, limit: demand.MaxTokens}
 	for _, group := range sortedKeys(known.groups) {
 		start.groups[group] = known.groups[group]
 	}
--- a/internal/rollout/lengths_test.go
+++ b/internal/rollout/lengths_test.go
@@ -35,7 +35,7 @@
 	for _, n := range w.sorted() {
 		w.runUntil(20*time.Second, "the lengths are known", func() bool {
 			known := n.machine.learned.forTrainer(trainerKey{event: "exam", trainer: "trainer"}, record.RolloutDemand{})
-			return known.groups["g"].value() > 0
+			return known.groups["g"].Value() > 0
 		})
 	}
 }
