Scheduler: predicted finishing times, memory by engine, and moves that pay off

Cause: engines were chosen by a smoothed gap alone. Their memory was not known, so that several long items met on one engine and runs were preempted. With half of the engines slow, the median gap was that of a slow engine, so that none counted as slow. Runs moved for a speedup of 1.18 whatever they still needed. Runs standing still during a load of weights made their engine look slow.

Change: memory.go counts prompts, events and predicted events of the runs of each engine; pace.go predicts the gap by occupancy, discards samples that span a load, and compares gaps with the median of the faster half; an item takes the engine with room where it ends first, and a slow one only if it ends sooner there than by waiting; a run moves only if its item ends last in its group and the predicted gain exceeds the cost of the move by a margin. Moves are logged and counted, and the fullest engine's share of memory is a gauge.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -22,6 +22,8 @@
 	Tokens int
 	// Expected is the caller's estimate of the number of generated tokens, or 0.
 	Expected int `json:",omitempty"`
+	// Prompt is the length of the prompt in tokens, or 0 if unknown.
+	Prompt int `json:",omitempty"`
 	// Group identifies the items that share a prompt. It is empty if the job has no groups.
 	Group string `json:",omitempty"`
 	// Reward is the call that scores the complete text, or nil if the item needs no score.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,6 +66,8 @@
 // Observer records the coordinator's metrics.
 type Observer interface {
 	ObserveAttempt(reason scheduler.EndReason)
+	// ObserveMove records that a run is cut to resume its item on another engine.
+	ObserveMove()
 	ObserveResult(outcome string)
 	// ObserveLoad records whether an engine had the ordered version afterwards.
 	ObserveLoad(loaded bool)
@@ -80,6 +82,8 @@
 	Open, Running, Waiting int
 	// Unscored is the number of items whose text is complete but not yet scored.
 	Unscored int
+	// MemoryShare is the share in use of the fullest engine's memory; 0 if no capacity is known.
+	MemoryShare float64
 }
 
 // Options configure a Coordinator.
@@ -237,7 +241,7 @@
 	}
 	return State{
 		Leading: true, Open: c.machine.Open(), Running: c.machine.Running(), Waiting: c.machine.Waiting(),
-		Unscored: c.machine.Unscored(),
+		Unscored: c.machine.Unscored(), MemoryShare: c.machine.MemoryShare(),
 	}
 }
 
--- a/internal/coordinator/handover_test.go
+++ b/internal/coordinator/handover_test.go
@@ -42,6 +42,7 @@
 
 func (discardObserver) ObserveAttempt(scheduler.EndReason)          {}
 func (discardObserver) ObserveResult(string)                        {}
+func (discardObserver) ObserveMove()                                {}
 func (discardObserver) ObserveLoad(bool)                            {}
 func (discardObserver) ObserveReward(reward.Verdict, time.Duration) {}
 
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -21,6 +21,9 @@
 			cancel()
 		}
 	}
+	for _, move := range output.Moves {
+		c.recordMove(move)
+	}
 	for _, start := range output.Starts {
 		ctx, cancel := context.WithCancel(c.termCtx)
 		c.attemptCancels[start.Attempt] = cancel
@@ -40,6 +43,13 @@
 	c.sendRewards(output)
 }
 
+func (c *Coordinator) recordMove(move scheduler.Move) {
+	c.options.Observer.ObserveMove()
+	c.options.Logger.Info("item moved", zap.String("job", move.JobID), zap.String("item", move.ItemID),
+		zap.Uint64("attempt", uint64(move.Attempt)), zap.String("from", move.From.ID), zap.String("to", move.To.ID),
+		zap.Int("predicted_events", move.PredictedEvents), zap.Duration("predicted_gain", move.Gain), zap.Int64("epoch", c.lease.Epoch))
+}
+
 func (c *Coordinator) appendProgress(progress scheduler.Progress) {
 	if at, record, ok := c.encodeProgress(progress); ok {
 		c.writer.add(at, [][]byte{record})
@@ -85,7 +95,9 @@
 		zap.Uint64("attempt", uint64(start.Attempt)), zap.String("server", start.Server.ID), zap.String("after", start.After),
 		zap.Int64("epoch", start.Inputs.Epoch), zap.Int64("version", start.Inputs.Version),
 		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
-		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("took", clock.Since(began)),
+		zap.Duration("read_age", start.Inputs.ReadAge), zap.Int("predicted_events", start.Inputs.PredictedEvents),
+		zap.Int("memory_in_use", start.Inputs.MemoryInUse), zap.Int("memory_expected", start.Inputs.MemoryExpected),
+		zap.Int("memory_capacity", start.Inputs.MemoryCapacity), zap.Duration("took", clock.Since(began)),
 		zap.Stringer("reason", reason), zap.Error(err))
 	c.recordRunEnd(start, began, reason, events > 0)
 	c.withTermScheduler(machine, func(now time.Time) {
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -32,6 +32,7 @@
 	jobReads          *prometheus.CounterVec
 	jobReadsMisread   prometheus.Counter
 	itemAttempts      *prometheus.CounterVec
+	itemMoves         prometheus.Counter
 	results           *prometheus.CounterVec
 	loads             *prometheus.CounterVec
 	rewardCalls       *prometheus.CounterVec
@@ -71,9 +72,12 @@
 			Name: "dalehook_job_reads_misread_total", Help: "Reads of batch jobs that the coordinator, of another build, did not understand.",
 		}),
 		itemAttempts: counter("dalehook_item_attempts_total", "Runs of items by the way they ended.", "end"),
-		results:      counter("dalehook_results_total", "Results written by outcome.", "outcome"),
-		loads:        counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
-		rewardCalls:  counter("dalehook_reward_calls_total", "Sends of reward calls by what came of them.", "verdict"),
+		itemMoves: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_item_moves_total", Help: "Runs that were cut to resume their items on other engines.",
+		}),
+		results:     counter("dalehook_results_total", "Results written by outcome.", "outcome"),
+		loads:       counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
+		rewardCalls: counter("dalehook_reward_calls_total", "Sends of reward calls by what came of them.", "verdict"),
 		rewardSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "dalehook_reward_seconds", Help: "Time from an item's whole text to its score.", Buckets: latencyBuckets,
 		}),
@@ -96,7 +100,7 @@
 			Name: "dalehook_requests_held_total", Help: "Requests that were found to crash servers, and are held.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.results, m.loads,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.itemMoves, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, collectors.NewGoCollector())
 	m.registerGauges(n, droppedLines)
@@ -137,6 +141,9 @@
 	gauge("dalehook_open_jobs", "Open batch jobs, at the coordinator.", func() float64 { return float64(n.coordinator.State().Open) })
 	gauge("dalehook_running_items", "Items that run, at the coordinator.", func() float64 { return float64(n.coordinator.State().Running) })
 	gauge("dalehook_waiting_items", "Items that wait, at the coordinator.", func() float64 { return float64(n.coordinator.State().Waiting) })
+	gauge("dalehook_engine_memory_share", "Share in use of the fullest engine's memory, at the coordinator.", func() float64 {
+		return n.coordinator.State().MemoryShare
+	})
 	gauge("dalehook_unscored_items", "Items whose text is whole and has no score yet, at the coordinator.", func() float64 {
 		return float64(n.coordinator.State().Unscored)
 	})
@@ -184,6 +191,9 @@
 	m.itemAttempts.WithLabelValues(reason.String()).Inc()
 }
 
+// ObserveMove implements coordinator.Observer.
+func (m *nodeMetrics) ObserveMove() { m.itemMoves.Inc() }
+
 // ObserveResult implements coordinator.Observer.
 func (m *nodeMetrics) ObserveResult(outcome string) { m.results.WithLabelValues(outcome).Inc() }
 
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -115,6 +115,11 @@
 	// WarmUpRate is the requests per second that a server sustains while it warms up; 0 means
 	// unlimited.
 	WarmUpRate float64
+	// MemoryTokens is the number of tokens that the memory of an engine holds, of all its requests
+	// together; 0 if unknown.
+	MemoryTokens int
+	// TokensPerEvent is the number of tokens that one event of an engine's stream holds; 0 if unknown.
+	TokensPerEvent int
 	// Scaling is nil if the number of servers is not managed.
 	Scaling *Scaling
 }
@@ -213,6 +218,19 @@
 	return t.Services[service].WarmUpRate
 }
 
+// Memory returns the capacity of an engine's memory in tokens, and the number of tokens per event. Both
+// are 0 if one of them is unknown or if there is no configuration.
+func (t *Table) Memory(service string) (tokens, tokensPerEvent int) {
+	if t == nil {
+		return 0, 0
+	}
+	configured := t.Services[service]
+	if configured.MemoryTokens <= 0 || configured.TokensPerEvent <= 0 {
+		return 0, 0
+	}
+	return configured.MemoryTokens, configured.TokensPerEvent
+}
+
 // ServesSingleRequests reports whether single requests, and not only batch jobs, may reach a
 // service: either a route targets it, or the next configuration may, since it is not an engine
 // pool.
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -50,7 +50,8 @@
 		if chosen == nil {
 			// Version pinning and isolation restrict this item only: later items may
 			// still find an engine.
-			full = len(owner.route.Targets) <= 1 && !next.isPinnedToVersion() && m.suspicion(next).Ends == 0
+			full = len(owner.route.Targets) <= 1 && !next.isPinnedToVersion() && m.suspicion(next).Ends == 0 &&
+				!m.leavesSlots(now, next, engines)
 			waiting = append(waiting, next)
 			continue
 		}
@@ -67,6 +68,7 @@
 }
 
 func (m *Machine) startAttempt(now time.Time, next *item, chosen *engine) {
+	inputs := m.inputs(now, next, chosen)
 	m.lastID++
 	started := &attempt{id: m.lastID, item: next, engine: chosen, startedAt: now, lastEventAt: now}
 	next.attempt = started
@@ -74,6 +76,7 @@
 	next.checkpointAt = time.Time{}
 	m.attempts[started.id] = started
 	chosen.attempts[started.id] = started
+	m.reserve(started)
 	chosen.recentStarts.Record(now)
 	expected := int64(0)
 	if next.job.route.SingleVersion {
@@ -89,12 +92,6 @@
 		After:         next.lastID,
 		ExpectVersion: expected,
 		Deadline:      next.job.expiresAt,
-		Inputs: Inputs{
-			Epoch:    m.options.Epoch,
-			Version:  chosen.versions[next.job.model],
-			Attempts: len(chosen.attempts) - 1,
-			Gap:      time.Duration(chosen.gap * float64(time.Second)),
-			ReadAge:  now.Sub(m.lastRead[next.job.partition]),
-		},
+		Inputs:        inputs,
 	})
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -33,6 +33,7 @@
 	owner.refusals = 0
 	running.engine.versions[owner.job.model] = max(running.engine.versions[owner.job.model], event.Version)
 	owner.text = append(owner.text, event.Data)
+	m.recordGrowth(running)
 	owner.lastID = event.ID
 	owner.versions = batch.MergeVersions(owner.versions, []int64{event.Version})
 	owner.unsaved.text = append(owner.unsaved.text, event.Data)
@@ -45,45 +46,17 @@
 
 // discardText drops the text of earlier attempts, so that the item starts over.
 func (i *item) discardText() {
-	i.text, i.versions, i.lastID = nil, nil, ""
+	i.text, i.versions, i.lastID, i.joinedEvents = nil, nil, "", 0
 	i.unsaved = unsaved{}
 }
 
-// The event gap of an engine is sampled over several events of a run, since delayed events arrive
-// in bursts.
-const (
-	// A sample is complete after gapSampleEvents events, or after gapSampleTime with at least
-	// minGapSampleEvents events.
-	gapSampleEvents    = 8
-	minGapSampleEvents = 3
-	gapSampleTime      = 300 * time.Millisecond
-	// gapSmoothing is the weight of the newest sample. A larger one adapts to an engine's speed faster,
-	// but lets single late events move items.
-	gapSmoothing = 0.35
-)
-
-// observe records an event of a run and samples the engine's event gap.
+// observe records an event of a run.
 func (a *attempt) observe(now time.Time) {
 	a.events++
 	a.lastEventAt = now
 	a.excusedStall = 0
 	a.engine.unresponsiveAt = time.Time{}
-	if a.sampleStart.IsZero() {
-		a.sampleStart = now
-		return
-	}
-	a.sampleEvents++
-	elapsed := now.Sub(a.sampleStart)
-	if a.sampleEvents < gapSampleEvents && (a.sampleEvents < minGapSampleEvents || elapsed < gapSampleTime) {
-		return
-	}
-	gap := elapsed.Seconds() / float64(a.sampleEvents)
-	if a.engine.gap == 0 {
-		a.engine.gap = gap
-	}
-	a.engine.gap += gapSmoothing * (gap - a.engine.gap)
-	a.engine.gapSampledAt = now
-	a.sampleStart, a.sampleEvents = now, 0
+	a.samplePace(now)
 }
 
 // HandleAttemptEnd processes the end of an attempt.
@@ -94,6 +67,7 @@
 	}
 	delete(m.attempts, id)
 	delete(ended.engine.attempts, id)
+	ended.engine.memory.remove(ended.memory)
 	owner := ended.item
 	if reason != EndCompleted || ended.cancelled {
 		m.save(now, ended)
@@ -180,6 +154,11 @@
 
 // recordCompleted records the result of an item with its text and its score, if any.
 func (m *Machine) recordCompleted(owner *item, score string) {
+	events := owner.events()
+	if owner.reused {
+		events = owner.reusedEvents
+	}
+	m.lengths.Observe(owner.lengthKey(), owner.source.Expected, events)
 	owner.result = owner.unscoredResult()
 	owner.result.Score = score
 	owner.finished = true
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -1,41 +1,30 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"dalehook/internal/batch"
 )
 
 const (
-	// slowEnginePatience is how long an item waits for another slot before it takes an engine
-	// known to be slow. Half of the items end within this time; a run on a slow engine is moved
-	// after 1.2 to 1.5 s.
+	// slowEnginePatience is how long a short item waits for another slot before it takes an engine
+	// known to be slow.
 	slowEnginePatience = 800 * time.Millisecond
+	// slowEngineFactor is the slowdown from which an engine counts as slow.
+	slowEngineFactor = 2
+	// patienceFactor is the slowdown up to which slowEnginePatience applies. On slower engines even a
+	// short item ends later than its wait can explain.
+	patienceFactor = 5
 	// slowEngineExpiry is how long an engine counts as slow without a new sample of its gap.
 	slowEngineExpiry = 3 * time.Second
+	// readTokensPerSecond is the rate at which engines read prompts and texts.
+	readTokensPerSecond = 200_000
+	// equalCostShare is the relative difference up to which two engines count as equal.
+	equalCostShare = 0.02
 )
 
-// medianGaps returns the median event gap of each service. Services without a known gap are left
-// out.
-func medianGaps(engines []*engine) map[string]float64 {
-	gaps := make(map[string][]float64)
-	for _, eng := range engines {
-		if eng.listed && eng.gap > 0 {
-			gaps[eng.service] = append(gaps[eng.service], eng.gap)
-		}
-	}
-	medians := make(map[string]float64, len(gaps))
-	for service, serviceGaps := range gaps {
-		slices.Sort(serviceGaps)
-		medians[service] = serviceGaps[len(serviceGaps)/2]
-	}
-	return medians
-}
-
-// isSlow reports whether an engine has a recent gap well above the median of its service.
-func (e *engine) isSlow(now time.Time, medianGap float64) bool {
-	return medianGap > 0 && e.gap > slowEngineFactor*medianGap && now.Sub(e.gapSampledAt) < slowEngineExpiry
-}
-
 // pinnedVersionPatience is how long an item waits for an engine that may continue its text before
 // it restarts on another version. It equals the wait for an engine that is not slow.
 const pinnedVersionPatience = slowEnginePatience
@@ -62,29 +51,142 @@
 	return i.job.route != nil && i.job.route.SingleVersion && len(i.versions) > 0
 }
 
+// candidate is an engine that can run an item, with its cost.
+type candidate struct {
+	engine *engine
+	// penalty is compared before seconds.
+	penalty float64
+	// seconds is the predicted time from now until the item ends, and by how much the item delays the
+	// runs of the engine.
+	seconds float64
+}
+
+func (c candidate) betterThan(other candidate) bool {
+	switch {
+	case other.engine == nil:
+		return c.engine != nil
+	case c.engine == nil:
+		return false
+	case c.penalty != other.penalty:
+		return c.penalty < other.penalty
+	}
+	return c.seconds < other.seconds
+}
+
 // chooseEngine returns the engine with the lowest cost for an item, or nil. medianGap is the
 // median gap between events of the item's service, or 0 if unknown.
+//
+// Engines with room in their memory come first, then those that are not slow. An item takes a slow
+// engine, or one without room, only under the conditions of takesSlow and fitsNow, and otherwise
+// waits.
 func (m *Machine) chooseEngine(now time.Time, next *item, engines []*engine, medianGap float64) *engine {
-	var best *engine
-	var bestCost float64
-	patient := now.Sub(next.waitingSince) < slowEnginePatience
 	suspicion := m.suspicion(next)
 	if !m.allowedBySuspicion(next, suspicion) {
 		return nil
 	}
-	for _, candidate := range engines {
-		if !m.canRun(now, next, candidate) || patient && candidate.isSlow(now, medianGap) {
+	var best, bestWithPrompt, bestSlow, fallback candidate
+	need, needed := memoryUse{}, false
+	prompt := next.promptKey()
+	for _, eng := range engines {
+		if !m.canRun(now, next, eng) || suspicion.Ends >= isolationThreshold && m.runsIsolatedItem(eng) {
 			continue
 		}
-		if suspicion.Ends >= isolationThreshold && m.runsIsolatedItem(candidate) {
+		if !needed {
+			need, needed = m.memoryNeed(next), true
+		}
+		rated := candidate{
+			engine: eng, penalty: eng.penalty(now, next) + isolationCost(suspicion, eng), seconds: eng.seconds(next, need, medianGap),
+		}
+		switch {
+		case eng.awaitsSample(now, medianGap):
+		case !eng.hasRoom(need):
+			rated.seconds = eng.expectedShare()
+			if eng.fitsNow(need) && !eng.wasSlow(medianGap) && rated.betterThan(fallback) {
+				fallback = rated
+			}
+		case eng.wasSlow(medianGap):
+			if rated.betterThan(bestSlow) {
+				bestSlow = rated
+			}
+		default:
+			if rated.betterThan(best) {
+				best = rated
+			}
+			if eng.recentPrompts.has(prompt) && rated.betterThan(bestWithPrompt) {
+				bestWithPrompt = rated
+			}
+		}
+	}
+	if bestSlow.betterThan(best) && m.takesSlow(now, next, bestSlow, medianGap) {
+		return bestSlow.engine
+	}
+	switch {
+	case bestWithPrompt.engine != nil && bestWithPrompt.penalty == best.penalty && bestWithPrompt.seconds <= (1+equalCostShare)*best.seconds:
+		return bestWithPrompt.engine
+	case best.engine != nil:
+		return best.engine
+	case bestSlow.engine != nil:
+		return nil
+	}
+	return fallback.engine
+}
+
+// awaitsSample reports whether an engine that was slow is being tried with one item, so that it gets no
+// more until its pace is known.
+func (e *engine) awaitsSample(now time.Time, medianGap float64) bool {
+	return len(e.attempts) > 0 && !e.hasRecentGap(now) && e.wasSlow(medianGap)
+}
+
+// isShort reports whether an item is predicted to need at most as many events as items of its route have
+// on average.
+func (m *Machine) isShort(next *item) bool {
+	mean := m.lengths.Mean(next.lengthKey())
+	return mean == 0 || m.remainingEvents(next) <= float64(mean)
+}
+
+// takesSlow reports whether an item takes an engine that is or was slow rather than wait for another
+// one: if it is predicted to end sooner there, or if it has waited too long for the prediction to be
+// right. An engine whose pace is out of date is tried with one short item.
+func (m *Machine) takesSlow(now time.Time, next *item, slow candidate, medianGap float64) bool {
+	short := m.isShort(next)
+	if short && !slow.engine.isSlow(now, medianGap) {
+		return true
+	}
+	wait, gap := m.waitForSlot(now, next, medianGap)
+	gain := slow.seconds - m.remainingEvents(next)*gap
+	if wait >= gain {
+		return true
+	}
+	patience := seconds(gain)
+	if short && slow.engine.gapAt(1, 0) <= patienceFactor*medianGap {
+		patience = min(patience, slowEnginePatience)
+	}
+	return now.Sub(next.waitingSince) >= patience
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// leavesSlots reports whether engines have slots that an item without an engine leaves to later items:
+// slow ones that are worth waiting for, or ones without memory for it. An item that has waited long
+// for memory does not let others take it.
+func (m *Machine) leavesSlots(now time.Time, next *item, engines []*engine) bool {
+	blocked := now.Sub(next.waitingSince) >= memoryPatience
+	need, needed := memoryUse{}, false
+	for _, eng := range engines {
+		if !m.canRun(now, next, eng) {
 			continue
 		}
-		cost := candidate.cost(now, next) + isolationCost(suspicion, candidate)
-		if best == nil || cost < bestCost {
-			best, bestCost = candidate, cost
+		if !blocked {
+			return true
+		}
+		if !needed {
+			need, needed = m.memoryNeed(next), true
+		}
+		if eng.hasRoom(need) {
+			return true
 		}
 	}
-	return best
+	return false
 }
 
 // canRun reports whether an engine can take an item now.
@@ -121,24 +223,129 @@
 	return !e.unresponsiveAt.IsZero() && now.Sub(e.unresponsiveAt) < unresponsivePeriod
 }
 
-// occupancyWeight is the relative increase of the cost of an engine with all slots in use. It is
-// above the actual slowdown, so that engines of similar speed share the items, long ones included,
-// and below the difference to a slow engine.
-const occupancyWeight = 0.25
-
-// cost rates an engine for an item; lower is better.
-func (e *engine) cost(now time.Time, next *item) float64 {
-	cost := 1 + occupancyWeight*float64(len(e.attempts))/float64(max(e.slots, 1))
-	cost *= max(e.gap, minimumGap)
+// penalty rates an engine for an item by what weighs more than its pace; lower is better.
+func (e *engine) penalty(now time.Time, next *item) float64 {
+	penalty := 0.0
 	if e.model != next.job.model {
-		cost += otherModelPenalty
+		penalty += otherModelPenalty
 	}
 	if e.isUnresponsive(now) {
-		cost += unresponsivePenalty
+		penalty += unresponsivePenalty
+	}
+	return penalty
+}
+
+// seconds predicts how long an engine needs for an item, and adds by how much the item delays the runs
+// of the engine. Short items therefore leave engines with long runs few others beside them.
+func (e *engine) seconds(next *item, need memoryUse, medianGap float64) float64 {
+	runs := len(e.attempts)
+	gap := e.gapAt(runs+1, medianGap)
+	delay := float64(e.memory.expected) * (gap - e.gapAt(runs, medianGap))
+	return e.readSeconds(next, need) + float64(need.expected)*gap + delay
+}
+
+// readSeconds predicts how long an engine reads the prompt and the text of an item.
+func (e *engine) readSeconds(next *item, need memoryUse) float64 {
+	tokens := need.events * e.tokensPerEvent
+	if !e.recentPrompts.has(next.promptKey()) {
+		tokens += need.prompt
 	}
-	return cost
+	return float64(tokens) / readTokensPerSecond
 }
 
 // minimumGap is the lower bound of the gap between events in costs, in seconds. It also stands for
 // an unknown gap.
 const minimumGap = 0.005
+
+// slotWaits are the predicted waits for slots at engines that are not slow.
+type slotWaits struct {
+	at      time.Time
+	classes map[slotClass]*slotQueue
+}
+
+// slotClass identifies the items that wait for the same slots.
+type slotClass struct {
+	service, model string
+	minimum        int64
+}
+
+// slotQueue predicts when the slots of a class become free.
+type slotQueue struct {
+	// releases holds the times until the runs end in ascending order, in seconds.
+	releases []float64
+	// gap is the mean gap of the engines in seconds.
+	gap float64
+	// positions holds the positions of the items that wait.
+	positions map[*batch.Item]int
+}
+
+// waitForSlot returns the predicted time until an item gets a slot at an engine that is not slow, behind
+// the items that asked before at the same time, and the gap there, both in seconds. The wait is
+// infinite if no such engine runs anything.
+func (m *Machine) waitForSlot(now time.Time, next *item, medianGap float64) (wait, gap float64) {
+	if !m.slotWaits.at.Equal(now) || m.slotWaits.classes == nil {
+		m.slotWaits = slotWaits{at: now, classes: make(map[slotClass]*slotQueue)}
+	}
+	class := slotClass{service: next.service, model: next.job.model, minimum: next.job.minimum}
+	queue := m.slotWaits.classes[class]
+	if queue == nil {
+		queue = m.predictReleases(now, class, medianGap)
+		m.slotWaits.classes[class] = queue
+	}
+	if len(queue.releases) == 0 {
+		return math.Inf(1), medianGap
+	}
+	position, known := queue.positions[next.source]
+	if !known {
+		position = len(queue.positions)
+		queue.positions[next.source] = position
+	}
+	if position < len(queue.releases)/2 {
+		return queue.releases[position], queue.gap
+	}
+	// Slots that become free are taken and released again by items that wait in front.
+	events := max(float64(m.lengths.Mean(next.lengthKey())), 1)
+	return float64(position+1) / float64(len(queue.releases)) * events * queue.gap, queue.gap
+}
+
+// predictReleases predicts the ends of the runs at the engines of a class that are not slow.
+func (m *Machine) predictReleases(now time.Time, class slotClass, medianGap float64) *slotQueue {
+	queue := &slotQueue{positions: make(map[*batch.Item]int)}
+	for _, eng := range m.sortedEngines() {
+		if !eng.listed || eng.service != class.service || eng.model != class.model || eng.loading || eng.draining ||
+			eng.versions[class.model] < class.minimum || now.Before(eng.pausedUntil) || eng.isUnresponsive(now) || eng.wasSlow(medianGap) {
+			continue
+		}
+		gap := eng.gapAt(len(eng.attempts), medianGap)
+		for _, running := range eng.attempts {
+			queue.gap += gap
+			queue.releases = append(queue.releases, running.remainingSeconds(now, gap))
+		}
+	}
+	queue.gap /= float64(max(len(queue.releases), 1))
+	slices.Sort(queue.releases)
+	return queue
+}
+
+// remainingSeconds predicts the time until a run ends, given the gap of its engine.
+func (a *attempt) remainingSeconds(now time.Time, gap float64) float64 {
+	if a.cancelled {
+		return 0
+	}
+	return max(float64(a.memory.expected)*gap-now.Sub(a.lastEventAt).Seconds(), 0)
+}
+
+// inputs returns the values that the choice of an engine was based on.
+func (m *Machine) inputs(now time.Time, next *item, chosen *engine) Inputs {
+	return Inputs{
+		Epoch:           m.options.Epoch,
+		Version:         chosen.versions[next.job.model],
+		Attempts:        len(chosen.attempts),
+		Gap:             seconds(chosen.gap),
+		ReadAge:         now.Sub(m.lastRead[next.job.partition]),
+		PredictedEvents: m.memoryNeed(next).expected,
+		MemoryInUse:     chosen.memory.inUse(chosen.tokensPerEvent),
+		MemoryExpected:  chosen.memory.total(chosen.tokensPerEvent),
+		MemoryCapacity:  chosen.memoryTokens,
+	}
+}
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -68,13 +68,20 @@
 	eng.service = server.Service
 	eng.slots = server.Slots
 	eng.warmAt = server.WarmAt
-	eng.warmUpRate = m.table.WarmUpRate(server.Service)
+	m.applyService(eng)
 	for model, version := range server.Versions {
 		// The list may be older than load results and events.
 		eng.versions[model] = max(eng.versions[model], version)
 	}
 }
 
+// applyService sets what the configuration says about an engine's service.
+func (m *Machine) applyService(eng *engine) {
+	eng.warmUpRate = m.table.WarmUpRate(eng.service)
+	eng.memoryTokens, eng.tokensPerEvent = m.table.Memory(eng.service)
+	eng.slowdown = m.slowdownOf(eng.service)
+}
+
 // atWarmUpLimit reports whether an engine was sent its maximum number of items within the last
 // second. An engine that has just started sustains a low rate, and fails when all its slots are
 // refilled repeatedly.
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/lengths"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
@@ -44,6 +45,13 @@
 	recovered   map[int]map[string]*batch.Partial
 	recoveredAt time.Time
 
+	// lengths predicts the lengths of items by the name of their route.
+	lengths *lengths.Estimator
+	// slowdowns holds the effect of concurrent runs on the engines of each service.
+	slowdowns map[string]*slowdown
+	// slotWaits are the predicted waits for slots at the time of the last decision that needed them.
+	slotWaits slotWaits
+
 	// suspicions holds the items that engines crashed under.
 	suspicions map[quarantine.Fingerprint]quarantine.Suspicion
 
@@ -76,6 +84,8 @@
 		activeLoads:    make(map[string]int),
 		rewards:        reward.NewQueue(),
 		recovered:      make(map[int]map[string]*batch.Partial),
+		lengths:        lengths.NewEstimator(),
+		slowdowns:      make(map[string]*slowdown),
 	}
 }
 
@@ -125,8 +135,9 @@
 		m.route(job)
 	}
 	for _, eng := range m.engines {
-		eng.warmUpRate = m.table.WarmUpRate(eng.service)
+		m.applyService(eng)
 	}
+	m.setTokensPerEvent()
 	m.schedule(now)
 }
 
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"dalehook/internal/batch"
@@ -39,6 +40,10 @@
 		return false
 	}
 	waiting.text, waiting.lastID, waiting.versions = partial.Text, partial.LastID, partial.Versions
+	waiting.joinedEvents = 0
+	for _, joined := range partial.Text {
+		waiting.joinedEvents += strings.Count(joined, "\n")
+	}
 	return partial.Complete
 }
 
--- a/internal/scheduler/retention.go
+++ b/internal/scheduler/retention.go
@@ -24,6 +24,8 @@
 	// result is set when the item's text is complete. It has no score if the job ended before the
 	// reward call was answered or made.
 	result *batch.Result
+	// events is the number of events of a text that was completed after the job ended, or 0.
+	events int
 	// reward is the call that returned the score of the result.
 	reward    *reward.Call
 	runUntil  time.Time
@@ -91,6 +93,7 @@
 		m.cancel(entry.item.attempt)
 	default:
 		waiting.text, waiting.lastID, waiting.versions = entry.item.text, entry.item.lastID, entry.item.versions
+		waiting.joinedEvents = entry.item.joinedEvents
 		if running := entry.item.attempt; running != nil && !running.cancelled {
 			waiting.attempt = running
 			waiting.unsaved = entry.item.unsaved
@@ -108,6 +111,7 @@
 // the same reward call.
 func (m *Machine) reuseResult(now time.Time, waiting *item, entry *retainedItem) {
 	waiting.text, waiting.versions = []string{entry.result.Text}, entry.result.Versions
+	waiting.reused, waiting.reusedEvents = true, entry.events
 	if entry.result.Score != "" && entry.reward.Equal(waiting.source.Reward) {
 		m.recordCompleted(waiting, entry.result.Score)
 		return
@@ -129,6 +133,7 @@
 		return
 	}
 	entry.result = owner.unscoredResult()
+	entry.events = owner.events()
 	entry.item = nil
 }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -51,6 +51,12 @@
 	Gap time.Duration
 	// ReadAge is the time since the job's partition was last read.
 	ReadAge time.Duration
+	// PredictedEvents is the predicted number of events that the item still needs.
+	PredictedEvents int
+	// MemoryInUse, MemoryExpected and MemoryCapacity are those of the engine without the item, in
+	// tokens. MemoryExpected includes what its runs are predicted to generate. MemoryCapacity is 0 if
+	// unknown.
+	MemoryInUse, MemoryExpected, MemoryCapacity int
 }
 
 // Server is the address of one incarnation of an engine.
@@ -71,6 +77,22 @@
 	Attempt AttemptID
 }
 
+// Move says why an attempt is cancelled to resume its item on another engine. Its Cancel is in the same
+// Output.
+type Move struct {
+	Attempt AttemptID
+	JobID   string
+	ItemID  string
+	From    Server
+	// To is the engine that the prediction is for. The item takes the best engine when its run has
+	// ended.
+	To Server
+	// PredictedEvents is the predicted number of events that the item still needs.
+	PredictedEvents int
+	// Gain is how much sooner the item is predicted to end, after the cost of the move.
+	Gain time.Duration
+}
+
 // LoadMode selects what happens to running requests during a load.
 type LoadMode int
 
@@ -95,8 +117,10 @@
 // Output holds the actions for the driver, to be carried out in this order.
 type Output struct {
 	Cancels []Cancel
-	Starts  []Start
-	Orders  []LoadOrder
+	// Moves explains some of the Cancels.
+	Moves  []Move
+	Starts []Start
+	Orders []LoadOrder
 	// Results are to be appended to the store.
 	Results []batch.Result
 	// Progress is to be appended to the store, in this order.
@@ -197,9 +221,11 @@
 	source *batch.Item
 	// service is the target of the route that this item goes to.
 	service string
-	// text holds the data of the events so far.
-	text    []string
-	unsaved unsaved
+	// text holds the data of the events so far. joinedEvents is the number of events beyond the number
+	// of its elements: texts that predecessors saved have several events in one.
+	text         []string
+	joinedEvents int
+	unsaved      unsaved
 	// checkpointAt is when the full text was last saved; zero if the next save must be a
 	// checkpoint.
 	checkpointAt time.Time
@@ -219,12 +245,18 @@
 	resubmitted bool
 	// fingerprint identifies the item in suspicions; zero until first needed.
 	fingerprint quarantine.Fingerprint
+	// promptHash identifies the prompt of the item's group; 0 until first needed.
+	promptHash uint64
 	// result is the result of an item that finished with OutcomeCompleted.
 	result *batch.Result
 	// waitingSince is when the item last entered its job's queue.
 	waitingSince time.Time
 	// movedAt is when the item was last moved to a faster engine.
 	movedAt time.Time
+	// reused items got their text from an earlier job. reusedEvents is the number of its events if its
+	// length has not been observed, or 0.
+	reused       bool
+	reusedEvents int
 }
 
 // unsaved holds the events of an item's run since its last saved progress.
@@ -278,6 +310,10 @@
 	// number of its events.
 	sampleStart  time.Time
 	sampleEvents int
+	// sampleRuns is the number of runs on the engine when the sample started.
+	sampleRuns int
+	// memory is what the run uses of the engine's memory.
+	memory memoryUse
 	// cancelled attempts accept no more events.
 	cancelled bool
 }
@@ -311,8 +347,21 @@
 	unresponsiveAt time.Time
 	// gap is the smoothed time between two events in seconds, or 0 if unknown.
 	gap float64
+	// gapRuns is the smoothed number of concurrent runs that gap was measured at, or 0 if unknown.
+	gapRuns float64
 	// gapSampledAt is when the gap was last sampled.
 	gapSampledAt time.Time
+	// lastSample is the newest sample of the gap.
+	lastSample paceSample
+	// slowdown is that of the engine's service; nil stands for the initial one.
+	slowdown *slowdown
+	// memory is the sum over the attempts.
+	memory memoryUse
+	// memoryTokens is the memory's capacity in tokens, and tokensPerEvent the tokens that an event
+	// holds; 0 if unknown.
+	memoryTokens, tokensPerEvent int
+	// recentPrompts holds the prompts that the engine has read recently.
+	recentPrompts recentPrompts
 	// nextLoadAt is the earliest time of the next load order to this engine.
 	nextLoadAt time.Time
 }
