Scheduler: less work for engines without slots and for runs that gain nothing

Cause: the first version predicted the length of every run at each tick, and looked at all engines for each waiting item.

Change: only engines with free slots are looked at, predictions are renewed only for runs on engines that are slower than a free one, and the ratio of events to estimated tokens is kept with each sample.

--- a/internal/lengths/lengths.go
+++ b/internal/lengths/lengths.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 )
 
 // Estimator predicts the length of items by key, such as the name of a route. It is not safe for
@@ -32,13 +33,16 @@
 	// minSurvivors is the number of neighbours longer than the item's events so far below which the
 	// prediction is based on all recent items instead.
 	minSurvivors = 4
-	// maxScale limits the scaling of neighbours to an item's estimate, both up and down.
+	// maxScale limits how far an estimate may be beyond all known ones: larger and smaller estimates
+	// count as that far.
 	maxScale = 4
 )
 
 // sample is an item that has ended.
 type sample struct {
 	estimate, events int
+	// ratio is the number of events per estimated token.
+	ratio float64
 }
 
 // history holds the recent samples of one key.
@@ -84,7 +88,11 @@
 	if events <= 0 {
 		return
 	}
-	e.history(key).add(sample{estimate: max(estimate, 0), events: events})
+	ended := sample{events: events}
+	if estimate > 0 {
+		ended.estimate, ended.ratio = estimate, float64(events)/float64(estimate)
+	}
+	e.history(key).add(ended)
 }
 
 // Remaining returns the predicted number of events that an item still needs after the given number
@@ -163,13 +171,13 @@
 	if len(h.byEstimate) == 0 {
 		return 0, false
 	}
-	at, _ := slices.BinarySearchFunc(h.byEstimate, estimate, func(s sample, wanted int) int { return cmp.Compare(s.estimate, wanted) })
-	first := max(min(at-neighbours/2, len(h.byEstimate)-neighbours), 0)
+	least, most := h.byEstimate[0].estimate, h.byEstimate[len(h.byEstimate)-1].estimate
+	estimate = min(max(estimate, least/maxScale), maxScale*most)
+	first := max(min(h.firstFrom(estimate)-neighbours/2, len(h.byEstimate)-neighbours), 0)
 	similar := h.byEstimate[first:min(first+neighbours, len(h.byEstimate))]
 	total, longer := 0.0, 0
-	for _, known := range similar {
-		scale := min(max(float64(estimate)/float64(known.estimate), 1.0/maxScale), maxScale)
-		if more := scale*float64(known.events) - float64(events); more > 0 {
+	for i := range similar {
+		if more := similar[i].ratio*float64(estimate) - float64(events); more > 0 {
 			total += more
 			longer++
 		}
@@ -180,6 +188,11 @@
 	return total / float64(longer), true
 }
 
+// firstFrom returns the position of the first sample whose estimate is not below the given one.
+func (h *history) firstFrom(estimate int) int {
+	return sort.Search(len(h.byEstimate), func(i int) bool { return h.byEstimate[i].estimate >= estimate })
+}
+
 // remainingOfAll predicts the remaining events from all recent items. It reports false if none was
 // longer than the item is already.
 func (h *history) remainingOfAll(events int) (remaining float64, found bool) {
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -17,14 +17,17 @@
 	if m.stopped {
 		return
 	}
-	engines := m.sortedEngines()
+	engines := m.enginesWithSlots()
+	if len(engines) == 0 {
+		return
+	}
 	var medians map[string]float64
 	for _, job := range m.sortedJobs() {
 		if len(job.queue) == 0 {
 			continue
 		}
 		if medians == nil {
-			medians = medianGaps(engines)
+			medians = medianGaps(m.sortedEngines())
 		}
 		m.startItems(now, job, engines, medians)
 	}
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -117,7 +117,7 @@
 			}
 		}
 	}
-	if bestSlow.betterThan(best) && m.takesSlow(now, next, bestSlow, medianGap) {
+	if bestSlow.betterThan(best) && m.takesSlow(now, next, bestSlow, float64(need.expected), medianGap) {
 		return bestSlow.engine
 	}
 	switch {
@@ -137,23 +137,18 @@
 	return len(e.attempts) > 0 && !e.hasRecentGap(now) && e.wasSlow(medianGap)
 }
 
-// isShort reports whether an item is predicted to need at most as many events as items of its route have
-// on average.
-func (m *Machine) isShort(next *item) bool {
-	mean := m.lengths.Mean(next.lengthKey())
-	return mean == 0 || m.remainingEvents(next) <= float64(mean)
-}
-
 // takesSlow reports whether an item takes an engine that is or was slow rather than wait for another
 // one: if it is predicted to end sooner there, or if it has waited too long for the prediction to be
-// right. An engine whose pace is out of date is tried with one short item.
-func (m *Machine) takesSlow(now time.Time, next *item, slow candidate, medianGap float64) bool {
-	short := m.isShort(next)
+// right. An engine whose pace is out of date is tried with one short item: one that is predicted to need at
+// most as many events as items of its route have on average. remaining is that prediction.
+func (m *Machine) takesSlow(now time.Time, next *item, slow candidate, remaining, medianGap float64) bool {
+	mean := m.lengths.Mean(next.lengthKey())
+	short := mean == 0 || remaining <= float64(mean)
 	if short && !slow.engine.isSlow(now, medianGap) {
 		return true
 	}
 	wait, gap := m.waitForSlot(now, next, medianGap)
-	gain := slow.seconds - m.remainingEvents(next)*gap
+	gain := slow.seconds - remaining*gap
 	if wait >= gain {
 		return true
 	}
@@ -259,6 +254,7 @@
 
 // slotWaits are the predicted waits for slots at engines that are not slow.
 type slotWaits struct {
+	// at is when they were predicted.
 	at      time.Time
 	classes map[slotClass]*slotQueue
 }
@@ -279,11 +275,14 @@
 	positions map[*batch.Item]int
 }
 
+// slotWaitsLifetime is how long predicted waits are used: in a large fleet they take long to compute.
+const slotWaitsLifetime = 50 * time.Millisecond
+
 // waitForSlot returns the predicted time until an item gets a slot at an engine that is not slow, behind
-// the items that asked before at the same time, and the gap there, both in seconds. The wait is
+// the items that asked before, and the gap there, both in seconds. The wait is
 // infinite if no such engine runs anything.
 func (m *Machine) waitForSlot(now time.Time, next *item, medianGap float64) (wait, gap float64) {
-	if !m.slotWaits.at.Equal(now) || m.slotWaits.classes == nil {
+	if m.slotWaits.classes == nil || now.Sub(m.slotWaits.at) >= slotWaitsLifetime {
 		m.slotWaits = slotWaits{at: now, classes: make(map[slotClass]*slotQueue)}
 	}
 	class := slotClass{service: next.service, model: next.job.model, minimum: next.job.minimum}
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -39,22 +39,29 @@
 	if len(free) == 0 {
 		return
 	}
-	medians := medianGaps(m.sortedEngines())
 	attempts := m.sortedAttempts()
+	var candidates []*attempt
 	for _, running := range attempts {
-		m.predictLength(running) // other items have ended since its last event
+		if waiting[running.item.job.model] || !isMovable(now, running) || m.suspicion(running.item).Ends > 0 {
+			continue
+		}
+		if runsOnSlower(running, free[running.item.service]) {
+			m.predictLength(running) // other items have ended since its last event
+			candidates = append(candidates, running)
+		}
 	}
+	if len(candidates) == 0 {
+		return
+	}
+	medians := medianGaps(m.sortedEngines())
 	ends := m.predictGroupEnds(now, attempts, medians)
 	reserved := make(map[*engine]memoryUse)
 	reservedRuns := make(map[*engine]int)
 	moves := 0
-	for _, running := range attempts {
+	for _, running := range candidates {
 		if moves >= maxMovesPerTick {
 			return
 		}
-		if waiting[running.item.job.model] || !isMovable(now, running) || m.suspicion(running.item).Ends > 0 {
-			continue
-		}
 		others := ends[groupOf(running.item)].without(running.item)
 		target, gain := m.fasterEngine(now, running, free[running.item.service], others, medians[running.item.service], reserved, reservedRuns)
 		if target == nil {
@@ -80,6 +87,16 @@
 		running.events >= minEventsBeforeMove && !running.engine.loading && now.Sub(owner.movedAt) >= minMoveInterval
 }
 
+// runsOnSlower reports whether a run's engine is slower than a free one by enough for a move to gain
+// minMoveGainShare of the time that the run needs. The free engines are ordered by gap.
+func runsOnSlower(running *attempt, free []*engine) bool {
+	if len(free) == 0 {
+		return false
+	}
+	eng := running.engine
+	return free[0].gapAt(len(free[0].attempts)+1, 0) <= (1-minMoveGainShare)*eng.gapAt(len(eng.attempts), 0)
+}
+
 // groupKey identifies a group of items of a job.
 type groupKey struct {
 	job   *job
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -93,6 +93,9 @@
 	// products and squares are the sums over pairs: of the change in runs times the relative change of
 	// the gap, and of the squared change in runs.
 	products, squares float64
+	// known is set when slope, the estimate, has been computed from them.
+	known bool
+	slope float64
 }
 
 const (
@@ -114,11 +117,10 @@
 
 // perRun returns the relative increase of the gap by one more run.
 func (s *slowdown) perRun() float64 {
-	if s == nil {
+	if s == nil || !s.known {
 		return initialSlowdown
 	}
-	slope := (initialSlowdown*initialSlowdownWeight + s.products) / (initialSlowdownWeight + s.squares)
-	return min(max(slope, 0), maxSlowdown)
+	return s.slope
 }
 
 // factor returns the gap with a number of runs relative to that with one run.
@@ -137,6 +139,8 @@
 	single := mean / s.factor((before.runs+after.runs)/2)
 	s.products = slowdownDecay*s.products + change*(after.gap-before.gap)/single
 	s.squares = slowdownDecay*s.squares + change*change
+	slope := (initialSlowdown*initialSlowdownWeight + s.products) / (initialSlowdownWeight + s.squares)
+	s.slope, s.known = min(max(slope, 0), maxSlowdown), true
 }
 
 // slowdownOf returns the slowdown of a service's engines.
