Scheduler: move a run only to the engine that its item would get

Cause: an item was cut up to 13 times in a row (modelled engines, half of them 3 times slower). The target of its move was an engine of another model, and on its next start the item preferred a slow engine of its own model.

Change: the target is what the choice of an engine gives for the item, and a run stays if its own engine would be chosen again. A slow engine is considered only if no other one is free.

--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -94,9 +94,8 @@
 		if !needed {
 			need, needed = m.memoryNeed(next), true
 		}
-		rated := candidate{
-			engine: eng, penalty: eng.penalty(now, next) + isolationCost(suspicion, eng), seconds: eng.seconds(next, need, medianGap),
-		}
+		rated := eng.rate(now, next, need, medianGap)
+		rated.penalty += isolationCost(suspicion, eng)
 		switch {
 		case eng.awaitsSample(now, medianGap):
 		case !eng.hasRoom(need):
@@ -117,7 +116,8 @@
 			}
 		}
 	}
-	if bestSlow.betterThan(best) && m.takesSlow(now, next, bestSlow, float64(need.expected), medianGap) {
+	onlySlow := best.engine == nil || best.penalty >= unresponsivePenalty && bestSlow.penalty < unresponsivePenalty
+	if onlySlow && bestSlow.engine != nil && m.takesSlow(now, next, bestSlow, float64(need.expected), medianGap) {
 		return bestSlow.engine
 	}
 	switch {
@@ -218,25 +218,26 @@
 	return !e.unresponsiveAt.IsZero() && now.Sub(e.unresponsiveAt) < unresponsivePeriod
 }
 
-// penalty rates an engine for an item by what weighs more than its pace; lower is better.
-func (e *engine) penalty(now time.Time, next *item) float64 {
-	penalty := 0.0
+// rate rates an engine for an item.
+func (e *engine) rate(now time.Time, next *item, need memoryUse, medianGap float64) candidate {
+	return e.rateBeside(now, next, need, medianGap, len(e.attempts), e.memory.expected)
+}
+
+// rateBeside is rate for a number of runs beside the item, which are predicted to need the given number of
+// events.
+func (e *engine) rateBeside(now time.Time, next *item, need memoryUse, medianGap float64, runs, expected int) candidate {
+	rated := candidate{engine: e}
 	if e.model != next.job.model {
-		penalty += otherModelPenalty
+		rated.penalty += otherModelPenalty
 	}
 	if e.isUnresponsive(now) {
-		penalty += unresponsivePenalty
+		rated.penalty += unresponsivePenalty
 	}
-	return penalty
-}
-
-// seconds predicts how long an engine needs for an item, and adds by how much the item delays the runs
-// of the engine. Short items therefore leave engines with long runs few others beside them.
-func (e *engine) seconds(next *item, need memoryUse, medianGap float64) float64 {
-	runs := len(e.attempts)
 	gap := e.gapAt(runs+1, medianGap)
-	delay := float64(e.memory.expected) * (gap - e.gapAt(runs, medianGap))
-	return e.readSeconds(next, need) + float64(need.expected)*gap + delay
+	// The delay of other runs leaves long runs few others beside them.
+	delay := float64(expected) * (gap - e.gapAt(runs, medianGap))
+	rated.seconds = e.readSeconds(next, need) + float64(need.expected)*gap + delay
+	return rated
 }
 
 // readSeconds predicts how long an engine reads the prompt and the text of an item.
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -21,8 +21,8 @@
 	// minMoveGain is the smallest predicted gain in seconds that is worth a move, and minMoveGainShare
 	// the smallest one as a share of the time that the run would need without it. Predictions are
 	// off by about this much.
-	minMoveGain      = 0.3
-	minMoveGainShare = 0.2
+	minMoveGain      = 0.5
+	minMoveGainShare = 0.25
 )
 
 // moveToFaster moves runs to engines with free slots where they are predicted to end much sooner, when no
@@ -55,26 +55,28 @@
 	}
 	medians := medianGaps(m.sortedEngines())
 	ends := m.predictGroupEnds(now, attempts, medians)
-	reserved := make(map[*engine]memoryUse)
-	reservedRuns := make(map[*engine]int)
 	moves := 0
+	taken := make(map[*engine]bool)
 	for _, running := range candidates {
 		if moves >= maxMovesPerTick {
 			return
 		}
-		others := ends[groupOf(running.item)].without(running.item)
-		target, gain := m.fasterEngine(now, running, free[running.item.service], others, medians[running.item.service], reserved, reservedRuns)
-		if target == nil {
+		owner := running.item
+		medianGap := medians[owner.service]
+		target := m.moveTarget(now, running, free[owner.service], medianGap)
+		if target == nil || taken[target] {
+			continue
+		}
+		others := ends[groupOf(owner)].without(owner)
+		gain := m.moveGain(now, running, target, others, medianGap)
+		if gain < max(minMoveGain, minMoveGainShare*m.predictEnd(now, running, medianGap)) {
 			continue
 		}
-		use := reserved[target]
-		use.add(running.memory)
-		reserved[target] = use
-		reservedRuns[target]++
-		running.item.movedAt = now
+		taken[target] = true
+		owner.movedAt = now
 		m.cancel(running)
 		m.output.Moves = append(m.output.Moves, Move{
-			Attempt: running.id, JobID: running.item.job.id, ItemID: running.item.source.ID,
+			Attempt: running.id, JobID: owner.job.id, ItemID: owner.source.ID,
 			From: running.engine.server, To: target.server, PredictedEvents: running.memory.expected, Gain: seconds(gain),
 		})
 		moves++
@@ -176,30 +178,30 @@
 	return fastest
 }
 
-// fasterEngine returns the engine that is worth moving a run to and the predicted gain in seconds, or
-// nil. others is the predicted end of the other items that the run's item is needed with.
-func (m *Machine) fasterEngine(now time.Time, running *attempt, free []*engine, others, medianGap float64,
-	reserved map[*engine]memoryUse, reservedRuns map[*engine]int,
-) (target *engine, gain float64) {
-	stay := m.predictEnd(now, running, medianGap)
-	enough := max(minMoveGain, minMoveGainShare*stay)
-	for _, other := range free {
-		fastest := float64(running.memory.expected) * other.gapAt(len(other.attempts)+1, 0)
-		if stay-max(fastest, others) < enough {
-			return nil, 0
-		}
-		need := running.memory
-		runs := len(other.attempts) + reservedRuns[other]
-		if other == running.engine || runs >= other.slots || !m.canRun(now, running.item, other) {
-			continue
-		}
-		move := moveSeconds + other.readSeconds(running.item, need) + float64(need.expected)*other.gapAt(runs+1, 0)
-		gain = stay - max(move, others)
-		use := reserved[other]
-		use.add(need)
-		if gain >= enough && other.hasRoom(use) {
-			return other, gain
-		}
+// moveTarget returns the engine that a run's item would get if the run were cut now, or nil if that is the
+// run's engine or none. Without this check a run that is cut could resume where it was.
+func (m *Machine) moveTarget(now time.Time, running *attempt, free []*engine, medianGap float64) *engine {
+	moved := *running.item
+	moved.waitingSince = now
+	target := m.chooseEngine(now, &moved, free, medianGap)
+	own := running.engine
+	if target == nil || target == own || !target.hasRoom(running.memory) {
+		return nil
+	}
+	if own.wasSlow(medianGap) {
+		return target
+	}
+	stay := own.rateBeside(now, &moved, running.memory, medianGap, len(own.attempts)-1, own.memory.expected-running.memory.expected)
+	if stay.betterThan(target.rate(now, &moved, running.memory, medianGap)) {
+		return nil
 	}
-	return nil, 0
+	return target
+}
+
+// moveGain returns how much sooner a run's item is predicted to be of use if it moves, in seconds. others is
+// the predicted end of the other items of its group.
+func (m *Machine) moveGain(now time.Time, running *attempt, target *engine, others, medianGap float64) float64 {
+	move := moveSeconds + target.readSeconds(running.item, running.memory) +
+		float64(running.memory.expected)*target.gapAt(len(target.attempts)+1, medianGap)
+	return m.predictEnd(now, running, medianGap) - max(move, others)
 }
