--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -147,8 +147,9 @@
 	if short && !slow.engine.isSlow(now, medianGap) {
 		return true
 	}
-	wait, gap := m.waitForSlot(now, next, medianGap)
-	gain := slow.seconds - remaining*gap
+	queue := m.slotQueueOf(now, next, medianGap)
+	wait := queue.wait(next)
+	gain := slow.seconds - remaining*queue.gap
 	if wait >= gain {
 		return true
 	}
@@ -156,7 +157,11 @@
 	if short && slow.engine.gapAt(1, 0) <= patienceFactor*medianGap {
 		patience = min(patience, slowEnginePatience)
 	}
-	return now.Sub(next.waitingSince) >= patience
+	if now.Sub(next.waitingSince) >= patience {
+		return true
+	}
+	queue.join(next, remaining)
+	return false
 }
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
@@ -253,8 +258,8 @@
 // an unknown gap.
 const minimumGap = 0.005
 
-// slotWaits are the predicted waits for slots at engines that are not slow.
-type slotWaits struct {
+// slotQueues are the predicted queues for slots at engines that are not slow.
+type slotQueues struct {
 	// at is when they were predicted.
 	at      time.Time
 	classes map[slotClass]*slotQueue
@@ -266,51 +271,63 @@
 	minimum        int64
 }
 
-// slotQueue predicts when the slots of a class become free.
+// slotQueue predicts when items that wait get the slots of a class.
 type slotQueue struct {
-	// releases holds the times until the runs end in ascending order, in seconds.
+	// releases holds the times until the slots become free for one more item, in ascending order and in
+	// seconds.
 	releases []float64
 	// gap is the mean gap of the engines in seconds.
 	gap float64
-	// positions holds the positions of the items that wait.
-	positions map[*batch.Item]int
+	// waits holds the waits of the items that have joined the queue.
+	waits map[*batch.Item]float64
 }
 
-// slotWaitsLifetime is how long predicted waits are used: in a large fleet they take long to compute.
-const slotWaitsLifetime = 50 * time.Millisecond
+// wait returns the predicted time until an item gets a slot behind those that have joined the queue before.
+// It is infinite if the class has no slots.
+func (q *slotQueue) wait(next *item) float64 {
+	if known, joined := q.waits[next.source]; joined {
+		return known
+	}
+	if len(q.releases) == 0 {
+		return math.Inf(1)
+	}
+	return q.releases[0]
+}
 
-// waitForSlot returns the predicted time until an item gets a slot at an engine that is not slow, behind
-// the items that asked before, and the gap there, both in seconds. The wait is
-// infinite if no such engine runs anything.
-func (m *Machine) waitForSlot(now time.Time, next *item, medianGap float64) (wait, gap float64) {
-	if m.slotWaits.classes == nil || now.Sub(m.slotWaits.at) >= slotWaitsLifetime {
-		m.slotWaits = slotWaits{at: now, classes: make(map[slotClass]*slotQueue)}
+// join adds an item that needs the given number of events.
+func (q *slotQueue) join(next *item, remaining float64) {
+	if _, joined := q.waits[next.source]; joined || len(q.releases) == 0 {
+		return
+	}
+	wait := q.releases[0]
+	q.waits[next.source] = wait
+	q.releases = q.releases[1:]
+	release := wait + remaining*q.gap
+	at, _ := slices.BinarySearch(q.releases, release)
+	q.releases = slices.Insert(q.releases, at, release)
+}
+
+// slotQueuesLifetime is how long predicted queues are used: in a large fleet they take long to compute.
+const slotQueuesLifetime = 50 * time.Millisecond
+
+// slotQueueOf returns the queue for the slots that an item may get.
+func (m *Machine) slotQueueOf(now time.Time, next *item, medianGap float64) *slotQueue {
+	if m.slotQueues.classes == nil || now.Sub(m.slotQueues.at) >= slotQueuesLifetime {
+		m.slotQueues = slotQueues{at: now, classes: make(map[slotClass]*slotQueue)}
 	}
 	class := slotClass{service: next.service, model: next.job.model, minimum: next.job.minimum}
-	queue := m.slotWaits.classes[class]
+	queue := m.slotQueues.classes[class]
 	if queue == nil {
 		queue = m.predictReleases(now, class, medianGap)
-		m.slotWaits.classes[class] = queue
-	}
-	if len(queue.releases) == 0 {
-		return math.Inf(1), medianGap
-	}
-	position, known := queue.positions[next.source]
-	if !known {
-		position = len(queue.positions)
-		queue.positions[next.source] = position
+		m.slotQueues.classes[class] = queue
 	}
-	if position < len(queue.releases)/2 {
-		return queue.releases[position], queue.gap
-	}
-	// Slots that become free are taken and released again by items that wait in front.
-	events := max(float64(m.lengths.Mean(next.lengthKey())), 1)
-	return float64(position+1) / float64(len(queue.releases)) * events * queue.gap, queue.gap
+	return queue
 }
 
 // predictReleases predicts the ends of the runs at the engines of a class that are not slow.
 func (m *Machine) predictReleases(now time.Time, class slotClass, medianGap float64) *slotQueue {
-	queue := &slotQueue{positions: make(map[*batch.Item]int)}
+	queue := &slotQueue{gap: medianGap, waits: make(map[*batch.Item]float64)}
+	gaps := 0.0
 	for _, eng := range m.sortedEngines() {
 		if !eng.listed || eng.service != class.service || eng.model != class.model || eng.loading || eng.draining ||
 			eng.versions[class.model] < class.minimum || now.Before(eng.pausedUntil) || eng.isUnresponsive(now) || eng.wasSlow(medianGap) {
@@ -318,11 +335,13 @@
 		}
 		gap := eng.gapAt(len(eng.attempts), medianGap)
 		for _, running := range eng.attempts {
-			queue.gap += gap
+			gaps += gap
 			queue.releases = append(queue.releases, running.remainingSeconds(now, gap))
 		}
 	}
-	queue.gap /= float64(max(len(queue.releases), 1))
+	if len(queue.releases) > 0 {
+		queue.gap = gaps / float64(len(queue.releases))
+	}
 	slices.Sort(queue.releases)
 	return queue
 }
--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -378,6 +378,7 @@
 		m.activeLoads[eng.service]--
 	}
 	eng.loading = false
+	eng.loadEndedAt = now
 	if result.Confirmed && result.Version >= m.newestVersions[model] {
 		m.loadWindow(eng.service).observe(now, now.Sub(eng.loadStartedAt), eng.concurrentAtStart, eng.maxConcurrentLoads)
 	}
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -49,8 +49,8 @@
 	lengths *lengths.Estimator
 	// slowdowns holds the effect of concurrent runs on the engines of each service.
 	slowdowns map[string]*slowdown
-	// slotWaits are the predicted waits for slots at the time of the last decision that needed them.
-	slotWaits slotWaits
+	// slotQueues are the predicted queues for slots at the time of a recent decision that needed them.
+	slotQueues slotQueues
 
 	// suspicions holds the items that engines crashed under.
 	suspicions map[quarantine.Fingerprint]quarantine.Suspicion
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -22,8 +22,11 @@
 	minGapSampleEvents = 3
 	gapSampleTime      = 300 * time.Millisecond
 	// gapSmoothing is the weight of the newest sample. A larger one adapts to an engine's speed faster,
-	// but lets single late events move items.
-	gapSmoothing = 0.35
+	// but lets single late events move items. steadyGapSmoothing is that of a sample that is within
+	// steadyGapRatio of the gap: it confirms the speed, and differs because of late events.
+	gapSmoothing       = 0.35
+	steadyGapSmoothing = 0.1
+	steadyGapRatio     = 1.4
 )
 
 // paceSample is one sample of an engine's gap.
@@ -38,7 +41,7 @@
 // samplePace adds an event of a run to its engine's current sample of this run.
 func (a *attempt) samplePace(now time.Time) {
 	eng := a.engine
-	if a.sampleStart.IsZero() || eng.loadStartedAt.After(a.sampleStart) {
+	if a.sampleStart.IsZero() || eng.loading || eng.loadEndedAt.After(a.sampleStart) {
 		// Runs stand still during a load, which says nothing about the pace.
 		a.startSample(now)
 		return
@@ -70,8 +73,12 @@
 	if e.gap == 0 || !e.hasRecentGap(sample.at) {
 		e.gap, e.gapRuns = sample.gap, sample.runs
 	}
-	e.gap += gapSmoothing * (sample.gap - e.gap)
-	e.gapRuns += gapSmoothing * (sample.runs - e.gapRuns)
+	smoothing := gapSmoothing
+	if predicted := e.gap * e.slowdown.factor(sample.runs) / e.slowdown.factor(e.gapRuns); max(sample.gap/predicted, predicted/sample.gap) < steadyGapRatio {
+		smoothing = steadyGapSmoothing
+	}
+	e.gap += smoothing * (sample.gap - e.gap)
+	e.gapRuns += smoothing * (sample.runs - e.gapRuns)
 	e.gapSampledAt = sample.at
 }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -338,6 +338,8 @@
 	// loading is set while a load order is in progress, since loadStartedAt.
 	loading       bool
 	loadStartedAt time.Time
+	// loadEndedAt is when the result of the last load order was processed.
+	loadEndedAt time.Time
 	// concurrentAtStart is the number of loads in the service when this one started, including it.
 	concurrentAtStart int
 	// maxConcurrentLoads is the highest number of loads in the service since this one started.
