--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -45,6 +45,7 @@
 		return
 	}
 	options := c.options.Scheduler
+	options.TenantWeights = c.options.TenantWeights
 	options.Epoch = state.Lease.Epoch
 	c.machine = scheduler.NewMachine(options)
 	c.termEpoch = state.Lease.Epoch
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -104,24 +104,12 @@
 		return false
 	}
 	position.passedOver++
-	if !owner.hasUrgency() || position.passedOver >= maxPassedOver || !hasFreeSlot(next, engines) {
+	if position.passedOver >= maxPassedOver || !m.leavesSlots(now, next, engines) {
 		position.head = nil
 	}
 	return false
 }
 
-// hasFreeSlot reports whether one of the engines still has a free slot, and a version for an item,
-// whether or not it suits the item now.
-func hasFreeSlot(next *item, engines []*engine) bool {
-	for _, candidate := range engines {
-		if candidate.service == next.service && len(candidate.attempts) < candidate.slots &&
-			candidate.versions[next.job.model] >= next.job.minimum {
-			return true
-		}
-	}
-	return false
-}
-
 // isFresh reports whether a partition was read recently enough to start items of its jobs. It
 // bounds the work done for jobs that have already ended.
 func (m *Machine) isFresh(now time.Time, partition int) bool {
@@ -129,6 +117,7 @@
 }
 
 func (m *Machine) startAttempt(now time.Time, next *item, chosen *engine) {
+	inputs := m.inputs(now, next, chosen) // before the item counts among the engine's runs
 	m.lastID++
 	started := &attempt{id: m.lastID, item: next, engine: chosen, startedAt: now, lastEventAt: now}
 	next.attempt = started
@@ -137,6 +126,7 @@
 	m.attempts[started.id] = started
 	m.countRunning(next.job.tenant, 1)
 	chosen.attempts[started.id] = started
+	m.reserve(started)
 	chosen.recentStarts.Record(now)
 	expected := int64(0)
 	if next.job.route.SingleVersion {
@@ -152,16 +142,6 @@
 		After:         next.lastID,
 		ExpectVersion: expected,
 		Deadline:      next.job.expiresAt,
-		Inputs: Inputs{
-			Epoch:    m.options.Epoch,
-			Version:  chosen.versions[next.job.model],
-			Attempts: len(chosen.attempts) - 1,
-			Gap:      time.Duration(chosen.gap * float64(time.Second)),
-			ReadAge:  now.Sub(m.lastRead[next.job.partition]),
-
-			Slack:           next.slack(now),
-			Needed:          next.isNeeded(),
-			PredictedEvents: m.predictedEvents(next),
-		},
+		Inputs:        inputs,
 	})
 }
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -1,41 +1,30 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
+
+	"dalehook/internal/batch"
 )
 
 const (
-	// slowEnginePatience is how long an item waits for another slot before it takes an engine
-	// known to be slow. Half of the items end within this time; a run on a slow engine is moved
-	// after 1.2 to 1.5 s.
+	// slowEnginePatience is how long a short item waits for another slot before it takes an engine
+	// known to be slow.
 	slowEnginePatience = 800 * time.Millisecond
+	// slowEngineFactor is the slowdown from which an engine counts as slow.
+	slowEngineFactor = 2
+	// patienceFactor is the slowdown up to which slowEnginePatience applies. On slower engines even a
+	// short item ends later than its wait can explain.
+	patienceFactor = 5
 	// slowEngineExpiry is how long an engine counts as slow without a new sample of its gap.
 	slowEngineExpiry = 3 * time.Second
+	// readTokensPerSecond is the rate at which engines read prompts and texts.
+	readTokensPerSecond = 200_000
+	// equalCostShare is the relative difference up to which two engines count as equal.
+	equalCostShare = 0.02
 )
 
-// medianGaps returns the median event gap of each service. Services without a known gap are left
-// out.
-func medianGaps(engines []*engine) map[string]float64 {
-	gaps := make(map[string][]float64)
-	for _, eng := range engines {
-		if eng.listed && eng.gap > 0 {
-			gaps[eng.service] = append(gaps[eng.service], eng.gap)
-		}
-	}
-	medians := make(map[string]float64, len(gaps))
-	for service, serviceGaps := range gaps {
-		slices.Sort(serviceGaps)
-		medians[service] = serviceGaps[len(serviceGaps)/2]
-	}
-	return medians
-}
-
-// isSlow reports whether an engine has a recent gap well above the median of its service.
-func (e *engine) isSlow(now time.Time, medianGap float64) bool {
-	return medianGap > 0 && e.gap > slowEngineFactor*medianGap && now.Sub(e.gapSampledAt) < slowEngineExpiry
-}
-
 // pinnedVersionPatience is how long an item waits for an engine that may continue its text before
 // it restarts on another version. It equals the wait for an engine that is not slow.
 const pinnedVersionPatience = slowEnginePatience
@@ -62,29 +51,142 @@
 	return i.job.route != nil && i.job.route.SingleVersion && len(i.versions) > 0
 }
 
+// candidate is an engine that can run an item, with its cost.
+type candidate struct {
+	engine *engine
+	// penalty is compared before seconds.
+	penalty float64
+	// seconds is the predicted time from now until the item ends, and by how much the item delays the
+	// runs of the engine.
+	seconds float64
+}
+
+func (c candidate) betterThan(other candidate) bool {
+	switch {
+	case other.engine == nil:
+		return c.engine != nil
+	case c.engine == nil:
+		return false
+	case c.penalty != other.penalty:
+		return c.penalty < other.penalty
+	}
+	return c.seconds < other.seconds
+}
+
 // chooseEngine returns the engine with the lowest cost for an item, or nil. medianGap is the
 // median gap between events of the item's service, or 0 if unknown.
+//
+// Engines with room in their memory come first, then those that are not slow. An item takes a slow
+// engine, or one without room, only under the conditions of takesSlow and fitsNow, and otherwise
+// waits.
 func (m *Machine) chooseEngine(now time.Time, next *item, engines []*engine, medianGap float64) *engine {
-	var best *engine
-	var bestCost float64
-	patient := now.Sub(next.waitingSince) < slowEnginePatience
 	suspicion := m.suspicion(next)
 	if !m.allowedBySuspicion(next, suspicion) {
 		return nil
 	}
-	for _, candidate := range engines {
-		if !m.canRun(now, next, candidate) || patient && candidate.isSlow(now, medianGap) {
+	var best, bestWithPrompt, bestSlow, fallback candidate
+	need, needed := memoryUse{}, false
+	prompt := next.promptKey()
+	for _, eng := range engines {
+		if !m.canRun(now, next, eng) || suspicion.Ends >= isolationThreshold && m.runsIsolatedItem(eng) {
 			continue
 		}
-		if suspicion.Ends >= isolationThreshold && m.runsIsolatedItem(candidate) {
+		if !needed {
+			need, needed = m.memoryNeed(next), true
+		}
+		rated := eng.rate(now, next, need, medianGap)
+		rated.penalty += isolationCost(suspicion, eng)
+		switch {
+		case eng.awaitsSample(now, medianGap):
+		case !eng.hasRoom(need):
+			rated.seconds = eng.expectedShare()
+			if eng.fitsNow(need) && !eng.wasSlow(medianGap) && rated.betterThan(fallback) {
+				fallback = rated
+			}
+		case eng.wasSlow(medianGap):
+			if rated.betterThan(bestSlow) {
+				bestSlow = rated
+			}
+		default:
+			if rated.betterThan(best) {
+				best = rated
+			}
+			if eng.recentPrompts.has(prompt) && rated.betterThan(bestWithPrompt) {
+				bestWithPrompt = rated
+			}
+		}
+	}
+	onlySlow := best.engine == nil || best.penalty >= unresponsivePenalty && bestSlow.penalty < unresponsivePenalty
+	if onlySlow && bestSlow.engine != nil && m.takesSlow(now, next, bestSlow, float64(need.expected), medianGap) {
+		return bestSlow.engine
+	}
+	switch {
+	case bestWithPrompt.engine != nil && bestWithPrompt.penalty == best.penalty && bestWithPrompt.seconds <= (1+equalCostShare)*best.seconds:
+		return bestWithPrompt.engine
+	case best.engine != nil:
+		return best.engine
+	case bestSlow.engine != nil:
+		return nil
+	}
+	return fallback.engine
+}
+
+// awaitsSample reports whether an engine that was slow is being tried with one item, so that it gets no
+// more until its pace is known.
+func (e *engine) awaitsSample(now time.Time, medianGap float64) bool {
+	return len(e.attempts) > 0 && !e.hasRecentGap(now) && e.wasSlow(medianGap)
+}
+
+// takesSlow reports whether an item takes an engine that is or was slow rather than wait for another
+// one: if it is predicted to end sooner there, or if it has waited too long for the prediction to be
+// right. An engine whose pace is out of date is tried with one short item: one that is predicted to need at
+// most as many events as items of its route have on average. remaining is that prediction.
+func (m *Machine) takesSlow(now time.Time, next *item, slow candidate, remaining, medianGap float64) bool {
+	mean := m.lengths.Mean(next.lengthKey())
+	short := mean == 0 || remaining <= float64(mean)
+	if short && !slow.engine.isSlow(now, medianGap) {
+		return true
+	}
+	queue := m.slotQueueOf(now, next, medianGap)
+	wait := queue.wait(next)
+	gain := slow.seconds - remaining*queue.gap
+	if wait >= gain {
+		return true
+	}
+	patience := seconds(gain)
+	if short && slow.engine.gapAt(1, 0) <= patienceFactor*medianGap {
+		patience = min(patience, slowEnginePatience)
+	}
+	if now.Sub(next.waitingSince) >= patience {
+		return true
+	}
+	queue.join(next, remaining)
+	return false
+}
+
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// leavesSlots reports whether engines have slots that an item without an engine leaves to later items:
+// slow ones that are worth waiting for, or ones without memory for it. An item that has waited long
+// for memory does not let others take it.
+func (m *Machine) leavesSlots(now time.Time, next *item, engines []*engine) bool {
+	blocked := now.Sub(next.waitingSince) >= memoryPatience
+	need, needed := memoryUse{}, false
+	for _, eng := range engines {
+		if !m.canRun(now, next, eng) {
 			continue
 		}
-		cost := candidate.cost(now, next) + isolationCost(suspicion, candidate)
-		if best == nil || cost < bestCost {
-			best, bestCost = candidate, cost
+		if !blocked {
+			return true
+		}
+		if !needed {
+			need, needed = m.memoryNeed(next), true
+		}
+		if eng.hasRoom(need) {
+			return true
 		}
 	}
-	return best
+	return false
 }
 
 // canRun reports whether an engine can take an item now.
@@ -121,24 +223,150 @@
 	return !e.unresponsiveAt.IsZero() && now.Sub(e.unresponsiveAt) < unresponsivePeriod
 }
 
-// occupancyWeight is the relative increase of the cost of an engine with all slots in use. It is
-// above the actual slowdown, so that engines of similar speed share the items, long ones included,
-// and below the difference to a slow engine.
-const occupancyWeight = 0.25
+// rate rates an engine for an item.
+func (e *engine) rate(now time.Time, next *item, need memoryUse, medianGap float64) candidate {
+	return e.rateBeside(now, next, need, medianGap, len(e.attempts), e.memory.expected)
+}
 
-// cost rates an engine for an item; lower is better.
-func (e *engine) cost(now time.Time, next *item) float64 {
-	cost := 1 + occupancyWeight*float64(len(e.attempts))/float64(max(e.slots, 1))
-	cost *= max(e.gap, minimumGap)
+// rateBeside is rate for a number of runs beside the item, which are predicted to need the given number of
+// events.
+func (e *engine) rateBeside(now time.Time, next *item, need memoryUse, medianGap float64, runs, expected int) candidate {
+	rated := candidate{engine: e}
 	if e.model != next.job.model {
-		cost += otherModelPenalty
+		rated.penalty += otherModelPenalty
 	}
 	if e.isUnresponsive(now) {
-		cost += unresponsivePenalty
+		rated.penalty += unresponsivePenalty
 	}
-	return cost
+	gap := e.gapAt(runs+1, medianGap)
+	// The delay of other runs leaves long runs few others beside them.
+	delay := float64(expected) * (gap - e.gapAt(runs, medianGap))
+	rated.seconds = e.readSeconds(next, need) + float64(need.expected)*gap + delay
+	return rated
+}
+
+// readSeconds predicts how long an engine reads the prompt and the text of an item.
+func (e *engine) readSeconds(next *item, need memoryUse) float64 {
+	tokens := need.events * e.tokensPerEvent
+	if !e.recentPrompts.has(next.promptKey()) {
+		tokens += need.prompt
+	}
+	return float64(tokens) / readTokensPerSecond
 }
 
 // minimumGap is the lower bound of the gap between events in costs, in seconds. It also stands for
 // an unknown gap.
 const minimumGap = 0.005
+
+// slotQueues are the predicted queues for slots at engines that are not slow.
+type slotQueues struct {
+	// at is when they were predicted.
+	at      time.Time
+	classes map[slotClass]*slotQueue
+}
+
+// slotClass identifies the items that wait for the same slots.
+type slotClass struct {
+	service, model string
+	minimum        int64
+}
+
+// slotQueue predicts when items that wait get the slots of a class.
+type slotQueue struct {
+	// releases holds the times until the slots become free for one more item, in ascending order and in
+	// seconds.
+	releases []float64
+	// gap is the mean gap of the engines in seconds.
+	gap float64
+	// waits holds the waits of the items that have joined the queue.
+	waits map[*batch.Item]float64
+}
+
+// wait returns the predicted time until an item gets a slot behind those that have joined the queue before.
+// It is infinite if the class has no slots.
+func (q *slotQueue) wait(next *item) float64 {
+	if known, joined := q.waits[next.source]; joined {
+		return known
+	}
+	if len(q.releases) == 0 {
+		return math.Inf(1)
+	}
+	return q.releases[0]
+}
+
+// join adds an item that needs the given number of events.
+func (q *slotQueue) join(next *item, remaining float64) {
+	if _, joined := q.waits[next.source]; joined || len(q.releases) == 0 {
+		return
+	}
+	wait := q.releases[0]
+	q.waits[next.source] = wait
+	q.releases = q.releases[1:]
+	release := wait + remaining*q.gap
+	at, _ := slices.BinarySearch(q.releases, release)
+	q.releases = slices.Insert(q.releases, at, release)
+}
+
+// slotQueuesLifetime is how long predicted queues are used: in a large fleet they take long to compute.
+const slotQueuesLifetime = 50 * time.Millisecond
+
+// slotQueueOf returns the queue for the slots that an item may get.
+func (m *Machine) slotQueueOf(now time.Time, next *item, medianGap float64) *slotQueue {
+	if m.slotQueues.classes == nil || now.Sub(m.slotQueues.at) >= slotQueuesLifetime {
+		m.slotQueues = slotQueues{at: now, classes: make(map[slotClass]*slotQueue)}
+	}
+	class := slotClass{service: next.service, model: next.job.model, minimum: next.job.minimum}
+	queue := m.slotQueues.classes[class]
+	if queue == nil {
+		queue = m.predictReleases(now, class, medianGap)
+		m.slotQueues.classes[class] = queue
+	}
+	return queue
+}
+
+// predictReleases predicts the ends of the runs at the engines of a class that are not slow.
+func (m *Machine) predictReleases(now time.Time, class slotClass, medianGap float64) *slotQueue {
+	queue := &slotQueue{gap: medianGap, waits: make(map[*batch.Item]float64)}
+	gaps := 0.0
+	for _, eng := range m.sortedEngines() {
+		if !eng.listed || eng.service != class.service || eng.model != class.model || eng.loading || eng.draining ||
+			eng.versions[class.model] < class.minimum || now.Before(eng.pausedUntil) || eng.isUnresponsive(now) || eng.wasSlow(medianGap) {
+			continue
+		}
+		gap := eng.gapAt(len(eng.attempts), medianGap)
+		for _, running := range eng.attempts {
+			gaps += gap
+			queue.releases = append(queue.releases, running.remainingSeconds(now, gap))
+		}
+	}
+	if len(queue.releases) > 0 {
+		queue.gap = gaps / float64(len(queue.releases))
+	}
+	slices.Sort(queue.releases)
+	return queue
+}
+
+// remainingSeconds predicts the time until a run ends, given the gap of its engine.
+func (a *attempt) remainingSeconds(now time.Time, gap float64) float64 {
+	if a.cancelled {
+		return 0
+	}
+	return max(float64(a.memory.expected)*gap-now.Sub(a.lastEventAt).Seconds(), 0)
+}
+
+// inputs returns the values that the choice of an engine was based on.
+func (m *Machine) inputs(now time.Time, next *item, chosen *engine) Inputs {
+	return Inputs{
+		Epoch:           m.options.Epoch,
+		Version:         chosen.versions[next.job.model],
+		Attempts:        len(chosen.attempts),
+		Gap:             seconds(chosen.gap),
+		ReadAge:         now.Sub(m.lastRead[next.job.partition]),
+		Slack:           next.slack(now),
+		Needed:          next.isNeeded(),
+		PredictedEvents: m.memoryNeed(next).expected,
+		MemoryInUse:     chosen.memory.inUse(chosen.tokensPerEvent),
+		MemoryExpected:  chosen.memory.total(chosen.tokensPerEvent),
+		MemoryCapacity:  chosen.memoryTokens,
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -49,7 +49,7 @@
 	m.route(opened)
 	for i := range results {
 		if recorded[i] != nil {
-			m.observeLength(opened, recorded[i], &results[i])
+			m.observeLength(recorded[i], &results[i])
 		}
 	}
 	m.observeStepTokens(accepted)
@@ -165,7 +165,7 @@
 	if recorded == nil {
 		return
 	}
-	m.observeLength(owner, recorded, result)
+	m.observeLength(recorded, result)
 	recorded.finished = true
 	owner.queue = slices.DeleteFunc(owner.queue, func(waiting *item) bool { return waiting.finished })
 	m.cancel(recorded.attempt)
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -45,10 +45,14 @@
 	recovered   map[int]map[string]*batch.Partial
 	recoveredAt time.Time
 
-	// lengths predicts the lengths of items by route.
+	// lengths predicts the lengths of items by the name of their route.
 	lengths *lengths.Estimator
 	// runningByTenant counts the running attempts of each tenant.
 	runningByTenant map[string]int
+	// slowdowns holds the effect of concurrent runs on the engines of each service.
+	slowdowns map[string]*slowdown
+	// slotQueues are the predicted queues for slots at the time of a recent decision that needed them.
+	slotQueues slotQueues
 
 	// suspicions holds the items that engines crashed under.
 	suspicions map[quarantine.Fingerprint]quarantine.Suspicion
@@ -84,6 +88,7 @@
 		recovered:       make(map[int]map[string]*batch.Partial),
 		lengths:         lengths.NewEstimator(),
 		runningByTenant: make(map[string]int),
+		slowdowns:       make(map[string]*slowdown),
 	}
 }
 
@@ -133,8 +138,9 @@
 		m.route(job)
 	}
 	for _, eng := range m.engines {
-		eng.warmUpRate = m.table.WarmUpRate(eng.service)
+		m.applyService(eng)
 	}
+	m.setTokensPerEvent()
 	m.schedule(now)
 }
 
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -39,8 +39,10 @@
 	if partial == nil {
 		return false
 	}
-	// A partial holds several events in one string. Split, they count as events in predictions.
-	waiting.text = strings.Split(joinLines(partial.Text), "\n")
+	if len(partial.Text) > 0 {
+		// A partial holds several events in one string. Split, they count as events in predictions.
+		waiting.text = strings.Split(joinLines(partial.Text), "\n")
+	}
 	waiting.lastID, waiting.versions = partial.LastID, partial.Versions
 	return partial.Complete
 }
--- a/internal/scheduler/retention.go
+++ b/internal/scheduler/retention.go
@@ -24,8 +24,8 @@
 	// result is set when the item's text is complete. It has no score if the job ended before the
 	// reward call was answered or made.
 	result *batch.Result
-	// observed is set if the length of the result was observed.
-	observed bool
+	// lengthObserved is set if the length of the result was observed.
+	lengthObserved bool
 	// reward is the call that returned the score of the result.
 	reward    *reward.Call
 	runUntil  time.Time
@@ -54,7 +54,7 @@
 			}
 			continue
 		case unfinished != nil && unfinished.result != nil:
-			entry.result = unfinished.result
+			entry.result, entry.lengthObserved = unfinished.result, unfinished.lengthObserved
 		case unfinished != nil && unfinished.textComplete:
 			entry.result = unfinished.unscoredResult()
 		case unfinished != nil:
@@ -62,7 +62,7 @@
 			entry.item = unfinished
 			entry.runUntil = now.Add(retainedRunTimeout)
 		case ended.results[id].Outcome == batch.OutcomeCompleted:
-			entry.result, entry.observed = ended.results[id], true
+			entry.result, entry.lengthObserved = ended.results[id], true
 		default:
 			continue
 		}
@@ -110,7 +110,7 @@
 // the same reward call.
 func (m *Machine) reuseResult(now time.Time, waiting *item, entry *retainedItem) {
 	waiting.text, waiting.versions = []string{entry.result.Text}, entry.result.Versions
-	waiting.reused = entry.observed
+	waiting.lengthObserved = entry.lengthObserved
 	if entry.result.Score != "" && entry.reward.Equal(waiting.source.Reward) {
 		m.recordCompleted(waiting, entry.result.Score)
 		return
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -56,8 +56,12 @@
 	Slack time.Duration
 	// Needed is set if the trainer waits for the item's group.
 	Needed bool
-	// PredictedEvents is the number of events that the item is predicted to need still.
-	PredictedEvents float64
+	// PredictedEvents is the predicted number of events that the item still needs.
+	PredictedEvents int
+	// MemoryInUse, MemoryExpected and MemoryCapacity are those of the engine without the item, in
+	// tokens. MemoryExpected includes what its runs are predicted to generate. MemoryCapacity is 0 if
+	// unknown.
+	MemoryInUse, MemoryExpected, MemoryCapacity int
 }
 
 // Server is the address of one incarnation of an engine.
@@ -78,6 +82,22 @@
 	Attempt AttemptID
 }
 
+// Move says why an attempt is cancelled to resume its item on another engine. Its Cancel is in the same
+// Output.
+type Move struct {
+	Attempt AttemptID
+	JobID   string
+	ItemID  string
+	From    Server
+	// To is the engine that the prediction is for. The item takes the best engine when its run has
+	// ended.
+	To Server
+	// PredictedEvents is the predicted number of events that the item still needs.
+	PredictedEvents int
+	// Gain is how much sooner the item is predicted to end, after the cost of the move.
+	Gain time.Duration
+}
+
 // LoadMode selects what happens to running requests during a load.
 type LoadMode int
 
@@ -102,8 +122,10 @@
 // Output holds the actions for the driver, to be carried out in this order.
 type Output struct {
 	Cancels []Cancel
-	Starts  []Start
-	Orders  []LoadOrder
+	// Moves explains some of the Cancels.
+	Moves  []Move
+	Starts []Start
+	Orders []LoadOrder
 	// Results are to be appended to the store.
 	Results []batch.Result
 	// Progress is to be appended to the store, in this order.
@@ -229,6 +251,8 @@
 	resubmitted bool
 	// fingerprint identifies the item in suspicions; zero until first needed.
 	fingerprint quarantine.Fingerprint
+	// promptHash identifies the prompt of the item's group; 0 until first needed.
+	promptHash uint64
 	// result is the result of an item that finished with OutcomeCompleted.
 	result *batch.Result
 	// waitingSince is when the item last entered its job's queue.
@@ -240,8 +264,9 @@
 	// startBy is the latest time at which a waiting item may start to end when its job is due; zero if
 	// it must be computed.
 	startBy time.Time
-	// reused items have the result of an earlier job, whose length was observed there.
-	reused bool
+	// lengthObserved is set when the length of the item's result was observed, which may have been in an
+	// earlier job.
+	lengthObserved bool
 }
 
 // unsaved holds the events of an item's run since its last saved progress.
@@ -310,6 +335,10 @@
 	// number of its events.
 	sampleStart  time.Time
 	sampleEvents int
+	// sampleRuns is the number of runs on the engine when the sample started.
+	sampleRuns int
+	// memory is what the run uses of the engine's memory.
+	memory memoryUse
 	// cancelled attempts accept no more events.
 	cancelled bool
 }
@@ -334,6 +363,8 @@
 	// loading is set while a load order is in progress, since loadStartedAt.
 	loading       bool
 	loadStartedAt time.Time
+	// loadEndedAt is when the result of the last load order was processed.
+	loadEndedAt time.Time
 	// concurrentAtStart is the number of loads in the service when this one started, including it.
 	concurrentAtStart int
 	// maxConcurrentLoads is the highest number of loads in the service since this one started.
@@ -343,8 +374,21 @@
 	unresponsiveAt time.Time
 	// gap is the smoothed time between two events in seconds, or 0 if unknown.
 	gap float64
+	// gapRuns is the smoothed number of concurrent runs that gap was measured at, or 0 if unknown.
+	gapRuns float64
 	// gapSampledAt is when the gap was last sampled.
 	gapSampledAt time.Time
+	// lastSample is the newest sample of the gap.
+	lastSample paceSample
+	// slowdown is that of the engine's service; nil stands for the initial one.
+	slowdown *slowdown
+	// memory is the sum over the attempts.
+	memory memoryUse
+	// memoryTokens is the memory's capacity in tokens, and tokensPerEvent the tokens that an event
+	// holds; 0 if unknown.
+	memoryTokens, tokensPerEvent int
+	// recentPrompts holds the prompts that the engine has read recently.
+	recentPrompts recentPrompts
 	// nextLoadAt is the earliest time of the next load order to this engine.
 	nextLoadAt time.Time
 }
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"dalehook/internal/batch"
@@ -103,27 +102,10 @@
 	return estimates[len(estimates)/2]
 }
 
-// predictedEvents returns the number of events that an item is predicted to need still.
-func (m *Machine) predictedEvents(subject *item) float64 {
-	route := ""
-	if subject.job.route != nil {
-		route = subject.job.route.Name
-	}
-	return m.lengths.Remaining(route, subject.source.Expected, len(subject.text))
-}
-
 // predictedSeconds returns the time for which an item is predicted to run on an engine of median speed.
 // medians holds the median gap between events of each service.
 func (m *Machine) predictedSeconds(subject *item, medians map[string]float64) float64 {
-	return m.predictedEvents(subject) * max(medians[subject.service], minimumGap)
-}
-
-// observeLength takes the length of a completed item from its result in the log.
-func (m *Machine) observeLength(owner *job, recorded *item, result *batch.Result) {
-	if owner.route == nil || recorded.reused || result.Outcome != batch.OutcomeCompleted || result.Text == "" {
-		return
-	}
-	m.lengths.Observe(owner.route.Name, recorded.source.Expected, strings.Count(result.Text, "\n")+1)
+	return m.remainingEvents(subject) * max(medians[subject.service], minimumGap)
 }
 
 // rank ranks the groups of a job and orders its waiting items.
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -341,8 +341,8 @@
 	again.ID = "k"
 	f.machine.HandleJob(f.now, 0, &again, nil)
 	for _, reused := range f.machine.jobs["k"].items {
-		if reused.reused != (reused.source.ID != "i-50") {
-			t.Errorf("item %s: reused %v", reused.source.ID, reused.reused)
+		if reused.lengthObserved != (reused.source.ID != "i-50") {
+			t.Errorf("item %s: length observed %v", reused.source.ID, reused.lengthObserved)
 		}
 	}
 }
