--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -106,3 +106,49 @@
 		})
 	}
 }
+
+// BenchmarkUnevenStep measures single steps of a machine with 9,998 listed engines, of which those in use are
+// full, half of them slow, and thousands of items wait: an end of a run, with the choice of the next item,
+// and a tick.
+func BenchmarkUnevenStep(b *testing.B) {
+	fleet := newBenchmarkFleet(9998)
+	m := fleet.machine
+	service := routetable.Service{Name: "pool", Models: benchModels, Slots: 8, MemoryTokens: 30_000, TokensPerEvent: 73}
+	m.HandleTable(fleet.now, routetable.NewTable(2, m.table.Routes, []routetable.Service{service}, routetable.Limits{}))
+	m.HandlePartitionRead(fleet.now, 0, fleet.now)
+	for number := range 4 * len(benchModels) {
+		model := benchModels[number%len(benchModels)]
+		job := &batch.Job{ID: fmt.Sprint(number), Host: "h", Path: "/" + model + "/j", Model: model, MinVersion: 1}
+		for i := range 1200 {
+			job.Items = append(job.Items, batch.Item{
+				ID: fmt.Sprintf("%d-%d", number, i), Path: "/" + model + "/i", Expected: 73 * (5 + i%100), Prompt: 276, Group: fmt.Sprint(number, ".", i/8),
+			})
+		}
+		m.HandleJob(fleet.now, 0, job, nil)
+	}
+	fleet.carryOut()
+	for i, eng := range m.sortedEngines() {
+		eng.gap, eng.gapRuns, eng.gapSampledAt = 0.05*float64(1+2*(i%2)), 8, fleet.now.Add(time.Hour)
+	}
+	b.Logf("%d engines in use, %d runs, %d waiting", len(m.engines), m.Running(), m.Waiting())
+	b.Run("end", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			// The item is queued again, so that the number of waiting items stays.
+			next := i % len(fleet.running)
+			m.HandleAttemptEnd(fleet.now, fleet.running[next], EndNotExecuted)
+			for _, start := range m.TakeOutput().Starts {
+				fleet.running = append(fleet.running, start.Attempt)
+			}
+			fleet.running[next] = fleet.running[len(fleet.running)-1]
+			fleet.running = fleet.running[:len(fleet.running)-1]
+		}
+	})
+	b.Run("tick", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			m.Tick(fleet.now)
+			m.TakeOutput()
+		}
+	})
+}
