Scheduler: samples that span a stall are dropped, and free engines are kept by ID

Cause: a stall of the coordinator's process made all engines look slow for a sample. The candidates for moves were sorted by gap at each tick, though the choice of an engine needs no order.

Change: a stall restarts the samples. Free engines are listed by ID with their lowest gap.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -197,6 +197,8 @@
 		}
 		running.excusedStall += excused
 		running.lastEventAt = running.lastEventAt.Add(excused)
+		// The gap that is being sampled includes the stall.
+		running.sampleStart = time.Time{}
 	}
 }
 
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Conditions for moving runs to faster engines.
 const (
@@ -35,7 +31,7 @@
 			waiting[job.model] = true
 		}
 	}
-	free := m.freeEnginesByGap(now)
+	free := m.freeEnginesByService(now)
 	if len(free) == 0 {
 		return
 	}
@@ -63,7 +59,7 @@
 		}
 		owner := running.item
 		medianGap := medians[owner.service]
-		target := m.moveTarget(now, running, free[owner.service], medianGap)
+		target := m.moveTarget(now, running, free[owner.service].engines, medianGap)
 		if target == nil || taken[target] {
 			continue
 		}
@@ -90,13 +86,10 @@
 }
 
 // runsOnSlower reports whether a run's engine is slower than a free one by enough for a move to gain
-// minMoveGainShare of the time that the run needs. The free engines are ordered by gap.
-func runsOnSlower(running *attempt, free []*engine) bool {
-	if len(free) == 0 {
-		return false
-	}
+// minMoveGainShare of the time that the run needs.
+func runsOnSlower(running *attempt, free *freeEngines) bool {
 	eng := running.engine
-	return free[0].gapAt(len(free[0].attempts)+1, 0) <= (1-minMoveGainShare)*eng.gapAt(len(eng.attempts), 0)
+	return free != nil && free.lowestGap <= (1-minMoveGainShare)*eng.gapAt(len(eng.attempts), 0)
 }
 
 // groupKey identifies a group of items of a job.
@@ -161,21 +154,30 @@
 	return running.remainingSeconds(now, eng.gapAt(len(eng.attempts), medianGap))
 }
 
-// freeEnginesByGap returns the responsive engines of each service with a known gap and a free
-// slot, fastest first.
-func (m *Machine) freeEnginesByGap(now time.Time) map[string][]*engine {
-	fastest := make(map[string][]*engine)
-	for _, eng := range m.sortedEngines() {
-		if eng.gap > 0 && len(eng.attempts) < eng.slots && !eng.isUnresponsive(now) {
-			fastest[eng.service] = append(fastest[eng.service], eng)
+// freeEngines are the responsive engines of a service with a known gap and a free slot, ordered by ID.
+type freeEngines struct {
+	engines []*engine
+	// lowestGap is the lowest gap that a run may get there, in seconds.
+	lowestGap float64
+}
+
+// freeEnginesByService returns the free engines of each service that has any.
+func (m *Machine) freeEnginesByService(now time.Time) map[string]*freeEngines {
+	free := make(map[string]*freeEngines)
+	for _, eng := range m.enginesWithSlots() {
+		if eng.gap == 0 || eng.isUnresponsive(now) {
+			continue
 		}
+		gap := eng.gapAt(len(eng.attempts)+1, 0)
+		known := free[eng.service]
+		if known == nil {
+			known = &freeEngines{lowestGap: gap}
+			free[eng.service] = known
+		}
+		known.engines = append(known.engines, eng)
+		known.lowestGap = min(known.lowestGap, gap)
 	}
-	for _, engines := range fastest {
-		slices.SortStableFunc(engines, func(a, b *engine) int {
-			return cmp.Compare(a.gapAt(len(a.attempts)+1, 0), b.gapAt(len(b.attempts)+1, 0))
-		})
-	}
-	return fastest
+	return free
 }
 
 // moveTarget returns the engine that a run's item would get if the run were cut now, or nil if that is the
