Scheduler: groups with a held item are not among the needed ones

Cause: an item that is held because it crashes engines keeps its group from becoming whole, and the group kept a place among the needed ones, so that another waited with the spare groups.

Change: such groups rank last, like those with an item that was given up, until the item is released.

--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -41,8 +41,9 @@
 	// resubmitted groups were in an earlier job, and their trainer is waiting for them.
 	resubmitted bool
 	started     bool
-	// dead groups have an item that was given up.
-	dead bool
+	// dead groups have an item that was given up, and held groups one that is held because it crashes
+	// engines.
+	dead, held bool
 	// needed groups are among those that the trainer waits for.
 	needed bool
 	// longest is the highest predicted number of seconds that an item of the group still runs.
@@ -153,7 +154,7 @@
 
 // measure predicts how long the items of a group still run.
 func (m *Machine) measure(subject *group, medians map[string]float64) {
-	subject.longest = 0
+	subject.longest, subject.held = 0, false
 	unfinished := subject.items[:0]
 	for _, member := range subject.items {
 		if member.job.items[member.source.ID] != member {
@@ -164,6 +165,7 @@
 		unfinished = append(unfinished, member)
 		subject.started = subject.started || member.attempt != nil || member.finished || len(member.text) > 0
 		if !member.finished && !member.textComplete {
+			subject.held = subject.held || m.suspicion(member).Held
 			subject.longest = max(subject.longest, m.predictedSeconds(member, medians))
 		}
 	}
@@ -174,8 +176,8 @@
 // rankKey orders the groups of a job that were not resubmitted.
 func (g *group) rankKey() float64 {
 	switch {
-	case g.dead:
-		return math.Inf(1) // the group can't become whole
+	case g.dead || g.held:
+		return math.Inf(1) // the group can't become whole, or not soon
 	case g.needed && g.started:
 		return g.longest / startedGroupMargin
 	}
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"dalehook/internal/batch"
+	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
 )
 
@@ -388,3 +389,29 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a group that keeps its place among the needed ones although it can't become whole: an
+// item was given up, or is held.
+func TestGroupsThatCanNotBecomeWholeAreSpare(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		spoil func(f urgencyFixture)
+	}{
+		{"dead", func(f urgencyFixture) {
+			f.machine.HandleResult(f.now, &batch.Result{JobID: "j", ItemID: "j-1", Outcome: batch.OutcomeDead})
+		}},
+		{"held", func(f urgencyFixture) {
+			fingerprint := ItemFingerprint("", "h", f.machine.jobs["j"].items["j-1"].source)
+			f.machine.HandleSuspicions(f.now, map[quarantine.Fingerprint]quarantine.Suspicion{fingerprint: {Ends: 3, Held: true}})
+		}},
+	} {
+		f := newUrgencyFixture(t, 1)
+		f.fill("", 1)
+		first := member("j-1", "a", 10)
+		first.Path = "/p/spoiled"
+		f.post(&batch.Job{ID: "j", WantedGroups: 1, Items: []batch.Item{first, member("j-2", "a", 10), member("j-other", "b", 12)}})
+		test.spoil(f)
+		f.advance(rankInterval)
+		f.wantStarts(test.name, 2, "j-other")
+	}
+}
