--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -81,7 +81,7 @@
 
 func isMovable(now time.Time, running *attempt) bool {
 	owner := running.item
-	return !running.cancelled && !owner.finished && !owner.retained && owner.job.route != nil && owner.job.route.Resumable &&
+	return !running.cancelled && !owner.finished && !owner.retained && owner.job.route != nil && owner.job.route.Resumable && owner.isNeeded() &&
 		running.events >= minEventsBeforeMove && !running.engine.loading && now.Sub(owner.movedAt) >= minMoveInterval
 }
 
