Scheduler: an engine is reserved for an overdue item that waits for memory

Cause: an item that had waited long for memory kept only later items of its own job from taking it. Items of later jobs went on to take what became free, beyond the result deadline of the item.

Change: for the first overdue item of a service that no engine has room for, the engine whose runs will use the least takes no other items. The state of a pass over the waiting items has a type of its own.

Result: TestItemsOfLaterJobsDoNotTakeMemoryFromOverdueOne fails without the reservation.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -35,20 +35,31 @@
 	engines := m.sortedEngines()
 	medians := medianGaps(engines)
 	m.rankStale(now, urgent, medians)
-	m.startInOrder(now, waiting, enginesThatTakeItems(now, engines), medians)
+	m.startInOrder(now, waiting, &startRound{
+		engines: enginesThatTakeItems(now, engines), medians: medians, reserved: make(map[string]bool),
+	})
+}
+
+// startRound is the state of one pass over the waiting items of all jobs.
+type startRound struct {
+	// engines are those that took items at the start of the round, without reserved ones.
+	engines []*engine
+	// medians holds the median gap between events of each service.
+	medians map[string]float64
+	// reserved holds the services with a reserved engine.
+	reserved map[string]bool
 }
 
-// startInOrder starts the waiting items of jobs at the engines, until these are full or suit no more
-// items. medians holds the median gap between events of each service.
-func (m *Machine) startInOrder(now time.Time, waiting []*job, engines []*engine, medians map[string]float64) {
-	slots := freeSlots(engines)
+// startInOrder starts the waiting items of jobs until the engines are full or suit no more items.
+func (m *Machine) startInOrder(now time.Time, waiting []*job, round *startRound) {
+	slots := freeSlots(round.engines)
 	if slots == 0 {
 		return
 	}
 	cursors := make([]*cursor, 0, len(waiting))
 	for _, job := range waiting {
 		if job.hasUrgency() {
-			m.orderQueue(job, medians)
+			m.orderQueue(job, round.medians)
 		}
 		cursors = append(cursors, newCursor(now, job))
 	}
@@ -57,7 +68,7 @@
 		if next == nil {
 			break
 		}
-		if m.startNext(now, next, engines, medians[next.head.service]) {
+		if m.startNext(now, next, round) {
 			slots--
 		}
 	}
@@ -88,11 +99,10 @@
 }
 
 // startNext starts the next item of a job if an engine suits it; otherwise the item stays in the queue.
-// It reports whether the item started. engines are those that took items at the start of the step.
-// medianGap is the median gap between events of the item's service, or 0 if unknown.
-func (m *Machine) startNext(now time.Time, position *cursor, engines []*engine, medianGap float64) bool {
+// It reports whether the item started.
+func (m *Machine) startNext(now time.Time, position *cursor, round *startRound) bool {
 	next, owner := position.head, position.job
-	chosen := m.chooseOrRestart(now, next, engines, medianGap)
+	chosen := m.chooseOrRestart(now, next, round.engines, round.medians[next.service])
 	if chosen != nil {
 		m.startAttempt(now, next, chosen)
 		position.advance(now, false)
@@ -104,12 +114,48 @@
 		return false
 	}
 	position.passedOver++
-	if position.passedOver >= maxPassedOver || !m.leavesSlots(now, next, engines) {
+	if position.passedOver >= maxPassedOver || !m.leavesSlots(now, next, round) {
 		position.head = nil
 	}
 	return false
 }
 
+// leavesSlots reports whether engines have slots that an item without an engine leaves to later items of its
+// job: slow ones that are worth waiting for, or ones without memory for it. An item that has waited long for
+// memory does not let others of its job take it. If it is overdue, the engine whose runs will use the least is
+// reserved for it instead, so that items of later jobs do not take the memory either.
+func (m *Machine) leavesSlots(now time.Time, next *item, round *startRound) bool {
+	canRun := func(candidate *engine) bool { return m.canRun(now, next, candidate) }
+	if now.Sub(next.waitingSince) < memoryPatience {
+		return slices.ContainsFunc(round.engines, canRun)
+	}
+	need := m.memoryNeed(next)
+	var least *engine
+	for _, candidate := range round.engines {
+		switch {
+		case !canRun(candidate):
+		case candidate.hasRoom(need):
+			return true
+		case least == nil || candidate.expectedShare() < least.expectedShare():
+			least = candidate
+		}
+	}
+	if least == nil || !next.job.hasUrgency() || !next.job.isOverdue(now) {
+		return false
+	}
+	round.reserve(least)
+	return true
+}
+
+// reserve keeps an engine from taking items in this round, unless one of its service is reserved already: for
+// the first item that needs it.
+func (r *startRound) reserve(reserved *engine) {
+	if !r.reserved[reserved.service] {
+		r.reserved[reserved.service] = true
+		r.engines = slices.DeleteFunc(r.engines, func(candidate *engine) bool { return candidate == reserved })
+	}
+}
+
 // isFresh reports whether a partition was read recently enough to start items of its jobs. It
 // bounds the work done for jobs that have already ended.
 func (m *Machine) isFresh(now time.Time, partition int) bool {
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -166,29 +166,6 @@
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
-// leavesSlots reports whether engines have slots that an item without an engine leaves to later items:
-// slow ones that are worth waiting for, or ones without memory for it. An item that has waited long
-// for memory does not let others take it.
-func (m *Machine) leavesSlots(now time.Time, next *item, engines []*engine) bool {
-	blocked := now.Sub(next.waitingSince) >= memoryPatience
-	need, needed := memoryUse{}, false
-	for _, eng := range engines {
-		if !m.canRun(now, next, eng) {
-			continue
-		}
-		if !blocked {
-			return true
-		}
-		if !needed {
-			need, needed = m.memoryNeed(next), true
-		}
-		if eng.hasRoom(need) {
-			return true
-		}
-	}
-	return false
-}
-
 // canRun reports whether an engine can take an item now.
 func (m *Machine) canRun(now time.Time, next *item, candidate *engine) bool {
 	if !candidate.listed || candidate.service != next.service || candidate.loading || candidate.draining {
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,3 +256,50 @@
 		f.end(start.Attempt, EndCompleted)
 	}
 }
+
+// Guards against an overdue item that waits for memory longer than items of later jobs, which need less and
+// take what becomes free. Other engines go on to take these items.
+func TestItemsOfLaterJobsDoNotTakeMemoryFromOverdueOne(t *testing.T) {
+	f := newMemoryFixture(t, "a", "b")
+	f.machine.table.Routes[0].ResultDeadline = testDeadline
+	f.configureMemory(10_000)
+	f.machine.options.StallTimeout = time.Hour
+	post := func(id string, lengths ...int) {
+		job := &batch.Job{ID: id, Host: "h", Path: "/p/x", Model: "m", WantedGroups: 1}
+		for i, length := range lengths {
+			job.Items = append(job.Items, batch.Item{
+				ID: fmt.Sprint(id, "-", i), Path: "/p/x", Expected: length * 100, Prompt: 500, Group: "g",
+			})
+		}
+		f.machine.HandleJob(f.now, 0, job, nil)
+		f.take()
+	}
+	post("i", 60, 60)
+	for number := range 55 {
+		for _, start := range f.starts {
+			f.event(start.Attempt, fmt.Sprint(number), 1)
+		}
+	}
+	post("j", 90)
+	f.advance(testDeadline)
+	post("k", 5, 5, 5, 5)
+	if got := f.startedItems(); len(got) == 2 || slices.Contains(got, "j-0") {
+		t.Fatalf("started %v, want short items on one of the engines", got)
+	}
+	engines := f.startsByEngine()
+	for id, items := range engines {
+		if len(items) == 1 {
+			for _, start := range f.starts {
+				if start.Server.ID == id {
+					f.end(start.Attempt, EndCompleted)
+				}
+			}
+			f.advance(time.Millisecond)
+			if got := f.startsByEngine(); !slices.Contains(got[id], "j-0") {
+				t.Errorf("engines run %v, want the overdue item on %s, which became free", got, id)
+			}
+			return
+		}
+	}
+	t.Errorf("engines run %v: later items took the memory of both", engines)
+}
