--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -135,7 +135,6 @@
 	var ranked []*group
 	for _, subject := range owner.groups {
 		m.measure(subject, medians)
-		subject.needed = subject.needed && !subject.resubmitted
 		if subject.resubmitted {
 			subject.needed = true
 			needed--
