Scheduler: a move is ruled out before its target is looked for

Change: a run that could not gain enough on the fastest free engine, or whose group has another item that ends as late, is passed over first.

Result: go test ./internal/scheduler passes.

--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -59,13 +59,19 @@
 		}
 		owner := running.item
 		medianGap := medians[owner.service]
-		target := m.moveTarget(now, running, free[owner.service].engines, medianGap)
+		stay := m.predictEnd(now, running, medianGap)
+		enough := max(minMoveGain, minMoveGainShare*stay)
+		others := ends[groupOf(owner)].without(owner)
+		available := free[owner.service]
+		if stay-max(moveSeconds+float64(running.memory.expected)*available.lowestGap, others) < enough {
+			continue
+		}
+		target := m.moveTarget(now, running, available.engines, medianGap)
 		if target == nil || taken[target] {
 			continue
 		}
-		others := ends[groupOf(owner)].without(owner)
-		gain := m.moveGain(now, running, target, others, medianGap)
-		if gain < max(minMoveGain, minMoveGainShare*m.predictEnd(now, running, medianGap)) {
+		gain := stay - max(moveEnd(running, target, medianGap), others)
+		if gain < enough {
 			continue
 		}
 		taken[target] = true
@@ -200,10 +206,8 @@
 	return target
 }
 
-// moveGain returns how much sooner a run's item is predicted to be of use if it moves, in seconds. others is
-// the predicted end of the other items of its group.
-func (m *Machine) moveGain(now time.Time, running *attempt, target *engine, others, medianGap float64) float64 {
-	move := moveSeconds + target.readSeconds(running.item, running.memory) +
+// moveEnd predicts the time until a run's item ends if it moves, in seconds.
+func moveEnd(running *attempt, target *engine, medianGap float64) float64 {
+	return moveSeconds + target.readSeconds(running.item, running.memory) +
 		float64(running.memory.expected)*target.gapAt(len(target.attempts)+1, medianGap)
-	return m.predictEnd(now, running, medianGap) - max(move, others)
 }
