Scheduler: list engines with slots only when items wait

Cause: the list was built at each end of a run and each result, also when nothing waited: 6,756 instead of 4,696 allocations in a second of BenchmarkSecond/300.

Result: 4,887 allocations; go test ./internal/scheduler passes.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -17,16 +17,16 @@
 	if m.stopped {
 		return
 	}
-	engines := m.enginesWithSlots()
-	if len(engines) == 0 {
-		return
-	}
+	var engines []*engine
 	var medians map[string]float64
 	for _, job := range m.sortedJobs() {
 		if len(job.queue) == 0 {
 			continue
 		}
 		if medians == nil {
+			if engines = m.enginesWithSlots(); len(engines) == 0 {
+				return
+			}
 			medians = medianGaps(m.sortedEngines())
 		}
 		m.startItems(now, job, engines, medians)
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -170,8 +170,8 @@
 // freeEnginesByService returns the free engines of each service that has any.
 func (m *Machine) freeEnginesByService(now time.Time) map[string]*freeEngines {
 	free := make(map[string]*freeEngines)
-	for _, eng := range m.enginesWithSlots() {
-		if eng.gap == 0 || eng.isUnresponsive(now) {
+	for _, eng := range m.sortedEngines() {
+		if eng.gap == 0 || len(eng.attempts) >= eng.slots || eng.isUnresponsive(now) {
 			continue
 		}
 		gap := eng.gapAt(len(eng.attempts)+1, 0)
