--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -21,8 +21,8 @@
 	minMoveGainShare = 0.25
 )
 
-// moveToFaster moves runs to engines with free slots where they are predicted to end much sooner, when no
-// items of their model wait. A run resumes after its last event, which costs a new connection and reading
+// moveToFaster moves runs of needed items to engines with free slots where they are predicted to end much
+// sooner, when no items of their model wait. A run resumes after its last event, which costs a new connection and reading
 // its prompt and text again.
 func (m *Machine) moveToFaster(now time.Time) {
 	waiting := make(map[string]bool)
@@ -59,13 +59,19 @@
 		}
 		owner := running.item
 		medianGap := medians[owner.service]
-		target := m.moveTarget(now, running, free[owner.service].engines, medianGap)
+		stay := m.predictEnd(now, running, medianGap)
+		enough := max(minMoveGain, minMoveGainShare*stay)
+		others := ends[groupOf(owner)].without(owner)
+		available := free[owner.service]
+		if stay-max(moveSeconds+float64(running.memory.expected)*available.lowestGap, others) < enough {
+			continue
+		}
+		target := m.moveTarget(now, running, available.engines, medianGap)
 		if target == nil || taken[target] {
 			continue
 		}
-		others := ends[groupOf(owner)].without(owner)
-		gain := m.moveGain(now, running, target, others, medianGap)
-		if gain < max(minMoveGain, minMoveGainShare*m.predictEnd(now, running, medianGap)) {
+		gain := stay - max(moveEnd(running, target, medianGap), others)
+		if gain < enough {
 			continue
 		}
 		taken[target] = true
@@ -81,8 +87,11 @@
 
 func isMovable(now time.Time, running *attempt) bool {
 	owner := running.item
-	return !running.cancelled && !owner.finished && !owner.retained && owner.job.route != nil && owner.job.route.Resumable && owner.isNeeded() &&
-		running.events >= minEventsBeforeMove && !running.engine.loading && now.Sub(owner.movedAt) >= minMoveInterval
+	if running.cancelled || owner.finished || owner.retained || owner.job.route == nil || !owner.job.route.Resumable {
+		return false
+	}
+	return owner.isNeeded() && running.events >= minEventsBeforeMove && !running.engine.loading &&
+		now.Sub(owner.movedAt) >= minMoveInterval
 }
 
 // runsOnSlower reports whether a run's engine is slower than a free one by enough for a move to gain
@@ -164,8 +173,8 @@
 // freeEnginesByService returns the free engines of each service that has any.
 func (m *Machine) freeEnginesByService(now time.Time) map[string]*freeEngines {
 	free := make(map[string]*freeEngines)
-	for _, eng := range m.enginesWithSlots() {
-		if eng.gap == 0 || eng.isUnresponsive(now) {
+	for _, eng := range m.sortedEngines() {
+		if eng.gap == 0 || len(eng.attempts) >= eng.slots || eng.isUnresponsive(now) {
 			continue
 		}
 		gap := eng.gapAt(len(eng.attempts)+1, 0)
@@ -200,10 +209,8 @@
 	return target
 }
 
-// moveGain returns how much sooner a run's item is predicted to be of use if it moves, in seconds. others is
-// the predicted end of the other items of its group.
-func (m *Machine) moveGain(now time.Time, running *attempt, target *engine, others, medianGap float64) float64 {
-	move := moveSeconds + target.readSeconds(running.item, running.memory) +
+// moveEnd predicts the time until a run's item ends if it moves, in seconds.
+func moveEnd(running *attempt, target *engine, medianGap float64) float64 {
+	return moveSeconds + target.readSeconds(running.item, running.memory) +
 		float64(running.memory.expected)*target.gapAt(len(target.attempts)+1, medianGap)
-	return m.predictEnd(now, running, medianGap) - max(move, others)
 }
