--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -33,6 +33,7 @@
 	owner.refusals = 0
 	running.engine.versions[owner.job.model] = max(running.engine.versions[owner.job.model], event.Version)
 	owner.text = append(owner.text, event.Data)
+	m.recordGrowth(running)
 	owner.lastID = event.ID
 	owner.versions = batch.MergeVersions(owner.versions, []int64{event.Version})
 	owner.unsaved.text = append(owner.unsaved.text, event.Data)
@@ -49,41 +50,13 @@
 	i.unsaved = unsaved{}
 }
 
-// The event gap of an engine is sampled over several events of a run, since delayed events arrive
-// in bursts.
-const (
-	// A sample is complete after gapSampleEvents events, or after gapSampleTime with at least
-	// minGapSampleEvents events.
-	gapSampleEvents    = 8
-	minGapSampleEvents = 3
-	gapSampleTime      = 300 * time.Millisecond
-	// gapSmoothing is the weight of the newest sample. A larger one adapts to an engine's speed faster,
-	// but lets single late events move items.
-	gapSmoothing = 0.35
-)
-
-// observe records an event of a run and samples the engine's event gap.
+// observe records an event of a run.
 func (a *attempt) observe(now time.Time) {
 	a.events++
 	a.lastEventAt = now
 	a.excusedStall = 0
 	a.engine.unresponsiveAt = time.Time{}
-	if a.sampleStart.IsZero() {
-		a.sampleStart = now
-		return
-	}
-	a.sampleEvents++
-	elapsed := now.Sub(a.sampleStart)
-	if a.sampleEvents < gapSampleEvents && (a.sampleEvents < minGapSampleEvents || elapsed < gapSampleTime) {
-		return
-	}
-	gap := elapsed.Seconds() / float64(a.sampleEvents)
-	if a.engine.gap == 0 {
-		a.engine.gap = gap
-	}
-	a.engine.gap += gapSmoothing * (gap - a.engine.gap)
-	a.engine.gapSampledAt = now
-	a.sampleStart, a.sampleEvents = now, 0
+	a.samplePace(now)
 }
 
 // HandleAttemptEnd processes the end of an attempt.
@@ -94,7 +67,9 @@
 	}
 	delete(m.attempts, id)
 	delete(ended.engine.attempts, id)
+	ended.engine.memory.remove(ended.memory)
 	owner := ended.item
+	m.countRunning(owner.job.tenant, -1)
 	if reason != EndCompleted || ended.cancelled {
 		m.save(now, ended)
 	}
@@ -156,9 +131,10 @@
 const maxRefusalsInFront = 3
 
 // requeue queues an item again: before items that have not started yet, or last after several
-// consecutive refusals. An item that no engine ever accepts would otherwise get every slot that
-// becomes free.
+// consecutive refusals. An item that no engine ever accepts would otherwise get every slot that becomes
+// free. Jobs that are ordered by slack are ordered again before the next start.
 func (i *item) requeue() {
+	i.startBy, i.job.queueDirty = time.Time{}, true
 	if i.refusals > maxRefusalsInFront {
 		i.job.queue = append(i.job.queue, i)
 		return
@@ -181,6 +157,7 @@
 // recordCompleted records the result of an item with its text and its score, if any.
 func (m *Machine) recordCompleted(owner *item, score string) {
 	owner.result = owner.unscoredResult()
+	m.observeLength(owner, owner.result)
 	owner.result.Score = score
 	owner.finished = true
 	owner.text = nil
@@ -218,6 +195,8 @@
 		}
 		running.excusedStall += excused
 		running.lastEventAt = running.lastEventAt.Add(excused)
+		// The gap that is being sampled includes the stall.
+		running.sampleStart = time.Time{}
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/urgency.go
@@ -0,0 +1,380 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"dalehook/internal/batch"
+)
+
+// The order of waiting items addresses batch jobs that ask for more than the engines can run. Jobs of
+// routes with a result deadline and with a number of wanted groups are ordered by slack; all others keep
+// the order of arrival.
+
+const (
+	// rankInterval is the time after which the groups of a job are ranked again, and the slack of its
+	// items is computed again.
+	rankInterval = 100 * time.Millisecond
+	// maxRankedItems bounds the items whose jobs are ranked again in one step because rankInterval has
+	// passed. The other jobs follow in later steps.
+	maxRankedItems = 1000
+	// startedGroupMargin is how many times longer than another a needed group with started items must be
+	// to lose its place to the other. It keeps groups from trading places with each changed prediction.
+	startedGroupMargin = 1.5
+	// longEstimateFactor is how many times the median estimate of its job an item's estimate must be for
+	// the item to count as long.
+	longEstimateFactor = 2
+	// tenantWindow is the difference in slack within which the share of the tenants decides.
+	tenantWindow = 500 * time.Millisecond
+	// maxPassedOver bounds the items of a job that are passed over in one step because no engine with a
+	// free slot suits them. Other items may suit one.
+	maxPassedOver = 16
+)
+
+// group is the state of the items of a job that share a prompt.
+type group struct {
+	// items are the items of the group that had no result in the log when the group was last ranked.
+	items []*item
+	// resubmitted groups were in an earlier job, and their trainer is waiting for them.
+	resubmitted bool
+	started     bool
+	// dead groups have an item that was given up, and held groups one that is held because it crashes
+	// engines.
+	dead, held bool
+	// needed groups are among those that the trainer waits for.
+	needed bool
+	// longest is the highest predicted number of seconds that an item of the group still runs.
+	longest float64
+}
+
+// hasUrgency reports whether the items of the job are ordered by slack. Items of other jobs keep the
+// order of arrival.
+func (j *job) hasUrgency() bool {
+	return j.route != nil && j.route.ResultDeadline > 0 && j.wantedGroups > 0
+}
+
+// setDue sets when the job is due. acceptedAt is replaced by the time of reading if it can't be right:
+// the clocks of machines may differ or jump.
+func (j *job) setDue() {
+	if !j.acceptedAtChecked {
+		j.acceptedAtChecked = true
+		if j.acceptedAt.After(j.receivedAt) || j.receivedAt.Sub(j.acceptedAt) > j.route.ItemLifetime {
+			j.acceptedAt = j.receivedAt
+		}
+	}
+	j.dueAt = j.acceptedAt.Add(j.route.ResultDeadline)
+}
+
+// isOverdue reports whether the job's items have waited for the result deadline. They then precede the
+// items of all later jobs, so that none starves.
+func (j *job) isOverdue(now time.Time) bool { return !now.Before(j.dueAt) }
+
+// precedes reports whether a job was accepted before another. It is the same for a successor, which
+// reads the partitions in another order, as far as both jobs have the time at which they were accepted.
+func (j *job) precedes(other *job) bool {
+	if j.hasUrgency() && other.hasUrgency() {
+		return cmp.Or(j.acceptedAt.Compare(other.acceptedAt), cmp.Compare(j.id, other.id)) < 0
+	}
+	return j.arrival < other.arrival
+}
+
+// isNeeded reports whether an item's trainer waits for its group.
+func (i *item) isNeeded() bool { return i.group == nil || i.group.needed || !i.job.hasUrgency() }
+
+// isLong reports whether the caller expects the item to be much longer than others of its job.
+func (i *item) isLong() bool {
+	return float64(i.source.Expected) > longEstimateFactor*float64(i.job.medianEstimate)
+}
+
+// medianEstimate returns the median of the callers' estimates of the items, or 0 if there are none.
+func medianEstimate(items []batch.Item) int {
+	var estimates []int
+	for i := range items {
+		if items[i].Expected > 0 {
+			estimates = append(estimates, items[i].Expected)
+		}
+	}
+	if len(estimates) == 0 {
+		return 0
+	}
+	slices.Sort(estimates)
+	return estimates[len(estimates)/2]
+}
+
+// predictedSeconds returns the time for which an item is predicted to run on an engine of median speed.
+// medians holds the median gap between events of each service.
+func (m *Machine) predictedSeconds(subject *item, medians map[string]float64) float64 {
+	return m.remainingEvents(subject) * max(medians[subject.service], minimumGap)
+}
+
+// rank ranks the groups of a job and orders its waiting items.
+func (m *Machine) rank(now time.Time, owner *job, medians map[string]float64) {
+	owner.rankedAt = now
+	owner.queueDirty = true
+	needed := owner.wantedGroups
+	var ranked []*group
+	for _, subject := range owner.groups {
+		m.measure(subject, medians)
+		if subject.resubmitted {
+			subject.needed = true
+			needed--
+			continue
+		}
+		ranked = append(ranked, subject)
+	}
+	slices.SortStableFunc(ranked, func(a, b *group) int { return cmp.Compare(a.rankKey(), b.rankKey()) })
+	for at, subject := range ranked {
+		subject.needed = at < needed
+	}
+	for _, waiting := range owner.queue {
+		waiting.startBy = time.Time{}
+	}
+}
+
+// measure predicts how long the items of a group still run.
+func (m *Machine) measure(subject *group, medians map[string]float64) {
+	subject.longest, subject.held = 0, false
+	unfinished := subject.items[:0]
+	for _, member := range subject.items {
+		if member.job.items[member.source.ID] != member {
+			subject.started = true
+			subject.dead = subject.dead || member.job.results[member.source.ID].Outcome == batch.OutcomeDead
+			continue
+		}
+		unfinished = append(unfinished, member)
+		subject.started = subject.started || member.attempt != nil || member.finished || len(member.text) > 0
+		if !member.finished && !member.textComplete {
+			subject.held = subject.held || m.suspicion(member).Held
+			subject.longest = max(subject.longest, m.predictedSeconds(member, medians))
+		}
+	}
+	clear(subject.items[len(unfinished):])
+	subject.items = unfinished
+}
+
+// rankKey orders the groups of a job that were not resubmitted.
+func (g *group) rankKey() float64 {
+	switch {
+	case g.dead || g.held:
+		return math.Inf(1) // the group can't become whole, or not soon
+	case g.needed && g.started:
+		return g.longest / startedGroupMargin
+	}
+	return g.longest
+}
+
+// isRankStale reports whether the groups of a job were not ranked recently.
+func (j *job) isRankStale(now time.Time) bool { return now.Sub(j.rankedAt) >= rankInterval }
+
+// rankStale ranks the jobs that were not ranked recently: new ones at once, and others as far as
+// maxRankedItems allows, those ranked longest ago first.
+func (m *Machine) rankStale(now time.Time, jobs []*job, medians map[string]float64) {
+	var stale []*job
+	for _, candidate := range jobs {
+		if candidate.rankedAt.IsZero() {
+			m.rank(now, candidate, medians)
+		} else if candidate.isRankStale(now) {
+			stale = append(stale, candidate)
+		}
+	}
+	slices.SortStableFunc(stale, func(a, b *job) int { return a.rankedAt.Compare(b.rankedAt) })
+	ranked := 0
+	for _, candidate := range stale {
+		if ranked >= maxRankedItems {
+			return
+		}
+		ranked += len(candidate.items)
+		m.rank(now, candidate, medians)
+	}
+}
+
+// orderQueue orders the waiting items of a job after a change: those of needed groups first, then by
+// the latest time at which they may start.
+func (m *Machine) orderQueue(owner *job, medians map[string]float64) {
+	if !owner.queueDirty {
+		return
+	}
+	owner.queueDirty = false
+	for _, waiting := range owner.queue {
+		if waiting.startBy.IsZero() {
+			waiting.startBy = m.latestStart(waiting, medians)
+		}
+	}
+	slices.SortStableFunc(owner.queue, func(a, b *item) int {
+		return cmp.Or(cmp.Compare(a.class(), b.class()), a.startBy.Compare(b.startBy))
+	})
+}
+
+// latestStart returns the latest time at which an item of a job with a due time may start.
+func (m *Machine) latestStart(waiting *item, medians map[string]float64) time.Time {
+	// A head start of more than the deadline would let items of jobs that are not accepted yet precede
+	// this one.
+	run := min(m.predictedSeconds(waiting, medians), waiting.job.route.ResultDeadline.Seconds())
+	return waiting.job.dueAt.Add(-time.Duration(run * float64(time.Second)))
+}
+
+// class is the first criterion in the order of waiting items; lower starts first.
+type class int
+
+const (
+	// classOverdue items are those of overdue jobs.
+	classOverdue class = iota
+	classNeeded
+	// classSpare items belong to groups beyond the wanted number and are not long.
+	classSpare
+	// classRefused items were refused by several engines in succession.
+	classRefused
+)
+
+// class returns the class of an item within its job.
+func (i *item) class() class {
+	switch {
+	case i.refusals > maxRefusalsInFront:
+		return classRefused
+	case i.isNeeded(), i.isLong():
+		// A spare group that does not become whole comes again in the next job, where it is needed. Its
+		// long items would decide when that job ends if they had no head start.
+		return classNeeded
+	}
+	return classSpare
+}
+
+// cursor is the position in the queue of a job from which its next item starts.
+type cursor struct {
+	job *job
+	// head is the next item, at index next, and class its class among the items of all jobs. head is
+	// nil if no item is left or no engine has a free slot for the job.
+	head  *item
+	class class
+	next  int
+	// kept holds the items before next that stay in the queue. It shares the queue's array.
+	kept []*item
+	// passedOver counts the items that no engine with a free slot suits.
+	passedOver int
+}
+
+// newCursor returns a cursor at the first waiting item of a job.
+func newCursor(now time.Time, owner *job) *cursor {
+	position := &cursor{job: owner, kept: owner.queue[:0]}
+	position.settle(now)
+	return position
+}
+
+// advance moves the cursor to the next item. The current one stays in the queue if kept is set.
+func (c *cursor) advance(now time.Time, kept bool) {
+	if kept {
+		c.kept = append(c.kept, c.job.queue[c.next])
+	}
+	c.next++
+	c.settle(now)
+}
+
+// settle sets the head from the index of the next item, and skips finished items.
+func (c *cursor) settle(now time.Time) {
+	c.head = nil
+	for c.next < len(c.job.queue) && c.job.queue[c.next].finished {
+		c.next++
+	}
+	if c.next == len(c.job.queue) {
+		return
+	}
+	c.head = c.job.queue[c.next]
+	if c.job.hasUrgency() {
+		c.class = c.head.class()
+		if c.job.isOverdue(now) {
+			c.class = classOverdue
+		}
+	}
+}
+
+// close removes the items that have started or finished from the queue.
+func (c *cursor) close() {
+	queue := c.job.queue
+	kept := append(c.kept, queue[c.next:]...)
+	clear(queue[len(kept):])
+	c.job.queue = kept
+}
+
+// nextCursor returns the cursor whose next item starts first, or nil if no items wait. cursors are in
+// order of arrival.
+func (m *Machine) nextCursor(cursors []*cursor) *cursor {
+	var arrived, urgent *cursor
+	for _, candidate := range cursors {
+		switch {
+		case candidate.head == nil:
+		case !candidate.job.hasUrgency():
+			if arrived == nil {
+				arrived = candidate
+			}
+		case urgent == nil || candidate.goesBefore(urgent):
+			urgent = candidate
+		}
+	}
+	if urgent == nil || arrived != nil && arrived.job.arrival < urgent.job.arrival {
+		return arrived
+	}
+	return m.shareAmongTenants(cursors, urgent)
+}
+
+// goesBefore reports whether the next item of a job starts before that of another.
+func (c *cursor) goesBefore(other *cursor) bool {
+	if c.class != other.class {
+		return c.class < other.class
+	}
+	if order := c.head.startBy.Compare(other.head.startBy); order != 0 && c.class != classOverdue {
+		return order < 0
+	}
+	return c.job.precedes(other.job)
+}
+
+// shareAmongTenants returns the cursor that starts first of the tenant with the fewest running items for
+// its weight, among the tenants whose next item has about the slack of the first one. Overdue items keep
+// their order.
+func (m *Machine) shareAmongTenants(cursors []*cursor, first *cursor) *cursor {
+	if first.class == classOverdue {
+		return first
+	}
+	chosen := first
+	for _, candidate := range cursors {
+		if candidate.head == nil || !candidate.job.hasUrgency() || candidate.class != first.class ||
+			candidate.head.startBy.Sub(first.head.startBy) >= tenantWindow {
+			continue
+		}
+		less := 0
+		if candidate.job.tenant != chosen.job.tenant {
+			less = cmp.Compare(m.tenantLoad(candidate.job.tenant), m.tenantLoad(chosen.job.tenant))
+		}
+		if less < 0 || less == 0 && candidate.goesBefore(chosen) {
+			chosen = candidate
+		}
+	}
+	return chosen
+}
+
+// tenantLoad returns the running items of a tenant divided by its weight.
+func (m *Machine) tenantLoad(tenant string) float64 {
+	weight, known := m.options.TenantWeights[tenant]
+	if !known || weight <= 0 {
+		weight = 1
+	}
+	return float64(m.runningByTenant[tenant]) / weight
+}
+
+// countRunning adds to the running attempts of a tenant.
+func (m *Machine) countRunning(tenant string, change int) {
+	m.runningByTenant[tenant] += change
+	if m.runningByTenant[tenant] == 0 {
+		delete(m.runningByTenant, tenant)
+	}
+}
+
+// slack returns the time by which a waiting item could start later and still end when its job is due; 0
+// if the job is not ordered by slack, or has not been ordered since the item was queued.
+func (i *item) slack(now time.Time) time.Duration {
+	if !i.job.hasUrgency() || i.startBy.IsZero() {
+		return 0
+	}
+	return i.startBy.Sub(now)
+}
