Slow clients: a time limit on progress, and a budget of the bytes held for callers

Ruled out: WriteTimeout of net/http (cuts streams and long answers of clients that read), the request's deadline (cuts late answers that are read), refusing all requests at the bound (small ones cost nothing).

Changed: a caller must take or send each 16 KB within clients.stall_ms (10 s); its connection is reset or it gets 408. Bodies and buffered answers count against clients.memory_mb (a quarter of the node's memory, half of that for a tenant, 16 KB of each request free): a body that does not fit gets 503, an answer that does not fit is passed on as it comes. A failed write to the caller ends a stream without another attempt, and the log names a caller that does not read.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -161,6 +161,31 @@
 	return false, io.EOF
 }
 
+// writePieceBytes is the part of a response that a client must take within Options.WriteStall.
+const writePieceBytes = 16 << 10
+
+// Write implements net.Conn. A connection whose client does not take a piece in time is reset when it is closed:
+// the kernel would otherwise keep what is unsent for minutes.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.server.writeStall <= 0 {
+		return c.Conn.Write(p)
+	}
+	for written := 0; ; {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.server.writeStall)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(written+writePieceBytes, len(p))])
+		written += n
+		if lingerer, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && errors.Is(err, os.ErrDeadlineExceeded) {
+			// It fails only on a closed connection.
+			_ = lingerer.SetLinger(0)
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -7,6 +7,9 @@
 // carry "Connection: close", so that clients move to other servers. A Drain accepts the pending
 // connections and then closes the listener, closes idle connections, and waits for requests in
 // progress. When its time is up, it cancels their contexts so that their handlers still respond.
+//
+// A response that its client does not read would keep its connection in progress for as long as the client
+// likes. WriteStall ends such connections, also while there is no drain.
 package drain
 
 import (
@@ -44,11 +47,15 @@
 	// HTTP serves the connections. The package wraps its Handler and BaseContext, replaces its
 	// ConnState, and is the only one to start and stop it.
 	HTTP *http.Server
+	// WriteStall is the time within which a client must take each piece of a response; otherwise its connection is
+	// reset. 0 means no limit. HTTP must set no write deadlines then.
+	WriteStall time.Duration
 }
 
 // Server serves and tracks the connections of an HTTP server. It is safe for concurrent use.
 type Server struct {
 	http               *http.Server
+	writeStall         time.Duration
 	keepAlivesDisabled atomic.Bool
 	// acceptEnded is closed once no more connections are accepted.
 	acceptEnded chan struct{}
@@ -67,7 +74,7 @@
 // NewServer returns a server that does not accept connections yet.
 func NewServer(options Options) *Server {
 	s := &Server{
-		http: options.HTTP, acceptEnded: make(chan struct{}), conns: make(map[*conn]struct{}), connClosed: make(chan struct{}),
+		http: options.HTTP, writeStall: options.WriteStall, acceptEnded: make(chan struct{}), conns: make(map[*conn]struct{}), connClosed: make(chan struct{}),
 	}
 	s.http.Handler = s.withConnectionClose(s.http.Handler)
 	s.http.BaseContext = s.withCancellation(s.http.BaseContext)
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/build"
+	"dalehook/internal/bytebudget"
 	"dalehook/internal/clock"
 	"dalehook/internal/coordinator"
 	"dalehook/internal/crashwatch"
@@ -148,6 +149,8 @@
 	peers storeproxy.Peers
 	// electionState is this process's state in the election; nil until known.
 	electionState atomic.Pointer[election.State]
+	// clientMemory bounds the bytes held for callers; nil if they are not bounded.
+	clientMemory *bytebudget.Budget
 	// usageSender and usageReporter are nil if usage isn't reported.
 	usageSender   *usage.Sender
 	usageReporter *usage.Reporter
@@ -161,6 +164,7 @@
 	n := &Node{options: options, logger: logger.Named("node"), leave: make(chan struct{}), directory: directory.NewDirectory(), startedAt: clock.Now()}
 	n.operatorGuide, n.operatorCache = n.newOperatorGuide(), fanout.NewCache()
 	n.metrics = newNodeMetrics(n, options.DroppedLines)
+	n.clientMemory = options.Settings.clientMemory()
 	n.crashTracker = n.newCrashTracker(logger)
 	n.zones = evacuatedZones{directory: n.directory, onChange: n.notifyServersChanged, logger: n.logger}
 	n.gateway = gateway.NewGateway(gateway.Options{
@@ -326,7 +330,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", address, err)
 		}
-		bound = append(bound, boundServer{address: address, listener: listener, server: drain.NewServer(drain.Options{HTTP: &http.Server{
+		bound = append(bound, boundServer{address: address, listener: listener, server: drain.NewServer(drain.Options{WriteStall: n.options.Settings.clientStall(), HTTP: &http.Server{
 			Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultMaxHeaderBytes,
 			ErrorLog: zap.NewStdLog(n.options.Logger.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 		}})})
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -4,12 +4,16 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"slices"
+	"time"
+
+	"dalehook/internal/bytebudget"
 )
 
 // Settings are a node's settings, as read from its settings file.
@@ -78,6 +82,14 @@
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMB limits the memory of the process; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
+	// Clients bounds what callers that read or send slowly take up.
+	Clients struct {
+		// StallMs is the time within which a caller must take or send each 16 KB; 0 means 10000.
+		StallMs int `json:"stall_ms"`
+		// MemoryMB bounds the memory for requests and responses that are held for callers, of which each tenant
+		// may use one half; 0 means a quarter of the process's memory.
+		MemoryMB int `json:"memory_mb"`
+	} `json:"clients"`
 	// ProcessorShare is the share of a core that the process has; 0 if unknown.
 	ProcessorShare float64 `json:"processor_share"`
 	// LogLevel is debug, info, warn or error.
@@ -127,6 +139,28 @@
 	return s.Provider.Address != "" && slices.Contains(s.Provider.Duties, dutyUsage)
 }
 
+// defaultClientStall is the time within which a caller must take or send a piece: below the time for which idle
+// connections last, above the pauses of a client that collects garbage or retransmits.
+const defaultClientStall = 10 * time.Second
+
+// clientMemoryShare is the share of the process's memory that is held for callers if the settings name none.
+const clientMemoryShare = 0.25
+
+// clientStall returns the time within which a caller must take or send a piece.
+func (s *Settings) clientStall() time.Duration {
+	return cmp.Or(time.Duration(s.Clients.StallMs)*time.Millisecond, defaultClientStall)
+}
+
+// clientMemory returns the budget of the bytes held for callers; nil if it has no bound.
+func (s *Settings) clientMemory() *bytebudget.Budget {
+	const megabyte = 1 << 20
+	limit := cmp.Or(int64(s.Clients.MemoryMB)*megabyte, int64(clientMemoryShare*float64(s.MemoryMB)*megabyte))
+	if limit == 0 {
+		return nil
+	}
+	return bytebudget.New(limit)
+}
+
 func (s *Settings) validate() error {
 	var errs []error
 	require := func(holds bool, message string) {
@@ -154,6 +188,8 @@
 	require(s.LeaveBoundMs >= 0, "leave_bound_ms must not be negative")
 	require(s.GraceSeconds > 0, "grace_seconds must be positive")
 	require(s.MemoryMB >= 0, "memory_mb must not be negative")
+	require(s.Clients.StallMs >= 0, "clients.stall_ms must not be negative")
+	require(s.Clients.MemoryMB >= 0, "clients.memory_mb must not be negative")
 	require(s.ProcessorShare >= 0, "processor_share must not be negative")
 	return errors.Join(errs...)
 }
--- a/internal/frontend/settings_test.go
+++ b/internal/frontend/settings_test.go
@@ -23,6 +23,8 @@
 		{"no partitions", strings.Replace(validSettings, `"partitions":12`, `"partitions":0`, 1), "store.partitions"},
 		{"nothing", "{}", "node is missing"},
 		{"no window", strings.Replace(validSettings, `"order_pause_ms"`, `"provider":{"address":"127.0.0.1:5","duties":["usage"]},"order_pause_ms"`, 1), "usage.window_seconds"},
+		{"negative stall time", strings.Replace(validSettings, `"order_pause_ms"`, `"clients":{"stall_ms":-1},"order_pause_ms"`, 1), "clients.stall_ms"},
+		{"negative memory", strings.Replace(validSettings, `"order_pause_ms"`, `"clients":{"memory_mb":-1},"order_pause_ms"`, 1), "clients.memory_mb"},
 		{"negative pause", strings.Replace(validSettings, "3000", "-1", 1), "order_pause_ms"},
 	}
 	for _, c := range cases {
@@ -31,3 +33,14 @@
 		}
 	}
 }
+
+// Guards against a bound of the clients' memory that does not follow the node's: weak nodes have a third of the others'.
+func TestClientMemoryFollowsTheNodes(t *testing.T) {
+	for _, c := range []struct{ node, clients, want int }{{0, 0, 0}, {184, 0, 46}, {184, 10, 10}, {0, 10, 10}} {
+		settings := &Settings{MemoryMB: c.node}
+		settings.Clients.MemoryMB = c.clients
+		if got := settings.clientMemory().Limit(); got != int64(c.want)<<20 {
+			t.Errorf("a node of %d MB, %d for clients: %d bytes", c.node, c.clients, got)
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
+	"dalehook/internal/bytebudget"
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
 )
@@ -20,8 +20,8 @@
 	cancel   context.CancelFunc
 }
 
-// attempt sends the request to a server and buffers the response body up to maxBufferedBytes. The
-// attempt may outlive the call by cancelGrace.
+// attempt sends the request to a server and buffers the response body up to maxBufferedBytes, or as far as the
+// request's memory may grow. The attempt may outlive the call by cancelGrace.
 func (c *call) attempt(ctx context.Context, server *directory.Server, lastEventID string) attemptResult {
 	start := clock.Now()
 	sendCtx, cancel := withCancelGrace(ctx)
@@ -30,7 +30,7 @@
 		Request: c.request, Server: server, Timeout: remainingUntil(c.deadline), LastEventID: lastEventID,
 	})
 	if result.sendErr == nil {
-		result.readBody()
+		result.readBody(c.request.Memory)
 	}
 	c.gateway.recordAttempt(start, server, result)
 	var breakErr error
@@ -73,10 +73,9 @@
 	return ctx, func() { stop(); cancel() }
 }
 
-func (a *attemptResult) readBody() {
-	buffer, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes))
-	a.prefix = buffer
-	a.complete = len(buffer) < maxBufferedBytes
+func (a *attemptResult) readBody(memory *bytebudget.Reservation) {
+	var err error
+	a.prefix, a.complete, err = memory.ReadAll(a.response.Body, a.response.Length, maxBufferedBytes)
 	if err != nil {
 		a.response.Body.Close()
 		a.sendErr = &SendError{Cause: err, Sent: true}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -268,6 +270,14 @@
 	}
 }
 
+// writeEndReason says why a write to the caller has failed.
+func writeEndReason(err error) string {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return "caller does not read"
+	}
+	return "caller left"
+}
+
 func (c *call) hedgeTimer() <-chan time.Time {
 	if !c.repeatable || c.route.LatencyTarget <= 0 {
 		return nil
@@ -369,7 +379,7 @@
 	}
 	w.WriteHeader(result.response.Status)
 	if _, err := w.Write(result.prefix); err != nil {
-		c.reason = "caller left"
+		c.reason = writeEndReason(err)
 		return 0
 	}
 	if result.complete {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,6 +36,10 @@
 		if done {
 			return status
 		}
+		if relay.writeErr != nil {
+			c.reason = writeEndReason(relay.writeErr)
+			return relay.fail()
+		}
 		if ctx.Err() != nil {
 			c.reason = endReason(ctx)
 			return relay.fail()
@@ -54,6 +58,8 @@
 	// been sent; nil if it did not. complete says that a server's stream ended normally.
 	breakErr error
 	complete bool
+	// writeErr is the error of a write to the caller; no further attempt is made then.
+	writeErr error
 }
 
 // forward passes a response on; done says that the caller has the final response.
@@ -109,7 +115,8 @@
 	r.status = response.Status
 	copyHeader(r.w.Header(), response.Header)
 	r.w.WriteHeader(response.Status)
-	r.flush()
+	// A failure is returned by the next write, too.
+	_ = r.flush()
 }
 
 // forwardEvents passes complete events on as they arrive; it returns io.EOF at the end of the
@@ -126,18 +133,25 @@
 			return err
 		}
 		if _, err := r.w.Write(event.Raw); err != nil {
+			r.writeErr = err
+			return err
+		}
+		if err := r.flush(); err != nil {
+			r.writeErr = err
 			return err
 		}
-		r.flush()
 		if event.ID != "" {
 			r.lastEventID = event.ID
 		}
 	}
 }
 
-func (r *streamForwarder) flush() {
-	// A writer without Flush does not buffer.
-	_ = http.NewResponseController(r.w).Flush()
+func (r *streamForwarder) flush() error {
+	err := http.NewResponseController(r.w).Flush()
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil // a writer without Flush does not buffer
+	}
+	return err
 }
 
 // fail ends the response: with an error status if nothing was sent, else by aborting the
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"dalehook/internal/bytebudget"
 	"dalehook/internal/directory"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
@@ -31,6 +32,8 @@
 	Deadline time.Time
 	// LastEventID is the id of the last stream event that the caller received.
 	LastEventID string
+	// Memory is the reservation of the bytes that are held for the request; nil if they are not bounded.
+	Memory *bytebudget.Reservation
 }
 
 // Fingerprint identifies the request's content; it is the same for each repetition.
