--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -270,10 +270,13 @@
 	}
 }
 
+// reasonNotRead is the reason of a response that its caller did not read in time.
+const reasonNotRead = "caller does not read"
+
 // writeEndReason says why a write to the caller has failed.
 func writeEndReason(err error) string {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return "caller does not read"
+		return reasonNotRead
 	}
 	return "caller left"
 }
@@ -388,6 +391,9 @@
 	if _, err := io.Copy(w, result.response.Body); err != nil {
 		// Abort the connection, or the caller would take the truncated body for a complete one.
 		c.reason = "cut: " + err.Error()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // only writes to the caller have such deadlines
+			c.reason = reasonNotRead
+		}
 		c.recordOutcome(0)
 		panic(http.ErrAbortHandler)
 	}
