--- a/internal/frontend/effective.go
+++ b/internal/frontend/effective.go
@@ -14,6 +14,8 @@
 	settings := *s
 	settings.Scaling.Headroom = cmp.Or(settings.Scaling.Headroom, scaling.DefaultSlotsPerItem)
 	settings.LeaveBoundMs = cmp.Or(settings.LeaveBoundMs, int(serverlist.DefaultLeaveBound.Milliseconds()))
+	settings.Clients.StallMs = int(settings.clientStall().Milliseconds())
+	settings.Clients.MemoryMB = settings.clientMemoryMB()
 	settings.LogLevel = cmp.Or(settings.LogLevel, defaultLogLevel)
 	if settings.Provider.Duties == nil {
 		settings.Provider.Duties = []string{}
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -14,9 +14,11 @@
 	"reflect"
 	"slices"
 	"strings"
+	"time"
 
 	"go.uber.org/zap/zapcore"
 
+	"dalehook/internal/bytebudget"
 	"dalehook/internal/gateway"
 )
 
@@ -105,6 +107,14 @@
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMB limits the memory of the process; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
+	// Clients bounds what callers that read or send slowly take up.
+	Clients struct {
+		// StallMs is the time within which a caller must take or send each 16 KB; 0 means 10000.
+		StallMs int `json:"stall_ms"`
+		// MemoryMB bounds the memory for requests and responses that are held for callers, of which each tenant
+		// may use one half; 0 means a quarter of the process's memory.
+		MemoryMB int `json:"memory_mb"`
+	} `json:"clients"`
 	// ProcessorShare is the share of a core that the process has; 0 if unknown.
 	ProcessorShare float64 `json:"processor_share"`
 	// LogLevel is debug, info, warn or error.
@@ -222,6 +232,33 @@
 	return share
 }
 
+// defaultClientStall is the time within which a caller must take or send a piece: below the time for which idle
+// connections last, above the pauses of a client that collects garbage or retransmits.
+const defaultClientStall = 10 * time.Second
+
+// clientMemoryShare is the share of the process's memory that is held for callers if the settings name none.
+const clientMemoryShare = 0.25
+
+// clientStall returns the time within which a caller must take or send a piece.
+func (s *Settings) clientStall() time.Duration {
+	return cmp.Or(time.Duration(s.Clients.StallMs)*time.Millisecond, defaultClientStall)
+}
+
+// clientMemoryMB returns the memory that is held for callers, in MB; 0 if it has no bound.
+func (s *Settings) clientMemoryMB() int {
+	return cmp.Or(s.Clients.MemoryMB, int(clientMemoryShare*float64(s.MemoryMB)))
+}
+
+// clientMemory returns the budget of the bytes held for callers; nil if it has no bound.
+func (s *Settings) clientMemory() *bytebudget.Budget {
+	const megabyte = 1 << 20
+	limit := s.clientMemoryMB()
+	if limit == 0 {
+		return nil
+	}
+	return bytebudget.New(int64(limit) * megabyte)
+}
+
 // settingError says what is wrong with the value of a key.
 type settingError struct{ key, message string }
 
@@ -271,6 +308,8 @@
 	require(s.LeaveBoundMs >= 0, "leave_bound_ms", "must not be negative")
 	require(s.GraceSeconds > 0, "grace_seconds", "must be positive")
 	require(s.MemoryMB >= 0, "memory_mb", "must not be negative")
+	require(s.Clients.StallMs >= 0, "clients.stall_ms", "must not be negative")
+	require(s.Clients.MemoryMB >= 0, "clients.memory_mb", "must not be negative")
 	require(s.ProcessorShare >= 0, "processor_share", "must not be negative")
 	_, err := zapcore.ParseLevel(s.LogLevel)
 	require(err == nil, "log_level", "must be debug, info, warn or error")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -306,6 +308,17 @@
 	}
 }
 
+// reasonNotRead is the reason of a response that its caller did not read in time.
+const reasonNotRead = "caller does not read"
+
+// writeEndReason says why a write to the caller has failed.
+func writeEndReason(err error) string {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return reasonNotRead
+	}
+	return "caller left"
+}
+
 func (c *call) hedgeTimer() <-chan time.Time {
 	if !c.repeatable || c.route.LatencyTarget <= 0 {
 		return nil
@@ -439,7 +452,7 @@
 	}
 	w.WriteHeader(result.response.Status)
 	if _, err := w.Write(result.prefix); err != nil {
-		c.reason = "caller left"
+		c.reason = writeEndReason(err)
 		return 0
 	}
 	if result.complete {
@@ -448,6 +461,9 @@
 	if _, err := io.Copy(w, result.response.Body); err != nil {
 		// Abort the connection, or the caller would take the truncated body for a complete one.
 		c.reason = "cut: " + err.Error()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // only writes to the caller have such deadlines
+			c.reason = reasonNotRead
+		}
 		c.recordOutcome(0)
 		panic(http.ErrAbortHandler)
 	}
