--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -109,14 +109,3 @@
 	}
 	return m.sortedEngineCache
 }
-
-// enginesWithSlots returns the engines that run fewer items than they have slots, ordered by ID.
-func (m *Machine) enginesWithSlots() []*engine {
-	var free []*engine
-	for _, eng := range m.sortedEngines() {
-		if len(eng.attempts) < eng.slots {
-			free = append(free, eng)
-		}
-	}
-	return free
-}
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -746,6 +746,34 @@
 	}
 }
 
+// Guards against moves of runs that no trainer waits for: each costs a connection and reading its text again.
+func TestRunsOfSpareGroupsDoNotMove(t *testing.T) {
+	for _, wanted := range []int{1, 2} {
+		f := newFixture(t, func(route *routetable.Route) { route.Resumable, route.ResultDeadline = true, testDeadline })
+		f.servers(1, map[string]int64{"a": 1, "b": 1})
+		f.machine.HandleJob(f.now, 0, &batch.Job{ID: "j", Host: "h", Path: "/p/j", Model: "m", WantedGroups: wanted, Items: []batch.Item{
+			{ID: "long", Path: "/p/x", Expected: 30, Group: "g"}, {ID: "short", Path: "/p/x", Expected: 20, Group: "h"},
+		}}, nil)
+		f.take()
+		runs := make(map[string]AttemptID)
+		for _, start := range f.starts {
+			runs[start.Item.ID] = start.Attempt
+		}
+		for number := range 20 {
+			f.now = f.now.Add(20 * time.Millisecond)
+			f.event(runs["short"], fmt.Sprint(number), 1)
+			if number%4 == 0 {
+				f.event(runs["long"], fmt.Sprint(number), 1)
+			}
+		}
+		f.end(runs["short"], EndCompleted)
+		f.advance(time.Millisecond)
+		if moved := len(f.cancels) == 1 && f.cancels[0].Attempt == runs["long"]; moved != (wanted == 2) {
+			t.Errorf("%d of two groups wanted: cancels %v", wanted, f.cancels)
+		}
+	}
+}
+
 // Delayed events that arrive in a burst must not make an engine appear fast.
 func TestBurstOfDelayedEventsDoesNotSkewGap(t *testing.T) {
 	f := newFixture(t, nil)
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -303,3 +303,26 @@
 	}
 	t.Errorf("engines run %v: later items took the memory of both", engines)
 }
+
+// Guards against the length of a result counting again when the result is read from the log, and against
+// results of a predecessor that do not count.
+func TestResultsInTheLogAreObservedOnce(t *testing.T) {
+	f := newMemoryFixture(t, "a")
+	f.submitLengths("j", "", 10, 10, 10)
+	for attempt, events := range map[AttemptID]int{1: 8, 2: 2} {
+		for number := range events {
+			f.event(attempt, fmt.Sprint(number), 1)
+		}
+		f.end(attempt, EndCompleted)
+	}
+	for _, result := range f.results {
+		if result.ItemID == "j-0" {
+			f.machine.HandleResult(f.now, &result)
+		}
+	}
+	f.machine.HandleResult(f.now, &batch.Result{JobID: "j", ItemID: "j-2", Text: "1\n2\n3\n4\n5"})
+	f.take()
+	if got := f.machine.lengths.Mean("r"); got != 5 {
+		t.Errorf("mean length %d of 8, 2 and 5, want 5", got)
+	}
+}
