Overload: requests that a stated load includes do not count twice

A node counted all of its requests at a server on top of the load that the server stated, which includes them. A server with 13 of 24 slots in use by one node was not known to have a free slot, so that a node which sends a service many requests refused some although slots were free. Only requests sent since the statement count now.

Before the change, the new case of TestFreeSlot failed.

--- a/internal/overload/server.go
+++ b/internal/overload/server.go
@@ -46,6 +46,8 @@
 	// load is what the server stated last, at loadAt.
 	load   Load
 	loadAt time.Time
+	// openAtLoad is the number of this node's requests at the server when it stated the load.
+	openAtLoad int
 	// rejecting says that the server rejected the last request that it responded to. Servers may
 	// reject all requests and state free slots.
 	rejecting bool
@@ -77,7 +79,7 @@
 	if at.Before(s.loadAt) {
 		return
 	}
-	s.load, s.loadAt = load, at
+	s.load, s.loadAt, s.openAtLoad = load, at, s.Limiter.InFlight()
 }
 
 // ObserveResponse records whether a response was a rejection.
@@ -125,10 +127,12 @@
 }
 
 // HasFreeSlot reports whether the server is known to have a free slot: it stated one recently, did not
-// reject the last request, and this node's own requests do not take the slot.
+// reject the last request, and the requests that this node sent since then do not take the slot. Earlier
+// ones are part of the stated load.
 func (s *Server) HasFreeSlot(now time.Time) bool {
 	if s.rejecting || s.loadAt.IsZero() || now.Sub(s.loadAt) > loadLifetime {
 		return false
 	}
-	return s.load.Running+s.load.Waiting+s.Limiter.InFlight() < s.load.Slots
+	sentSince := max(s.Limiter.InFlight()-s.openAtLoad, 0)
+	return s.load.Running+s.load.Waiting+sentSince < s.load.Slots
 }
--- a/internal/overload/server_test.go
+++ b/internal/overload/server_test.go
@@ -59,7 +59,8 @@
 }
 
 // Guards against a free slot that was stated long ago, is taken by this node's own requests, or is of
-// a server that rejects all requests.
+// a server that rejects all requests, and against one that is overlooked since this node's requests
+// count twice, as its own and as part of the stated load.
 func TestFreeSlot(t *testing.T) {
 	free := func(change func(server *Server)) bool {
 		server := NewServer(modelSlots)
@@ -79,6 +80,21 @@
 		{"stale", func(s *Server) { s.loadAt = start.Add(-time.Millisecond) }, false},
 		{"own request", func(s *Server) { s.Limiter.Acquire() }, true},
 		{"own requests", func(s *Server) { s.Limiter.Acquire(); s.Limiter.Acquire() }, false},
+		{"own requests that the load includes", func(s *Server) {
+			for range 4 {
+				s.Limiter.Acquire()
+			}
+			s.ObserveLoad(start, Load{Running: 4, Slots: 6})
+			s.Limiter.Acquire()
+		}, true},
+		{"own requests that the load includes, and others", func(s *Server) {
+			for range 4 {
+				s.Limiter.Acquire()
+			}
+			s.ObserveLoad(start, Load{Running: 4, Slots: 6})
+			s.Limiter.Acquire()
+			s.Limiter.Acquire()
+		}, false},
 		{"rejecting", func(s *Server) { s.ObserveResponse(true) }, false},
 		{"no longer rejecting", func(s *Server) { s.ObserveResponse(true); s.ObserveResponse(false) }, true},
 	}
