Overload: a single server that rejects requests is no evidence of overload

A rejection counted as evidence, whatever the other servers did. Refused requests count as offered, so that one rejection at a quiet node was enough for a share of one half.

A rejection is now evidence if another server rejected a request within the last second, or if no other is known to answer; in the latter case an answer of another server voids it. A Sample names its server for this. Under overload several servers reject, and the tests of bursts, of servers that all reject and of the budgets pass unchanged.

The evidence that the gateway's tests make up is spread over its five servers, as overload is: it had no server.

TestRejectingServerAmongIdleOnes failed before the change. Ruled out: counting a server as free while its last response was no rejection, since under overload most servers' last response is none.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -258,11 +258,11 @@
 
 // observe records the response of a server as evidence for the throttle of its service. predicted is
 // the latency that the next request there is predicted to have, latency that of a complete response.
-func (c *call) observe(now time.Time, response *Response, predicted, latency time.Duration) {
+func (c *call) observe(now time.Time, server *directory.Server, response *Response, predicted, latency time.Duration) {
 	if c.gateway.options.Overload.Off {
 		return
 	}
-	sample := overload.Sample{Rejected: response.NotExecuted, Predicted: predicted, Target: c.route.LatencyTarget, Utilization: -1}
+	sample := overload.Sample{Server: server.ID, Rejected: response.NotExecuted, Predicted: predicted, Target: c.route.LatencyTarget, Utilization: -1}
 	if response.Load != nil {
 		sample.Utilization = overload.Load(*response.Load).Utilization()
 	}
@@ -288,7 +288,7 @@
 	}
 	predicted := c.gateway.balancer.recordResult(now, started.server, end)
 	if result.sendErr == nil {
-		c.observe(now, result.response, predicted, end.latency)
+		c.observe(now, started.server, result.response, predicted, end.latency)
 	}
 }
 
@@ -301,7 +301,7 @@
 	if response.Load != nil {
 		wait = c.gateway.balancer.recordLoad(now, server, *response.Load, response.NotExecuted)
 	}
-	c.observe(now, response, wait, 0)
+	c.observe(now, server, response, wait, 0)
 }
 
 // recordStreamEnd records the end of an attempt of a request for a stream, whose server answered at
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -77,7 +77,7 @@
 	now := clock.Now()
 	for i := range attempts {
 		service.state.Throttle.Observe(now, overload.Sample{
-			Rejected: float64(i) >= (1-share)*attempts, Target: f.route.LatencyTarget, Utilization: -1,
+			Server: fmt.Sprint("s", i%5), Rejected: float64(i) >= (1-share)*attempts, Target: f.route.LatencyTarget, Utilization: -1,
 		})
 	}
 }
@@ -125,6 +125,36 @@
 	}
 }
 
+// Guards against refusals and denied retries because one server rejects all requests while the others are
+// idle. It is chosen first, since the time of its requests is unknown and that of the others is longer.
+func TestRejectingServerAmongIdleOnesCostsNoRequests(t *testing.T) {
+	answer := respondWith(200, "ok")
+	for name, gap := range map[string]time.Duration{"many requests": 5 * time.Millisecond, "few requests": 100 * time.Millisecond} {
+		f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, func(ctx context.Context, attempt Attempt) (*Response, *SendError) {
+			if attempt.Server.ID == "s0" {
+				return respondNotExecuted(ctx, attempt)
+			}
+			time.Sleep(2 * initialLatency)
+			return answer(ctx, attempt)
+		})
+		f.send(5 * time.Second)
+		const requests = 30
+		var running sync.WaitGroup
+		for i := range requests {
+			running.Go(func() {
+				time.Sleep(time.Duration(i) * gap)
+				f.send(5 * time.Second)
+			})
+		}
+		running.Wait()
+		for _, outcome := range f.outcomes {
+			if outcome.Status != http.StatusOK {
+				t.Errorf("%s: %+v", name, outcome)
+			}
+		}
+	}
+}
+
 // Guards against hedges that add load to servers which have too much.
 func TestNoHedgeUnderOverload(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(80*time.Millisecond, Load{Running: 6, Slots: 6}))
--- a/internal/overload/load_test.go
+++ b/internal/overload/load_test.go
@@ -68,6 +68,23 @@
 	}
 }
 
+// Guards against refusals because one server rejects all requests while the others are idle, at nodes with many
+// and with few requests, and with servers that state no load.
+func TestRejectingServerAmongIdleOnes(t *testing.T) {
+	for _, nodes := range []int{1, 5, 87} {
+		for _, statesLoad := range []bool{true, false} {
+			m := newModel(nodes, 5)
+			m.statesLoad = statesLoad
+			const rate = 0.2 * 5 * modelCapacity
+			m.play(2*time.Second, rate)
+			m.servers[0].rejecting = true
+			if got := m.play(10*time.Second, rate); float64(got.refused) > 0.01*float64(got.made) || float64(got.inTime) < 0.99*float64(got.made) {
+				t.Errorf("%d nodes, loads stated %v: %+v", nodes, statesLoad, got)
+			}
+		}
+	}
+}
+
 // Guards against a throttle that lets nothing through while all servers reject, so that it never
 // notices their recovery, and against one that lets much through.
 func TestServersThatRejectEverything(t *testing.T) {
--- a/internal/overload/model_test.go
+++ b/internal/overload/model_test.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"strconv"
+
 	"time"
 )
 
@@ -192,7 +194,7 @@
 	respond := func(rejected bool) func() {
 		return func() {
 			load := Load{Running: server.running, Waiting: len(server.queue), Slots: modelSlots}
-			m.after(modelDelay, func() { m.receive(r, known, sent, rejected, load) })
+			m.after(modelDelay, func() { m.receive(r, best, sent, rejected, load) })
 		}
 	}
 	m.after(modelDelay, func() { m.arrive(server, modelArrival{run: respond(false), reject: respond(true)}) })
@@ -232,11 +234,12 @@
 }
 
 // receive handles a server's response as the gateway does.
-func (m *model) receive(r *modelRequest, known *Server, sent time.Time, rejected bool, load Load) {
+func (m *model) receive(r *modelRequest, from int, sent time.Time, rejected bool, load Load) {
+	known := r.node.servers[from]
 	r.pending--
 	known.End(sent)
 	known.ObserveResponse(rejected)
-	sample := Sample{Rejected: rejected, Target: modelTarget, Utilization: -1}
+	sample := Sample{Server: strconv.Itoa(from), Rejected: rejected, Target: modelTarget, Utilization: -1}
 	if rejected {
 		known.Limiter.Failed(m.now)
 	} else {
--- a/internal/overload/recent.go
+++ b/internal/overload/recent.go
@@ -52,3 +52,30 @@
 	r.current = period{}
 	r.ends = now.Add(recentPeriod)
 }
+
+// lastTwo holds the last events of the two servers that had one last, the newest first.
+type lastTwo [2]serverEvent
+
+// serverEvent is an event of a server.
+type serverEvent struct {
+	server string
+	at     time.Time
+}
+
+// note records an event of a server.
+func (l *lastTwo) note(now time.Time, server string) {
+	if l[0].server != server {
+		l[1] = l[0]
+	}
+	l[0] = serverEvent{server: server, at: now}
+}
+
+// hasOther reports whether another server had an event within the lifetime.
+func (l *lastTwo) hasOther(now time.Time, server string, lifetime time.Duration) bool {
+	for _, event := range l {
+		if event.server != server && !event.at.IsZero() && now.Sub(event.at) < lifetime {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/overload/throttle.go
+++ b/internal/overload/throttle.go
@@ -16,6 +16,9 @@
 	acceptMultiple = 1.1
 	// evidenceLifetime is how long evidence of overload counts.
 	evidenceLifetime = time.Second
+	// answerLifetime is how long a server that answered a request counts as one that answers. budgetFloor
+	// pays for the retries of a node with fewer requests.
+	answerLifetime = 5 * time.Second
 	// maxProbeInterval is the longest time for which all requests of a service are refused.
 	maxProbeInterval = time.Second
 	// fullWeightShare is the share of the latency target up to which a predicted latency is no
@@ -58,6 +61,8 @@
 
 // Sample is the outcome of an attempt at a server, as evidence for the throttle.
 type Sample struct {
+	// Server is the server that responded.
+	Server string
 	// Rejected says that the server did not run the request.
 	Rejected bool
 	// Predicted is the latency that the next request at the server is predicted to have; 0 if unknown or if the server
@@ -99,6 +104,11 @@
 	// evidenceAt is when there was last evidence of overload, and evidence its kind.
 	evidenceAt time.Time
 	evidence   Evidence
+	// unconfirmed says that the evidence is a rejection while nothing was known of the other servers. An
+	// answer of another server voids it.
+	unconfirmed bool
+	// rejections and answers are the last ones of two servers each.
+	rejections, answers lastTwo
 	// admittedAt is when a request was last admitted.
 	admittedAt time.Time
 	shares     shares
@@ -142,13 +152,28 @@
 	}
 	t.offered++
 	if sample.Rejected {
-		t.evidenceAt, t.evidence = now, EvidenceRejection
+		t.rejections.note(now, sample.Server)
+		t.observeRejection(now, sample.Server)
 		return
 	}
+	t.answers.note(now, sample.Server)
+	if t.unconfirmed && sample.Server != t.rejections[0].server {
+		t.evidenceAt, t.evidence, t.unconfirmed = time.Time{}, EvidenceNone, false
+	}
 	weight := acceptedWeight(sample.Predicted, sample.Target)
 	t.accepted += weight
 	if weight < 1 {
-		t.evidenceAt, t.evidence = now, EvidenceQueue
+		t.evidenceAt, t.evidence, t.unconfirmed = now, EvidenceQueue, false
+	}
+}
+
+// observeRejection records a rejection. It is evidence that the service is overloaded if another server
+// rejects requests as well, or if none is known to answer them. A single server that rejects requests,
+// such as one that starts or stops, says nothing of the others' capacity.
+func (t *Throttle) observeRejection(now time.Time, server string) {
+	confirmed := t.rejections.hasOther(now, server, evidenceLifetime)
+	if confirmed || !t.answers.hasOther(now, server, answerLifetime) {
+		t.evidenceAt, t.evidence, t.unconfirmed = now, EvidenceRejection, !confirmed
 	}
 }
 
--- a/internal/overload/throttle_test.go
+++ b/internal/overload/throttle_test.go
@@ -37,6 +37,52 @@
 	}
 }
 
+// Guards against refusals because a single server rejects requests while others answer them, and against
+// rejections by several servers, or by the only one, that are overlooked.
+func TestRejectionsOfOneServerAreNoEvidence(t *testing.T) {
+	cases := []struct {
+		name   string
+		others []Sample
+		loaded bool
+	}{
+		{"nothing known of other servers", nil, true},
+		{"answered before", []Sample{{Server: "a", Target: modelTarget, Utilization: -1}}, true},
+		{"another one answers", []Sample{{Server: "b", Target: modelTarget, Utilization: -1}}, false},
+		{"another one answers, and it did before", []Sample{
+			{Server: "b", Target: modelTarget, Utilization: -1}, {Server: "a", Target: modelTarget, Utilization: -1},
+		}, false},
+		{"another one rejects", []Sample{
+			{Server: "b", Target: modelTarget, Utilization: -1}, {Server: "c", Rejected: true, Target: modelTarget, Utilization: -1},
+		}, true},
+	}
+	for _, c := range cases {
+		throttle := NewThrottle(ThrottleOptions{})
+		for _, other := range c.others {
+			throttle.Observe(start, other)
+		}
+		now := start.Add(evidenceLifetime - time.Millisecond)
+		throttle.Observe(now, Sample{Server: "a", Rejected: true, Target: modelTarget, Utilization: -1})
+		if got := throttle.evidenceAt.Equal(now); got != c.loaded {
+			t.Errorf("%s: evidence %v, want %v", c.name, got, c.loaded)
+		}
+	}
+	throttle := NewThrottle(ThrottleOptions{})
+	throttle.Observe(start, Sample{Server: "a", Rejected: true, Target: modelTarget, Utilization: -1})
+	throttle.Observe(start, Sample{Server: "a", Target: modelTarget, Utilization: -1})
+	if !throttle.Loaded(start) {
+		t.Error("an answer of the same server voids a rejection")
+	}
+	if throttle.Observe(start, Sample{Server: "b", Target: modelTarget, Utilization: -1}); throttle.Loaded(start) {
+		t.Error("an answer of another server does not void a rejection")
+	}
+	throttle = NewThrottle(ThrottleOptions{})
+	throttle.Observe(start, Sample{Server: "b", Target: modelTarget, Utilization: -1})
+	throttle.Observe(start.Add(answerLifetime), Sample{Server: "a", Rejected: true, Target: modelTarget, Utilization: -1})
+	if !throttle.Loaded(start.Add(answerLifetime)) {
+		t.Error("an old answer of another server counts")
+	}
+}
+
 // Guards against a share that probes for more or less than a tenth above the accepted requests, or
 // that refuses some of a load that is accepted.
 func TestRefusedShare(t *testing.T) {
