Overload: routes without a latency target do not decide what is too late

Answers of a route without a latency target counted as the fastest recent answers of its service if the server stated a load. Five of them that took longer than the time a request of another route had left had that request refused as too late. The new test failed before.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -273,7 +273,7 @@
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 	service.state.Throttle.Observe(now, sample)
-	if latency > 0 {
+	if sample.Target > 0 && latency > 0 {
 		service.state.ObserveAnswer(now, latency)
 	}
 }
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -294,6 +294,21 @@
 	}
 }
 
+// Guards against requests that count as too late since those of a route without a latency target, which may be of
+// another kind, take longer.
+func TestTooLateIsNotJudgedByRoutesWithoutLatencyTarget(t *testing.T) {
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
+	target := f.route.LatencyTarget
+	f.route.LatencyTarget = 0
+	for range 5 {
+		f.send(10 * time.Second)
+	}
+	f.route.LatencyTarget = target
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+		t.Errorf("%+v", outcome)
+	}
+}
+
 // Guards against requests that wait for, or are sent to, a server at this node's limit while another
 // is below its own, and against a limit that makes a request wait.
 func TestServerAtItsLimitIsPassedOver(t *testing.T) {
