Gateway: a failed stream whose body breaks off ends its attempt

The handler panicked before it recorded the end of the attempt. The request counted as open at its server forever: the server's state was never dropped, and with the limit on concurrent requests, as many such streams as the server has slots made it the last choice at this node. Nor was the request logged or counted. The new test failed before.

--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"go.uber.org/zap"
@@ -309,6 +310,29 @@
 	}
 }
 
+// Guards against a failed stream that keeps its place in this node's limit, and the state of its server, forever.
+func TestBrokenFailureOfAStreamEndsItsAttempt(t *testing.T) {
+	f := newOverloadFixture(routetable.KindStream, OverloadOptions{}, func(context.Context, Attempt) (*Response, *SendError) {
+		return &Response{Status: http.StatusNotFound, Header: http.Header{}, Body: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF)), Length: 2}, nil
+	})
+	func() {
+		defer func() {
+			if recovered := recover(); recovered != http.ErrAbortHandler {
+				t.Errorf("recovered %v", recovered)
+			}
+		}()
+		f.send(time.Second)
+	}()
+	for _, server := range f.list.Snapshot().Ready("svc") {
+		if open := f.gateway.balancer.state(server).load.Limiter.InFlight(); open != 0 {
+			t.Errorf("%d requests are open at %s", open, server.ID)
+		}
+	}
+	if len(f.outcomes) != 1 || f.outcomes[0].Status != 0 {
+		t.Errorf("outcomes %+v", f.outcomes)
+	}
+}
+
 // Guards against requests that wait for, or are sent to, a server at this node's limit while another
 // is below its own, and against a limit that makes a request wait.
 func TestServerAtItsLimitIsPassedOver(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,6 +46,9 @@
 		c.endTrial()
 		c.recordStreamEnd(started, answeredAt, attemptResult{response: response, sendErr: sendErr})
 		cancel()
+		if relay.aborted {
+			return relay.fail()
+		}
 		if done {
 			return status
 		}
@@ -67,6 +70,8 @@
 	// been sent; nil if it did not. complete says that a server's stream ended normally.
 	breakErr error
 	complete bool
+	// aborted says that a response which is not a stream broke off.
+	aborted bool
 }
 
 // forward passes a response on; done says that the caller has the final response.
@@ -107,10 +112,12 @@
 	if r.headerSent || r.call.repeatable && response.Status >= http.StatusInternalServerError {
 		return false, 0
 	}
+	r.headerSent = true
 	copyHeader(r.w.Header(), response.Header)
 	r.w.WriteHeader(response.Status)
 	if _, err := io.Copy(r.w, response.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		r.call.reason = "cut: " + err.Error()
+		r.aborted = true
 	}
 	return true, response.Status
 }
