--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -201,8 +201,8 @@
 	return state
 }
 
-// recordLoad records the load that a server stated in a response, which may be a rejection. It returns the time for which the next request
-// there is predicted to wait for a slot; 0 if unknown.
+// recordLoad records the load that a server stated in a response, which may be a rejection. It returns
+// the time for which the next request there is predicted to wait for a slot; 0 if unknown.
 func (b *balancer) recordLoad(now time.Time, server *directory.Server, load Load, rejected bool) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -28,8 +28,8 @@
 	failureDecrease = 0.7
 
 	// For probeTime out of every probeEvery of wall-clock time the limit is cut
-	// to probeShare, which must be below 1/latencyTolerance, so that the back end's queue drains and the latency without a queue
-	// is seen again. Without it the baseline would creep up during a long
+	// to probeShare, which must be below 1/latencyTolerance, so that the back
+	// end's queue drains and the latency without a queue is seen again. Without it the baseline would creep up during a long
 	// overload, and the limit with it. All nodes probe at the same wall-clock
 	// time, since the queue holds the requests of all of them.
 	probeEvery = 10 * time.Second
