--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,7 +78,7 @@
 	now := clock.Now()
 	for i := range attempts {
 		service.state.Throttle.Observe(now, overload.Sample{
-			Rejected: float64(i) >= (1-share)*attempts, Target: f.route.LatencyTarget, Utilization: -1,
+			Server: fmt.Sprint("s", i%5), Rejected: float64(i) >= (1-share)*attempts, Target: f.route.LatencyTarget, Utilization: -1,
 		})
 	}
 }
@@ -125,6 +126,36 @@
 	}
 }
 
+// Guards against refusals and denied retries because one server rejects all requests while the others are
+// idle. It is chosen first, since the time of its requests is unknown and that of the others is longer.
+func TestRejectingServerAmongIdleOnesCostsNoRequests(t *testing.T) {
+	answer := respondWith(200, "ok")
+	for name, gap := range map[string]time.Duration{"many requests": 5 * time.Millisecond, "few requests": 100 * time.Millisecond} {
+		f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, func(ctx context.Context, attempt Attempt) (*Response, *SendError) {
+			if attempt.Server.ID == "s0" {
+				return respondNotExecuted(ctx, attempt)
+			}
+			time.Sleep(2 * initialLatency)
+			return answer(ctx, attempt)
+		})
+		f.send(5 * time.Second)
+		const requests = 30
+		var running sync.WaitGroup
+		for i := range requests {
+			running.Go(func() {
+				time.Sleep(time.Duration(i) * gap)
+				f.send(5 * time.Second)
+			})
+		}
+		running.Wait()
+		for _, outcome := range f.outcomes {
+			if outcome.Status != http.StatusOK {
+				t.Errorf("%s: %+v", name, outcome)
+			}
+		}
+	}
+}
+
 // Guards against hedges that add load to servers which have too much.
 func TestNoHedgeUnderOverload(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(80*time.Millisecond, Load{Running: 6, Slots: 6}))
@@ -264,6 +295,44 @@
 	}
 }
 
+// Guards against requests that count as too late since those of a route without a latency target, which may be of
+// another kind, take longer.
+func TestTooLateIsNotJudgedByRoutesWithoutLatencyTarget(t *testing.T) {
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
+	target := f.route.LatencyTarget
+	f.route.LatencyTarget = 0
+	for range 5 {
+		f.send(10 * time.Second)
+	}
+	f.route.LatencyTarget = target
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+		t.Errorf("%+v", outcome)
+	}
+}
+
+// Guards against a failed stream that keeps its place in this node's limit, and the state of its server, forever.
+func TestBrokenFailureOfAStreamEndsItsAttempt(t *testing.T) {
+	f := newOverloadFixture(routetable.KindStream, OverloadOptions{}, func(context.Context, Attempt) (*Response, *SendError) {
+		return &Response{Status: http.StatusNotFound, Header: http.Header{}, Body: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF)), Length: 2}, nil
+	})
+	func() {
+		defer func() {
+			if recovered := recover(); recovered != http.ErrAbortHandler {
+				t.Errorf("recovered %v", recovered)
+			}
+		}()
+		f.send(time.Second)
+	}()
+	for _, server := range f.list.Snapshot().Ready("svc") {
+		if open := f.gateway.balancer.state(server).load.Limiter.InFlight(); open != 0 {
+			t.Errorf("%d requests are open at %s", open, server.ID)
+		}
+	}
+	if len(f.outcomes) != 1 || f.outcomes[0].Status != 0 {
+		t.Errorf("outcomes %+v", f.outcomes)
+	}
+}
+
 // Guards against requests that wait for, or are sent to, a server at this node's limit while another
 // is below its own, and against a limit that makes a request wait.
 func TestServerAtItsLimitIsPassedOver(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,6 +46,9 @@
 		c.endTrial()
 		c.recordStreamEnd(started, answeredAt, attemptResult{response: response, sendErr: sendErr})
 		cancel()
+		if relay.aborted {
+			return relay.fail()
+		}
 		if done {
 			return status
 		}
@@ -73,6 +76,8 @@
 	complete bool
 	// writeErr is the error of a write to the caller; no further attempt is made then.
 	writeErr error
+	// aborted says that a response which is not a stream broke off.
+	aborted bool
 }
 
 // forward passes a response on; done says that the caller has the final response.
@@ -113,10 +118,12 @@
 	if r.headerSent || r.call.repeatable && response.Status >= http.StatusInternalServerError {
 		return false, 0
 	}
+	r.headerSent = true
 	copyHeader(r.w.Header(), response.Header)
 	r.w.WriteHeader(response.Status)
 	if _, err := io.Copy(r.w, response.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		r.call.reason = "cut: " + err.Error()
+		r.aborted = true
 	}
 	return true, response.Status
 }
