Scheduler: comparisons of items that wait for a faster engine are bounded

Cause: BenchmarkUnevenStep ended runs in a way that paused their engines, until none were left: it did not measure the choice of the next item, and divided by zero when run several times. With runs that are queued again, one step took 6 to 20 ms: 16 items of each of 12 jobs were compared with hundreds of slow engines that had free slots.

Change: one step makes about 5,000 such comparisons. Each job still has its first item tried.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -48,6 +48,8 @@
 	medians map[string]float64
 	// reserved holds the services with a reserved engine.
 	reserved map[string]bool
+	// rated counts the engines that items were compared with and that suit none of them.
+	rated int
 }
 
 // startInOrder starts the waiting items of jobs until the engines are full or suit no more items.
@@ -114,7 +116,8 @@
 		return false
 	}
 	position.passedOver++
-	if position.passedOver >= maxPassedOver || !m.leavesSlots(now, next, round) {
+	round.rated += len(round.engines)
+	if position.passedOver >= maxPassedOver || round.rated >= maxRated || !m.leavesSlots(now, next, round) {
 		position.head = nil
 	}
 	return false
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -134,9 +134,9 @@
 	b.Run("end", func(b *testing.B) {
 		b.ReportAllocs()
 		for i := 0; b.Loop(); i++ {
-			// The item is queued again, so that the number of waiting items stays.
+			// The item is queued again, so that the number of waiting items stays, and the engine takes the next.
 			next := i % len(fleet.running)
-			m.HandleAttemptEnd(fleet.now, fleet.running[next], EndNotExecuted)
+			m.HandleAttemptEnd(fleet.now, fleet.running[next], EndCancelled)
 			for _, start := range m.TakeOutput().Starts {
 				fleet.running = append(fleet.running, start.Attempt)
 			}
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -31,6 +31,8 @@
 	// maxPassedOver bounds the items of a job that are passed over in one step because no engine with a
 	// free slot suits them. Other items may suit one.
 	maxPassedOver = 16
+	// maxRated bounds the engines with which the passed over items of all jobs are compared in one step.
+	maxRated = 5000
 )
 
 // group is the state of the items of a job that share a prompt.
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -415,3 +415,40 @@
 		f.wantStarts(test.name, 2, "j-other")
 	}
 }
+
+// Guards against steps that take long because many items of many jobs are compared with many engines that
+// suit none of them.
+func TestComparisonsOfItemsThatWaitForFasterEnginesAreBounded(t *testing.T) {
+	const fast, slow, slots, jobs = 100, 300, 2, 20
+	f := newUrgencyFixture(t, 1)
+	versions := make(map[string]int64)
+	for i := range fast {
+		versions[fmt.Sprint("fast", i)] = 1
+	}
+	f.servers(slots, versions)
+	f.fill("", fast*slots)
+	for i := range slow {
+		versions[fmt.Sprint("slow", i)] = 1
+	}
+	f.machine.options.FreshnessLimit = -time.Second // nothing starts until all jobs wait
+	f.servers(slots, versions)
+	for number := range jobs {
+		job := &batch.Job{ID: fmt.Sprint("j", number), WantedGroups: 1}
+		for i := range 2 * maxPassedOver {
+			job.Items = append(job.Items, member(fmt.Sprint(job.ID, "-", i), "g", 50))
+		}
+		f.post(job)
+	}
+	engines := f.machine.sortedEngines()
+	for _, eng := range engines {
+		eng.gap, eng.gapSampledAt = testGap, f.now
+		if len(eng.attempts) == 0 {
+			eng.gap = 5 * testGap
+		}
+	}
+	round := &startRound{engines: enginesThatTakeItems(f.now, engines), medians: medianGaps(engines), reserved: make(map[string]bool)}
+	f.machine.startInOrder(f.now, f.machine.sortedJobs(), round)
+	if most := maxRated + (jobs+1)*len(round.engines); round.rated > most || round.rated < maxRated {
+		t.Errorf("%d comparisons with %d of %d engines, want %d to %d", round.rated, len(round.engines), len(engines), maxRated, most)
+	}
+}
