Overload: requests without a latency target count as load only

Cause: the limit of a server and the age of its oldest attempt in flight counted the requests of all routes. One request of 25 s on a route without a latency target made its server look slow to the requests of all others, and several of them filled its limit.

Change: attempts of routes without a latency target count in the load of their server, but neither towards its limit nor by their age.

Result: TestRequestsWithoutLatencyTargetCountAsLoadOnly fails while the routes are not told apart, and passes now. The tests of internal/gateway and internal/overload pass.

--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -55,6 +55,9 @@
 	warmUpRate float64
 	// stream says that the request is for a stream, whose age in flight says nothing of the server.
 	stream bool
+	// noTarget says that the route has no latency target. Its requests may take any time, so that they count
+	// neither towards a limit nor by their age in flight.
+	noTarget bool
 }
 
 // attemptEnd is the end of an attempt at a server.
@@ -71,6 +74,8 @@
 	backoff time.Duration
 	// rejected says that the server rejected the request, stream that it was for a stream.
 	rejected, stream bool
+	// noTarget is that of the candidates.
+	noTarget bool
 }
 
 // balancer selects servers by load and observed latency. It is safe for concurrent use.
@@ -127,8 +132,13 @@
 	}
 	state := b.state(server)
 	state.load.Limiter.SetBound(server.Slots)
-	state.load.Limiter.Acquire()
-	if !from.stream {
+	switch {
+	case from.noTarget:
+		state.load.StartOutsideLimit()
+	case from.stream:
+		state.load.Limiter.Acquire()
+	default:
+		state.load.Limiter.Acquire()
 		state.load.Start(now)
 	}
 	state.recentSends.Record(now)
@@ -169,7 +179,7 @@
 	state := b.states[server.Incarnation()]
 	if state != nil {
 		serviceTime = state.load.ServiceTime(now, initialLatency)
-		inFlight = state.load.Limiter.InFlight()
+		inFlight = state.load.InFlight()
 		stated = state.load.LastLoad()
 	}
 	load := float64(max(inFlight, stated.Running+stated.Waiting) + 1)
@@ -224,8 +234,12 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	state := b.state(server)
-	state.load.End(end.chosenAt)
+	if !end.noTarget {
+		state.load.End(end.chosenAt)
+	}
 	switch {
+	case end.noTarget:
+		state.load.EndOutsideLimit()
 	case end.rejected:
 		state.load.Limiter.Failed(now)
 	case end.answered && !end.stream:
@@ -276,7 +290,7 @@
 	gone := maps.Clone(b.states)
 	listed.All(func(server *directory.Server) { delete(gone, server.Incarnation()) })
 	for id, state := range gone {
-		if state.load.Limiter.InFlight() == 0 {
+		if state.load.InFlight() == 0 {
 			delete(b.states, id)
 		}
 	}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -281,7 +281,7 @@
 // recordAttempt records the end of an attempt of a request for a single response.
 func (c *call) recordAttempt(started startedAttempt, result attemptResult) {
 	now := clock.Now()
-	end := endOf(started, result)
+	end := c.endOf(started, result)
 	end.loadAt = now
 	if end.answered {
 		end.latency = now.Sub(started.sentAt)
@@ -308,7 +308,7 @@
 // the given time.
 func (c *call) recordStreamEnd(started startedAttempt, answeredAt time.Time, result attemptResult) {
 	now := clock.Now()
-	end := endOf(started, result)
+	end := c.endOf(started, result)
 	end.loadAt, end.stream = answeredAt, true
 	if end.answered {
 		end.latency = now.Sub(c.request.Received)
@@ -317,8 +317,8 @@
 }
 
 // endOf returns the end of an attempt, without times.
-func endOf(started startedAttempt, result attemptResult) attemptEnd {
-	end := attemptEnd{chosenAt: started.chosenAt}
+func (c *call) endOf(started startedAttempt, result attemptResult) attemptEnd {
+	end := attemptEnd{chosenAt: started.chosenAt, noTarget: c.route.LatencyTarget <= 0}
 	switch {
 	case result.sendErr != nil:
 		end.backoff = failureBackoff
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -409,6 +409,55 @@
 	}
 }
 
+// Guards against requests of routes without a latency target that fill a server's limit, or make it look slow to
+// the requests of other routes.
+func TestRequestsWithoutLatencyTargetCountAsLoadOnly(t *testing.T) {
+	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindStream} {
+		ended := make(chan struct{})
+		f := newOverloadFixture(kind, OverloadOptions{}, func(ctx context.Context, attempt Attempt) (*Response, *SendError) {
+			<-ended
+			return respondWith(200, eventOne)(ctx, attempt)
+		})
+		f.route.LatencyTarget = 0
+		b := f.gateway.balancer
+		servers := f.list.Snapshot().Ready("svc")
+		slots := servers[0].Slots
+		var running sync.WaitGroup
+		for range slots * len(servers) {
+			running.Go(func() { f.send(time.Minute) })
+		}
+		inFlight := func() int {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			sum := 0
+			for _, server := range servers {
+				sum += b.state(server).load.InFlight()
+			}
+			return sum
+		}
+		for inFlight() < slots*len(servers) {
+			time.Sleep(time.Millisecond)
+		}
+		b.mutex.Lock()
+		later := clock.Now().Add(25 * time.Second)
+		for _, server := range servers {
+			state := b.state(server)
+			if got := state.load.ServiceTime(later, initialLatency); got != initialLatency {
+				t.Errorf("%v: service time %v after 25 s", kind, got)
+			}
+			if b.isAtLimit(later, state) || state.load.InFlight() != slots {
+				t.Errorf("%v: %s is at its limit, or has not %d requests in flight", kind, server.ID, slots)
+			}
+		}
+		b.mutex.Unlock()
+		close(ended)
+		running.Wait()
+		if got := inFlight(); got != 0 {
+			t.Errorf("%v: %d requests in flight after their end", kind, got)
+		}
+	}
+}
+
 // Guards against a limit that keeps the slots that a server was first listed with.
 func TestLimitFollowsTheListedSlots(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -60,7 +60,10 @@
 // chooseServer returns the server for the next attempt, or nil. All nodes choose the same server
 // for a suspected request, so that attempts at several nodes crash one server rather than several.
 func (c *call) chooseServer(now time.Time, servers []*directory.Server, suspicion quarantine.Suspicion) *directory.Server {
-	from := candidates{service: c.service, servers: servers, tried: c.tried, warmUpRate: c.table.WarmUpRate(c.service), stream: c.route.Kind == routetable.KindStream}
+	from := candidates{
+		service: c.service, servers: servers, tried: c.tried, warmUpRate: c.table.WarmUpRate(c.service),
+		stream: c.route.Kind == routetable.KindStream, noTarget: c.route.LatencyTarget <= 0,
+	}
 	if suspicion.Ends == 0 {
 		return c.gateway.balancer.choose(now, from)
 	}
--- a/internal/overload/server.go
+++ b/internal/overload/server.go
@@ -55,6 +55,8 @@
 	rejectedAt time.Time
 	// starts holds the start times of attempts in flight, oldest first.
 	starts []time.Time
+	// outsideLimit is the number of the node's requests at the server that Limiter does not count.
+	outsideLimit int
 }
 
 // NewServer returns the state of a server of which nothing is known.
@@ -76,12 +78,21 @@
 	}
 }
 
+// StartOutsideLimit records the start of a request that counts as load alone.
+func (s *Server) StartOutsideLimit() { s.outsideLimit++ }
+
+// EndOutsideLimit records the end of such a request.
+func (s *Server) EndOutsideLimit() { s.outsideLimit-- }
+
+// InFlight returns the number of this node's requests at the server.
+func (s *Server) InFlight() int { return s.Limiter.InFlight() + s.outsideLimit }
+
 // ObserveLoad records a stated load, unless there is a later one.
 func (s *Server) ObserveLoad(at time.Time, load Load) {
 	if at.Before(s.loadAt) {
 		return
 	}
-	s.load, s.loadAt, s.openAtLoad = load, at, s.Limiter.InFlight()
+	s.load, s.loadAt, s.openAtLoad = load, at, s.InFlight()
 }
 
 // ObserveResponse records whether a response was a rejection.
@@ -146,6 +157,6 @@
 	if !s.rejectedAt.IsZero() || s.loadAt.IsZero() || now.Sub(s.loadAt) > loadLifetime {
 		return false
 	}
-	sentSince := max(s.Limiter.InFlight()-s.openAtLoad, 0)
+	sentSince := max(s.InFlight()-s.openAtLoad, 0)
 	return s.load.Running+s.load.Waiting+sentSince < s.load.Slots
 }
