Overload: overload.off restores the earlier server choice

Cause: with overload.off, the cost of a server still took the latency without its queue, averages over time, and the age of the oldest attempt in flight.

Change: while the protection is off, the balancer records latencies with their queue and equal weights, and no starts of attempts. The formula of the cost is the same; it is then (1 + load / slots) x average latency.

Result: TestServerChoiceWhileOff fails without the change at each of its four steps, and passes now. The tests of internal/gateway and internal/overload pass.

--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -81,8 +81,9 @@
 // balancer selects servers by load and observed latency. It is safe for concurrent use.
 type balancer struct {
 	zone string
-	// unlimited disables the limits on concurrent requests.
-	unlimited bool
+	// unprotected says that the protection from overload is off. The cost of a server then takes its average
+	// latency and its load alone, without limit, age in flight and rejections.
+	unprotected bool
 
 	mutex   sync.Mutex
 	subsets subsets
@@ -135,7 +136,7 @@
 	switch {
 	case from.noTarget:
 		state.load.StartOutsideLimit()
-	case from.stream:
+	case from.stream || b.unprotected:
 		state.load.Limiter.Acquire()
 	default:
 		state.load.Limiter.Acquire()
@@ -193,7 +194,7 @@
 	if state != nil && b.isAtLimit(now, state) {
 		cost *= atLimitFactor
 	}
-	if state != nil && !b.unlimited && state.load.IsRejecting(now) {
+	if state != nil && !b.unprotected && state.load.IsRejecting(now) {
 		cost *= rejectingFactor
 	}
 	if now.Before(server.WarmAt) {
@@ -204,7 +205,7 @@
 
 // isAtLimit reports whether this node has as many requests at a server as its limit allows.
 func (b *balancer) isAtLimit(now time.Time, state *serverState) bool {
-	return !b.unlimited && !state.load.Limiter.HasRoom(now)
+	return !b.unprotected && !state.load.Limiter.HasRoom(now)
 }
 
 func (b *balancer) state(server *directory.Server) *serverState {
@@ -255,7 +256,10 @@
 	if end.rejected || end.answered && !end.stream {
 		state.load.ObserveResponse(now, end.rejected)
 	}
-	if end.answered {
+	switch {
+	case end.answered && b.unprotected:
+		state.load.ObserveTotalLatency(end.latency)
+	case end.answered:
 		state.load.ObserveLatency(now, end.latency, load)
 	}
 	if end.backoff > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,7 +75,7 @@
 		options.CrashTracker = crashwatch.NewTracker(crashwatch.Options{})
 	}
 	servers := newBalancer(options.Node, options.Zone)
-	servers.unlimited = options.Overload.Off
+	servers.unprotected = options.Overload.Off
 	return &Gateway{options: options, balancer: servers, services: newGuardedServices(options.Overload)}
 }
 
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -17,7 +17,7 @@
 
 // OverloadOptions configure how a Gateway protects loaded services.
 type OverloadOptions struct {
-	// Off disables limits, budgets and refusals under overload.
+	// Off disables limits, budgets and refusals under overload, and what the server choice does against it.
 	Off bool
 	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
 	// request of a loaded service; 0 means the default, 0.1, and NoBudget none.
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -364,6 +365,38 @@
 	}
 }
 
+// Guards against a server choice that overload.off changes in part: with it, the cost is
+// (1 + load / slots) x average latency, whatever the queue, the age in flight, the time between samples, the limit and
+// the last response.
+func TestServerChoiceWhileOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newOverloadFixture(routetable.KindSafe, OverloadOptions{Off: true}, respondWith(200, "ok")).gateway.balancer
+	server := &directory.Server{ID: "a", Service: "s", Slots: 4}
+	check := func(step string, load int, latency time.Duration) {
+		t.Helper()
+		want := (1 + float64(load)/float64(server.Slots)) * latency.Seconds()
+		if got := b.cost(now, server); math.Abs(got-want) > 1e-6 {
+			t.Errorf("%s: cost %v, want %v", step, got, want)
+		}
+	}
+	play := func(latency time.Duration, load Load) {
+		b.recordSend(now, candidates{}, server)
+		b.recordResult(now, server, attemptEnd{chosenAt: now, answered: true, latency: latency, load: &load, loadAt: now})
+	}
+	play(100*time.Millisecond, Load{Running: 4, Waiting: 4, Slots: 4})
+	check("with a queue", 9, 100*time.Millisecond)
+	now = now.Add(10 * time.Second)
+	play(200*time.Millisecond, Load{Slots: 4})
+	check("10 s later", 1, 115*time.Millisecond)
+	for range 5 {
+		b.recordSend(now, candidates{}, server)
+	}
+	now = now.Add(10 * time.Second)
+	check("above its slots for 10 s", 6, 115*time.Millisecond)
+	b.recordResult(now, server, attemptEnd{chosenAt: now, rejected: true})
+	check("after a rejection", 5, 115*time.Millisecond)
+}
+
 // Guards against state of services that are no longer listed.
 func TestStateOfUnlistedServicesIsDropped(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWith(200, "ok"))
--- a/internal/overload/server.go
+++ b/internal/overload/server.go
@@ -112,16 +112,24 @@
 // ObserveLatency records the latency of a response and the load that it stated; the zero Load if it
 // stated none. The newest of samples that are rare counts in full.
 func (s *Server) ObserveLatency(now time.Time, latency time.Duration, load Load) {
-	sample := time.Duration(float64(latency) / load.queueFactor())
-	previous := cmp.Or(s.serviceTime, sample)
 	weight := latencySmoothing
 	if !s.sampledAt.IsZero() {
 		weight = max(weight, 1-math.Exp(-float64(now.Sub(s.sampledAt))/float64(latencyTimeConstant)))
 	}
-	s.serviceTime = previous + time.Duration(weight*float64(sample-previous))
+	s.average(time.Duration(float64(latency)/load.queueFactor()), weight)
 	s.sampledAt = now
 }
 
+// ObserveTotalLatency records the latency of a response with its time in a queue. All samples have the
+// same weight. It takes the place of ObserveLatency where protection from overload is off.
+func (s *Server) ObserveTotalLatency(latency time.Duration) { s.average(latency, latencySmoothing) }
+
+// average adds a sample to the average service time.
+func (s *Server) average(sample time.Duration, weight float64) {
+	previous := cmp.Or(s.serviceTime, sample)
+	s.serviceTime = previous + time.Duration(weight*float64(sample-previous))
+}
+
 // LastLoad returns the load that the server stated last, however long ago.
 func (s *Server) LastLoad() Load { return s.load }
 
