Overload: a limit that is reached does not end the subset

Cause: a server at its limit ended a node's subset like one in backoff. With the whole subset at its limits, each request searched all servers of the service.

Change: only backoff and warm-up end the subset. Within it, a server at its limit is passed over while another one is below.

Result: TestLimitsDoNotEndTheSubset fails without the change, and with a cost that does not count the limit; it passes now, as do the other tests of subsets and limits.

--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -97,13 +97,13 @@
 
 // choose returns the cheapest untried server and records a send to it; nil if there is none.
 // Servers outside the subset are considered if the subset has no warm server that is out of
-// backoff and below its limit.
+// backoff. Limits do not end it: a request that finds all of them reached would search all servers.
 func (b *balancer) choose(now time.Time, from candidates) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	preferred, all := b.subsets.preferred(from.service, from.servers)
 	best := b.cheapest(now, from, preferred)
-	if best == nil || now.Before(b.state(best).backoffUntil) || now.Before(best.WarmAt) || b.isAtLimit(now, b.state(best)) {
+	if best == nil || now.Before(b.state(best).backoffUntil) || now.Before(best.WarmAt) {
 		best = b.cheapest(now, from, all)
 	}
 	b.recordSend(now, from, best)
--- a/internal/gateway/subset_test.go
+++ b/internal/gateway/subset_test.go
@@ -93,6 +93,37 @@
 	}
 }
 
+// Guards against a search of all servers of a service for each request while the subset is at its limits, and against
+// a server at its limit that is chosen while another one of the subset is below.
+func TestLimitsDoNotEndTheSubset(t *testing.T) {
+	list := fleetServersExcept(func(int) bool { return false })
+	now := time.Unix(1000, 0)
+	b := newBalancer("n", "z0")
+	preferred, _ := b.subsets.preferred("s", list)
+	most := 0
+	for _, server := range preferred {
+		most += server.Slots
+	}
+	for range 2 * most {
+		b.choose(now, candidates{service: "s", servers: list})
+	}
+	if len(b.states) != subsetSize {
+		t.Errorf("%d servers were chosen", len(b.states))
+	}
+	for _, server := range preferred {
+		if got := b.state(server).load.InFlight(); got != 2*server.Slots {
+			t.Errorf("%d requests at %s", got, server.ID)
+		}
+	}
+	below := preferred[subsetSize-1]
+	for range below.Slots + 1 {
+		b.recordResult(now, below, attemptEnd{chosenAt: now, answered: true, latency: 4 * initialLatency})
+	}
+	if got := b.choose(now, candidates{service: "s", servers: list}); got != below {
+		t.Errorf("chose %s, not the server below its limit", got.ID)
+	}
+}
+
 // If all servers of the subset are in backoff, another one is chosen.
 func TestNodeFallsBackBeyondSubset(t *testing.T) {
 	list := fleetServersExcept(func(int) bool { return false })
