Overload: whether a request is too late is judged by its route

Cause: the fastest recent answer was kept by service. A route of short requests was refused as too late when the requests of another route of the service take longer.

Change: the answers are kept by route. A route without a request for 5 s is dropped when another one is added. The existing tests and the model name a route in their calls, and check the same.

Result: TestTooLateIsJudgedByRoute of both packages fails while routes are not told apart, and that of internal/overload also if routes are never dropped; both pass now, as do the other tests of internal/gateway and internal/overload.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -145,7 +145,7 @@
 	now := clock.Now()
 	remaining := c.deadline.Sub(now)
 	service := c.gateway.services.get(c.service)
-	tooLate, refusing := service.assess(now, remaining)
+	tooLate, refusing := service.assess(now, c.route.Name, remaining)
 	if tooLate {
 		c.reason = reasonTooLate
 		return false
@@ -168,12 +168,12 @@
 	return decision.Admitted
 }
 
-// assess reports whether a request with the given remaining time is too late, and whether the service
-// refuses requests.
-func (s *guardedService) assess(now time.Time, remaining time.Duration) (tooLate, refusing bool) {
+// assess reports whether a request of a route with the given remaining time is too late, and whether the
+// service refuses requests.
+func (s *guardedService) assess(now time.Time, route string, remaining time.Duration) (tooLate, refusing bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.state.IsTooLate(now, remaining), s.state.Throttle.RefusedShare(now) > 0
+	return s.state.IsTooLate(now, route, remaining), s.state.Throttle.RefusedShare(now) > 0
 }
 
 // admit decides about a request. For a refusal it returns the fields of a log line, unless one was
@@ -274,7 +274,7 @@
 	defer service.mutex.Unlock()
 	service.state.Throttle.Observe(now, sample)
 	if sample.Target > 0 && latency > 0 {
-		service.state.ObserveAnswer(now, latency)
+		service.state.ObserveAnswer(now, c.route.Name, latency)
 	}
 }
 
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -317,6 +317,22 @@
 	}
 }
 
+// Guards against requests that count as too late since those of another route of the service take longer.
+func TestTooLateIsJudgedByRoute(t *testing.T) {
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
+	for range 5 {
+		f.send(10 * time.Second)
+	}
+	f.route.Name = "other"
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+		t.Errorf("%+v", outcome)
+	}
+	f.route.Name = "r"
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason != reasonTooLate {
+		t.Errorf("%+v", outcome)
+	}
+}
+
 // Guards against a failed stream that keeps its place in this node's limit, and the state of its server, forever.
 func TestBrokenFailureOfAStreamEndsItsAttempt(t *testing.T) {
 	f := newOverloadFixture(routetable.KindStream, OverloadOptions{}, func(context.Context, Attempt) (*Response, *SendError) {
--- a/internal/overload/model_test.go
+++ b/internal/overload/model_test.go
@@ -134,7 +134,7 @@
 	r := &modelRequest{node: node, deadline: deadline, tried: make([]bool, len(m.servers))}
 	remaining := deadline.Sub(m.now)
 	free := node.hasFreeSlot(m.now, r.tried)
-	if node.service.IsTooLate(m.now, remaining) && !node.unprotected {
+	if node.service.IsTooLate(m.now, "", remaining) && !node.unprotected {
 		m.refuse(r, minRetryAfter)
 		return
 	}
@@ -247,7 +247,7 @@
 		known.Limiter.Failed(m.now)
 	} else {
 		known.Limiter.Answered(m.now, m.now.Sub(sent))
-		r.node.service.ObserveAnswer(m.now, m.now.Sub(sent))
+		r.node.service.ObserveAnswer(m.now, "", m.now.Sub(sent))
 	}
 	if !m.statesLoad {
 		load = Load{}
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -1,6 +1,9 @@
 package overload
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Parameters of a Service.
 const (
@@ -18,6 +21,9 @@
 	// minAnswers is the number of recent answers from which on their minimum is taken for the time
 	// that a request needs.
 	minAnswers = 5
+	// routeLifetime is how long the answers of a route without requests are kept. None counts for longer than two
+	// periods of a recentMinimum.
+	routeLifetime = 5 * time.Second
 )
 
 // ServiceOptions configure a Service.
@@ -29,12 +35,13 @@
 	TenantWeights map[string]float64
 }
 
-// Service is what one node knows about one service: its throttle, its budgets and its fastest recent
-// answer. It is not safe for concurrent use.
+// Service is what one node knows about one service: its throttle, its budgets and the fastest recent
+// answers of its routes. It is not safe for concurrent use.
 type Service struct {
 	Throttle        *Throttle
 	hedges, retries *Budget
-	answers         recentMinimum
+	// answers holds the latencies of complete responses by route.
+	answers map[string]*recentMinimum
 }
 
 // NewService returns a service of which nothing is known.
@@ -43,6 +50,7 @@
 		Throttle: NewThrottle(ThrottleOptions{TenantWeights: options.TenantWeights}),
 		hedges:   newServiceBudget(options.HedgeShare),
 		retries:  newServiceBudget(options.RetryShare),
+		answers:  make(map[string]*recentMinimum),
 	}
 }
 
@@ -76,15 +84,25 @@
 }
 
 // IsTooLate reports whether a request whose caller waits for the remaining time is certainly
-// answered too late.
-func (s *Service) IsTooLate(now time.Time, remaining time.Duration) bool {
-	fastest, count := s.answers.value(now)
+// answered too late, given the recent answers of its route.
+func (s *Service) IsTooLate(now time.Time, route string, remaining time.Duration) bool {
+	answers := s.answers[route]
+	if answers == nil {
+		return false
+	}
+	fastest, count := answers.value(now)
 	return count >= minAnswers && remaining < fastest
 }
 
 // ObserveAnswer records the latency of a complete response.
-func (s *Service) ObserveAnswer(now time.Time, latency time.Duration) {
-	s.answers.observe(now, latency)
+func (s *Service) ObserveAnswer(now time.Time, route string, latency time.Duration) {
+	answers := s.answers[route]
+	if answers == nil {
+		maps.DeleteFunc(s.answers, func(_ string, r *recentMinimum) bool { return now.Sub(r.ends) >= routeLifetime })
+		answers = &recentMinimum{}
+		s.answers[route] = answers
+	}
+	answers.observe(now, latency)
 }
 
 // AllowHedge reports whether a second copy of a slow request may be sent, and takes it out of the
--- a/internal/overload/throttle_test.go
+++ b/internal/overload/throttle_test.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -196,19 +197,40 @@
 func TestTooLateIsJudgedByRecentAnswers(t *testing.T) {
 	service := NewService(ServiceOptions{})
 	for i := range minAnswers {
-		if service.IsTooLate(start, time.Millisecond) {
+		if service.IsTooLate(start, "r", time.Millisecond) {
 			t.Errorf("too late after %d answers", i)
 		}
-		service.ObserveAnswer(start, time.Duration(40+i)*time.Millisecond)
+		service.ObserveAnswer(start, "r", time.Duration(40+i)*time.Millisecond)
 	}
-	if !service.IsTooLate(start.Add(time.Second), 39*time.Millisecond) || service.IsTooLate(start.Add(time.Second), 40*time.Millisecond) {
+	if !service.IsTooLate(start.Add(time.Second), "r", 39*time.Millisecond) || service.IsTooLate(start.Add(time.Second), "r", 40*time.Millisecond) {
 		t.Error("not judged by the fastest answer of 40 ms")
 	}
-	if service.IsTooLate(start.Add(2*recentPeriod), time.Millisecond) {
+	if service.IsTooLate(start.Add(2*recentPeriod), "r", time.Millisecond) {
 		t.Error("judged by an answer that is two seconds old")
 	}
 }
 
+// Guards against a request that is refused for the slow answers of another route, and against state that grows with
+// each route that ever had a request.
+func TestTooLateIsJudgedByRoute(t *testing.T) {
+	service := NewService(ServiceOptions{})
+	for range minAnswers {
+		service.ObserveAnswer(start, "slow", time.Second)
+		service.ObserveAnswer(start, "fast", 10*time.Millisecond)
+	}
+	for route, want := range map[string]bool{"slow": true, "fast": false, "unknown": false} {
+		if got := service.IsTooLate(start, route, 100*time.Millisecond); got != want {
+			t.Errorf("%s: too late %v", route, got)
+		}
+	}
+	for i := range 100 {
+		service.ObserveAnswer(start.Add(time.Duration(i)*time.Second), fmt.Sprint("r", i), time.Second)
+	}
+	if most := int(routeLifetime/time.Second) + 2; len(service.answers) > most {
+		t.Errorf("%d routes are kept, at most %d had a request lately", len(service.answers), most)
+	}
+}
+
 // Guards against hedges and retries that need a budget without load, and that need none under it.
 func TestBudgetsOfAService(t *testing.T) {
 	spend := func(service *Service, allow func() bool) int {
