--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -55,6 +55,9 @@
 	warmUpRate float64
 	// stream says that the request is for a stream, whose age in flight says nothing of the server.
 	stream bool
+	// noTarget says that the route has no latency target. Its requests may take any time, so that they count
+	// neither towards a limit nor by their age in flight.
+	noTarget bool
 }
 
 // attemptEnd is the end of an attempt at a server.
@@ -71,13 +74,16 @@
 	backoff time.Duration
 	// rejected says that the server rejected the request, stream that it was for a stream.
 	rejected, stream bool
+	// noTarget is that of the candidates.
+	noTarget bool
 }
 
 // balancer selects servers by load and observed latency. It is safe for concurrent use.
 type balancer struct {
 	zone string
-	// unlimited disables the limits on concurrent requests.
-	unlimited bool
+	// unprotected says that the protection from overload is off. The cost of a server then takes its average
+	// latency and its load alone, without limit, age in flight and rejections.
+	unprotected bool
 
 	mutex   sync.Mutex
 	subsets subsets
@@ -91,13 +97,13 @@
 
 // choose returns the cheapest untried server and records a send to it; nil if there is none.
 // Servers outside the subset are considered if the subset has no warm server that is out of
-// backoff and below its limit.
+// backoff. Limits do not end it: a request that finds all of them reached would search all servers.
 func (b *balancer) choose(now time.Time, from candidates) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	preferred, all := b.subsets.preferred(from.service, from.servers)
 	best := b.cheapest(now, from, preferred)
-	if best == nil || now.Before(b.state(best).backoffUntil) || now.Before(best.WarmAt) || b.isAtLimit(now, b.state(best)) {
+	if best == nil || now.Before(b.state(best).backoffUntil) || now.Before(best.WarmAt) {
 		best = b.cheapest(now, from, all)
 	}
 	b.recordSend(now, from, best)
@@ -127,8 +133,13 @@
 	}
 	state := b.state(server)
 	state.load.Limiter.SetBound(server.Slots)
-	state.load.Limiter.Acquire()
-	if !from.stream {
+	switch {
+	case from.noTarget:
+		state.load.StartOutsideLimit()
+	case from.stream || b.unprotected:
+		state.load.Limiter.Acquire()
+	default:
+		state.load.Limiter.Acquire()
 		state.load.Start(now)
 	}
 	state.recentSends.Record(now)
@@ -169,7 +180,7 @@
 	state := b.states[server.Incarnation()]
 	if state != nil {
 		serviceTime = state.load.ServiceTime(now, initialLatency)
-		inFlight = state.load.Limiter.InFlight()
+		inFlight = state.load.InFlight()
 		stated = state.load.LastLoad()
 	}
 	load := float64(max(inFlight, stated.Running+stated.Waiting) + 1)
@@ -183,7 +194,7 @@
 	if state != nil && b.isAtLimit(now, state) {
 		cost *= atLimitFactor
 	}
-	if state != nil && !b.unlimited && state.load.IsRejecting(now) {
+	if state != nil && !b.unprotected && state.load.IsRejecting(now) {
 		cost *= rejectingFactor
 	}
 	if now.Before(server.WarmAt) {
@@ -194,7 +205,7 @@
 
 // isAtLimit reports whether this node has as many requests at a server as its limit allows.
 func (b *balancer) isAtLimit(now time.Time, state *serverState) bool {
-	return !b.unlimited && !state.load.Limiter.HasRoom(now)
+	return !b.unprotected && !state.load.Limiter.HasRoom(now)
 }
 
 func (b *balancer) state(server *directory.Server) *serverState {
@@ -224,8 +235,12 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	state := b.state(server)
-	state.load.End(end.chosenAt)
+	if !end.noTarget {
+		state.load.End(end.chosenAt)
+	}
 	switch {
+	case end.noTarget:
+		state.load.EndOutsideLimit()
 	case end.rejected:
 		state.load.Limiter.Failed(now)
 	case end.answered && !end.stream:
@@ -241,7 +256,10 @@
 	if end.rejected || end.answered && !end.stream {
 		state.load.ObserveResponse(now, end.rejected)
 	}
-	if end.answered {
+	switch {
+	case end.answered && b.unprotected:
+		state.load.ObserveTotalLatency(end.latency)
+	case end.answered:
 		state.load.ObserveLatency(now, end.latency, load)
 	}
 	if end.backoff > 0 {
@@ -276,7 +294,7 @@
 	gone := maps.Clone(b.states)
 	listed.All(func(server *directory.Server) { delete(gone, server.Incarnation()) })
 	for id, state := range gone {
-		if state.load.Limiter.InFlight() == 0 {
+		if state.load.InFlight() == 0 {
 			delete(b.states, id)
 		}
 	}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -17,7 +17,7 @@
 
 // OverloadOptions configure how a Gateway protects loaded services.
 type OverloadOptions struct {
-	// Off disables limits, budgets and refusals under overload.
+	// Off disables limits, budgets and refusals under overload, and what the server choice does against it.
 	Off bool
 	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
 	// request of a loaded service; 0 means the default, 0.1, and NoBudget none.
@@ -145,7 +145,7 @@
 	now := clock.Now()
 	remaining := c.deadline.Sub(now)
 	service := c.gateway.services.get(c.service)
-	tooLate, refusing := service.assess(now, remaining)
+	tooLate, refusing := service.assess(now, c.route.Name, remaining)
 	if tooLate {
 		c.reason = reasonTooLate
 		return false
@@ -168,12 +168,12 @@
 	return decision.Admitted
 }
 
-// assess reports whether a request with the given remaining time is too late, and whether the service
-// refuses requests.
-func (s *guardedService) assess(now time.Time, remaining time.Duration) (tooLate, refusing bool) {
+// assess reports whether a request of a route with the given remaining time is too late, and whether the
+// service refuses requests.
+func (s *guardedService) assess(now time.Time, route string, remaining time.Duration) (tooLate, refusing bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.state.IsTooLate(now, remaining), s.state.Throttle.RefusedShare(now) > 0
+	return s.state.IsTooLate(now, route, remaining), s.state.Throttle.RefusedShare(now) > 0
 }
 
 // admit decides about a request. For a refusal it returns the fields of a log line, unless one was
@@ -274,14 +274,14 @@
 	defer service.mutex.Unlock()
 	service.state.Throttle.Observe(now, sample)
 	if sample.Target > 0 && latency > 0 {
-		service.state.ObserveAnswer(now, latency)
+		service.state.ObserveAnswer(now, c.route.Name, latency)
 	}
 }
 
 // recordAttempt records the end of an attempt of a request for a single response.
 func (c *call) recordAttempt(started startedAttempt, result attemptResult) {
 	now := clock.Now()
-	end := endOf(started, result)
+	end := c.endOf(started, result)
 	end.loadAt = now
 	if end.answered {
 		end.latency = now.Sub(started.sentAt)
@@ -308,7 +308,7 @@
 // the given time.
 func (c *call) recordStreamEnd(started startedAttempt, answeredAt time.Time, result attemptResult) {
 	now := clock.Now()
-	end := endOf(started, result)
+	end := c.endOf(started, result)
 	end.loadAt, end.stream = answeredAt, true
 	if end.answered {
 		end.latency = now.Sub(c.request.Received)
@@ -317,8 +317,8 @@
 }
 
 // endOf returns the end of an attempt, without times.
-func endOf(started startedAttempt, result attemptResult) attemptEnd {
-	end := attemptEnd{chosenAt: started.chosenAt}
+func (c *call) endOf(started startedAttempt, result attemptResult) attemptEnd {
+	end := attemptEnd{chosenAt: started.chosenAt, noTarget: c.route.LatencyTarget <= 0}
 	switch {
 	case result.sendErr != nil:
 		end.backoff = failureBackoff
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -316,6 +317,22 @@
 	}
 }
 
+// Guards against requests that count as too late since those of another route of the service take longer.
+func TestTooLateIsJudgedByRoute(t *testing.T) {
+	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
+	for range 5 {
+		f.send(10 * time.Second)
+	}
+	f.route.Name = "other"
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+		t.Errorf("%+v", outcome)
+	}
+	f.route.Name = "r"
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason != reasonTooLate {
+		t.Errorf("%+v", outcome)
+	}
+}
+
 // Guards against a failed stream that keeps its place in this node's limit, and the state of its server, forever.
 func TestBrokenFailureOfAStreamEndsItsAttempt(t *testing.T) {
 	f := newOverloadFixture(routetable.KindStream, OverloadOptions{}, func(context.Context, Attempt) (*Response, *SendError) {
@@ -364,6 +381,38 @@
 	}
 }
 
+// Guards against a server choice that overload.off changes in part: with it, the cost is
+// (1 + load / slots) x average latency, whatever the queue, the age in flight, the time between samples, the limit and
+// the last response.
+func TestServerChoiceWhileOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newOverloadFixture(routetable.KindSafe, OverloadOptions{Off: true}, respondWith(200, "ok")).gateway.balancer
+	server := &directory.Server{ID: "a", Service: "s", Slots: 4}
+	check := func(step string, load int, latency time.Duration) {
+		t.Helper()
+		want := (1 + float64(load)/float64(server.Slots)) * latency.Seconds()
+		if got := b.cost(now, server); math.Abs(got-want) > 1e-6 {
+			t.Errorf("%s: cost %v, want %v", step, got, want)
+		}
+	}
+	play := func(latency time.Duration, load Load) {
+		b.recordSend(now, candidates{}, server)
+		b.recordResult(now, server, attemptEnd{chosenAt: now, answered: true, latency: latency, load: &load, loadAt: now})
+	}
+	play(100*time.Millisecond, Load{Running: 4, Waiting: 4, Slots: 4})
+	check("with a queue", 9, 100*time.Millisecond)
+	now = now.Add(10 * time.Second)
+	play(200*time.Millisecond, Load{Slots: 4})
+	check("10 s later", 1, 115*time.Millisecond)
+	for range 5 {
+		b.recordSend(now, candidates{}, server)
+	}
+	now = now.Add(10 * time.Second)
+	check("above its slots for 10 s", 6, 115*time.Millisecond)
+	b.recordResult(now, server, attemptEnd{chosenAt: now, rejected: true})
+	check("after a rejection", 5, 115*time.Millisecond)
+}
+
 // Guards against state of services that are no longer listed.
 func TestStateOfUnlistedServicesIsDropped(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWith(200, "ok"))
@@ -409,6 +458,55 @@
 	}
 }
 
+// Guards against requests of routes without a latency target that fill a server's limit, or make it look slow to
+// the requests of other routes.
+func TestRequestsWithoutLatencyTargetCountAsLoadOnly(t *testing.T) {
+	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindStream} {
+		ended := make(chan struct{})
+		f := newOverloadFixture(kind, OverloadOptions{}, func(ctx context.Context, attempt Attempt) (*Response, *SendError) {
+			<-ended
+			return respondWith(200, eventOne)(ctx, attempt)
+		})
+		f.route.LatencyTarget = 0
+		b := f.gateway.balancer
+		servers := f.list.Snapshot().Ready("svc")
+		slots := servers[0].Slots
+		var running sync.WaitGroup
+		for range slots * len(servers) {
+			running.Go(func() { f.send(time.Minute) })
+		}
+		inFlight := func() int {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			sum := 0
+			for _, server := range servers {
+				sum += b.state(server).load.InFlight()
+			}
+			return sum
+		}
+		for inFlight() < slots*len(servers) {
+			time.Sleep(time.Millisecond)
+		}
+		b.mutex.Lock()
+		later := clock.Now().Add(25 * time.Second)
+		for _, server := range servers {
+			state := b.state(server)
+			if got := state.load.ServiceTime(later, initialLatency); got != initialLatency {
+				t.Errorf("%v: service time %v after 25 s", kind, got)
+			}
+			if b.isAtLimit(later, state) || state.load.InFlight() != slots {
+				t.Errorf("%v: %s is at its limit, or has not %d requests in flight", kind, server.ID, slots)
+			}
+		}
+		b.mutex.Unlock()
+		close(ended)
+		running.Wait()
+		if got := inFlight(); got != 0 {
+			t.Errorf("%v: %d requests in flight after their end", kind, got)
+		}
+	}
+}
+
 // Guards against a limit that keeps the slots that a server was first listed with.
 func TestLimitFollowsTheListedSlots(t *testing.T) {
 	now := time.Unix(1000, 0)
