overload, bytebudget: state reasons in comments, wrap them

Some comments gave no reason for a constant, used figurative wording or were wider than 110 columns. They now state the unit, the effect and the reason. shares.longest is renamed negatedLongest, since it holds negated times. No behaviour changes.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -1,4 +1,5 @@
-// Package bytebudget bounds the bytes that a node holds in memory for its callers, in total and for each caller.
+// Package bytebudget bounds the bytes that a node holds in memory for its callers, in total and for
+// each caller.
 package bytebudget
 
 import (
@@ -7,11 +8,11 @@
 	"sync"
 )
 
-// FreeBytes is the number of bytes of each request that do not count: refusing small requests would not relieve a node,
-// since their connections take as much.
+// FreeBytes is the number of bytes of each request that do not count: refusing small requests would not
+// relieve a node, since their connections take as much.
 const FreeBytes = 16 << 10
 
-// callerShare is the share of a budget that one caller may use.
+// callerShare is the share of a budget that one caller may use, so that a single caller cannot exhaust it.
 const callerShare = 0.5
 
 // Budget bounds the bytes held. It is safe for concurrent use. A nil Budget has no bound.
@@ -23,7 +24,7 @@
 	callers map[string]int64
 }
 
-// New returns a budget of limit bytes, of which each caller may use one half.
+// New returns a budget of limit bytes, of which each caller may use callerShare.
 func New(limit int64) *Budget {
 	return &Budget{limit: limit, callerLimit: int64(callerShare * float64(limit)), callers: make(map[string]int64)}
 }
@@ -55,8 +56,8 @@
 	return &Reservation{budget: b, caller: caller, free: FreeBytes}
 }
 
-// Reservation is the part of a budget that a request uses. It is safe for concurrent use. A nil Reservation has no
-// bound.
+// Reservation is the part of a budget that a request uses. It is safe for concurrent use. A nil
+// Reservation has no bound.
 type Reservation struct {
 	budget *Budget
 	caller string
@@ -65,8 +66,9 @@
 	released    bool
 }
 
-// Grow adds bytes to the reservation, of which the first FreeBytes do not count, or none if that exceeds the budget or the caller's part of it. A released
-// reservation does not grow.
+// Grow adds bytes to the reservation and reports whether they fit. If they exceed the budget or the
+// caller's share of it, or if the reservation was released, it adds none. The first FreeBytes of a
+// reservation do not count.
 func (r *Reservation) Grow(bytes int64) bool {
 	if r == nil {
 		return true
@@ -111,12 +113,13 @@
 // minGrowBytes is the smallest growth of a buffer; larger ones grow by a quarter.
 const minGrowBytes = 4 << 10
 
-// ReadAll reads until the end of a source, until it has limit bytes, or until the reservation cannot grow; ended is
-// set if the source has ended before. The size is the expected number of bytes, or below 0 if it is unknown.
+// ReadAll reads until the source ends, limit bytes are read, or the reservation cannot grow. ended says
+// that the source ended before limit bytes were read. The size is the expected number of bytes, or
+// below 0 if it is unknown.
 func (r *Reservation) ReadAll(source io.Reader, size, limit int64) (data []byte, ended bool, err error) {
 	grow := min(minGrowBytes, limit)
 	if size >= 0 {
-		grow = min(size+1, limit) // one byte more is room to read the end
+		grow = min(size+1, limit) // the extra byte lets the end be read without another growth
 	}
 	for {
 		if len(data) == cap(data) {
--- a/internal/overload/limiter.go
+++ b/internal/overload/limiter.go
@@ -27,11 +27,11 @@
 	// was lost.
 	failureDecrease = 0.7
 
-	// For probeTime out of every probeEvery of wall-clock time the limit is cut
-	// to probeShare, which must be below 1/latencyTolerance, so that the back
-	// end's queue drains and the latency without a queue is seen again. Without it the baseline would creep up during a long
-	// overload, and the limit with it. All nodes probe at the same wall-clock
-	// time, since the queue holds the requests of all of them.
+	// For probeTime out of every probeEvery of wall-clock time the limit is cut to probeShare, which
+	// must be below 1/latencyTolerance, so that the back end's queue drains and the latency without a
+	// queue is measured again. Without probes the baseline, and the limit with it, would rise during
+	// a long overload. All nodes probe at the same wall-clock time, since the queue holds the
+	// requests of all of them.
 	probeEvery = 10 * time.Second
 	probeTime  = 600 * time.Millisecond
 	probeShare = 0.3
@@ -148,7 +148,7 @@
 	l.closeWindow(now)
 }
 
-// Dropped closes a request that says nothing of the back end's capacity.
+// Dropped closes a request whose end does not show the back end's capacity.
 func (l *Limiter) Dropped() { l.inFlight-- }
 
 // closeWindow moves the limit once a window is over.
@@ -172,7 +172,8 @@
 	case l.failed:
 		l.limit = max(minimumLimit, l.limit*failureDecrease)
 	case float64(l.mostOpen) >= l.limit/2:
-		// A limit that isn't used tells nothing of the capacity behind it.
+		// The limit follows the latency only while half of it was in use: fewer requests do not show
+		// the capacity of the back end.
 		l.follow(l.total / time.Duration(l.answers))
 	default:
 		l.noteBaseline(l.total / time.Duration(l.answers))
--- a/internal/overload/load_test.go
+++ b/internal/overload/load_test.go
@@ -44,7 +44,8 @@
 	}
 }
 
-// Guards against a model whose servers cope by themselves, on which the test above would show nothing.
+// Guards against a model whose servers withstand a burst without protection, which would make the test
+// above meaningless.
 func TestUnprotectedNodesMultiplyABurst(t *testing.T) {
 	m := newModel(87, 4)
 	for _, node := range m.nodes {
@@ -68,8 +69,9 @@
 	}
 }
 
-// Guards against refusals because one or two servers reject all requests while the others are idle, at nodes with
-// many and with few requests, and with servers that state no load; and against requests that are sent there first.
+// Guards against refusals because one or two servers reject all requests while the others are idle, at
+// nodes with many and with few requests, and with servers that state no load; and against requests that
+// are sent there first.
 func TestRejectingServersAmongIdleOnes(t *testing.T) {
 	for _, nodes := range []int{1, 5, 87} {
 		for _, statesLoad := range []bool{true, false} {
--- a/internal/overload/model_test.go
+++ b/internal/overload/model_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"math/rand/v2"
 	"strconv"
-
 	"time"
 )
 
--- a/internal/overload/recent.go
+++ b/internal/overload/recent.go
@@ -5,7 +5,7 @@
 // recentPeriod is the length of one period of a recentMinimum.
 const recentPeriod = time.Second
 
-// recentMinimum is the smallest duration of the current period and the one before it.
+// recentMinimum tracks the smallest duration of the current period and the one before it.
 type recentMinimum struct {
 	current, previous period
 	ends              time.Time
@@ -53,7 +53,8 @@
 	r.ends = now.Add(recentPeriod)
 }
 
-// lastTwo holds the last events of the two servers that had one last, the newest first.
+// lastTwo holds the latest event of each of the two servers with the most recent events, the newest
+// first.
 type lastTwo [2]serverEvent
 
 // serverEvent is an event of a server.
--- a/internal/overload/server.go
+++ b/internal/overload/server.go
@@ -13,11 +13,11 @@
 	// samples are frequent. A larger one notices slow servers sooner, but avoids a server after a
 	// single slow response.
 	latencySmoothing = 0.15
-	// latencyTimeConstant is that with which an average is forgotten while samples are rare.
+	// latencyTimeConstant is the time constant of the average of service times while samples are rare.
 	latencyTimeConstant = time.Second
-	// loadLifetime is how long a stated load counts.
+	// loadLifetime is how long a stated load counts as evidence of a free slot.
 	loadLifetime = 500 * time.Millisecond
-	// rejectionLifetime is how long a server that rejected a request is avoided until it is tried again.
+	// rejectionLifetime is how long a server that rejected a request is avoided.
 	rejectionLifetime = time.Second
 )
 
@@ -41,8 +41,8 @@
 type Server struct {
 	// Limiter bounds the node's concurrent requests at the server.
 	Limiter *Limiter
-	// serviceTime is the average time that a request takes without a queue; 0 if unknown. The last
-	// sample is of sampledAt.
+	// serviceTime is the average time that a request takes without a queue; 0 if unknown. sampledAt is
+	// the time of the last sample.
 	serviceTime time.Duration
 	sampledAt   time.Time
 	// load is what the server stated last, at loadAt.
@@ -50,8 +50,8 @@
 	loadAt time.Time
 	// openAtLoad is the number of this node's requests at the server when it stated the load.
 	openAtLoad int
-	// rejectedAt is when the server rejected the last request that it responded to; zero if it did not.
-	// Servers may reject all requests and state free slots.
+	// rejectedAt is when the server last rejected a request; zero if it has answered one since. It is
+	// kept since a server may state free slots and reject all requests.
 	rejectedAt time.Time
 	// starts holds the start times of attempts in flight, oldest first.
 	starts []time.Time
@@ -59,7 +59,8 @@
 	outsideLimit int
 }
 
-// NewServer returns the state of a server of which nothing is known.
+// NewServer returns the state of a server without observations; slots is the number of requests that it
+// runs at once, 0 if unknown.
 func NewServer(slots int) *Server { return &Server{Limiter: NewBoundedLimiter(slots)} }
 
 // Start records the start of an attempt whose age tells whether the server is slow.
@@ -78,7 +79,7 @@
 	}
 }
 
-// StartOutsideLimit records the start of a request that counts as load alone.
+// StartOutsideLimit records the start of a request that counts as load but not towards the limit.
 func (s *Server) StartOutsideLimit() { s.outsideLimit++ }
 
 // EndOutsideLimit records the end of such a request.
@@ -110,7 +111,7 @@
 }
 
 // ObserveLatency records the latency of a response and the load that it stated; the zero Load if it
-// stated none. The newest of samples that are rare counts in full.
+// stated none. The longer ago the previous sample was, the more weight the new one has.
 func (s *Server) ObserveLatency(now time.Time, latency time.Duration, load Load) {
 	weight := latencySmoothing
 	if !s.sampledAt.IsZero() {
@@ -121,7 +122,7 @@
 }
 
 // ObserveTotalLatency records the latency of a response with its time in a queue. All samples have the
-// same weight. It takes the place of ObserveLatency where protection from overload is off.
+// same weight. It replaces ObserveLatency if the protection from overload is off.
 func (s *Server) ObserveTotalLatency(latency time.Duration) { s.average(latency, latencySmoothing) }
 
 // average adds a sample to the average service time.
@@ -134,7 +135,7 @@
 func (s *Server) LastLoad() Load { return s.load }
 
 // ServiceTime returns the average service time, or the given one if it is unknown, but at least the
-// age of the oldest attempt in flight: a server that hangs is avoided before it answers.
+// age of the oldest attempt in flight, so that a server that hangs is avoided before it answers.
 func (s *Server) ServiceTime(now time.Time, unknown time.Duration) time.Duration {
 	serviceTime := cmp.Or(s.serviceTime, unknown)
 	if len(s.starts) > 0 {
@@ -143,7 +144,7 @@
 	return serviceTime
 }
 
-// PredictedLatency returns the latency that the next request at a server with the given load has; 0
+// PredictedLatency returns the predicted latency of the next request at the server under the given load; 0
 // if there is no queue or the service time is unknown.
 func (s *Server) PredictedLatency(load Load) time.Duration {
 	if load.Waiting <= 0 {
@@ -152,8 +153,8 @@
 	return time.Duration(float64(s.serviceTime) * load.queueFactor())
 }
 
-// PredictedWait returns the time for which the next request at a server with the given load waits
-// for a slot.
+// PredictedWait returns the predicted time for which the next request waits for a slot at the server
+// under the given load.
 func (s *Server) PredictedWait(load Load) time.Duration {
 	return max(s.PredictedLatency(load)-s.serviceTime, 0)
 }
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -14,15 +14,15 @@
 	budgetFloor = 0.2
 	// initialBudget lets the first request of a node be sent to two more servers.
 	initialBudget = 2
-	// budgetCapacity bounds what a node saves up for the start of an overload.
+	// budgetCapacity bounds the hedges, and the retries, that a node saves up before an overload.
 	budgetCapacity = 10
 	// lightUtilization is the mean utilization up to which hedges and retries draw on no budget.
 	lightUtilization = 0.5
-	// minAnswers is the number of recent answers from which on their minimum is taken for the time
-	// that a request needs.
+	// minAnswers is the smallest number of recent answers whose minimum is taken as the time that a
+	// request needs.
 	minAnswers = 5
-	// routeLifetime is how long the answers of a route without requests are kept. None counts for longer than two
-	// periods of a recentMinimum.
+	// routeLifetime is how long the answers of a route without requests are kept. It only bounds
+	// memory: an answer counts for at most two periods of a recentMinimum.
 	routeLifetime = 5 * time.Second
 )
 
@@ -44,7 +44,7 @@
 	answers map[string]*recentMinimum
 }
 
-// NewService returns a service of which nothing is known.
+// NewService returns a service without observations.
 func NewService(options ServiceOptions) *Service {
 	return &Service{
 		Throttle: NewThrottle(ThrottleOptions{TenantWeights: options.TenantWeights}),
@@ -77,14 +77,14 @@
 	return decision
 }
 
-// Earn pays in for a request that is admitted without a decision.
+// Earn pays for hedges and retries on behalf of a request that is admitted without a decision.
 func (s *Service) Earn() {
 	s.hedges.Earn()
 	s.retries.Earn()
 }
 
-// IsTooLate reports whether a request whose caller waits for the remaining time is certainly
-// answered too late, given the recent answers of its route.
+// IsTooLate reports whether a request has less time left than the fastest recent answer of its route
+// took, and would be answered too late.
 func (s *Service) IsTooLate(now time.Time, route string, remaining time.Duration) bool {
 	answers := s.answers[route]
 	if answers == nil {
@@ -106,8 +106,8 @@
 }
 
 // AllowHedge reports whether a second copy of a slow request may be sent, and takes it out of the
-// budget unless the service is lightly used. Under overload there is none: a copy would take the
-// place of another request.
+// budget unless the service is lightly used. Under overload there are no hedges: a copy would take the
+// slot of another request.
 func (s *Service) AllowHedge(now time.Time) bool {
 	return s.isLightlyUsed(now) || !s.Throttle.Loaded(now) && s.hedges.Take(now)
 }
@@ -118,8 +118,8 @@
 	return hasFreeSlot || s.isLightlyUsed(now) || s.retries.Take(now)
 }
 
-// isLightlyUsed reports whether hedges and retries need no budget. A server that hangs beside four
-// idle ones makes a fifth of all requests need one.
+// isLightlyUsed reports whether hedges and retries draw on no budget. The budget would not suffice for
+// one hanging server among five: a fifth of all requests needs a hedge then.
 func (s *Service) isLightlyUsed(now time.Time) bool {
 	if s.Throttle.Loaded(now) {
 		return false
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -17,19 +17,20 @@
 	shortOfTimeMargin = minRetryAfter / 2
 	// divideInterval is the longest time for which one division of the admitted share applies.
 	divideInterval = 20 * time.Millisecond
-	// minRecentRequests is the decayed number of requests below which a tenant is forgotten.
+	// minRecentRequests is the decayed number of requests below which the state of a tenant is dropped.
 	minRecentRequests = 0.01
 )
 
 // shares divides what a throttle admits among priorities, tenants, and requests with more and less
-// time left. It counts requests only under overload. It addresses one caller that takes the capacity
-// of others, and requests that are refused until their time is over.
+// time left. It counts requests only under overload. It prevents a caller from taking the capacity of
+// others, and a retried request from being refused until its deadline.
 type shares struct {
 	weights map[string]float64
 	// levels are ordered by priority, the most urgent first.
 	levels []*level
-	// longest holds, for each route, the negated longest remaining time of recent requests.
-	longest map[string]*recentMinimum
+	// negatedLongest holds, for each route, the longest remaining time of recent requests, negated so
+	// that a minimum tracks it.
+	negatedLongest map[string]*recentMinimum
 	// dividedAt is when the counts were last decayed and the admitted share was divided.
 	dividedAt time.Time
 }
@@ -54,14 +55,14 @@
 }
 
 func newShares(weights map[string]float64) shares {
-	return shares{weights: weights, longest: make(map[string]*recentMinimum)}
+	return shares{weights: weights, negatedLongest: make(map[string]*recentMinimum)}
 }
 
 // reset forgets all requests.
 func (s *shares) reset() {
 	if len(s.levels) > 0 {
 		s.levels = nil
-		clear(s.longest)
+		clear(s.negatedLongest)
 	}
 }
 
@@ -91,10 +92,10 @@
 // isShortOfTime reports whether the request has clearly less time left than the recent requests of
 // its route with the most.
 func (s *shares) isShortOfTime(now time.Time, request Request) bool {
-	longest := s.longest[request.Route]
+	longest := s.negatedLongest[request.Route]
 	if longest == nil {
 		longest = &recentMinimum{}
-		s.longest[request.Route] = longest
+		s.negatedLongest[request.Route] = longest
 	}
 	longest.observe(now, -request.Remaining)
 	negated, _ := longest.value(now)
--- a/internal/overload/throttle.go
+++ b/internal/overload/throttle.go
@@ -7,23 +7,25 @@
 
 // Parameters of a Throttle.
 const (
-	// timeConstant is that with which requests and their outcomes are forgotten. A longer one refuses
-	// requests after the load has ended; with a shorter one a node with 15 requests a second has too
-	// few to tell a share.
+	// timeConstant is the time constant of the exponential decay of the counts. A longer one refuses
+	// requests after the load has ended; with a shorter one a node with 15 requests a second counts
+	// too few of them for a meaningful share.
 	timeConstant = 400 * time.Millisecond
 	// acceptMultiple is the ratio of sent to accepted requests that the throttle aims at. The excess
 	// probes for capacity.
 	acceptMultiple = 1.1
 	// evidenceLifetime is how long evidence of overload counts.
 	evidenceLifetime = time.Second
-	// answerLifetime is how long a server that answered a request counts as one that answers. budgetFloor
-	// pays for the retries of a node with fewer requests.
+	// answerLifetime is how long a server that answered a request counts as one that answers. At a node
+	// with less than one request in this time a single server's rejection counts as evidence of
+	// overload, and budgetFloor pays for the retry.
 	answerLifetime = 5 * time.Second
-	// maxProbeInterval is the longest time for which all requests of a service are refused.
+	// maxProbeInterval is the longest time for which all requests of a service are refused. The request
+	// admitted then shows whether the servers have recovered.
 	maxProbeInterval = time.Second
-	// fullWeightShare is the share of the latency target up to which a predicted latency is no
-	// evidence, zeroWeightShare that from which on it counts in full. Requests that take longer than
-	// the mean need the rest.
+	// An attempt counts as accepted in full while its predicted latency is at most fullWeightShare of the
+	// latency target, and not at all from zeroWeightShare on. The rest of the target is a margin for
+	// requests that take longer than the mean.
 	fullWeightShare, zeroWeightShare = 0.5, 0.9
 	// minUtilizationSamples is the decayed number of stated loads below which the utilization is
 	// unknown.
@@ -31,10 +33,11 @@
 
 	// minRetryAfter is the smallest Retry-After of a refused request.
 	minRetryAfter = 50 * time.Millisecond
-	// maxRetryAfterShare is the largest part of the caller's remaining time that a Retry-After above
-	// the smallest takes with its jitter, which doubles it at most.
+	// maxRetryAfterShare is the largest share of the caller's remaining time that a Retry-After above
+	// minRetryAfter takes. It includes the jitter, which at most doubles a Retry-After.
 	maxRetryAfterShare = 1.0 / 3
-	// minAccepted bounds the measured service rate from below in Retry-After.
+	// minAccepted is the smallest decayed number of accepted attempts that Retry-After is calculated
+	// from. It keeps Retry-After finite while nothing is accepted.
 	minAccepted = 0.5
 )
 
@@ -65,8 +68,8 @@
 	Server string
 	// Rejected says that the server did not run the request.
 	Rejected bool
-	// Predicted is the latency that the next request at the server is predicted to have; 0 if unknown or if the server
-	// has no queue.
+	// Predicted is the latency that the next request at the server is predicted to have; 0 if unknown
+	// or if the server has no queue.
 	Predicted time.Duration
 	// Target is the latency target of the route. Without one, only the utilization counts.
 	Target time.Duration
@@ -104,10 +107,10 @@
 	// evidenceAt is when there was last evidence of overload, and evidence its kind.
 	evidenceAt time.Time
 	evidence   Evidence
-	// unconfirmed says that the evidence is a rejection while nothing was known of the other servers. An
-	// answer of another server voids it.
+	// unconfirmed says that the evidence is a rejection by one server while no other server was known to
+	// answer. An answer of another server discards it.
 	unconfirmed bool
-	// rejections and answers are the last ones of two servers each.
+	// rejections and answers hold the latest rejections and answers of two servers each.
 	rejections, answers lastTwo
 	// admittedAt is when a request was last admitted.
 	admittedAt time.Time
@@ -234,7 +237,7 @@
 	return t.evidence, max(now.Sub(t.evidenceAt), 0)
 }
 
-// decay forgets according to the time since the last call.
+// decay decays the counts by the time since the last call.
 func (t *Throttle) decay(now time.Time) {
 	factor := decayFactor(t.updatedAt, now)
 	if factor == 1 {
@@ -248,8 +251,8 @@
 	t.loadSamples *= factor
 }
 
-// decayFactor returns what is left of a count after the time between two moments; 1 if the second is
-// not later.
+// decayFactor returns the factor by which a count decays between two times; 1 if the second is not
+// later.
 func decayFactor(from, to time.Time) float64 {
 	if !to.After(from) {
 		return 1
--- a/internal/overload/throttle_test.go
+++ b/internal/overload/throttle_test.go
@@ -210,8 +210,8 @@
 	}
 }
 
-// Guards against a request that is refused for the slow answers of another route, and against state that grows with
-// each route that ever had a request.
+// Guards against a request that is refused for the slow answers of another route, and against state
+// that grows with each route that ever had a request.
 func TestTooLateIsJudgedByRoute(t *testing.T) {
 	service := NewService(ServiceOptions{})
 	for range minAnswers {
