gateway: name the reasons of failed calls once, clarify comments

The reasons of refusals were spelled out in the gateway and in the metrics, other reasons several times in the gateway, and some test names and comments were figurative. The reasons are constants now, the end of an attempt is split off balancer.recordResult, and the tests state the failure that they guard against. No behaviour changes.

--- a/internal/frontend/overload.go
+++ b/internal/frontend/overload.go
@@ -12,7 +12,7 @@
 )
 
 // refusalReasons are the reasons of requests that were refused to protect a loaded service.
-var refusalReasons = []string{"overloaded", "too late", "retry budget"}
+var refusalReasons = []string{gateway.ReasonOverloaded, gateway.ReasonTooLate, gateway.ReasonRetryBudget}
 
 // Outcomes of hedges and retries.
 const (
@@ -20,13 +20,13 @@
 	outcomeDenied = "denied"
 )
 
-// overloadMetrics counts what protects loaded services, and its cost.
+// overloadMetrics counts refusals, hedges and retries of single requests.
 type overloadMetrics struct {
 	refused, hedges, retries *prometheus.CounterVec
 }
 
-// newOverloadMetrics registers the counters with all their label values, so that the first refusal
-// shows in their rates.
+// newOverloadMetrics registers the counters with all their label values: a counter that appears with its
+// first event would hide that event from rate queries.
 func newOverloadMetrics(registry *prometheus.Registry) *overloadMetrics {
 	counter := func(name, help, label string, values ...string) *prometheus.CounterVec {
 		counters := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,8 +19,8 @@
 	cancel   context.CancelFunc
 }
 
-// attempt sends the request to a server and buffers the response body up to maxBufferedBytes, or as far as the
-// request's memory may grow. The attempt may outlive the call by cancelGrace.
+// attempt sends the request to a server and buffers the response body up to maxBufferedBytes, or as far
+// as the request's memory may grow. The attempt may outlive the call by cancelGrace.
 func (c *call) attempt(ctx context.Context, started startedAttempt, lastEventID string) attemptResult {
 	server, start := started.server, clock.Now()
 	started.sentAt = start
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -53,10 +53,11 @@
 	// warmUpRate is the requests per second that each server sustains while it warms up; 0 means
 	// unlimited.
 	warmUpRate float64
-	// stream says that the request is for a stream, whose age in flight says nothing of the server.
+	// stream says that the request is for a stream, whose age in flight does not show how
+	// slow the server is.
 	stream bool
-	// noTarget says that the route has no latency target. Its requests may take any time, so that they count
-	// neither towards a limit nor by their age in flight.
+	// noTarget says that the route has no latency target. Its requests may take any time, so neither
+	// their number counts towards a limit nor their age in flight towards the service time.
 	noTarget bool
 }
 
@@ -64,7 +65,8 @@
 type attemptEnd struct {
 	// chosenAt is when the server was chosen.
 	chosenAt time.Time
-	// answered says that the server answered, latency after what time.
+	// answered says that the server answered, with neither a rejection nor a 5xx status; latency is the
+	// time that it took.
 	answered bool
 	latency  time.Duration
 	// load is what the server stated at loadAt; nil if it stated none.
@@ -74,15 +76,15 @@
 	backoff time.Duration
 	// rejected says that the server rejected the request, stream that it was for a stream.
 	rejected, stream bool
-	// noTarget is that of the candidates.
+	// noTarget says that the route has no latency target, as in candidates.
 	noTarget bool
 }
 
 // balancer selects servers by load and observed latency. It is safe for concurrent use.
 type balancer struct {
 	zone string
-	// unprotected says that the protection from overload is off. The cost of a server then takes its average
-	// latency and its load alone, without limit, age in flight and rejections.
+	// unprotected says that the protection from overload is off. The cost of a server then depends on its
+	// average latency and its load, not on limits, ages in flight and rejections.
 	unprotected bool
 
 	mutex   sync.Mutex
@@ -97,7 +99,8 @@
 
 // choose returns the cheapest untried server and records a send to it; nil if there is none.
 // Servers outside the subset are considered if the subset has no warm server that is out of
-// backoff. Limits do not end it: a request that finds all of them reached would search all servers.
+// backoff, but not if all of its servers are at this node's limit: each request would then search all
+// servers of the service.
 func (b *balancer) choose(now time.Time, from candidates) *directory.Server {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -235,19 +238,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	state := b.state(server)
-	if !end.noTarget {
-		state.load.End(end.chosenAt)
-	}
-	switch {
-	case end.noTarget:
-		state.load.EndOutsideLimit()
-	case end.rejected:
-		state.load.Limiter.Failed(now)
-	case end.answered && !end.stream:
-		state.load.Limiter.Answered(now, end.latency)
-	default:
-		state.load.Limiter.Dropped()
-	}
+	state.closeRequest(now, end)
 	var load overload.Load
 	if end.load != nil {
 		load = overload.Load(*end.load)
@@ -268,6 +259,23 @@
 	return state.load.PredictedLatency(load)
 }
 
+// closeRequest ends the request that recordSend opened.
+func (s *serverState) closeRequest(now time.Time, end attemptEnd) {
+	if end.noTarget {
+		s.load.EndOutsideLimit()
+		return
+	}
+	s.load.End(end.chosenAt)
+	switch {
+	case end.rejected:
+		s.load.Limiter.Failed(now)
+	case end.answered && !end.stream:
+		s.load.Limiter.Answered(now, end.latency)
+	default:
+		s.load.Limiter.Dropped()
+	}
+}
+
 // hasFreeSlot reports whether one of the untried servers is known to have a free slot, and whether
 // there is an untried server.
 func (b *balancer) hasFreeSlot(now time.Time, servers []*directory.Server, tried map[directory.Incarnation]bool) (free, untried bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,9 +74,9 @@
 	if options.CrashTracker == nil {
 		options.CrashTracker = crashwatch.NewTracker(crashwatch.Options{})
 	}
-	servers := newBalancer(options.Node, options.Zone)
-	servers.unprotected = options.Overload.Off
-	return &Gateway{options: options, balancer: servers, services: newGuardedServices(options.Overload)}
+	serverBalancer := newBalancer(options.Node, options.Zone)
+	serverBalancer.unprotected = options.Overload.Off
+	return &Gateway{options: options, balancer: serverBalancer, services: newGuardedServices(options.Overload)}
 }
 
 // Prune drops the state of servers and services that are no longer listed.
@@ -137,13 +137,13 @@
 	held bool
 	// rejected says that the last attempt ended with a rejection.
 	rejected bool
-	// refusedShare is the share of the service's requests that were refused when this one came.
+	// refusedShare is the share of the service's requests that were refused when this one arrived.
 	refusedShare float64
 	// overloadRetryAfter is the Retry-After of a request that was refused under overload; 0 for
-	// others. retryAfterSent is the one that the caller was told.
+	// others. retryAfterSent is the Retry-After of the response; 0 if it had none.
 	overloadRetryAfter, retryAfterSent time.Duration
-	// hedges and retries count the second copies and the attempts after a rejection that were sent,
-	// the others those that were denied.
+	// hedges and retries count the second copies and the attempts after a rejection that were sent;
+	// deniedHedges and deniedRetries count those that were denied.
 	hedges, deniedHedges, retries, deniedRetries int
 
 	fingerprintOnce  sync.Once
@@ -300,23 +300,32 @@
 func endReason(ctx context.Context) string {
 	switch cause := context.Cause(ctx); {
 	case ctx.Err() != context.Canceled:
-		return "deadline"
+		return reasonDeadline
 	case cause != context.Canceled:
 		return "ended: " + cause.Error()
 	default:
-		return "caller left"
+		return reasonCallerLeft
 	}
 }
 
-// reasonNotRead is the reason of a response that its caller did not read in time.
-const reasonNotRead = "caller does not read"
+// Reasons of calls without a response, or with one that was cut.
+const (
+	reasonDeadline   = "deadline"
+	reasonNoServer   = "no server"
+	reasonRejected   = "refused by the server"
+	reasonCallerLeft = "caller left"
+	// reasonNotRead is the reason of a response that its caller did not read in time.
+	reasonNotRead = "caller does not read"
+	// reasonCut precedes the error by which a response was cut.
+	reasonCut = "cut: "
+)
 
 // writeEndReason says why a write to the caller has failed.
 func writeEndReason(err error) string {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return reasonNotRead
 	}
-	return "caller left"
+	return reasonCallerLeft
 }
 
 func (c *call) hedgeTimer() <-chan time.Time {
@@ -376,7 +385,7 @@
 		return startedAttempt{}, false
 	}
 	if !clock.Now().Before(c.deadline) {
-		c.reason = "deadline"
+		c.reason = reasonDeadline
 		return startedAttempt{}, false
 	}
 	suspicion := c.suspicionAfterProbes(ctx)
@@ -390,7 +399,7 @@
 	if server == nil {
 		c.endTrial()
 		if c.reason == "" {
-			c.reason = "no server"
+			c.reason = reasonNoServer
 		}
 		return startedAttempt{}, false
 	}
@@ -418,7 +427,7 @@
 		c.recordSendError(result.sendErr)
 		return false
 	case c.rejected:
-		c.reason = "refused by the server"
+		c.reason = reasonRejected
 		return false
 	case result.response.Status >= http.StatusInternalServerError && c.repeatable:
 		c.reason = "failed at the server: " + strconv.Itoa(result.response.Status)
@@ -460,7 +469,7 @@
 	}
 	if _, err := io.Copy(w, result.response.Body); err != nil {
 		// Abort the connection, or the caller would take the truncated body for a complete one.
-		c.reason = "cut: " + err.Error()
+		c.reason = reasonCut + err.Error()
 		if errors.Is(err, os.ErrDeadlineExceeded) { // only writes to the caller have such deadlines
 			c.reason = reasonNotRead
 		}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -17,7 +17,8 @@
 
 // OverloadOptions configure how a Gateway protects loaded services.
 type OverloadOptions struct {
-	// Off disables limits, budgets and refusals under overload, and what the server choice does against it.
+	// Off disables refusals, limits and budgets under overload. Servers are then chosen by load and
+	// average latency alone.
 	Off bool
 	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
 	// request of a loaded service; 0 means the default, 0.1, and NoBudget none.
@@ -38,18 +39,19 @@
 	// Offered and Accepted are the recent requests per second, and those answered without evidence of
 	// overload.
 	Offered, Accepted float64
-	// Utilization is the mean that servers stated lately: requests running and waiting for each slot;
-	// 0 if unknown.
+	// Utilization is the mean of what servers stated recently, (running + waiting) / slots; 0 if
+	// unknown.
 	Utilization float64
 	// EvidenceAge is the time since the last evidence of overload; negative if there was none.
 	EvidenceAge time.Duration
 }
 
-// Reasons of requests that are refused under overload.
+// Reasons of requests that are refused under overload. They are values of a metric's label
+// and are logged.
 const (
-	reasonOverloaded  = "overloaded"
-	reasonTooLate     = "too late"
-	reasonRetryBudget = "retry budget"
+	ReasonOverloaded  = "overloaded"
+	ReasonTooLate     = "too late"
+	ReasonRetryBudget = "retry budget"
 )
 
 // refusalLogInterval is the shortest time between two log lines about the refusals of a service.
@@ -147,7 +149,7 @@
 	service := c.gateway.services.get(c.service)
 	tooLate, refusing := service.assess(now, c.route.Name, remaining)
 	if tooLate {
-		c.reason = reasonTooLate
+		c.reason = ReasonTooLate
 		return false
 	}
 	request := overload.Request{
@@ -156,13 +158,14 @@
 	if refusing {
 		request.HasFreeSlot, _ = c.gateway.balancer.hasFreeSlot(now, c.readyServers(), nil)
 	}
-	decision, due := service.admit(now, request)
+	decision, logFields := service.admit(now, request)
 	c.refusedShare = decision.RefusedShare
-	if due != nil {
-		c.gateway.options.Logger.Info("requests refused under overload", append(due, zap.String("service", c.service))...)
+	if logFields != nil {
+		logFields = append(logFields, zap.String("service", c.service))
+		c.gateway.options.Logger.Info("requests refused under overload", logFields...)
 	}
 	if !decision.Admitted {
-		c.reason = reasonOverloaded
+		c.reason = ReasonOverloaded
 		c.overloadRetryAfter = decision.RetryAfter
 	}
 	return decision.Admitted
@@ -176,9 +179,9 @@
 	return s.state.IsTooLate(now, route, remaining), s.state.Throttle.RefusedShare(now) > 0
 }
 
-// admit decides about a request. For a refusal it returns the fields of a log line, unless one was
+// admit decides about a request. For a refusal it returns the fields of a log line; nil if a line was
 // written within refusalLogInterval.
-func (s *guardedService) admit(now time.Time, request overload.Request) (decision overload.Decision, due []zap.Field) {
+func (s *guardedService) admit(now time.Time, request overload.Request) (decision overload.Decision, logFields []zap.Field) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	decision = s.state.Admit(now, request, rand.Float64())
@@ -226,24 +229,24 @@
 }
 
 // allowRetry reports whether the request, which a server has rejected, may be sent to another one.
-// Where there is no other one, the budget is left alone.
+// If all servers were tried, nothing is taken from the budget.
 func (c *call) allowRetry() bool {
 	if !c.isGuarded() || !c.hasAttemptsLeft() {
 		return true
 	}
 	now := clock.Now()
-	free, untried := c.gateway.balancer.hasFreeSlot(now, c.readyServers(), c.tried)
-	if !untried {
+	hasFreeSlot, hasUntried := c.gateway.balancer.hasFreeSlot(now, c.readyServers(), c.tried)
+	if !hasUntried {
 		return true
 	}
 	service := c.gateway.services.get(c.service)
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
-	if service.state.AllowRetry(now, free) {
+	if service.state.AllowRetry(now, hasFreeSlot) {
 		return true
 	}
 	c.deniedRetries++
-	c.reason = reasonRetryBudget
+	c.reason = ReasonRetryBudget
 	return false
 }
 
@@ -257,12 +260,14 @@
 }
 
 // observe records the response of a server as evidence for the throttle of its service. predicted is
-// the latency that the next request there is predicted to have, latency that of a complete response.
+// the predicted latency of the next request there; latency is that of a complete response, 0 for others.
 func (c *call) observe(now time.Time, server *directory.Server, response *Response, predicted, latency time.Duration) {
 	if c.gateway.options.Overload.Off {
 		return
 	}
-	sample := overload.Sample{Server: server.ID, Rejected: response.NotExecuted, Predicted: predicted, Target: c.route.LatencyTarget, Utilization: -1}
+	sample := overload.Sample{
+		Server: server.ID, Rejected: response.NotExecuted, Predicted: predicted, Target: c.route.LatencyTarget, Utilization: -1,
+	}
 	if response.Load != nil {
 		sample.Utilization = overload.Load(*response.Load).Utilization()
 	}
@@ -316,7 +321,7 @@
 	c.gateway.balancer.recordResult(now, started.server, end)
 }
 
-// endOf returns the end of an attempt, without times.
+// endOf returns the end of an attempt without latency and load time.
 func (c *call) endOf(started startedAttempt, result attemptResult) attemptEnd {
 	end := attemptEnd{chosenAt: started.chosenAt, noTarget: c.route.LatencyTarget <= 0}
 	switch {
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -192,7 +192,7 @@
 				continue
 			}
 			after, err := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
-			if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != reasonOverloaded || outcome.Service != "svc" ||
+			if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != ReasonOverloaded || outcome.Service != "svc" ||
 				err != nil || after < 0.05 || after > 1 {
 				t.Fatalf("%v: status %d, Retry-After %q, outcome %+v", kind, recorder.Code, recorder.Header().Get("Retry-After"), outcome)
 			}
@@ -277,7 +277,7 @@
 			if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
 				t.Fatalf("%v: status %d, Retry-After %q", kind, recorder.Code, recorder.Header().Get("Retry-After"))
 			}
-			if outcome.DeniedRetries > 0 && outcome.Reason != reasonRetryBudget {
+			if outcome.DeniedRetries > 0 && outcome.Reason != ReasonRetryBudget {
 				t.Fatalf("%v: %+v", kind, outcome)
 			}
 		}
@@ -294,7 +294,7 @@
 		f.send(10 * time.Second)
 	}
 	recorder, outcome := f.send(20 * time.Millisecond)
-	if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != reasonTooLate || outcome.Attempts != 0 {
+	if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != ReasonTooLate || outcome.Attempts != 0 {
 		t.Errorf("status %d, outcome %+v", recorder.Code, outcome)
 	}
 	if got := recorder.Header().Get("Retry-After"); got != "0.05" {
@@ -302,8 +302,8 @@
 	}
 }
 
-// Guards against requests that count as too late since those of a route without a latency target, which may be of
-// another kind, take longer.
+// Guards against requests that count as too late because those of a route without a latency target,
+// which may be of another kind, take longer.
 func TestTooLateIsNotJudgedByRoutesWithoutLatencyTarget(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
 	target := f.route.LatencyTarget
@@ -312,29 +312,31 @@
 		f.send(10 * time.Second)
 	}
 	f.route.LatencyTarget = target
-	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == ReasonTooLate {
 		t.Errorf("%+v", outcome)
 	}
 }
 
-// Guards against requests that count as too late since those of another route of the service take longer.
+// Guards against requests that count as too late because those of another route of the service take
+// longer.
 func TestTooLateIsJudgedByRoute(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
 	for range 5 {
 		f.send(10 * time.Second)
 	}
 	f.route.Name = "other"
-	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == ReasonTooLate {
 		t.Errorf("%+v", outcome)
 	}
 	f.route.Name = "r"
-	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason != reasonTooLate {
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason != ReasonTooLate {
 		t.Errorf("%+v", outcome)
 	}
 }
 
-// Guards against a failed stream that keeps its place in this node's limit, and the state of its server, forever.
-func TestBrokenFailureOfAStreamEndsItsAttempt(t *testing.T) {
+// Guards against an attempt that counts towards this node's limit forever, and keeps the state of its
+// server, after the body of an error response to a request for a stream broke off.
+func TestBrokenErrorResponseToStreamRequestEndsAttempt(t *testing.T) {
 	f := newOverloadFixture(routetable.KindStream, OverloadOptions{}, func(context.Context, Attempt) (*Response, *SendError) {
 		return &Response{Status: http.StatusNotFound, Header: http.Header{}, Body: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF)), Length: 2}, nil
 	})
@@ -381,9 +383,9 @@
 	}
 }
 
-// Guards against a server choice that overload.off changes in part: with it, the cost is
-// (1 + load / slots) x average latency, whatever the queue, the age in flight, the time between samples, the limit and
-// the last response.
+// Guards against a server choice that overload.off changes only in part. With overload.off the cost is
+// (1 + load / slots) x average latency, whatever the queue, the age in flight, the time between
+// samples, the limit and the last response.
 func TestServerChoiceWhileOff(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := newOverloadFixture(routetable.KindSafe, OverloadOptions{Off: true}, respondWith(200, "ok")).gateway.balancer
@@ -430,8 +432,9 @@
 	}
 }
 
-// Guards against streams that count by their age or their length: a long stream says nothing of its server.
-func TestStreamsSayNothingOfTheServiceTime(t *testing.T) {
+// Guards against a stream in flight whose age counts as service time, and against long streams that
+// lower the limit of their server.
+func TestLongStreamsDoNotLowerTheLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
 	server := &directory.Server{ID: "a", Service: "s", Slots: 6}
 	b := newBalancer("n", "")
@@ -458,8 +461,8 @@
 	}
 }
 
-// Guards against requests of routes without a latency target that fill a server's limit, or make it look slow to
-// the requests of other routes.
+// Guards against requests of routes without a latency target that fill a server's limit, or make it
+// look slow to the requests of other routes.
 func TestRequestsWithoutLatencyTargetCountAsLoadOnly(t *testing.T) {
 	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindStream} {
 		ended := make(chan struct{})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,7 +93,7 @@
 	}
 	defer response.Body.Close()
 	if c.rejected {
-		c.reason = "refused by the server"
+		c.reason = reasonRejected
 		return false, 0
 	}
 	c.notExecuted = false
@@ -107,7 +107,7 @@
 		r.complete = true
 		return true, r.status
 	}
-	c.reason = "cut: " + err.Error()
+	c.reason = reasonCut + err.Error()
 	return false, 0
 }
 
@@ -122,7 +122,7 @@
 	copyHeader(r.w.Header(), response.Header)
 	r.w.WriteHeader(response.Status)
 	if _, err := io.Copy(r.w, response.Body); err != nil {
-		r.call.reason = "cut: " + err.Error()
+		r.call.reason = reasonCut + err.Error()
 		r.aborted = true
 	}
 	return true, response.Status
@@ -136,7 +136,7 @@
 	r.status = response.Status
 	copyHeader(r.w.Header(), response.Header)
 	r.w.WriteHeader(response.Status)
-	// A failure is returned by the next write, too.
+	// A failure is also returned by the next write.
 	_ = r.flush()
 }
 
--- a/internal/gateway/subset_test.go
+++ b/internal/gateway/subset_test.go
@@ -93,9 +93,10 @@
 	}
 }
 
-// Guards against a search of all servers of a service for each request while the subset is at its limits, and against
-// a server at its limit that is chosen while another one of the subset is below.
-func TestLimitsDoNotEndTheSubset(t *testing.T) {
+// Guards against a search of all servers of a service for each request while all servers of the subset
+// are at their limits, and against a server at its limit that is chosen while another one of the subset
+// is below its own.
+func TestSubsetAtItsLimitsIsStillUsed(t *testing.T) {
 	list := fleetServersExcept(func(int) bool { return false })
 	now := time.Unix(1000, 0)
 	b := newBalancer("n", "z0")
