overload, frontend: define the default budget share once

The default shares of hedges and retries stood in package overload and in the settings of package frontend. overload.DefaultBudgetShare is now the only one, with the same value. Comments of tests state the failure that they guard against. No behaviour changes.

--- a/internal/frontend/acceptance_test.go
+++ b/internal/frontend/acceptance_test.go
@@ -14,8 +14,8 @@
 	"dalehook/internal/store/storetest"
 )
 
-// Guards against jobs without a due time that survives a takeover: the time of acceptance is in the
-// job's record, also if a caller submits the job again.
+// Guards against a due time that changes at a takeover or when a caller submits the job again: the time
+// of the first acceptance must be in the job's record.
 func TestSubmittedJobHasItsTimeOfAcceptance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := storetest.NewMemory()
--- a/internal/frontend/overload_test.go
+++ b/internal/frontend/overload_test.go
@@ -29,8 +29,8 @@
 	return samples
 }
 
-// A request that may have run must not count as refused, and each counter must exist before its first
-// event, since a rate misses the first value of a new counter.
+// Guards against a request that may have run and counts as refused, and against counters that do not
+// exist before their first event: a rate misses the first value of a new counter.
 func TestOverloadCounters(t *testing.T) {
 	m := newNodeMetrics(&Node{}, nil)
 	expect := func(want ...string) {
@@ -70,8 +70,8 @@
 	)
 }
 
-// The gateway may know services that the configuration has dropped; their label values would stay for
-// the life of the process.
+// Guards against label values of services that the configuration has dropped and the gateway still
+// knows: their number would not be bounded.
 func TestRefusedShareIsLimitedToConfiguredServices(t *testing.T) {
 	n := &Node{}
 	shares := newRefusedShares(n)
@@ -87,6 +87,8 @@
 	}
 }
 
+// Guards against a status that names another service than the one with the highest refused share, or
+// one that changes among equals.
 func TestHighestRefusedShare(t *testing.T) {
 	if _, ok := highestRefusedShare(nil); ok {
 		t.Error("a share without services")
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -20,6 +20,7 @@
 
 	"dalehook/internal/bytebudget"
 	"dalehook/internal/gateway"
+	"dalehook/internal/overload"
 )
 
 // Settings are a node's settings, as read from its settings file.
@@ -107,12 +108,12 @@
 	GraceSeconds float64 `json:"grace_seconds"`
 	// MemoryMB limits the memory of the process; 0 means no limit.
 	MemoryMB int `json:"memory_mb"`
-	// Clients bounds what callers that read or send slowly take up.
+	// Clients bounds the time and memory that callers may take by reading or sending slowly.
 	Clients struct {
 		// StallMs is the time within which a caller must take or send each 16 KB; 0 means 10000.
 		StallMs int `json:"stall_ms"`
-		// MemoryMB bounds the memory for requests and responses that are held for callers, of which each tenant
-		// may use one half; 0 means a quarter of the process's memory.
+		// MemoryMB bounds the memory for requests and responses that are held for callers, of which
+		// each tenant may use one half; 0 means a quarter of the process's memory.
 		MemoryMB int `json:"memory_mb"`
 	} `json:"clients"`
 	// ProcessorShare is the share of a core that the process has; 0 if unknown.
@@ -134,22 +135,17 @@
 const (
 	defaultGraceSeconds = 8
 	defaultLogLevel     = "info"
-	// defaultHedgeShare and defaultRetryShare bound the load that the copies of requests add to a
-	// service that is loaded already.
-	defaultHedgeShare = 0.1
-	defaultRetryShare = 0.1
 )
 
 // defaultSettings returns the settings of an empty file.
 func defaultSettings() *Settings {
 	settings := &Settings{GraceSeconds: defaultGraceSeconds, LogLevel: defaultLogLevel}
-	settings.Overload.HedgeShare, settings.Overload.RetryShare = defaultHedgeShare, defaultRetryShare
+	settings.Overload.HedgeShare, settings.Overload.RetryShare = overload.DefaultBudgetShare, overload.DefaultBudgetShare
 	return settings
 }
 
 // ParseSettings decodes and validates settings. Unknown keys are refused, since they are most
-// likely misspelt. The error names everything that is wrong, except that only the first value of a
-// wrong type is named.
+// likely misspelt. The error names all problems, but of values of a wrong type only the first one.
 func ParseSettings(text []byte) (*Settings, error) {
 	settings := defaultSettings()
 	decoder := json.NewDecoder(bytes.NewReader(text))
@@ -166,7 +162,7 @@
 		problems = append(problems, settingError{cmp.Or(typeError.Field, "the file"), "must be " + jsonKind(typeError.Type) + ", not " + typeError.Value})
 	}
 	for _, problem := range settings.validate() {
-		// A value that could not be decoded has its default here, which says nothing about the file.
+		// A value that could not be decoded has its default here, whose problems are not the file's.
 		if typeError == nil || !isWithin(problem.key, typeError.Field) {
 			problems = append(problems, problem)
 		}
@@ -216,10 +212,11 @@
 	return s.Provider.Address != "" && slices.Contains(s.Provider.Duties, dutyUsage)
 }
 
-// overloadOptions returns the options of the gateway.
+// overloadOptions returns the overload options of the gateway.
 func (s *Settings) overloadOptions() gateway.OverloadOptions {
 	return gateway.OverloadOptions{
-		Off: s.Overload.Off, HedgeShare: budgetShare(s.Overload.HedgeShare), RetryShare: budgetShare(s.Overload.RetryShare), TenantWeights: s.Overload.TenantWeights,
+		Off: s.Overload.Off, TenantWeights: s.Overload.TenantWeights,
+		HedgeShare: budgetShare(s.Overload.HedgeShare), RetryShare: budgetShare(s.Overload.RetryShare),
 	}
 }
 
@@ -232,14 +229,14 @@
 	return share
 }
 
-// defaultClientStall is the time within which a caller must take or send a piece: below the time for which idle
-// connections last, above the pauses of a client that collects garbage or retransmits.
+// defaultClientStall is the time within which a caller must take or send each 16 KB. It is below the
+// idle timeout of connections, and above the pauses of a client that collects garbage or retransmits.
 const defaultClientStall = 10 * time.Second
 
 // clientMemoryShare is the share of the process's memory that is held for callers if the settings name none.
 const clientMemoryShare = 0.25
 
-// clientStall returns the time within which a caller must take or send a piece.
+// clientStall returns the time within which a caller must take or send each 16 KB.
 func (s *Settings) clientStall() time.Duration {
 	return cmp.Or(time.Duration(s.Clients.StallMs)*time.Millisecond, defaultClientStall)
 }
--- a/internal/frontend/settings_test.go
+++ b/internal/frontend/settings_test.go
@@ -45,7 +45,7 @@
 	return strings.Replace(validSettings, `"order_pause_ms"`, more+`,"order_pause_ms"`, 1)
 }
 
-// A share or a weight out of its range would reach the gateway and the scheduler unnoticed.
+// Guards against shares and weights out of their range that reach the gateway and the scheduler.
 func TestOverloadSettings(t *testing.T) {
 	settings, err := ParseSettings([]byte(validSettings))
 	if err != nil {
@@ -84,8 +84,9 @@
 	}
 }
 
-// A check that stops at the first fault lets an operator restart a node once for each fault.
-func TestAllFaultsOfSettingsAreReported(t *testing.T) {
+// Guards against a check that stops at the first problem: an operator would have to correct and check a
+// file once for each problem.
+func TestAllProblemsOfSettingsAreReported(t *testing.T) {
 	cases := []struct {
 		name, text string
 		want       []string
@@ -122,8 +123,8 @@
 	}
 }
 
-// The print must name defaults that apply where the file says nothing, or an operator can't tell what
-// is in force.
+// Guards against printed settings without the defaults of keys that the file does not set, and against
+// printed settings that differ from those in force when they are read again.
 func TestEffectiveSettings(t *testing.T) {
 	for name, text := range map[string]string{
 		"defaults": validSettings,
@@ -152,7 +153,8 @@
 	}
 }
 
-// Guards against a bound of the clients' memory that does not follow the node's: weak nodes have a third of the others'.
+// Guards against a bound of the memory held for callers that does not depend on the memory of the node:
+// some nodes have a third of the memory of others.
 func TestClientMemoryFollowsTheNodes(t *testing.T) {
 	for _, c := range []struct{ node, clients, want int }{{0, 0, 0}, {184, 0, 46}, {184, 10, 10}, {0, 10, 10}} {
 		settings := &Settings{MemoryMB: c.node}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -21,7 +21,7 @@
 	// average latency alone.
 	Off bool
 	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
-	// request of a loaded service; 0 means the default, 0.1, and NoBudget none.
+	// request of a loaded service; 0 means overload.DefaultBudgetShare, and NoBudget none.
 	HedgeShare, RetryShare float64
 	// TenantWeights holds the weights of tenants whose share under overload is not 1.
 	TenantWeights map[string]float64
--- a/internal/overload/load_test.go
+++ b/internal/overload/load_test.go
@@ -130,7 +130,7 @@
 	}
 	got := m.play(seconds*time.Second, 2*4*modelCapacity)
 	admitted := got.arrivals - got.retries
-	most := nodes*(initialBudget+budgetFloor*seconds) + defaultBudgetShare*float64(admitted)
+	most := nodes*(initialBudget+budgetFloor*seconds) + DefaultBudgetShare*float64(admitted)
 	if float64(got.retries) > most || got.hedges > 0 {
 		t.Errorf("%d retries for %d admitted requests, want %.0f; %d hedges", got.retries, admitted, most, got.hedges)
 	}
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
+// DefaultBudgetShare is the number of hedges, and of retries after a rejection, that one admitted
+// request pays for. It bounds the load that they add to a service that is loaded already.
+const DefaultBudgetShare = 0.1
+
 // Parameters of a Service.
 const (
-	// defaultBudgetShare is the number of hedges, and of retries after a rejection, that one admitted
-	// request pays for.
-	defaultBudgetShare = 0.1
 	// budgetFloor is the number of hedges, and of retries, a second that need no admitted request.
 	budgetFloor = 0.2
 	// initialBudget lets the first request of a node be sent to two more servers.
@@ -29,7 +30,7 @@
 // ServiceOptions configure a Service.
 type ServiceOptions struct {
 	// HedgeShare and RetryShare are the hedges, and the retries after a rejection, for each admitted
-	// request of a loaded service; 0 means the default, 0.1, and NoBudget none.
+	// request of a loaded service; 0 means DefaultBudgetShare, and NoBudget none.
 	HedgeShare, RetryShare float64
 	// TenantWeights holds the weights of tenants whose share is not 1.
 	TenantWeights map[string]float64
@@ -62,7 +63,7 @@
 		return NewBudget(BudgetOptions{})
 	}
 	if share == 0 {
-		share = defaultBudgetShare
+		share = DefaultBudgetShare
 	}
 	return NewBudget(BudgetOptions{Share: share, Floor: budgetFloor, Initial: initialBudget, Capacity: budgetCapacity})
 }
