explain, nodestatus, dalehook-node: clarify comments and usage texts

The usage texts of check and status used figurative wording, and some tests did not say which failure they guard against. Output, log fields and goldens are unchanged.

--- a/cmd/dalehook-node/check.go
+++ b/cmd/dalehook-node/check.go
@@ -24,8 +24,8 @@
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
 	return `check [-settings FILE]:
-	Says all that is wrong with a settings file. If nothing is, prints the settings in
-	force as JSON: all keys, with defaults for those that the file doesn't set.
+	Reports all errors in a settings file. If there are none, prints the settings in force
+	as JSON: all keys, with defaults for those that the file does not set.
 `
 }
 
--- a/cmd/dalehook-node/check_test.go
+++ b/cmd/dalehook-node/check_test.go
@@ -21,7 +21,7 @@
 	return path
 }
 
-// The output of "check" is read by programs: nothing but the settings may be printed.
+// Guards against output of "check" that is not JSON: programs read it.
 func TestCheckPrintsEffectiveSettings(t *testing.T) {
 	var output bytes.Buffer
 	if err := writeEffectiveSettings(&output, writeSettings(t, testSettings)); err != nil {
@@ -37,8 +37,9 @@
 	}
 }
 
-// A file with faults must not be printed as if it were in force.
-func TestCheckOfFaultySettings(t *testing.T) {
+// Guards against invalid settings that are printed as if they were in force, and against an error that
+// names only one of several problems.
+func TestCheckOfInvalidSettings(t *testing.T) {
 	var output bytes.Buffer
 	err := writeEffectiveSettings(&output, writeSettings(t, strings.Replace(testSettings, `"zone"`, `"overload":{"retry_share":-1},"zones"`, 1)))
 	if err == nil || !strings.Contains(err.Error(), `"zone"`) || !strings.Contains(err.Error(), "overload.retry_share") {
--- a/cmd/dalehook-node/status.go
+++ b/cmd/dalehook-node/status.go
@@ -32,11 +32,11 @@
 // Usage implements subcommands.Command.
 func (*statusCommand) Usage() string {
 	return `status [-all] IP:PORT...:
-	Asks the nodes whose internal addresses are given. The odd ones come first: those that do
-	not answer, are not ready, or run a build or a configuration that few have. Nodes of
-	builds that do not tell are shown as "earlier". Exits with 1 where a node does not answer.
+	Queries the nodes at the given internal addresses. Listed first are those that do not
+	answer, are not ready, or run a build or a configuration that few have. Nodes of builds
+	that do not report their build are shown as "earlier". Exits with 1 if a node does not answer.
 	The last column is the highest share of a service's requests that the node refuses under
-	overload, with the service; it is empty where the node does not tell.
+	overload, with the service; it is empty if the node does not report it.
 `
 }
 
--- a/cmd/dalehook-node/status_test.go
+++ b/cmd/dalehook-node/status_test.go
@@ -11,7 +11,8 @@
 	"dalehook/internal/nodestatus"
 )
 
-// A node that doesn't tell its refused share must not look like one that refuses nothing.
+// Guards against a node of an earlier build, which reports no refused share, that looks like one that
+// refuses nothing.
 func TestStatusTable(t *testing.T) {
 	node := func(address, service string, share float64) nodestatus.NodeResult {
 		return nodestatus.NodeResult{Address: address, Status: nodestatus.Status{
--- a/internal/explain/refusal.go
+++ b/internal/explain/refusal.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// Log messages and reasons that refusals are explained by.
+// Log messages and reasons that refusals are explained by, as package gateway logs them. They are part of
+// the format of logs, which may be those of other builds.
 const (
 	messageRequestAnswered = "request answered"
 	messageOverload        = "requests refused under overload"
@@ -22,9 +23,9 @@
 // that is shown with it. A node logs such a line at most once a second while it refuses requests.
 const maxOverloadDistance = 2 * time.Second
 
-// Refusal is one answer that refused a request, and what led to it.
+// Refusal is a refused request with the log entries that explain the refusal.
 type Refusal struct {
-	// Answer is the entry of the answer.
+	// Answer is the entry about the response that refused the request.
 	Answer Entry
 	// Overload is the entry about the overload of the request's service that is nearest in time at the
 	// same node; nil if there is none within maxOverloadDistance.
@@ -43,7 +44,7 @@
 }
 
 // isRefusal reports whether the entry is about a request that was refused for a reason that this
-// package knows, or with a logged time to retry.
+// package knows, or with a logged Retry-After.
 func (e Entry) isRefusal() bool {
 	if e.Message != messageRequestAnswered || e.intField("status") != http.StatusServiceUnavailable {
 		return false
@@ -89,8 +90,7 @@
 	return nil
 }
 
-// sentences says why the request was refused, by what inputs, and when the caller was told to come
-// back, one sentence a line.
+// sentences returns the reason of the refusal, the inputs of the decision, and the Retry-After.
 func (r Refusal) sentences() []string {
 	sentences := []string{r.cause()}
 	if _, logged := r.Answer.Fields["refused_share"]; logged {
@@ -145,7 +145,7 @@
 		formatEvidence(line.stringField("evidence")), line.intField("evidence_age"), line.Time.Format(clockLayout))
 }
 
-// formatEvidence says what showed the overload.
+// formatEvidence describes a kind of evidence of overload.
 func formatEvidence(evidence string) string {
 	switch evidence {
 	case "":
@@ -159,7 +159,7 @@
 	}
 }
 
-// retryTime says when the caller was told to come back.
+// retryTime describes the Retry-After of the response.
 func (r Refusal) retryTime() string {
 	if _, logged := r.Answer.Fields["retry_after"]; !logged {
 		return "The log does not say when the caller was told to come back."
--- a/internal/explain/refusal_test.go
+++ b/internal/explain/refusal_test.go
@@ -8,8 +8,8 @@
 	"github.com/sebdah/goldie/v2"
 )
 
-// The log holds refusals at two nodes. A line about an overload explains only refusals of its own node and
-// service, and only near ones: another line would give wrong inputs.
+// Guards against a refusal that is explained by a line about an overload of another node, of another
+// service, or of another time, whose figures were not the inputs of the decision.
 func TestRefusals(t *testing.T) {
 	file, err := os.Open("testdata/refusals.log")
 	if err != nil {
--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// The table leads from a late step to the item that it waited for, and that item's history to what its
-// runs were decided by (docs/OPERATIONS.md, case 11).
+// Guards against a table of steps without the item that a late step waited for, and against a history
+// of that item without the decisions on its runs (docs/OPERATIONS.md, case 11).
 func TestLateStep(t *testing.T) {
 	file, err := os.Open("testdata/late_step.log")
 	if err != nil {
--- a/internal/nodestatus/nodestatus_test.go
+++ b/internal/nodestatus/nodestatus_test.go
@@ -68,8 +68,8 @@
 	}}})
 }
 
-// Among nodes that are alike otherwise, those that refuse the most come first, since only some nodes
-// fit on a screen.
+// Guards against nodes that refuse requests below others that are equal in all else: only the first
+// nodes are shown unless all are asked for.
 func TestNodesThatRefuseRequestsComeFirst(t *testing.T) {
 	node := func(address string, share float64) NodeResult {
 		return NodeResult{Address: address, Status: Status{Build: "b", Ready: true, RefusedService: "s", RefusedShare: share}}
@@ -102,7 +102,8 @@
 	return nil
 }
 
-// While builds are replaced, this build's command queries earlier nodes, and the other way round.
+// Guards against a status that cannot be read while builds are replaced, when this build's command
+// queries nodes of an earlier build, and the other way round.
 func TestStatusBetweenBuilds(t *testing.T) {
 	earlier := EarlierStatus{Node: "n", Build: "b", Ready: true, Configuration: 3, Servers: 4, ListAge: time.Minute}
 	address := nodecalltest.Serve(t, func(server *rpc.Server) error {
