--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -161,11 +161,12 @@
 	return false, io.EOF
 }
 
-// writePieceBytes is the part of a response that a client must take within Options.WriteStall.
+// writePieceBytes is the largest part of a response that is written under one deadline: a client must
+// take it within Options.WriteStall.
 const writePieceBytes = 16 << 10
 
-// Write implements net.Conn. A connection whose client does not take a piece in time is reset when it is closed:
-// the kernel would otherwise keep what is unsent for minutes.
+// Write implements net.Conn. A connection whose client does not take a piece in time is reset when it is
+// closed: the kernel would otherwise keep the unsent data for minutes.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.server.writeStall <= 0 {
 		return c.Conn.Write(p)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -47,8 +47,8 @@
 	// HTTP serves the connections. The package wraps its Handler and BaseContext, replaces its
 	// ConnState, and is the only one to start and stop it.
 	HTTP *http.Server
-	// WriteStall is the time within which a client must take each piece of a response; otherwise its connection is
-	// reset. 0 means no limit. HTTP must set no write deadlines then.
+	// WriteStall is the time within which a client must take each 16 KB of a response; otherwise its
+	// connection is reset. 0 means no limit. HTTP must set no write deadlines then.
 	WriteStall time.Duration
 }
 
--- a/internal/serverlist/direct.go
+++ b/internal/serverlist/direct.go
@@ -54,10 +54,11 @@
 	}
 }
 
-// sizeRead reads the newest entries of at least the first directReadLimit servers page by page. A page that was
-// read is not read again after a failure: under load no attempt might reach the end within its time, and the
-// repeated reads would add to that load. Each page has at least one further server, so that at most
-// directReadLimit pages are read, and the entries of that many servers and one page are held.
+// sizeRead reads the newest entries of at least the first directReadLimit servers page by page. A page
+// that was read is not read again after a failure: under load no attempt might reach the end within its
+// time, and the repeated reads would add to that load. Each page has at least one further server, so
+// that at most directReadLimit pages are read, and the entries of that many servers and one page are
+// held.
 type sizeRead struct {
 	log     store.Log
 	records []store.Record
@@ -158,8 +159,8 @@
 	return !leading && !l.hasRelayLocked() && !l.mustStartRelayLocked(clock.Now())
 }
 
-// stopIfPageExceeded stops the reading of heartbeats if more servers have appeared than fit a page, and reports
-// whether it did: the list is then taken from the relay.
+// stopIfPageExceeded stops the reading of heartbeats if more servers have appeared than fit a page, and
+// reports whether it did: the list is then taken from the relay.
 func (l *List) stopIfPageExceeded() bool {
 	count := l.options.Directory.Snapshot().Count()
 	if count < directReadLimit {
--- a/internal/serverlist/follow.go
+++ b/internal/serverlist/follow.go
@@ -22,8 +22,8 @@
 	records []*relayRecord
 }
 
-// runRelayReader follows the relay of a large fleet. In a small fleet it is read, too, until the size is known. One
-// read is not enough: the first snapshot may follow it.
+// runRelayReader follows the relay of a large fleet. In a small fleet it is read, too, until the size
+// is known. One read is not enough: the first snapshot may follow it.
 func (l *List) runRelayReader(ctx context.Context) {
 	pace := follow.Pacer{Max: maxRelayReadDelay, Retry: relayRetryDelay}
 	outage := follow.Outage{Logger: l.options.Logger}
--- a/internal/serverlist/size_test.go
+++ b/internal/serverlist/size_test.go
@@ -187,8 +187,8 @@
 	})
 }
 
-// Guards against a list that misses changes: a page that was read before the relay's first snapshot arrives after it,
-// and the relay's later changes do not hold what changed between the two.
+// Guards against a list that misses changes: a page that was read before the relay's first snapshot
+// arrives after it, and the relay's later changes do not hold what changed between the two.
 func TestLatePageDoesNotPrecedeRelay(t *testing.T) {
 	runSizeTest(t, fleetLimits, true, func(s *sizeTest) {
 		for server := range 300 {
