--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -159,7 +159,8 @@
 	}
 	problems := unknownKeys(text)
 	if typeError != nil {
-		problems = append(problems, settingError{cmp.Or(typeError.Field, "the file"), "must be " + jsonKind(typeError.Type) + ", not " + typeError.Value})
+		message := "must be " + jsonKind(typeError.Type) + ", not " + typeError.Value
+		problems = append(problems, settingError{cmp.Or(typeError.Field, "the file"), message})
 	}
 	for _, problem := range settings.validate() {
 		// A value that could not be decoded has its default here, whose problems are not the file's.
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -70,8 +70,8 @@
 	return recorder, f.outcomes[len(f.outcomes)-1]
 }
 
-// overloaded adds evidence of overload for which the throttle refuses the given share of requests.
-func (f *overloadFixture) overloaded(share float64) {
+// addOverload adds evidence of overload for which the throttle refuses the given share of requests.
+func (f *overloadFixture) addOverload(share float64) {
 	const attempts = 1000
 	service := f.gateway.services.get("svc")
 	service.mutex.Lock()
@@ -128,7 +128,7 @@
 }
 
 // Guards against refusals and denied retries because one server rejects all requests while the others are
-// idle. It is chosen first, since the time of its requests is unknown and that of the others is longer.
+// idle. It is chosen first, since its unknown latency is assumed to be shorter than that of the others.
 func TestRejectingServerAmongIdleOnesCostsNoRequests(t *testing.T) {
 	answer := respondWith(200, "ok")
 	for name, gap := range map[string]time.Duration{"many requests": 5 * time.Millisecond, "few requests": 100 * time.Millisecond} {
@@ -162,11 +162,11 @@
 	}
 }
 
-// Guards against hedges that add load to servers which have too much.
+// Guards against hedges that add load to overloaded servers.
 func TestNoHedgeUnderOverload(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(80*time.Millisecond, Load{Running: 6, Slots: 6}))
 	for range 5 {
-		f.overloaded(0.05)
+		f.addOverload(0.05)
 		if recorder, outcome := f.send(10 * time.Second); recorder.Code != http.StatusOK || outcome.Hedges != 0 || outcome.DeniedHedges != 1 {
 			t.Errorf("status %d, outcome %+v", recorder.Code, outcome)
 		}
@@ -176,12 +176,12 @@
 	}
 }
 
-// Guards against refusals whose request was sent nonetheless, that state no time to come back, or that
-// go on after the overload.
+// Guards against refused requests that are sent nonetheless, refusals without Retry-After, and refusals
+// after the overload.
 func TestRefusedRequestIsNotSent(t *testing.T) {
 	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindUnsafe, routetable.KindStream} {
 		f := newOverloadFixture(kind, OverloadOptions{}, respondWith(200, eventOne))
-		f.overloaded(1)
+		f.addOverload(1)
 		const requests = 100
 		sent := 0
 		for range requests {
@@ -242,7 +242,7 @@
 	}
 	for _, c := range cases {
 		f := newOverloadFixture(routetable.KindSafe, c.options, answer)
-		f.overloaded(1)
+		f.addOverload(1)
 		for range 50 {
 			c.change(f)
 			if recorder, outcome := f.send(3 * time.Second); recorder.Code != http.StatusOK {
@@ -251,7 +251,7 @@
 		}
 	}
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondSigned(200, "ok"))
-	f.overloaded(1)
+	f.addOverload(1)
 	for range 50 {
 		result := f.gateway.SendInternal(context.Background(), InternalRequest{
 			Request: &Request{ID: "id", Received: clock.Now(), Deadline: clock.Now().Add(3 * time.Second)}, Route: f.route, Service: "svc",
@@ -263,11 +263,11 @@
 }
 
 // Guards against retries that multiply the load of servers which reject requests, and against a
-// refusal after a rejection that has no time to come back.
+// refusal after a rejection that has no Retry-After.
 func TestRetriesAfterRejectionsAreBounded(t *testing.T) {
 	for _, kind := range []routetable.Kind{routetable.KindUnsafe, routetable.KindStream} {
 		f := newOverloadFixture(kind, OverloadOptions{RetryShare: 0.5}, respondNotExecuted)
-		f.overloaded(0.05)
+		f.addOverload(0.05)
 		retries, denied := 0, 0
 		const requests = 60
 		for range requests {
@@ -397,14 +397,14 @@
 			t.Errorf("%s: cost %v, want %v", step, got, want)
 		}
 	}
-	play := func(latency time.Duration, load Load) {
+	record := func(latency time.Duration, load Load) {
 		b.recordSend(now, candidates{}, server)
 		b.recordResult(now, server, attemptEnd{chosenAt: now, answered: true, latency: latency, load: &load, loadAt: now})
 	}
-	play(100*time.Millisecond, Load{Running: 4, Waiting: 4, Slots: 4})
+	record(100*time.Millisecond, Load{Running: 4, Waiting: 4, Slots: 4})
 	check("with a queue", 9, 100*time.Millisecond)
 	now = now.Add(10 * time.Second)
-	play(200*time.Millisecond, Load{Slots: 4})
+	record(200*time.Millisecond, Load{Slots: 4})
 	check("10 s later", 1, 115*time.Millisecond)
 	for range 5 {
 		b.recordSend(now, candidates{}, server)
@@ -444,7 +444,7 @@
 		t.Errorf("service time %v with a stream that began a minute ago", got)
 	}
 	b.recordResult(now, server, attemptEnd{chosenAt: now, stream: true})
-	play := func(stream bool, from time.Time, latency time.Duration) {
+	record := func(stream bool, from time.Time, latency time.Duration) {
 		for i := range 100 {
 			at := from.Add(time.Duration(i) * 50 * time.Millisecond)
 			for range server.Slots {
@@ -455,8 +455,8 @@
 			}
 		}
 	}
-	play(false, now, initialLatency)
-	if play(true, now.Add(10*time.Second), time.Minute); load.Limiter.Limit() != server.Slots {
+	record(false, now, initialLatency)
+	if record(true, now.Add(10*time.Second), time.Minute); load.Limiter.Limit() != server.Slots {
 		t.Errorf("limit %d after long streams", load.Limiter.Limit())
 	}
 }
@@ -527,7 +527,7 @@
 // Guards against internal requests that draw on the budgets without paying in.
 func TestInternalRequestsPayForRetries(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{RetryShare: 1}, respondSigned(200, "ok"))
-	f.overloaded(0.5)
+	f.addOverload(0.5)
 	service := f.gateway.services.get("svc")
 	for service.state.AllowRetry(clock.Now(), false) {
 	}
--- a/internal/overload/limiter_test.go
+++ b/internal/overload/limiter_test.go
@@ -6,28 +6,28 @@
 )
 
 // Guards against a probe that holds requests back although there is no queue to drain, and against a
-// pressed limit that is never probed.
-func TestLimiterProbesOnlyUnderPressure(t *testing.T) {
+// reached limit that is never probed.
+func TestLimiterProbesOnlyReachedLimits(t *testing.T) {
 	probe := start.Truncate(probeEvery).Add(probeEvery)
-	quiet, pressed := NewLimiter(), NewLimiter()
+	unreached, reached := NewLimiter(), NewLimiter()
 	for range int(initialLimit) {
-		pressed.Acquire()
+		reached.Acquire()
 	}
-	pressed.HasRoom(probe.Add(-time.Second))
-	pressed.Dropped()
+	reached.HasRoom(probe.Add(-time.Second))
+	reached.Dropped()
 	for range int(initialLimit) - 1 {
-		quiet.Acquire()
+		unreached.Acquire()
 	}
-	if !quiet.HasRoom(probe) {
+	if !unreached.HasRoom(probe) {
 		t.Error("a limit that was not reached is cut")
 	}
-	if pressed.HasRoom(probe) || !pressed.HasRoom(probe.Add(probeTime)) {
+	if reached.HasRoom(probe) || !reached.HasRoom(probe.Add(probeTime)) {
 		t.Error("a limit that was reached is not cut for the probe's time")
 	}
 }
 
-// Guards against a limit that stays low after the load, exceeds the slots, or lets nothing through.
-func TestBoundedLimitIsBackWithinASecond(t *testing.T) {
+// Guards against a limit that stays low after the load, exceeds the slots, or admits nothing.
+func TestBoundedLimitRecoversWithinASecond(t *testing.T) {
 	const slots = 24
 	limiter := NewBoundedLimiter(slots)
 	now := start
@@ -61,7 +61,7 @@
 func TestBoundedLimitFollowsLatency(t *testing.T) {
 	const slots = 24
 	limiter := NewBoundedLimiter(slots)
-	play := func(from time.Time, latency time.Duration) {
+	observe := func(from time.Time, latency time.Duration) {
 		for i := range 100 {
 			for range slots {
 				limiter.Acquire()
@@ -71,10 +71,10 @@
 			}
 		}
 	}
-	if play(start, 25*time.Millisecond); limiter.Limit() != slots {
+	if observe(start, 25*time.Millisecond); limiter.Limit() != slots {
 		t.Errorf("limit %d without a queue", limiter.Limit())
 	}
-	if play(start.Add(10*time.Second), 200*time.Millisecond); limiter.Limit() > slots/2 {
+	if observe(start.Add(10*time.Second), 200*time.Millisecond); limiter.Limit() > slots/2 {
 		t.Errorf("limit %d at eight times the latency", limiter.Limit())
 	}
 }
--- a/internal/overload/load_test.go
+++ b/internal/overload/load_test.go
@@ -21,10 +21,10 @@
 	const capacity = 4 * modelCapacity
 	for _, times := range []float64{1, 2, 5} {
 		m := newModel(87, 4)
-		if quiet := m.play(3*time.Second, 0.3*capacity); quiet.refused > 0 {
+		if quiet := m.simulate(3*time.Second, 0.3*capacity); quiet.refused > 0 {
 			t.Errorf("%v times the capacity: %d requests refused before", times, quiet.refused)
 		}
-		burst := m.play(5*time.Second, times*capacity)
+		burst := m.simulate(5*time.Second, times*capacity)
 		if least := 0.9 * min(times, 1) * capacity * 5; float64(burst.inTime) < least {
 			t.Errorf("%v times the capacity: %d answers in time, want %.0f", times, burst.inTime, least)
 		}
@@ -32,12 +32,12 @@
 			t.Errorf("%v times the capacity: %d arrivals for %d requests", times, burst.arrivals, burst.made)
 		}
 		// The requests of the burst come back until their deadlines.
-		m.play(modelDeadline, 0.3*capacity)
-		m.play(time.Second, 0.3*capacity)
+		m.simulate(modelDeadline, 0.3*capacity)
+		m.simulate(time.Second, 0.3*capacity)
 		if share := m.highestRefusedShare(); share > 0 {
 			t.Errorf("%v times the capacity: a node refuses %.2f a second after the last retry", times, share)
 		}
-		after := m.play(3*time.Second, 0.3*capacity)
+		after := m.simulate(3*time.Second, 0.3*capacity)
 		if after.refused > 0 || after.inTime < after.made-50 {
 			t.Errorf("%v times the capacity: afterwards %+v", times, after)
 		}
@@ -51,7 +51,7 @@
 	for _, node := range m.nodes {
 		node.unprotected = true
 	}
-	if burst := m.play(5*time.Second, 2*4*modelCapacity); burst.arrivals < 4*burst.made {
+	if burst := m.simulate(5*time.Second, 2*4*modelCapacity); burst.arrivals < 4*burst.made {
 		t.Errorf("%+v", burst)
 	}
 }
@@ -62,7 +62,7 @@
 	for name, slowdown := range map[string]float64{"ten times slower": 10, "hanging": 0} {
 		m := newModel(5, 5)
 		m.servers[0].slowdown = slowdown
-		got := m.play(10*time.Second, 0.2*5*modelCapacity)
+		got := m.simulate(10*time.Second, 0.2*5*modelCapacity)
 		if got.refused > 0 || float64(got.inTime) < 0.99*float64(got.made) || got.hedges == 0 {
 			t.Errorf("%s: %+v", name, got)
 		}
@@ -79,11 +79,11 @@
 				m := newModel(nodes, 5)
 				m.statesLoad = statesLoad
 				const rate = 0.2 * 5 * modelCapacity
-				m.play(2*time.Second, rate)
+				m.simulate(2*time.Second, rate)
 				for _, server := range m.servers[:rejecting] {
 					server.rejecting = true
 				}
-				got := m.play(10*time.Second, rate)
+				got := m.simulate(10*time.Second, rate)
 				if rejecting == 1 && float64(got.refused) > 0.01*float64(got.made) || float64(got.inTime) < 0.99*float64(got.made) ||
 					float64(got.arrivals) > 1.3*float64(got.made) {
 					t.Errorf("%d nodes, loads stated %v, %d servers reject: %+v", nodes, statesLoad, rejecting, got)
@@ -99,13 +99,13 @@
 	for _, statesLoad := range []bool{true, false} {
 		m := newModel(3, 4)
 		m.statesLoad = statesLoad
-		m.play(2*time.Second, 200)
+		m.simulate(2*time.Second, 200)
 		for _, server := range m.servers {
 			server.rejecting = true
 		}
-		m.play(2*time.Second, 200)
+		m.simulate(2*time.Second, 200)
 		for range 5 {
-			rejected := m.play(time.Second, 200)
+			rejected := m.simulate(time.Second, 200)
 			if rejected.arrivals < len(m.nodes) || rejected.arrivals > 100 {
 				t.Errorf("loads stated %v: %+v while all servers reject", statesLoad, rejected)
 			}
@@ -113,8 +113,8 @@
 		for _, server := range m.servers {
 			server.rejecting = false
 		}
-		m.play(time.Second+modelDeadline, 200)
-		if after := m.play(2*time.Second, 200); after.refused > 0 {
+		m.simulate(time.Second+modelDeadline, 200)
+		if after := m.simulate(2*time.Second, 200); after.refused > 0 {
 			t.Errorf("loads stated %v: %+v after the recovery", statesLoad, after)
 		}
 	}
@@ -128,7 +128,7 @@
 	for _, server := range m.servers {
 		server.rejecting = true
 	}
-	got := m.play(seconds*time.Second, 2*4*modelCapacity)
+	got := m.simulate(seconds*time.Second, 2*4*modelCapacity)
 	admitted := got.arrivals - got.retries
 	most := nodes*(initialBudget+budgetFloor*seconds) + DefaultBudgetShare*float64(admitted)
 	if float64(got.retries) > most || got.hedges > 0 {
@@ -141,19 +141,19 @@
 func TestRetryStormEndsByItself(t *testing.T) {
 	const rate = 0.7 * 4 * modelCapacity
 	m := newModel(87, 4)
-	m.play(2*time.Second, rate)
+	m.simulate(2*time.Second, rate)
 	for _, server := range m.servers {
 		server.slowdown = 10
 	}
-	storm := m.play(2*time.Second, rate)
+	storm := m.simulate(2*time.Second, rate)
 	if float64(storm.arrivals) > 1.4*float64(storm.made) {
 		t.Errorf("during the fault: %+v", storm)
 	}
 	for _, server := range m.servers {
 		server.slowdown = 1
 	}
-	m.play(2*time.Second, rate)
-	if after := m.play(3*time.Second, rate); float64(after.inTime) < 0.95*float64(after.made) || float64(after.arrivals) > 1.1*float64(after.made) {
+	m.simulate(2*time.Second, rate)
+	if after := m.simulate(3*time.Second, rate); float64(after.inTime) < 0.95*float64(after.made) || float64(after.arrivals) > 1.1*float64(after.made) {
 		t.Errorf("after the fault: %+v", after)
 	}
 }
--- a/internal/overload/model_test.go
+++ b/internal/overload/model_test.go
@@ -102,8 +102,8 @@
 	heap.Push(&m.events, modelEvent{at: m.now.Add(wait), run: run})
 }
 
-// play has callers make the given requests a second for a time, and returns what happened meanwhile.
-func (m *model) play(length time.Duration, rate float64) modelCounts {
+// simulate has callers make the given requests a second for a time, and returns the counts of that time.
+func (m *model) simulate(length time.Duration, rate float64) modelCounts {
 	before, end := m.modelCounts, m.now.Add(length)
 	var next func()
 	next = func() {
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -72,7 +72,7 @@
 	short := s.isShortOfTime(now, request)
 	due := now.Sub(s.dividedAt) >= divideInterval
 	if due {
-		s.forget(now)
+		s.decay(now)
 	}
 	own, isNew := s.tenant(request)
 	if short {
@@ -138,8 +138,8 @@
 	}
 }
 
-// forget decays all counts and drops tenants without recent requests.
-func (s *shares) forget(now time.Time) {
+// decay decays all counts and drops tenants without recent requests.
+func (s *shares) decay(now time.Time) {
 	factor := decayFactor(s.dividedAt, now)
 	s.dividedAt = now
 	for _, l := range s.levels {
@@ -185,12 +185,12 @@
 // recent returns the decayed number of requests.
 func (t *tenantShare) recent() float64 { return t.short + t.others }
 
-// demand returns the number of requests that the division counts, at least 1. Counted as decayed, the
-// earlier requests of tenants with few would be smaller than the newest one, which would be taken for
-// the largest demand and refused more often than the share to refuse.
+// demand returns the number of requests that the division counts: the decayed number, but at least 1.
+// Without that minimum the newest of the requests of many tenants with few requests each would count as
+// the largest demand, and would be refused more often than the share to refuse.
 func (t *tenantShare) demand() float64 { return max(t.recent(), 1) }
 
-// divide gives requests with less time left than usual up to shortOfTimeShare of a quota first, and
+// divide divides a quota: requests with less time left than usual get up to shortOfTimeShare of it, and
 // what the others do not need.
 func (t *tenantShare) divide(quota float64) {
 	scale := 1.0
--- a/internal/overload/throttle_test.go
+++ b/internal/overload/throttle_test.go
@@ -71,10 +71,10 @@
 	throttle.Observe(start, Sample{Server: "a", Rejected: true, Target: modelTarget, Utilization: -1})
 	throttle.Observe(start, Sample{Server: "a", Target: modelTarget, Utilization: -1})
 	if !throttle.Loaded(start) {
-		t.Error("an answer of the same server voids a rejection")
+		t.Error("an answer of the same server discards a rejection")
 	}
 	if throttle.Observe(start, Sample{Server: "b", Target: modelTarget, Utilization: -1}); throttle.Loaded(start) {
-		t.Error("an answer of another server does not void a rejection")
+		t.Error("an answer of another server does not discard a rejection")
 	}
 	throttle = NewThrottle(ThrottleOptions{})
 	throttle.Observe(start, Sample{Server: "b", Target: modelTarget, Utilization: -1})
