gateway: state what two overload tests cover

One comment said that requests without a latency target never make a server look slow; the test covers only those in flight. The comments say so now. No behaviour changes.

--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -462,7 +462,7 @@
 }
 
 // Guards against requests of routes without a latency target that fill a server's limit, or make it
-// look slow to the requests of other routes.
+// look slow to the requests of other routes while they are in flight.
 func TestRequestsWithoutLatencyTargetCountAsLoadOnly(t *testing.T) {
 	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindStream} {
 		ended := make(chan struct{})
@@ -524,7 +524,7 @@
 	}
 }
 
-// Guards against internal requests that draw on the budgets without paying in.
+// Guards against internal requests that take retries from the budget without paying for any.
 func TestInternalRequestsPayForRetries(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{RetryShare: 1}, respondSigned(200, "ok"))
 	f.addOverload(0.5)
@@ -554,7 +554,7 @@
 		}
 		lines := 0
 		for range 100 {
-			if _, due := service.admit(at, overload.Request{Remaining: time.Second}); due != nil {
+			if _, logFields := service.admit(at, overload.Request{Remaining: time.Second}); logFields != nil {
 				lines++
 			}
 		}
