--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -70,8 +70,8 @@
 	return recorder, f.outcomes[len(f.outcomes)-1]
 }
 
-// overloaded adds evidence of overload for which the throttle refuses the given share of requests.
-func (f *overloadFixture) overloaded(share float64) {
+// addOverload adds evidence of overload for which the throttle refuses the given share of requests.
+func (f *overloadFixture) addOverload(share float64) {
 	const attempts = 1000
 	service := f.gateway.services.get("svc")
 	service.mutex.Lock()
@@ -128,7 +128,7 @@
 }
 
 // Guards against refusals and denied retries because one server rejects all requests while the others are
-// idle. It is chosen first, since the time of its requests is unknown and that of the others is longer.
+// idle. It is chosen first, since its unknown latency is assumed to be shorter than that of the others.
 func TestRejectingServerAmongIdleOnesCostsNoRequests(t *testing.T) {
 	answer := respondWith(200, "ok")
 	for name, gap := range map[string]time.Duration{"many requests": 5 * time.Millisecond, "few requests": 100 * time.Millisecond} {
@@ -162,11 +162,11 @@
 	}
 }
 
-// Guards against hedges that add load to servers which have too much.
+// Guards against hedges that add load to overloaded servers.
 func TestNoHedgeUnderOverload(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(80*time.Millisecond, Load{Running: 6, Slots: 6}))
 	for range 5 {
-		f.overloaded(0.05)
+		f.addOverload(0.05)
 		if recorder, outcome := f.send(10 * time.Second); recorder.Code != http.StatusOK || outcome.Hedges != 0 || outcome.DeniedHedges != 1 {
 			t.Errorf("status %d, outcome %+v", recorder.Code, outcome)
 		}
@@ -176,12 +176,12 @@
 	}
 }
 
-// Guards against refusals whose request was sent nonetheless, that state no time to come back, or that
-// go on after the overload.
+// Guards against refused requests that are sent nonetheless, refusals without Retry-After, and refusals
+// after the overload.
 func TestRefusedRequestIsNotSent(t *testing.T) {
 	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindUnsafe, routetable.KindStream} {
 		f := newOverloadFixture(kind, OverloadOptions{}, respondWith(200, eventOne))
-		f.overloaded(1)
+		f.addOverload(1)
 		const requests = 100
 		sent := 0
 		for range requests {
@@ -192,7 +192,7 @@
 				continue
 			}
 			after, err := strconv.ParseFloat(recorder.Header().Get("Retry-After"), 64)
-			if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != reasonOverloaded || outcome.Service != "svc" ||
+			if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != ReasonOverloaded || outcome.Service != "svc" ||
 				err != nil || after < 0.05 || after > 1 {
 				t.Fatalf("%v: status %d, Retry-After %q, outcome %+v", kind, recorder.Code, recorder.Header().Get("Retry-After"), outcome)
 			}
@@ -242,7 +242,7 @@
 	}
 	for _, c := range cases {
 		f := newOverloadFixture(routetable.KindSafe, c.options, answer)
-		f.overloaded(1)
+		f.addOverload(1)
 		for range 50 {
 			c.change(f)
 			if recorder, outcome := f.send(3 * time.Second); recorder.Code != http.StatusOK {
@@ -251,7 +251,7 @@
 		}
 	}
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondSigned(200, "ok"))
-	f.overloaded(1)
+	f.addOverload(1)
 	for range 50 {
 		result := f.gateway.SendInternal(context.Background(), InternalRequest{
 			Request: &Request{ID: "id", Received: clock.Now(), Deadline: clock.Now().Add(3 * time.Second)}, Route: f.route, Service: "svc",
@@ -263,11 +263,11 @@
 }
 
 // Guards against retries that multiply the load of servers which reject requests, and against a
-// refusal after a rejection that has no time to come back.
+// refusal after a rejection that has no Retry-After.
 func TestRetriesAfterRejectionsAreBounded(t *testing.T) {
 	for _, kind := range []routetable.Kind{routetable.KindUnsafe, routetable.KindStream} {
 		f := newOverloadFixture(kind, OverloadOptions{RetryShare: 0.5}, respondNotExecuted)
-		f.overloaded(0.05)
+		f.addOverload(0.05)
 		retries, denied := 0, 0
 		const requests = 60
 		for range requests {
@@ -277,7 +277,7 @@
 			if recorder.Code != http.StatusServiceUnavailable || recorder.Header().Get("Retry-After") == "" {
 				t.Fatalf("%v: status %d, Retry-After %q", kind, recorder.Code, recorder.Header().Get("Retry-After"))
 			}
-			if outcome.DeniedRetries > 0 && outcome.Reason != reasonRetryBudget {
+			if outcome.DeniedRetries > 0 && outcome.Reason != ReasonRetryBudget {
 				t.Fatalf("%v: %+v", kind, outcome)
 			}
 		}
@@ -294,7 +294,7 @@
 		f.send(10 * time.Second)
 	}
 	recorder, outcome := f.send(20 * time.Millisecond)
-	if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != reasonTooLate || outcome.Attempts != 0 {
+	if recorder.Code != http.StatusServiceUnavailable || outcome.Reason != ReasonTooLate || outcome.Attempts != 0 {
 		t.Errorf("status %d, outcome %+v", recorder.Code, outcome)
 	}
 	if got := recorder.Header().Get("Retry-After"); got != "0.05" {
@@ -302,8 +302,8 @@
 	}
 }
 
-// Guards against requests that count as too late since those of a route without a latency target, which may be of
-// another kind, take longer.
+// Guards against requests that count as too late because those of a route without a latency target,
+// which may be of another kind, take longer.
 func TestTooLateIsNotJudgedByRoutesWithoutLatencyTarget(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
 	target := f.route.LatencyTarget
@@ -312,29 +312,31 @@
 		f.send(10 * time.Second)
 	}
 	f.route.LatencyTarget = target
-	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == ReasonTooLate {
 		t.Errorf("%+v", outcome)
 	}
 }
 
-// Guards against requests that count as too late since those of another route of the service take longer.
+// Guards against requests that count as too late because those of another route of the service take
+// longer.
 func TestTooLateIsJudgedByRoute(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{}, respondWithLoad(30*time.Millisecond, Load{Running: 1, Slots: 6}))
 	for range 5 {
 		f.send(10 * time.Second)
 	}
 	f.route.Name = "other"
-	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == reasonTooLate {
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason == ReasonTooLate {
 		t.Errorf("%+v", outcome)
 	}
 	f.route.Name = "r"
-	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason != reasonTooLate {
+	if _, outcome := f.send(20 * time.Millisecond); outcome.Reason != ReasonTooLate {
 		t.Errorf("%+v", outcome)
 	}
 }
 
-// Guards against a failed stream that keeps its place in this node's limit, and the state of its server, forever.
-func TestBrokenFailureOfAStreamEndsItsAttempt(t *testing.T) {
+// Guards against an attempt that counts towards this node's limit forever, and keeps the state of its
+// server, after the body of an error response to a request for a stream broke off.
+func TestBrokenErrorResponseToStreamRequestEndsAttempt(t *testing.T) {
 	f := newOverloadFixture(routetable.KindStream, OverloadOptions{}, func(context.Context, Attempt) (*Response, *SendError) {
 		return &Response{Status: http.StatusNotFound, Header: http.Header{}, Body: io.NopCloser(iotest.ErrReader(io.ErrUnexpectedEOF)), Length: 2}, nil
 	})
@@ -381,9 +383,9 @@
 	}
 }
 
-// Guards against a server choice that overload.off changes in part: with it, the cost is
-// (1 + load / slots) x average latency, whatever the queue, the age in flight, the time between samples, the limit and
-// the last response.
+// Guards against a server choice that overload.off changes only in part. With overload.off the cost is
+// (1 + load / slots) x average latency, whatever the queue, the age in flight, the time between
+// samples, the limit and the last response.
 func TestServerChoiceWhileOff(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := newOverloadFixture(routetable.KindSafe, OverloadOptions{Off: true}, respondWith(200, "ok")).gateway.balancer
@@ -395,14 +397,14 @@
 			t.Errorf("%s: cost %v, want %v", step, got, want)
 		}
 	}
-	play := func(latency time.Duration, load Load) {
+	record := func(latency time.Duration, load Load) {
 		b.recordSend(now, candidates{}, server)
 		b.recordResult(now, server, attemptEnd{chosenAt: now, answered: true, latency: latency, load: &load, loadAt: now})
 	}
-	play(100*time.Millisecond, Load{Running: 4, Waiting: 4, Slots: 4})
+	record(100*time.Millisecond, Load{Running: 4, Waiting: 4, Slots: 4})
 	check("with a queue", 9, 100*time.Millisecond)
 	now = now.Add(10 * time.Second)
-	play(200*time.Millisecond, Load{Slots: 4})
+	record(200*time.Millisecond, Load{Slots: 4})
 	check("10 s later", 1, 115*time.Millisecond)
 	for range 5 {
 		b.recordSend(now, candidates{}, server)
@@ -430,8 +432,9 @@
 	}
 }
 
-// Guards against streams that count by their age or their length: a long stream says nothing of its server.
-func TestStreamsSayNothingOfTheServiceTime(t *testing.T) {
+// Guards against a stream in flight whose age counts as service time, and against long streams that
+// lower the limit of their server.
+func TestLongStreamsDoNotLowerTheLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
 	server := &directory.Server{ID: "a", Service: "s", Slots: 6}
 	b := newBalancer("n", "")
@@ -441,7 +444,7 @@
 		t.Errorf("service time %v with a stream that began a minute ago", got)
 	}
 	b.recordResult(now, server, attemptEnd{chosenAt: now, stream: true})
-	play := func(stream bool, from time.Time, latency time.Duration) {
+	record := func(stream bool, from time.Time, latency time.Duration) {
 		for i := range 100 {
 			at := from.Add(time.Duration(i) * 50 * time.Millisecond)
 			for range server.Slots {
@@ -452,14 +455,14 @@
 			}
 		}
 	}
-	play(false, now, initialLatency)
-	if play(true, now.Add(10*time.Second), time.Minute); load.Limiter.Limit() != server.Slots {
+	record(false, now, initialLatency)
+	if record(true, now.Add(10*time.Second), time.Minute); load.Limiter.Limit() != server.Slots {
 		t.Errorf("limit %d after long streams", load.Limiter.Limit())
 	}
 }
 
-// Guards against requests of routes without a latency target that fill a server's limit, or make it look slow to
-// the requests of other routes.
+// Guards against requests of routes without a latency target that fill a server's limit, or make it
+// look slow to the requests of other routes while they are in flight.
 func TestRequestsWithoutLatencyTargetCountAsLoadOnly(t *testing.T) {
 	for _, kind := range []routetable.Kind{routetable.KindSafe, routetable.KindStream} {
 		ended := make(chan struct{})
@@ -521,10 +524,10 @@
 	}
 }
 
-// Guards against internal requests that draw on the budgets without paying in.
+// Guards against internal requests that take retries from the budget without paying for any.
 func TestInternalRequestsPayForRetries(t *testing.T) {
 	f := newOverloadFixture(routetable.KindSafe, OverloadOptions{RetryShare: 1}, respondSigned(200, "ok"))
-	f.overloaded(0.5)
+	f.addOverload(0.5)
 	service := f.gateway.services.get("svc")
 	for service.state.AllowRetry(clock.Now(), false) {
 	}
@@ -551,7 +554,7 @@
 		}
 		lines := 0
 		for range 100 {
-			if _, due := service.admit(at, overload.Request{Remaining: time.Second}); due != nil {
+			if _, logFields := service.admit(at, overload.Request{Remaining: time.Second}); logFields != nil {
 				lines++
 			}
 		}
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -17,19 +17,20 @@
 	shortOfTimeMargin = minRetryAfter / 2
 	// divideInterval is the longest time for which one division of the admitted share applies.
 	divideInterval = 20 * time.Millisecond
-	// minRecentRequests is the decayed number of requests below which a tenant is forgotten.
+	// minRecentRequests is the decayed number of requests below which the state of a tenant is dropped.
 	minRecentRequests = 0.01
 )
 
 // shares divides what a throttle admits among priorities, tenants, and requests with more and less
-// time left. It counts requests only under overload. It addresses one caller that takes the capacity
-// of others, and requests that are refused until their time is over.
+// time left. It counts requests only under overload. It prevents a caller from taking the capacity of
+// others, and a retried request from being refused until its deadline.
 type shares struct {
 	weights map[string]float64
 	// levels are ordered by priority, the most urgent first.
 	levels []*level
-	// longest holds, for each route, the negated longest remaining time of recent requests.
-	longest map[string]*recentMinimum
+	// negatedLongest holds, for each route, the longest remaining time of recent requests, negated so
+	// that a minimum tracks it.
+	negatedLongest map[string]*recentMinimum
 	// dividedAt is when the counts were last decayed and the admitted share was divided.
 	dividedAt time.Time
 }
@@ -54,14 +55,14 @@
 }
 
 func newShares(weights map[string]float64) shares {
-	return shares{weights: weights, longest: make(map[string]*recentMinimum)}
+	return shares{weights: weights, negatedLongest: make(map[string]*recentMinimum)}
 }
 
 // reset forgets all requests.
 func (s *shares) reset() {
 	if len(s.levels) > 0 {
 		s.levels = nil
-		clear(s.longest)
+		clear(s.negatedLongest)
 	}
 }
 
@@ -71,7 +72,7 @@
 	short := s.isShortOfTime(now, request)
 	due := now.Sub(s.dividedAt) >= divideInterval
 	if due {
-		s.forget(now)
+		s.decay(now)
 	}
 	own, isNew := s.tenant(request)
 	if short {
@@ -91,10 +92,10 @@
 // isShortOfTime reports whether the request has clearly less time left than the recent requests of
 // its route with the most.
 func (s *shares) isShortOfTime(now time.Time, request Request) bool {
-	longest := s.longest[request.Route]
+	longest := s.negatedLongest[request.Route]
 	if longest == nil {
 		longest = &recentMinimum{}
-		s.longest[request.Route] = longest
+		s.negatedLongest[request.Route] = longest
 	}
 	longest.observe(now, -request.Remaining)
 	negated, _ := longest.value(now)
@@ -137,8 +138,8 @@
 	}
 }
 
-// forget decays all counts and drops tenants without recent requests.
-func (s *shares) forget(now time.Time) {
+// decay decays all counts and drops tenants without recent requests.
+func (s *shares) decay(now time.Time) {
 	factor := decayFactor(s.dividedAt, now)
 	s.dividedAt = now
 	for _, l := range s.levels {
@@ -184,12 +185,12 @@
 // recent returns the decayed number of requests.
 func (t *tenantShare) recent() float64 { return t.short + t.others }
 
-// demand returns the number of requests that the division counts, at least 1. Counted as decayed, the
-// earlier requests of tenants with few would be smaller than the newest one, which would be taken for
-// the largest demand and refused more often than the share to refuse.
+// demand returns the number of requests that the division counts: the decayed number, but at least 1.
+// Without that minimum the newest of the requests of many tenants with few requests each would count as
+// the largest demand, and would be refused more often than the share to refuse.
 func (t *tenantShare) demand() float64 { return max(t.recent(), 1) }
 
-// divide gives requests with less time left than usual up to shortOfTimeShare of a quota first, and
+// divide divides a quota: requests with less time left than usual get up to shortOfTimeShare of it, and
 // what the others do not need.
 func (t *tenantShare) divide(quota float64) {
 	scale := 1.0
--- a/internal/overload/throttle_test.go
+++ b/internal/overload/throttle_test.go
@@ -71,10 +71,10 @@
 	throttle.Observe(start, Sample{Server: "a", Rejected: true, Target: modelTarget, Utilization: -1})
 	throttle.Observe(start, Sample{Server: "a", Target: modelTarget, Utilization: -1})
 	if !throttle.Loaded(start) {
-		t.Error("an answer of the same server voids a rejection")
+		t.Error("an answer of the same server discards a rejection")
 	}
 	if throttle.Observe(start, Sample{Server: "b", Target: modelTarget, Utilization: -1}); throttle.Loaded(start) {
-		t.Error("an answer of another server does not void a rejection")
+		t.Error("an answer of another server does not discard a rejection")
 	}
 	throttle = NewThrottle(ThrottleOptions{})
 	throttle.Observe(start, Sample{Server: "b", Target: modelTarget, Utilization: -1})
@@ -210,8 +210,8 @@
 	}
 }
 
-// Guards against a request that is refused for the slow answers of another route, and against state that grows with
-// each route that ever had a request.
+// Guards against a request that is refused for the slow answers of another route, and against state
+// that grows with each route that ever had a request.
 func TestTooLateIsJudgedByRoute(t *testing.T) {
 	service := NewService(ServiceOptions{})
 	for range minAnswers {
