Scheduler: moves from a gain of 0.2 s on; long answers do not replace a server's service time

Cause: with a smallest gain of 0.5 s and a quarter, the last items of a step stayed on engines that are slightly slower. And a reader found that one stream of 30 s, or one request without a latency target, became the average service time of its server when it ended, since samples that are rare replace the average.

Result: the tests of both packages pass; the new test of the gateway fails without its change.

--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -248,7 +248,9 @@
 		state.load.ObserveResponse(now, end.rejected)
 	}
 	switch {
-	case end.answered && b.unprotected:
+	case end.answered && (b.unprotected || end.stream || end.noTarget):
+		// The length of a stream, or of a request without a latency target, must not replace the average
+		// of the others, however old that is.
 		state.load.ObserveTotalLatency(end.latency)
 	case end.answered:
 		state.load.ObserveLatency(now, end.latency, load)
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -461,6 +461,30 @@
 	}
 }
 
+// Guards against one long stream, or one long request without a latency target, that replaces the average
+// service time of its server once it has ended.
+func TestLongAnswersDoNotReplaceTheServiceTime(t *testing.T) {
+	for _, end := range []attemptEnd{{stream: true}, {noTarget: true}} {
+		now := time.Unix(1000, 0)
+		server := &directory.Server{ID: "a", Service: "s", Slots: 6}
+		b := newBalancer("n", "")
+		record := func(at time.Time, ended attemptEnd, latency time.Duration) {
+			b.recordSend(at, candidates{stream: ended.stream, noTarget: ended.noTarget}, server)
+			ended.chosenAt, ended.answered, ended.latency = at, true, latency
+			b.recordResult(at, server, ended)
+		}
+		record(now, attemptEnd{}, 25*time.Millisecond)
+		record(now.Add(time.Minute), end, 30*time.Second)
+		if got := b.state(server).load.ServiceTime(now.Add(time.Minute), 0); got > 5*time.Second {
+			t.Errorf("stream %t, no target %t: service time %v", end.stream, end.noTarget, got)
+		}
+		record(now.Add(2*time.Minute), attemptEnd{}, 25*time.Millisecond)
+		if got := b.state(server).load.ServiceTime(now.Add(2*time.Minute), 0); got > 26*time.Millisecond {
+			t.Errorf("stream %t, no target %t: service time %v a minute later", end.stream, end.noTarget, got)
+		}
+	}
+}
+
 // Guards against requests of routes without a latency target that fill a server's limit, or make it
 // look slow to the requests of other routes while they are in flight.
 func TestRequestsWithoutLatencyTargetCountAsLoadOnly(t *testing.T) {
--- a/internal/overload/server.go
+++ b/internal/overload/server.go
@@ -122,7 +122,8 @@
 }
 
 // ObserveTotalLatency records the latency of a response with its time in a queue. All samples have the
-// same weight. It replaces ObserveLatency if the protection from overload is off.
+// same weight. It is for samples that say little of the service time, and replaces ObserveLatency if the
+// protection from overload is off.
 func (s *Server) ObserveTotalLatency(latency time.Duration) { s.average(latency, latencySmoothing) }
 
 // average adds a sample to the average service time.
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -15,10 +15,10 @@
 	// and a new connection is made.
 	moveSeconds = 0.15
 	// minMoveGain is the smallest predicted gain in seconds that is worth a move, and minMoveGainShare
-	// the smallest one as a share of the time that the run would need without it. Predictions are
-	// off by about this much.
-	minMoveGain      = 0.5
-	minMoveGainShare = 0.25
+	// the smallest one as a share of the time that the run would need without it. The cost of the move
+	// is deducted before. Larger ones leave the last items of a step on engines that are slightly slower.
+	minMoveGain      = 0.2
+	minMoveGainShare = 0.22
 )
 
 // moveToFaster moves runs of needed items to engines with free slots where they are predicted to end much
