--- a/internal/coordinator/acceptance_test.go
+++ b/internal/coordinator/acceptance_test.go
@@ -8,8 +8,8 @@
 	"dalehook/internal/clock"
 )
 
-// Guards against jobs that are taken for older than they are after the coordinator's machine was
-// suspended. The scheduler's clock is then ahead of the time of day, which a job states.
+// Guards against jobs that count as older than they are after the coordinator's machine was suspended. The
+// scheduler's clock is then ahead of the time of day, in which jobs state their time of acceptance.
 func TestTimeOfAcceptanceIsOnTheSchedulerClock(t *testing.T) {
 	clock.AddSuspension(5 * time.Second)
 	defer clock.AddSuspension(-5 * time.Second)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -66,7 +66,7 @@
 // Observer records the coordinator's metrics.
 type Observer interface {
 	ObserveAttempt(reason scheduler.EndReason)
-	// ObserveMove records that a run is cut to resume its item on another engine.
+	// ObserveMove records that a run is cancelled to resume its item on another engine.
 	ObserveMove()
 	ObserveResult(outcome string)
 	// ObserveLoad records whether an engine had the ordered version afterwards.
@@ -82,7 +82,7 @@
 	Open, Running, Waiting int
 	// Unscored is the number of items whose text is complete but not yet scored.
 	Unscored int
-	// MemoryShare is the share in use of the fullest engine's memory; 0 if no capacity is known.
+	// MemoryShare is the share of its memory that the fullest engine uses; 0 if no capacity is known.
 	MemoryShare float64
 }
 
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -47,7 +47,8 @@
 	c.options.Observer.ObserveMove()
 	c.options.Logger.Info("item moved", zap.String("job", move.JobID), zap.String("item", move.ItemID),
 		zap.Uint64("attempt", uint64(move.Attempt)), zap.String("from", move.From.ID), zap.String("to", move.To.ID),
-		zap.Int("predicted_events", move.PredictedEvents), zap.Duration("predicted_gain", move.Gain), zap.Int64("epoch", c.lease.Epoch))
+		zap.Int("predicted_events", move.PredictedEvents), zap.Duration("predicted_gain", move.Gain),
+		zap.Int64("epoch", c.lease.Epoch))
 }
 
 func (c *Coordinator) appendProgress(progress scheduler.Progress) {
--- a/internal/coordinator/term_subscriber.go
+++ b/internal/coordinator/term_subscriber.go
@@ -38,8 +38,9 @@
 	})
 }
 
-// onSchedulerClock returns a job whose time of acceptance is on the clock of the scheduler. That one
-// is ahead of the time of day by the suspensions of this machine.
+// onSchedulerClock returns a job with its time of acceptance on the scheduler's clock, which is ahead of the
+// time of day by the time for which this machine was suspended. It changes only a copy, since other readers
+// share the job.
 func onSchedulerClock(now time.Time, accepted *batch.Job) *batch.Job {
 	if accepted.AcceptedAt == 0 {
 		return accepted
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -20,35 +20,35 @@
 	if m.stopped {
 		return
 	}
-	var waiting, urgent []*job
+	var waiting, bySlack []*job
 	for _, job := range m.sortedJobs() {
-		if job.hasUrgency() {
-			urgent = append(urgent, job)
+		if job.isOrderedBySlack() {
+			bySlack = append(bySlack, job)
 		}
 		if len(job.queue) > 0 && job.route != nil && m.isFresh(now, job.partition) {
 			waiting = append(waiting, job)
 		}
 	}
-	if len(waiting) == 0 && !slices.ContainsFunc(urgent, func(job *job) bool { return job.isRankStale(now) }) {
+	if len(waiting) == 0 && !slices.ContainsFunc(bySlack, func(job *job) bool { return job.isRankStale(now) }) {
 		return
 	}
 	engines := m.sortedEngines()
-	medians := medianGaps(engines)
-	m.rankStale(now, urgent, medians)
+	typicalGaps := typicalGapsOf(engines)
+	m.rankStale(now, bySlack, typicalGaps)
 	m.startInOrder(now, waiting, &startRound{
-		engines: enginesThatTakeItems(now, engines), medians: medians, reserved: make(map[string]bool),
+		engines: enginesThatTakeItems(now, engines), typicalGaps: typicalGaps, reserved: make(map[string]bool),
 	})
 }
 
 // startRound is the state of one pass over the waiting items of all jobs.
 type startRound struct {
-	// engines are those that took items at the start of the round, without reserved ones.
+	// engines are those that took items at the start of the round and are not reserved.
 	engines []*engine
-	// medians holds the median gap between events of each service.
-	medians map[string]float64
+	// typicalGaps holds the typical gap between events of each service, in seconds.
+	typicalGaps map[string]float64
 	// reserved holds the services with a reserved engine.
 	reserved map[string]bool
-	// rated counts the engines that items were compared with and that suit none of them.
+	// rated is the number of comparisons of an item with an engine for items that no engine suited.
 	rated int
 }
 
@@ -60,8 +60,8 @@
 	}
 	cursors := make([]*cursor, 0, len(waiting))
 	for _, job := range waiting {
-		if job.hasUrgency() {
-			m.orderQueue(job, round.medians)
+		if job.isOrderedBySlack() {
+			m.orderQueue(job, round.typicalGaps)
 		}
 		cursors = append(cursors, newCursor(now, job))
 	}
@@ -79,14 +79,14 @@
 	}
 }
 
-// enginesThatTakeItems returns the engines that take items now. In a step that starts items no engine
-// is added to them.
+// enginesThatTakeItems returns the engines that take items now. Starting items makes no other engine take
+// items, so that one list serves a whole round.
 func enginesThatTakeItems(now time.Time, engines []*engine) []*engine {
 	var taking []*engine
-	for _, candidate := range engines {
-		if candidate.listed && !candidate.loading && !candidate.draining && !now.Before(candidate.pausedUntil) &&
-			len(candidate.attempts) < candidate.slots && !candidate.atWarmUpLimit(now) {
-			taking = append(taking, candidate)
+	for _, eng := range engines {
+		if eng.listed && !eng.loading && !eng.draining && !now.Before(eng.pausedUntil) &&
+			len(eng.attempts) < eng.slots && !eng.atWarmUpLimit(now) {
+			taking = append(taking, eng)
 		}
 	}
 	return taking
@@ -94,8 +94,8 @@
 
 func freeSlots(engines []*engine) int {
 	free := 0
-	for _, candidate := range engines {
-		free += candidate.slots - len(candidate.attempts)
+	for _, eng := range engines {
+		free += eng.slots - len(eng.attempts)
 	}
 	return free
 }
@@ -104,7 +104,7 @@
 // It reports whether the item started.
 func (m *Machine) startNext(now time.Time, position *cursor, round *startRound) bool {
 	next, owner := position.head, position.job
-	chosen := m.chooseOrRestart(now, next, round.engines, round.medians[next.service])
+	chosen := m.chooseOrRestart(now, next, round.engines, round.typicalGaps[next.service])
 	if chosen != nil {
 		m.startAttempt(now, next, chosen)
 		position.advance(now, false)
@@ -124,38 +124,39 @@
 }
 
 // leavesSlots reports whether engines have slots that an item without an engine leaves to later items of its
-// job: slow ones that are worth waiting for, or ones without memory for it. An item that has waited long for
-// memory does not let others of its job take it. If it is overdue, the engine whose runs will use the least is
-// reserved for it instead, so that items of later jobs do not take the memory either.
+// job: those of engines that are too slow for it, or that have no memory for it. An item that has waited for
+// memory for maxMemoryWait does not let others of its job take it. If it is overdue, the engine whose runs
+// will use the smallest share of memory is reserved for it, so that items of later jobs do not take the
+// memory either.
 func (m *Machine) leavesSlots(now time.Time, next *item, round *startRound) bool {
-	canRun := func(candidate *engine) bool { return m.canRun(now, next, candidate) }
-	if now.Sub(next.waitingSince) < memoryPatience {
+	canRun := func(eng *engine) bool { return m.canRun(now, next, eng) }
+	if now.Sub(next.waitingSince) < maxMemoryWait {
 		return slices.ContainsFunc(round.engines, canRun)
 	}
 	need := m.memoryNeed(next)
 	var least *engine
-	for _, candidate := range round.engines {
+	for _, eng := range round.engines {
 		switch {
-		case !canRun(candidate):
-		case candidate.hasRoom(need):
+		case !canRun(eng):
+		case eng.hasRoom(need):
 			return true
-		case least == nil || candidate.expectedShare() < least.expectedShare():
-			least = candidate
+		case least == nil || eng.expectedShare() < least.expectedShare():
+			least = eng
 		}
 	}
-	if least == nil || !next.job.hasUrgency() || !next.job.isOverdue(now) {
+	if least == nil || !next.job.isOrderedBySlack() || !next.job.isOverdue(now) {
 		return false
 	}
 	round.reserve(least)
 	return true
 }
 
-// reserve keeps an engine from taking items in this round, unless one of its service is reserved already: for
+// reserve keeps an engine from taking items in this round. At most one engine of each service is reserved, for
 // the first item that needs it.
 func (r *startRound) reserve(reserved *engine) {
 	if !r.reserved[reserved.service] {
 		r.reserved[reserved.service] = true
-		r.engines = slices.DeleteFunc(r.engines, func(candidate *engine) bool { return candidate == reserved })
+		r.engines = slices.DeleteFunc(r.engines, func(eng *engine) bool { return eng == reserved })
 	}
 }
 
@@ -175,7 +176,7 @@
 	m.attempts[started.id] = started
 	m.countRunning(next.job.tenant, 1)
 	chosen.attempts[started.id] = started
-	m.reserve(started)
+	m.addToMemory(started)
 	chosen.recentStarts.Record(now)
 	expected := int64(0)
 	if next.job.route.SingleVersion {
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -9,36 +9,35 @@
 )
 
 const (
-	// slowEnginePatience is how long a short item waits for another slot before it takes an engine
-	// known to be slow.
-	slowEnginePatience = 800 * time.Millisecond
-	// slowEngineFactor is the slowdown from which an engine counts as slow.
+	// maxSlowEngineWait is how long a short item waits for another slot before it takes a slow engine.
+	maxSlowEngineWait = 800 * time.Millisecond
+	// slowEngineFactor is the ratio of an engine's gap to the typical gap above which it counts as slow.
 	slowEngineFactor = 2
-	// patienceFactor is the slowdown up to which slowEnginePatience applies. On slower engines even a
-	// short item ends later than its wait can explain.
-	patienceFactor = 5
+	// maxWaitSlowFactor is the ratio of an engine's gap to the typical gap up to which maxSlowEngineWait
+	// applies. On a slower engine even a short item would lose more time than it waits.
+	maxWaitSlowFactor = 5
 	// slowEngineExpiry is how long an engine counts as slow without a new sample of its gap.
 	slowEngineExpiry = 3 * time.Second
 	// readTokensPerSecond is the rate at which engines read prompts and texts.
 	readTokensPerSecond = 200_000
-	// equalCostShare is the relative difference up to which two engines count as equal.
+	// equalCostShare is the relative difference in seconds up to which two engines count as equal.
 	equalCostShare = 0.02
 )
 
-// pinnedVersionPatience is how long an item waits for an engine that may continue its text before
+// maxPinnedVersionWait is how long an item waits for an engine that may continue its text before
 // it restarts on another version. It equals the wait for an engine that is not slow.
-const pinnedVersionPatience = slowEnginePatience
+const maxPinnedVersionWait = maxSlowEngineWait
 
 // chooseOrRestart returns the engine to run an item on, or nil. It discards a single-version text
 // when only engines with other versions have free slots.
-func (m *Machine) chooseOrRestart(now time.Time, next *item, engines []*engine, medianGap float64) *engine {
-	chosen := m.chooseEngine(now, next, engines, medianGap)
-	if chosen != nil || !next.isPinnedToVersion() || now.Sub(next.waitingSince) < pinnedVersionPatience {
+func (m *Machine) chooseOrRestart(now time.Time, next *item, engines []*engine, typicalGap float64) *engine {
+	chosen := m.chooseEngine(now, next, engines, typicalGap)
+	if chosen != nil || !next.isPinnedToVersion() || now.Sub(next.waitingSince) < maxPinnedVersionWait {
 		return chosen
 	}
 	restarted := *next
 	restarted.discardText()
-	chosen = m.chooseEngine(now, &restarted, engines, medianGap)
+	chosen = m.chooseEngine(now, &restarted, engines, typicalGap)
 	if chosen != nil {
 		next.discardText()
 	}
@@ -56,8 +55,8 @@
 	engine *engine
 	// penalty is compared before seconds.
 	penalty float64
-	// seconds is the predicted time from now until the item ends, and by how much the item delays the
-	// runs of the engine.
+	// seconds is the predicted time from now until the item ends, plus the time by which the item delays
+	// the other runs of the engine.
 	seconds float64
 }
 
@@ -73,13 +72,13 @@
 	return c.seconds < other.seconds
 }
 
-// chooseEngine returns the engine with the lowest cost for an item, or nil. medianGap is the
-// median gap between events of the item's service, or 0 if unknown.
+// chooseEngine returns the engine with the lowest cost for an item, or nil. typicalGap is that of the
+// item's service, as typicalGapsOf returns it, or 0 if unknown.
 //
 // Engines with room in their memory come first, then those that are not slow. An item takes a slow
 // engine, or one without room, only under the conditions of takesSlow and fitsNow, and otherwise
 // waits.
-func (m *Machine) chooseEngine(now time.Time, next *item, engines []*engine, medianGap float64) *engine {
+func (m *Machine) chooseEngine(now time.Time, next *item, engines []*engine, typicalGap float64) *engine {
 	suspicion := m.suspicion(next)
 	if !m.allowedBySuspicion(next, suspicion) {
 		return nil
@@ -94,16 +93,16 @@
 		if !needed {
 			need, needed = m.memoryNeed(next), true
 		}
-		rated := eng.rate(now, next, need, medianGap)
+		rated := eng.rate(now, next, need, typicalGap)
 		rated.penalty += isolationCost(suspicion, eng)
 		switch {
-		case eng.awaitsSample(now, medianGap):
+		case eng.awaitsSample(now, typicalGap):
 		case !eng.hasRoom(need):
 			rated.seconds = eng.expectedShare()
-			if eng.fitsNow(need) && !eng.wasSlow(medianGap) && rated.betterThan(fallback) {
+			if eng.fitsNow(need) && !eng.wasSlow(typicalGap) && rated.betterThan(fallback) {
 				fallback = rated
 			}
-		case eng.wasSlow(medianGap):
+		case eng.wasSlow(typicalGap):
 			if rated.betterThan(bestSlow) {
 				bestSlow = rated
 			}
@@ -117,7 +116,7 @@
 		}
 	}
 	onlySlow := best.engine == nil || best.penalty >= unresponsivePenalty && bestSlow.penalty < unresponsivePenalty
-	if onlySlow && bestSlow.engine != nil && m.takesSlow(now, next, bestSlow, float64(need.expected), medianGap) {
+	if onlySlow && bestSlow.engine != nil && m.takesSlow(now, next, bestSlow, float64(need.expected), typicalGap) {
 		return bestSlow.engine
 	}
 	switch {
@@ -131,33 +130,34 @@
 	return fallback.engine
 }
 
-// awaitsSample reports whether an engine that was slow is being tried with one item, so that it gets no
-// more until its pace is known.
-func (e *engine) awaitsSample(now time.Time, medianGap float64) bool {
-	return len(e.attempts) > 0 && !e.hasRecentGap(now) && e.wasSlow(medianGap)
+// awaitsSample reports whether an engine that was slow already runs an item that will show its current
+// pace. It gets no other item until then.
+func (e *engine) awaitsSample(now time.Time, typicalGap float64) bool {
+	return len(e.attempts) > 0 && !e.hasRecentGap(now) && e.wasSlow(typicalGap)
 }
 
 // takesSlow reports whether an item takes an engine that is or was slow rather than wait for another
-// one: if it is predicted to end sooner there, or if it has waited too long for the prediction to be
-// right. An engine whose pace is out of date is tried with one short item: one that is predicted to need at
-// most as many events as items of its route have on average. remaining is that prediction.
-func (m *Machine) takesSlow(now time.Time, next *item, slow candidate, remaining, medianGap float64) bool {
+// one: if it is predicted to end sooner there, or if it has waited for longer than it would gain, since
+// predictions may be wrong. An engine whose pace is out of date is tried with one short item: one that is
+// predicted to need at most as many events as items of its route have on average. remaining is the
+// predicted number of events of the item.
+func (m *Machine) takesSlow(now time.Time, next *item, slow candidate, remaining, typicalGap float64) bool {
 	mean := m.lengths.Mean(next.lengthKey())
 	short := mean == 0 || remaining <= float64(mean)
-	if short && !slow.engine.isSlow(now, medianGap) {
+	if short && !slow.engine.isSlow(now, typicalGap) {
 		return true
 	}
-	queue := m.slotQueueOf(now, next, medianGap)
+	queue := m.slotQueueOf(now, next, typicalGap)
 	wait := queue.wait(next)
 	gain := slow.seconds - remaining*queue.gap
 	if wait >= gain {
 		return true
 	}
-	patience := seconds(gain)
-	if short && slow.engine.gapAt(1, 0) <= patienceFactor*medianGap {
-		patience = min(patience, slowEnginePatience)
+	maxWait := seconds(gain)
+	if short && slow.engine.gapAt(1, 0) <= maxWaitSlowFactor*typicalGap {
+		maxWait = min(maxWait, maxSlowEngineWait)
 	}
-	if now.Sub(next.waitingSince) >= patience {
+	if now.Sub(next.waitingSince) >= maxWait {
 		return true
 	}
 	queue.join(next, remaining)
@@ -167,14 +167,14 @@
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // canRun reports whether an engine can take an item now.
-func (m *Machine) canRun(now time.Time, next *item, candidate *engine) bool {
-	if !candidate.listed || candidate.service != next.service || candidate.loading || candidate.draining {
+func (m *Machine) canRun(now time.Time, next *item, eng *engine) bool {
+	if !eng.listed || eng.service != next.service || eng.loading || eng.draining {
 		return false
 	}
-	if len(candidate.attempts) >= candidate.slots || now.Before(candidate.pausedUntil) || candidate.atWarmUpLimit(now) {
+	if len(eng.attempts) >= eng.slots || now.Before(eng.pausedUntil) || eng.atWarmUpLimit(now) {
 		return false
 	}
-	version := candidate.versions[next.job.model]
+	version := eng.versions[next.job.model]
 	if version < next.job.minimum {
 		return false
 	}
@@ -184,10 +184,9 @@
 const (
 	// otherModelPenalty is added to the cost of an engine that is assigned to another model.
 	otherModelPenalty = 10
-	// unresponsivePenalty is added to the cost of an engine that did not respond to a run. A run
-	// can wait on such an engine for longer than the engine is paused afterwards, so that without
-	// the penalty a few of them would pass the item among themselves. It exceeds all other cost
-	// differences.
+	// unresponsivePenalty is added to the cost of an engine that did not respond to a run. A run can
+	// wait on such an engine for longer than the engine is paused afterwards. Without the penalty the
+	// item would be tried on a few such engines in turn. It exceeds all other cost differences.
 	unresponsivePenalty = 1000
 	// unresponsivePeriod is how long an engine counts as unresponsive: long enough to try several
 	// others, and short enough to use it again after it recovers.
@@ -200,14 +199,14 @@
 	return !e.unresponsiveAt.IsZero() && now.Sub(e.unresponsiveAt) < unresponsivePeriod
 }
 
-// rate rates an engine for an item.
-func (e *engine) rate(now time.Time, next *item, need memoryUse, medianGap float64) candidate {
-	return e.rateBeside(now, next, need, medianGap, len(e.attempts), e.memory.expected)
+// rate returns the cost of running an item on an engine beside the engine's present runs.
+func (e *engine) rate(now time.Time, next *item, need memoryUse, typicalGap float64) candidate {
+	return e.rateBeside(now, next, need, typicalGap, len(e.attempts), e.memory.expected)
 }
 
-// rateBeside is rate for a number of runs beside the item, which are predicted to need the given number of
-// events.
-func (e *engine) rateBeside(now time.Time, next *item, need memoryUse, medianGap float64, runs, expected int) candidate {
+// rateBeside returns the cost of running an item on an engine beside the given number of runs. expected is
+// the number of events that these are predicted to need in total.
+func (e *engine) rateBeside(now time.Time, next *item, need memoryUse, typicalGap float64, runs, expected int) candidate {
 	rated := candidate{engine: e}
 	if e.model != next.job.model {
 		rated.penalty += otherModelPenalty
@@ -215,9 +214,9 @@
 	if e.isUnresponsive(now) {
 		rated.penalty += unresponsivePenalty
 	}
-	gap := e.gapAt(runs+1, medianGap)
-	// The delay of other runs leaves long runs few others beside them.
-	delay := float64(expected) * (gap - e.gapAt(runs, medianGap))
+	gap := e.gapAt(runs+1, typicalGap)
+	// Counting the delay of the other runs spreads long runs over the engines.
+	delay := float64(expected) * (gap - e.gapAt(runs, typicalGap))
 	rated.seconds = e.readSeconds(next, need) + float64(need.expected)*gap + delay
 	return rated
 }
@@ -284,33 +283,33 @@
 	q.releases = slices.Insert(q.releases, at, release)
 }
 
-// slotQueuesLifetime is how long predicted queues are used: in a large fleet they take long to compute.
+// slotQueuesLifetime is how long predicted queues are reused, since computing them scans all engines.
 const slotQueuesLifetime = 50 * time.Millisecond
 
 // slotQueueOf returns the queue for the slots that an item may get.
-func (m *Machine) slotQueueOf(now time.Time, next *item, medianGap float64) *slotQueue {
+func (m *Machine) slotQueueOf(now time.Time, next *item, typicalGap float64) *slotQueue {
 	if m.slotQueues.classes == nil || now.Sub(m.slotQueues.at) >= slotQueuesLifetime {
 		m.slotQueues = slotQueues{at: now, classes: make(map[slotClass]*slotQueue)}
 	}
 	class := slotClass{service: next.service, model: next.job.model, minimum: next.job.minimum}
 	queue := m.slotQueues.classes[class]
 	if queue == nil {
-		queue = m.predictReleases(now, class, medianGap)
+		queue = m.predictReleases(now, class, typicalGap)
 		m.slotQueues.classes[class] = queue
 	}
 	return queue
 }
 
 // predictReleases predicts the ends of the runs at the engines of a class that are not slow.
-func (m *Machine) predictReleases(now time.Time, class slotClass, medianGap float64) *slotQueue {
-	queue := &slotQueue{gap: medianGap, waits: make(map[*batch.Item]float64)}
+func (m *Machine) predictReleases(now time.Time, class slotClass, typicalGap float64) *slotQueue {
+	queue := &slotQueue{gap: typicalGap, waits: make(map[*batch.Item]float64)}
 	gaps := 0.0
 	for _, eng := range m.sortedEngines() {
 		if !eng.listed || eng.service != class.service || eng.model != class.model || eng.loading || eng.draining ||
-			eng.versions[class.model] < class.minimum || now.Before(eng.pausedUntil) || eng.isUnresponsive(now) || eng.wasSlow(medianGap) {
+			eng.versions[class.model] < class.minimum || now.Before(eng.pausedUntil) || eng.isUnresponsive(now) || eng.wasSlow(typicalGap) {
 			continue
 		}
-		gap := eng.gapAt(len(eng.attempts), medianGap)
+		gap := eng.gapAt(len(eng.attempts), typicalGap)
 		for _, running := range eng.attempts {
 			gaps += gap
 			queue.releases = append(queue.releases, running.remainingSeconds(now, gap))
--- a/internal/scheduler/choose_test.go
+++ b/internal/scheduler/choose_test.go
@@ -41,9 +41,9 @@
 		t.Fatalf("started %v, want the short item on the slow engine", got)
 	}
 	f.end(f.starts[2].Attempt, EndCompleted)
-	f.advance(slowEnginePatience)
+	f.advance(maxSlowEngineWait)
 	if len(f.starts) != 3 {
-		t.Fatalf("the long item started on %s after %v", f.starts[3].Server.ID, slowEnginePatience)
+		t.Fatalf("the long item started on %s after %v", f.starts[3].Server.ID, maxSlowEngineWait)
 	}
 	f.end(f.starts[0].Attempt, EndCompleted)
 	if len(f.starts) != 4 || f.starts[3].Server.ID != "a" {
--- a/internal/scheduler/machine_test.go
+++ b/internal/scheduler/machine_test.go
@@ -136,12 +136,12 @@
 		t.Error("the item started on the slow engine")
 	}
 	f.submit("k", 1, 10)
-	f.advance(slowEnginePatience / 2)
+	f.advance(maxSlowEngineWait / 2)
 	if len(f.starts) != 3 {
 		t.Fatalf("started %v", f.startedItems())
 	}
 	slow()
-	f.advance(slowEnginePatience)
+	f.advance(maxSlowEngineWait)
 	if len(f.starts) != 4 || f.starts[3].Server.ID != "c" {
 		t.Errorf("the item did not start after its wait: %v", f.startedItems())
 	}
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -11,8 +11,9 @@
 	"dalehook/internal/routetable"
 )
 
-// Engines keep the prompt and the text of each run in memory. When it runs out, the engine stops its
-// newest run and reads it anew later. Engines do not report their memory, so that it is counted here.
+// Engines keep the prompt and the text of each run in memory. When it runs out, an engine preempts its
+// newest run and later reads the run's prompt and text again. Engines do not report the memory in use, so
+// it is computed here from the runs.
 
 // memoryUse is what runs use of an engine's memory.
 type memoryUse struct {
@@ -36,8 +37,10 @@
 	u.expected -= other.expected
 }
 
-// inUse returns the tokens in use now, and total those in use when the runs end.
+// inUse returns the number of tokens in use now.
 func (u memoryUse) inUse(tokensPerEvent int) int { return u.prompt + u.events*tokensPerEvent }
+
+// total returns the number of tokens in use when the runs end.
 func (u memoryUse) total(tokensPerEvent int) int {
 	return u.prompt + (u.events+u.expected)*tokensPerEvent
 }
@@ -73,8 +76,8 @@
 	}
 }
 
-// reserve counts a started run in its engine's memory.
-func (m *Machine) reserve(started *attempt) {
+// addToMemory counts a started run in its engine's memory.
+func (m *Machine) addToMemory(started *attempt) {
 	started.memory = m.memoryNeed(started.item)
 	started.engine.memory.add(started.memory)
 	started.engine.recentPrompts.add(started.item.promptKey())
@@ -101,7 +104,7 @@
 }
 
 // fitsNow reports whether an engine's memory holds a run until its end beside what its own runs use now.
-// An engine without runs takes any item, since no other has more memory to offer.
+// An engine without runs takes any item, since no other engine can have more free memory.
 func (e *engine) fitsNow(need memoryUse) bool {
 	return len(e.attempts) == 0 || e.memory.inUse(e.tokensPerEvent)+need.total(e.tokensPerEvent) <= e.memoryTokens
 }
@@ -111,7 +114,7 @@
 	return float64(e.memory.total(e.tokensPerEvent)) / float64(max(e.memoryTokens, 1))
 }
 
-// MemoryShare returns the share in use of the fullest engine's memory; 0 if no capacity is known.
+// MemoryShare returns the share of its memory that the fullest engine uses; 0 if no capacity is known.
 func (m *Machine) MemoryShare() float64 {
 	fullest := 0.0
 	for _, eng := range m.engines {
@@ -135,10 +138,11 @@
 	}
 }
 
-// memoryPatience is how long an item may wait for memory while later ones that need less take it.
-const memoryPatience = time.Second
+// maxMemoryWait is how long an item waits for memory before later items of its job that need less no longer
+// take it.
+const maxMemoryWait = time.Second
 
-// maxRecentPrompts is the number of prompts that an engine is expected to remember.
+// maxRecentPrompts is the number of prompts that an engine is expected to keep in its prompt cache.
 const maxRecentPrompts = 8
 
 // recentPrompts holds the keys of the prompts that an engine read last.
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -125,7 +125,7 @@
 		t.Fatalf("started %v, want one short item beside the runs", got)
 	}
 	for number := range 2 {
-		f.advance(memoryPatience / 2)
+		f.advance(maxMemoryWait / 2)
 		for _, start := range f.starts {
 			f.event(start.Attempt, fmt.Sprint(number), 1)
 		}
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -14,16 +14,16 @@
 	// moveSeconds is the time of a move without reading: until the run has ended, its item is queued,
 	// and a new connection is made.
 	moveSeconds = 0.15
-	// minMoveGain is the smallest predicted gain in seconds that is worth a move, and minMoveGainShare
-	// the smallest one as a share of the time that the run would need without it. Predictions are
-	// off by about this much.
+	// minMoveGain is the smallest predicted gain of a move in seconds, and minMoveGainShare the smallest
+	// one as a share of the time that the run would need without a move. Predictions are off by about
+	// this much.
 	minMoveGain      = 0.5
 	minMoveGainShare = 0.25
 )
 
 // moveToFaster moves runs of needed items to engines with free slots where they are predicted to end much
-// sooner, when no items of their model wait. A run resumes after its last event, which costs a new connection and reading
-// its prompt and text again.
+// sooner, when no items of their model wait. A run resumes after its last event, which costs a new
+// connection and reading its prompt and text again.
 func (m *Machine) moveToFaster(now time.Time) {
 	waiting := make(map[string]bool)
 	for _, job := range m.jobs {
@@ -49,8 +49,8 @@
 	if len(candidates) == 0 {
 		return
 	}
-	medians := medianGaps(m.sortedEngines())
-	ends := m.predictGroupEnds(now, attempts, medians)
+	typicalGaps := typicalGapsOf(m.sortedEngines())
+	ends := m.predictGroupEnds(now, attempts, typicalGaps)
 	moves := 0
 	taken := make(map[*engine]bool)
 	for _, running := range candidates {
@@ -58,19 +58,19 @@
 			return
 		}
 		owner := running.item
-		medianGap := medians[owner.service]
-		stay := m.predictEnd(now, running, medianGap)
+		typicalGap := typicalGaps[owner.service]
+		stay := m.predictEnd(now, running, typicalGap)
 		enough := max(minMoveGain, minMoveGainShare*stay)
 		others := ends[groupOf(owner)].without(owner)
 		available := free[owner.service]
 		if stay-max(moveSeconds+float64(running.memory.expected)*available.lowestGap, others) < enough {
 			continue
 		}
-		target := m.moveTarget(now, running, available.engines, medianGap)
+		target := m.moveTarget(now, running, available.engines, typicalGap)
 		if target == nil || taken[target] {
 			continue
 		}
-		gain := stay - max(moveEnd(running, target, medianGap), others)
+		gain := stay - max(moveEnd(running, target, typicalGap), others)
 		if gain < enough {
 			continue
 		}
@@ -110,34 +110,37 @@
 func groupOf(member *item) groupKey { return groupKey{job: member.job, group: member.source.Group} }
 
 // groupEnd holds the predicted ends of the two items of a group that end last, in seconds from now. A
-// group is of use only when it is complete, so that a move gains nothing unless it is of the last item.
+// group is of use only when it is complete, so that only a move of the last item gains time.
 type groupEnd struct {
-	last         *item
-	first, other float64
+	// last is the item that ends last, at lastEnd.
+	last    *item
+	lastEnd float64
+	// otherEnd is the latest end of the other items.
+	otherEnd float64
 }
 
-// without returns the predicted end of the group's other items.
+// without returns the predicted end of the group's items except one.
 func (e *groupEnd) without(member *item) float64 {
 	switch {
 	case e == nil:
 		return 0
 	case e.last == member:
-		return e.other
+		return e.otherEnd
 	}
-	return e.first
+	return e.lastEnd
 }
 
 func (e *groupEnd) add(member *item, end float64) {
-	if end > e.first {
-		e.last, e.first, e.other = member, end, e.first
+	if end > e.lastEnd {
+		e.last, e.lastEnd, e.otherEnd = member, end, e.lastEnd
 		return
 	}
-	e.other = max(e.other, end)
+	e.otherEnd = max(e.otherEnd, end)
 }
 
 // predictGroupEnds predicts the ends of groups from their running items. Items without a group are left
 // out.
-func (m *Machine) predictGroupEnds(now time.Time, attempts []*attempt, medians map[string]float64) map[groupKey]*groupEnd {
+func (m *Machine) predictGroupEnds(now time.Time, attempts []*attempt, typicalGaps map[string]float64) map[groupKey]*groupEnd {
 	ends := make(map[groupKey]*groupEnd)
 	for _, running := range attempts {
 		owner := running.item
@@ -148,19 +151,19 @@
 		if ends[key] == nil {
 			ends[key] = &groupEnd{}
 		}
-		ends[key].add(owner, m.predictEnd(now, running, medians[owner.service]))
+		ends[key].add(owner, m.predictEnd(now, running, typicalGaps[owner.service]))
 	}
 	return ends
 }
 
 // predictEnd predicts the time until a run's item ends, in seconds. A run that is being moved is expected
-// to end as on an engine of the median pace.
-func (m *Machine) predictEnd(now time.Time, running *attempt, medianGap float64) float64 {
+// to end as on an engine with the typical gap.
+func (m *Machine) predictEnd(now time.Time, running *attempt, typicalGap float64) float64 {
 	if running.cancelled {
-		return moveSeconds + float64(running.memory.expected)*max(medianGap, minimumGap)
+		return moveSeconds + float64(running.memory.expected)*max(typicalGap, minimumGap)
 	}
 	eng := running.engine
-	return running.remainingSeconds(now, eng.gapAt(len(eng.attempts), medianGap))
+	return running.remainingSeconds(now, eng.gapAt(len(eng.attempts), typicalGap))
 }
 
 // freeEngines are the responsive engines of a service with a known gap and a free slot, ordered by ID.
@@ -189,28 +192,28 @@
 	return free
 }
 
-// moveTarget returns the engine that a run's item would get if the run were cut now, or nil if that is the
-// run's engine or none. Without this check a run that is cut could resume where it was.
-func (m *Machine) moveTarget(now time.Time, running *attempt, free []*engine, medianGap float64) *engine {
+// moveTarget returns the engine that a run's item would get if the run were cancelled now, or nil if that is
+// the run's engine or none. Without this check a cancelled run could resume where it was.
+func (m *Machine) moveTarget(now time.Time, running *attempt, free []*engine, typicalGap float64) *engine {
 	moved := *running.item
 	moved.waitingSince = now
-	target := m.chooseEngine(now, &moved, free, medianGap)
+	target := m.chooseEngine(now, &moved, free, typicalGap)
 	own := running.engine
 	if target == nil || target == own || !target.hasRoom(running.memory) {
 		return nil
 	}
-	if own.wasSlow(medianGap) {
+	if own.wasSlow(typicalGap) {
 		return target
 	}
-	stay := own.rateBeside(now, &moved, running.memory, medianGap, len(own.attempts)-1, own.memory.expected-running.memory.expected)
-	if stay.betterThan(target.rate(now, &moved, running.memory, medianGap)) {
+	stay := own.rateBeside(now, &moved, running.memory, typicalGap, len(own.attempts)-1, own.memory.expected-running.memory.expected)
+	if stay.betterThan(target.rate(now, &moved, running.memory, typicalGap)) {
 		return nil
 	}
 	return target
 }
 
 // moveEnd predicts the time until a run's item ends if it moves, in seconds.
-func moveEnd(running *attempt, target *engine, medianGap float64) float64 {
+func moveEnd(running *attempt, target *engine, typicalGap float64) float64 {
 	return moveSeconds + target.readSeconds(running.item, running.memory) +
-		float64(running.memory.expected)*target.gapAt(len(target.attempts)+1, medianGap)
+		float64(running.memory.expected)*target.gapAt(len(target.attempts)+1, typicalGap)
 }
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -16,14 +16,14 @@
 
 // Samples of the gap span several events of a run, since delayed events arrive in bursts.
 const (
-	// A sample is complete after gapSampleEvents events, or after gapSampleTime with at least
+	// gapSampleEvents completes a sample, as does the time gapSampleTime with at least
 	// minGapSampleEvents events.
 	gapSampleEvents    = 8
 	minGapSampleEvents = 3
 	gapSampleTime      = 300 * time.Millisecond
-	// gapSmoothing is the weight of the newest sample. A larger one adapts to an engine's speed faster,
-	// but lets single late events move items. steadyGapSmoothing is that of a sample that is within
-	// steadyGapRatio of the gap: it confirms the speed, and differs because of late events.
+	// gapSmoothing is the weight of the newest sample. A larger weight adapts to an engine's speed faster,
+	// but lets single late events move items. steadyGapSmoothing is the weight of a sample whose ratio to
+	// the predicted gap is below steadyGapRatio: late events explain such a difference.
 	gapSmoothing       = 0.35
 	steadyGapSmoothing = 0.1
 	steadyGapRatio     = 1.4
@@ -42,7 +42,7 @@
 func (a *attempt) samplePace(now time.Time) {
 	eng := a.engine
 	if a.sampleStart.IsZero() || eng.loading || eng.loadEndedAt.After(a.sampleStart) {
-		// Runs stand still during a load, which says nothing about the pace.
+		// Runs produce no events during a load, whatever the engine's pace.
 		a.startSample(now)
 		return
 	}
@@ -74,7 +74,8 @@
 		e.gap, e.gapRuns = sample.gap, sample.runs
 	}
 	smoothing := gapSmoothing
-	if predicted := e.gap * e.slowdown.factor(sample.runs) / e.slowdown.factor(e.gapRuns); max(sample.gap/predicted, predicted/sample.gap) < steadyGapRatio {
+	predicted := e.gap * e.slowdown.factor(sample.runs) / e.slowdown.factor(e.gapRuns)
+	if max(sample.gap/predicted, predicted/sample.gap) < steadyGapRatio {
 		smoothing = steadyGapSmoothing
 	}
 	e.gap += smoothing * (sample.gap - e.gap)
@@ -111,7 +112,7 @@
 	// initialSlowdownWeight is the number of pairs, each with a change by one run, that initialSlowdown
 	// counts for.
 	initialSlowdownWeight = 50
-	// maxSlowdown is that of an engine whose total speed is the same for any number of runs.
+	// maxSlowdown is the slowdown of an engine whose total speed is the same for any number of runs.
 	maxSlowdown = 1
 	// slowdownDecay is the weight that older pairs keep when one is added.
 	slowdownDecay = 0.999
@@ -158,29 +159,30 @@
 	return m.slowdowns[service]
 }
 
-// medianGaps returns the median gap of the faster half of each service's engines, with one run each. It
-// tells slow engines even if they are the majority. Services without a known gap are left out.
-func medianGaps(engines []*engine) map[string]float64 {
+// typicalGapsOf returns the typical gap of each service in seconds: the median of the faster half of its
+// engines, with one run each. The median of all would hide slow engines that are the majority. Services
+// without a known gap are left out.
+func typicalGapsOf(engines []*engine) map[string]float64 {
 	gaps := make(map[string][]float64)
 	for _, eng := range engines {
 		if eng.listed && eng.gap > 0 {
 			gaps[eng.service] = append(gaps[eng.service], eng.gapAt(1, 0))
 		}
 	}
-	medians := make(map[string]float64, len(gaps))
+	typicalGaps := make(map[string]float64, len(gaps))
 	for service, serviceGaps := range gaps {
 		slices.Sort(serviceGaps)
-		medians[service] = serviceGaps[(len(serviceGaps)-1)/4]
+		typicalGaps[service] = serviceGaps[(len(serviceGaps)-1)/4]
 	}
-	return medians
+	return typicalGaps
 }
 
-// wasSlow reports whether the last known gap of an engine is well above the median of its service.
-func (e *engine) wasSlow(medianGap float64) bool {
-	return medianGap > 0 && e.gap > 0 && e.gapAt(1, 0) > slowEngineFactor*medianGap
+// wasSlow reports whether the last known gap of an engine is well above the typical gap of its service.
+func (e *engine) wasSlow(typicalGap float64) bool {
+	return typicalGap > 0 && e.gap > 0 && e.gapAt(1, 0) > slowEngineFactor*typicalGap
 }
 
-// isSlow reports whether an engine has a recent gap well above the median of its service.
-func (e *engine) isSlow(now time.Time, medianGap float64) bool {
-	return e.hasRecentGap(now) && e.wasSlow(medianGap)
+// isSlow reports whether an engine has a recent gap well above the typical gap of its service.
+func (e *engine) isSlow(now time.Time, typicalGap float64) bool {
+	return e.hasRecentGap(now) && e.wasSlow(typicalGap)
 }
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -91,7 +91,7 @@
 			eng.gap = 0.15
 		}
 	}
-	median := medianGaps(f.machine.sortedEngines())["pool"]
+	median := typicalGapsOf(f.machine.sortedEngines())["pool"]
 	for i, eng := range f.machine.sortedEngines() {
 		if got, want := eng.isSlow(f.now, median), i%3 > 0; got != want {
 			t.Errorf("engine %s with gap %.2f: slow %v", eng.server.ID, eng.gap, got)
--- a/internal/scheduler/summary.go
+++ b/internal/scheduler/summary.go
@@ -47,7 +47,7 @@
 			Paused: now.Before(eng.pausedUntil), Gap: int(eng.gap * 1000),
 		})
 	}
-	medians := medianGaps(m.sortedEngines())
+	typicalGaps := typicalGapsOf(m.sortedEngines())
 	for _, job := range m.sortedJobs() {
 		running := 0
 		for _, waiting := range job.items {
@@ -60,8 +60,8 @@
 			Waiting: len(job.queue), Running: running, Unfinished: len(job.items), Total: len(job.sources),
 			RunningShare: float64(running) / float64(max(len(m.attempts), 1)),
 		}
-		if job.hasUrgency() {
-			summary.Due, summary.Slack = job.dueAt.UnixMilli(), m.lowestSlack(now, job, medians).Milliseconds()
+		if job.isOrderedBySlack() {
+			summary.Due, summary.Slack = job.dueAt.UnixMilli(), m.lowestSlack(now, job, typicalGaps).Milliseconds()
 			summary.NeededGroups = job.neededGroupsLeft()
 		}
 		jobs = append(jobs, summary)
@@ -71,10 +71,10 @@
 
 // lowestSlack returns the lowest slack of the job's waiting items that the trainer needs, or 0 if none
 // waits.
-func (m *Machine) lowestSlack(now time.Time, owner *job, medians map[string]float64) time.Duration {
+func (m *Machine) lowestSlack(now time.Time, owner *job, typicalGaps map[string]float64) time.Duration {
 	lowest, found := time.Duration(0), false
 	for _, waiting := range owner.queue {
-		if slack := m.latestStart(waiting, medians).Sub(now); waiting.isNeeded() && (!found || slack < lowest) {
+		if slack := m.latestStart(waiting, typicalGaps).Sub(now); waiting.isNeeded() && (!found || slack < lowest) {
 			lowest, found = slack, true
 		}
 	}
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -9,9 +9,9 @@
 	"dalehook/internal/batch"
 )
 
-// The order of waiting items addresses batch jobs that ask for more than the engines can run. Jobs of
-// routes with a result deadline and with a number of wanted groups are ordered by slack; all others keep
-// the order of arrival.
+// The order of waiting items matters when batch jobs ask for more than the engines can run. Jobs that state
+// a number of wanted groups, on routes with a result deadline, are ordered by slack; all others keep the
+// order of arrival.
 
 const (
 	// rankInterval is the time after which the groups of a job are ranked again, and the slack of its
@@ -20,8 +20,9 @@
 	// maxRankedItems bounds the items whose jobs are ranked again in one step because rankInterval has
 	// passed. The other jobs follow in later steps.
 	maxRankedItems = 1000
-	// startedGroupMargin is how many times longer than another a needed group with started items must be
-	// to lose its place to the other. It keeps groups from trading places with each changed prediction.
+	// startedGroupMargin is the factor by which a needed group with started items must be longer than
+	// another to lose its place to it. Without it each changed prediction could change which groups are
+	// needed, and none would become whole.
 	startedGroupMargin = 1.5
 	// longEstimateFactor is how many times the median estimate of its job an item's estimate must be for
 	// the item to count as long.
@@ -31,7 +32,8 @@
 	// maxPassedOver bounds the items of a job that are passed over in one step because no engine with a
 	// free slot suits them. Other items may suit one.
 	maxPassedOver = 16
-	// maxRated bounds the engines with which the passed over items of all jobs are compared in one step.
+	// maxRated bounds the comparisons of passed over items of all jobs with engines in one step, which
+	// would otherwise take long in a large fleet.
 	maxRated = 5000
 )
 
@@ -47,13 +49,13 @@
 	dead, held bool
 	// needed groups are among those that the trainer waits for.
 	needed bool
-	// longest is the highest predicted number of seconds that an item of the group still runs.
+	// longest is the longest predicted time that an item of the group still runs, in seconds.
 	longest float64
 }
 
-// hasUrgency reports whether the items of the job are ordered by slack. Items of other jobs keep the
-// order of arrival.
-func (j *job) hasUrgency() bool {
+// isOrderedBySlack reports whether the job's items are ordered by slack. Other jobs keep the order of
+// arrival.
+func (j *job) isOrderedBySlack() bool {
 	return j.route != nil && j.route.ResultDeadline > 0 && j.wantedGroups > 0
 }
 
@@ -73,17 +75,17 @@
 // items of all later jobs, so that none starves.
 func (j *job) isOverdue(now time.Time) bool { return !now.Before(j.dueAt) }
 
-// precedes reports whether a job was accepted before another. It is the same for a successor, which
-// reads the partitions in another order, as far as both jobs have the time at which they were accepted.
+// precedes reports whether a job was accepted before another. A successor, which reads the partitions in
+// another order, gets the same result if both jobs state when they were accepted.
 func (j *job) precedes(other *job) bool {
-	if j.hasUrgency() && other.hasUrgency() {
+	if j.isOrderedBySlack() && other.isOrderedBySlack() {
 		return cmp.Or(j.acceptedAt.Compare(other.acceptedAt), cmp.Compare(j.id, other.id)) < 0
 	}
 	return j.arrival < other.arrival
 }
 
 // isNeeded reports whether an item's trainer waits for its group.
-func (i *item) isNeeded() bool { return i.group == nil || i.group.needed || !i.job.hasUrgency() }
+func (i *item) isNeeded() bool { return i.group == nil || i.group.needed || !i.job.isOrderedBySlack() }
 
 // isLong reports whether the caller expects the item to be much longer than others of its job.
 func (i *item) isLong() bool {
@@ -105,20 +107,20 @@
 	return estimates[len(estimates)/2]
 }
 
-// predictedSeconds returns the time for which an item is predicted to run on an engine of median speed.
-// medians holds the median gap between events of each service.
-func (m *Machine) predictedSeconds(subject *item, medians map[string]float64) float64 {
-	return m.remainingEvents(subject) * max(medians[subject.service], minimumGap)
+// predictedSeconds returns the time for which an item is predicted to run alone on an engine with the
+// typical gap of its service.
+func (m *Machine) predictedSeconds(subject *item, typicalGaps map[string]float64) float64 {
+	return m.remainingEvents(subject) * max(typicalGaps[subject.service], minimumGap)
 }
 
 // rank ranks the groups of a job and orders its waiting items.
-func (m *Machine) rank(now time.Time, owner *job, medians map[string]float64) {
+func (m *Machine) rank(now time.Time, owner *job, typicalGaps map[string]float64) {
 	owner.rankedAt = now
 	owner.queueDirty = true
 	needed := owner.wantedGroups
 	var ranked []*group
 	for _, subject := range owner.groups {
-		m.measure(subject, medians)
+		m.measure(subject, typicalGaps)
 		if subject.resubmitted {
 			subject.needed = true
 			needed--
@@ -136,7 +138,7 @@
 }
 
 // measure predicts how long the items of a group still run.
-func (m *Machine) measure(subject *group, medians map[string]float64) {
+func (m *Machine) measure(subject *group, typicalGaps map[string]float64) {
 	subject.longest, subject.held = 0, false
 	unfinished := subject.items[:0]
 	for _, member := range subject.items {
@@ -149,7 +151,7 @@
 		subject.started = subject.started || member.attempt != nil || member.finished || len(member.text) > 0
 		if !member.finished && !member.textComplete {
 			subject.held = subject.held || m.suspicion(member).Held
-			subject.longest = max(subject.longest, m.predictedSeconds(member, medians))
+			subject.longest = max(subject.longest, m.predictedSeconds(member, typicalGaps))
 		}
 	}
 	clear(subject.items[len(unfinished):])
@@ -160,7 +162,7 @@
 func (g *group) rankKey() float64 {
 	switch {
 	case g.dead || g.held:
-		return math.Inf(1) // the group can't become whole, or not soon
+		return math.Inf(1) // the group can't become whole while an item is dead or held
 	case g.needed && g.started:
 		return g.longest / startedGroupMargin
 	}
@@ -172,11 +174,11 @@
 
 // rankStale ranks the jobs that were not ranked recently: new ones at once, and others as far as
 // maxRankedItems allows, those ranked longest ago first.
-func (m *Machine) rankStale(now time.Time, jobs []*job, medians map[string]float64) {
+func (m *Machine) rankStale(now time.Time, jobs []*job, typicalGaps map[string]float64) {
 	var stale []*job
 	for _, candidate := range jobs {
 		if candidate.rankedAt.IsZero() {
-			m.rank(now, candidate, medians)
+			m.rank(now, candidate, typicalGaps)
 		} else if candidate.isRankStale(now) {
 			stale = append(stale, candidate)
 		}
@@ -188,20 +190,20 @@
 			return
 		}
 		ranked += len(candidate.items)
-		m.rank(now, candidate, medians)
+		m.rank(now, candidate, typicalGaps)
 	}
 }
 
 // orderQueue orders the waiting items of a job after a change: those of needed groups first, then by
 // the latest time at which they may start.
-func (m *Machine) orderQueue(owner *job, medians map[string]float64) {
+func (m *Machine) orderQueue(owner *job, typicalGaps map[string]float64) {
 	if !owner.queueDirty {
 		return
 	}
 	owner.queueDirty = false
 	for _, waiting := range owner.queue {
 		if waiting.startBy.IsZero() {
-			waiting.startBy = m.latestStart(waiting, medians)
+			waiting.startBy = m.latestStart(waiting, typicalGaps)
 		}
 	}
 	slices.SortStableFunc(owner.queue, func(a, b *item) int {
@@ -210,10 +212,10 @@
 }
 
 // latestStart returns the latest time at which an item of a job with a due time may start.
-func (m *Machine) latestStart(waiting *item, medians map[string]float64) time.Time {
+func (m *Machine) latestStart(waiting *item, typicalGaps map[string]float64) time.Time {
 	// A head start of more than the deadline would let items of jobs that are not accepted yet precede
 	// this one.
-	run := min(m.predictedSeconds(waiting, medians), waiting.job.route.ResultDeadline.Seconds())
+	run := min(m.predictedSeconds(waiting, typicalGaps), waiting.job.route.ResultDeadline.Seconds())
 	return waiting.job.dueAt.Add(-time.Duration(run * float64(time.Second)))
 }
 
@@ -236,8 +238,8 @@
 	case i.refusals > maxRefusalsInFront:
 		return classRefused
 	case i.isNeeded(), i.isLong():
-		// A spare group that does not become whole comes again in the next job, where it is needed. Its
-		// long items would decide when that job ends if they had no head start.
+		// A spare group that does not become whole is submitted again in the next job, where it is needed.
+		// Its long items would decide when that job ends if they had no head start.
 		return classNeeded
 	}
 	return classSpare
@@ -283,7 +285,7 @@
 		return
 	}
 	c.head = c.job.queue[c.next]
-	if c.job.hasUrgency() {
+	if c.job.isOrderedBySlack() {
 		c.class = c.head.class()
 		if c.job.isOverdue(now) {
 			c.class = classOverdue
@@ -302,26 +304,26 @@
 // nextCursor returns the cursor whose next item starts first, or nil if no items wait. cursors are in
 // order of arrival.
 func (m *Machine) nextCursor(cursors []*cursor) *cursor {
-	var arrived, urgent *cursor
+	var byArrival, bySlack *cursor
 	for _, candidate := range cursors {
 		switch {
 		case candidate.head == nil:
-		case !candidate.job.hasUrgency():
-			if arrived == nil {
-				arrived = candidate
+		case !candidate.job.isOrderedBySlack():
+			if byArrival == nil {
+				byArrival = candidate
 			}
-		case urgent == nil || candidate.goesBefore(urgent):
-			urgent = candidate
+		case bySlack == nil || candidate.precedes(bySlack):
+			bySlack = candidate
 		}
 	}
-	if urgent == nil || arrived != nil && arrived.job.arrival < urgent.job.arrival {
-		return arrived
+	if bySlack == nil || byArrival != nil && byArrival.job.arrival < bySlack.job.arrival {
+		return byArrival
 	}
-	return m.shareAmongTenants(cursors, urgent)
+	return m.shareAmongTenants(cursors, bySlack)
 }
 
-// goesBefore reports whether the next item of a job starts before that of another.
-func (c *cursor) goesBefore(other *cursor) bool {
+// precedes reports whether the next item of a cursor starts before that of another.
+func (c *cursor) precedes(other *cursor) bool {
 	if c.class != other.class {
 		return c.class < other.class
 	}
@@ -331,16 +333,16 @@
 	return c.job.precedes(other.job)
 }
 
-// shareAmongTenants returns the cursor that starts first of the tenant with the fewest running items for
-// its weight, among the tenants whose next item has about the slack of the first one. Overdue items keep
-// their order.
+// shareAmongTenants returns the cursor from which the next item starts. Among the cursors whose next item
+// has at most tenantWindow more slack than that of the first, the tenant with the lowest load goes first.
+// Overdue items keep their order.
 func (m *Machine) shareAmongTenants(cursors []*cursor, first *cursor) *cursor {
 	if first.class == classOverdue {
 		return first
 	}
 	chosen := first
 	for _, candidate := range cursors {
-		if candidate.head == nil || !candidate.job.hasUrgency() || candidate.class != first.class ||
+		if candidate.head == nil || !candidate.job.isOrderedBySlack() || candidate.class != first.class ||
 			candidate.head.startBy.Sub(first.head.startBy) >= tenantWindow {
 			continue
 		}
@@ -348,7 +350,7 @@
 		if candidate.job.tenant != chosen.job.tenant {
 			less = cmp.Compare(m.tenantLoad(candidate.job.tenant), m.tenantLoad(chosen.job.tenant))
 		}
-		if less < 0 || less == 0 && candidate.goesBefore(chosen) {
+		if less < 0 || less == 0 && candidate.precedes(chosen) {
 			chosen = candidate
 		}
 	}
@@ -375,7 +377,7 @@
 // slack returns the time by which a waiting item could start later and still end when its job is due; 0
 // if the job is not ordered by slack, or has not been ordered since the item was queued.
 func (i *item) slack(now time.Time) time.Duration {
-	if !i.job.hasUrgency() || i.startBy.IsZero() {
+	if !i.job.isOrderedBySlack() || i.startBy.IsZero() {
 		return 0
 	}
 	return i.startBy.Sub(now)
--- a/internal/scheduler/urgency_model_test.go
+++ b/internal/scheduler/urgency_model_test.go
@@ -400,7 +400,7 @@
 	}
 }
 
-// value returns what the results of a job are worth after a time: they lose value from the deadline on.
+// modelValue returns what the results of a job are worth after a time: they lose value from the deadline on.
 func modelValue(latency time.Duration) float64 {
 	return max(1-max(latency-modelDeadline, 0).Seconds()/modelDeadline.Seconds(), 0)
 }
@@ -470,7 +470,7 @@
 	for _, start := range starts {
 		owner := m.machine.jobs[start.JobID]
 		for _, other := range m.machine.sortedJobs() {
-			if owner != nil && owner.hasUrgency() && other.precedes(owner) && other.isOverdue(m.now) && len(other.queue) > 0 {
+			if owner != nil && owner.isOrderedBySlack() && other.precedes(owner) && other.isOverdue(m.now) && len(other.queue) > 0 {
 				m.overtaken = append(m.overtaken, fmt.Sprintf("%s at %v: %d items of %s wait", start.Item.ID, m.now.Sub(m.begin), len(other.queue), other.id))
 			}
 		}
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -240,7 +240,7 @@
 	if len(f.starts) != 0 {
 		t.Fatalf("started items %v on a slow engine", f.startedItems())
 	}
-	f.advance(slowEnginePatience - testTick)
+	f.advance(maxSlowEngineWait - testTick)
 	f.machine.jobs["j"].items["j-1"].waitingSince = f.now // as after a run that broke
 	f.advance(testTick)
 	if diff := cmp.Diff([]string{"j-2"}, f.startedItems()); diff != "" {
@@ -446,7 +446,7 @@
 			eng.gap = 5 * testGap
 		}
 	}
-	round := &startRound{engines: enginesThatTakeItems(f.now, engines), medians: medianGaps(engines), reserved: make(map[string]bool)}
+	round := &startRound{engines: enginesThatTakeItems(f.now, engines), typicalGaps: typicalGapsOf(engines), reserved: make(map[string]bool)}
 	f.machine.startInOrder(f.now, f.machine.sortedJobs(), round)
 	if most := maxRated + (jobs+1)*len(round.engines); round.rated > most || round.rated < maxRated {
 		t.Errorf("%d comparisons with %d of %d engines, want %d to %d", round.rated, len(round.engines), len(engines), maxRated, most)
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -68,7 +68,7 @@
 	if len(f.starts) != 3 {
 		t.Errorf("started items %v, though three engines have free slots", f.startedItems())
 	}
-	f.advance(slowEnginePatience)
+	f.advance(maxSlowEngineWait)
 	last := f.starts[len(f.starts)-1]
 	if len(f.starts) != 4 || last.Item.ID != "j-0" || last.After != "" || last.ExpectVersion != 2 {
 		t.Errorf("started items %v, the last one after %q on version %d", f.startedItems(), last.After, last.ExpectVersion)
