Scheduler: split chooseEngine, moveToFaster and their files

Loop variables no longer shadow the type candidate.

No change of behaviour; the tests of the scheduler pass.

--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -1,12 +1,6 @@
 package scheduler
 
-import (
-	"math"
-	"slices"
-	"time"
-
-	"dalehook/internal/batch"
-)
+import "time"
 
 const (
 	// maxSlowEngineWait is how long a short item waits for another slot before it takes a slow engine.
@@ -83,7 +77,7 @@
 	if !m.allowedBySuspicion(next, suspicion) {
 		return nil
 	}
-	var best, bestWithPrompt, bestSlow, fallback candidate
+	var found candidates
 	need, needed := memoryUse{}, false
 	prompt := next.promptKey()
 	for _, eng := range engines {
@@ -95,39 +89,71 @@
 		}
 		rated := eng.rate(now, next, need, typicalGap)
 		rated.penalty += isolationCost(suspicion, eng)
-		switch {
-		case eng.awaitsSample(now, typicalGap):
-		case !eng.hasRoom(need):
-			rated.seconds = eng.expectedShare()
-			if eng.fitsNow(need) && !eng.wasSlow(typicalGap) && rated.betterThan(fallback) {
-				fallback = rated
-			}
-		case eng.wasSlow(typicalGap):
-			if rated.betterThan(bestSlow) {
-				bestSlow = rated
-			}
-		default:
-			if rated.betterThan(best) {
-				best = rated
-			}
-			if eng.recentPrompts.has(prompt) && rated.betterThan(bestWithPrompt) {
-				bestWithPrompt = rated
-			}
+		if !eng.awaitsSample(now, typicalGap) {
+			found.add(rated, need, prompt, typicalGap)
+		}
+	}
+	if found.onlySlow() && m.takesSlow(now, next, found.slow, float64(need.expected), typicalGap) {
+		return found.slow.engine
+	}
+	return found.choice()
+}
+
+// candidates holds the best engines for an item, by kind. The engine of a candidate is nil if there is none.
+type candidates struct {
+	// best has room in its memory and is not slow; withPrompt has also read the item's prompt recently.
+	best, withPrompt candidate
+	// slow has room in its memory.
+	slow candidate
+	// withoutRoom has no room until all its runs end, but has memory for the item now. Its seconds are
+	// replaced by the share of its memory that its runs will use.
+	withoutRoom candidate
+}
+
+// add compares a rated engine with the best one of its kind.
+func (c *candidates) add(rated candidate, need memoryUse, prompt uint64, typicalGap float64) {
+	eng := rated.engine
+	switch {
+	case !eng.hasRoom(need):
+		rated.seconds = eng.expectedShare()
+		if eng.fitsNow(need) && !eng.wasSlow(typicalGap) && rated.betterThan(c.withoutRoom) {
+			c.withoutRoom = rated
+		}
+	case eng.wasSlow(typicalGap):
+		if rated.betterThan(c.slow) {
+			c.slow = rated
+		}
+	default:
+		if rated.betterThan(c.best) {
+			c.best = rated
+		}
+		if eng.recentPrompts.has(prompt) && rated.betterThan(c.withPrompt) {
+			c.withPrompt = rated
 		}
 	}
-	onlySlow := best.engine == nil || best.penalty >= unresponsivePenalty && bestSlow.penalty < unresponsivePenalty
-	if onlySlow && bestSlow.engine != nil && m.takesSlow(now, next, bestSlow, float64(need.expected), typicalGap) {
-		return bestSlow.engine
+}
+
+// onlySlow reports whether a slow engine is the only one that is responsive and has room, or the only one at
+// all.
+func (c *candidates) onlySlow() bool {
+	if c.slow.engine == nil {
+		return false
 	}
+	return c.best.engine == nil || c.best.penalty >= unresponsivePenalty && c.slow.penalty < unresponsivePenalty
+}
+
+// choice returns the engine for an item that does not take a slow one, or nil if it waits.
+func (c *candidates) choice() *engine {
 	switch {
-	case bestWithPrompt.engine != nil && bestWithPrompt.penalty == best.penalty && bestWithPrompt.seconds <= (1+equalCostShare)*best.seconds:
-		return bestWithPrompt.engine
-	case best.engine != nil:
-		return best.engine
-	case bestSlow.engine != nil:
+	case c.withPrompt.engine != nil && c.withPrompt.penalty == c.best.penalty &&
+		c.withPrompt.seconds <= (1+equalCostShare)*c.best.seconds:
+		return c.withPrompt.engine
+	case c.best.engine != nil:
+		return c.best.engine
+	case c.slow.engine != nil:
 		return nil
 	}
-	return fallback.engine
+	return c.withoutRoom.engine
 }
 
 // awaitsSample reports whether an engine that was slow already runs an item that will show its current
@@ -234,94 +260,6 @@
 // an unknown gap.
 const minimumGap = 0.005
 
-// slotQueues are the predicted queues for slots at engines that are not slow.
-type slotQueues struct {
-	// at is when they were predicted.
-	at      time.Time
-	classes map[slotClass]*slotQueue
-}
-
-// slotClass identifies the items that wait for the same slots.
-type slotClass struct {
-	service, model string
-	minimum        int64
-}
-
-// slotQueue predicts when items that wait get the slots of a class.
-type slotQueue struct {
-	// releases holds the times until the slots become free for one more item, in ascending order and in
-	// seconds.
-	releases []float64
-	// gap is the mean gap of the engines in seconds.
-	gap float64
-	// waits holds the waits of the items that have joined the queue.
-	waits map[*batch.Item]float64
-}
-
-// wait returns the predicted time until an item gets a slot behind those that have joined the queue before.
-// It is infinite if the class has no slots.
-func (q *slotQueue) wait(next *item) float64 {
-	if known, joined := q.waits[next.source]; joined {
-		return known
-	}
-	if len(q.releases) == 0 {
-		return math.Inf(1)
-	}
-	return q.releases[0]
-}
-
-// join adds an item that needs the given number of events.
-func (q *slotQueue) join(next *item, remaining float64) {
-	if _, joined := q.waits[next.source]; joined || len(q.releases) == 0 {
-		return
-	}
-	wait := q.releases[0]
-	q.waits[next.source] = wait
-	q.releases = q.releases[1:]
-	release := wait + remaining*q.gap
-	at, _ := slices.BinarySearch(q.releases, release)
-	q.releases = slices.Insert(q.releases, at, release)
-}
-
-// slotQueuesLifetime is how long predicted queues are reused, since computing them scans all engines.
-const slotQueuesLifetime = 50 * time.Millisecond
-
-// slotQueueOf returns the queue for the slots that an item may get.
-func (m *Machine) slotQueueOf(now time.Time, next *item, typicalGap float64) *slotQueue {
-	if m.slotQueues.classes == nil || now.Sub(m.slotQueues.at) >= slotQueuesLifetime {
-		m.slotQueues = slotQueues{at: now, classes: make(map[slotClass]*slotQueue)}
-	}
-	class := slotClass{service: next.service, model: next.job.model, minimum: next.job.minimum}
-	queue := m.slotQueues.classes[class]
-	if queue == nil {
-		queue = m.predictReleases(now, class, typicalGap)
-		m.slotQueues.classes[class] = queue
-	}
-	return queue
-}
-
-// predictReleases predicts the ends of the runs at the engines of a class that are not slow.
-func (m *Machine) predictReleases(now time.Time, class slotClass, typicalGap float64) *slotQueue {
-	queue := &slotQueue{gap: typicalGap, waits: make(map[*batch.Item]float64)}
-	gaps := 0.0
-	for _, eng := range m.sortedEngines() {
-		if !eng.listed || eng.service != class.service || eng.model != class.model || eng.loading || eng.draining ||
-			eng.versions[class.model] < class.minimum || now.Before(eng.pausedUntil) || eng.isUnresponsive(now) || eng.wasSlow(typicalGap) {
-			continue
-		}
-		gap := eng.gapAt(len(eng.attempts), typicalGap)
-		for _, running := range eng.attempts {
-			gaps += gap
-			queue.releases = append(queue.releases, running.remainingSeconds(now, gap))
-		}
-	}
-	if len(queue.releases) > 0 {
-		queue.gap = gaps / float64(len(queue.releases))
-	}
-	slices.Sort(queue.releases)
-	return queue
-}
-
 // remainingSeconds predicts the time until a run ends, given the gap of its engine.
 func (a *attempt) remainingSeconds(now time.Time, gap float64) float64 {
 	if a.cancelled {
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -36,55 +36,81 @@
 		return
 	}
 	attempts := m.sortedAttempts()
-	var candidates []*attempt
-	for _, running := range attempts {
-		if waiting[running.item.job.model] || !isMovable(now, running) || m.suspicion(running.item).Ends > 0 {
-			continue
-		}
-		if runsOnSlower(running, free[running.item.service]) {
-			m.predictLength(running) // other items have ended since its last event
-			candidates = append(candidates, running)
-		}
-	}
-	if len(candidates) == 0 {
+	movable := m.movableRuns(now, attempts, waiting, free)
+	if len(movable) == 0 {
 		return
 	}
 	typicalGaps := typicalGapsOf(m.sortedEngines())
 	ends := m.predictGroupEnds(now, attempts, typicalGaps)
 	moves := 0
 	taken := make(map[*engine]bool)
-	for _, running := range candidates {
+	for _, running := range movable {
 		if moves >= maxMovesPerTick {
 			return
 		}
 		owner := running.item
-		typicalGap := typicalGaps[owner.service]
-		stay := m.predictEnd(now, running, typicalGap)
-		enough := max(minMoveGain, minMoveGainShare*stay)
 		others := ends[groupOf(owner)].without(owner)
-		available := free[owner.service]
-		if stay-max(moveSeconds+float64(running.memory.expected)*available.lowestGap, others) < enough {
-			continue
-		}
-		target := m.moveTarget(now, running, available.engines, typicalGap)
+		target, gain := m.worthwhileMove(now, running, free[owner.service], others, typicalGaps[owner.service])
 		if target == nil || taken[target] {
 			continue
 		}
-		gain := stay - max(moveEnd(running, target, typicalGap), others)
-		if gain < enough {
-			continue
-		}
 		taken[target] = true
-		owner.movedAt = now
-		m.cancel(running)
-		m.output.Moves = append(m.output.Moves, Move{
-			Attempt: running.id, JobID: owner.job.id, ItemID: owner.source.ID,
-			From: running.engine.server, To: target.server, PredictedEvents: running.memory.expected, Gain: seconds(gain),
-		})
+		m.move(now, running, target, gain)
 		moves++
 	}
 }
 
+// movableRuns returns the runs that may move and for which a free engine is much faster than their own.
+func (m *Machine) movableRuns(
+	now time.Time, attempts []*attempt, waiting map[string]bool, free map[string]*freeEngines,
+) []*attempt {
+	var movable []*attempt
+	for _, running := range attempts {
+		if waiting[running.item.job.model] || !isMovable(now, running) || m.suspicion(running.item).Ends > 0 {
+			continue
+		}
+		if runsOnSlower(running, free[running.item.service]) {
+			m.predictLength(running) // other items have ended since its last event
+			movable = append(movable, running)
+		}
+	}
+	return movable
+}
+
+// worthwhileMove returns the engine to which a run should move and by how many seconds that ends its group
+// sooner, or nil if no move is worth its cost. others is when the other items of the group end.
+func (m *Machine) worthwhileMove(
+	now time.Time, running *attempt, available *freeEngines, others, typicalGap float64,
+) (target *engine, gain float64) {
+	stay := m.predictEnd(now, running, typicalGap)
+	enough := max(minMoveGain, minMoveGainShare*stay)
+	// The lowest gap bounds the gain. Checking it first avoids choosing a target in vain.
+	if stay-max(moveSeconds+float64(running.memory.expected)*available.lowestGap, others) < enough {
+		return nil, 0
+	}
+	target = m.moveTarget(now, running, available.engines, typicalGap)
+	if target == nil {
+		return nil, 0
+	}
+	gain = stay - max(moveEnd(running, target, typicalGap), others)
+	if gain < enough {
+		return nil, 0
+	}
+	return target, gain
+}
+
+// move cancels a run so that its item resumes on another engine. gain is in seconds.
+func (m *Machine) move(now time.Time, running *attempt, target *engine, gain float64) {
+	owner := running.item
+	owner.movedAt = now
+	m.cancel(running)
+	m.output.Moves = append(m.output.Moves, Move{
+		Attempt: running.id, JobID: owner.job.id, ItemID: owner.source.ID,
+		From: running.engine.server, To: target.server,
+		PredictedEvents: running.memory.expected, Gain: seconds(gain),
+	})
+}
+
 func isMovable(now time.Time, running *attempt) bool {
 	owner := running.item
 	if running.cancelled || owner.finished || owner.retained || owner.job.route == nil || !owner.job.route.Resumable {
