Lengths: names say what they hold

"longer" was both a count and a list of suffix sums, "beyond" and "forget" did not say what they do, and two tests did not say which failure they guard against. Renamed to suffixSums, remainingOf, remove and minLonger; the comments give the reason for using similar estimates.

No change of behaviour; the tests of lengths and rollout pass.

--- a/internal/lengths/lengths.go
+++ b/internal/lengths/lengths.go
@@ -12,9 +12,9 @@
 // concurrent use.
 //
 // The prediction for an item is the mean over recent items with similar estimates, each scaled to the
-// item's estimate, that were longer than what the item has so far. Items with similar estimates tell
-// what such an estimate is worth: where most items are short, a long estimate is more often wrong than
-// a short one.
+// item's estimate, that were longer than what the item has so far. Only similar estimates count, since
+// the error depends on the estimate: where most items are short, a long estimate is more often wrong
+// than a short one.
 type Estimator struct {
 	keys map[string]*history
 }
@@ -30,9 +30,9 @@
 	maxSamples = 512
 	// neighbours is the number of items with similar estimates that a prediction is based on.
 	neighbours = 64
-	// minSurvivors is the number of neighbours longer than the item's events so far below which the
+	// minLonger is the number of neighbours longer than the item's events so far below which the
 	// prediction is based on all recent items instead.
-	minSurvivors = 4
+	minLonger = 4
 	// maxScale limits how far an estimate may be beyond all known ones: larger and smaller estimates
 	// count as that far.
 	maxScale = 4
@@ -53,16 +53,16 @@
 	next   int
 	// byEstimate holds the samples that have an estimate, ordered by it.
 	byEstimate []sample
-	// events holds the lengths of all samples in ascending order, and longer the sum of each and all
-	// that follow it, or nil if it must be rebuilt.
-	events []int
-	longer []int
-	mean   Mean
+	// events holds the lengths of all samples in ascending order. suffixSums[i] is the sum of events[i:];
+	// it is nil if it must be rebuilt.
+	events     []int
+	suffixSums []int
+	mean       Mean
 	// eventsPerToken predicts lengths until an item with an estimate has ended; 0 if unknown.
 	eventsPerToken float64
 }
 
-// NewEstimator returns an estimator that knows nothing.
+// NewEstimator returns an estimator without samples.
 func NewEstimator() *Estimator { return &Estimator{keys: make(map[string]*history)} }
 
 func (e *Estimator) history(key string) *history {
@@ -100,7 +100,7 @@
 func (e *Estimator) Remaining(key string, estimate, events int) float64 {
 	known := e.keys[key]
 	if known == nil {
-		return beyond(unknownEvents, events)
+		return remainingOf(unknownEvents, events)
 	}
 	if estimate > 0 {
 		if remaining, found := known.remainingOfSimilar(estimate, events); found {
@@ -111,9 +111,9 @@
 		return max(remaining, 1)
 	}
 	if estimate > 0 && known.eventsPerToken > 0 && len(known.recent) == 0 {
-		return beyond(known.eventsPerToken*float64(estimate), events)
+		return remainingOf(known.eventsPerToken*float64(estimate), events)
 	}
-	return beyond(unknownEvents, events)
+	return remainingOf(unknownEvents, events)
 }
 
 // Mean returns the mean length of a key's items in events, or 0 if none has ended.
@@ -125,9 +125,9 @@
 	return known.mean.Value()
 }
 
-// beyond returns the remaining events of an item with an expected length. An item that has reached it
-// is expected to need as much again as outrunFactor tells.
-func beyond(expected float64, events int) float64 {
+// remainingOf returns the remaining events of an item with an expected length, at least 1. An item that has
+// reached this length is expected to be outrunFactor times as long as it is now.
+func remainingOf(expected float64, events int) float64 {
 	if float64(events) >= expected {
 		expected = outrunFactor * float64(events)
 	}
@@ -143,20 +143,21 @@
 	if len(h.recent) < maxSamples {
 		h.recent = append(h.recent, ended)
 	} else {
-		h.forget(h.recent[h.next])
+		h.remove(h.recent[h.next])
 		h.recent[h.next] = ended
 		h.next = (h.next + 1) % maxSamples
 	}
 	at, _ := slices.BinarySearch(h.events, ended.events)
 	h.events = slices.Insert(h.events, at, ended.events)
-	h.longer = nil
+	h.suffixSums = nil
 	if ended.estimate > 0 {
 		at, _ := slices.BinarySearchFunc(h.byEstimate, ended, compareEstimates)
 		h.byEstimate = slices.Insert(h.byEstimate, at, ended)
 	}
 }
 
-func (h *history) forget(oldest sample) {
+// remove removes a sample from the ordered lists.
+func (h *history) remove(oldest sample) {
 	if at, found := slices.BinarySearch(h.events, oldest.events); found {
 		h.events = slices.Delete(h.events, at, at+1)
 	}
@@ -182,7 +183,7 @@
 			longer++
 		}
 	}
-	if longer == 0 || longer < minSurvivors && len(h.byEstimate) >= neighbours {
+	if longer == 0 || longer < minLonger && len(h.byEstimate) >= neighbours {
 		return 0, false
 	}
 	return total / float64(longer), true
@@ -201,13 +202,13 @@
 	if longer == 0 {
 		return 0, false
 	}
-	if h.longer == nil {
-		h.longer = make([]int, len(h.events))
+	if h.suffixSums == nil {
+		h.suffixSums = make([]int, len(h.events))
 		sum := 0
 		for i := len(h.events) - 1; i >= 0; i-- {
 			sum += h.events[i]
-			h.longer[i] = sum
+			h.suffixSums[i] = sum
 		}
 	}
-	return float64(h.longer[at])/float64(longer) - float64(events), true
+	return float64(h.suffixSums[at])/float64(longer) - float64(events), true
 }
--- a/internal/lengths/lengths_test.go
+++ b/internal/lengths/lengths_test.go
@@ -37,10 +37,14 @@
 	name           string
 	factor, spread float64
 }{
-	{"right", 1, 0.1}, {"too high", 4, 0.1}, {"too low", 0.25, 0.1}, {"far off", 1, math.Log(4)}, {"too high and far off", 4, math.Log(4)},
+	{"right", 1, 0.1},
+	{"too high", 4, 0.1},
+	{"too low", 0.25, 0.1},
+	{"far off", 1, math.Log(4)},
+	{"too high and far off", 4, math.Log(4)},
 }
 
-// Guards against estimates that are taken at their word: those that are 4 times too high or too low, or often
+// Guards against estimates that are used uncorrected: those that are 4 times too high or too low, or often
 // far off, must give predictions with the right mean.
 func TestPredictionsCorrectWrongEstimates(t *testing.T) {
 	for _, c := range wrongEstimates {
@@ -96,6 +100,7 @@
 	}
 }
 
+// Guards against items without an estimate that are predicted as if nothing were known of their key.
 func TestItemsWithoutEstimateGetTheMean(t *testing.T) {
 	e := NewEstimator()
 	e.Observe("r", 0, 10)
@@ -111,7 +116,8 @@
 	}
 }
 
-// Until an item has ended, the configured tokens per event are all that is known.
+// Guards against configured tokens per event that are ignored before the first item has ended, or that still
+// count afterwards.
 func TestTokensPerEventPredictUntilItemsEnd(t *testing.T) {
 	e := NewEstimator()
 	if got := e.Remaining("r", 1460, 0); got != unknownEvents {
@@ -130,6 +136,7 @@
 	}
 }
 
+// Guards against a mean that keeps the weight of all earlier lengths and lags behind lengths that grow.
 func TestMeanFollowsLengthsThatGrow(t *testing.T) {
 	var mean Mean
 	if mean.Value() != 0 {
--- a/internal/lengths/mean.go
+++ b/internal/lengths/mean.go
@@ -8,7 +8,7 @@
 	Total int
 }
 
-// maxMeanSamples bounds the weight of earlier lengths, so that lengths that grow are followed.
+// maxMeanSamples bounds the weight of earlier lengths, so that the mean follows lengths that change.
 const maxMeanSamples = 256
 
 // Add returns the mean with one more length.
