--- a/internal/scheduler/choose_test.go
+++ b/internal/scheduler/choose_test.go
@@ -149,13 +149,13 @@
 		f.end(f.starts[2].Attempt, EndCompleted)
 		f.advance(time.Millisecond)
 		if len(f.cancels) != c.want {
-			t.Errorf("%s: %d runs cut, want %d", c.name, len(f.cancels), c.want)
+			t.Errorf("%s: %d runs cancelled, want %d", c.name, len(f.cancels), c.want)
 		}
 	}
 }
 
-// Guards against a run that is cut and resumes on a slow engine of its own model, because its target is an
-// engine of another model: it was cut again and again.
+// Guards against a run that is moved again and again: it resumed on a slow engine of its own model, because
+// its target was an engine of another model.
 func TestMovedItemResumesOnItsTarget(t *testing.T) {
 	f := newFixture(t, func(route *routetable.Route) { route.Resumable = true })
 	service := routetable.Service{Name: "pool", Models: []string{"m", "n"}}
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -69,8 +69,9 @@
 	}
 }
 
-// If no engine has room until all its runs have ended, an item takes one that has room for it now. What does
-// not fit waits for memory.
+// Guards against memory that stays unused because runs may need it later, and against items that start
+// without memory: if no engine has room until all its runs have ended, an item takes one that has room for
+// it now, or waits.
 func TestItemsWithoutRoomTakeWhatIsFreeNow(t *testing.T) {
 	f := newMemoryFixture(t, "a")
 	f.submitLengths("j", "", 60, 60, 60)
@@ -93,7 +94,8 @@
 	}
 }
 
-// An item that fills the memory of an engine alone, or exceeds it, runs on an engine without other runs.
+// Guards against an item that never starts, or starts beside others, because it alone fills the memory of an
+// engine or exceeds it.
 func TestItemThatFillsMemoryRunsAlone(t *testing.T) {
 	for _, events := range []int{90, 200} {
 		f := newMemoryFixture(t, "a", "b")
@@ -143,7 +145,8 @@
 	}
 }
 
-// The memory that a run uses follows its events, and its item's estimate is corrected by its own length.
+// Guards against memory use that does not follow the events of runs, or that keeps an estimate which the run
+// has exceeded.
 func TestMemoryFollowsRuns(t *testing.T) {
 	f := newMemoryFixture(t, "a")
 	eng := f.machine.engines["a"]
@@ -174,7 +177,7 @@
 	}
 }
 
-// An engine that has restarted has no runs and an empty memory.
+// Guards against the memory of an engine's earlier runs counting after it has restarted.
 func TestRestartedEngineHasEmptyMemory(t *testing.T) {
 	f := newMemoryFixture(t)
 	list := func(born int64) {
@@ -195,7 +198,7 @@
 	}
 }
 
-// Services whose memory is unknown have no limit but their slots.
+// Guards against services of unknown memory that take fewer items than they have slots.
 func TestUnknownMemoryIsNoLimit(t *testing.T) {
 	f := newMemoryFixture(t, "a")
 	f.configureMemory(0)
@@ -205,7 +208,7 @@
 	}
 }
 
-// Saved texts hold several events in one element; all of them are in memory after a takeover.
+// Guards against saved texts that count as one event after a takeover: an element holds several events.
 func TestSuccessorCountsEventsOfSavedTexts(t *testing.T) {
 	f := newMemoryFixture(t)
 	f.machine.HandleRecoveredProgress(f.now, 0, map[string]*batch.Partial{
@@ -240,7 +243,7 @@
 	}
 }
 
-// Among equal engines an item takes the one that has read the prompt of its group.
+// Guards against a prompt being read again although an equal engine has read it for its group.
 func TestItemsOfAGroupShareAnEngineThatReadTheirPrompt(t *testing.T) {
 	f := newMemoryFixture(t, "a", "b", "c")
 	f.submitLengths("j", "g", 10)
--- a/internal/scheduler/urgency_test.go
+++ b/internal/scheduler/urgency_test.go
@@ -308,7 +308,9 @@
 			}})
 		}
 		f.advance(5 * time.Second)
-		return append(f.open(6), append([]string{"overdue"}, func() []string { f.advance(testDeadline); return f.open(13) }()...)...)
+		started := append(f.open(6), "overdue")
+		f.advance(testDeadline)
+		return append(started, f.open(13)...)
 	}
 	want := orderOf([]int{0, 1, 2, 3, 4, 5})
 	for _, sequence := range [][]int{{5, 4, 3, 2, 1, 0}, {3, 0, 5, 1, 4, 2}} {
