--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -14,6 +14,37 @@
 		return
 	}
 	m.arrivals++
+	opened := newJob(now, partition, m.arrivals, accepted)
+	m.jobs[opened.id] = opened
+	recorded := make([]*item, len(results))
+	for i := range results {
+		recorded[i] = opened.recordResult(&results[i])
+	}
+	m.route(opened)
+	// Lengths are recorded by the name of the route, and so after it is set.
+	for i := range results {
+		if recorded[i] != nil {
+			m.observeLength(recorded[i], &results[i])
+		}
+	}
+	m.observeStepTokens(accepted)
+	for i := range accepted.Items {
+		if waiting := opened.items[accepted.Items[i].ID]; waiting != nil {
+			m.resume(now, opened, waiting)
+		}
+	}
+	slices.SortStableFunc(opened.queue, longestFirst)
+	m.separateHeld(opened)
+	for _, waiting := range opened.items {
+		waiting.group.resubmitted = waiting.group.resubmitted || waiting.resubmitted
+	}
+	m.workingSets.observeStep(accepted.Model, len(accepted.Items))
+	m.updateWorkingSet()
+	m.schedule(now)
+}
+
+// newJob returns the state of a job that was read from a partition, without results and route.
+func newJob(now time.Time, partition, arrival int, accepted *batch.Job) *job {
 	opened := &job{
 		id:                accepted.ID,
 		tenant:            accepted.Tenant,
@@ -22,7 +53,7 @@
 		model:             accepted.Model,
 		minimum:           accepted.MinVersion,
 		partition:         partition,
-		arrival:           m.arrivals,
+		arrival:           arrival,
 		receivedAt:        now,
 		acceptedAt:        now,
 		wantedGroups:      accepted.WantedGroups,
@@ -41,31 +72,7 @@
 		opened.acceptedAt = now.Add(time.UnixMilli(accepted.AcceptedAt).Sub(now))
 	}
 	opened.formGroups(accepted.Items)
-	m.jobs[opened.id] = opened
-	recorded := make([]*item, len(results))
-	for i := range results {
-		recorded[i] = opened.recordResult(&results[i])
-	}
-	m.route(opened)
-	for i := range results {
-		if recorded[i] != nil {
-			m.observeLength(recorded[i], &results[i])
-		}
-	}
-	m.observeStepTokens(accepted)
-	for i := range accepted.Items {
-		if waiting := opened.items[accepted.Items[i].ID]; waiting != nil {
-			m.resume(now, opened, waiting)
-		}
-	}
-	slices.SortStableFunc(opened.queue, longestFirst)
-	m.separateHeld(opened)
-	for _, waiting := range opened.items {
-		waiting.group.resubmitted = waiting.group.resubmitted || waiting.resubmitted
-	}
-	m.workingSets.observeStep(accepted.Model, len(accepted.Items))
-	m.updateWorkingSet()
-	m.schedule(now)
+	return opened
 }
 
 func (j *job) addItem(source *batch.Item) {
--- a/internal/scheduler/slotqueue.go
+++ b/internal/scheduler/slotqueue.go
@@ -79,8 +79,7 @@
 	queue := &slotQueue{gap: typicalGap, waits: make(map[*batch.Item]float64)}
 	gaps := 0.0
 	for _, eng := range m.sortedEngines() {
-		if !eng.listed || eng.service != class.service || eng.model != class.model || eng.loading || eng.draining ||
-			eng.versions[class.model] < class.minimum || now.Before(eng.pausedUntil) || eng.isUnresponsive(now) || eng.wasSlow(typicalGap) {
+		if !eng.servesClass(now, class) || eng.wasSlow(typicalGap) {
 			continue
 		}
 		gap := eng.gapAt(len(eng.attempts), typicalGap)
@@ -95,3 +94,11 @@
 	slices.Sort(queue.releases)
 	return queue
 }
+
+// servesClass reports whether items of a class can take the slots of an engine when they become free.
+func (e *engine) servesClass(now time.Time, class slotClass) bool {
+	if !e.listed || e.service != class.service || e.model != class.model || e.versions[class.model] < class.minimum {
+		return false
+	}
+	return !e.loading && !e.draining && !now.Before(e.pausedUntil) && !e.isUnresponsive(now)
+}
