Scheduler: one condition for engines that take items

The comments on rank, rankKey and the classes say what they decide.

No change of behaviour; the tests of the scheduler pass.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -84,14 +84,19 @@
 func enginesThatTakeItems(now time.Time, engines []*engine) []*engine {
 	var taking []*engine
 	for _, eng := range engines {
-		if eng.listed && !eng.loading && !eng.draining && !now.Before(eng.pausedUntil) &&
-			len(eng.attempts) < eng.slots && !eng.atWarmUpLimit(now) {
+		if eng.takesItems(now) {
 			taking = append(taking, eng)
 		}
 	}
 	return taking
 }
 
+// takesItems reports whether an engine takes an item of its service now.
+func (e *engine) takesItems(now time.Time) bool {
+	return e.listed && !e.loading && !e.draining && !now.Before(e.pausedUntil) &&
+		len(e.attempts) < e.slots && !e.atWarmUpLimit(now)
+}
+
 func freeSlots(engines []*engine) int {
 	free := 0
 	for _, eng := range engines {
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -194,10 +194,7 @@
 
 // canRun reports whether an engine can take an item now.
 func (m *Machine) canRun(now time.Time, next *item, eng *engine) bool {
-	if !eng.listed || eng.service != next.service || eng.loading || eng.draining {
-		return false
-	}
-	if len(eng.attempts) >= eng.slots || now.Before(eng.pausedUntil) || eng.atWarmUpLimit(now) {
+	if eng.service != next.service || !eng.takesItems(now) {
 		return false
 	}
 	version := eng.versions[next.job.model]
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -113,7 +113,8 @@
 	return m.remainingEvents(subject) * max(typicalGaps[subject.service], minimumGap)
 }
 
-// rank ranks the groups of a job and orders its waiting items.
+// rank ranks the groups of a job by how long they still run, and marks as needed as many as its trainer waits
+// for. The queue is ordered again before the next start.
 func (m *Machine) rank(now time.Time, owner *job, typicalGaps map[string]float64) {
 	owner.rankedAt = now
 	owner.queueDirty = true
@@ -142,7 +143,7 @@
 	subject.longest, subject.held = 0, false
 	unfinished := subject.items[:0]
 	for _, member := range subject.items {
-		if member.job.items[member.source.ID] != member {
+		if member.job.items[member.source.ID] != member { // its result is in the log
 			subject.started = true
 			subject.dead = subject.dead || member.job.results[member.source.ID].Outcome == batch.OutcomeDead
 			continue
@@ -158,7 +159,7 @@
 	subject.items = unfinished
 }
 
-// rankKey orders the groups of a job that were not resubmitted.
+// rankKey is the key by which the groups of a job that were not resubmitted are ranked; the lowest are needed.
 func (g *group) rankKey() float64 {
 	switch {
 	case g.dead || g.held:
@@ -216,7 +217,7 @@
 	// A head start of more than the deadline would let items of jobs that are not accepted yet precede
 	// this one.
 	run := min(m.predictedSeconds(waiting, typicalGaps), waiting.job.route.ResultDeadline.Seconds())
-	return waiting.job.dueAt.Add(-time.Duration(run * float64(time.Second)))
+	return waiting.job.dueAt.Add(-seconds(run))
 }
 
 // class is the first criterion in the order of waiting items; lower starts first.
@@ -225,6 +226,7 @@
 const (
 	// classOverdue items are those of overdue jobs.
 	classOverdue class = iota
+	// classNeeded items belong to needed groups, or are long.
 	classNeeded
 	// classSpare items belong to groups beyond the wanted number and are not long.
 	classSpare
