Scheduler, coordinator: comments in plain terms

Some comments used unclear phrases ("read anew", "of use only") and one in the coordinator was 133 columns wide. drawLength gave a median of 13 where the code draws 12. Reworded; no code changed. The tests of scheduler and coordinator pass.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -247,7 +247,8 @@
 	}
 }
 
-// UnfinishedItems returns the number of items without a complete text, by service, or nil while this node is not the coordinator.
+// UnfinishedItems returns the number of items without a complete text, by service, or nil while this node is
+// not the coordinator.
 func (c *Coordinator) UnfinishedItems() map[string]int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/scheduler/choose_test.go
+++ b/internal/scheduler/choose_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// Guards against moves that no one gains from: a group is of use only when its last item has ended.
+// Guards against moves without a gain: a trainer can use a group only when its last item has ended.
 func TestOnlyTheLastItemOfAGroupMoves(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -136,7 +136,7 @@
 func groupOf(member *item) groupKey { return groupKey{job: member.job, group: member.source.Group} }
 
 // groupEnd holds the predicted ends of the two items of a group that end last, in seconds from now. A
-// group is of use only when it is complete, so that only a move of the last item gains time.
+// trainer can use a group only when it is complete, so that only a move of the last item gains time.
 type groupEnd struct {
 	// last is the item that ends last, at lastEnd.
 	last    *item
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Guards against engines that load weights being taken for slow ones: their runs stand still meanwhile.
+// Guards against engines that count as slow because they load weights: their runs produce no events meanwhile.
 func TestLoadDoesNotCountAsSlowPace(t *testing.T) {
 	f := newFixture(t, nil)
 	f.servers(1, map[string]int64{"a": 1})
--- a/internal/scheduler/uneven_model_test.go
+++ b/internal/scheduler/uneven_model_test.go
@@ -34,7 +34,7 @@
 )
 
 // pacedEngine is the model of an engine: a pace, slots and memory. When its memory is exceeded, the newest
-// run is preempted: it waits until there is room, and is then read anew.
+// run is preempted: it waits until there is room, and the engine then reads its prompt and text again.
 type pacedEngine struct {
 	id string
 	// slowness is the factor by which the engine is slower than at full speed.
@@ -186,7 +186,7 @@
 	f.carryOut()
 }
 
-// drawLength draws the length of an item in events: 13 in the median, and about 100 for one in twelve.
+// drawLength draws the length of an item in events: about 12, and about 95 for one in twelve.
 func (f *unevenFleet) drawLength() int {
 	median, spread := 12.0, 0.35
 	if f.random.IntN(12) == 0 {
--- a/internal/scheduler/uneven_test.go
+++ b/internal/scheduler/uneven_test.go
@@ -7,7 +7,7 @@
 )
 
 // Guards against engines being filled by their number of runs alone: several long items on one engine exceed
-// its memory, and their runs are read anew.
+// its memory, and it must read their prompts and texts again.
 func TestUnevenLengthsDoNotExceedMemory(t *testing.T) {
 	for seed := range uint64(3) {
 		f := newUnevenFleet(t, 30, 4, 14, seed)
