--- a/internal/scheduler/choose_test.go
+++ b/internal/scheduler/choose_test.go
@@ -41,9 +41,9 @@
 		t.Fatalf("started %v, want the short item on the slow engine", got)
 	}
 	f.end(f.starts[2].Attempt, EndCompleted)
-	f.advance(slowEnginePatience)
+	f.advance(maxSlowEngineWait)
 	if len(f.starts) != 3 {
-		t.Fatalf("the long item started on %s after %v", f.starts[3].Server.ID, slowEnginePatience)
+		t.Fatalf("the long item started on %s after %v", f.starts[3].Server.ID, maxSlowEngineWait)
 	}
 	f.end(f.starts[0].Attempt, EndCompleted)
 	if len(f.starts) != 4 || f.starts[3].Server.ID != "a" {
@@ -125,7 +125,7 @@
 	}
 }
 
-// Guards against moves that no one gains from: a group is of use only when its last item has ended.
+// Guards against moves without a gain: a trainer can use a group only when its last item has ended.
 func TestOnlyTheLastItemOfAGroupMoves(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -149,13 +149,13 @@
 		f.end(f.starts[2].Attempt, EndCompleted)
 		f.advance(time.Millisecond)
 		if len(f.cancels) != c.want {
-			t.Errorf("%s: %d runs cut, want %d", c.name, len(f.cancels), c.want)
+			t.Errorf("%s: %d runs cancelled, want %d", c.name, len(f.cancels), c.want)
 		}
 	}
 }
 
-// Guards against a run that is cut and resumes on a slow engine of its own model, because its target is an
-// engine of another model: it was cut again and again.
+// Guards against a run that is moved again and again: it resumed on a slow engine of its own model, because
+// its target was an engine of another model.
 func TestMovedItemResumesOnItsTarget(t *testing.T) {
 	f := newFixture(t, func(route *routetable.Route) { route.Resumable = true })
 	service := routetable.Service{Name: "pool", Models: []string{"m", "n"}}
--- a/internal/scheduler/pace_test.go
+++ b/internal/scheduler/pace_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Guards against engines that load weights being taken for slow ones: their runs stand still meanwhile.
+// Guards against engines that count as slow because they load weights: their runs produce no events meanwhile.
 func TestLoadDoesNotCountAsSlowPace(t *testing.T) {
 	f := newFixture(t, nil)
 	f.servers(1, map[string]int64{"a": 1})
@@ -91,7 +91,7 @@
 			eng.gap = 0.15
 		}
 	}
-	median := medianGaps(f.machine.sortedEngines())["pool"]
+	median := typicalGapsOf(f.machine.sortedEngines())["pool"]
 	for i, eng := range f.machine.sortedEngines() {
 		if got, want := eng.isSlow(f.now, median), i%3 > 0; got != want {
 			t.Errorf("engine %s with gap %.2f: slow %v", eng.server.ID, eng.gap, got)
