--- a/internal/explain/refusal.go
+++ b/internal/explain/refusal.go
@@ -108,8 +108,8 @@
 	case reasonOverloaded:
 		return fmt.Sprintf("Overloaded: %s had more requests than it could serve, and %s.", service, r.Answer.describeAttempts())
 	case reasonTooLate:
-		return fmt.Sprintf("Too late: %d ms after its arrival, it had less time left than the fastest recent answer of %s took, and %s.",
-			r.Answer.intField("took"), service, r.Answer.describeAttempts())
+		return fmt.Sprintf("Too late: %d ms after its arrival, it had less time left than the fastest recent answer of route %s at %s took, and %s.",
+			r.Answer.intField("took"), r.Answer.stringField("route"), service, r.Answer.describeAttempts())
 	case reasonRetryBudget:
 		return fmt.Sprintf("Retry budget: the node's budget for more attempts at %s was spent, and %s.", service, r.Answer.describeAttempts())
 	default:
--- a/internal/frontend/settings.go
+++ b/internal/frontend/settings.go
@@ -81,7 +81,8 @@
 	// Overload controls how single requests are treated while a service has more of them than it can
 	// serve.
 	Overload struct {
-		// Off disables refusals, limits and budgets under overload.
+		// Off disables refusals, limits and budgets under overload, and restores the choice of servers of
+		// earlier builds.
 		Off bool `json:"off"`
 		// HedgeShare is the number of hedges (second copies of slow requests) for each admitted request
 		// of a loaded service, from 0 to 1; RetryShare is the same for retries after a rejection.
