A response counts only for the request that it names

Cause: a faulty server sent its rejection (503, X-Not-Executed) of one request a second time, in the place of the answer to the next request on the connection. The ID of a response was compared with that of the request unless the response said "not executed", so the foreign rejection counted as one of this request. One level up: whether a response belongs to a request was decided by each reader of responses, and by the response's status. The connection was worse off than the attempt: net/http hands a connection on as soon as it has read a response without a body, so the connection of the foreign rejection went back to the pool with the right answer still to come.

Ruled out: a second send by the transport (the requests were sent to different servers, by the gateway); a request wrongly taken for unsent (the first server had received it whole); a server that rejects and runs (the stand-in's record of runs and answers).

Change: internal/roundtrip compares the IDs of every response, whatever its status, for all requests and items. A foreign response fails the request as one that may have run, and closes the connection before any other request can use it. A request whose ID was the last one on a connection goes to another connection, since a copy of the first answer would name it as well. Reports and orders, whose answers name no request, get a connection each: a copy of an earlier 200 was taken for "the engine has this version".

Reading on for the right answer was weighed and not taken: what follows may be garbage or never come, and the transport would have to be one of our own.

--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -47,6 +47,7 @@
 	serverEnds        *prometheus.CounterVec
 	requestsSuspected prometheus.Counter
 	requestsHeld      prometheus.Counter
+	foreignResponses  *prometheus.CounterVec
 	overload          *overloadMetrics
 }
 
@@ -100,10 +101,11 @@
 		requestsHeld: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_requests_held_total", Help: "Requests that were found to crash servers, and are held.",
 		}),
+		foreignResponses: counter("dalehook_foreign_responses_total", "Responses of servers in the place of another one, by status.", "status"),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.itemMoves, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
-		m.serverEnds, m.requestsSuspected, m.requestsHeld, collectors.NewGoCollector())
+		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, collectors.NewGoCollector())
 	m.overload = newOverloadMetrics(m.registry)
 	m.registerGauges(n, droppedLines)
 	return m
@@ -227,6 +229,10 @@
 // ObserveHeld implements crashwatch.Observer.
 func (m *nodeMetrics) ObserveHeld() { m.requestsHeld.Inc() }
 
+func (m *nodeMetrics) observeForeignResponse(status int) {
+	m.foreignResponses.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
 func (m *nodeMetrics) observeStore(call string, status int, duration time.Duration) {
 	m.storeCalls.WithLabelValues(call, strconv.Itoa(status)).Inc()
 	if call != longPollCall {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -29,6 +29,7 @@
 	"dalehook/internal/liveness"
 	"dalehook/internal/nodecall"
 	"dalehook/internal/nodestatus"
+	"dalehook/internal/roundtrip"
 	"dalehook/internal/routetable"
 	"dalehook/internal/scaling"
 	"dalehook/internal/serverlist"
@@ -65,6 +66,9 @@
 	// ObserveStore sets the function that is called after each call to the store, with the call's
 	// name, the status of the response, 0 for none, and its duration.
 	ObserveStore(observe func(call string, status int, duration time.Duration))
+	// ObserveForeignResponses sets the function that is called for each response of a server that came in
+	// the place of another one.
+	ObserveForeignResponses(observe func(serverID string, foreign *roundtrip.ForeignResponseError))
 }
 
 // Provider is the external service that receives usage reports and scaling orders from the holder
@@ -173,6 +177,7 @@
 		Logger:   logger.Named("gateway"), Observe: n.metrics.observeRequest, OnMayHaveStarted: n.countStarted,
 	})
 	adapter.ObserveStore(n.observeStore)
+	adapter.ObserveForeignResponses(n.observeForeignResponse)
 	n.jobLogs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -13,6 +13,7 @@
 	"dalehook/internal/clock"
 	"dalehook/internal/drain"
 	"dalehook/internal/gateway"
+	"dalehook/internal/roundtrip"
 	"dalehook/internal/routetable"
 	"dalehook/internal/store"
 )
@@ -89,6 +90,14 @@
 	}
 }
 
+// observeForeignResponse records a response of a server that came in the place of another one. It tells a request
+// that the server itself has rejected from one that was sent and has lost its response.
+func (n *Node) observeForeignResponse(serverID string, foreign *roundtrip.ForeignResponseError) {
+	n.metrics.observeForeignResponse(foreign.Status)
+	n.logger.Warn("response to another request", zap.String("server", serverID), zap.Int("status", foreign.Status),
+		zap.String("request", foreign.RequestID), zap.String("named", foreign.ResponseID))
+}
+
 // Serve answers a single request.
 func (n *Node) Serve(ctx context.Context, w http.ResponseWriter, table *routetable.Table, route *routetable.Route, request *gateway.Request) {
 	n.gateway.Serve(ctx, w, table, route, request)
--- a/internal/roundtrip/roundtrip.go
+++ b/internal/roundtrip/roundtrip.go
@@ -26,6 +26,13 @@
 	IdlePerPeer int
 	// Dial opens connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// IDHeader is the header that carries the ID of a request, and in a response the ID of the request that it
+	// answers. A response that names another request is an error, and closes the connection. If empty,
+	// responses are not checked.
+	IDHeader string
+	// SingleUse closes each connection after one response. It is for requests whose responses name no request:
+	// the first response on a connection can only belong to the first request.
+	SingleUse bool
 }
 
 // maxUnsentAttempts bounds the connections tried for one request while no byte of it
@@ -37,6 +44,7 @@
 // replayable.
 type Transport struct {
 	transport *http.Transport
+	idHeader  string
 }
 
 // New returns a Transport without open connections.
@@ -48,12 +56,16 @@
 		}
 		return &countingConn{Conn: conn}, nil
 	}
-	return &Transport{transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: options.IdlePerPeer,
-		IdleConnTimeout:     options.IdleTimeout,
-		DisableCompression:  true,
-	}}
+	return &Transport{
+		transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: options.IdlePerPeer,
+			IdleConnTimeout:     options.IdleTimeout,
+			DisableCompression:  true,
+			DisableKeepAlives:   options.SingleUse,
+		},
+		idHeader: options.IDHeader,
+	}
 }
 
 // Close closes the idle connections.
@@ -86,7 +98,8 @@
 func (e *Error) Unwrap() error { return e.Cause }
 
 // RoundTrip sends a request and returns the response, whose body the caller must
-// close. It may try another connection as long as no byte has been sent.
+// close. It may try another connection as long as no byte has been sent. If a
+// response names another request, the error wraps a ForeignResponseError.
 func (t *Transport) RoundTrip(ctx context.Context, r Request) (*http.Response, *Error) {
 	target, err := url.ParseRequestURI(r.Path)
 	if err != nil {
@@ -110,17 +123,30 @@
 func (t *Transport) attempt(ctx context.Context, r Request, target *url.URL) (_ *http.Response, _ *Error, reused bool) {
 	var conn *countingConn
 	var writtenBefore int64
+	id := t.requestID(r)
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn != nil {
+			conn.release()
+		}
 		conn = info.Conn.(*countingConn)
-		writtenBefore = conn.written()
+		writtenBefore = conn.acquire(id)
 		reused = info.Reused
 	}}
 	request := r.nonReplayable(httptrace.WithClientTrace(ctx, trace), target)
 	response, err := t.transport.RoundTrip(request)
+	if conn != nil {
+		defer func() { conn.release() }()
+	}
+	if err == nil {
+		err = t.checkResponseID(response, id)
+	}
 	if err == nil {
 		return response, nil, reused
 	}
 	sent := conn != nil && conn.seal() != writtenBefore
+	if response != nil {
+		response.Body.Close()
+	}
 	return nil, &Error{Cause: err, Sent: sent}, reused
 }
 
