An end of a batch job counts where it comes before the job

Cause: the job's append got no answer while the store was down. The caller got 502, gave the job up and ended it; the end was appended and acknowledged. Then the store carried out the late append. The reader of the log dropped the record of the end, since its job was not there, so the job behind it was open. One level up: an end was a change of a known job, not a fact of its own, and whether it held depended on the order of two appends that nothing orders.

Evidence: job-1-2, three appends at two nodes without an answer (5.6 to 9.1 s), "batch job ended verdict=done" at 59.876, "job taken up" at 00.468, items from then on. The log holds the end at the lower offset.

Ruled out: an end that was acknowledged and lost (its record is there); a coordinator that read an old state, or began to read behind the end (one term, epoch 1, from offset 0).

Change: the fold of a partition remembers an end whose job has not been read, and accepts a later job of the same tenant as ended. The coordinator writes an index entry for each such end, before any offset behind it, so that one that takes over in between knows it.

Two log lines tell the cause from a coordinator that reads an old state: "job ended before it was read" and "job not taken up: its end was read first".

--- a/internal/batch/fold.go
+++ b/internal/batch/fold.go
@@ -9,8 +9,10 @@
 	// changes.
 	Results []Result
 	Ended   bool
-	// Start is the offset of the job's first record in its partition, if the reader of the
-	// partition has set it.
+	// EndedFirst is true if the end was read before the job, which has then never been open.
+	EndedFirst bool
+	// Start is the offset from which a reader finds the whole job: that of its first record or, if its
+	// end came first, that of the end. It is 0 if the reader of the partition has not set it.
 	Start int64
 
 	withResult map[string]bool
@@ -32,23 +34,27 @@
 
 // Change is the effect of one record. All fields are nil if the record was ignored.
 type Change struct {
-	// Accepted is a newly accepted job.
+	// Accepted is a newly accepted job. It has already ended if its end was read before it.
 	Accepted *State
 	// Result is a result that was added to State.
 	Result *Result
 	State  *State
 	// Ended is a job that was open before the record.
 	Ended *State
+	// EarlyEnd is the end of a job that has not been read.
+	EarlyEnd *EarlyEnd
 }
 
 // Fold builds the states of jobs from the records of one partition, in order.
 type Fold struct {
-	jobs      map[string]*State
+	jobs map[string]*State
+	// earlyEnds holds the ends that were read before their jobs.
+	earlyEnds *EarlyEnds
 	assembler assembler
 }
 
 // NewFold returns a Fold for an empty partition.
-func NewFold() *Fold { return &Fold{jobs: make(map[string]*State)} }
+func NewFold() *Fold { return &Fold{jobs: make(map[string]*State), earlyEnds: NewEarlyEnds()} }
 
 // NewJobFold returns a Fold that only tracks one job. Messages that do not contain its ID are not
 // decoded.
@@ -74,12 +80,25 @@
 	}
 }
 
+// RememberEnd adds an early end that stands before the first record of this fold.
+func (f *Fold) RememberEnd(end EarlyEnd) { f.earlyEnds.Add(&end) }
+
+// ForgetEnd drops an early end.
+func (f *Fold) ForgetEnd(key JobKey) { f.earlyEnds.Take(key) }
+
+// DropEndsBefore forgets the early ends that stand before an offset, for a reader that sets their offsets.
+func (f *Fold) DropEndsBefore(offset int64) { f.earlyEnds.DropBefore(offset) }
+
+// EarlyEnds calls visit for each end whose job has not been read, in the order of the log.
+func (f *Fold) EarlyEnds(visit func(*EarlyEnd)) { f.earlyEnds.All(visit) }
+
 // AtMessageBoundary reports whether the last record completed a message, so that the next record
 // starts one.
 func (f *Fold) AtMessageBoundary() bool { return len(f.assembler.pending) == 0 }
 
 // Apply processes the next record. Of several records that accept the same job or hold a result of
-// the same item, only the first counts. Results after the end of their job are ignored.
+// the same item, only the first counts. Results after the end of their job are ignored. An end counts
+// wherever it stands: a job that comes after its end, of the same tenant, is accepted as ended.
 func (f *Fold) Apply(record []byte) (Change, error) {
 	decoded, err := f.assembler.add(record)
 	if err != nil || decoded == nil {
@@ -110,6 +129,11 @@
 		state.items[job.Items[i].ID] = &job.Items[i]
 	}
 	f.jobs[job.ID] = state
+	if early := f.earlyEnds.Take(JobKey{Tenant: job.Tenant, ID: job.ID}); early != nil {
+		state.Start = early.Offset
+		state.EndedFirst = true
+		state.close()
+	}
 	return Change{Accepted: state}
 }
 
@@ -125,15 +149,31 @@
 
 func (f *Fold) end(end *End) Change {
 	state := f.jobs[end.JobID]
-	if state == nil || state.Ended || state.Job.Tenant != end.Tenant {
+	if state == nil {
+		return f.endEarly(end)
+	}
+	if state.Ended || state.Job.Tenant != end.Tenant {
 		return Change{}
 	}
-	state.Ended = true
-	// Items are not needed after the end. The job is copied, since the accepted one may still be
-	// in use elsewhere.
-	closed := *state.Job
-	closed.Items = nil
-	state.Job = &closed
-	state.items = nil
+	state.close()
 	return Change{Ended: state}
 }
+
+// endEarly remembers an end whose job has not been read.
+func (f *Fold) endEarly(end *End) Change {
+	early := &EarlyEnd{Key: JobKey{Tenant: end.Tenant, ID: end.JobID}}
+	if !f.earlyEnds.Add(early) {
+		return Change{}
+	}
+	return Change{EarlyEnd: early}
+}
+
+// close ends the job. Its items are not needed any more. The job is copied, since the accepted one may
+// still be in use elsewhere.
+func (s *State) close() {
+	s.Ended = true
+	closed := *s.Job
+	closed.Items = nil
+	s.Job = &closed
+	s.items = nil
+}
--- a/internal/coordinator/term_subscriber.go
+++ b/internal/coordinator/term_subscriber.go
@@ -25,6 +25,11 @@
 			f.coordinator.indexJob(partition, change.Accepted)
 		}
 		switch {
+		case change.EarlyEnd != nil:
+			f.coordinator.indexEarlyEnd(partition, change.EarlyEnd)
+		case change.Accepted != nil && change.Accepted.EndedFirst:
+			f.coordinator.options.Logger.Info("job not taken up: its end was read first", zap.String("job", change.Accepted.Job.ID),
+				zap.Int("partition", partition), zap.Int64("start", change.Accepted.Start), zap.Int64("epoch", f.coordinator.termEpoch))
 		case change.Accepted != nil && !change.Accepted.Ended:
 			f.coordinator.options.Logger.Info("job taken up", zap.String("job", change.Accepted.Job.ID),
 				zap.Int("partition", partition), zap.Int("results", len(change.Accepted.Results)),
@@ -67,6 +72,17 @@
 	c.appendIndexEntry(partition, joblog.IndexEntry{JobID: accepted.Job.ID, Start: accepted.Start})
 }
 
+// indexEarlyEnd appends the index entry that tells the next coordinators of the end of a job that may still come. The
+// caller holds the mutex.
+func (c *Coordinator) indexEarlyEnd(partition int, end *batch.EarlyEnd) {
+	if c.options.JobLogs.IndexedEarlyEnd(end.Key) {
+		return
+	}
+	c.options.Logger.Info("job ended before it was read", zap.String("job", end.Key.ID), zap.String("tenant", end.Key.Tenant),
+		zap.Int("partition", partition), zap.Int64("offset", end.Offset), zap.Int64("epoch", c.termEpoch))
+	c.appendIndexEntry(partition, joblog.IndexEntry{EarlyEnd: &end.Key, Start: end.Offset})
+}
+
 func (c *Coordinator) appendIndexEntry(partition int, entry joblog.IndexEntry) {
 	record, err := joblog.EncodeIndexEntry(entry)
 	if err != nil {
--- a/internal/joblog/index.go
+++ b/internal/joblog/index.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"dalehook/internal/batch"
 	"dalehook/internal/pause"
 	"dalehook/internal/store"
 )
@@ -31,9 +32,11 @@
 	JobID string `json:",omitempty"`
 	// Start is the offset of the job's first record.
 	Start int64 `json:",omitempty"`
-	// OpenFrom is an offset before which all jobs have ended. All of those jobs have
-	// entries before this one. A successor of the coordinator reads the partition from there.
+	// OpenFrom is an offset before which all jobs have ended. All of those jobs, and the early ends
+	// before it, have entries before this one. A successor of the coordinator reads the partition from there.
 	OpenFrom int64 `json:",omitempty"`
+	// EarlyEnd is a job that had not been read when its end, at Start, was. JobID is empty then.
+	EarlyEnd *batch.JobKey `json:",omitempty"`
 }
 
 // EncodeIndexEntry returns the record of an entry.
@@ -57,6 +60,8 @@
 	// mutex guards the fields below.
 	mutex  sync.Mutex
 	starts map[string]int64
+	// earlyEnds holds the early ends of all entries, with the offsets at which they stand.
+	earlyEnds *batch.EarlyEnds
 	// openFrom is the highest OpenFrom of all entries.
 	openFrom int64
 	next     int64
@@ -65,7 +70,7 @@
 func newIndex(options Options, number int) *index {
 	return &index{
 		log: options.Log, at: store.Partition{Topic: store.TopicJobIndex, Number: number}, logger: options.Logger,
-		starts: make(map[string]int64),
+		starts: make(map[string]int64), earlyEnds: batch.NewEarlyEnds(),
 	}
 }
 
@@ -102,6 +107,33 @@
 	return known, nil
 }
 
+// containsEarlyEnd reports whether the entries read so far hold the early end of a job.
+func (x *index) containsEarlyEnd(key batch.JobKey) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.earlyEnds.Contains(key)
+}
+
+// newFold returns the fold of a reader that begins at an offset, with the early ends before it.
+func (x *index) newFold(from int64) *batch.Fold {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	fold := batch.NewFold()
+	x.earlyEnds.All(func(end *batch.EarlyEnd) {
+		if end.Offset < from {
+			fold.RememberEnd(*end)
+		}
+	})
+	return fold
+}
+
+// dropEndsBefore forgets the early ends that stand before an offset of the partition of jobs.
+func (x *index) dropEndsBefore(offset int64) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.earlyEnds.DropBefore(offset)
+}
+
 // openOffset returns the offset from which all open jobs begin according to the index.
 func (x *index) openOffset(ctx context.Context) (int64, error) {
 	if err := x.read(ctx); err != nil {
@@ -129,10 +161,10 @@
 	return err
 }
 
-func (x *index) add(batch store.Batch) {
+func (x *index) add(read store.Batch) {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	for _, record := range batch.Records {
+	for _, record := range read.Records {
 		var entry IndexEntry
 		if err := json.Unmarshal(record.Value, &entry); err != nil {
 			x.logger.Error("invalid record skipped", zap.Stringer("partition", x.at), zap.Int64("offset", record.Offset), zap.Error(err))
@@ -141,7 +173,10 @@
 		if entry.JobID != "" {
 			x.starts[entry.JobID] = entry.Start
 		}
+		if entry.EarlyEnd != nil {
+			x.earlyEnds.Add(&batch.EarlyEnd{Key: *entry.EarlyEnd, Offset: entry.Start})
+		}
 		x.openFrom = max(x.openFrom, entry.OpenFrom)
 	}
-	x.next = batch.Next
+	x.next = read.Next
 }
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -80,6 +80,11 @@
 	return known
 }
 
+// IndexedEarlyEnd reports whether the index is known to hold the early end of a job.
+func (l *Logs) IndexedEarlyEnd(key batch.JobKey) bool {
+	return l.partitions[l.PartitionOf(key.ID)].index.containsEarlyEnd(key)
+}
+
 // Condition reports whether the known state of a job, nil if unknown, suffices for an answer.
 // upToDate is true if the partition was read to its end within MaxStaleness.
 type Condition func(state *batch.State, upToDate bool) bool
@@ -229,10 +234,10 @@
 // order of each partition's log.
 type Subscriber interface {
 	// HandleChange receives a change. A job that was known when the subscription
-	// began is delivered as accepted, with its results so far.
+	// began is delivered as accepted, with its results so far, and an early end as one.
 	HandleChange(partition int, change batch.Change)
-	// HandleOpenFrom is called when all jobs that begin before an offset have ended. All of them
-	// were delivered as accepted or are in the index.
+	// HandleOpenFrom is called when all jobs that begin before an offset have ended. All of them, and
+	// all early ends before it, were delivered or are in the index.
 	HandleOpenFrom(partition int, openFrom int64)
 	// HandleCaughtUp is called when the partition was read to its end by a call sent at
 	// requestedAt.
--- a/internal/joblog/partition.go
+++ b/internal/joblog/partition.go
@@ -45,6 +45,8 @@
 	// from is the offset at which the read began, next the offset of the first unread
 	// record.
 	from, next int64
+	// firstKept is the offset of the first record that the store kept at the last read.
+	firstKept int64
 	// recordsTrimmed is true if the store had trimmed records that were not yet read.
 	recordsTrimmed bool
 	// openFrom is the offset last reported to the subscriber, before which all jobs
@@ -83,7 +85,7 @@
 
 // resetLocked discards the state and restarts the read at an offset.
 func (p *partition) resetLocked(from int64) {
-	p.fold = batch.NewFold()
+	p.fold = p.index.newFold(from)
 	p.from, p.next = from, from
 	p.recordsTrimmed = false
 	p.openFrom = from
--- a/internal/joblog/read_loop.go
+++ b/internal/joblog/read_loop.go
@@ -139,6 +139,7 @@
 	if from != p.next {
 		return
 	}
+	p.dropEndsBefore(read.First)
 	for _, record := range read.Records {
 		if p.fold.AtMessageBoundary() {
 			p.messageOffset = record.Offset
@@ -161,6 +162,17 @@
 	}
 }
 
+// dropEndsBefore forgets the early ends that the store has removed, as a reader that begins now does not see them. The
+// caller holds the mutex.
+func (p *partition) dropEndsBefore(first int64) {
+	if first <= p.firstKept {
+		return
+	}
+	p.firstKept = first
+	p.fold.DropEndsBefore(first)
+	p.index.dropEndsBefore(first)
+}
+
 // noteCaughtUp records that a read requested at requestedAt reached the partition's end. Of two
 // concurrent reads, the one requested first may be answered last. The caller holds the mutex.
 func (p *partition) noteCaughtUp(requestedAt time.Time) {
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -22,6 +22,9 @@
 	p.fold.Jobs(func(state *batch.State) {
 		subscriber.HandleChange(p.at.Number, batch.Change{Accepted: state})
 	})
+	p.fold.EarlyEnds(func(end *batch.EarlyEnd) {
+		subscriber.HandleChange(p.at.Number, batch.Change{EarlyEnd: end})
+	})
 	p.notify()
 }
 
@@ -89,12 +92,8 @@
 
 // handleChange handles the change made by the record at an offset. The caller holds the mutex.
 func (p *partition) handleChange(change batch.Change, offset int64) {
-	if change.Accepted != nil {
-		change.Accepted.Start = p.messageOffset
-		if p.startsBeforeFollowedLocked(change.Accepted.Job.ID) {
-			p.fold.Drop(change.Accepted.Job.ID)
-			return
-		}
+	if p.dropIfRepeated(change) {
+		return
 	}
 	if p.subscriber == nil || change == (batch.Change{}) {
 		return
@@ -105,6 +104,28 @@
 	}
 }
 
+// dropIfRepeated sets the offset of a job or an early end that was just read. If it is a copy, of a job that begins
+// before the offset at which the read began, it drops it and returns true.
+func (p *partition) dropIfRepeated(change batch.Change) bool {
+	switch {
+	case change.Accepted != nil:
+		if !change.Accepted.EndedFirst {
+			change.Accepted.Start = p.messageOffset
+		}
+		if p.startsBeforeFollowedLocked(change.Accepted.Job.ID) {
+			p.fold.Drop(change.Accepted.Job.ID)
+			return true
+		}
+	case change.EarlyEnd != nil:
+		change.EarlyEnd.Offset = p.messageOffset
+		if p.startsBeforeFollowedLocked(change.EarlyEnd.Key.ID) {
+			p.fold.ForgetEnd(change.EarlyEnd.Key)
+			return true
+		}
+	}
+	return false
+}
+
 // startsBeforeFollowed reports whether a job is known to begin before the offset at which the read
 // began, so that reading on can not find it.
 func (p *partition) startsBeforeFollowed(jobID string) bool {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -86,6 +86,8 @@
 	End int64
 	// Next is the offset at which the next read continues.
 	Next int64
+	// First is the offset of the first record that the store had not removed, 0 if that is not known.
+	First int64
 }
 
 // Log is a partitioned log. A call that returns an error other than the ones below may have been
--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -233,7 +233,7 @@
 		return store.Batch{}, nil, &store.TrimmedError{First: p.first}
 	}
 	records := slices.Clone(p.records[min(from-p.first, int64(len(p.records))):])
-	batch := store.Batch{Records: records, End: p.end(), Next: from + int64(len(records))}
+	batch := store.Batch{Records: records, End: p.end(), Next: from + int64(len(records)), First: p.first}
 	return batch, p.changed, nil
 }
 
