--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// observeForeignResponse records a response of a server that came in the place of another one. It tells a request
-// that the server itself has rejected from one that was sent and has lost its response.
+// observeForeignResponse records a response of a server that came in the place of another one. Without its log line, a
+// request that the server has rejected would look like one that met the rejection of another request.
 func (n *Node) observeForeignResponse(serverID string, foreign *roundtrip.ForeignResponseError) {
 	n.metrics.observeForeignResponse(foreign.Status)
 	n.logger.Warn("response to another request", zap.String("server", serverID), zap.Int("status", foreign.Status),
--- a/internal/joblog/index.go
+++ b/internal/joblog/index.go
@@ -30,7 +30,7 @@
 type IndexEntry struct {
 	// JobID is empty in an entry that holds OpenFrom.
 	JobID string `json:",omitempty"`
-	// Start is the offset of the job's first record.
+	// Start is the offset of the job's first record or, if its end came first, that of the end.
 	Start int64 `json:",omitempty"`
 	// OpenFrom is an offset before which all jobs have ended. All of those jobs, and the early ends
 	// before it, have entries before this one. A successor of the coordinator reads the partition from there.
--- a/internal/joblog/subscription.go
+++ b/internal/joblog/subscription.go
@@ -92,7 +92,8 @@
 
 // handleChange handles the change made by the record at an offset. The caller holds the mutex.
 func (p *partition) handleChange(change batch.Change, offset int64) {
-	if p.dropIfRepeated(change) {
+	p.setOffset(change)
+	if p.dropCopy(change) {
 		return
 	}
 	if p.subscriber == nil || change == (batch.Change{}) {
@@ -104,24 +105,26 @@
 	}
 }
 
-// dropIfRepeated sets the offset of a job or an early end that was just read. If it is a copy, of a job that begins
-// before the offset at which the read began, it drops it and returns true.
-func (p *partition) dropIfRepeated(change batch.Change) bool {
+// setOffset sets the offset of a job or an early end that was just read. A job that ended first has that of its end.
+func (p *partition) setOffset(change batch.Change) {
 	switch {
-	case change.Accepted != nil:
-		if !change.Accepted.EndedFirst {
-			change.Accepted.Start = p.messageOffset
-		}
-		if p.startsBeforeFollowedLocked(change.Accepted.Job.ID) {
-			p.fold.Drop(change.Accepted.Job.ID)
-			return true
-		}
+	case change.Accepted != nil && !change.Accepted.EndedFirst:
+		change.Accepted.Start = p.messageOffset
 	case change.EarlyEnd != nil:
 		change.EarlyEnd.Offset = p.messageOffset
-		if p.startsBeforeFollowedLocked(change.EarlyEnd.Key.ID) {
-			p.fold.ForgetEnd(change.EarlyEnd.Key)
-			return true
-		}
+	}
+}
+
+// dropCopy drops a job or an early end that was just read if the job begins before the offset at which the read began,
+// and reports whether it did: it is a second copy of the job, or a repeated end.
+func (p *partition) dropCopy(change batch.Change) bool {
+	switch {
+	case change.Accepted != nil && p.startsBeforeFollowedLocked(change.Accepted.Job.ID):
+		p.fold.Drop(change.Accepted.Job.ID)
+		return true
+	case change.EarlyEnd != nil && p.startsBeforeFollowedLocked(change.EarlyEnd.Key.ID):
+		p.fold.ForgetEnd(change.EarlyEnd.Key)
+		return true
 	}
 	return false
 }
