Back ends of the first design return the ID of each request

Found by reading; no stand-in of it sends answers twice.

Each request to a service or an engine now carries a new ID, which the back end returns; internal/roundtrip judges as for the users' platform.

--- a/internal/backend/engine_client.go
+++ b/internal/backend/engine_client.go
@@ -145,6 +145,7 @@
 		Path:    call.path,
 		Headers: make(http.Header),
 	}
+	out.Headers.Set(HeaderRequestID, newRequestID())
 	if call.body == nil {
 		return out, nil
 	}
--- a/internal/backend/generate_test.go
+++ b/internal/backend/generate_test.go
@@ -46,9 +46,9 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			server := httptest.NewServer(returnRequestID(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				fmt.Fprint(w, test.stream)
-			}))
+			})))
 			defer server.Close()
 			chunks, ended := generateAt(t, server, test.resume)
 			if ended.Reason != test.want || len(chunks) != test.chunks {
@@ -99,10 +99,10 @@
 		{status: 503, want: machine.EndRefused},
 	}
 	for _, test := range tests {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		server := httptest.NewServer(returnRequestID(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Retry-After", "2")
 			w.WriteHeader(test.status)
-		}))
+		})))
 		_, ended := generateAt(t, server, test.resume)
 		server.Close()
 		if ended.Reason != test.want || ended.RetryAfter != 2*time.Second {
@@ -138,7 +138,7 @@
 func TestReportSaysWhatFailed(t *testing.T) {
 	client := NewEngineClient(Options{})
 	defer client.Close()
-	server := httptest.NewServer(http.NotFoundHandler())
+	server := httptest.NewServer(returnRequestID(http.NotFoundHandler()))
 	defer server.Close()
 	poll := machine.PollBackend{Backend: "e1", Kind: cluster.KindEngine, Address: server.Listener.Addr().String()}
 	got := client.Report(t.Context(), poll)
--- a/internal/backend/service_client.go
+++ b/internal/backend/service_client.go
@@ -49,13 +49,15 @@
 	"Content-Length": true,
 	"Host":           true,
 	HeaderDeadline:   true,
+	HeaderRequestID:  true,
 }
 
 // withoutOnAnswer lists server's headers that are not passed to the caller.
 var withoutOnAnswer = map[string]bool{
-	HeaderLoad:    true,
-	HeaderLeaving: true,
-	HeaderNotRun:  true,
+	HeaderLoad:      true,
+	HeaderLeaving:   true,
+	HeaderNotRun:    true,
+	HeaderRequestID: true,
 }
 
 // ServiceRequest is one attempt of a caller's request.
@@ -168,10 +170,15 @@
 	return nil
 }
 
+// maxAddedHeaders is the largest number of headers that requestHeaders adds to those
+// of the caller.
+const maxAddedHeaders = 3
+
 // requestHeaders returns the headers that go to the server.
 func requestHeaders(request ServiceRequest) http.Header {
-	headers := make(http.Header, len(request.Headers)+2)
+	headers := make(http.Header, len(request.Headers)+maxAddedHeaders)
 	roundtrip.CopyEndToEnd(headers, request.Headers, withoutOnRequest)
+	headers.Set(HeaderRequestID, newRequestID())
 	if _, ok := headers["User-Agent"]; !ok {
 		// An empty value keeps the transport from adding its own.
 		headers["User-Agent"] = []string{""}
--- a/internal/backend/service_client_test.go
+++ b/internal/backend/service_client_test.go
@@ -63,7 +63,7 @@
 		if number > 1 {
 			return
 		}
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		fmt.Fprint(conn, withRequestID("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", request))
 	}
 }
 
@@ -182,7 +182,21 @@
 	}
 }
 
-// rawServer answers each connection with fixed bytes and closes it.
+// withRequestID adds the ID of a request to the head of an answer.
+func withRequestID(answer string, request *http.Request) string {
+	named := "\r\n" + HeaderRequestID + ": " + request.Header.Get(HeaderRequestID) + "\r\n"
+	return strings.Replace(answer, "\r\n", named, 1)
+}
+
+// returnRequestID has a handler return the ID of each request, as back ends do.
+func returnRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// rawServer answers each connection with fixed bytes and the request's ID, and closes it.
 func rawServer(t *testing.T, answer string) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -196,8 +210,9 @@
 			if err != nil {
 				return
 			}
-			_, _ = http.ReadRequest(bufio.NewReader(conn))
-			fmt.Fprint(conn, answer)
+			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				fmt.Fprint(conn, withRequestID(answer, request))
+			}
 			conn.Close()
 		}
 	}()
@@ -274,7 +289,7 @@
 
 func TestHeadersBothWays(t *testing.T) {
 	var got *http.Request
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(returnRequestID(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got = r
 		w.Header().Set("Connection", "X-Private")
 		w.Header().Set("X-Private", "1")
@@ -282,7 +297,7 @@
 		w.Header().Set(HeaderLoad, "7")
 		w.Header().Set(HeaderLeaving, "true")
 		fmt.Fprint(w, "ok")
-	}))
+	})))
 	defer server.Close()
 	client := NewServiceClient(Options{})
 	defer client.Close()
@@ -299,6 +314,7 @@
 				"Expect":          {"100-continue"},
 				"Idempotency-Key": {"k"},
 				HeaderDeadline:    {"999999999"},
+				HeaderRequestID:   {"of the caller"},
 			},
 			Deadline: time.Now().Add(time.Hour),
 		})
@@ -311,6 +327,10 @@
 		if left := got.Header.Get(HeaderDeadline); len(left) != len("3599999") {
 			t.Errorf("%s: deadline header %q", method, left)
 		}
+		if id := got.Header.Get(HeaderRequestID); id == "" || id == "of the caller" {
+			t.Errorf("%s: request ID %q", method, id)
+		}
+		got.Header.Del(HeaderRequestID)
 		got.Header.Del(HeaderDeadline)
 		got.Header.Del("Content-Length")
 		want := http.Header{"Idempotency-Key": {"k"}}
@@ -355,7 +375,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			server := httptest.NewServer(test.handler)
+			server := httptest.NewServer(returnRequestID(test.handler))
 			defer server.Close()
 			client := NewServiceClient(Options{BufferLimit: 8})
 			defer client.Close()
--- a/internal/backend/transport.go
+++ b/internal/backend/transport.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"time"
 
@@ -60,11 +61,19 @@
 	return o
 }
 
+// HeaderRequestID carries a new ID with each request. A back end returns it with the
+// answer; an answer with another ID, or without one, is not that of the request.
+const HeaderRequestID = "Dalehook-Request-Id"
+
+// newRequestID returns the ID of one request to a back end.
+func newRequestID() string { return rand.Text() }
+
 // transport returns the transport that the clients send by.
 func (o Options) transport() *roundtrip.Transport {
 	return roundtrip.New(roundtrip.Options{
 		IdleTimeout: o.IdleTimeout,
 		IdlePerPeer: o.IdlePerBackend,
 		Dial:        o.Dial,
+		IDHeader:    HeaderRequestID,
 	})
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"dalehook/internal/backend"
 )
 
 // FaultName identifies a fault. Stand-ins and the simulator use the same names.
@@ -216,9 +218,10 @@
 	}
 }
 
-// guard wraps a handler with the crash and freeze faults.
+// guard wraps a handler with the crash and freeze faults, and returns the request's ID with the response.
 func (f *faults) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backend.HeaderRequestID, r.Header.Get(backend.HeaderRequestID))
 		if f.active(FaultCrash) || !f.awaitEnd(r.Context(), FaultFreeze) {
 			abort()
 		}
