Job log: a job in the cache of single jobs is read on while it is asked for

A caller that asked a node again and again for an item, or for results from an early position, got the node's first answer for as long as it asked: an item's body after its job had ended, one result of three.

Cause: a node that read a job singly, since it knew no coordinator yet, kept it in its cache, and each further call that the cache satisfied counted as a request without starting a read. Callers of the pages ask for the next position, which the cache does not satisfy; that reads on.

Evidence: TestJobIsVisibleOnlyToItsTenant timed out in 2 of 48 runs beside each other under race. Its log has the end acknowledged and the run cancelled 0.9 s later at the coordinator, while the other node's reads of the item were never answered 404 in 60 s.

Change: a cached answer whose last read is older than MaxStaleness starts the next read. What counts for eviction is kept apart from what asks for a read.

TestCachedJobIsReadOnWhileItIsAskedFor fails without the change (60 s).

--- a/internal/joblog/ended_jobs_test.go
+++ b/internal/joblog/ended_jobs_test.go
@@ -287,3 +287,27 @@
 	first.active = false
 	first.mutex.Unlock()
 }
+
+// A job that is answered from the cache of single jobs must be read on meanwhile: callers that asked again and again
+// from an early position, or for an item, got the first answer for as long as they asked.
+func TestCachedJobIsReadOnWhileItIsAskedFor(t *testing.T) {
+	memory := storetest.NewMemory()
+	writer := NewLogs(Options{Log: memory, Partitions: 1, Logger: zap.NewNop()})
+	appendJob(t, memory, writer, "other", 1, 0)
+	appendJob(t, memory, writer, "job", 3, 1)
+	indexJob(t, memory, "job", 1)
+	logs := startLogs(t, memory)
+	checkRead(t, logs, "job", 0, 1)
+	appendResults(t, writer, "job", 1, 2)
+	results := 0
+	eventually(t, "the second result from the first position", func() bool {
+		logs.ViewCached("job", HasPosition(0), func(state *batch.State) { results = len(state.Results) })
+		return results == 2
+	})
+	appendEnd(t, writer, "job")
+	ended := false
+	eventually(t, "the end, asked for an item", func() bool {
+		logs.ViewCached("job", HasItem("i2"), func(state *batch.State) { ended = state.Ended })
+		return ended
+	})
+}
--- a/internal/joblog/single_job_reader.go
+++ b/internal/joblog/single_job_reader.go
@@ -35,9 +35,11 @@
 	next    int64
 	// caughtUpAsOf is the request time of the last read that reached the partition's end.
 	caughtUpAsOf time.Time
-	// active is true while a goroutine reads; lastRequestedAt is the time of the last request.
+	// active is true while a goroutine reads; lastRequestedAt is the time of the last request to read.
 	active          bool
 	lastRequestedAt time.Time
+	// lastUsedAt is when a caller last asked for the job, whether or not that took a read.
+	lastUsedAt time.Time
 	// waiters is the number of callers that wait for new records.
 	waiters int
 	// bytes is the size of all received records, including those of other jobs.
@@ -80,14 +82,19 @@
 	return nil
 }
 
-// viewCached calls visit if the records read so far satisfy the condition, and reports whether it did.
+// viewCached calls visit if the records read so far satisfy the condition, and reports whether it did. If
+// the last read is older than MaxStaleness, it starts the next one for the callers that come later.
 func (r *singleJobReader) viewCached(condition Condition, visit func(*batch.State)) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !r.satisfies(condition) {
 		return false
 	}
-	r.lastRequestedAt = clock.Now()
+	now := clock.Now()
+	r.lastUsedAt = now
+	if !r.endedLocked() && now.Sub(r.caughtUpAsOf) >= MaxStaleness {
+		r.requestRead(now)
+	}
 	visit(r.fold.Job(r.jobID))
 	return true
 }
@@ -148,6 +155,9 @@
 	if requestedAt.After(r.lastRequestedAt) {
 		r.lastRequestedAt = requestedAt
 	}
+	if requestedAt.After(r.lastUsedAt) {
+		r.lastUsedAt = requestedAt
+	}
 	if !r.active {
 		r.active = r.readers.start(r.run)
 	}
@@ -274,7 +284,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !r.active && r.waiters == 0 {
-		idle = clock.Since(r.lastRequestedAt)
+		idle = clock.Since(r.lastUsedAt)
 	}
 	return idle, r.bytes
 }
--- a/internal/joblog/single_job_readers.go
+++ b/internal/joblog/single_job_readers.go
@@ -79,9 +79,10 @@
 	if len(j.byJob) == 0 {
 		time.AfterFunc(jobRetention, j.evictPeriodically)
 	}
+	now := clock.Now()
 	reader := &singleJobReader{
 		log: p.log, at: p.at, jobID: jobID, from: from, next: from, logger: p.logger, readers: j,
-		changed: make(chan struct{}), fold: batch.NewJobFold(jobID), lastRequestedAt: clock.Now(),
+		changed: make(chan struct{}), fold: batch.NewJobFold(jobID), lastRequestedAt: now, lastUsedAt: now,
 	}
 	// Evict before adding: the new reader is not active yet and would be evicted first.
 	j.evictLocked()
