Scheduler, coordinator: why items wait is logged, counted and explained

Change: Machine.Waits gives the items without progress for a second while engines of their service have free slots, with a typed reason: that of the engine nearest to taking the item. The coordinator reports every 2 s: one line by reason, at most 8 items, at most 64 compared with engines; a counter by reason. explain shows both lines. No decision changes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -71,6 +71,9 @@
 	ObserveResult(outcome string)
 	// ObserveLoad records whether an engine had the ordered version afterwards.
 	ObserveLoad(loaded bool)
+	// ObserveWait records the time for which an item has waited although engines had free slots, since it
+	// was last recorded.
+	ObserveWait(reason scheduler.WaitReason, waited time.Duration)
 	// ObserveReward records the verdict of a reward call and the time since its item's
 	// text was complete.
 	ObserveReward(verdict reward.Verdict, waited time.Duration)
@@ -144,6 +147,8 @@
 	background    conc.WaitGroup
 	closed        bool
 	stateLoggedAt time.Time
+	// waitsReportedAt is when waiting items were last reported. Only Run uses it.
+	waitsReportedAt time.Time
 	// lastTickAt is the time of the scheduler's last tick in this term, initially the start of
 	// the term.
 	lastTickAt time.Time
@@ -173,6 +178,7 @@
 		case <-ticker.C:
 			c.withScheduler(c.tick)
 			c.logState()
+			c.reportWaits()
 		}
 	}
 }
--- a/internal/coordinator/handover_test.go
+++ b/internal/coordinator/handover_test.go
@@ -40,11 +40,12 @@
 // discardObserver discards all metrics.
 type discardObserver struct{}
 
-func (discardObserver) ObserveAttempt(scheduler.EndReason)          {}
-func (discardObserver) ObserveResult(string)                        {}
-func (discardObserver) ObserveMove()                                {}
-func (discardObserver) ObserveLoad(bool)                            {}
-func (discardObserver) ObserveReward(reward.Verdict, time.Duration) {}
+func (discardObserver) ObserveAttempt(scheduler.EndReason)              {}
+func (discardObserver) ObserveResult(string)                            {}
+func (discardObserver) ObserveMove()                                    {}
+func (discardObserver) ObserveWait(scheduler.WaitReason, time.Duration) {}
+func (discardObserver) ObserveLoad(bool)                                {}
+func (discardObserver) ObserveReward(reward.Verdict, time.Duration)     {}
 
 // appendJob appends a job with the given number of items.
 func appendJob(t *testing.T, jobs *joblog.Logs, id string, items int) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -198,7 +198,7 @@
 }
 
 // allJobsMessages are the messages that affect all batch jobs.
-var allJobsMessages = map[string]bool{"lease taken": true, "lease lost": true, "holder ended": true}
+var allJobsMessages = map[string]bool{"lease taken": true, "lease lost": true, "holder ended": true, "items wait": true}
 
 func (e Entry) isRelated(participants map[string]bool, belongsToJob bool) bool {
 	if belongsToJob && allJobsMessages[e.Message] || nodeMessages[e.Message] && participants[e.Source] {
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -33,6 +33,7 @@
 	jobReadsMisread   prometheus.Counter
 	itemAttempts      *prometheus.CounterVec
 	itemMoves         prometheus.Counter
+	itemWaits         *prometheus.CounterVec
 	results           *prometheus.CounterVec
 	loads             *prometheus.CounterVec
 	rewardCalls       *prometheus.CounterVec
@@ -77,6 +78,8 @@
 		itemMoves: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_item_moves_total", Help: "Runs that were cut to resume their items on other engines.",
 		}),
+		itemWaits: counter("dalehook_item_wait_seconds_total",
+			"Time that items have waited beyond a second while engines had free slots, by reason, at the coordinator. Of many items only the longest waits count.", "reason"),
 		results:     counter("dalehook_results_total", "Results written by outcome.", "outcome"),
 		loads:       counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
 		rewardCalls: counter("dalehook_reward_calls_total", "Sends of reward calls by what came of them.", "verdict"),
@@ -103,7 +106,7 @@
 		}),
 		foreignResponses: counter("dalehook_foreign_responses_total", "Responses of servers in the place of another one, by status.", "status"),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.itemMoves, m.results, m.loads,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.itemMoves, m.itemWaits, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, collectors.NewGoCollector())
 	m.overload = newOverloadMetrics(m.registry)
@@ -200,6 +203,11 @@
 // ObserveMove implements coordinator.Observer.
 func (m *nodeMetrics) ObserveMove() { m.itemMoves.Inc() }
 
+// ObserveWait implements coordinator.Observer.
+func (m *nodeMetrics) ObserveWait(reason scheduler.WaitReason, waited time.Duration) {
+	m.itemWaits.WithLabelValues(reason.String()).Add(waited.Seconds())
+}
+
 // ObserveResult implements coordinator.Observer.
 func (m *nodeMetrics) ObserveResult(outcome string) { m.results.WithLabelValues(outcome).Inc() }
 
--- a/internal/scheduler/rewards.go
+++ b/internal/scheduler/rewards.go
@@ -16,6 +16,7 @@
 		return
 	}
 	owner.textComplete = true
+	owner.waitingSince = now
 	m.saveCheckpoint(now, owner, m.detachedRunName())
 	m.rewards.Add(now, owner.rewardItem(), owner.source.Reward, owner.job.partition, owner.job.expiresAt)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -41,7 +41,7 @@
 	promptHash uint64
 	// result is the result of an item that finished with OutcomeCompleted.
 	result *batch.Result
-	// waitingSince is when the item last entered its job's queue.
+	// waitingSince is when the item last entered its job's queue, or when its text was completed.
 	waitingSince time.Time
 	// movedAt is when the item was last moved to a faster engine.
 	movedAt time.Time
