Items and reward calls are owed whatever ends under them: no end of a server is held against them

What callers saw: items of a trainer's step stood at no server while servers had room, until the step's time was over (LOST). Any trainer can meet it after a burst of crashes: from the third end of an engine on (the fifth, if it made events) an item was held until it expired, and two ends kept it waiting for engines without another such item, for equal items, for probes. An answer would have cleared it; what is held gets none.

The class: a verdict from counting, on something that can be struck by chance, with no way back.

Change: the scheduler knows nothing of ends (suspicions.go is gone, with what it did to choice, order, ranks and moves); the coordinator reports no breaks, only that an engine that answered is alive; reward calls pass the gateway's quarantine. What only items used in crashwatch is gone: ends of one node alone, OnChange.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -92,7 +92,7 @@
 // Options configure a Coordinator.
 type Options struct {
 	Engines Engines
-	// CrashTracker tracks the items that crash engines; nil disables tracking.
+	// CrashTracker learns from completed runs which engines are alive; it may be nil.
 	CrashTracker *crashwatch.Tracker
 	Rewards      Rewards
 	Log          store.Log
@@ -272,14 +272,6 @@
 	c.withScheduler(func(now time.Time, machine *scheduler.Machine) { machine.HandleTable(now, table) })
 }
 
-// HandleSuspicions passes the crash tracker's current suspicions against requests and items to the
-// scheduler.
-func (c *Coordinator) HandleSuspicions() {
-	c.withScheduler(func(now time.Time, machine *scheduler.Machine) {
-		machine.HandleSuspicions(now, c.options.CrashTracker.Suspicions())
-	})
-}
-
 // HandleVersion records the newest weight version of a model.
 func (c *Coordinator) HandleVersion(model string, version int64) {
 	c.mutex.Lock()
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -8,7 +8,6 @@
 
 	"dalehook/internal/batch"
 	"dalehook/internal/clock"
-	"dalehook/internal/crashwatch"
 	"dalehook/internal/directory"
 	"dalehook/internal/scheduler"
 	"dalehook/internal/store"
@@ -101,7 +100,7 @@
 		zap.Int("memory_in_use", start.Inputs.MemoryInUse), zap.Int("memory_expected", start.Inputs.MemoryExpected),
 		zap.Int("memory_capacity", start.Inputs.MemoryCapacity), zap.Duration("took", clock.Since(began)),
 		zap.Stringer("reason", reason), zap.Error(err))
-	c.recordRunEnd(start, began, reason, events > 0)
+	c.recordAlive(start, began, reason)
 	c.withTermScheduler(machine, func(now time.Time) {
 		c.attemptCancels[start.Attempt]()
 		delete(c.attemptCancels, start.Attempt)
@@ -109,18 +108,11 @@
 	})
 }
 
-// recordRunEnd reports the end of a run to the crash tracker, before the item is queued for its next run.
-func (c *Coordinator) recordRunEnd(start scheduler.Start, began time.Time, reason scheduler.EndReason, progressed bool) {
-	tracker := c.options.CrashTracker
-	fingerprint := scheduler.ItemFingerprint(start.Tenant, start.Host, start.Item)
+// recordAlive tells the crash tracker that an engine answered a run. The ends of engines are no evidence against
+// items, which never crash engines by themselves.
+func (c *Coordinator) recordAlive(start scheduler.Start, began time.Time, reason scheduler.EndReason) {
 	switch reason {
-	case scheduler.EndBroken:
-		tracker.RecordBreak(fingerprint, directory.Server{
-			ID: start.Server.ID, Born: start.Server.Born, Address: start.Server.Address, Service: start.Server.Service,
-		}, crashwatch.InFlightRequest{SentAt: began, Progressed: progressed, LocalOnly: true})
 	case scheduler.EndCompleted, scheduler.EndFailed, scheduler.EndImpossible:
-		if tracker.Active() {
-			tracker.RecordResponse(fingerprint, directory.Incarnation{ID: start.Server.ID, Born: start.Server.Born}, began)
-		}
+		c.options.CrashTracker.RecordAlive(directory.Incarnation{ID: start.Server.ID, Born: start.Server.Born}, began)
 	}
 }
--- a/internal/coordinator/term.go
+++ b/internal/coordinator/term.go
@@ -60,7 +60,6 @@
 	for model, version := range c.newestVersions {
 		c.machine.HandleVersion(now, model, version)
 	}
-	c.machine.HandleSuspicions(now, c.options.CrashTracker.Suspicions())
 	c.handleServers(now, c.machine)
 	c.options.Logger.Info("term begun", zap.Int64("epoch", c.termEpoch))
 	termCtx, machine, lease := c.termCtx, c.machine, state.Lease
--- a/internal/crashwatch/share.go
+++ b/internal/crashwatch/share.go
@@ -63,7 +63,6 @@
 	t.mutex.Lock()
 	before := t.ledger
 	t.ledger = quarantine.NewLedger(t.options.Node)
-	clear(t.localOnly)
 	t.applyRecordsLocked(now, records)
 	for _, unsent := range t.unsent {
 		t.applyFindingLocked(unsent)
@@ -193,39 +192,24 @@
 	return nil
 }
 
-// addEndsLocked adds the end of a server to each request, and queues it for the store unless only
-// this node needs to know it.
+// addEndsLocked adds the end of a server to each request, and queues it for the store.
 func (t *Tracker) addEndsLocked(server directory.Incarnation, requests map[quarantine.Fingerprint]InFlightRequest) (added []quarantine.Fingerprint) {
 	for fingerprint, request := range requests {
 		end := quarantine.End{Fingerprint: fingerprint, Server: server, At: clock.Now(), Progressed: request.Progressed}
-		first := !t.ledger.HasEnds(fingerprint)
 		if !t.ledger.Add(end) {
 			continue
 		}
 		t.retractLocked(t.ledger.TakeEvicted())
 		added = append(added, fingerprint)
-		switch {
-		case request.LocalOnly && first:
-			t.localOnly[fingerprint] = true
-		case t.localOnly[fingerprint]:
-			delete(t.localOnly, fingerprint)
-			t.enqueueLocked(t.ledger.Case(fingerprint).Ends...)
-		default:
-			t.enqueueLocked(end)
-		}
+		t.enqueueLocked(end)
 	}
 	return added
 }
 
-// retractLocked removes ends from the store, except those that were never written.
+// retractLocked removes ends from the store.
 func (t *Tracker) retractLocked(ends []quarantine.End) {
 	for _, end := range ends {
-		if !t.localOnly[end.Fingerprint] {
-			t.enqueueRetractionLocked(end)
-		}
-	}
-	for _, end := range ends {
-		delete(t.localOnly, end.Fingerprint)
+		t.enqueueRetractionLocked(end)
 	}
 }
 
--- a/internal/crashwatch/sweep.go
+++ b/internal/crashwatch/sweep.go
@@ -1,7 +1,6 @@
 package crashwatch
 
 import (
-	"maps"
 	"time"
 
 	"dalehook/internal/quarantine"
@@ -25,7 +24,7 @@
 		}
 	}
 	t.confirmLocked(now, removesExpired)
-	changed := t.expireLocked(now, removesExpired) || t.ledger.HasAmbiguous()
+	changed := t.expireLocked(now, removesExpired)
 	t.updateLocked()
 	t.mutex.Unlock()
 	if changed {
@@ -56,6 +55,5 @@
 			t.enqueueRetractionLocked(confirmationOf(end.Fingerprint))
 		}
 	}
-	maps.DeleteFunc(t.localOnly, func(fingerprint quarantine.Fingerprint, _ bool) bool { return !t.ledger.HasEnds(fingerprint) })
 	return len(expired) > 0
 }
--- a/internal/crashwatch/tracker.go
+++ b/internal/crashwatch/tracker.go
@@ -14,7 +14,6 @@
 
 	"dalehook/internal/clock"
 	"dalehook/internal/directory"
-	"dalehook/internal/pause"
 	"dalehook/internal/quarantine"
 	"dalehook/internal/store"
 )
@@ -30,8 +29,6 @@
 	Logger    *zap.Logger
 	// StoreProxy reads and writes through other nodes while the store refuses this one.
 	StoreProxy StoreProxy
-	// OnChange is called when a suspicion has changed; it may be nil.
-	OnChange func()
 	// RemovesExpired reports whether this node removes expired records from the store and writes
 	// confirmations; a single node suffices. It may be nil.
 	RemovesExpired func() bool
@@ -68,15 +65,12 @@
 	ended map[directory.Incarnation]time.Time
 	// unsent are the findings to be written to the store.
 	unsent []finding
-	// localOnly are the requests whose only end is known to this node alone.
-	localOnly map[quarantine.Fingerprint]bool
 	// heldSince are the requests proven to crash servers, with the time at which that was found.
 	heldSince map[quarantine.Fingerprint]time.Time
 	// trials are the ambiguous requests that this node is running.
 	trials map[quarantine.Fingerprint]bool
-	// wake is signalled when servers may need probes, unsentWake when there are findings to write,
-	// changedWake when suspicions have changed.
-	wake, unsentWake, changedWake chan struct{}
+	// wake is signalled when servers may need probes, unsentWake when there are findings to write.
+	wake, unsentWake chan struct{}
 }
 
 // NewTracker returns an empty tracker. Without a probe it detects nothing itself.
@@ -84,9 +78,6 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
-	if options.OnChange == nil {
-		options.OnChange = func() {}
-	}
 	if options.RemovesExpired == nil {
 		options.RemovesExpired = func() bool { return false }
 	}
@@ -99,7 +90,8 @@
 	return &Tracker{
 		options: options, ledger: quarantine.NewLedger(options.Node),
 		disconnectedServers: make(map[directory.Incarnation]*disconnectedServer), ended: make(map[directory.Incarnation]time.Time),
-		localOnly: make(map[quarantine.Fingerprint]bool), heldSince: make(map[quarantine.Fingerprint]time.Time), trials: make(map[quarantine.Fingerprint]bool), wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1), changedWake: make(chan struct{}, 1),
+		heldSince: make(map[quarantine.Fingerprint]time.Time), trials: make(map[quarantine.Fingerprint]bool),
+		wake: make(chan struct{}, 1), unsentWake: make(chan struct{}, 1),
 	}
 }
 
@@ -133,22 +125,6 @@
 	return suspicion
 }
 
-// Suspicions returns the suspicions of all suspected requests.
-func (t *Tracker) Suspicions() map[quarantine.Fingerprint]quarantine.Suspicion {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	all := t.ledger.Suspicions(clock.Now())
-	for _, disconnected := range t.disconnectedServers {
-		if !disconnected.isProbing() {
-			continue
-		}
-		for fingerprint := range disconnected.requests {
-			all[fingerprint] = all[fingerprint].WithPossibleEnd()
-		}
-	}
-	return all
-}
-
 // BeginTrial reports whether this node may run an ambiguous request now: one run at a time. If
 // true, the caller must call EndTrial afterwards.
 func (t *Tracker) BeginTrial(fingerprint quarantine.Fingerprint) bool {
@@ -181,10 +157,6 @@
 	SentAt time.Time
 	// Progressed says that the request has produced events there.
 	Progressed bool
-	// LocalOnly says that no other node sends the request to servers. Its first end is not shared:
-	// a crash implicates everything that an engine runs, and nearly all of it is cleared by its
-	// next run.
-	LocalOnly bool
 }
 
 // RecordBreak records that a server broke the connection of a request sent to it.
@@ -200,25 +172,41 @@
 		t.recordServerEndLocked(disconnected, evidenceReplaced)
 	}
 	t.updateLocked()
-	probing := t.suspicionLocked(fingerprint).ProbePending
 	t.mutex.Unlock()
 	t.signal()
-	if probing {
-		// The next run of the request must not begin before the probes are known to be pending.
-		t.options.OnChange()
-	}
 }
 
 // RecordResponse records a complete response to a request sent at sentAt. It shows that the request
 // did not crash the server, and that the server had not ended at sentAt.
 func (t *Tracker) RecordResponse(fingerprint quarantine.Fingerprint, server directory.Incarnation, sentAt time.Time) {
 	t.mutex.Lock()
+	alive := t.recordAliveLocked(server, sentAt)
+	cleared := t.clearLocked(fingerprint)
+	t.finishChangeLocked(alive || cleared)
+}
+
+// RecordAlive records that a server responded to something sent at sentAt that no suspicion is held against,
+// such as a batch item: the server had not ended then.
+func (t *Tracker) RecordAlive(server directory.Incarnation, sentAt time.Time) {
+	if !t.Active() {
+		return
+	}
+	t.mutex.Lock()
+	t.finishChangeLocked(t.recordAliveLocked(server, sentAt))
+}
+
+// recordAliveLocked stops watching a server that responded to something sent after its first broken connection.
+func (t *Tracker) recordAliveLocked(server directory.Incarnation, sentAt time.Time) (changed bool) {
 	disconnected := t.disconnectedServers[t.incarnationAtLocked(server, sentAt)]
-	alive := disconnected != nil && sentAt.After(disconnected.firstBreakAt)
-	if alive {
-		t.stopWatchingLocked(disconnected)
+	if disconnected == nil || !sentAt.After(disconnected.firstBreakAt) {
+		return false
 	}
-	changed := t.clearLocked(fingerprint) || alive
+	t.stopWatchingLocked(disconnected)
+	return true
+}
+
+// finishChangeLocked updates the derived state after a change, and unlocks the mutex.
+func (t *Tracker) finishChangeLocked(changed bool) {
 	if changed {
 		t.updateLocked()
 	}
@@ -326,7 +314,7 @@
 
 // signal wakes the goroutines of Run.
 func (t *Tracker) signal() {
-	for _, wake := range []chan struct{}{t.wake, t.unsentWake, t.changedWake} {
+	for _, wake := range []chan struct{}{t.wake, t.unsentWake} {
 		select {
 		case wake <- struct{}{}:
 		default:
@@ -341,7 +329,6 @@
 func (t *Tracker) Run(ctx context.Context) {
 	var background conc.WaitGroup
 	defer background.Wait()
-	background.Go(func() { t.notifyChanges(ctx) })
 	if t.options.Log != nil {
 		background.Go(func() { t.follow(ctx) })
 		background.Go(func() { t.publish(ctx) })
@@ -362,24 +349,5 @@
 	}
 }
 
-// notifyInterval is the shortest time between two calls of OnChange: many servers may crash at
-// once, and each call reads all suspicions.
-const notifyInterval = 20 * time.Millisecond
-
-// notifyChanges calls OnChange after changes.
-func (t *Tracker) notifyChanges(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.changedWake:
-			t.options.OnChange()
-		}
-		if !pause.For(ctx, notifyInterval) {
-			return
-		}
-	}
-}
-
 // endedRetention is how long the end of a server is remembered, for connections that break later.
 const endedRetention = 10 * time.Second
--- a/internal/frontend/quarantine.go
+++ b/internal/frontend/quarantine.go
@@ -19,7 +19,6 @@
 		Node: n.processID(), Log: adapter.Log(), Directory: n.directory, Probe: adapter.Probe,
 		Logger:         logger.Named("quarantine"),
 		StoreProxy:     crashwatch.StoreProxy{Read: n.readQuarantineRelayed, Put: n.putQuarantineRelayed},
-		OnChange:       func() { n.coordinator.HandleSuspicions() },
 		RemovesExpired: func() bool { return n.coordinator.State().Leading },
 		Observer:       n.metrics, TimeOfDay: n.options.TimeOfDay,
 	})
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,7 +36,7 @@
 func (g *Gateway) SendInternal(ctx context.Context, spec InternalRequest) InternalResult {
 	c := &call{
 		gateway: g, request: spec.Request, route: spec.Route, table: spec.Table, service: spec.Service,
-		deadline: spec.Request.Deadline, tried: make(map[directory.Incarnation]bool), notExecuted: true, repeatable: true,
+		deadline: spec.Request.Deadline, tried: make(map[directory.Incarnation]bool), notExecuted: true, repeatable: true, internal: true,
 	}
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.deadline))
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,9 @@
 	notExecuted bool
 	// repeatable requests may run more than once.
 	repeatable bool
+	// internal requests are made by this system for accepted batch jobs. They never crash servers by
+	// themselves, so that no end of a server is held against them.
+	internal bool
 	// failures counts the servers that answered with status 500.
 	failures int
 	// inTrial says that this call holds the node's only trial of an ambiguous request.
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -26,7 +26,7 @@
 // suspicion returns the current suspicion of the request.
 func (c *call) suspicion() quarantine.Suspicion {
 	tracker := c.gateway.options.CrashTracker
-	if !tracker.Active() {
+	if c.internal || !tracker.Active() {
 		return quarantine.Suspicion{}
 	}
 	return tracker.Suspicion(c.fingerprint())
@@ -84,12 +84,20 @@
 func (c *call) reportToTracker(server *directory.Server, start time.Time, breakErr error, progressed, answered bool) {
 	tracker := c.gateway.options.CrashTracker
 	switch {
+	case breakErr != nil && c.internal:
+		c.logBreak(server, start, breakErr, zap.Skip())
 	case breakErr != nil:
 		tracker.RecordBreak(c.fingerprint(), *server, crashwatch.InFlightRequest{SentAt: start, Progressed: progressed})
-		c.gateway.options.Logger.Info("connection broken by server", zap.String("request", c.request.ID),
-			zap.String("fingerprint", c.fingerprint().Short()), zap.String("server", server.ID), zap.Int64("born", server.Born),
-			zap.String("service", c.service), zap.Duration("took", clock.Since(start)), zap.Error(breakErr))
+		c.logBreak(server, start, breakErr, zap.String("fingerprint", c.fingerprint().Short()))
+	case answered && c.internal:
+		tracker.RecordAlive(server.Incarnation(), start)
 	case answered && tracker.Active():
 		tracker.RecordResponse(c.fingerprint(), server.Incarnation(), start)
 	}
 }
+
+func (c *call) logBreak(server *directory.Server, start time.Time, breakErr error, fingerprint zap.Field) {
+	c.gateway.options.Logger.Info("connection broken by server", zap.String("request", c.request.ID), fingerprint,
+		zap.String("server", server.ID), zap.Int64("born", server.Born), zap.String("service", c.service),
+		zap.Duration("took", clock.Since(start)), zap.Error(breakErr))
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -302,15 +302,6 @@
 // Unconfirm removes a confirmation.
 func (l *Ledger) Unconfirm(fingerprint Fingerprint) { delete(l.confirmed, fingerprint) }
 
-// Suspicions returns the suspicions of all requests.
-func (l *Ledger) Suspicions(now time.Time) map[Fingerprint]Suspicion {
-	all := make(map[Fingerprint]Suspicion, len(l.endsByRequest))
-	for fingerprint := range l.endsByRequest {
-		all[fingerprint] = l.Suspicion(now, fingerprint)
-	}
-	return all
-}
-
 // requiredEnds returns the number of attributed ends from which on a request is held.
 func (l *Ledger) requiredEnds(fingerprint Fingerprint) int {
 	for _, end := range l.endsByRequest[fingerprint] {
@@ -325,16 +316,6 @@
 	return len(l.endsByRequest[fingerprint]) >= minEndsAmbiguous && !l.isProven(fingerprint)
 }
 
-// HasAmbiguous reports whether any request is ambiguous, so that suspicions change with time alone.
-func (l *Ledger) HasAmbiguous() bool {
-	for fingerprint := range l.endsByRequest {
-		if l.isAmbiguous(fingerprint) {
-			return true
-		}
-	}
-	return false
-}
-
 // attributedEnds returns the number of ends attributed to a request.
 func (l *Ledger) attributedEnds(fingerprint Fingerprint) int {
 	count := 0
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -116,8 +116,8 @@
 		return true
 	}
 	position.advance(now, true)
-	if len(owner.route.Targets) > 1 || next.isPinnedToVersion() || m.suspicion(next).Ends > 0 {
-		// Version pinning and isolation restrict this item only: later items may still find an engine.
+	if len(owner.route.Targets) > 1 || next.isPinnedToVersion() {
+		// Version pinning restricts this item only: later items may still find an engine.
 		return false
 	}
 	position.passedOver++
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -119,10 +119,6 @@
 		owner.refusals++
 	}
 	owner.waitingSince = now
-	if m.suspicion(owner).Held {
-		owner.job.held = append(owner.job.held, owner)
-		return
-	}
 	owner.requeue()
 }
 
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -73,22 +73,17 @@
 // engine, or one without room, only under the conditions of takesSlow and fitsNow, and otherwise
 // waits.
 func (m *Machine) chooseEngine(now time.Time, next *item, engines []*engine, typicalGap float64) *engine {
-	suspicion := m.suspicion(next)
-	if !m.allowedBySuspicion(next, suspicion) {
-		return nil
-	}
 	var found candidates
 	need, needed := memoryUse{}, false
 	prompt := next.promptKey()
 	for _, eng := range engines {
-		if !m.canRun(now, next, eng) || suspicion.Ends >= isolationThreshold && m.runsIsolatedItem(eng) {
+		if !m.canRun(now, next, eng) {
 			continue
 		}
 		if !needed {
 			need, needed = m.memoryNeed(next), true
 		}
 		rated := eng.rate(now, next, need, typicalGap)
-		rated.penalty += isolationCost(suspicion, eng)
 		if !eng.awaitsSample(now, typicalGap) {
 			found.add(rated, need, prompt, typicalGap)
 		}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -34,7 +34,6 @@
 		}
 	}
 	slices.SortStableFunc(opened.queue, longestFirst)
-	m.separateHeld(opened)
 	for _, waiting := range opened.items {
 		waiting.group.resubmitted = waiting.group.resubmitted || waiting.resubmitted
 	}
@@ -206,6 +205,6 @@
 				m.recordDead(waiting)
 			}
 		}
-		job.queue, job.held = nil, nil
+		job.queue = nil
 	}
 }
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -6,7 +6,6 @@
 
 	"dalehook/internal/batch"
 	"dalehook/internal/lengths"
-	"dalehook/internal/quarantine"
 	"dalehook/internal/reward"
 	"dalehook/internal/routetable"
 )
@@ -54,9 +53,6 @@
 	// slotQueues are the predicted queues for slots at the time of a recent decision that needed them.
 	slotQueues slotQueues
 
-	// suspicions holds the items that engines crashed under.
-	suspicions map[quarantine.Fingerprint]quarantine.Suspicion
-
 	mayOrder bool
 	epoch    int64
 	// A stopped machine starts and orders nothing; its runs continue.
--- a/internal/scheduler/move.go
+++ b/internal/scheduler/move.go
@@ -66,7 +66,7 @@
 ) []*attempt {
 	var movable []*attempt
 	for _, running := range attempts {
-		if waiting[running.item.job.model] || !isMovable(now, running) || m.suspicion(running.item).Ends > 0 {
+		if waiting[running.item.job.model] || !isMovable(now, running) {
 			continue
 		}
 		if runsOnSlower(running, free[running.item.service]) {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"dalehook/internal/batch"
-	"dalehook/internal/quarantine"
 	"dalehook/internal/routetable"
 	"dalehook/internal/slowstart"
 )
@@ -35,8 +34,6 @@
 	retained bool
 	// resubmitted items were in an earlier job, and their trainer is waiting for them.
 	resubmitted bool
-	// fingerprint identifies the item in suspicions; zero until first needed.
-	fingerprint quarantine.Fingerprint
 	// promptHash identifies the prompt of the item's group; 0 until first needed.
 	promptHash uint64
 	// result is the result of an item that finished with OutcomeCompleted.
@@ -95,9 +92,6 @@
 	// ordered by slack again.
 	queue      []*item
 	queueDirty bool
-	// held holds items that are held because they crash engines. They stay here until they are
-	// released or expire, and do not block others.
-	held []*item
 	// unfinishedByGroup counts the items without a result in each group.
 	unfinishedByGroup map[string]int
 	// results holds the results in the log, by item.
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -44,9 +44,8 @@
 	// resubmitted groups were in an earlier job, and their trainer is waiting for them.
 	resubmitted bool
 	started     bool
-	// dead groups have an item that was given up, and held groups one that is held because it crashes
-	// engines.
-	dead, held bool
+	// dead groups have an item that was given up.
+	dead bool
 	// needed groups are among those that the trainer waits for.
 	needed bool
 	// longest is the longest predicted time that an item of the group still runs, in seconds.
@@ -140,7 +139,7 @@
 
 // measure predicts how long the items of a group still run.
 func (m *Machine) measure(subject *group, typicalGaps map[string]float64) {
-	subject.longest, subject.held = 0, false
+	subject.longest = 0
 	unfinished := subject.items[:0]
 	for _, member := range subject.items {
 		if member.job.items[member.source.ID] != member { // its result is in the log
@@ -151,7 +150,6 @@
 		unfinished = append(unfinished, member)
 		subject.started = subject.started || member.attempt != nil || member.finished || len(member.text) > 0
 		if !member.finished && !member.textComplete {
-			subject.held = subject.held || m.suspicion(member).Held
 			subject.longest = max(subject.longest, m.predictedSeconds(member, typicalGaps))
 		}
 	}
@@ -162,8 +160,8 @@
 // rankKey is the key by which the groups of a job that were not resubmitted are ranked; the lowest are needed.
 func (g *group) rankKey() float64 {
 	switch {
-	case g.dead || g.held:
-		return math.Inf(1) // the group can't become whole while an item is dead or held
+	case g.dead:
+		return math.Inf(1) // the group can't become whole
 	case g.needed && g.started:
 		return g.longest / startedGroupMargin
 	}
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -18,10 +18,6 @@
 	WaitUnrouted
 	// WaitStaleLog: the log of the job's partition was not read recently.
 	WaitStaleLog
-	// WaitHeld: engines ended under the item, and it is held.
-	WaitHeld
-	// WaitIsolated: engines ended under the item, and it has to run apart from others.
-	WaitIsolated
 	// WaitFull: no engine has a free slot.
 	WaitFull
 	// WaitLoading: the engines with free slots load a version, or drain to do so.
@@ -49,7 +45,7 @@
 // String implements fmt.Stringer.
 func (r WaitReason) String() string {
 	return [...]string{
-		"none", "unrouted", "stale log", "held", "isolated", "full", "loading", "paused", "warm-up",
+		"none", "unrouted", "stale log", "full", "loading", "paused", "warm-up",
 		"version", "memory", "slow", "order", "cancelled", "silent", "reward",
 	}[r]
 }
@@ -142,7 +138,6 @@
 
 // waitReason returns why an item makes no progress.
 func (m *Machine) waitReason(now time.Time, subject *item, typicalGap float64) WaitReason {
-	suspicion := m.suspicion(subject)
 	switch {
 	case subject.finished:
 		return WaitNone
@@ -156,10 +151,6 @@
 		return WaitUnrouted
 	case !m.isFresh(now, subject.job.partition):
 		return WaitStaleLog
-	case suspicion.Held:
-		return WaitHeld
-	case !m.allowedBySuspicion(subject, suspicion):
-		return WaitIsolated
 	}
 	reason := WaitFull
 	for _, eng := range m.sortedEngines() {
@@ -184,8 +175,6 @@
 		return WaitWarmUp
 	case !m.canRun(now, subject, eng):
 		return WaitVersion
-	case m.suspicion(subject).Ends >= isolationThreshold && m.runsIsolatedItem(eng):
-		return WaitIsolated
 	case !eng.hasRoom(need) && !eng.fitsNow(need):
 		return WaitMemory
 	case eng.awaitsSample(now, typicalGap) || eng.wasSlow(typicalGap):
