A 421 shows that a server's incarnation is gone: it is asked once, by whatever request

Cause: the list shows an engine that crashed for a few heartbeats, while its next incarnation answers at the address: 421. That was read as 'full': the engine was paused for 50 ms and asked again by each item, report and order. The class: a fact that is learned and not kept, so that each reader learns it again.

Change: Servers tells the node of each 421 to the expected incarnation, by a request, item, reward call, report or order alike; the directory takes that incarnation out of the ready list until its entry changes or is written again (10 s at most), and the scheduler ends its runs there. A late 421 about another incarnation or address does nothing.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -285,6 +285,14 @@
 	c.withScheduler(c.handleServers)
 }
 
+// HandleGone passes on that an incarnation of a server is gone, and the list of servers without it.
+func (c *Coordinator) HandleGone(gone directory.Incarnation) {
+	c.withScheduler(func(now time.Time, machine *scheduler.Machine) {
+		machine.HandleGone(gone)
+		c.handleServers(now, machine)
+	})
+}
+
 func (c *Coordinator) handleServers(now time.Time, machine *scheduler.Machine) {
 	if c.table == nil {
 		return
--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -86,7 +86,7 @@
 		events++
 		c.withTermScheduler(machine, func(now time.Time) { machine.HandleEvent(now, start.Attempt, event) })
 	})
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && reason != scheduler.EndGone { // runs of an engine that is gone are cancelled
 		reason = scheduler.EndCancelled
 	}
 	c.options.Observer.ObserveAttempt(reason)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -58,7 +58,7 @@
 // Snapshot is the list at one point in time. It is immutable once published.
 type Snapshot struct {
 	// all holds the servers of each service; ready holds those that accept new work, that is,
-	// neither draining nor in an evacuated zone. Both are ordered by id.
+	// neither draining, nor found to be gone, nor in an evacuated zone. Both are ordered by id.
 	all   map[string][]*Server
 	ready map[string][]*Server
 	count int
@@ -99,6 +99,8 @@
 type Directory struct {
 	mutex   sync.Mutex
 	servers map[string]*Server
+	// gone holds the listed servers that were found to be gone, by id.
+	gone map[string]goneServer
 	// evacuated are the zones whose servers get no new work.
 	evacuated map[string]bool
 	current   *Snapshot
@@ -107,7 +109,7 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{servers: make(map[string]*Server), current: &Snapshot{}}
+	return &Directory{servers: make(map[string]*Server), gone: make(map[string]goneServer), current: &Snapshot{}}
 }
 
 // MarkRead records that the list was read at now.
@@ -115,6 +117,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.readAt = now
+	d.expireGone(now)
 }
 
 // Age returns the time since the list was last read.
@@ -131,12 +134,13 @@
 	return d.servers[id]
 }
 
-// HasDigest reports whether a server is listed with the given digest.
+// HasDigest reports whether a server is listed with the given digest, so that an entry with this digest changes
+// nothing. It is false for a server that was found to be gone: its next entry shows that it is there.
 func (d *Directory) HasDigest(id string, digest uint64) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	server := d.servers[id]
-	return server != nil && server.Digest == digest
+	return server != nil && server.Digest == digest && !d.isGone(server)
 }
 
 // Replace replaces the whole list.
@@ -168,12 +172,13 @@
 			continue
 		}
 		if before != nil {
-			if change.Server != nil && equal(before, change.Server) && !WarmUpExtended(before, change.Server) {
+			if change.Server != nil && !d.isGone(before) && equal(before, change.Server) && !WarmUpExtended(before, change.Server) {
 				d.servers[change.ID] = change.Server
 				continue
 			}
 			services[before.Service] = true
 		}
+		delete(d.gone, change.ID)
 		if change.Server == nil {
 			delete(d.servers, change.ID)
 		} else {
@@ -224,7 +229,7 @@
 		servers := snapshot.all[service]
 		slices.SortFunc(servers, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
 		for _, server := range servers {
-			if !server.Draining && !d.evacuated[server.Zone] {
+			if !server.Draining && !d.evacuated[server.Zone] && !d.isGone(server) {
 				snapshot.ready[service] = append(snapshot.ready[service], server)
 			}
 		}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -49,6 +49,7 @@
 	requestsSuspected prometheus.Counter
 	requestsHeld      prometheus.Counter
 	foreignResponses  *prometheus.CounterVec
+	serversFoundGone  prometheus.Counter
 	overload          *overloadMetrics
 }
 
@@ -104,11 +105,14 @@
 		requestsHeld: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_requests_held_total", Help: "Requests that were found to crash servers, and are held.",
 		}),
+		serversFoundGone: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_servers_found_gone_total", Help: "Listed servers at whose address another incarnation answered.",
+		}),
 		foreignResponses: counter("dalehook_foreign_responses_total", "Responses of servers in the place of another one, by status.", "status"),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.itemMoves, m.itemWaits, m.results, m.loads,
 		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
-		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, collectors.NewGoCollector())
+		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, m.serversFoundGone, collectors.NewGoCollector())
 	m.overload = newOverloadMetrics(m.registry)
 	m.registerGauges(n, droppedLines)
 	return m
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -69,6 +69,9 @@
 	// ObserveForeignResponses sets the function that is called for each response of a server that came in
 	// the place of another one.
 	ObserveForeignResponses(observe func(serverID string, foreign *roundtrip.ForeignResponseError))
+	// ObserveGoneServers sets the function that is called, before the outcome of the request is returned, when
+	// another incarnation answers at the address of a server.
+	ObserveGoneServers(observe func(gone directory.Incarnation, address string))
 }
 
 // Provider is the external service that receives usage reports and scaling orders from the holder
@@ -178,6 +181,7 @@
 	})
 	adapter.ObserveStore(n.observeStore)
 	adapter.ObserveForeignResponses(n.observeForeignResponse)
+	adapter.ObserveGoneServers(n.handleGoneServer)
 	n.jobLogs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
 	})
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -11,6 +11,7 @@
 	"dalehook/internal/batch"
 	"dalehook/internal/bytebudget"
 	"dalehook/internal/clock"
+	"dalehook/internal/directory"
 	"dalehook/internal/drain"
 	"dalehook/internal/gateway"
 	"dalehook/internal/roundtrip"
@@ -98,6 +99,17 @@
 		zap.String("request", foreign.RequestID), zap.String("named", foreign.ResponseID))
 }
 
+// handleGoneServer takes a server whose address belongs to another incarnation out of the list, for all requests,
+// items and orders of this node.
+func (n *Node) handleGoneServer(gone directory.Incarnation, address string) {
+	if !n.directory.MarkGone(clock.Now(), gone, address) {
+		return
+	}
+	n.metrics.serversFoundGone.Inc()
+	n.logger.Info("server found gone", zap.String("server", gone.ID), zap.Int64("born", gone.Born), zap.String("address", address))
+	n.coordinator.HandleGone(gone)
+}
+
 // Serve answers a single request.
 func (n *Node) Serve(ctx context.Context, w http.ResponseWriter, table *routetable.Table, route *routetable.Route, request *gateway.Request) {
 	n.gateway.Serve(ctx, w, table, route, request)
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -89,8 +89,7 @@
 	return e.recentStarts.Full(now, slowstart.Limit(e.warmUpRate, e.slots, now.Before(e.warmAt)))
 }
 
-// discardEngine drops an engine that has restarted: its runs and loads ended with the previous
-// incarnation.
+// discardEngine drops an engine whose incarnation is gone: its runs and loads ended with it.
 func (m *Machine) discardEngine(eng *engine) {
 	for _, id := range slices.Sorted(maps.Keys(eng.attempts)) {
 		m.cancel(eng.attempts[id])
@@ -101,6 +100,17 @@
 	delete(m.engines, eng.server.ID)
 }
 
+// HandleGone processes that an incarnation of an engine is gone, so that nothing runs on it any more. It must be
+// followed by HandleServers, with a list that does not show the incarnation.
+func (m *Machine) HandleGone(gone directory.Incarnation) {
+	eng := m.engines[gone.ID]
+	if eng == nil || !eng.server.incarnation().MayBeSame(gone) {
+		return
+	}
+	m.discardEngine(eng)
+	m.sortedEngineCache = nil
+}
+
 // sortedEngines returns the engines ordered by ID. The slice is cached until engines are added or
 // removed.
 func (m *Machine) sortedEngines() []*engine {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -158,11 +158,13 @@
 	EndCancelled
 	// EndUnreached: no connection was made, and nothing was sent.
 	EndUnreached
+	// EndGone: another incarnation answered at the engine's address, and did not run the item.
+	EndGone
 )
 
 // String implements fmt.Stringer.
 func (r EndReason) String() string {
-	return [...]string{"completed", "not executed", "failed", "impossible", "broken", "cancelled", "unreached"}[r]
+	return [...]string{"completed", "not executed", "failed", "impossible", "broken", "cancelled", "unreached", "gone"}[r]
 }
 
 // Event is one event of an item's stream.
