Scheduler: only refusals move an item behind others, not engines that crash or are gone

Cause: an item that four attempts in a row did not start is put behind all others, of all jobs, since it may be too large for any engine. Connections that are refused and engines that crash were counted like that; they say nothing about the item. The class is that of the held items: chance, counted against what it strikes.

Change: only an engine's own refusal counts (503).

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -115,7 +115,7 @@
 			ended.engine.unresponsiveAt = now
 		}
 	}
-	if ended.events == 0 && (reason == EndNotExecuted || reason == EndBroken || reason == EndUnreached) {
+	if reason == EndNotExecuted {
 		owner.refusals++
 	}
 	owner.waitingSince = now
--- a/internal/scheduler/owed_test.go
+++ b/internal/scheduler/owed_test.go
@@ -129,3 +129,32 @@
 		f.advance(min(duration, testTick))
 	}
 }
+
+// Guards against an item that falls behind all others because engines crashed under it or could not be reached: that
+// was counted like refusals, which an item may bring about by its size.
+func TestOnlyRefusalsMoveAnItemBack(t *testing.T) {
+	cases := []struct {
+		reason EndReason
+		first  bool
+	}{
+		{EndBroken, true}, {EndUnreached, true}, {EndGone, true}, {EndCancelled, true}, {EndNotExecuted, false},
+	}
+	for _, c := range cases {
+		t.Run(c.reason.String(), func(t *testing.T) {
+			f := newFixture(t, nil)
+			f.servers(1, map[string]int64{"a": 1})
+			f.submit("j", 1, 30, 10)
+			for range 2 * maxRefusalsInFront {
+				last := f.starts[len(f.starts)-1]
+				if last.Item.ID != "j-0" {
+					break
+				}
+				f.end(last.Attempt, c.reason)
+				f.advance(DefaultEnginePause)
+			}
+			if last := f.starts[len(f.starts)-1]; (last.Item.ID == "j-0") != c.first {
+				t.Errorf("started items %v", f.startedItems())
+			}
+		})
+	}
+}
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -23,7 +23,8 @@
 	lastID       string
 	versions     []int64
 	failures     int
-	// refusals counts consecutive attempts that no engine accepted.
+	// refusals counts the attempts that engines refused since the item's last event. Engines that crash or are
+	// gone say nothing about the item.
 	refusals int
 	attempt  *attempt
 	// textComplete is set while the item waits for the answer to its reward call.
--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -56,7 +56,7 @@
 	Reason               WaitReason
 	// Waited is the time since the item's last progress.
 	Waited time.Duration
-	// Refusals is the number of consecutive attempts that no engine accepted.
+	// Refusals is the number of attempts that engines refused since the item's last event.
 	Refusals int
 	// FreeSlots is the number of free slots of listed engines of the item's service.
 	FreeSlots int
