Connections to one incarnation of a server carry no requests to the next one at its address

An unsafe request that breaks so is answered 502.

Cause: idle connections were kept by address. A process that ends without closing them leaves as many broken connections as were idle, and each breaks one request to its successor.

Change: Request.Peer names the incarnation; each has connections of its own.

--- a/internal/roundtrip/roundtrip.go
+++ b/internal/roundtrip/roundtrip.go
@@ -50,7 +50,7 @@
 // New returns a Transport without open connections.
 func New(options Options) *Transport {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := options.Dial(ctx, network, address)
+		conn, err := options.Dial(ctx, network, dialAddress(address))
 		if err != nil {
 			return nil, err
 		}
@@ -76,6 +76,9 @@
 	Method string
 	// Address is IP:PORT.
 	Address string
+	// Peer identifies the process at Address. Connections opened for one peer carry no requests to another. If
+	// empty, all processes at the address share their connections.
+	Peer string
 	// Path is the path and the query.
 	Path string
 	// Host is sent as the Host header; empty means the address.
@@ -106,7 +109,7 @@
 		return nil, &Error{Cause: eris.Wrap(err, "parse request path")}
 	}
 	target.Scheme = "http"
-	target.Host = r.Address
+	target.Host = r.poolAddress()
 	for attempt := 1; ; attempt++ {
 		response, failed, reused := t.attempt(ctx, r, target)
 		if failed == nil {
