--- a/internal/liveness/liveness.go
+++ b/internal/liveness/liveness.go
@@ -132,9 +132,12 @@
 	return Alive
 }
 
+// maxHandoverBytes bounds a handover, which holds the texts of all running items.
+const maxHandoverBytes = 64 << 20
+
 // TakeOver requests the handover of a process that gave up the lease of an epoch.
 func TakeOver(ctx context.Context, address string, epoch int64) (Handover, error) {
 	var handover Handover
-	err := nodecall.Call(ctx, address, methodHandOver, Request{Epoch: epoch}, &handover)
+	err := nodecall.CallForLongReply(ctx, address, methodHandOver, Request{Epoch: epoch}, &handover, maxHandoverBytes)
 	return handover, err
 }
--- a/internal/nodecall/nodecall.go
+++ b/internal/nodecall/nodecall.go
@@ -30,18 +30,23 @@
 			conn.Close()
 			continue // the caller has gone
 		}
-		go server.ServeConn(conn)
+		go server.ServeConn(newBoundedConn(conn, maxMessageBytes))
 	}
 }
 
 // Call makes one call to the node at an address, IP:PORT, on a connection of its own. If the node refuses
 // connections, the error wraps syscall.ECONNREFUSED.
 func Call(ctx context.Context, address, method string, arguments, reply any) error {
+	return CallForLongReply(ctx, address, method, arguments, reply, maxMessageBytes)
+}
+
+// CallForLongReply is Call for a reply of at most maxBytes bytes, which may be longer than replies usually are.
+func CallForLongReply(ctx context.Context, address, method string, arguments, reply any, maxBytes int) error {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "%s at node %s", method, address)
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(newBoundedConn(conn, maxBytes))
 	defer client.Close()
 	call := client.Go(method, arguments, reply, make(chan *rpc.Call, 1))
 	select {
--- a/internal/roundtrip/roundtrip.go
+++ b/internal/roundtrip/roundtrip.go
@@ -39,6 +39,9 @@
 // has been sent. An idle connection may have been closed by the back end.
 const maxUnsentAttempts = 3
 
+// MaxHeadBytes bounds the head of a response, which a faulty peer may send without end.
+const MaxHeadBytes = 64 << 10
+
 // Transport sends each request at most once and tracks whether any byte of it was
 // sent. It wraps an http.Transport, which would retry requests that it considers
 // replayable.
@@ -58,11 +61,12 @@
 	}
 	return &Transport{
 		transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConnsPerHost: options.IdlePerPeer,
-			IdleConnTimeout:     options.IdleTimeout,
-			DisableCompression:  true,
-			DisableKeepAlives:   options.SingleUse,
+			DialContext:            dial,
+			MaxIdleConnsPerHost:    options.IdlePerPeer,
+			IdleConnTimeout:        options.IdleTimeout,
+			DisableCompression:     true,
+			DisableKeepAlives:      options.SingleUse,
+			MaxResponseHeaderBytes: MaxHeadBytes,
 		},
 		idHeader: options.IDHeader,
 	}
