--- a/internal/scheduler/waits.go
+++ b/internal/scheduler/waits.go
@@ -70,8 +70,12 @@
 	Longest []Wait
 }
 
+// maxWaitComparisons bounds the comparisons of waiting items with engines by which one report finds its reasons.
+const maxWaitComparisons = 20_000
+
 // Waits returns the items that have made no progress for at least the given time, with the reasons of at most
-// limit of them. Items whose service has no free slot are left out: they wait for others to end.
+// limit of them, or of fewer in a large fleet. Items whose service has no free slot are left out: they wait for others
+// to end.
 func (m *Machine) Waits(now time.Time, atLeast time.Duration, limit int) WaitReport {
 	freeSlots := m.freeSlotsByService()
 	var waiting []waitingItem
@@ -86,6 +90,7 @@
 	slices.SortFunc(waiting, waitingItem.compare)
 	report := WaitReport{Total: len(waiting)}
 	typicalGaps := typicalGapsOf(m.sortedEngines())
+	limit = min(limit, max(maxWaitComparisons/max(len(m.engines), 1), 1))
 	for _, next := range waiting[:min(limit, len(waiting))] {
 		subject := next.item
 		report.Longest = append(report.Longest, Wait{
@@ -153,17 +158,18 @@
 		return WaitStaleLog
 	}
 	reason := WaitFull
+	need := m.memoryNeed(subject)
 	for _, eng := range m.sortedEngines() {
 		if eng.service == subject.service && eng.listed {
-			reason = max(reason, m.obstacle(now, subject, eng, typicalGap))
+			reason = max(reason, m.obstacle(now, subject, eng, need, typicalGap))
 		}
 	}
 	return reason
 }
 
-// obstacle returns what keeps an item from a listed engine of its service, or WaitOrder if nothing does.
-func (m *Machine) obstacle(now time.Time, subject *item, eng *engine, typicalGap float64) WaitReason {
-	need := m.memoryNeed(subject)
+// obstacle returns what keeps an item from a listed engine of its service, or WaitOrder if nothing does. need is what
+// the item would use of the engine's memory.
+func (m *Machine) obstacle(now time.Time, subject *item, eng *engine, need memoryUse, typicalGap float64) WaitReason {
 	switch {
 	case len(eng.attempts) >= eng.slots:
 		return WaitFull
