--- a/internal/explain/steps_test.go
+++ b/internal/explain/steps_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"os"
 	"strings"
 	"testing"
 
@@ -46,15 +45,7 @@
 // Guards against a table of steps without the item that a late step waited for, and against a history
 // of that item without the decisions on its runs (docs/OPERATIONS.md, case 11).
 func TestLateStep(t *testing.T) {
-	file, err := os.Open("testdata/late_step.log")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	entries, err := Read("late_step.log", file)
-	if err != nil {
-		t.Fatal(err)
-	}
+	entries := readTestLog(t, "late_step.log")
 	var text bytes.Buffer
 	timings := Steps(entries)
 	if err := WriteSteps(&text, timings); err != nil {
