--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -12,11 +12,8 @@
 
 	"dalehook/internal/build"
 	"dalehook/internal/clock"
-	"dalehook/internal/coordinator"
 	"dalehook/internal/crashwatch"
 	"dalehook/internal/gateway"
-	"dalehook/internal/reward"
-	"dalehook/internal/scheduler"
 )
 
 // latencyBuckets are the upper bounds of the histogram buckets, in seconds.
@@ -31,13 +28,6 @@
 	jobCalls          *prometheus.CounterVec
 	jobReads          *prometheus.CounterVec
 	jobReadsMisread   prometheus.Counter
-	itemAttempts      *prometheus.CounterVec
-	itemMoves         prometheus.Counter
-	itemWaits         *prometheus.CounterVec
-	results           *prometheus.CounterVec
-	loads             *prometheus.CounterVec
-	rewardCalls       *prometheus.CounterVec
-	rewardSeconds     prometheus.Histogram
 	storeCalls        *prometheus.CounterVec
 	storeSeconds      *prometheus.HistogramVec
 	keysRefused       *prometheus.CounterVec
@@ -50,13 +40,11 @@
 	requestsHeld      prometheus.Counter
 	foreignResponses  *prometheus.CounterVec
 	serversFoundGone  prometheus.Counter
+	items             *itemMetrics
 	overload          *overloadMetrics
 }
 
-var (
-	_ coordinator.Observer = (*nodeMetrics)(nil)
-	_ crashwatch.Observer  = (*nodeMetrics)(nil)
-)
+var _ crashwatch.Observer = (*nodeMetrics)(nil)
 
 func newNodeMetrics(n *Node, droppedLines func() int64) *nodeMetrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
@@ -75,18 +63,6 @@
 		jobReadsMisread: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_job_reads_misread_total", Help: "Reads of batch jobs that the coordinator, of another build, did not understand.",
 		}),
-		itemAttempts: counter("dalehook_item_attempts_total", "Runs of items by the way they ended.", "end"),
-		itemMoves: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "dalehook_item_moves_total", Help: "Runs that were cut to resume their items on other engines.",
-		}),
-		itemWaits: counter("dalehook_item_wait_seconds_total",
-			"Time that items have waited beyond a second while engines had free slots, by reason, at the coordinator. Of many items only the longest waits count.", "reason"),
-		results:     counter("dalehook_results_total", "Results written by outcome.", "outcome"),
-		loads:       counter("dalehook_loads_total", "Orders to load weights by what came of them.", "outcome"),
-		rewardCalls: counter("dalehook_reward_calls_total", "Sends of reward calls by what came of them.", "verdict"),
-		rewardSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "dalehook_reward_seconds", Help: "Time from an item's whole text to its score.", Buckets: latencyBuckets,
-		}),
 		storeCalls:   counter("dalehook_store_calls_total", "Calls to the store by call and status of the answer, 0 for none.", "call", "status"),
 		storeSeconds: histogram("dalehook_store_seconds", "Time of calls to the store that do not wait.", "call"),
 		keysRefused:  counter("dalehook_keys_refused_total", "Requests refused for their key: none, or one that is not known.", "key"),
@@ -98,7 +74,7 @@
 		requestsPastGrace: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_requests_past_grace_total", Help: "Requests that were under way at the end of a planned stop's grace period.",
 		}),
-		serverEnds: counter("dalehook_server_ends_total", "Servers that ended while they ran requests of this node, by evidence.", "evidence"),
+		serverEnds: counter("dalehook_server_ends_total", "Servers that ended while they ran callers' requests of this node, by evidence. Runs of items do not count.", "evidence"),
 		requestsSuspected: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_requests_suspected_total", Help: "Requests of this node under which servers ended.",
 		}),
@@ -110,9 +86,9 @@
 		}),
 		foreignResponses: counter("dalehook_foreign_responses_total", "Responses of servers in the place of another one, by status.", "status"),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.itemAttempts, m.itemMoves, m.itemWaits, m.results, m.loads,
-		m.rewardCalls, m.rewardSeconds, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, m.serversFoundGone, collectors.NewGoCollector())
+	m.items = newItemMetrics(m.registry)
 	m.overload = newOverloadMetrics(m.registry)
 	m.registerGauges(n, droppedLines)
 	return m
@@ -199,39 +175,6 @@
 	m.jobReads.WithLabelValues(source.String()).Inc()
 }
 
-// ObserveAttempt implements coordinator.Observer.
-func (m *nodeMetrics) ObserveAttempt(reason scheduler.EndReason) {
-	m.itemAttempts.WithLabelValues(reason.String()).Inc()
-}
-
-// ObserveMove implements coordinator.Observer.
-func (m *nodeMetrics) ObserveMove() { m.itemMoves.Inc() }
-
-// ObserveWait implements coordinator.Observer.
-func (m *nodeMetrics) ObserveWait(reason scheduler.WaitReason, waited time.Duration) {
-	m.itemWaits.WithLabelValues(reason.String()).Add(waited.Seconds())
-}
-
-// ObserveResult implements coordinator.Observer.
-func (m *nodeMetrics) ObserveResult(outcome string) { m.results.WithLabelValues(outcome).Inc() }
-
-// ObserveLoad implements coordinator.Observer.
-func (m *nodeMetrics) ObserveLoad(loaded bool) {
-	outcome := "failed"
-	if loaded {
-		outcome = "loaded"
-	}
-	m.loads.WithLabelValues(outcome).Inc()
-}
-
-// ObserveReward implements coordinator.Observer.
-func (m *nodeMetrics) ObserveReward(verdict reward.Verdict, waited time.Duration) {
-	m.rewardCalls.WithLabelValues(verdict.String()).Inc()
-	if verdict == reward.VerdictScored {
-		m.rewardSeconds.Observe(waited.Seconds())
-	}
-}
-
 // ObserveServerEnd implements crashwatch.Observer.
 func (m *nodeMetrics) ObserveServerEnd(evidence string, requests int) {
 	m.serverEnds.WithLabelValues(evidence).Inc()
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -198,7 +198,7 @@
 		TenantWeights: options.Settings.Scheduling.TenantWeights,
 		Fenced:        options.Settings.FencingEnforced,
 		Logger:        logger.Named("coordinator"),
-		Observer:      n.metrics,
+		Observer:      n.metrics.items,
 	})
 	n.usageSender, n.usageReporter = n.newUsage(logger)
 	n.scaling = n.newScaling(logger)
