--- a/internal/nodecall/bounded_conn.go
+++ b/internal/nodecall/bounded_conn.go
@@ -1,15 +1,16 @@
 package nodecall
 
 import (
-	"errors"
 	"net"
+
+	"github.com/rotisserie/eris"
 )
 
 // maxMessageBytes bounds a message of a call or its reply. Pages of results and of the store's records hold about
 // 1 MB.
 const maxMessageBytes = 4 << 20
 
-var errMessageTooLong = errors.New("message is too long")
+var errMessageTooLong = eris.New("message is too long")
 
 // boundedConn is a connection that fails once a gob message on it states a length above limit, or once more than
 // limit bytes were read in all: it carries one call and its reply. Without it the decoder would make room for the
--- a/internal/roundtrip/head_test.go
+++ b/internal/roundtrip/head_test.go
@@ -14,7 +14,6 @@
 
 // cutServer answers each request with the first bytes of a response, then closes the connection cleanly.
 type cutServer struct {
-	address string
 	// response is the whole response, length how many bytes of it are sent, pause the time before they are.
 	response string
 	length   int
@@ -23,25 +22,6 @@
 	whole int
 }
 
-func (s *cutServer) listen(t *testing.T) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	s.address = listener.Addr().String()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-}
-
 func (s *cutServer) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
@@ -105,12 +85,12 @@
 // checkCut sends requests to a server and checks whether the last one gets a whole response.
 func checkCut(t *testing.T, server *cutServer, whole bool) {
 	t.Helper()
-	server.listen(t)
+	address := serveConns(t, server.serve)
 	transport := New(Options{IdleTimeout: time.Minute, IdlePerPeer: 1, Dial: (&net.Dialer{}).DialContext})
 	defer transport.Close()
 	var err error
 	for range server.whole + 1 {
-		err = fetch(transport, server.address)
+		err = fetch(transport, address)
 		time.Sleep(time.Millisecond * time.Duration(10*server.whole)) // the connection becomes idle
 	}
 	if (err == nil) != whole {
--- a/internal/roundtrip/response_id_test.go
+++ b/internal/roundtrip/response_id_test.go
@@ -38,12 +38,19 @@
 }
 
 func newScriptedServer(t *testing.T, respond func(id string, nth int) (response, late string)) *scriptedServer {
+	t.Helper()
+	s := &scriptedServer{respond: respond}
+	s.address = serveConns(t, s.serve)
+	return s
+}
+
+// serveConns listens on a local port, handles each connection and returns the address.
+func serveConns(t *testing.T, handle func(net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedServer{address: listener.Addr().String(), respond: respond}
 	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
@@ -51,10 +58,10 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn)
+			go handle(conn)
 		}
 	}()
-	return s
+	return listener.Addr().String()
 }
 
 func (s *scriptedServer) serve(conn net.Conn) {
