--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -200,12 +200,15 @@
 // allJobsMessages are the messages that affect all batch jobs.
 var allJobsMessages = map[string]bool{"lease taken": true, "lease lost": true, "holder ended": true, "items wait": true}
 
+// serverMessages are the messages that affect all operations at a server.
+var serverMessages = map[string]bool{"server gone": true, "server changed": true, "server found gone": true}
+
 func (e Entry) isRelated(participants map[string]bool, belongsToJob bool) bool {
 	if belongsToJob && allJobsMessages[e.Message] || nodeMessages[e.Message] && participants[e.Source] {
 		return true
 	}
 	server, _ := e.Fields["server"].(string)
-	return participants[server] && (e.Message == "server gone" || e.Message == "server changed") && participants[e.Source] ||
+	return participants[server] && serverMessages[e.Message] && participants[e.Source] ||
 		participants[server] && e.Message == "load ordered"
 }
 
