review: case 7, a request that has run is answered 503

The answer of a server to an unsafe request is passed on whatever its status, also 503 without the header that says that nothing was executed. To a caller that is a promise.

--- a/review/harness-2/server.go
+++ b/review/harness-2/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,11 +38,14 @@
 	running  int
 	beats    int64
 	slow     float64
+	// grey is the share of its requests that the server fails after their work, ran holds those that it has run.
+	grey float64
+	ran  map[string]bool
 }
 
 // startServer starts a server and lists it.
 func (w *world) startServer(s *server) error {
-	s.world, s.version, s.slow = w, 1, 1
+	s.world, s.version, s.slow, s.ran = w, 1, 1, make(map[string]bool)
 	address, err := w.serve(s)
 	if err != nil {
 		return err
@@ -190,12 +194,35 @@
 	s.stream(w, r, id)
 }
 
-// serveSingle answers a request with a single body that names the server's service.
+// serveSingle runs a request and answers with a single body that names the server's service.
 func (s *server) serveSingle(w http.ResponseWriter, r *http.Request, id string) {
-	s.world.note("server %s of %s runs %s %s %s", s.id, s.service, id, r.Method, r.RequestURI)
+	s.mutex.Lock()
+	s.ran[id] = true
+	fails := rand.Float64() < s.grey
+	s.mutex.Unlock()
+	s.world.note("server %s of %s runs %s %s %s, fails: %t", s.id, s.service, id, r.Method, r.RequestURI, fails)
+	if fails {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	fmt.Fprintf(w, "%s %s", s.service, id)
 }
 
+// setGrey makes the server fail a share of its requests.
+func (s *server) setGrey(share float64) {
+	s.mutex.Lock()
+	s.grey = share
+	s.mutex.Unlock()
+	s.world.note("server %s fails %g of its requests", s.id, share)
+}
+
+// hasRun reports whether the server has run a request.
+func (s *server) hasRun(id string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ran[id]
+}
+
 // eventText returns the data of an item's event.
 func eventText(id string, number int, version int64) string {
 	return fmt.Sprintf("%s.%d@%d", id, number, version)
