--- a/review/harness-2/case6.go
+++ b/review/harness-2/comments.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-func init() { cases[6] = commentLines }
+func init() { cases[8] = commentLines }
 
-// Case 6: an engine sends a comment line after commentSilence without an event. slowFactor makes its work slow.
+// An engine sends a comment line after commentSilence without an event. slowFactor makes its work slow.
 const (
 	commentSilence = 500 * time.Millisecond
 	eventGap       = 140 * time.Millisecond
--- a/review/harness-2/node.go
+++ b/review/harness-2/node.go
@@ -37,9 +37,11 @@
 // waits until all are ready.
 func (w *world) startNodes(count int) error {
 	for i := range count {
-		if err := w.startNode(fmt.Sprint("node-", i+1)); err != nil {
+		started, err := w.launch(fmt.Sprint("node-", i+1))
+		if err != nil {
 			return err
 		}
+		w.nodes = append(w.nodes, started)
 	}
 	end := time.Now().Add(readyTimeout)
 	for _, n := range w.nodes {
@@ -56,35 +58,40 @@
 	return nil
 }
 
-func (w *world) startNode(name string) error {
+// launch starts a node.
+func (w *world) launch(name string) (*node, error) {
 	var addresses [4]string
 	for i := range addresses {
 		address, err := freeAddress()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		addresses[i] = address
 	}
+	duties, revocation, window, lateness := []string{}, 0, 0, 0
+	if w.provider != "" {
+		duties, revocation, window, lateness = []string{"usage"}, 5000, usageWindow, usageLateness
+	}
 	settings, err := json.Marshal(object{
 		"node": name, "zone": "cercado",
 		"listen":         object{"requests": addresses[0], "readiness": addresses[1], "internal": addresses[2], "metrics": addresses[3]},
 		"store":          object{"address": w.storeAt, "partitions": storePartitions},
-		"provider":       object{"address": "", "duties": []string{}},
-		"access":         object{"fail_closed": false, "revocation_ms": 0},
-		"usage":          object{"window_seconds": 0, "lateness_seconds": 0},
+		"provider":       object{"address": w.provider, "duties": duties},
+		"access":         object{"fail_closed": false, "revocation_ms": revocation},
+		"usage":          object{"window_seconds": window, "lateness_seconds": lateness},
 		"order_pause_ms": 3000, "leave_bound_ms": 2000, "fencing_enforced": true, "grace_seconds": 8,
 		"memory_mb": 344, "descriptors": 8200, "processor_share": 0.8,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	path := filepath.Join(w.directory, name+".json")
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
-		return err
+		return nil, err
 	}
 	output, err := os.Create(filepath.Join(w.directory, name+".log"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer output.Close()
 	n := &node{name: name, requests: addresses[0], readiness: addresses[1]}
@@ -94,11 +101,10 @@
 	// The process ends with this one, whatever ends this one.
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
-		return err
+		return nil, err
 	}
-	w.nodes = append(w.nodes, n)
 	w.note("%s started", name)
-	return nil
+	return n, nil
 }
 
 func (n *node) kill() {
--- a/review/harness-2/case7.go
+++ b/review/harness-2/refused.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases[7] = failureAfterRun }
+func init() { cases[6] = failureAfterRun }
 
 const (
 	saveHost   = "hwrr6.example"
--- a/review/harness-2/case5.go
+++ b/review/harness-2/route.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-func init() { cases[5] = encodedSlash }
+func init() { cases[7] = encodedSlash }
 
-// The services and the prefixes of case 5. splitPrefix is split off wholePrefix by the second configuration.
+// The services and the prefixes of the case of routes. splitPrefix is split off wholePrefix by the second configuration.
 const (
 	lookups      = "puente"
 	archive      = "archivo"
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -33,13 +33,15 @@
 	storeAt   string
 	nodes     []*node
 	began     time.Time
-
-	mutex    sync.Mutex
-	record   *os.File
-	broken   []string
-	down     bool
-	closers  []func()
-	versions map[string]int64
+	// provider is the address of the service that takes usage reports, and tenants those of the configuration, if there are any.
+	provider string
+	tenants  []object
+
+	mutex   sync.Mutex
+	record  *os.File
+	broken  []string
+	down    bool
+	closers []func()
 }
 
 // newWorld starts the stand-in of the store.
@@ -57,7 +59,7 @@
 	}
 	w := &world{
 		trouble: trouble, program: program, directory: directory, store: platformtest.NewStore(), began: time.Now(),
-		record: record, versions: make(map[string]int64),
+		record: record,
 	}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.store.PageSize = newestPageSize
@@ -145,6 +147,13 @@
 	w.note("store down: %t", down)
 }
 
+// nodeAt returns one node after the other.
+func (w *world) nodeAt(number int) *node {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.nodes[number%len(w.nodes)]
+}
+
 func (w *world) storeIsDown() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -156,10 +165,14 @@
 
 // putConfiguration puts a version of the configuration into the store.
 func (w *world) putConfiguration(version int, routes, services []object) error {
-	text, err := json.Marshal(object{
+	configuration := object{
 		"version": version, "routes": routes, "services": services,
 		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if w.tenants != nil {
+		configuration["tenants"] = w.tenants
+	}
+	text, err := json.Marshal(configuration)
 	if err != nil {
 		return err
 	}
@@ -168,13 +181,4 @@
 	return nil
 }
 
-// nameVersion names the newest weight version of a model.
-func (w *world) nameVersion(model string, version int64) {
-	w.mutex.Lock()
-	w.versions[model] = version
-	w.mutex.Unlock()
-	w.store.Memory.Put(store.TopicOperator, "version/"+model, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, version))
-	w.note("version %d of %s named", version, model)
-}
-
 var errNotReady = errors.New("the nodes were not ready in time")
