scheduler: items of an expired job are not started

startWaiting leaves out expired jobs, by the same condition as expireJobs. TestItemsOfAnExpiredJobDoNotStart failed before (one start), passes now.

--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -25,7 +25,7 @@
 		if job.isOrderedBySlack() {
 			bySlack = append(bySlack, job)
 		}
-		if len(job.queue) > 0 && job.route != nil && m.isFresh(now, job.partition) {
+		if len(job.queue) > 0 && job.route != nil && !job.hasExpired(now) && m.isFresh(now, job.partition) {
 			waiting = append(waiting, job)
 		}
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -202,10 +202,15 @@
 	m.sendRewards(now)
 }
 
+// hasExpired reports whether the job's items may be given up and are not started any more.
+func (j *job) hasExpired(now time.Time) bool {
+	return !j.expiresAt.IsZero() && !now.Before(j.expiresAt)
+}
+
 // expireJobs records the unfinished items of expired jobs as dead.
 func (m *Machine) expireJobs(now time.Time) {
 	for _, job := range m.sortedJobs() {
-		if job.expiresAt.IsZero() || now.Before(job.expiresAt) {
+		if !job.hasExpired(now) {
 			continue
 		}
 		for _, waiting := range sortedItems(job) {
--- a/internal/scheduler/waiting_test.go
+++ b/internal/scheduler/waiting_test.go
@@ -225,3 +225,20 @@
 		}
 	}
 }
+
+// Guards against items that reach an engine after their lifetime: between the expiry of a job and the next tick, any
+// event that frees a slot started its items.
+func TestItemsOfAnExpiredJobDoNotStart(t *testing.T) {
+	f := newFixture(t, nil)
+	f.submit("j", 1, 10)
+	f.now = f.now.Add(batchRoute().ItemLifetime)
+	f.readPartition()
+	f.servers(1, map[string]int64{"a": 1})
+	if len(f.starts) != 0 {
+		t.Errorf("starts %+v", f.starts)
+	}
+	f.advance(0)
+	if len(f.results) != 1 || f.results[0].Outcome != batch.OutcomeDead {
+		t.Errorf("results %+v", f.results)
+	}
+}
