scheduler: an item that is given up keeps its text until its result is read back

Cause: recordDead took the item for final and dropped its text, but not the ID of the last event and not the versions. Until the dead result is read back the job still holds the item; if the job's end comes first in the log, the result is void and the item is retained, with an ID and no text. An item that had waited for its score lost its text the same way and was listed in the next job as completed with an empty text.

Ruled out: a successor that recovers an ID without its text (one term; a saved part holds both), an engine that goes on unasked.

Change: text, ID and versions are one value, kept or dropped as a whole. An item that is given up keeps it until its result is read back, so that a later job goes on with the whole text.

--- a/internal/coordinator/output.go
+++ b/internal/coordinator/output.go
@@ -93,6 +93,7 @@
 	c.options.Logger.Info("item attempt ended", zap.String("job", start.JobID), zap.String("item", start.Item.ID),
 		zap.String("group", start.Item.Group), zap.Int("events", events),
 		zap.Uint64("attempt", uint64(start.Attempt)), zap.String("server", start.Server.ID), zap.String("after", start.After),
+		zap.Int("kept_events", start.Inputs.KeptEvents), zap.Stringer("kept_from", start.Inputs.KeptFrom),
 		zap.Int64("epoch", start.Inputs.Epoch), zap.Int64("version", start.Inputs.Version),
 		zap.Int("running", start.Inputs.Attempts), zap.Duration("gap", start.Inputs.Gap),
 		zap.Duration("read_age", start.Inputs.ReadAge), zap.Duration("slack", start.Inputs.Slack),
--- a/internal/scheduler/assign.go
+++ b/internal/scheduler/assign.go
@@ -176,7 +176,7 @@
 	m.lastID++
 	started := &attempt{id: m.lastID, item: next, engine: chosen, startedAt: now, lastEventAt: now}
 	next.attempt = started
-	next.unsaved = unsaved{from: next.lastID}
+	next.unsaved = unsaved{from: next.text.lastID}
 	next.checkpointAt = time.Time{}
 	m.attempts[started.id] = started
 	m.countRunning(next.job.tenant, 1)
@@ -194,7 +194,7 @@
 		Tenant:        next.job.tenant,
 		Item:          next.source,
 		Server:        chosen.server,
-		After:         next.lastID,
+		After:         next.text.lastID,
 		ExpectVersion: expected,
 		Deadline:      next.job.expiresAt,
 		Inputs:        inputs,
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -32,21 +32,19 @@
 	running.observe(now)
 	owner.refusals = 0
 	running.engine.versions[owner.job.model] = max(running.engine.versions[owner.job.model], event.Version)
-	owner.text = append(owner.text, event.Data)
+	owner.text.add(event)
 	m.recordGrowth(running)
-	owner.lastID = event.ID
-	owner.versions = batch.MergeVersions(owner.versions, []int64{event.Version})
 	owner.unsaved.text = append(owner.unsaved.text, event.Data)
 	owner.unsaved.versions = batch.MergeVersions(owner.unsaved.versions, []int64{event.Version})
 }
 
 func (m *Machine) wouldMixVersions(owner *item, version int64) bool {
-	return owner.isPinnedToVersion() && owner.versions[0] != version
+	return owner.isPinnedToVersion() && owner.text.versions[0] != version
 }
 
 // discardText drops the text of earlier attempts, so that the item starts over.
 func (i *item) discardText() {
-	i.text, i.versions, i.lastID = nil, nil, ""
+	i.text = generatedText{}
 	i.unsaved = unsaved{}
 }
 
@@ -141,10 +139,10 @@
 // notExecutedPause is how long an engine that refused an item gets no more items.
 const notExecutedPause = 50 * time.Millisecond
 
-// recordDead records an item as given up.
+// recordDead records an item as given up. It keeps its text, which a later job may use if this one ends before the
+// result is in the log.
 func (m *Machine) recordDead(owner *item) {
 	owner.finished = true
-	owner.text = nil
 	m.output.Results = append(m.output.Results, batch.Result{
 		JobID: owner.job.id, ItemID: owner.source.ID, Outcome: batch.OutcomeDead,
 	})
@@ -156,13 +154,13 @@
 	m.observeLength(owner, owner.result)
 	owner.result.Score = score
 	owner.finished = true
-	owner.text = nil
+	owner.discardText() // the result holds it
 	m.output.Results = append(m.output.Results, *owner.result)
 }
 
 // unscoredResult returns the result of an item with a complete text, without a score.
 func (i *item) unscoredResult() *batch.Result {
-	return &batch.Result{JobID: i.job.id, ItemID: i.source.ID, Text: joinLines(i.text), Versions: i.versions}
+	return &batch.Result{JobID: i.job.id, ItemID: i.source.ID, Text: i.text.joined(), Versions: i.text.versions}
 }
 
 // loadStallAllowance is the time after a load order during which runs on the engine are not
--- a/internal/scheduler/choose.go
+++ b/internal/scheduler/choose.go
@@ -41,7 +41,7 @@
 // isPinnedToVersion reports whether the item's text may only be continued by engines with the
 // version that generated it.
 func (i *item) isPinnedToVersion() bool {
-	return i.job.route != nil && i.job.route.SingleVersion && len(i.versions) > 0
+	return i.job.route != nil && i.job.route.SingleVersion && len(i.text.versions) > 0
 }
 
 // candidate is an engine that can run an item, with its cost.
@@ -265,6 +265,8 @@
 	return Inputs{
 		Epoch:           m.options.Epoch,
 		Version:         chosen.versions[next.job.model],
+		KeptEvents:      len(next.text.events),
+		KeptFrom:        next.text.origin,
 		Attempts:        len(chosen.attempts),
 		Gap:             seconds(chosen.gap),
 		ReadAge:         now.Sub(m.lastRead[next.job.partition]),
--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -55,7 +55,7 @@
 
 // remainingEvents returns the predicted number of events that an item still needs.
 func (m *Machine) remainingEvents(subject *item) float64 {
-	return m.lengths.Remaining(subject.lengthKey(), subject.source.Expected, len(subject.text))
+	return m.lengths.Remaining(subject.lengthKey(), subject.source.Expected, len(subject.text.events))
 }
 
 // observeLength records the length of an item from its result, unless it was recorded before: from the
@@ -71,7 +71,7 @@
 // memoryNeed returns what a run of an item would use of an engine's memory.
 func (m *Machine) memoryNeed(subject *item) memoryUse {
 	return memoryUse{
-		prompt: subject.source.Prompt, events: len(subject.text),
+		prompt: subject.source.Prompt, events: len(subject.text.events),
 		expected: int(math.Ceil(m.remainingEvents(subject))),
 	}
 }
--- a/internal/scheduler/owed_test.go
+++ b/internal/scheduler/owed_test.go
@@ -112,7 +112,7 @@
 
 func (f *crashFixture) produceEvents() {
 	for _, run := range f.machine.sortedAttempts() {
-		f.event(run.id, fmt.Sprint(len(run.item.text)+1), 1)
+		f.event(run.id, fmt.Sprint(len(run.item.text.events)+1), 1)
 	}
 }
 
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -39,11 +39,11 @@
 	if partial == nil {
 		return false
 	}
+	waiting.text = generatedText{lastID: partial.LastID, versions: partial.Versions, origin: TextRecovered}
 	if len(partial.Text) > 0 {
 		// A partial holds several events in one string. Split, they count as events in predictions.
-		waiting.text = strings.Split(joinLines(partial.Text), "\n")
+		waiting.text.events = strings.Split(joinLines(partial.Text), "\n")
 	}
-	waiting.lastID, waiting.versions = partial.LastID, partial.Versions
 	return partial.Complete
 }
 
@@ -98,7 +98,7 @@
 func (m *Machine) SaveCheckpoints(now time.Time) {
 	for _, job := range m.sortedJobs() {
 		for _, unfinished := range sortedItems(job) {
-			if !unfinished.finished && len(unfinished.text) > 0 {
+			if !unfinished.finished && len(unfinished.text.events) > 0 {
 				m.saveCheckpoint(now, unfinished, m.checkpointRunName(unfinished))
 			}
 		}
@@ -118,7 +118,7 @@
 // saveRetained saves the retained text of an item without an open job.
 func (m *Machine) saveRetained(now time.Time, kept *retainedItem) {
 	if kept.result == nil {
-		if len(kept.item.text) > 0 {
+		if len(kept.item.text.events) > 0 {
 			m.saveCheckpoint(now, kept.item, m.detachedRunName())
 		}
 		return
@@ -145,25 +145,25 @@
 		Tenant:   owner.job.tenant,
 		Run:      m.runName(running),
 		From:     owner.unsaved.from,
-		LastID:   owner.lastID,
+		LastID:   owner.text.lastID,
 		Text:     joinLines(owner.unsaved.text),
 		Versions: owner.unsaved.versions,
 	}})
-	owner.unsaved = unsaved{from: owner.lastID}
+	owner.unsaved = unsaved{from: owner.text.lastID}
 }
 
 // saveCheckpoint appends the full text of an item.
 func (m *Machine) saveCheckpoint(now time.Time, owner *item, run string) {
 	owner.checkpointAt = now
-	owner.unsaved = unsaved{from: owner.lastID}
+	owner.unsaved = unsaved{from: owner.text.lastID}
 	m.output.Progress = append(m.output.Progress, Progress{JobID: owner.job.id, Progress: batch.Progress{
 		ItemID:     owner.source.ID,
 		Tenant:     owner.job.tenant,
 		Run:        run,
 		Checkpoint: true,
-		LastID:     owner.lastID,
-		Text:       joinLines(owner.text),
-		Versions:   owner.versions,
+		LastID:     owner.text.lastID,
+		Text:       owner.text.joined(),
+		Versions:   owner.text.versions,
 		Whole:      owner.textComplete,
 	}})
 }
--- a/internal/scheduler/retention.go
+++ b/internal/scheduler/retention.go
@@ -88,11 +88,12 @@
 			m.reuseResult(now, waiting, entry)
 			return
 		}
-	case !acceptsVersions(opened, entry.item.versions):
+	case !acceptsVersions(opened, entry.item.text.versions):
 		entry.item.finished = true
 		m.cancel(entry.item.attempt)
 	default:
-		waiting.text, waiting.lastID, waiting.versions = entry.item.text, entry.item.lastID, entry.item.versions
+		waiting.text = entry.item.text
+		waiting.text.origin = TextRetained
 		if running := entry.item.attempt; running != nil && !running.cancelled {
 			waiting.attempt = running
 			waiting.unsaved = entry.item.unsaved
@@ -109,7 +110,9 @@
 // reuseResult sets an item's text to the retained complete text, with its score if both items have
 // the same reward call.
 func (m *Machine) reuseResult(now time.Time, waiting *item, entry *retainedItem) {
-	waiting.text, waiting.versions = []string{entry.result.Text}, entry.result.Versions
+	waiting.text = generatedText{
+		events: []string{entry.result.Text}, versions: entry.result.Versions, origin: TextRetained,
+	}
 	waiting.lengthObserved = entry.lengthObserved
 	if entry.result.Score != "" && entry.reward.Equal(waiting.source.Reward) {
 		m.recordCompleted(waiting, entry.result.Score)
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -41,7 +42,8 @@
 	ends  time.Time
 	// reason is how the run ends at that time; a cancelled attempt ends earlier.
 	reason EndReason
-	events int
+	// lastID is the number of the last event, which is also its ID.
+	lastID int
 	// unresponsive runs produce no events and end only when they are cancelled.
 	unresponsive bool
 }
@@ -57,8 +59,13 @@
 	newest         int64
 	jobs           int
 	accepted       map[string]bool
+	submitted      map[string][]batch.Item
 	waits          map[string]time.Duration
 	enginesStarted int
+	// lifetime and attemptLimit are those of the route.
+	lifetime     time.Duration
+	attemptLimit int
+	log          *simulatedLog
 }
 
 func newSimulation(t *testing.T, seed uint64) *simulation {
@@ -67,7 +74,8 @@
 	s := &simulation{
 		random: random, singleVersion: single, newest: 1,
 		engines: make(map[string]*simulatedEngine), attempts: make(map[AttemptID]*simulatedAttempt),
-		accepted: make(map[string]bool), waits: make(map[string]time.Duration),
+		accepted: make(map[string]bool), submitted: make(map[string][]batch.Item), waits: make(map[string]time.Duration),
+		lifetime: simulatedItemLifetime, attemptLimit: 1 << 30, log: newSimulatedLog(),
 	}
 	s.fixture = newFixture(t, func(route *routetable.Route) { s.shape(route) })
 	s.machine.HandleLease(s.now, 1, true)
@@ -79,8 +87,8 @@
 }
 
 func (s *simulation) shape(route *routetable.Route) {
-	route.SingleVersion, route.Resumable, route.ItemLifetime = s.singleVersion, true, simulatedItemLifetime
-	route.MaxAttempts = 1 << 30
+	route.SingleVersion, route.Resumable, route.ItemLifetime = s.singleVersion, true, s.lifetime
+	route.MaxAttempts = s.attemptLimit
 }
 
 func (s *simulation) configure(withRoute bool) {
@@ -184,22 +192,30 @@
 
 func (s *simulation) submit() {
 	id := fmt.Sprintf("j%d", s.jobs)
-	s.jobs++
 	var expected []int
 	for range 1 + s.random.IntN(6) {
 		expected = append(expected, 1+s.random.IntN(100))
 	}
-	job := &batch.Job{ID: id, Host: "h", Path: "/p/" + id, Model: "m", MinVersion: max(s.newest-int64(s.random.IntN(2)), 1)}
+	var items []batch.Item
 	for i, tokens := range expected {
-		item := fmt.Sprintf("%s-%d", id, i)
-		job.Items = append(job.Items, batch.Item{ID: item, Path: "/p/x", Expected: tokens, Group: fmt.Sprint(id, i%2)})
-		s.accepted[item] = true
+		items = append(items, batch.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p/x", Expected: tokens, Group: fmt.Sprint(id, i%2)})
+	}
+	s.submitItems(items, max(s.newest-int64(s.random.IntN(2)), 1))
+}
+
+// submitItems submits a job with the given items and oldest version.
+func (s *simulation) submitItems(items []batch.Item, minimum int64) {
+	id := fmt.Sprintf("j%d", s.jobs)
+	s.jobs++
+	s.submitted[id] = items
+	for i := range items {
+		s.accepted[items[i].ID] = true
 	}
-	s.machine.HandleJob(s.now, 0, job, nil)
+	s.append(batch.EncodeJob(&batch.Job{ID: id, Host: "h", Path: "/p/" + id, Model: "m", MinVersion: minimum, Items: items}))
 }
 
 func (s *simulation) endJob(id string) {
-	s.machine.HandleJobEnd(s.now, id)
+	s.append(batch.EncodeEnd(&batch.End{JobID: id}))
 	for item := range s.accepted {
 		if len(item) > len(id) && item[:len(id)+1] == id+"-" {
 			delete(s.accepted, item)
@@ -230,7 +246,7 @@
 	}
 	for i := range s.results[results:] {
 		result := s.results[results+i]
-		s.machine.HandleResult(s.now, &result)
+		s.append(batch.EncodeResult(&result))
 		delete(s.accepted, result.ItemID)
 	}
 }
@@ -238,6 +254,7 @@
 // begin chooses the random outcome of a run.
 func (s *simulation) begin(start Start) *simulatedAttempt {
 	running := &simulatedAttempt{start: start, ends: s.now.Add(simulatedRunTime), reason: EndCompleted}
+	running.lastID, _ = strconv.Atoi(start.After)
 	engine := s.engines[start.Server.ID]
 	switch {
 	case !engine.up:
@@ -300,8 +317,10 @@
 		return
 	}
 	if !running.unresponsive {
-		running.events++
-		s.machine.HandleEvent(s.now, id, Event{ID: fmt.Sprint(running.events), Data: "data", Version: eng.version})
+		running.lastID++
+		s.machine.HandleEvent(s.now, id, Event{
+			ID: strconv.Itoa(running.lastID), Data: eventData(running.lastID, eng.version), Version: eng.version,
+		})
 	}
 }
 
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -14,14 +14,11 @@
 	source *batch.Item
 	// service is the target of the route that this item goes to.
 	service string
-	// text holds the data of the events so far.
-	text    []string
+	text    generatedText
 	unsaved unsaved
 	// checkpointAt is when the full text was last saved; zero if the next save must be a
 	// checkpoint.
 	checkpointAt time.Time
-	lastID       string
-	versions     []int64
 	failures     int
 	// refusals counts the attempts that engines refused since the item's last event. Engines that crash or are
 	// gone say nothing about the item.
@@ -29,7 +26,8 @@
 	attempt  *attempt
 	// textComplete is set while the item waits for the answer to its reward call.
 	textComplete bool
-	// finished items wait for their result to appear in the log.
+	// finished items need nothing more from this machine. Until their result has been read back from the log,
+	// they keep their text: the end of the job may come first and void the result.
 	finished bool
 	// retained items belong to ended jobs; their runs may be claimed by a later job.
 	retained bool
@@ -37,7 +35,7 @@
 	resubmitted bool
 	// promptHash identifies the prompt of the item's group; 0 until first needed.
 	promptHash uint64
-	// result is the result of an item that finished with OutcomeCompleted.
+	// result is the result of an item that finished with OutcomeCompleted. It holds the text.
 	result *batch.Result
 	// waitingSince is when the item last entered its job's queue, or when its text was completed.
 	waitingSince time.Time
@@ -53,6 +51,29 @@
 	lengthObserved bool
 }
 
+// generatedText is what the runs of an item have generated so far. All of it is kept, or nothing.
+type generatedText struct {
+	// events holds the data of the events.
+	events []string
+	// lastID is the ID of the last event, after which another engine continues; empty without events, and for a
+	// complete text that was retained or recovered.
+	lastID string
+	// versions are the weight versions that generated the events, in ascending order.
+	versions []int64
+	// origin is where the item's job got the first events from.
+	origin TextOrigin
+}
+
+// add appends an event.
+func (t *generatedText) add(event Event) {
+	t.events = append(t.events, event.Data)
+	t.lastID = event.ID
+	t.versions = batch.MergeVersions(t.versions, []int64{event.Version})
+}
+
+// joined returns the data of all events, joined by line feeds.
+func (t *generatedText) joined() string { return joinLines(t.events) }
+
 // unsaved holds the events of an item's run since its last saved progress.
 type unsaved struct {
 	from     string
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -36,12 +36,32 @@
 	Inputs   Inputs
 }
 
+// TextOrigin is where a job got the first events of an item's text from.
+type TextOrigin int
+
+// Origins of texts.
+const (
+	// TextOwn: runs of the job itself generated all events.
+	TextOwn TextOrigin = iota
+	// TextRetained: this process kept the events of an earlier job.
+	TextRetained
+	// TextRecovered: the events were read from the progress that a predecessor saved.
+	TextRecovered
+)
+
+// String implements fmt.Stringer.
+func (o TextOrigin) String() string { return [...]string{"own", "retained", "recovered"}[o] }
+
 // Inputs are the values that the choice of the engine was based on, for logs.
 type Inputs struct {
 	// Epoch is the epoch of the lease.
 	Epoch int64
 	// Version is the last known weight version of the engine.
 	Version int64
+	// KeptEvents is the number of events that the item's text holds before the run. After is the ID of the last one.
+	KeptEvents int
+	// KeptFrom is where the first of these events came from.
+	KeptFrom TextOrigin
 	// Attempts is the number of other items running on the engine.
 	Attempts int
 	// Gap is the engine's time between events, or 0 if unknown.
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		unfinished = append(unfinished, member)
-		subject.started = subject.started || member.attempt != nil || member.finished || len(member.text) > 0
+		subject.started = subject.started || member.attempt != nil || member.finished || len(member.text.events) > 0
 		if !member.finished && !member.textComplete {
 			subject.longest = max(subject.longest, m.predictedSeconds(member, typicalGaps))
 		}
