gateway: a server's status promises no more than the server has stated

Cause: the status of any response without X-Not-Executed was passed on, also 408, 429 and 503, which mean to callers what only X-Not-Executed (or 421) states. Streams did the same, and so did the last failure of requests that may be repeated.

Ruled out: that the node itself refuses after an attempt that may have run.

Change: such a response is a failure of a request that may have run: another server where it may be repeated, else 502 without the server's signature, body and Retry-After.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,6 +137,8 @@
 	held bool
 	// rejected says that the last attempt ended with a rejection.
 	rejected bool
+	// serverStatus is the status of the last response of a server; 0 if there was none.
+	serverStatus int
 	// refusedShare is the share of the service's requests that were refused when this one arrived.
 	refusedShare float64
 	// overloadRetryAfter is the Retry-After of a request that was refused under overload; 0 for
@@ -201,7 +203,8 @@
 		retryAfter = zap.Int64("retry_after", c.retryAfterSent.Milliseconds())
 	}
 	c.gateway.options.Logger.Info("request answered",
-		zap.String("request", c.request.ID), zap.Int("status", status), zap.String("route", c.route.Name),
+		zap.String("request", c.request.ID), zap.Int("status", status),
+		zap.Int("server_status", c.serverStatus), zap.String("route", c.route.Name),
 		zap.String("service", c.service), zap.Int64("configuration", c.table.Version),
 		zap.Int("attempts", len(c.servers)), zap.Duration("list_age", c.gateway.options.Directory.Age(clock.Now())),
 		zap.Strings("servers", c.servers), zap.String("reason", c.reason), zap.Duration("took", took), refusedShare, retryAfter, fingerprint)
@@ -301,6 +304,14 @@
 	return c.gateway.options.Directory.Snapshot().Ready(c.service)
 }
 
+// noteResponse records the status of a server's response, and whether it rejected the request.
+func (c *call) noteResponse(response *Response, sendErr *SendError) {
+	c.rejected = sendErr == nil && response.NotExecuted
+	if sendErr == nil {
+		c.serverStatus = response.Status
+	}
+}
+
 // recordSendError records an attempt that gave no response.
 func (c *call) recordSendError(sendErr *SendError) {
 	c.reason = "broken: " + sendErr.Error()
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -327,7 +326,7 @@
 	switch {
 	case result.sendErr != nil:
 		end.backoff = failureBackoff
-	case result.response.NotExecuted, result.response.Status >= http.StatusInternalServerError:
+	case result.response.NotExecuted, result.response.failed():
 		end.backoff = overloadBackoff
 	default:
 		end.answered = true
--- a/internal/gateway/reasons.go
+++ b/internal/gateway/reasons.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"strconv"
 )
 
 // endReason says why a request's context has ended.
@@ -30,6 +31,9 @@
 	reasonCut = "cut: "
 )
 
+// failureReason is the reason of a call that a server failed with a status.
+func failureReason(status int) string { return "failed at the server: " + strconv.Itoa(status) }
+
 // writeEndReason says why a write to the caller has failed.
 func writeEndReason(err error) string {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -98,7 +98,7 @@
 
 // isFinal reports whether the result is final; pending is the number of attempts still running.
 func (c *call) isFinal(result attemptResult, pending int) bool {
-	c.rejected = result.sendErr == nil && result.response.NotExecuted
+	c.noteResponse(result.response, result.sendErr)
 	switch {
 	case result.sendErr != nil:
 		c.recordSendError(result.sendErr)
@@ -106,20 +106,24 @@
 	case c.rejected:
 		c.reason = reasonRejected
 		return false
-	case result.response.Status >= http.StatusInternalServerError && c.repeatable:
-		c.reason = "failed at the server: " + strconv.Itoa(result.response.Status)
-		c.notExecuted = false
-		if result.response.Status == http.StatusInternalServerError {
-			c.failures++
-		}
-		return pending == 0 && c.attempts >= max(c.route.MaxAttempts, 1)
 	}
-	return true
+	c.notExecuted = false
+	if !result.response.failed() {
+		return true
+	}
+	c.reason = failureReason(result.response.Status)
+	if result.response.Status == http.StatusInternalServerError {
+		c.failures++
+	}
+	return !c.repeatable || pending == 0 && c.attempts >= max(c.route.MaxAttempts, 1)
 }
 
 // writeResponse passes a response on to the caller.
 func (c *call) writeResponse(w http.ResponseWriter, result attemptResult) int {
 	defer result.close()
+	if result.response.promisesTooMuch() {
+		return c.writeFailure(w)
+	}
 	copyHeader(w.Header(), result.response.Header)
 	if result.response.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(result.response.Length, 10))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,7 +83,7 @@
 // forward passes a response on; done says that the caller has the final response.
 func (r *streamForwarder) forward(response *Response, sendErr *SendError) (done bool, status int) {
 	c := r.call
-	c.rejected = sendErr == nil && response.NotExecuted
+	c.noteResponse(response, sendErr)
 	if sendErr != nil {
 		c.recordSendError(sendErr)
 		if sendErr.Sent {
@@ -111,11 +111,11 @@
 	return false, 0
 }
 
-// forwardFailure passes on a response that is not a stream, unless another server may do better or
-// the header has been sent.
+// forwardFailure passes on a response that is not a stream, unless another server may do better, its status must not
+// be passed on, or the header has been sent.
 func (r *streamForwarder) forwardFailure(response *Response) (done bool, status int) {
-	r.call.reason = "failed at the server"
-	if r.headerSent || r.call.repeatable && response.Status >= http.StatusInternalServerError {
+	r.call.reason = failureReason(response.Status)
+	if r.headerSent || response.promisesTooMuch() || r.call.repeatable && response.failed() {
 		return false, 0
 	}
 	r.headerSent = true
--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -74,6 +74,25 @@
 	Signature string
 }
 
+// failed reports whether the server, which may have executed the request, failed to serve it. A status that promises
+// that the request was not executed is a failure too: only NotExecuted states that.
+func (r *Response) failed() bool {
+	return r.Status >= http.StatusInternalServerError || r.promisesTooMuch()
+}
+
+// promisesTooMuch reports whether the response's status tells a caller that the request was not executed, although the
+// server did not state so. Such a status is never passed on.
+func (r *Response) promisesTooMuch() bool { return !r.NotExecuted && promisesNotExecuted(r.Status) }
+
+// promisesNotExecuted reports whether a status tells callers that their request was not executed and never will be.
+func promisesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // SendError is the error of an attempt that gave no response.
 type SendError struct {
 	Cause error
