--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -232,7 +232,14 @@
 	return crashed, true
 }
 
+// acquireSlot waits for a slot and reports whether it has one. A free slot is taken even if the client has left, since
+// the request has arrived; one that has to wait is dropped with its client.
 func (s *Service) acquireSlot(r *http.Request, crashed <-chan struct{}) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
 	select {
 	case s.slots <- struct{}{}:
 		return true
