--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -74,6 +75,8 @@
 	// been sent; nil if it did not. complete says that a server's stream ended normally.
 	breakErr error
 	complete bool
+	// inFiller is set while the last part that was passed on is an incomplete comment.
+	inFiller bool
 	// writeErr is the error of a write to the caller; no further attempt is made then.
 	writeErr error
 	// aborted says that a response which is not a stream broke off.
@@ -140,10 +143,13 @@
 	_ = r.flush()
 }
 
-// forwardEvents passes complete events on as they arrive; it returns io.EOF at the end of the
-// stream.
+// forwardEvents passes complete events, and what stands between them, on as they arrive; it returns io.EOF at the end of
+// the stream.
 func (r *streamForwarder) forwardEvents(body io.Reader) error {
 	events := eventstream.NewReader(body)
+	if err := r.endFiller(); err != nil {
+		return err
+	}
 	for {
 		event, err := events.Read()
 		if errors.Is(err, io.EOF) {
@@ -153,20 +159,38 @@
 			r.breakErr = err
 			return err
 		}
-		if _, err := r.w.Write(event.Raw); err != nil {
-			r.writeErr = err
-			return err
-		}
-		if err := r.flush(); err != nil {
-			r.writeErr = err
+		if err := r.write(event.Raw); err != nil {
 			return err
 		}
+		r.inFiller = event.Filler && !bytes.HasSuffix(event.Raw, lineFeed)
 		if event.ID != "" {
 			r.lastEventID = event.ID
 		}
 	}
 }
 
+// lineFeed ends a line of a stream.
+var lineFeed = []byte("\n")
+
+// endFiller ends a comment within which the last server broke off, so that it does not swallow the next event.
+func (r *streamForwarder) endFiller() error {
+	if !r.inFiller {
+		return nil
+	}
+	r.inFiller = false
+	return r.write(lineFeed)
+}
+
+// write passes a part of the stream on at once.
+func (r *streamForwarder) write(part []byte) error {
+	_, err := r.w.Write(part)
+	if err == nil {
+		err = r.flush()
+	}
+	r.writeErr = err
+	return err
+}
+
 func (r *streamForwarder) flush() error {
 	err := http.NewResponseController(r.w).Flush()
 	if errors.Is(err, http.ErrNotSupported) {
