servers' responses count against the memory budget of a node

Other operators reported that a faulty server sent bytes that were no answer, without end, in a head or a body, and that the machine which had called it ran out of memory.

Cause: what is held of a response was bounded for each response alone (64 KB a head, 1 MB an event) and in no account.

Change: heads and events count against the budget that callers' requests count against, up to half of it, before the bytes are held. What does not fit gives way and is never a success. Comments are not held at all.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -124,8 +124,8 @@
 	return true
 }
 
-// GrowIfIdle is Grow for bytes that the request can do without: it adds them only while no more than half of the budget
-// is used with them.
+// GrowIfIdle is Grow for bytes that the request can do without, such as those of servers: it adds them only while no
+// more than half of the budget is used with them, so that callers find room beside them.
 func (r *Reservation) GrowIfIdle(bytes int64) bool {
 	if r == nil {
 		return true
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -8,13 +8,27 @@
 	"errors"
 	"io"
 	"strings"
+
+	"dalehook/internal/bytebudget"
 )
 
 // MaxEventSize is the maximum size of an event in bytes.
 const MaxEventSize = 1 << 20
 
-// ErrTooLarge is returned for an event larger than MaxEventSize.
-var ErrTooLarge = errors.New("event is too large")
+// freeEventSize is the size in bytes up to which an event is held without a reservation. Those that hold a few tokens
+// are shorter.
+const freeEventSize = 4 << 10
+
+// parseCopies is the number of copies of an event that are held while it is parsed.
+const parseCopies = 3
+
+// Errors of events that are too large to be held.
+var (
+	// ErrTooLarge is returned for an event larger than MaxEventSize.
+	ErrTooLarge = errors.New("event is too large")
+	// ErrNoMemory is returned for an event that does not fit the memory for servers' responses.
+	ErrNoMemory = errors.New("no memory left for the event")
+)
 
 // Field is a field of an event other than id and data.
 type Field struct {
@@ -41,15 +55,17 @@
 // Reader reads events from a stream.
 type Reader struct {
 	source *bufio.Reader
+	memory *bytebudget.Reservation
 	// raw holds the event that is being read.
 	raw []byte
 	// inComment is set while a part of a comment between two events was returned.
 	inComment bool
 }
 
-// NewReader returns a reader of the events in source.
-func NewReader(source io.Reader) *Reader {
-	return &Reader{source: bufio.NewReaderSize(source, 2048)}
+// NewReader returns a reader of the events in source. Large events are held only as far as the reservation may grow; nil
+// stands for no bound.
+func NewReader(source io.Reader, memory *bytebudget.Reservation) *Reader {
+	return &Reader{source: bufio.NewReaderSize(source, 2048), memory: memory}
 }
 
 // Read returns the next complete event, or the next filler. It returns io.EOF if the stream ends between events, and
@@ -102,15 +118,49 @@
 	}
 }
 
-// hold appends a part of an event.
+// hold appends a part of an event, for which it asks the reservation first.
 func (r *Reader) hold(part []byte) error {
-	r.raw = append(r.raw, part...)
-	if len(r.raw) > MaxEventSize {
+	size := len(r.raw) + len(part)
+	if size > MaxEventSize {
 		return ErrTooLarge
 	}
+	if size > cap(r.raw) {
+		if err := r.enlarge(size); err != nil {
+			return err
+		}
+	}
+	r.raw = append(r.raw, part...)
 	return nil
 }
 
+// enlarge makes room for an event of the given size. Both buffers are held while the event is copied.
+func (r *Reader) enlarge(size int) error {
+	larger := max(size, min(2*cap(r.raw), MaxEventSize))
+	if !r.memory.GrowIfIdle(reservedFor(larger)) {
+		return ErrNoMemory
+	}
+	held := cap(r.raw)
+	buffer := make([]byte, len(r.raw), larger)
+	copy(buffer, r.raw)
+	r.raw = buffer
+	r.memory.Shrink(reservedFor(held))
+	return nil
+}
+
+// reservedFor returns the number of bytes that are reserved for a buffer of the given size.
+func reservedFor(size int) int64 {
+	if size <= freeEventSize {
+		return 0
+	}
+	return int64(size) * parseCopies
+}
+
+// Close frees what the reader has reserved. It does not close the source.
+func (r *Reader) Close() {
+	r.memory.Shrink(reservedFor(cap(r.raw)))
+	r.raw = nil
+}
+
 // endError returns the error of a stream that ended, or broke off, with the given number of bytes unread.
 func (r *Reader) endError(err error, unread int) error {
 	if errors.Is(err, io.EOF) && (len(r.raw) > 0 || unread > 0 || r.inComment) {
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -49,7 +49,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			for _, source := range []io.Reader{strings.NewReader(c.stream), iotest.OneByteReader(strings.NewReader(c.stream))} {
-				events, raw, err := readAll(t, NewReader(source))
+				events, raw, err := readAll(t, NewReader(source, nil))
 				if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 					t.Errorf("ended with %v", err)
 				}
@@ -70,7 +70,7 @@
 		"id: 1", "id: 1\n", "id: 1\ndata: a\n", ": comm", "id: 1\ndata: a\n\n: comm", "id: 1\n:x\n", ":" + strings.Repeat("x", 5000),
 		"data: " + strings.Repeat("x", 5000),
 	} {
-		if _, _, err := readAll(t, NewReader(strings.NewReader(stream))); !errors.Is(err, io.ErrUnexpectedEOF) {
+		if _, _, err := readAll(t, NewReader(strings.NewReader(stream), nil)); !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Errorf("%.20q: %v", stream, err)
 		}
 	}
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -137,7 +137,7 @@
 		return float64(n.coordinator.State().Unscored)
 	})
 	gauge("dalehook_held_requests", "Requests that are held since they crash servers.", func() float64 { return float64(n.crashTracker.Held()) })
-	gauge("dalehook_client_memory_bytes", "Memory reserved for requests of callers.", func() float64 { return float64(n.clientMemory.Used()) })
+	gauge("dalehook_client_memory_bytes", "Memory reserved for requests of callers and for responses of servers.", func() float64 { return float64(n.clientMemory.Used()) })
 	gauge("dalehook_open_job_memory_bytes", "Memory of the open batch jobs, as far as this node knows.", func() float64 { return float64(n.openMemory()) })
 	m.registry.MustRegister(newRefusedShares(n))
 	if droppedLines != nil {
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -63,6 +63,8 @@
 	// ServerDigest returns a digest of a server's record without the parts that change with every
 	// heartbeat.
 	ServerDigest(value []byte) uint64
+	// LimitMemory sets the budget that the held parts of servers' responses count against; nil if they are not bounded.
+	LimitMemory(budget *bytebudget.Budget)
 	// ObserveStore sets the function that is called after each call to the store, with the call's
 	// name, the status of the response, 0 for none, and its duration.
 	ObserveStore(observe func(call string, status int, duration time.Duration))
@@ -156,7 +158,7 @@
 	peers storeproxy.Peers
 	// electionState is this process's state in the election; nil until known.
 	electionState atomic.Pointer[election.State]
-	// clientMemory bounds the bytes held for callers; nil if they are not bounded.
+	// clientMemory bounds the bytes held for callers and of servers' responses; nil if they are not bounded.
 	clientMemory *bytebudget.Budget
 	// waitingReads is the number of reads of results in progress.
 	waitingReads atomic.Int64
@@ -184,6 +186,7 @@
 		Overload: options.Settings.overloadOptions(),
 		Logger:   logger.Named("gateway"), Observe: n.metrics.observeRequest, OnMayHaveStarted: n.countStarted,
 	})
+	adapter.LimitMemory(n.clientMemory)
 	adapter.ObserveStore(n.observeStore)
 	adapter.ObserveForeignResponses(n.observeForeignResponse)
 	adapter.ObserveGoneServers(n.handleGoneServer)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -13,7 +15,7 @@
 type attemptResult struct {
 	response *Response
 	// prefix is the part of the body that was buffered; complete says that it is the whole body.
-	prefix   []byte
+	prefix   bytebudget.Pieces
 	complete bool
 	sendErr  *SendError
 	cancel   context.CancelFunc
@@ -29,7 +31,11 @@
 	result.response, result.sendErr = c.gateway.options.Backend.Send(sendCtx, Attempt{
 		Request: c.request, Server: server, Timeout: remainingUntil(c.deadline), LastEventID: lastEventID,
 	})
-	if result.sendErr == nil {
+	switch {
+	case result.sendErr != nil:
+	case c.internal:
+		result.discardBody()
+	default:
 		result.readBody(c.request.Memory)
 	}
 	c.recordAttempt(started, result)
@@ -75,13 +81,26 @@
 
 func (a *attemptResult) readBody(memory *bytebudget.Reservation) {
 	var err error
-	a.prefix, a.complete, err = memory.ReadAll(a.response.Body, a.response.Length, maxBufferedBytes)
+	a.prefix, a.complete, err = memory.ReadPieces(a.response.Body, a.response.Length, maxBufferedBytes)
+	a.endRead(err)
+}
+
+// discardBody reads the body to its end, without holding it, if that comes within maxBufferedBytes.
+func (a *attemptResult) discardBody() {
+	_, err := io.CopyN(io.Discard, a.response.Body, maxBufferedBytes)
+	a.complete = errors.Is(err, io.EOF)
+	if a.complete {
+		err = nil
+	}
+	a.endRead(err)
+}
+
+// endRead closes a body that was read to its end, or with an error.
+func (a *attemptResult) endRead(err error) {
 	if err != nil {
-		a.response.Body.Close()
 		a.sendErr = &SendError{Cause: err, Sent: true}
-		return
 	}
-	if a.complete {
+	if err != nil || a.complete {
 		a.response.Body.Close()
 	}
 }
--- a/internal/gateway/call_test.go
+++ b/internal/gateway/call_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +63,8 @@
 		{"failed at every server", []responseFunc{respondSigned(500, "")}, "", 4},
 		{"unavailable at every server", []responseFunc{respondSigned(503, "")}, "", 0},
 		{"silent once", []responseFunc{hang, respondSigned(200, "ok")}, "signature", 0},
+		{"a long body", []responseFunc{respondSigned(200, strings.Repeat("x", maxBufferedBytes-1))}, "signature", 0},
+		{"a body that is too long", []responseFunc{respondSigned(200, strings.Repeat("x", maxBufferedBytes))}, "", 0},
 		{"no success", []responseFunc{respondSigned(404, "")}, "", 0},
 		{"silent", []responseFunc{hang}, "", 0},
 	}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -128,10 +128,10 @@
 	if result.response.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(result.response.Length, 10))
 	} else if result.complete {
-		w.Header().Set("Content-Length", strconv.Itoa(len(result.prefix)))
+		w.Header().Set("Content-Length", strconv.FormatInt(result.prefix.Size(), 10))
 	}
 	w.WriteHeader(result.response.Status)
-	if _, err := w.Write(result.prefix); err != nil {
+	if _, err := result.prefix.WriteTo(w); err != nil {
 		c.reason = writeEndReason(err)
 		return 0
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -146,7 +146,8 @@
 // forwardEvents passes complete events, and what stands between them, on as they arrive; it returns io.EOF at the end of
 // the stream.
 func (r *streamForwarder) forwardEvents(body io.Reader) error {
-	events := eventstream.NewReader(body)
+	events := eventstream.NewReader(body, r.call.request.Memory)
+	defer events.Close()
 	if err := r.endFiller(); err != nil {
 		return err
 	}
--- a/internal/roundtrip/response_id_test.go
+++ b/internal/roundtrip/response_id_test.go
@@ -244,11 +244,11 @@
 // Guards against a request that meets the connection of another one whose response was not checked yet.
 func TestConnectionIsReusedOnlyAfterTheResponseWasChecked(t *testing.T) {
 	conn := &countingConn{Conn: discardConn{}}
-	conn.acquire("first")
+	conn.acquire("first", nil)
 	acquired := make(chan struct{})
 	go func() {
 		defer close(acquired)
-		conn.acquire("second")
+		conn.acquire("second", nil)
 	}()
 	select {
 	case <-acquired:
--- a/internal/roundtrip/roundtrip.go
+++ b/internal/roundtrip/roundtrip.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"dalehook/internal/bytebudget"
 )
 
 // Options configure a Transport.
@@ -48,6 +50,8 @@
 type Transport struct {
 	transport *http.Transport
 	idHeader  string
+	// memory bounds the heads of responses that are held at a time; nil if it does not.
+	memory *bytebudget.Budget
 }
 
 // New returns a Transport without open connections.
@@ -72,6 +76,9 @@
 	}
 }
 
+// LimitMemory sets the budget that the heads of responses count against. It must be called before the first request.
+func (t *Transport) LimitMemory(budget *bytebudget.Budget) { t.memory = budget }
+
 // Close closes the idle connections.
 func (t *Transport) Close() { t.transport.CloseIdleConnections() }
 
@@ -133,12 +140,13 @@
 	var conn *countingConn
 	var writtenBefore int64
 	id := t.requestID(r)
+	head := t.memory.Reserve("")
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn != nil {
 			conn.release()
 		}
 		conn = info.Conn.(*countingConn)
-		writtenBefore = conn.acquire(id)
+		writtenBefore = conn.acquire(id, head)
 		reused = info.Reused
 	}}
 	if r.OnWritten != nil {
@@ -153,8 +161,10 @@
 		err = t.checkResponseID(response, id)
 	}
 	if err == nil {
+		response.Body = releaseAtClose(response.Body, head)
 		return response, nil, reused
 	}
+	head.Release()
 	sent := conn != nil && conn.seal() != writtenBefore
 	if response != nil {
 		response.Body.Close()
