frontend: late requests of a planned stop are refused before they are passed on

Other operators reported that requests which came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Cause: nothing asked how much time is left. Change: a request that is complete after resting connections have been closed (2.95 s) is taken only if its own bound lies within the time left; else it is answered 503, not run, with Connection: close. The same for appends of jobs and their ends, with the time of three appends.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -130,7 +130,7 @@
 	case c.nextBegun:
 		return time.Time{}, false
 	case c.draining:
-		return c.idleSince.Add(idleGracePeriod), true
+		return c.idleSince.Add(IdleGracePeriod), true
 	case c.responded && limits.IdleTimeout > 0:
 		return c.idleSince.Add(limits.IdleTimeout), true
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -33,9 +33,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// idleGracePeriod is how long a connection must have been idle before a drain closes it: a client
+// IdleGracePeriod is how long a connection must have been idle before a drain closes it: a client
 // that has just connected, or has just read a response, is likely to send a request.
-const idleGracePeriod = 250 * time.Millisecond
+const IdleGracePeriod = 250 * time.Millisecond
 
 // finalResponseTimeout is how long handlers have for their responses after their contexts were
 // canceled.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -200,7 +200,7 @@
 	eventually(t, "the partial header is read", func() bool { return s.activeConns() == 3 })
 	unfinished := s.drain(stepTimeout)
 	s.awaitListenerClosed()
-	time.Sleep(2 * idleGracePeriod)
+	time.Sleep(2 * IdleGracePeriod)
 	half.write("st: h\r\n\r\n")
 	half.expect("/half 0", true)
 	body.write("defghij")
@@ -218,7 +218,7 @@
 	held.write(get("/held"))
 	half.write("GET /half HT")
 	eventually(t, "both are read", func() bool { return s.activeConns() == 2 })
-	expectUnfinished(t, s.drain(2*idleGracePeriod), 2)
+	expectUnfinished(t, s.drain(2*IdleGracePeriod), 2)
 	held.expectEnd()
 	half.expectEnd()
 	kept.expectEnd()
@@ -243,7 +243,7 @@
 	c := s.dial()
 	c.write(get("/long"))
 	<-began
-	unfinished := s.drain(idleGracePeriod)
+	unfinished := s.drain(IdleGracePeriod)
 	c.expect(ErrDrainTimeout.Error(), false)
 	expectUnfinished(t, unfinished, 1)
 	if err := <-served; err != nil {
@@ -260,10 +260,10 @@
 			c := s.dial()
 			c.write(get("/first") + arrived)
 			c.expect("/first 0", false)
-			time.Sleep(idleGracePeriod)
+			time.Sleep(IdleGracePeriod)
 			unfinished := s.drain(stepTimeout)
 			s.awaitListenerClosed()
-			time.Sleep(2 * idleGracePeriod)
+			time.Sleep(2 * IdleGracePeriod)
 			c.write(get("/next")[len(arrived):])
 			c.expect("/next 0", len(arrived) < len(get("/next")))
 			expectUnfinished(t, unfinished, 0)
@@ -278,12 +278,12 @@
 	c.write(get("/held"))
 	<-s.started
 	c.write("G")
-	time.Sleep(idleGracePeriod)
+	time.Sleep(IdleGracePeriod)
 	close(s.released)
 	c.expect("/held 0", false)
 	unfinished := s.drain(stepTimeout)
 	s.awaitListenerClosed()
-	time.Sleep(2 * idleGracePeriod)
+	time.Sleep(2 * IdleGracePeriod)
 	c.write(get("/next")[1:])
 	c.expect("/next 0", true)
 	expectUnfinished(t, unfinished, 0)
@@ -342,7 +342,7 @@
 		waiting = append(waiting, s.dial())
 	}
 	unfinished := s.drain(stepTimeout)
-	time.Sleep(2 * idleGracePeriod)
+	time.Sleep(2 * IdleGracePeriod)
 	for _, c := range append(kept, waiting...) {
 		c.write(get("/b"))
 	}
@@ -355,7 +355,7 @@
 
 // Clients send a request immediately after each response until one carries "Connection: close";
 // keep-alives are not disabled before the drain. A request may stay unanswered only if the connection
-// may have been idle for too long, that is, if idleGracePeriod or more passed between the client's
+// may have been idle for too long, that is, if IdleGracePeriod or more passed between the client's
 // last two sends, and only if it was not read.
 func TestDrainUnderLoadDropsNoRequests(t *testing.T) {
 	var started sync.Map
@@ -380,7 +380,7 @@
 				if _, ran := started.Load(path); err != nil && ran {
 					t.Errorf("%s was read but not answered: %v", path, err)
 				}
-				if err != nil && c.sendGap < idleGracePeriod {
+				if err != nil && c.sendGap < IdleGracePeriod {
 					t.Errorf("%s was not answered although sent %v after the previous request: %v", path, c.sendGap, err)
 				}
 				if err != nil || last {
@@ -389,7 +389,7 @@
 			}
 		})
 	}
-	time.Sleep(idleGracePeriod)
+	time.Sleep(IdleGracePeriod)
 	unfinished := s.drain(stepTimeout)
 	clients.Wait()
 	expectUnfinished(t, unfinished, 0)
@@ -424,7 +424,7 @@
 		t.Fatal(err)
 	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprintf(w, "%s 0", r.URL.Path) })
-	server := NewServer(Options{HTTP: &http.Server{Handler: handler, IdleTimeout: idleGracePeriod}})
+	server := NewServer(Options{HTTP: &http.Server{Handler: handler, IdleTimeout: IdleGracePeriod}})
 	served := make(chan error, 1)
 	go func() {
 		served <- server.Serve(&pausableListener{TCPListener: listener.(*net.TCPListener), paused: &paused})
@@ -433,13 +433,13 @@
 	c := s.dial()
 	paused.Store(true)
 	c.write(get("/a"))
-	time.Sleep(idleGracePeriod / 10)
+	time.Sleep(IdleGracePeriod / 10)
 	paused.Store(false)
 	c.expect("/a 0", false)
 	paused.Store(true)
-	time.Sleep(2 * idleGracePeriod)
+	time.Sleep(2 * IdleGracePeriod)
 	c.write(get("/b"))
-	time.Sleep(idleGracePeriod / 10)
+	time.Sleep(IdleGracePeriod / 10)
 	paused.Store(false)
 	c.expect("/b 0", false)
 	server.Close()
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -35,14 +35,16 @@
 	usageLost         prometheus.Counter
 	serverOrders      *prometheus.CounterVec
 	requestsPastGrace prometheus.Counter
-	serverEnds        *prometheus.CounterVec
-	requestsSuspected prometheus.Counter
-	requestsHeld      prometheus.Counter
-	foreignResponses  *prometheus.CounterVec
-	serversFoundGone  prometheus.Counter
-	items             *itemMetrics
-	overload          *overloadMetrics
-	limits            *limitMetrics
+	// lateRequestsRefused counts requests that came late in a planned stop.
+	lateRequestsRefused prometheus.Counter
+	serverEnds          *prometheus.CounterVec
+	requestsSuspected   prometheus.Counter
+	requestsHeld        prometheus.Counter
+	foreignResponses    *prometheus.CounterVec
+	serversFoundGone    prometheus.Counter
+	items               *itemMetrics
+	overload            *overloadMetrics
+	limits              *limitMetrics
 }
 
 var _ crashwatch.Observer = (*nodeMetrics)(nil)
@@ -75,6 +77,9 @@
 		requestsPastGrace: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_requests_past_grace_total", Help: "Requests that were under way at the end of a planned stop's grace period.",
 		}),
+		lateRequestsRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dalehook_late_requests_refused_total", Help: "Requests that came late in a planned stop and were refused before they were sent on.",
+		}),
 		serverEnds: counter("dalehook_server_ends_total", "Servers that ended while they ran callers' requests of this node, by evidence. Runs of items do not count.", "evidence"),
 		requestsSuspected: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_requests_suspected_total", Help: "Requests of this node under which servers ended.",
@@ -87,7 +92,7 @@
 		}),
 		foreignResponses: counter("dalehook_foreign_responses_total", "Responses of servers in the place of another one, by status.", "status"),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace, m.lateRequestsRefused,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, m.serversFoundGone, collectors.NewGoCollector())
 	m.items = newItemMetrics(m.registry)
 	m.overload = newOverloadMetrics(m.registry)
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -106,11 +106,6 @@
 	// and trainers write.
 	operatorMinInterval = 30 * time.Millisecond
 	operatorPollWait    = time.Second
-	// drainNotice is how long a node that shuts down still accepts connections after it reports
-	// itself as not ready, so that new connections go to other nodes.
-	drainNotice = 2700 * time.Millisecond
-	// exitReserve is the part of the grace period that is kept for the exit of the process.
-	exitReserve = 1200 * time.Millisecond
 	// defaultHeaderTimeout, defaultIdleTimeout and defaultMaxHeaderBytes limit callers' connections
 	// independently of the configuration, which isn't known yet when the listeners open. Its limits
 	// may be lower or higher; those on sizes are checked for each request.
@@ -140,8 +135,10 @@
 	// the store whose answer last confirmed the newest configuration.
 	configurationAsOf latestTime
 	leaving           atomic.Bool
-	leave             chan struct{}
-	directory         *directory.Directory
+	// departure is set once this node is leaving.
+	departure atomic.Pointer[departure]
+	leave     chan struct{}
+	directory *directory.Directory
 	// zones tracks the evacuated zones.
 	zones         evacuatedZones
 	servers       *serverlist.List
@@ -358,49 +355,6 @@
 	return bound, nil
 }
 
-// Leave begins a graceful shutdown and returns at once.
-func (n *Node) Leave() {
-	if n.leaving.CompareAndSwap(false, true) {
-		n.logger.Info("leaving")
-		n.coordinator.Resign()
-		close(n.leave)
-	}
-}
-
-// drainAll serves the requests in flight on all listeners until the grace period ends, then flushes
-// the usage counts.
-func (n *Node) drainAll(servers []boundServer) {
-	deadline := time.Now().Add(time.Duration(n.options.Settings.GraceSeconds*float64(time.Second)) - exitReserve)
-	for _, s := range servers {
-		s.server.DisableKeepAlives()
-	}
-	time.Sleep(drainNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	// The listeners drain in parallel: a slow one must not use up the others' time.
-	var drains conc.WaitGroup
-	for _, s := range servers {
-		drains.Go(func() { n.drainServer(ctx, s) })
-	}
-	drains.Wait()
-	if n.usageSender != nil {
-		last, cancel := context.WithTimeout(context.Background(), flushTimeout)
-		defer cancel()
-		n.usageSender.Flush(last)
-	}
-}
-
-// drainServer serves the requests in flight on one listener.
-func (n *Node) drainServer(ctx context.Context, s boundServer) {
-	began := clock.Now()
-	late := s.server.Drain(ctx)
-	n.logger.Info("drained", zap.String("address", s.address), zap.Duration("took", clock.Since(began)), zap.Int("late", late))
-	if late > 0 {
-		n.metrics.requestsPastGrace.Add(float64(late))
-		n.logger.Warn("requests cancelled at the end of the grace period", zap.String("address", s.address), zap.Int("late", late))
-	}
-}
-
 // replaceOperatorRecords handles a complete read of the operator topic: the newest record of each
 // key. An evacuation that isn't among them was cancelled.
 func (n *Node) replaceOperatorRecords(records []store.Record) {
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -34,11 +34,13 @@
 	VerdictKeyUnknown
 	// VerdictOverloaded: the call has had no effect and will have none, since too many jobs are open.
 	VerdictOverloaded
+	// VerdictLeaving: the call has had no effect and will have none, since the node has no time for it.
+	VerdictLeaving
 )
 
 // String implements fmt.Stringer.
 func (v Verdict) String() string {
-	return [...]string{"done", "refused", "unknown", "absent", "key unknown", "overloaded"}[v]
+	return [...]string{"done", "refused", "unknown", "absent", "key unknown", "overloaded", "leaving"}[v]
 }
 
 const (
@@ -113,6 +115,10 @@
 
 // Serve answers a single request.
 func (n *Node) Serve(ctx context.Context, w http.ResponseWriter, table *routetable.Table, route *routetable.Route, request *gateway.Request) {
+	if !n.mayTake(clock.Until(gateway.Deadline(route, request))) {
+		n.refuseLate(w, route, request)
+		return
+	}
 	n.gateway.Serve(ctx, w, table, route, request)
 }
 
@@ -155,6 +161,10 @@
 }
 
 func (n *Node) appendRecords(ctx context.Context, jobID string, records [][]byte) Verdict {
+	if !n.mayTake(appendTime) {
+		n.metrics.lateRequestsRefused.Inc()
+		return VerdictLeaving
+	}
 	verdict := VerdictRefused
 	for range maxAppendAttempts {
 		err := n.appendOnce(ctx, jobID, records)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,7 +161,7 @@
 	}
 	c := &call{
 		gateway: g, request: request, route: route, table: table, service: target.Service,
-		deadline: requestDeadline(route, request), tried: make(map[directory.Incarnation]bool), notExecuted: true, repeatable: route.Repeatable(),
+		deadline: Deadline(route, request), tried: make(map[directory.Incarnation]bool), notExecuted: true, repeatable: route.Repeatable(),
 	}
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(c.deadline))
 	defer cancel()
@@ -174,7 +174,8 @@
 	c.recordOutcome(status)
 }
 
-func requestDeadline(route *routetable.Route, request *Request) time.Time {
+// Deadline returns when a request is given up: the earlier of its caller's deadline and the time-out of its route.
+func Deadline(route *routetable.Route, request *Request) time.Time {
 	deadline := request.Received.Add(defaultDeadline)
 	if !request.Deadline.IsZero() {
 		deadline = request.Deadline
