platform: numbers of other processes are bounded where they are decoded

Cause: the scheduler adds up the free slots of a round, to a number below 0, and starts nothing then. It is one of many sums and products of numbers that others state: versions, warm-ups (a float beyond a duration, which x86-64 and arm64 convert differently), time-outs, attempts (the size of a channel), loads of servers, tokens of items.

--- a/internal/serverlist/record.go
+++ b/internal/serverlist/record.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/gob"
 	"fmt"
+	"slices"
 	"time"
 
 	"dalehook/internal/directory"
@@ -123,5 +124,23 @@
 	if err := gob.NewDecoder(flate.NewReader(bytes.NewReader(payload))).Decode(record); err != nil {
 		return nil, fmt.Errorf("decode a relay record: %w", err)
 	}
+	record.dropInvalid()
 	return record, nil
 }
+
+// dropInvalid takes the entries that are out of bounds, which nodes of earlier builds relay, for removed.
+func (r *relayRecord) dropInvalid() {
+	r.Put = slices.DeleteFunc(r.Put, func(entry relayEntry) bool {
+		valid := entry.isValid()
+		if !valid {
+			r.Removed = append(r.Removed, entry.ID)
+		}
+		return !valid
+	})
+}
+
+// isValid reports whether the entry may be that of a server.
+func (e relayEntry) isValid() bool {
+	now := time.Time{} // the warm-up is relative to any time
+	return e.Warming <= directory.MaxWarmUp && e.server(now).CheckBounds(now) == nil
+}
