roundtrip: an idle connection is not closed for the head before it

Found by reading the change of: the read for the next response, which begins as soon as a response without a body was read, could find the reservation for that response's head released and not yet taken off the connection, and closed the connection. The next request would have opened another one. The head now ends before its reservation does.

TestReadAfterACompleteHeadNeedsNoMemory fails without the call of endHead; TestHeadWithoutMemoryEndsItsConnection holds before and after.

--- a/internal/roundtrip/counting_conn.go
+++ b/internal/roundtrip/counting_conn.go
@@ -59,11 +59,16 @@
 	return c.accepted
 }
 
-// release ends the reservation by acquire.
-func (c *countingConn) release() {
+// endHead records that the head of the response is complete. Its reservation may be released from then on.
+func (c *countingConn) endHead() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.head = nil
-	c.mu.Unlock()
+}
+
+// release ends the reservation by acquire.
+func (c *countingConn) release() {
+	c.endHead()
 	c.inUse.Unlock()
 }
 
--- a/internal/roundtrip/roundtrip.go
+++ b/internal/roundtrip/roundtrip.go
@@ -160,6 +160,9 @@
 	if err == nil {
 		err = t.checkResponseID(response, id)
 	}
+	if conn != nil {
+		conn.endHead()
+	}
 	if err == nil {
 		response.Body = releaseAtClose(response.Body, head)
 		return response, nil, reused
