gateway: responses that come after the end of their call are closed

Found by reading the change again: an attempt that still runs when its call has another response, or has ended, left its response unclosed if the body was too long to be read to its end. Its connection ended with the attempt's context, as before; but what reserves for a head of more than 1 KB is given back when the body is closed, and stayed reserved for good. Callers would have been refused in the end, one hedge at a time.

The call closes what comes later.

--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -26,6 +26,7 @@
 func (c *call) awaitResponse(ctx context.Context) (result attemptResult, ok bool) {
 	results := make(chan attemptResult, max(c.route.MaxAttempts, 1)+maxUnreachable)
 	pending := 0
+	defer func() { closeLater(results, pending) }()
 	var hedge <-chan time.Time
 	for {
 		if pending == 0 {
@@ -57,6 +58,19 @@
 	}
 }
 
+// closeLater closes the responses of the attempts that still run when they end, which frees what is held of them.
+func closeLater(results <-chan attemptResult, pending int) {
+	if pending == 0 {
+		return
+	}
+	go func() {
+		for range pending {
+			result := <-results
+			result.close()
+		}
+	}()
+}
+
 func (c *call) hedgeTimer() <-chan time.Time {
 	if !c.repeatable || c.route.LatencyTarget <= 0 {
 		return nil
