serverlist, frontend: records of others that are left out are counted, and logged within bounds

Found by reading again: an entry of a server that a node of an earlier build relays out of bounds was left out without a word, a weight version out of bounds too, none was counted, and the log line of an entry quoted as much of it as the entry held (up to 64 KB once a second). An operator could not have told why a server is missing.

dalehook_invalid_records_total counts them by kind; the line quotes 300 bytes, once a second for entries of servers wherever they were read. TestRelayedEntriesOutOfBoundsAreNoServers checks that each is noted, TestInvalidEntriesAreCountedAndLogged- WithinBounds the bounds; both need what this commit adds.

--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -35,6 +35,7 @@
 	usageLost         prometheus.Counter
 	serverOrders      *prometheus.CounterVec
 	requestsPastGrace prometheus.Counter
+	invalidRecords    *prometheus.CounterVec
 	// lateRequestsRefused counts requests that came late in a planned stop.
 	lateRequestsRefused prometheus.Counter
 	serverEnds          *prometheus.CounterVec
@@ -90,9 +91,10 @@
 		serversFoundGone: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dalehook_servers_found_gone_total", Help: "Listed servers at whose address another incarnation answered.",
 		}),
+		invalidRecords:   counter("dalehook_invalid_records_total", "Records of others that were left out since they are malformed or out of bounds, by kind.", "kind"),
 		foreignResponses: counter("dalehook_foreign_responses_total", "Responses of servers in the place of another one, by status.", "status"),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace, m.lateRequestsRefused,
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace, m.lateRequestsRefused, m.invalidRecords,
 		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, m.serversFoundGone, collectors.NewGoCollector())
 	m.items = newItemMetrics(m.registry)
 	m.overload = newOverloadMetrics(m.registry)
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -54,8 +54,8 @@
 	// Table decodes the record of the operator topic that holds the configuration. It returns nil
 	// for other records.
 	Table(record store.Record) (*routetable.Table, error)
-	// Version decodes the record with a model's newest weight version.
-	Version(record store.Record) (model string, version int64, ok bool)
+	// Version decodes the record with a model's newest weight version; ok is false for other records.
+	Version(record store.Record) (model string, version int64, ok bool, err error)
 	// Evacuation decodes the record that evacuates a zone or cancels the evacuation.
 	Evacuation(record store.Record) (zone string, evacuated, ok bool)
 	// Server decodes a record of the topic of servers.
@@ -195,7 +195,8 @@
 		Log: adapter.Log(), Directory: n.directory, Logger: logger.Named("servers"), MinReadInterval: listMinInterval, ReadWait: listPollWait,
 		Decode: adapter.Server, Digest: adapter.ServerDigest,
 		Self: n.processID(), Leading: func() bool { return n.coordinator.State().Leading },
-		Established: n.coordinatorEstablished, OnChange: n.notifyServersChanged, SharedServices: n.sharedServices, LeaveBound: time.Duration(options.Settings.LeaveBoundMs) * time.Millisecond,
+		ObserveInvalid: n.metrics.invalidRecords.WithLabelValues(recordServer).Inc,
+		Established:    n.coordinatorEstablished, OnChange: n.notifyServersChanged, SharedServices: n.sharedServices, LeaveBound: time.Duration(options.Settings.LeaveBoundMs) * time.Millisecond,
 	})
 	n.coordinator = coordinator.New(coordinator.Options{
 		Engines: adapter.Engines(), CrashTracker: n.crashTracker, Rewards: &rewardCaller{gateway: n.gateway, logger: logger.Named("reward")}, Log: adapter.Log(), JobLogs: n.jobLogs, Directory: n.directory,
@@ -369,20 +370,42 @@
 			n.zones.set(zone, evacuated)
 			continue
 		}
-		if model, version, ok := n.options.Adapter.Version(record); ok {
+		model, version, ok, err := n.options.Adapter.Version(record)
+		if err != nil {
+			n.noteInvalidRecord(recordVersion, record, err)
+			continue
+		}
+		if ok {
 			n.logger.Info("version named", zap.String("model", model), zap.Int64("version", version))
 			n.coordinator.HandleVersion(model, version)
 			continue
 		}
 		table, err := n.options.Adapter.Table(record)
 		if err != nil {
-			n.logger.Error("configuration not decoded", zap.Int64("offset", record.Offset), zap.Error(err))
+			n.noteInvalidRecord(recordConfiguration, record, err)
 			continue
 		}
 		n.applyTable(table)
 	}
 }
 
+// Kinds of records that others write, in metrics.
+const (
+	recordServer        = "server"
+	recordVersion       = "version"
+	recordConfiguration = "configuration"
+)
+
+// maxLoggedErrorBytes bounds a logged error that may quote what others have written.
+const maxLoggedErrorBytes = 300
+
+// noteInvalidRecord counts and logs a record of the operator topic that is skipped.
+func (n *Node) noteInvalidRecord(kind string, record store.Record, err error) {
+	n.metrics.invalidRecords.WithLabelValues(kind).Inc()
+	text := err.Error()
+	n.logger.Error(kind+" not decoded", zap.Int64("offset", record.Offset), zap.String("error", text[:min(len(text), maxLoggedErrorBytes)]))
+}
+
 // applyTable puts a configuration in force unless a newer one is already.
 func (n *Node) applyTable(table *routetable.Table) {
 	if table == nil {
--- a/internal/serverlist/bounds_test.go
+++ b/internal/serverlist/bounds_test.go
@@ -4,10 +4,15 @@
 	"bytes"
 	"compress/flate"
 	"encoding/gob"
+	"errors"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"dalehook/internal/directory"
 )
@@ -40,6 +45,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		var noted []string
+		decoded.dropInvalid(func(id string, _ error) { noted = append(noted, id) })
+		if diff := cmp.Diff([]string{name}, noted); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
 		if diff := cmp.Diff([]relayEntry{sound}, decoded.Put); diff != "" {
 			t.Errorf("%s: %s", name, diff)
 		}
@@ -48,3 +58,19 @@
 		}
 	}
 }
+
+// Entries that are left out are counted each, and logged once a second at most with a part of what they state.
+func TestInvalidEntriesAreCountedAndLoggedWithinBounds(t *testing.T) {
+	core, logged := observer.New(zapcore.ErrorLevel)
+	counted := 0
+	invalid := invalidEntries{logger: zap.New(core), observe: func() { counted++ }}
+	for range 100 {
+		invalid.note("odd", errors.New(strings.Repeat("x", 100_000)))
+	}
+	if counted != 100 || logged.Len() == 0 || logged.Len() > 2 {
+		t.Errorf("%d counted, %d logged", counted, logged.Len())
+	}
+	if text := logged.All()[0].ContextMap()["error"].(string); len(text) != maxLoggedErrorBytes {
+		t.Errorf("an error of %d bytes is logged", len(text))
+	}
+}
--- a/internal/serverlist/direct.go
+++ b/internal/serverlist/direct.go
@@ -268,19 +268,6 @@
 	return false
 }
 
-// invalidLogInterval is the time between two log lines about invalid server entries, which their writer may
-// repeat constantly.
-const invalidLogInterval = time.Second
-
-func (l *List) logInvalidEntry(key string, err error) {
-	now := clock.Now()
-	if now.Sub(l.invalidLoggedAt) < invalidLogInterval {
-		return
-	}
-	l.invalidLoggedAt = now
-	l.options.Logger.Error("invalid server entry", zap.String("server", key), zap.Error(err))
-}
-
 // decode decodes the entry of a server; ok is false if the entry is empty or invalid.
 func (l *List) decode(record store.Record) (directory.Server, bool) {
 	if len(record.Value) == 0 {
@@ -288,7 +275,7 @@
 	}
 	server, err := l.options.Decode(record)
 	if err != nil {
-		l.logInvalidEntry(record.Key, err)
+		l.invalid.note(record.Key, err)
 		return directory.Server{}, false
 	}
 	server.Digest = l.options.Digest(record.Value)
--- a/internal/serverlist/follow.go
+++ b/internal/serverlist/follow.go
@@ -183,6 +183,7 @@
 			l.options.Logger.Error("invalid relay record", zap.Int64("offset", storeRecord.Offset), zap.Error(err))
 			continue
 		}
+		record.dropInvalid(l.invalid.note)
 		records = append(records, offsetRecord{offset: storeRecord.Offset, record: record})
 	}
 	return records
--- a/internal/serverlist/record.go
+++ b/internal/serverlist/record.go
@@ -124,23 +124,20 @@
 	if err := gob.NewDecoder(flate.NewReader(bytes.NewReader(payload))).Decode(record); err != nil {
 		return nil, fmt.Errorf("decode a relay record: %w", err)
 	}
-	record.dropInvalid()
 	return record, nil
 }
 
-// dropInvalid takes the entries that are out of bounds, which nodes of earlier builds relay, for removed.
-func (r *relayRecord) dropInvalid() {
+// dropInvalid takes the entries that are out of bounds, which nodes of earlier builds relay, for removed. It calls note
+// for each.
+func (r *relayRecord) dropInvalid(note func(serverID string, err error)) {
+	now := time.Time{} // warm-ups are relative to any time
 	r.Put = slices.DeleteFunc(r.Put, func(entry relayEntry) bool {
-		valid := entry.isValid()
-		if !valid {
-			r.Removed = append(r.Removed, entry.ID)
+		err := entry.server(now).CheckBounds(now)
+		if err == nil {
+			return false
 		}
-		return !valid
+		note(entry.ID, err)
+		r.Removed = append(r.Removed, entry.ID)
+		return true
 	})
 }
-
-// isValid reports whether the entry may be that of a server.
-func (e relayEntry) isValid() bool {
-	now := time.Time{} // the warm-up is relative to any time
-	return e.Warming <= directory.MaxWarmUp && e.server(now).CheckBounds(now) == nil
-}
--- a/internal/serverlist/serverlist.go
+++ b/internal/serverlist/serverlist.go
@@ -43,6 +43,8 @@
 	// Established reports whether another node has coordinated since before this one started. A node that
 	// relays the list in this node's format would have done so by now. Nil means never.
 	Established func() bool
+	// ObserveInvalid is called for each entry that is left out since it cannot be that of a server; nil ignores them.
+	ObserveInvalid func()
 	// OnChange is called whenever the directory has changed.
 	OnChange func()
 	// SharedServices returns a predicate for the services that all nodes send requests to; the servers of other
@@ -88,8 +90,7 @@
 	complete        bool
 	readsHeartbeats bool
 	nextOffset      int64
-	// invalidLoggedAt is when an invalid server entry was last logged; only one goroutine uses it.
-	invalidLoggedAt time.Time
+	invalid         invalidEntries
 	// hasVersions is set if the directory has the servers' weight versions.
 	hasVersions bool
 }
@@ -108,7 +109,7 @@
 	if options.SharedServices == nil {
 		options.SharedServices = func() func(string) bool { return func(string) bool { return true } }
 	}
-	return &List{options: options, relay: newRelay(options.Self, fraction(options.LeaveBound, publishIntervalShare), fraction(options.LeaveBound, publishGapShare))}
+	return &List{options: options, invalid: invalidEntries{logger: options.Logger, observe: options.ObserveInvalid}, relay: newRelay(options.Self, fraction(options.LeaveBound, publishIntervalShare), fraction(options.LeaveBound, publishGapShare))}
 }
 
 // Timing of a list.
