--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -19,6 +19,9 @@
 // are shorter.
 const freeEventSize = 4 << 10
 
+// firstBufferSize is the size in bytes of the buffer for the first event.
+const firstBufferSize = 512
+
 // parseCopies is the number of copies of an event that are held while it is parsed.
 const parseCopies = 3
 
@@ -135,7 +138,7 @@
 
 // enlarge makes room for an event of the given size. Both buffers are held while the event is copied.
 func (r *Reader) enlarge(size int) error {
-	larger := max(size, min(2*cap(r.raw), MaxEventSize))
+	larger := max(size, min(2*cap(r.raw), MaxEventSize), firstBufferSize)
 	if !r.memory.GrowIfIdle(reservedFor(larger)) {
 		return ErrNoMemory
 	}
--- a/internal/roundtrip/read_test.go
+++ b/internal/roundtrip/read_test.go
@@ -11,7 +11,11 @@
 
 // Guards against a body that is cut at its limit, or in the middle, and taken for whole.
 func TestReadAll(t *testing.T) {
-	const limit = 1 << 20
+	const (
+		limit = 1 << 20
+		// firstPieceBytes is the size of the first piece that package bytebudget reads.
+		firstPieceBytes = 4 << 10
+	)
 	errBroken := errors.New("broken")
 	for _, size := range []int{0, 1, firstPieceBytes - 1, firstPieceBytes, firstPieceBytes + 1, 300_000, limit - 1, limit, limit + 1, 2 * limit} {
 		content := bytes.Repeat([]byte("abcdefg"), size/7+1)[:size]
