--- a/internal/gateway/types.go
+++ b/internal/gateway/types.go
@@ -20,7 +20,6 @@
 	Method string
 	// Target is the path with the query.
 	Target string
-	Path   string
 	Host   string
 	Header http.Header
 	Body   []byte
