--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -27,6 +27,7 @@
 	"dalehook/internal/joblog"
 	"dalehook/internal/jobread"
 	"dalehook/internal/liveness"
+	"dalehook/internal/logs"
 	"dalehook/internal/nodecall"
 	"dalehook/internal/nodestatus"
 	"dalehook/internal/roundtrip"
@@ -396,14 +397,10 @@
 	recordConfiguration = "configuration"
 )
 
-// maxLoggedErrorBytes bounds a logged error that may quote what others have written.
-const maxLoggedErrorBytes = 300
-
 // noteInvalidRecord counts and logs a record of the operator topic that is skipped.
 func (n *Node) noteInvalidRecord(kind string, record store.Record, err error) {
 	n.metrics.invalidRecords.WithLabelValues(kind).Inc()
-	text := err.Error()
-	n.logger.Error(kind+" not decoded", zap.Int64("offset", record.Offset), zap.String("error", text[:min(len(text), maxLoggedErrorBytes)]))
+	n.logger.Error(kind+" not decoded", zap.Int64("offset", record.Offset), logs.QuotedError(err))
 }
 
 // applyTable puts a configuration in force unless a newer one is already.
--- a/internal/serverlist/bounds_test.go
+++ b/internal/serverlist/bounds_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"dalehook/internal/directory"
+	"dalehook/internal/logs"
 )
 
 // Guards against entries out of bounds that a node of an earlier build relays: they count as removed.
@@ -70,7 +71,7 @@
 	if counted != 100 || logged.Len() == 0 || logged.Len() > 2 {
 		t.Errorf("%d counted, %d logged", counted, logged.Len())
 	}
-	if text := logged.All()[0].ContextMap()["error"].(string); len(text) != maxLoggedErrorBytes {
+	if text := logged.All()[0].ContextMap()["error"].(string); len(text) != logs.MaxQuotedErrorBytes {
 		t.Errorf("an error of %d bytes is logged", len(text))
 	}
 }
--- a/internal/serverlist/invalid.go
+++ b/internal/serverlist/invalid.go
@@ -7,15 +7,12 @@
 	"go.uber.org/zap"
 
 	"dalehook/internal/clock"
+	"dalehook/internal/logs"
 )
 
-const (
-	// invalidLogInterval is the time between two log lines about invalid server entries, which their writer may
-	// repeat constantly.
-	invalidLogInterval = time.Second
-	// maxLoggedErrorBytes bounds the error in such a line, which may quote what the writer stated.
-	maxLoggedErrorBytes = 300
-)
+// invalidLogInterval is the time between two log lines about invalid server entries, which their writer may
+// repeat constantly.
+const invalidLogInterval = time.Second
 
 // invalidEntries counts and logs the entries that are left out. It is safe for concurrent use.
 type invalidEntries struct {
@@ -32,11 +29,9 @@
 	if i.observe != nil {
 		i.observe()
 	}
-	if !i.mayLog(clock.Now()) {
-		return
+	if i.mayLog(clock.Now()) {
+		i.logger.Error("invalid server entry", zap.String("server", serverID), logs.QuotedError(err))
 	}
-	text := err.Error()
-	i.logger.Error("invalid server entry", zap.String("server", serverID), zap.String("error", text[:min(len(text), maxLoggedErrorBytes)]))
 }
 
 func (i *invalidEntries) mayLog(now time.Time) bool {
