--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -9,6 +9,8 @@
 	"io"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"dalehook/internal/bytebudget"
 )
 
@@ -28,9 +30,9 @@
 // Errors of events that are too large to be held.
 var (
 	// ErrTooLarge is returned for an event larger than MaxEventSize.
-	ErrTooLarge = errors.New("event is too large")
+	ErrTooLarge = eris.New("event is too large")
 	// ErrNoMemory is returned for an event that does not fit the memory for servers' responses.
-	ErrNoMemory = errors.New("no memory left for the event")
+	ErrNoMemory = eris.New("no memory left for the event")
 )
 
 // Field is a field of an event other than id and data.
--- a/internal/roundtrip/counting_conn.go
+++ b/internal/roundtrip/counting_conn.go
@@ -1,16 +1,17 @@
 package roundtrip
 
 import (
-	"errors"
 	"io"
 	"net"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"dalehook/internal/bytebudget"
 )
 
 // errSealed is returned by writes to a connection that must not be used again.
-var errSealed = errors.New("connection is sealed")
+var errSealed = eris.New("connection is sealed")
 
 // countingConn counts the bytes passed to the connection before they are written,
 // so that an unchanged count means that no byte was sent.
@@ -40,7 +41,7 @@
 const headCost = 8
 
 // errNoMemory is the error of a response whose head does not fit the memory for servers' responses.
-var errNoMemory = errors.New("no memory left for the head of the response")
+var errNoMemory = eris.New("no memory left for the head of the response")
 
 // acquire reserves the connection for a request with an ID, which may be empty, until release. Until then, what is read
 // belongs to the head of the response, for which there is a reservation. It waits until
