stricthttp: a connection that broke is not the end of a response

Cause: the system reports the reset of a connection once, to the read or the write that comes first. If the write of the upload takes ECONNRESET, the read of the response returns 0, which Go gives as io.EOF, and a body without a stated length ends with io.EOF. Ruled out by a line with both errors and their order (now the text of the error): the transport closing the connection after the failed write, or the part ending before the reset is seen.

The end of the stream after a write that failed with the connection is a BrokenResponseError. A server that ended its response before it reset is told apart by the system: the write fails with EPIPE, since the end came first. Such a response is whole, as before. Broken responses are counted by kind (dalehook_broken_responses_total) and logged (`broken response`).

--- /dev/null
+++ b/internal/brokenresponse/brokenresponse.go
@@ -0,0 +1,162 @@
+// Package brokenresponse has servers, for tests, whose responses are no whole responses in the protocol.
+package brokenresponse
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// UploadBytes is the size of a request body that is still being written when a server that does not read it has
+// responded: more than the buffers of a connection hold.
+const UploadBytes = 9 << 20
+
+const (
+	// receiveBufferBytes is the size of the receive buffer of a server that resets an upload.
+	receiveBufferBytes = 4 << 10
+	// endPause is how long a server waits between the last byte of a response and the end of the connection, so that the
+	// client has read that byte.
+	endPause = 15 * time.Millisecond
+	// maxAcknowledgementWait bounds the wait for a peer that has gone.
+	maxAcknowledgementWait = 5 * time.Second
+)
+
+// Ending is what a server does after the last byte of a response.
+type Ending int
+
+const (
+	// Close reads the whole request before the response, and closes the connection after it.
+	Close Ending = iota
+	// ResetUpload reads the head of the request alone, and resets the connection after the response.
+	ResetUpload
+	// EndUpload reads the head of the request alone, ends the response, and resets the connection a while later.
+	EndUpload
+	// EndAndResetUpload is EndUpload without the pause before the reset.
+	EndAndResetUpload
+)
+
+// Whole is a whole response that a reader takes for a success.
+type Whole struct {
+	// IDHeader is the field that names the request; empty if responses name none.
+	IDHeader string
+	// Fields are the other fields that the reader requires, without line ends.
+	Fields []string
+	Body   string
+}
+
+// Response is a response that differs from a whole one.
+type Response struct {
+	Name string
+	// StatusLine is "HTTP/1.1 200 OK" if it is empty.
+	StatusLine string
+	// Framing are the fields that tell where the body ends; without any, it ends with the connection.
+	Framing []string
+	// Part is the number of bytes of the body that are sent; 0 stands for all.
+	Part   int
+	Ending Ending
+}
+
+// Serve sends a response to each request, each on a connection of its own, until the test ends. It returns the address.
+func Serve(t testing.TB, whole Whole, response Response) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go response.serve(conn.(*net.TCPConn), whole)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (r Response) serve(conn *net.TCPConn, whole Whole) {
+	defer conn.Close()
+	if r.Ending == ResetUpload {
+		_ = conn.SetReadBuffer(receiveBufferBytes)
+	}
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if r.Ending == Close {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+	_, _ = io.WriteString(conn, r.text(whole, request.Header.Get(whole.IDHeader)))
+	r.end(conn)
+}
+
+// end ends the connection.
+func (r Response) end(conn *net.TCPConn) {
+	if r.Ending == Close {
+		return
+	}
+	time.Sleep(endPause)
+	if r.Ending == ResetUpload {
+		_ = conn.SetLinger(0)
+		return
+	}
+	_ = conn.CloseWrite()
+	awaitAcknowledgement(conn)
+	if r.Ending == EndUpload {
+		time.Sleep(endPause)
+	}
+	_ = conn.SetLinger(0)
+}
+
+// awaitAcknowledgement waits until the peer has received all bytes, and the end of the stream if it was sent.
+func awaitAcknowledgement(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	outstanding := 1
+	for start := time.Now(); outstanding > 0 && time.Since(start) < maxAcknowledgementWait; time.Sleep(time.Millisecond) {
+		err := raw.Control(func(descriptor uintptr) {
+			outstanding, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+		})
+		if err != nil {
+			return
+		}
+	}
+}
+
+// text returns the bytes of the response to a request with an ID.
+func (r Response) text(whole Whole, id string) string {
+	var text strings.Builder
+	line := func(line string) { text.WriteString(line + "\r\n") }
+	if r.StatusLine == "" {
+		line("HTTP/1.1 200 OK")
+	} else {
+		line(r.StatusLine)
+	}
+	if whole.IDHeader != "" {
+		line(fmt.Sprintf("%s: %s", whole.IDHeader, id))
+	}
+	for _, field := range whole.Fields {
+		line(field)
+	}
+	for _, field := range r.Framing {
+		line(field)
+	}
+	line("")
+	body := whole.Body
+	if r.Part > 0 {
+		body = body[:r.Part]
+	}
+	text.WriteString(body)
+	return text.String()
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,12 +8,15 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"dalehook/internal/stricthttp"
 )
 
 // maxIdleConnsPerNode is the maximum number of idle connections to one node.
@@ -48,7 +51,9 @@
 // NewHTTPClient returns an HTTP client with its own connection pool and no
 // timeout; the context of a call limits it.
 func NewHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerNode, DisableCompression: true}}
+	return &http.Client{Transport: stricthttp.New(stricthttp.Options{Transport: &http.Transport{
+		DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: maxIdleConnsPerNode, DisableCompression: true,
+	}})}
 }
 
 // APIError is an error response of a node.
--- a/internal/frontend/metrics.go
+++ b/internal/frontend/metrics.go
@@ -42,6 +42,7 @@
 	requestsSuspected   prometheus.Counter
 	requestsHeld        prometheus.Counter
 	foreignResponses    *prometheus.CounterVec
+	brokenResponses     *prometheus.CounterVec
 	serversFoundGone    prometheus.Counter
 	items               *itemMetrics
 	overload            *overloadMetrics
@@ -93,9 +94,10 @@
 		}),
 		invalidRecords:   counter("dalehook_invalid_records_total", "Records of others that were left out since they are malformed or out of bounds, by kind.", "kind"),
 		foreignResponses: counter("dalehook_foreign_responses_total", "Responses of servers in the place of another one, by status.", "status"),
+		brokenResponses:  counter("dalehook_broken_responses_total", "Responses that were not whole ones in the protocol, by what was wrong with them.", "kind"),
 	}
 	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.jobCalls, m.jobReads, m.jobReadsMisread, m.storeCalls, m.storeSeconds, m.keysRefused, m.usageReports, m.usageLost, m.serverOrders, m.requestsPastGrace, m.lateRequestsRefused, m.invalidRecords,
-		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, m.serversFoundGone, collectors.NewGoCollector())
+		m.serverEnds, m.requestsSuspected, m.requestsHeld, m.foreignResponses, m.brokenResponses, m.serversFoundGone, collectors.NewGoCollector())
 	m.items = newItemMetrics(m.registry)
 	m.overload = newOverloadMetrics(m.registry)
 	m.limits = newLimitMetrics(m.registry)
--- a/internal/frontend/node.go
+++ b/internal/frontend/node.go
@@ -36,6 +36,7 @@
 	"dalehook/internal/serverlist"
 	"dalehook/internal/store"
 	"dalehook/internal/storeproxy"
+	"dalehook/internal/stricthttp"
 	"dalehook/internal/usage"
 )
 
@@ -72,6 +73,9 @@
 	// ObserveForeignResponses sets the function that is called for each response of a server that came in
 	// the place of another one.
 	ObserveForeignResponses(observe func(serverID string, foreign *roundtrip.ForeignResponseError))
+	// ObserveBrokenResponses sets the function that is called for each broken response of a server, the store or the
+	// provider.
+	ObserveBrokenResponses(observe stricthttp.Observer)
 	// ObserveGoneServers sets the function that is called, before the outcome of the request is returned, when
 	// another incarnation answers at the address of a server.
 	ObserveGoneServers(observe func(gone directory.Incarnation, address string))
@@ -187,6 +191,7 @@
 	adapter.LimitMemory(n.clientMemory)
 	adapter.ObserveStore(n.observeStore)
 	adapter.ObserveForeignResponses(n.observeForeignResponse)
+	adapter.ObserveBrokenResponses(n.observeBrokenResponse)
 	adapter.ObserveGoneServers(n.handleGoneServer)
 	n.jobLogs = joblog.NewLogs(joblog.Options{
 		Log: adapter.Log(), Partitions: options.Settings.Store.Partitions, Logger: logger.Named("joblog"),
--- a/internal/frontend/service.go
+++ b/internal/frontend/service.go
@@ -13,9 +13,11 @@
 	"dalehook/internal/directory"
 	"dalehook/internal/drain"
 	"dalehook/internal/gateway"
+	"dalehook/internal/logs"
 	"dalehook/internal/roundtrip"
 	"dalehook/internal/routetable"
 	"dalehook/internal/store"
+	"dalehook/internal/stricthttp"
 )
 
 // Verdict is the result of a call about a batch job, or of the admission of any request.
@@ -102,6 +104,12 @@
 		zap.String("request", foreign.RequestID), zap.String("named", foreign.ResponseID))
 }
 
+// observeBrokenResponse records a broken response of a server, the store or the provider.
+func (n *Node) observeBrokenResponse(address string, broken *stricthttp.BrokenResponseError) {
+	n.metrics.brokenResponses.WithLabelValues(string(broken.Kind)).Inc()
+	n.logger.Warn("broken response", zap.String("address", address), zap.String("kind", string(broken.Kind)), logs.QuotedError(broken))
+}
+
 // handleGoneServer takes a server whose address belongs to another incarnation out of the list, for all requests,
 // items and orders of this node.
 func (n *Node) handleGoneServer(gone directory.Incarnation, address string) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"dalehook/internal/cluster"
+	"dalehook/internal/stricthttp"
 )
 
 // Options configure a Client.
@@ -52,7 +53,7 @@
 // Client speaks to the platform. It is safe for concurrent use.
 type Client struct {
 	options   Options
-	transport *http.Transport
+	transport *stricthttp.Transport
 }
 
 // NewClient returns a client. It opens no connection yet.
@@ -74,12 +75,12 @@
 	options.WeightsURL = strings.TrimRight(options.WeightsURL, "/")
 	return &Client{
 		options: options,
-		transport: &http.Transport{
+		transport: stricthttp.New(stricthttp.Options{Transport: &http.Transport{
 			DialContext:         options.Dial,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-		},
+		}}),
 	}
 }
 
--- a/internal/roundtrip/roundtrip.go
+++ b/internal/roundtrip/roundtrip.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"dalehook/internal/bytebudget"
+	"dalehook/internal/stricthttp"
 )
 
 // Options configure a Transport.
@@ -35,6 +36,8 @@
 	// SingleUse closes each connection after one response. It is for requests whose responses name no request:
 	// the first response on a connection can only belong to the first request.
 	SingleUse bool
+	// ObserveBroken is called for each broken response; it may be nil.
+	ObserveBroken stricthttp.Observer
 }
 
 // maxUnsentAttempts bounds the connections tried for one request while no byte of it
@@ -45,10 +48,10 @@
 const MaxHeadBytes = 64 << 10
 
 // Transport sends each request at most once and tracks whether any byte of it was
-// sent. It wraps an http.Transport, which would retry requests that it considers
+// sent. The http.Transport below it would retry requests that it considers
 // replayable.
 type Transport struct {
-	transport *http.Transport
+	transport *stricthttp.Transport
 	idHeader  string
 	// memory bounds the heads of responses that are held at a time; nil if it does not.
 	memory *bytebudget.Budget
@@ -63,8 +66,8 @@
 		}
 		return &countingConn{Conn: conn}, nil
 	}
-	return &Transport{
-		transport: &http.Transport{
+	strict := stricthttp.Options{
+		Transport: &http.Transport{
 			DialContext:            dial,
 			MaxIdleConnsPerHost:    options.IdlePerPeer,
 			IdleConnTimeout:        options.IdleTimeout,
@@ -72,8 +75,13 @@
 			DisableKeepAlives:      options.SingleUse,
 			MaxResponseHeaderBytes: MaxHeadBytes,
 		},
-		idHeader: options.IDHeader,
 	}
+	if options.ObserveBroken != nil {
+		strict.ObserveBroken = func(peer string, broken *stricthttp.BrokenResponseError) {
+			options.ObserveBroken(dialAddress(peer), broken)
+		}
+	}
+	return &Transport{transport: stricthttp.New(strict), idHeader: options.IDHeader}
 }
 
 // LimitMemory sets the budget that the heads of responses count against. It must be called before the first request.
@@ -145,7 +153,7 @@
 		if conn != nil {
 			conn.release()
 		}
-		conn = info.Conn.(*countingConn)
+		conn = stricthttp.NetConn(info.Conn).(*countingConn)
 		writtenBefore = conn.acquire(id, head)
 		reused = info.Reused
 	}}
--- /dev/null
+++ b/internal/stricthttp/error.go
@@ -0,0 +1,20 @@
+package stricthttp
+
+// Kind says what is wrong with a response.
+type Kind string
+
+// KindReset is the kind of a response without a stated length whose connection broke before its end.
+const KindReset Kind = "reset"
+
+// BrokenResponseError means that the bytes of a peer are not a whole response in the protocol. The peer may have
+// executed the request.
+type BrokenResponseError struct {
+	Kind Kind
+	// Detail describes what was received. It may quote bytes of the peer.
+	Detail string
+}
+
+// Error implements error.
+func (e *BrokenResponseError) Error() string {
+	return "broken response (" + string(e.Kind) + "): " + e.Detail
+}
--- /dev/null
+++ b/internal/stricthttp/transport.go
@@ -0,0 +1,94 @@
+// Package stricthttp is the HTTP/1.1 transport of all clients: of servers, the store, the provider and nodes. Bytes that
+// are not a whole response in the protocol are an error, never a response.
+package stricthttp
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Observer is called for each broken response, with the address of its peer as it stands in the request.
+type Observer func(address string, broken *BrokenResponseError)
+
+// Options configure a Transport.
+type Options struct {
+	// Transport opens and pools the connections. It must have a DialContext, and must not be used otherwise.
+	Transport *http.Transport
+	// ObserveBroken may be nil.
+	ObserveBroken Observer
+}
+
+// Transport is an http.RoundTripper that returns whole responses only. If a response turns out to be broken after its
+// head, reading its body fails with a BrokenResponseError.
+type Transport struct {
+	transport     *http.Transport
+	observeBroken Observer
+}
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// New returns a Transport without open connections.
+func New(options Options) *Transport {
+	transport := options.Transport
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dialed, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: dialed}, nil
+	}
+	if options.ObserveBroken == nil {
+		options.ObserveBroken = func(string, *BrokenResponseError) {}
+	}
+	return &Transport{transport: transport, observeBroken: options.ObserveBroken}
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
+
+// NetConn returns the connection that the dial function returned, given one of an httptrace.GotConnInfo.
+func NetConn(traced net.Conn) net.Conn { return traced.(*conn).NetConn() }
+
+// RoundTrip implements http.RoundTripper. Its error wraps a BrokenResponseError if the response is broken.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.transport.RoundTrip(request)
+	if err != nil {
+		t.observe(request, err)
+		return nil, err
+	}
+	if response.Body != http.NoBody {
+		response.Body = &checkedBody{ReadCloser: response.Body, transport: t, request: request}
+	}
+	return response, nil
+}
+
+// observe reports an error if it is that of a broken response.
+func (t *Transport) observe(request *http.Request, err error) {
+	var broken *BrokenResponseError
+	if errors.As(err, &broken) {
+		t.observeBroken(request.URL.Host, broken)
+	}
+}
+
+// checkedBody is the body of a response.
+type checkedBody struct {
+	io.ReadCloser
+	transport *Transport
+	request   *http.Request
+	// failed is set once a read has failed.
+	failed bool
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && !b.failed {
+		b.failed = true
+		b.transport.observe(b.request, err)
+	}
+	return n, err
+}
