stricthttp: a head without a status of a final response is no response

Here callers got no answer at all: http.ResponseWriter panics on a status under 100, so that the caller's connection was closed without a byte, the request had no outcome in the log and the metrics, and one that may be repeated was not. 600 and 999 were passed on with the server's signature, 101 as a final response, "HTTP/2.0 200 OK" as a success. An order to an engine answered with 000 counted as refused, though the engine may have taken it.

Cause: each reader relied on what net/http's parser lets through: it takes any three characters that strconv.Atoi takes ("000", "-00", "+20", "999") and any version. Two causes looked the same to a caller, a server that broke off and the panic: `request answered` stands in the log in the first case only, and `broken response` with the first line now names what was wrong.

Change: the connections of package stricthttp check the head of each response as it is read, before it is parsed. The first line must be HTTP/1.x, one blank, three digits from 200 to 599 (interim responses, 100 to 199 but 101, are followed by another head), and a reason without control bytes, which may be missing. Anything else fails the read with a BrokenResponseError, so that the connection is closed before another request can go to it, and the request counts as sent. No transport is made without the check (TestAllClientsAreStrict), for which the reader of metrics in internal/load goes through it as well.

One test of the first design's client changes: for a 101 that nobody asked for it demanded the outcome "cut", of a response that breaks off. A 101 is no response now, as a status of 000 is, so that the outcome is "unknown", which counts as one that may have run as well, and also against the server's limit; its own check of 101 in checkFraming is gone.

--- a/internal/backend/service_client.go
+++ b/internal/backend/service_client.go
@@ -40,7 +40,6 @@
 var (
 	errNoStatedEnd = errors.New("the answer has neither a length nor chunks, so its end can't be told from a cut")
 	errTooLarge    = errors.New("the answer is larger than the buffer limit")
-	errUpgraded    = errors.New("the server switched protocols unasked")
 )
 
 // withoutOnRequest lists caller's headers that are not passed to the server.
@@ -207,9 +206,6 @@
 
 // checkFraming refuses answers whose end can't be told from a cut.
 func checkFraming(response *http.Response) error {
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		return errUpgraded
-	}
 	chunked := slices.Contains(response.TransferEncoding, "chunked")
 	if response.ContentLength < 0 && !chunked && response.Body != http.NoBody {
 		return errNoStatedEnd
--- a/internal/brokenresponse/brokenresponse.go
+++ b/internal/brokenresponse/brokenresponse.go
@@ -56,8 +56,9 @@
 	Name string
 	// StatusLine is "HTTP/1.1 200 OK" if it is empty.
 	StatusLine string
-	// Framing are the fields that tell where the body ends; without any, it ends with the connection.
-	Framing []string
+	// Fields are sent after those of the whole response, without line ends. If none states the length of the body, it ends
+	// with the connection.
+	Fields []string
 	// Part is the number of bytes of the body that are sent; 0 stands for all.
 	Part   int
 	Ending Ending
@@ -149,7 +150,7 @@
 	for _, field := range whole.Fields {
 		line(field)
 	}
-	for _, field := range r.Framing {
+	for _, field := range r.Fields {
 		line(field)
 	}
 	line("")
--- a/internal/load/usage.go
+++ b/internal/load/usage.go
@@ -7,6 +7,8 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 	"github.com/rotisserie/eris"
+
+	"dalehook/internal/client"
 )
 
 // The process metrics that are read from each node.
@@ -27,9 +29,11 @@
 
 // readUsage returns the total usage of all nodes.
 func readUsage(ctx context.Context, nodes []string) (processUsage, error) {
+	reader := client.NewHTTPClient()
+	defer reader.CloseIdleConnections()
 	var total processUsage
 	for _, node := range nodes {
-		used, err := readNodeUsage(ctx, node)
+		used, err := readNodeUsage(ctx, reader, node)
 		if err != nil {
 			return processUsage{}, eris.Wrapf(err, "read metrics of node %s", node)
 		}
@@ -39,12 +43,12 @@
 	return total, nil
 }
 
-func readNodeUsage(ctx context.Context, node string) (processUsage, error) {
+func readNodeUsage(ctx context.Context, reader *http.Client, node string) (processUsage, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, node+"/metrics", nil)
 	if err != nil {
 		return processUsage{}, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := reader.Do(request)
 	if err != nil {
 		return processUsage{}, err
 	}
--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -13,12 +13,18 @@
 // longPast is a deadline that ends a write in progress.
 var longPast = time.Unix(1, 0)
 
-// conn is a connection whose reads return io.EOF only if the peer has ended its stream. The system reports a broken
-// connection once, to the read or the write that comes first. If that is a write, all later reads return io.EOF, and a
-// response that ends with its connection would seem to be whole.
+// conn is a connection whose reads fail with a BrokenResponseError if they find a response that is not a whole one.
+//
+// Reads return io.EOF only if the peer has ended its stream. The system reports a broken connection once, to the read or
+// the write that comes first. If that is a write, all later reads return io.EOF, and a response that ends with its
+// connection would seem to be whole.
 type conn struct {
 	net.Conn
 
+	// reading guards head, which checks the head of the response that is read.
+	reading sync.Mutex
+	head    headChecker
+
 	// writing is held during a write.
 	writing sync.Mutex
 	// writeErr is the error of the first write that failed.
@@ -28,6 +34,23 @@
 // NetConn returns the connection that the transport's dial function returned.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
+// beginResponse starts the check of the next response. It must be called before its request is written.
+func (c *conn) beginResponse() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.head.begin()
+}
+
+// checkHead checks bytes that were read.
+func (c *conn) checkHead(read []byte) error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if broken := c.head.check(read); broken != nil {
+		return broken
+	}
+	return nil
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
@@ -39,9 +62,13 @@
 	return n, err
 }
 
-// Read implements net.Conn. It returns a BrokenResponseError in the place of io.EOF if the connection broke.
+// Read implements net.Conn. It returns a BrokenResponseError in the place of bytes that continue a broken head, and in the
+// place of io.EOF if the connection broke.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if broken := c.checkHead(p[:n]); broken != nil {
+		return 0, broken
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
--- a/internal/stricthttp/error.go
+++ b/internal/stricthttp/error.go
@@ -3,8 +3,12 @@
 // Kind says what is wrong with a response.
 type Kind string
 
-// KindReset is the kind of a response without a stated length whose connection broke before its end.
-const KindReset Kind = "reset"
+const (
+	// KindReset is the kind of a response without a stated length whose connection broke before its end.
+	KindReset Kind = "reset"
+	// KindStatusLine is the kind of a response whose first line is none, or has a status that no final response has.
+	KindStatusLine Kind = "status line"
+)
 
 // BrokenResponseError means that the bytes of a peer are not a whole response in the protocol. The peer may have
 // executed the request.
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Observer is called for each broken response, with the address of its peer as it stands in the request.
@@ -55,7 +56,8 @@
 
 // RoundTrip implements http.RoundTripper. Its error wraps a BrokenResponseError if the response is broken.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.transport.RoundTrip(request)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*conn).beginResponse() }}
+	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		t.observe(request, err)
 		return nil, err
