stricthttp: a head with a field whose name is none is no response

"Content-Length : 6" gave a signed 200 whose body was all that followed until the connection ended, "Transfer-Encoding : chunked" a signed 200 with the frame of the chunks as its body; "X Y: z" and "X-Y : z" were dropped and the rest passed on, with the server's 500 or as a rejection (503) as well. The same in a head of an interim response.

Cause: net/http keeps a name with a blank as it stands, so that the field is not the one that it looks like, and the length or the encoding of the body is not known. Control bytes (tab, zero, 1, DEL, a lone CR), bytes above 127 and an empty name failed the call already, by net/http's parser. What a caller saw did not tell a body that the server cut from one that was framed otherwise: both ended with the connection; `broken response` now names the line.

Change: the check of heads takes lines of fields by the names and values of golang.org/x/net/http/httpguts alone, before the parser. RFC 9112 lets a proxy remove the blank before the colon; a head that may mean two things is refused here.

--- a/internal/stricthttp/error.go
+++ b/internal/stricthttp/error.go
@@ -8,6 +8,8 @@
 	KindReset Kind = "reset"
 	// KindStatusLine is the kind of a response whose first line is none, or has a status that no final response has.
 	KindStatusLine Kind = "status line"
+	// KindField is the kind of a response whose head has a field that is none.
+	KindField Kind = "field"
 )
 
 // BrokenResponseError means that the bytes of a peer are not a whole response in the protocol. The peer may have
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -59,7 +59,7 @@
 	case h.state == expectStatusLine:
 		return h.checkStatusLine(line)
 	case line != "":
-		return nil
+		return h.checkField(line)
 	case h.interim:
 		h.begin()
 	default:
@@ -97,6 +97,15 @@
 	return nil
 }
 
+// checkField checks a line such as "Content-Length: 6". A line that continues the one before it is none.
+func (h *headChecker) checkField(line string) *BrokenResponseError {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return newHeadError(KindField, line)
+	}
+	return nil
+}
+
 // maxQuotedBytes bounds the part of a line that an error quotes.
 const maxQuotedBytes = 100
 
--- a/internal/stricthttp/head_test.go
+++ b/internal/stricthttp/head_test.go
@@ -74,3 +74,29 @@
 		t.Errorf("error: %.1000v", broken)
 	}
 }
+
+var fieldCases = []headCase{
+	{"no fields", "HTTP/1.1 200 OK\r\n\r\n", ""},
+	{"fields", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\nx-y:\tz \r\nEmpty:\r\nUmlaut: \xfc\r\n\r\n", ""},
+	{"line feeds alone", "HTTP/1.1 200 OK\nContent-Length: 6\n\n", ""},
+	{"body like a field", "HTTP/1.1 200 OK\r\nA: b\r\n\r\nX Y: z\r\n", ""},
+	{"encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
+	{"blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 6\r\n\r\n", KindField},
+	{"tab before the colon", "HTTP/1.1 200 OK\r\nContent-Length\t: 6\r\n\r\n", KindField},
+	{"blank in the name", "HTTP/1.1 200 OK\r\nX Y: z\r\n\r\n", KindField},
+	{"blank before the name", "HTTP/1.1 200 OK\r\n X-Y: z\r\n\r\n", KindField},
+	{"continued line", "HTTP/1.1 200 OK\r\nX-Y: z\r\n more\r\n\r\n", KindField},
+	{"no name", "HTTP/1.1 200 OK\r\n: z\r\n\r\n", KindField},
+	{"no colon", "HTTP/1.1 200 OK\r\nX-Y\r\n\r\n", KindField},
+	{"zero byte in the name", "HTTP/1.1 200 OK\r\nX\x00Y: z\r\n\r\n", KindField},
+	{"control byte in the name", "HTTP/1.1 200 OK\r\nX\x01Y: z\r\n\r\n", KindField},
+	{"delete in the name", "HTTP/1.1 200 OK\r\nX\x7fY: z\r\n\r\n", KindField},
+	{"carriage return in the name", "HTTP/1.1 200 OK\r\nX\rY: z\r\n\r\n", KindField},
+	{"byte above 127 in the name", "HTTP/1.1 200 OK\r\nX\xfcY: z\r\n\r\n", KindField},
+	{"zero byte in the value", "HTTP/1.1 200 OK\r\nX-Y: \x00\r\n\r\n", KindField},
+	{"carriage return in the value", "HTTP/1.1 200 OK\r\nX-Y: a\rb\r\n\r\n", KindField},
+	{"in an interim response", "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", KindField},
+}
+
+// Guards against a field that is not the one that it looks like, since net/http takes names with blanks.
+func TestFields(t *testing.T) { testHeads(t, fieldCases) }
