stricthttp: HTTP/1.0 in chunks is no response

Cause, found beside the fields with blanks: net/http ignores and drops the transfer encoding of an HTTP/1.0 response. A body in chunks was read until the connection ended, so that the frame of its chunks became a part of it: callers would get a signed 200 with a body that is not the server's, and a reader of the store records that are none. After the parser nothing tells such a response from one without a length.

Change: the check of heads refuses it. RFC 9112 (6.1) calls its framing faulty. Other fields that contradict each other or the protocol about the end of the body are refused by net/http already; TestUnclearFramingFailsTheRequest keeps eleven of them.

--- a/internal/stricthttp/error.go
+++ b/internal/stricthttp/error.go
@@ -10,6 +10,8 @@
 	KindStatusLine Kind = "status line"
 	// KindField is the kind of a response whose head has a field that is none.
 	KindField Kind = "field"
+	// KindFraming is the kind of a response whose head does not tell where the body ends.
+	KindFraming Kind = "framing"
 )
 
 // BrokenResponseError means that the bytes of a peer are not a whole response in the protocol. The peer may have
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -25,8 +25,8 @@
 	state headState
 	// line is what was read of the current line.
 	line []byte
-	// interim says that another head follows this one.
-	interim bool
+	// interim says that another head follows this one, and oldVersion that its version is HTTP/1.0.
+	interim, oldVersion bool
 }
 
 // begin starts the check of the next response.
@@ -93,16 +93,20 @@
 	if !h.interim && (code < minStatus || code > maxStatus) {
 		return broken
 	}
-	h.state = expectField
+	h.state, h.oldVersion = expectField, version == "HTTP/1.0"
 	return nil
 }
 
-// checkField checks a line such as "Content-Length: 6". A line that continues the one before it is none.
+// checkField checks a line such as "Content-Length: 6". A line that continues the one before it is none. The transfer
+// encoding of HTTP/1.0, which has none, leaves open where the body ends.
 func (h *headChecker) checkField(line string) *BrokenResponseError {
 	name, value, found := strings.Cut(line, ":")
 	if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
 		return newHeadError(KindField, line)
 	}
+	if h.oldVersion && strings.EqualFold(name, "Transfer-Encoding") {
+		return newHeadError(KindFraming, line)
+	}
 	return nil
 }
 
--- a/internal/stricthttp/head_test.go
+++ b/internal/stricthttp/head_test.go
@@ -96,6 +96,7 @@
 	{"zero byte in the value", "HTTP/1.1 200 OK\r\nX-Y: \x00\r\n\r\n", KindField},
 	{"carriage return in the value", "HTTP/1.1 200 OK\r\nX-Y: a\rb\r\n\r\n", KindField},
 	{"in an interim response", "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", KindField},
+	{"encoding of HTTP/1.0", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", KindFraming},
 }
 
 // Guards against a field that is not the one that it looks like, since net/http takes names with blanks.
