roundtrip, platform: a status counts only if its response is whole

A response that broke off within its body counted as whole: as an order that an engine took or refused, a 422 by which an item can never be done (listed as dead), a 500 that counts as a failed run, and as the statement that a request was not executed. On streams, and for 421 on all routes, callers got 503 ("not run, and will not") for such a part. Single requests read the body and were right, but for 421; the store's and the provider's clients were, too.

Change: roundtrip.ReadUnused reads a body of which nothing is used to its end, up to 64 KB, and tells whether the response is whole. What breaks off is unknown: the order's state is asked for again, the item runs again, the request may have run.

--- a/internal/backend/generate.go
+++ b/internal/backend/generate.go
@@ -101,7 +101,10 @@
 
 // endedByStatus ends an attempt that the engine answered with an error.
 func endedByStatus(ctx context.Context, start machine.StartAttempt, response *http.Response) machine.AttemptEnded {
-	body, _ := io.ReadAll(io.LimitReader(response.Body, shortAnswerLimit))
+	body, err := io.ReadAll(io.LimitReader(response.Body, shortAnswerLimit))
+	if err != nil {
+		return endedWith(ctx, start, machine.EndCut, err)
+	}
 	answer := shortAnswer{status: response.StatusCode, body: body}
 	ended := endedWith(ctx, start, reasonOfStatus(response.StatusCode, start), answer.asError())
 	ended.RetryAfter = retryAfter(response.Header, body)
--- a/internal/backend/service_client.go
+++ b/internal/backend/service_client.go
@@ -145,6 +145,10 @@
 	defer response.Body.Close()
 	readServerState(response.Header, result)
 	if isNotRun(response) {
+		if err := roundtrip.ReadUnused(response.Body); err != nil {
+			result.Outcome = machine.SendCut
+			return err
+		}
 		result.Outcome = machine.SendRefused
 		return eris.Errorf("the server refused with status %d", response.StatusCode)
 	}
--- a/internal/backend/service_client_test.go
+++ b/internal/backend/service_client_test.go
@@ -241,6 +241,8 @@
 		{name: "no answer", answer: "", outcome: machine.SendUnknown},
 		{name: "half a head", answer: "HTTP/1.1 200 OK\r\nContent-Le", outcome: machine.SendUnknown},
 		{name: "short body", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", outcome: machine.SendCut},
+		{name: "refusal", answer: "HTTP/1.1 503 Busy\r\nDalehook-Not-Run: true\r\nContent-Length: 2\r\n\r\nab", outcome: machine.SendRefused},
+		{name: "refusal cut", answer: "HTTP/1.1 503 Busy\r\nDalehook-Not-Run: true\r\nContent-Length: 9\r\n\r\nab", outcome: machine.SendCut},
 		{name: "long body cut", answer: "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + long, outcome: machine.SendCut, relayed: true},
 		{name: "chunks without end", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", outcome: machine.SendCut, relayed: true},
 		{name: "no stated end", answer: "HTTP/1.1 200 OK\r\n\r\nab", outcome: machine.SendCut},
--- a/internal/roundtrip/read.go
+++ b/internal/roundtrip/read.go
@@ -1,6 +1,8 @@
 package roundtrip
 
 import (
+	"errors"
+	"io"
 	"net/http"
 	"slices"
 
@@ -31,3 +33,20 @@
 	}
 	return slices.Concat(pieces...), nil
 }
+
+// maxUnusedBytes bounds a body of which nothing is used.
+const maxUnusedBytes = 64 << 10
+
+// ReadUnused reads a body to its end without keeping it. What the head of its response states, such as that a request was
+// not executed, counts only if the error is nil: a response that breaks off is none. It returns ErrTooLong if the body is
+// longer than 64 KB.
+func ReadUnused(body io.Reader) error {
+	_, err := io.CopyN(io.Discard, body, maxUnusedBytes+1)
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return ErrTooLong
+	}
+	return err
+}
