stricthttp: a body whose trailer has a field that is none has no end

Cause: the fields after a body in chunks come from the same parser as those of the head, and none of our readers looks at them, so that a name with a blank was dropped and the response was whole. They are a part of the response: its end is where a server in trouble mixes another head into it.

Change: the body of a response returns a BrokenResponseError in the place of its end if a name in its trailer is not valid. Trailers without one are dropped as before; net/http refuses control bytes in them already.

--- a/internal/brokenresponse/brokenresponse.go
+++ b/internal/brokenresponse/brokenresponse.go
@@ -59,6 +59,8 @@
 	// Fields are sent after those of the whole response, without line ends. If none states the length of the body, it ends
 	// with the connection.
 	Fields []string
+	// Trailer are the fields after the body, without line ends. If there are any, the body is sent as one chunk.
+	Trailer []string
 	// Part is the number of bytes of the body that are sent; 0 stands for all.
 	Part   int
 	Ending Ending
@@ -153,11 +155,15 @@
 	for _, field := range r.Fields {
 		line(field)
 	}
-	line("")
 	body := whole.Body
 	if r.Part > 0 {
 		body = body[:r.Part]
 	}
+	if r.Trailer != nil {
+		line("Transfer-Encoding: chunked")
+		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n\r\n", len(body), body, strings.Join(r.Trailer, "\r\n"))
+	}
+	line("")
 	text.WriteString(body)
 	return text.String()
 }
--- a/internal/stricthttp/error.go
+++ b/internal/stricthttp/error.go
@@ -8,7 +8,7 @@
 	KindReset Kind = "reset"
 	// KindStatusLine is the kind of a response whose first line is none, or has a status that no final response has.
 	KindStatusLine Kind = "status line"
-	// KindField is the kind of a response whose head has a field that is none.
+	// KindField is the kind of a response with a field that is none, in its head or after its body.
 	KindField Kind = "field"
 	// KindFraming is the kind of a response whose head does not tell where the body ends.
 	KindFraming Kind = "framing"
--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -110,6 +110,16 @@
 	return nil
 }
 
+// checkTrailer checks the names of the fields after a body.
+func checkTrailer(trailer http.Header) *BrokenResponseError {
+	for name := range trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return newHeadError(KindField, name)
+		}
+	}
+	return nil
+}
+
 // maxQuotedBytes bounds the part of a line that an error quotes.
 const maxQuotedBytes = 100
 
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	if response.Body != http.NoBody {
-		response.Body = &checkedBody{ReadCloser: response.Body, transport: t, request: request}
+		response.Body = &checkedBody{ReadCloser: response.Body, transport: t, response: response}
 	}
 	return response, nil
 }
@@ -76,11 +76,11 @@
 	}
 }
 
-// checkedBody is the body of a response.
+// checkedBody is the body of a response. It has no end if the fields after it are not valid.
 type checkedBody struct {
 	io.ReadCloser
 	transport *Transport
-	request   *http.Request
+	response  *http.Response
 	// failed is set once a read has failed.
 	failed bool
 }
@@ -88,9 +88,20 @@
 // Read implements io.Reader.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.endError()
+	}
 	if err != nil && !errors.Is(err, io.EOF) && !b.failed {
 		b.failed = true
-		b.transport.observe(b.request, err)
+		b.transport.observe(b.response.Request, err)
 	}
 	return n, err
 }
+
+// endError returns io.EOF, or what is wrong with the fields after the body, which are read with its end.
+func (b *checkedBody) endError() error {
+	if broken := checkTrailer(b.response.Trailer); broken != nil {
+		return broken
+	}
+	return io.EOF
+}
