stricthttp: a head is copied once, and its status has one parser

The check of a head made a string of each of its lines, and quoted the first one for an error that is rarely made. What it takes is unchanged.

--- a/internal/stricthttp/head.go
+++ b/internal/stricthttp/head.go
@@ -1,7 +1,6 @@
 package stricthttp
 
 import (
-	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,21 +33,24 @@
 
 // check checks bytes that were read, up to the end of the head. It returns nil, or what is wrong with them.
 func (h *headChecker) check(read []byte) *BrokenResponseError {
+	if h.state == headEnded {
+		return nil
+	}
+	rest := string(read)
 	for h.state != headEnded {
-		end := bytes.IndexByte(read, '\n')
-		if end < 0 {
-			h.line = append(h.line, read...)
+		line, after, complete := strings.Cut(rest, "\n")
+		if !complete {
+			h.line = append(h.line, rest...)
 			return nil
 		}
-		line := read[:end]
 		if len(h.line) > 0 {
-			line = append(h.line, line...)
+			line = string(append(h.line, line...))
+			h.line = nil
 		}
-		h.line = nil
-		read = read[end+1:]
-		if broken := h.checkLine(string(bytes.TrimSuffix(line, []byte("\r")))); broken != nil {
+		if broken := h.checkLine(strings.TrimSuffix(line, "\r")); broken != nil {
 			return broken
 		}
+		rest = after
 	}
 	return nil
 }
@@ -68,32 +70,17 @@
 	return nil
 }
 
-// statusDigits is the number of digits of a status.
-const statusDigits = 3
-
-// minStatus and maxStatus bound the statuses of final responses.
-const (
-	minStatus = 200
-	maxStatus = 599
-)
-
 // checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason may be missing.
 func (h *headChecker) checkStatusLine(line string) *BrokenResponseError {
-	broken := newHeadError(KindStatusLine, line)
 	version, rest, _ := strings.Cut(line, " ")
-	status, reason, _ := strings.Cut(rest, " ")
-	if !isVersion(version) || !isNumber(status, statusDigits) || !httpguts.ValidHeaderFieldValue(reason) {
-		return broken
-	}
-	code, err := strconv.Atoi(status)
-	if err != nil {
-		return broken
+	text, reason, _ := strings.Cut(rest, " ")
+	status := parseStatus(text)
+	if !isVersion(version) || !isInterim(status) && !isFinal(status) || !httpguts.ValidHeaderFieldValue(reason) {
+		return newHeadError(KindStatusLine, line)
 	}
-	h.interim = code >= http.StatusContinue && code < minStatus && code != http.StatusSwitchingProtocols
-	if !h.interim && (code < minStatus || code > maxStatus) {
-		return broken
-	}
-	h.state, h.oldVersion = expectField, version == "HTTP/1.0"
+	h.state = expectField
+	h.interim = isInterim(status)
+	h.oldVersion = version == "HTTP/1.0"
 	return nil
 }
 
@@ -134,6 +121,30 @@
 	return found && isNumber(minor, 1)
 }
 
+// statusDigits is the number of digits of a status.
+const statusDigits = 3
+
+// parseStatus returns the status that a text states, and 0 if it states none.
+func parseStatus(text string) int {
+	if !isNumber(text, statusDigits) {
+		return 0
+	}
+	status, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return status
+}
+
+// isInterim reports whether the head of another response follows one with this status. After 101, which no request asks
+// for, the connection would speak another protocol.
+func isInterim(status int) bool {
+	return status >= 100 && status <= 199 && status != http.StatusSwitchingProtocols
+}
+
+// isFinal reports whether a final response may have this status.
+func isFinal(status int) bool { return status >= 200 && status <= 599 }
+
 // isNumber reports whether a text consists of as many digits.
 func isNumber(text string, digits int) bool {
 	return len(text) == digits && strings.Trim(text, "0123456789") == ""
