--- a/internal/brokenresponse/brokenresponse.go
+++ b/internal/brokenresponse/brokenresponse.go
@@ -36,6 +36,13 @@
 	Close Ending = iota
 	// ResetUpload reads the head of the request alone, and resets the connection after the response.
 	ResetUpload
+	// ResetUploadAtOnce is ResetUpload without a pause before the reset.
+	ResetUploadAtOnce
+	// CloseUpload reads the head of the request alone, and closes the connection after the response. The system resets a
+	// connection that is closed before all bytes were read.
+	CloseUpload
+	// ResetAfterUpload reads the whole request, and resets the connection after the response.
+	ResetAfterUpload
 	// EndUpload reads the head of the request alone, ends the response, and resets the connection a while later.
 	EndUpload
 	// EndAndResetUpload is EndUpload without the pause before the reset.
@@ -88,36 +95,41 @@
 
 func (r Response) serve(conn *net.TCPConn, whole Whole) {
 	defer conn.Close()
-	if r.Ending == ResetUpload {
+	switch r.Ending {
+	case ResetUpload, ResetUploadAtOnce, CloseUpload:
 		_ = conn.SetReadBuffer(receiveBufferBytes)
 	}
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
 	}
-	if r.Ending == Close {
+	if r.Ending == Close || r.Ending == ResetAfterUpload {
 		_, _ = io.Copy(io.Discard, request.Body)
 	}
 	_, _ = io.WriteString(conn, r.text(whole, request.Header.Get(whole.IDHeader)))
 	r.end(conn)
 }
 
-// end ends the connection.
+// end prepares the connection to be closed.
 func (r Response) end(conn *net.TCPConn) {
-	if r.Ending == Close {
-		return
-	}
-	time.Sleep(endPause)
-	if r.Ending == ResetUpload {
+	switch r.Ending {
+	case Close:
+	case CloseUpload:
+		time.Sleep(endPause)
+	case ResetUploadAtOnce:
 		_ = conn.SetLinger(0)
-		return
-	}
-	_ = conn.CloseWrite()
-	awaitAcknowledgement(conn)
-	if r.Ending == EndUpload {
+	case ResetUpload, ResetAfterUpload:
 		time.Sleep(endPause)
+		_ = conn.SetLinger(0)
+	case EndUpload, EndAndResetUpload:
+		time.Sleep(endPause)
+		_ = conn.CloseWrite()
+		awaitAcknowledgement(conn)
+		if r.Ending == EndUpload {
+			time.Sleep(endPause)
+		}
+		_ = conn.SetLinger(0)
 	}
-	_ = conn.SetLinger(0)
 }
 
 // awaitAcknowledgement waits until the peer has received all bytes, and the end of the stream if it was sent.
--- a/internal/roundtrip/reset_test.go
+++ b/internal/roundtrip/reset_test.go
@@ -34,6 +34,21 @@
 	})
 }
 
+// Guards against the same where the server resets at once, closes with the upload unread, or has read it.
+func TestResponseThatIsResetWithAnUploadIsNotWhole(t *testing.T) {
+	for name, ending := range map[string]brokenresponse.Ending{
+		"at once": brokenresponse.ResetUploadAtOnce, "closed": brokenresponse.CloseUpload, "after the upload": brokenresponse.ResetAfterUpload,
+	} {
+		for _, part := range partBytes {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, part), func(t *testing.T) {
+				if whole := countWhole(t, brokenresponse.Response{Part: part, Ending: ending}); whole > 0 {
+					t.Errorf("%d of %d parts are taken for the whole response", whole, uploads)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a whole response that is given up since the server had ended it before the request was written.
 func TestResponseThatEndsDuringAnUploadIsWhole(t *testing.T) {
 	for name, ending := range map[string]brokenresponse.Ending{
