--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -21,9 +21,9 @@
 type conn struct {
 	net.Conn
 
-	// reading guards head, which checks the head of the response that is read.
-	reading sync.Mutex
-	head    headChecker
+	// mutex guards head, which checks the head of the response that is read.
+	mutex sync.Mutex
+	head  headChecker
 
 	// writing is held during a write.
 	writing sync.Mutex
@@ -36,15 +36,15 @@
 
 // beginResponse starts the check of the next response. It must be called before its request is written.
 func (c *conn) beginResponse() {
-	c.reading.Lock()
-	defer c.reading.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.head.begin()
 }
 
 // checkHead checks bytes that were read.
 func (c *conn) checkHead(read []byte) error {
-	c.reading.Lock()
-	defer c.reading.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if broken := c.head.check(read); broken != nil {
 		return broken
 	}
--- a/internal/stricthttp/error.go
+++ b/internal/stricthttp/error.go
@@ -18,7 +18,7 @@
 // executed the request.
 type BrokenResponseError struct {
 	Kind Kind
-	// Detail describes what was received. It may quote bytes of the peer.
+	// Detail describes what was received. It may quote some bytes of the peer.
 	Detail string
 }
 
