--- a/internal/backend/foreign_answer_test.go
+++ b/internal/backend/foreign_answer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 
+	"dalehook/internal/conntest"
 	"dalehook/internal/machine"
 )
 
@@ -15,21 +16,7 @@
 // next one. It returns its address.
 func repeatingBackend(t *testing.T, answer string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go repeatAnswer(conn, answer)
-		}
-	}()
-	return listener.Addr().String()
+	return conntest.Serve(t, func(conn net.Conn) { repeatAnswer(conn, answer) })
 }
 
 func repeatAnswer(conn net.Conn, answer string) {
--- a/internal/backend/service_client_test.go
+++ b/internal/backend/service_client_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"dalehook/internal/conntest"
 	"dalehook/internal/machine"
 )
 
@@ -22,32 +23,17 @@
 // connection after it has read the second, as a server does that dies with a
 // request in hand. It counts the requests that reached it.
 type droppingServer struct {
-	listener net.Listener
+	address  string
 	requests atomic.Int64
 }
 
 func newDroppingServer(t *testing.T) *droppingServer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	server := &droppingServer{listener: listener}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go server.serve(conn)
-		}
-	}()
+	server := &droppingServer{}
+	server.address = conntest.Serve(t, server.serve)
 	return server
 }
 
-func (s *droppingServer) address() string { return s.listener.Addr().String() }
-
 func (s *droppingServer) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
@@ -87,7 +73,7 @@
 			client := NewServiceClient(Options{})
 			defer client.Close()
 			request := ServiceRequest{
-				Address: server.address(),
+				Address: server.address,
 				Method:  test.method,
 				Path:    "/x",
 				Headers: test.headers,
@@ -116,7 +102,7 @@
 			transport := &http.Transport{}
 			defer transport.CloseIdleConnections()
 			for range 2 {
-				request, err := http.NewRequestWithContext(t.Context(), test.method, "http://"+server.address()+"/x", strings.NewReader(test.body))
+				request, err := http.NewRequestWithContext(t.Context(), test.method, "http://"+server.address+"/x", strings.NewReader(test.body))
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -153,15 +139,15 @@
 		request ServiceRequest
 	}{
 		{name: "connection refused", ctx: t.Context(), request: ServiceRequest{Address: closed, Path: "/x"}},
-		{name: "caller gone before", ctx: gone, request: ServiceRequest{Address: server.address(), Path: "/x"}},
+		{name: "caller gone before", ctx: gone, request: ServiceRequest{Address: server.address, Path: "/x"}},
 		{name: "deadline passed before", ctx: t.Context(), request: ServiceRequest{
-			Address:  server.address(),
+			Address:  server.address,
 			Path:     "/x",
 			Deadline: time.Unix(1, 0),
 		}},
-		{name: "path is not a path", ctx: t.Context(), request: ServiceRequest{Address: server.address(), Path: "x y"}},
+		{name: "path is not a path", ctx: t.Context(), request: ServiceRequest{Address: server.address, Path: "x y"}},
 		{name: "header can not be sent", ctx: t.Context(), request: ServiceRequest{
-			Address: server.address(),
+			Address: server.address,
 			Path:    "/x",
 			Headers: http.Header{"A": {"line\nbreak"}},
 		}},
@@ -199,24 +185,12 @@
 // rawServer answers each connection with fixed bytes and the request's ID, and closes it.
 func rawServer(t *testing.T, answer string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				fmt.Fprint(conn, withRequestID(answer, request))
-			}
-			conn.Close()
+	return conntest.Serve(t, func(conn net.Conn) {
+		defer conn.Close()
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			fmt.Fprint(conn, withRequestID(answer, request))
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // sendAlone sends over a connection of its own.
--- a/internal/brokenresponse/brokenresponse.go
+++ b/internal/brokenresponse/brokenresponse.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dalehook/internal/conntest"
 )
 
 // UploadBytes is the size of a request body that is still being written when a server that does not read it has
@@ -76,21 +78,7 @@
 // Serve sends a response to each request, each on a connection of its own, until the test ends. It returns the address.
 func Serve(t testing.TB, whole Whole, response Response) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go response.serve(conn.(*net.TCPConn), whole)
-		}
-	}()
-	return listener.Addr().String()
+	return conntest.Serve(t, func(conn net.Conn) { response.serve(conn.(*net.TCPConn), whole) })
 }
 
 func (r Response) serve(conn *net.TCPConn, whole Whole) {
--- a/internal/roundtrip/head_test.go
+++ b/internal/roundtrip/head_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"dalehook/internal/conntest"
 )
 
 // cutServer answers each request with the first bytes of a response, then closes the connection cleanly.
@@ -85,7 +87,7 @@
 // checkCut sends requests to a server and checks whether the last one gets a whole response.
 func checkCut(t *testing.T, server *cutServer, whole bool) {
 	t.Helper()
-	address := serveConns(t, server.serve)
+	address := conntest.Serve(t, server.serve)
 	transport := New(Options{IdleTimeout: time.Minute, IdlePerPeer: 1, Dial: (&net.Dialer{}).DialContext})
 	defer transport.Close()
 	var err error
--- a/internal/roundtrip/response_id_test.go
+++ b/internal/roundtrip/response_id_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"dalehook/internal/conntest"
 )
 
 const testIDHeader = "Test-Request-Id"
@@ -40,30 +42,10 @@
 func newScriptedServer(t *testing.T, respond func(id string, nth int) (response, late string)) *scriptedServer {
 	t.Helper()
 	s := &scriptedServer{respond: respond}
-	s.address = serveConns(t, s.serve)
+	s.address = conntest.Serve(t, s.serve)
 	return s
 }
 
-// serveConns listens on a local port, handles each connection and returns the address.
-func serveConns(t *testing.T, handle func(net.Conn)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go handle(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func (s *scriptedServer) serve(conn net.Conn) {
 	defer conn.Close()
 	s.mutex.Lock()
