nodecall: a call returns once its reply is no longer written

Change: at the end of its context a call closes its connection and waits for net/rpc to finish it, which takes no longer than decoding what has arrived.

Before: TestReplyIsNotWrittenAfterItsCall fails, "returned while the reply was being decoded", with the race detector's report.

--- a/internal/nodecall/nodecall.go
+++ b/internal/nodecall/nodecall.go
@@ -51,6 +51,8 @@
 	call := client.Go(method, arguments, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
+		client.Close()
+		<-call.Done // a reply that is being decoded is no longer written to
 		return eris.Wrapf(ctx.Err(), "%s at node %s", method, address)
 	case <-call.Done:
 		return eris.Wrapf(call.Error, "%s at node %s", method, address)
--- a/internal/nodecall/nodecall_test.go
+++ b/internal/nodecall/nodecall_test.go
@@ -75,3 +75,51 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// SlowReply is a reply that is being decoded until a test lets go of it.
+type SlowReply struct {
+	began   chan struct{}
+	proceed chan struct{}
+	text    string
+}
+
+// GobEncode implements gob.GobEncoder.
+func (*SlowReply) GobEncode() ([]byte, error) { return []byte("late"), nil }
+
+// GobDecode implements gob.GobDecoder.
+func (r *SlowReply) GobDecode(text []byte) error {
+	close(r.began)
+	<-r.proceed
+	r.text = string(text)
+	return nil
+}
+
+func (echo) SaySlowly(string, *SlowReply) error { return nil }
+
+// Guards against a reply that is still being written when its call has returned, which a race detector found.
+func TestReplyIsNotWrittenAfterItsCall(t *testing.T) {
+	listener, _ := serve(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	reply := &SlowReply{began: make(chan struct{}), proceed: make(chan struct{})}
+	returned := make(chan error, 1)
+	go func() { returned <- Call(ctx, listener.Addr().String(), "Echo.SaySlowly", "hello", reply) }()
+	select {
+	case <-reply.began:
+	case err := <-returned:
+		t.Fatalf("returned before the reply: %v", err)
+	}
+	cancel()
+	select {
+	case err := <-returned:
+		t.Errorf("returned while the reply was being decoded: %v", err)
+		returned <- err
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(reply.proceed)
+	if err := <-returned; !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	if text := reply.text; text != "late" {
+		t.Errorf("the reply is %q", text)
+	}
+}
