roundtrip: the test of responses that end during an upload no longer races with a reset

That is a race that net/http decides: if the reset fails the write first, it closes the connection with the response unread, and the caller hears that it may have run. It never failed here, but could on a busy machine. A server that ends its stream and leaves the connection open is asked for 40 of 40 now; where a reset follows, no response may be called broken, and some must be whole.

--- a/internal/brokenresponse/brokenresponse.go
+++ b/internal/brokenresponse/brokenresponse.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -45,9 +46,10 @@
 	CloseUpload
 	// ResetAfterUpload reads the whole request, and resets the connection after the response.
 	ResetAfterUpload
-	// EndUpload reads the head of the request alone, ends the response, and resets the connection a while later.
+	// EndUpload reads the head of the request alone, ends its stream after the response, and leaves the connection open.
 	EndUpload
-	// EndAndResetUpload is EndUpload without the pause before the reset.
+	// EndAndResetUpload reads the head of the request alone, ends its stream after the response, and resets the connection
+	// once the peer has received that.
 	EndAndResetUpload
 )
 
@@ -78,10 +80,10 @@
 // Serve sends a response to each request, each on a connection of its own, until the test ends. It returns the address.
 func Serve(t testing.TB, whole Whole, response Response) (address string) {
 	t.Helper()
-	return conntest.Serve(t, func(conn net.Conn) { response.serve(conn.(*net.TCPConn), whole) })
+	return conntest.Serve(t, func(conn net.Conn) { response.serve(t.Context(), conn.(*net.TCPConn), whole) })
 }
 
-func (r Response) serve(conn *net.TCPConn, whole Whole) {
+func (r Response) serve(ctx context.Context, conn *net.TCPConn, whole Whole) {
 	defer conn.Close()
 	switch r.Ending {
 	case ResetUpload, ResetUploadAtOnce, CloseUpload:
@@ -95,11 +97,11 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 	}
 	_, _ = io.WriteString(conn, r.text(whole, request.Header.Get(whole.IDHeader)))
-	r.end(conn)
+	r.end(ctx, conn)
 }
 
 // end prepares the connection to be closed.
-func (r Response) end(conn *net.TCPConn) {
+func (r Response) end(ctx context.Context, conn *net.TCPConn) {
 	switch r.Ending {
 	case Close:
 	case CloseUpload:
@@ -109,13 +111,13 @@
 	case ResetUpload, ResetAfterUpload:
 		time.Sleep(endPause)
 		_ = conn.SetLinger(0)
-	case EndUpload, EndAndResetUpload:
+	case EndUpload:
+		_ = conn.CloseWrite()
+		<-ctx.Done()
+	case EndAndResetUpload:
 		time.Sleep(endPause)
 		_ = conn.CloseWrite()
 		awaitAcknowledgement(conn)
-		if r.Ending == EndUpload {
-			time.Sleep(endPause)
-		}
 		_ = conn.SetLinger(0)
 	}
 }
