stricthttp: an exchange has one trace

Cause, found by reading the change again: each request of roundtrip carried two client traces, its own and that of the check of heads. net/http composes them by reflection for each request, and roundtrip took its connection out of the checked one by a type assertion.

Change: stricthttp sets the only trace and calls the hooks that its caller passes, with the connection that the caller dialled and the context of the exchange, so that the request is copied once.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -125,25 +124,23 @@
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	var connected bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
-	})
-	got, err := c.roundTrip(ctx, call)
+	hooks := stricthttp.Hooks{GotConn: func(net.Conn, bool) { connected = true }}
+	got, err := c.roundTrip(ctx, call, hooks)
 	if err != nil {
 		return answer{}, eris.Wrapf(&callError{cause: err, connected: connected}, "%s at %s", call.step, call.url)
 	}
 	return got, nil
 }
 
-func (c *Client) roundTrip(ctx context.Context, call call) (answer, error) {
-	request, err := http.NewRequestWithContext(ctx, call.method, call.url, bytes.NewReader(call.body))
+func (c *Client) roundTrip(ctx context.Context, call call, hooks stricthttp.Hooks) (answer, error) {
+	request, err := http.NewRequest(call.method, call.url, bytes.NewReader(call.body))
 	if err != nil {
 		return answer{}, err
 	}
 	if len(call.body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := c.transport.RoundTrip(request)
+	response, err := c.transport.Exchange(ctx, request, hooks)
 	if err != nil {
 		return answer{}, err
 	}
--- a/internal/roundtrip/roundtrip.go
+++ b/internal/roundtrip/roundtrip.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/textproto"
 	"net/url"
 	"strings"
@@ -149,19 +148,15 @@
 	var writtenBefore int64
 	id := t.requestID(r)
 	head := t.memory.Reserve("")
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	gotConn := func(connection net.Conn, wasUsed bool) {
 		if conn != nil {
 			conn.release()
 		}
-		conn = stricthttp.NetConn(info.Conn).(*countingConn)
+		conn = connection.(*countingConn)
 		writtenBefore = conn.acquire(id, head)
-		reused = info.Reused
-	}}
-	if r.OnWritten != nil {
-		trace.WroteRequest = func(httptrace.WroteRequestInfo) { r.OnWritten() }
+		reused = wasUsed
 	}
-	request := r.nonReplayable(httptrace.WithClientTrace(ctx, trace), target)
-	response, err := t.transport.RoundTrip(request)
+	response, err := t.transport.Exchange(ctx, r.nonReplayable(target), stricthttp.Hooks{GotConn: gotConn, WroteRequest: r.OnWritten})
 	if conn != nil {
 		defer func() { conn.release() }()
 	}
@@ -186,7 +181,7 @@
 // nonReplayable builds a request that http.Transport does not consider
 // replayable: its body is never nil and can not be rewound. An empty body gets
 // the identity encoding, which keeps the transport from using chunked encoding.
-func (r Request) nonReplayable(ctx context.Context, target *url.URL) *http.Request {
+func (r Request) nonReplayable(target *url.URL) *http.Request {
 	request := &http.Request{
 		Method:        r.Method,
 		URL:           target,
@@ -205,7 +200,7 @@
 			request.Header["content-length"] = []string{"0"}
 		}
 	}
-	return request.WithContext(ctx)
+	return request
 }
 
 func usuallyHasBody(method string) bool {
--- a/internal/stricthttp/conn.go
+++ b/internal/stricthttp/conn.go
@@ -31,9 +31,6 @@
 	writeErr error
 }
 
-// NetConn returns the connection that the transport's dial function returned.
-func (c *conn) NetConn() net.Conn { return c.Conn }
-
 // beginResponse starts the check of the next response. It must be called before its request is written.
 func (c *conn) beginResponse() {
 	c.mutex.Lock()
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -51,13 +51,38 @@
 // CloseIdleConnections closes the connections that are not in use.
 func (t *Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
 
-// NetConn returns the connection that the dial function returned, given one of an httptrace.GotConnInfo.
-func NetConn(traced net.Conn) net.Conn { return traced.(*conn).NetConn() }
+// Hooks are called during an exchange; each may be nil.
+type Hooks struct {
+	// GotConn is called before the request is written, with the connection that the dial function returned. It is reused
+	// if it has carried another request before.
+	GotConn func(connection net.Conn, reused bool)
+	// WroteRequest is called when the request was written, whether or not that failed.
+	WroteRequest func()
+}
+
+// trace returns the trace of an exchange, which also starts the check of its response.
+func (h Hooks) trace() *httptrace.ClientTrace {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		checked := info.Conn.(*conn)
+		checked.beginResponse()
+		if h.GotConn != nil {
+			h.GotConn(checked.Conn, info.Reused)
+		}
+	}}
+	if h.WroteRequest != nil {
+		trace.WroteRequest = func(httptrace.WroteRequestInfo) { h.WroteRequest() }
+	}
+	return trace
+}
 
 // RoundTrip implements http.RoundTripper. Its error wraps a BrokenResponseError if the response is broken.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*conn).beginResponse() }}
-	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	return t.Exchange(request.Context(), request, Hooks{})
+}
+
+// Exchange is RoundTrip with hooks, and with a context in the place of the request's.
+func (t *Transport) Exchange(ctx context.Context, request *http.Request, hooks Hooks) (*http.Response, error) {
+	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, hooks.trace())))
 	if err != nil {
 		t.observe(request, err)
 		return nil, err
