platform: a test of who goes on to another server after a broken response

Found by reading the change again: that a request which may be repeated goes on to another server stood by reading only; the tests gave all servers the same broken response. Servers that break the first run of each request, whichever of them gets it, now show both sides: safe requests and resumable streams are served, unsafe ones and other streams hear 502.

With it: one way in which tests make a request of a node and look at its response; no client literal passes TestAllClientsAreStrict without stricthttp.

--- a/internal/brokenresponse/brokenresponse.go
+++ b/internal/brokenresponse/brokenresponse.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,6 +84,31 @@
 	return conntest.Serve(t, func(conn net.Conn) { response.serve(t.Context(), conn.(*net.TCPConn), whole) })
 }
 
+// ServeFirst starts servers that send a response to the first request with each ID, whichever of them gets it, and the whole
+// response to the next ones. It returns their addresses.
+func ServeFirst(t testing.TB, whole Whole, response Response, servers int) (addresses []string) {
+	t.Helper()
+	var seen sync.Map
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get(whole.IDHeader)
+		text := response.text(whole, id)
+		if _, repeated := seen.LoadOrStore(id, true); repeated {
+			text = Response{}.text(whole, id)
+		}
+		_, _ = io.WriteString(conn, text)
+	}
+	for range servers {
+		addresses = append(addresses, conntest.Serve(t, serve))
+	}
+	return addresses
+}
+
 func (r Response) serve(ctx context.Context, conn *net.TCPConn, whole Whole) {
 	defer conn.Close()
 	switch r.Ending {
--- a/internal/stricthttp/usage_test.go
+++ b/internal/stricthttp/usage_test.go
@@ -11,9 +11,9 @@
 
 var (
 	// plainClient matches the making of an HTTP client whose responses are not checked.
-	plainClient = regexp.MustCompile(`http\.(DefaultClient|DefaultTransport|Get|Head|Post|PostForm|ReadResponse)\b|&http\.Client{}`)
-	// ownTransport matches the making of a transport, which is to be passed to New.
-	ownTransport = regexp.MustCompile(`&http\.Transport{`)
+	plainClient = regexp.MustCompile(`http\.(DefaultClient|DefaultTransport|Get|Head|Post|PostForm|ReadResponse)\b`)
+	// ownTransport matches the making of a client, or of a transport that is to be passed to New.
+	ownTransport = regexp.MustCompile(`http\.(Client|Transport){`)
 )
 
 // Guards against a reader of responses that does not go through this package.
